Tests of store and policy; an empty first batch no longer stops a restart

Cause: test_log_lasts: the first batch of a log (term 0, no vote, no entries) packs to nothing, and the reader took a record of length 0 for damage: a control instance could not start again after its first run. Ruled out: a lost write (the file held all records). Change: a record of length 0 is judged by its checksum like any other. Sums of a pool leave out the load of targets that leave, as they leave out their place. The history for the load bound was made harder until it failed for reports taken at face value (first tries, with steady arrivals, did not tell the two apart); it passes with reports that count down by their age.

--- a/packages/daemon/pwtargets.c
+++ b/packages/daemon/pwtargets.c
@@ -330,7 +330,9 @@
   p->sum = (pw_pool_sum){.at = now};
   for (int i = 0; i < p->n; i++) {
     const pw_target *one = pwtargets_by_id(t, p->id[i]);
-    p->sum.targets += !one->drain && !one->leaving;
+    if (one->drain || one->leaving)
+      continue; /* neither its load nor its place counts */
+    p->sum.targets++;
     pwpool_add(&p->sum, &one->report);
   }
 }
--- a/packages/store/pwstore.c
+++ b/packages/store/pwstore.c
@@ -80,8 +80,7 @@
   memcpy(&h, data + *at, sizeof h);
   const uint8_t *body = data + *at + sizeof h;
   size_t room = left - sizeof h;
-  if (h.len <= room && h.zero == 0 && h.len > 0 &&
-      XXH3_64bits(body, h.len) == h.sum) {
+  if (h.len <= room && h.zero == 0 && XXH3_64bits(body, h.len) == h.sum) {
     *payload = body;
     *len = h.len;
     *at += sizeof h + h.len;
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -57,10 +57,10 @@
   int count;
   flight f[FLIGHT_MAX];
   int nf;
-  uint64_t applied_hash[LOG_MAX];  /* what each index held, for all time */
-  uint64_t leader_of[LOG_MAX];     /* by term */
-  uint64_t acked_revision;         /* newest accepted and told */
-  uint64_t owner[KEYS];            /* hash of who was granted the claim */
+  uint64_t applied_hash[LOG_MAX]; /* what each index held, for all time */
+  uint64_t leader_of[LOG_MAX];    /* by term */
+  uint64_t acked_revision;        /* newest accepted and told */
+  uint64_t owner[KEYS];           /* hash of who was granted the claim */
   uint64_t resend_revision[KEYS];
   uint64_t won[NAMES][VERSIONS_MAX]; /* revision that won against a version */
   uint64_t next_id, proposals, elections;
@@ -112,11 +112,17 @@
 /* --- nodes --- */
 
 static void start(model *m, node *x) {
-  pw_cons_setup s = {.id = x->d.id, .seed = pwrand(&m->rnd), .now = m->now,
-                     .heartbeat = 100, .retry = 200, .lease = LEASE,
+  pw_cons_setup s = {.id = x->d.id,
+                     .seed = pwrand(&m->rnd),
+                     .now = m->now,
+                     .heartbeat = 100,
+                     .retry = 200,
+                     .lease = LEASE,
                      .batch = 1 + pwrand_below(&m->rnd, 4),
-                     .term = x->d.term, .vote = x->d.vote,
-                     .snapshot = x->d.snapshot, .entries = x->d.entry,
+                     .term = x->d.term,
+                     .vote = x->d.vote,
+                     .snapshot = x->d.snapshot,
+                     .entries = x->d.entry,
                      .nentries = x->d.n};
   x->state = pwstate_new();
   if (x->d.snapshot->state.len)
@@ -157,9 +163,9 @@
     uint8_t *bytes = pw_alloc(n);
     pw__cons__pack(msg, bytes);
     int64_t late = bad && pwrand_below(&m->rnd, 50) == 0 ? 3000 : 20;
-    m->f[m->nf++] = (flight){pw__cons__unpack(NULL, n, bytes),
-                             m->now + 1 + (int64_t)pwrand_below(
-                                              &m->rnd, (uint64_t)late)};
+    m->f[m->nf++] =
+        (flight){pw__cons__unpack(NULL, n, bytes),
+                 m->now + 1 + (int64_t)pwrand_below(&m->rnd, (uint64_t)late)};
     free(bytes);
   }
 }
@@ -227,8 +233,8 @@
     check_version(m, cmd->change, o);
   }
   /* The leader tells the caller: from here on it may never be lost. */
-  int leads = pwcons_role(x->cons) == PWCONS_LEADER &&
-              e->term == pwcons_term(x->cons);
+  int leads =
+      pwcons_role(x->cons) == PWCONS_LEADER && e->term == pwcons_term(x->cons);
   if (o && o->code == PW_OK && leads && o->revision > m->acked_revision)
     m->acked_revision = o->revision;
   if (o)
@@ -327,7 +333,8 @@
   put.kind = "model";
   put.name = name;
   put.spec = spec;
-  const pw_resource *old = pwres_get(pwstate_resources(x->state), "model", name);
+  const pw_resource *old =
+      pwres_get(pwstate_resources(x->state), "model", name);
   put.version = old ? old->version : 0;
   ch.puts = puts;
   ch.n_puts = 1;
@@ -377,8 +384,7 @@
 static node *leader(model *m) {
   for (int i = 0; i < m->count; i++) {
     node *x = &m->n[i];
-    if (x->up && !x->frozen && !x->cut &&
-        pwcons_role(x->cons) == PWCONS_LEADER)
+    if (x->up && !x->frozen && !x->cut && pwcons_role(x->cons) == PWCONS_LEADER)
       return x;
   }
   return NULL;
@@ -567,7 +573,8 @@
   for (int i = 0; i < m.count; i++) {
     m.n[i].slot = (uint32_t)i + 1;
     m.n[i].d.id = pwrand(&m.rnd) | 1;
-    c.m[i] = (pw_cons_member){.id = m.n[i].d.id, .slot = m.n[i].slot, .voter = 1};
+    c.m[i] =
+        (pw_cons_member){.id = m.n[i].d.id, .slot = m.n[i].slot, .voter = 1};
   }
   for (int i = 0; i < m.count; i++) {
     disk_found(&m.n[i].d, &c);
@@ -593,8 +600,13 @@
 static pw_cons *lone_leader(disk *d) {
   pw_cons_config c = {.n = 1, .m = {{.id = 1, .slot = 1, .voter = 1}}};
   disk_found(d, &c);
-  pw_cons_setup s = {.id = 1, .seed = 1, .now = 5000, .heartbeat = 100,
-                     .retry = 200, .lease = LEASE, .snapshot = d->snapshot};
+  pw_cons_setup s = {.id = 1,
+                     .seed = 1,
+                     .now = 5000,
+                     .heartbeat = 100,
+                     .retry = 200,
+                     .lease = LEASE,
+                     .snapshot = d->snapshot};
   pw_cons *cons = pwcons_new(&s);
   pw_cons_ready r;
   while (pwcons_ready(cons, &r))
@@ -622,8 +634,8 @@
 static pw_cons *one_of_three(disk *d, int n) {
   pw_cons_config c = {.n = 3};
   for (int i = 0; i < 3; i++)
-    c.m[i] = (pw_cons_member){.id = (uint64_t)i + 1, .slot = (uint32_t)i + 1,
-                              .voter = 1};
+    c.m[i] = (pw_cons_member){
+        .id = (uint64_t)i + 1, .slot = (uint32_t)i + 1, .voter = 1};
   disk_found(d, &c);
   for (int i = 1; i <= n; i++) {
     Pw__Entry e = PW__ENTRY__INIT;
@@ -631,9 +643,15 @@
     e.index = (uint64_t)i;
     disk_append(d, &e);
   }
-  pw_cons_setup s = {.id = 1, .seed = 1, .now = 5000, .heartbeat = 100,
-                     .retry = 200, .lease = LEASE, .term = 1,
-                     .snapshot = d->snapshot, .entries = d->entry,
+  pw_cons_setup s = {.id = 1,
+                     .seed = 1,
+                     .now = 5000,
+                     .heartbeat = 100,
+                     .retry = 200,
+                     .lease = LEASE,
+                     .term = 1,
+                     .snapshot = d->snapshot,
+                     .entries = d->entry,
                      .nentries = d->n};
   return pwcons_new(&s);
 }
--- /dev/null
+++ b/tests/test_policy.c
@@ -0,0 +1,614 @@
+/* test_policy.c: the decisions, against naive versions and random histories. */
+#include "pwadmit.h"
+#include "pwbound.h"
+#include "pwbreak.h"
+#include "pwbudget.h"
+#include "pwbuf.h"
+#include "pwchat.h"
+#include "pwplace.h"
+#include "pwqueue.h"
+#include "pwroute.h"
+#include "pwtest.h"
+
+#include <math.h>
+#include <string.h>
+
+/* --- placement --- */
+
+#define TARGETS_MAX 60
+
+static int draw_targets(pw_random *r, pw_place_target *t, int weighted) {
+  int n = 1 + (int)pwrand_below(r, TARGETS_MAX);
+  for (int i = 0; i < n; i++)
+    t[i] = (pw_place_target){pwrand(r) | 1,
+                             weighted ? 1 + (uint32_t)pwrand_below(r, 5) : 1};
+  return n;
+}
+
+static void test_place_against_naive(void) {
+  pw_random r = {.seed = test_seed(21)};
+  pw_place_target t[TARGETS_MAX];
+  for (int round = 0; round < 6; round++) {
+    int n = draw_targets(&r, t, round % 2);
+    pw_place *p = pwplace_build(t, n, NULL);
+    for (int i = 0; i < 300; i++) {
+      uint64_t key = pwrand(&r);
+      for (int rank = 0; rank < PW_RANKS; rank++)
+        CHECK(pwplace_rank(p, key, rank) == pwplace_naive(t, n, key, rank));
+    }
+    pwplace_free(p);
+  }
+}
+
+/* Carried over change by change, a table equals one built from nothing, and
+** only the chats of targets that came or went have moved. */
+static void test_place_moves_little(void) {
+  pw_random r = {.seed = test_seed(22)};
+  pw_place_target t[TARGETS_MAX + 1];
+  int n = 20;
+  for (int i = 0; i < n; i++)
+    t[i] = (pw_place_target){pwrand(&r) | 1, 1};
+  pw_place *p = pwplace_build(t, n, NULL);
+  for (int round = 0; round < 10; round++) {
+    uint64_t changed;
+    if (round % 2) {
+      changed = t[n - 1].id;
+      n--;
+    } else {
+      changed = pwrand(&r) | 1;
+      t[n++] = (pw_place_target){changed, 1};
+    }
+    pw_place *q = pwplace_build(t, n, p);
+    pw_place *fresh = pwplace_build(t, n, NULL);
+    int moved = 0;
+    for (int i = 0; i < 5000; i++) {
+      uint64_t key = pwrand(&r);
+      uint64_t was = pwplace_rank(p, key, 0);
+      uint64_t is = pwplace_rank(q, key, 0);
+      moved += was != is;
+      CHECK(was == is || was == changed || is == changed);
+      for (int rank = 0; rank < PW_RANKS; rank++)
+        CHECK(pwplace_rank(q, key, rank) == pwplace_rank(fresh, key, rank));
+    }
+    CHECK(moved < 5000 / n * 2);
+    pwplace_free(p);
+    pwplace_free(fresh);
+    p = q;
+  }
+  pwplace_free(p);
+}
+
+static void test_place_weights(void) {
+  pw_place_target t[3] = {{11, 1}, {22, 2}, {33, 1}};
+  pw_place *p = pwplace_build(t, 3, NULL);
+  int heavy = 0;
+  for (uint64_t key = 0; key < PW_SLOTS; key++)
+    heavy += pwplace_rank(p, key, 0) == 22;
+  CHECK(fabs((double)heavy / PW_SLOTS - 0.5) < 0.01);
+  pwplace_free(p);
+}
+
+/* --- the load bound --- */
+
+#define AGENTS 24
+#define RUNS_MAX 4096
+
+typedef struct sim_run {
+  int agent;
+  double left;
+} sim_run;
+
+typedef struct sim_agent {
+  pw_admit a;
+  int member;
+  pw_pool_sum view;
+  int64_t hello;
+} sim_agent;
+
+typedef struct sim {
+  pw_random r;
+  int64_t now;
+  sim_agent g[AGENTS];
+  pw_report report[2][AGENTS]; /* what each of two entries believes */
+  sim_run run[RUNS_MAX];
+  int nrun;
+  int starts, held, broken;
+  double worst;
+} sim;
+
+static double true_mean(sim *s) {
+  double sum = 0;
+  int n = 0;
+  for (int i = 0; i < AGENTS; i++) {
+    if (!s->g[i].member)
+      continue;
+    sum += pwload_now(&s->g[i].a.load, s->now);
+    n++;
+  }
+  return n ? sum / n : 0;
+}
+
+static void sim_start(sim *s) {
+  int i = (int)pwrand_below(&s->r, AGENTS);
+  sim_agent *g = &s->g[i];
+  if (!g->member || s->nrun == RUNS_MAX)
+    return;
+  double own = pwload_now(&g->a.load, s->now);
+  double mean = true_mean(s);
+  pw_admit_ask ask = {.workspace = "w",
+                      .weight = 1,
+                      .cost = 10 + (double)pwrand_below(&s->r, 900),
+                      .deadline = s->now + 1};
+  pw_admit_answer ans = pwadmit_ask(&g->a, &ask, &g->view, s->now);
+  if (ans.verdict != PW_ADMIT_START) {
+    s->held++;
+    return;
+  }
+  s->starts++;
+  s->run[s->nrun++] = (sim_run){i, ask.cost};
+  double limit = PWBOUND_BOUND * mean;
+  if (limit < g->a.floor)
+    limit = g->a.floor;
+  if (own > 0 && own + ask.cost > limit + 1e-6)
+    s->broken++;
+  if (mean > g->a.floor && (own + ask.cost) / mean > s->worst)
+    s->worst = (own + ask.cost) / mean;
+}
+
+/* Requests make progress, end, or are cancelled all at once. */
+static void sim_progress(sim *s, int64_t ms, int fast) {
+  for (int i = 0; i < s->nrun;) {
+    sim_run *x = &s->run[i];
+    double tokens =
+        (double)ms / 1000 * (double)pwrand_below(&s->r, fast ? 3000 : 60);
+    int cancelled = pwrand_below(&s->r, 3000) == 0;
+    if (tokens < x->left && !cancelled) {
+      pwadmit_progress(&s->g[x->agent].a, tokens, s->now);
+      x->left -= tokens;
+      i++;
+      continue;
+    }
+    pwadmit_end(&s->g[x->agent].a, x->left, s->now);
+    s->run[i] = s->run[--s->nrun];
+  }
+}
+
+/* A report reaches an entry late, or never; its time is when it was asked. */
+static void sim_report(sim *s) {
+  int i = (int)pwrand_below(&s->r, AGENTS);
+  int e = (int)pwrand_below(&s->r, 2);
+  if (!s->g[i].member || pwrand_below(&s->r, 5) == 0)
+    return;
+  pw_load *l = &s->g[i].a.load;
+  s->report[e][i] = (pw_report){pwload_now(l, s->now), l->rate, s->now};
+}
+
+/* An agent asks an entry for the sum; the answer comes late. */
+static void sim_view(sim *s) {
+  sim_agent *g = &s->g[pwrand_below(&s->r, AGENTS)];
+  int e = (int)pwrand_below(&s->r, 2);
+  pw_pool_sum sum = {.at = s->now};
+  for (int i = 0; i < AGENTS; i++) {
+    if (!s->g[i].member)
+      continue;
+    sum.targets++;
+    pwpool_add(&sum, &s->report[e][i]);
+  }
+  sum.at -= (int64_t)pwrand_below(&s->r, 400); /* when it was asked for */
+  g->view = sum;
+}
+
+static void sim_member(sim *s) {
+  int i = (int)pwrand_below(&s->r, AGENTS);
+  sim_agent *g = &s->g[i];
+  if (g->member && g->a.running)
+    return; /* it drains first */
+  g->member = !g->member;
+  s->report[0][i] = (pw_report){.at = s->now};
+  s->report[1][i] = (pw_report){.at = s->now};
+  for (int k = 0; k < AGENTS; k++) /* joins are in force before work comes */
+    if (g->member)
+      s->g[k].view.targets++;
+}
+
+static void run_sim(sim *s, uint64_t seed) {
+  *s = (sim){.r = {.seed = seed}, .now = 1000};
+  for (int i = 0; i < AGENTS; i++) {
+    s->g[i].member = i < 20;
+    pwadmit_init(&s->g[i].a, 1000, 0, 500 + (double)pwrand_below(&s->r, 1500),
+                 s->now);
+    s->g[i].a.floor = 600;
+    s->g[i].view = (pw_pool_sum){.targets = 20, .at = s->now};
+  }
+  for (int step = 0; step < 30000; step++) {
+    int64_t ms = (int64_t)pwrand_below(&s->r, 4);
+    int burst = step / 1000 % 2; /* quiet and burst take turns */
+    s->now += ms;
+    if (pwrand_below(&s->r, 4) == 0) /* now and then all speed up at once */
+      sim_progress(s, ms * 4, step / 700 % 2);
+    if (burst || pwrand_below(&s->r, 20) == 0)
+      sim_start(s);
+    if (pwrand_below(&s->r, 8) == 0)
+      sim_report(s);
+    if (pwrand_below(&s->r, 8) == 0)
+      sim_view(s);
+    if (pwrand_below(&s->r, 400) == 0)
+      sim_member(s);
+  }
+  for (int i = 0; i < AGENTS; i++)
+    pwadmit_free(&s->g[i].a);
+}
+
+static void test_bound_holds(void) {
+  static sim s;
+  uint64_t seed = test_seed(23);
+  double worst = 0;
+  int starts = 0, held = 0;
+  for (int i = 0; i < 8; i++) {
+    run_sim(&s, seed + (uint64_t)i);
+    CHECK(s.broken == 0);
+    CHECK(s.starts > 1000);
+    starts += s.starts;
+    held += s.held;
+    worst = s.worst > worst ? s.worst : worst;
+  }
+  printf("%d starts, %d held back, most %.3f of the mean\n", starts, held,
+         worst);
+  CHECK(worst <= PWBOUND_BOUND + 1e-9);
+  CHECK(held > 0);
+}
+
+/* --- queue --- */
+
+static pw_item item(const char *w, double weight, int priority, double cost,
+                    int64_t deadline, void *job) {
+  pw_item it = {.weight = weight,
+                .priority = priority,
+                .cost = cost,
+                .deadline = deadline,
+                .job = job};
+  pw_copy(it.workspace, sizeof it.workspace, w);
+  return it;
+}
+
+static void test_queue_shares(void) {
+  pw_queue *q = pwqueue_new(1000);
+  static int jobs[600];
+  double served[3] = {0};
+  for (int i = 0; i < 600; i++) {
+    const char *names[] = {"a", "b", "c"};
+    pw_item it = item(names[i % 3], i % 3 == 1 ? 2 : 1, 4, 10, 1000, &jobs[i]);
+    CHECK(pwqueue_push(q, &it) == NULL);
+  }
+  for (int i = 0; i < 200; i++) {
+    pw_item it;
+    CHECK(pwqueue_peek(q, &it));
+    served[it.workspace[0] - 'a'] += it.cost;
+    pwqueue_pop(q);
+  }
+  CHECK(fabs(served[1] / served[0] - 2) < 0.1); /* weight 2 gets double */
+  CHECK(fabs(served[2] / served[0] - 1) < 0.1);
+  pwqueue_free(q);
+}
+
+/* A surge does not delay a quiet workspace by more than one of its own. */
+static void test_queue_surge(void) {
+  pw_queue *q = pwqueue_new(100);
+  static int jobs[200];
+  int refused_quiet = 0;
+  for (int i = 0; i < 150; i++) {
+    pw_item it = item("surge", 1, 4, 100, 1000, &jobs[i]);
+    pwqueue_push(q, &it);
+  }
+  for (int i = 150; i < 155; i++) {
+    pw_item it = item("quiet", 1, 4, 100, 1000, &jobs[i]);
+    refused_quiet += pwqueue_push(q, &it) == &jobs[i];
+  }
+  CHECK(refused_quiet == 0); /* the surge's own go first out */
+  CHECK(pwqueue_count(q) == 100);
+  int quiet_done_at = 0;
+  for (int i = 1; quiet_done_at == 0 || i < 100; i++) {
+    pw_item it;
+    if (!pwqueue_peek(q, &it))
+      break;
+    if (!strcmp(it.workspace, "quiet") && i <= 11)
+      quiet_done_at = i;
+    pwqueue_pop(q);
+  }
+  CHECK(quiet_done_at > 0 && quiet_done_at <= 11);
+  pwqueue_free(q);
+}
+
+static void test_queue_order(void) {
+  pw_queue *q = pwqueue_new(10);
+  int late, soon, urgent;
+  pw_item it = item("a", 1, 4, 1, 900, &late);
+  pwqueue_push(q, &it);
+  it = item("a", 1, 4, 1, 500, &soon);
+  pwqueue_push(q, &it);
+  it = item("b", 1, 9, 1, 990, &urgent);
+  pwqueue_push(q, &it);
+  CHECK(pwqueue_peek(q, &it) && it.job == &urgent);
+  pwqueue_pop(q);
+  CHECK(pwqueue_peek(q, &it) && it.job == &soon);
+  CHECK(pwqueue_expired(q, 499) == NULL);
+  CHECK(pwqueue_expired(q, 500) == &soon);
+  CHECK(pwqueue_remove(q, &late) && !pwqueue_remove(q, &late));
+  CHECK(pwqueue_count(q) == 0 && pwqueue_tokens(q) == 0);
+  pwqueue_free(q);
+}
+
+/* One workspace alone: the queue is a plain list by deadline. */
+static void test_queue_against_naive(void) {
+  pw_random r = {.seed = test_seed(24)};
+  pw_queue *q = pwqueue_new(500);
+  int64_t deadline[300];
+  for (int i = 0; i < 300; i++) {
+    deadline[i] = (int64_t)pwrand_below(&r, 100000);
+    pw_item it = item("a", 1, 4, 1, deadline[i], &deadline[i]);
+    pwqueue_push(q, &it);
+  }
+  int64_t before = -1;
+  pw_item it;
+  for (int i = 0; i < 300; i++) {
+    CHECK(pwqueue_peek(q, &it) && it.deadline >= before);
+    before = it.deadline;
+    pwqueue_pop(q);
+  }
+  CHECK(!pwqueue_peek(q, &it));
+  pwqueue_free(q);
+}
+
+/* --- budgets, breaker, chats --- */
+
+static void test_retry_budget(void) {
+  pw_retry_budget b;
+  pwretry_init(&b, 0.1, 5);
+  int paid = 0;
+  for (int i = 0; i < 1000; i++) {
+    pwretry_success(&b);
+    paid += pwretry_spend(&b); /* every request wants a retry */
+  }
+  CHECK(paid <= 105); /* never more than the share and the reserve */
+  CHECK(paid >= 95);
+}
+
+static void test_bucket(void) {
+  pw_bucket b;
+  pwbucket_init(&b, 100, 50, 0);
+  CHECK(pwbucket_take(&b, 50, 0));
+  CHECK(!pwbucket_take(&b, 10, 50));
+  CHECK(pwbucket_wait(&b, 10, 50) == 51);
+  CHECK(pwbucket_take(&b, 10, 101));
+  pwbucket_charge(&b, 500, 101);
+  CHECK(!pwbucket_take(&b, 1, 4000));
+  pwbucket_init(&b, 0, 0, 0);
+  CHECK(pwbucket_take(&b, 1e12, 0)); /* no limit */
+}
+
+static void test_breaker(void) {
+  pw_breaker b;
+  pwbreak_init(&b, 0, 0);
+  CHECK(!pwbreak_result(&b, 1, 1) && !pwbreak_result(&b, 1, 2));
+  CHECK(pwbreak_result(&b, 1, 3)); /* the third in a row opens */
+  CHECK(!pwbreak_allows(&b, 4, 0.0));
+  int64_t back = 3 + PWBREAK_OPEN_MS;
+  int early = 0, late = 0;
+  for (int i = 0; i < 100; i++) {
+    early += pwbreak_allows(&b, back + 100, i / 100.0);
+    late += pwbreak_allows(&b, back + PWBREAK_RAMP_MS * 9 / 10, i / 100.0);
+  }
+  CHECK(early < 10 && late >= 85 && late < 100); /* no herd when it returns */
+  CHECK(pwbreak_result(&b, 1, back + 200)); /* a relapse opens at once ... */
+  CHECK(!pwbreak_allows(&b, back + 200 + PWBREAK_OPEN_MS, 0)); /* for longer */
+  /* A few failures among many answers are no reason. */
+  pwbreak_init(&b, 0, 0);
+  int opened = 0;
+  for (int i = 0; i < 100; i++)
+    opened += pwbreak_result(&b, i % 4 == 0, i);
+  CHECK(opened == 0);
+}
+
+static void test_chats(void) {
+  pw_chats *c = pwchat_new(100, 1000);
+  char where[PW_NAME_MAX];
+  uint32_t tokens;
+  for (int i = 0; i < 300; i++) {
+    char chat[16];
+    snprintf(chat, sizeof chat, "c%d", i);
+    pwchat_put(c, chat, "t1", (uint32_t)i, i);
+  }
+  CHECK(pwchat_count(c) == 100); /* bounded: the oldest went */
+  CHECK(!pwchat_get(c, "c199", where, &tokens, 300));
+  CHECK(pwchat_get(c, "c200", where, &tokens, 300) && tokens == 200);
+  CHECK(!strcmp(where, "t1"));
+  CHECK(!pwchat_get(c, "c250", NULL, NULL, 1251)); /* expired */
+  pwchat_put(c, "c299", "t2", 7, 400);
+  CHECK(pwchat_get(c, "c299", where, NULL, 400) && !strcmp(where, "t2"));
+  pwchat_forget(c, "c299");
+  CHECK(!pwchat_get(c, "c299", NULL, NULL, 400));
+  pwchat_free(c);
+}
+
+/* --- routing --- */
+
+typedef struct fake_pool {
+  pw_route_target t[20];
+  uint64_t id[20];
+  int n;
+} fake_pool;
+
+static int fake_get(void *arg, uint64_t id, pw_route_target *out) {
+  const fake_pool *f = arg;
+  for (int i = 0; i < f->n; i++)
+    if (f->t[i].id == id) {
+      *out = f->t[i];
+      return 1;
+    }
+  return 0;
+}
+
+static pw_place *make_pool(fake_pool *f, pw_route_pool *pool, int n) {
+  pw_place_target pt[20];
+  f->n = n;
+  for (int i = 0; i < n; i++) {
+    f->id[i] = (uint64_t)i * 1000 + 7;
+    pt[i] = (pw_place_target){f->id[i], 1};
+    f->t[i] = (pw_route_target){.id = f->id[i], .usable = 1, .limit = 1000};
+  }
+  pw_place *p = pwplace_build(pt, n, NULL);
+  *pool = (pw_route_pool){p, f->id, n, f, fake_get};
+  return p;
+}
+
+static pw_route_target *route_of(fake_pool *f, uint64_t id) {
+  for (int i = 0; i < f->n; i++)
+    if (f->t[i].id == id)
+      return &f->t[i];
+  return NULL;
+}
+
+/* With nothing stale and nobody full, the way is that of plain rendezvous. */
+static void test_route_plain(void) {
+  fake_pool f;
+  pw_route_pool pool;
+  pw_place *p = make_pool(&f, &pool, 10);
+  for (uint64_t key = 1; key < 200; key++) {
+    pw_route_walk w = {.key = key, .draw = key * 77, .cost = 10};
+    pw_route_pick pick = pwroute_next(&pool, &w);
+    CHECK(pick.id == pwplace_rank(p, key, 0) && pick.is_home);
+  }
+  pwplace_free(p);
+}
+
+static void test_route_prefix(void) {
+  fake_pool f;
+  pw_route_pool pool;
+  pw_place *p = make_pool(&f, &pool, 10);
+  pw_route_walk w = {.key = 5, .draw = 9, .cost = 10, .returning = 1};
+  uint64_t home = pwplace_rank(p, 5, 0);
+  pw_route_pick pick = pwroute_next(&pool, &w);
+  CHECK(pick.id == home && pick.need_prefix);
+  pwroute_refused(&w, home, PW_REFUSED_MISSED);
+  w.pointer = 3007; /* home knows where it lies */
+  pick = pwroute_next(&pool, &w);
+  CHECK(pick.id == 3007 && pick.need_prefix);
+  pwroute_refused(&w, 3007, PW_REFUSED_MISSED);
+  pick = pwroute_next(&pool, &w);
+  CHECK(pick.id == pwplace_rank(p, 5, 1) && pick.need_prefix);
+  pwroute_refused(&w, pick.id, PW_REFUSED_MISSED);
+  pick = pwroute_next(&pool, &w); /* nobody has it: home computes it */
+  CHECK(pick.id == home && !pick.need_prefix);
+  pwplace_free(p);
+}
+
+static void test_route_full(void) {
+  fake_pool f;
+  pw_route_pool pool;
+  pw_place *p = make_pool(&f, &pool, 10);
+  pw_route_walk w = {.key = 5, .draw = 9, .cost = 10};
+  uint64_t home = pwplace_rank(p, 5, 0);
+  route_of(&f, home)->load = 995;
+  pw_route_pick pick = pwroute_next(&pool, &w);
+  CHECK(pick.id == pwplace_rank(p, 5, 1)); /* spills along the ranks */
+  pwroute_refused(&w, pick.id, PW_REFUSED_BUSY);
+  pick = pwroute_next(&pool, &w);
+  pwroute_refused(&w, pick.id, PW_REFUSED_BUSY);
+  pick = pwroute_next(&pool, &w);
+  pwroute_refused(&w, pick.id, PW_REFUSED_BUSY);
+  pick = pwroute_next(&pool, &w);
+  CHECK(pick.may_queue); /* the pool is full: it may wait somewhere */
+  pwroute_refused(&w, pick.id, PW_REFUSED_BUSY);
+  CHECK(pwroute_next(&pool, &w).id == 0); /* and then it is told at once */
+  pwplace_free(p);
+}
+
+/* Whatever is refused or unusable, a walk ends and never repeats a target that
+** proved to refuse, but for the one it may queue at. */
+static void test_route_ends(void) {
+  pw_random r = {.seed = test_seed(25)};
+  fake_pool f;
+  pw_route_pool pool;
+  pw_place *p = make_pool(&f, &pool, 20);
+  for (int round = 0; round < 2000; round++) {
+    pw_route_walk w = {.key = pwrand(&r),
+                       .draw = pwrand(&r),
+                       .cost = 10,
+                       .returning = (int)pwrand_below(&r, 2)};
+    for (int i = 0; i < 20; i++) {
+      f.t[i].usable = pwrand_below(&r, 3) != 0;
+      f.t[i].load = (double)pwrand_below(&r, 1200);
+    }
+    int steps = 0;
+    pw_route_pick pick;
+    while ((pick = pwroute_next(&pool, &w)).id) {
+      CHECK(route_of(&f, pick.id)->usable);
+      pwroute_refused(&w, pick.id, (pw_refusal)pwrand_below(&r, 3));
+      if (!CU_get_number_of_failures() && ++steps > 60)
+        break;
+    }
+    CHECK(steps <= 60);
+  }
+  pwplace_free(p);
+}
+
+static void test_retry_after(void) {
+  pw_random r = {.seed = test_seed(26)};
+  uint32_t least = UINT32_MAX, most = 0;
+  for (int i = 0; i < 1000; i++) {
+    uint32_t ms = pwroute_retry_after(4000, pwrand(&r));
+    least = ms < least ? ms : least;
+    most = ms > most ? ms : most;
+  }
+  CHECK(least >= 4000 && least < 4400 && most > 7600 && most <= 8001);
+}
+
+/* --- admission --- */
+
+static void test_admit(void) {
+  pw_admit a;
+  pw_pool_sum pool = {.targets = 1, .at = 0};
+  pwadmit_init(&a, 2, 4, 1000, 0);
+  a.floor = 100000;
+  int job;
+  pw_admit_ask ask = {.workspace = "w",
+                      .weight = 1,
+                      .cost = 100,
+                      .deadline = 60000,
+                      .job = &job};
+  CHECK(pwadmit_ask(&a, &ask, &pool, 0).verdict == PW_ADMIT_START);
+  CHECK(pwadmit_ask(&a, &ask, &pool, 0).verdict == PW_ADMIT_START);
+  pw_admit_answer ans = pwadmit_ask(&a, &ask, &pool, 0);
+  CHECK(ans.verdict == PW_ADMIT_REFUSED && ans.code == PW_E_BUSY);
+  CHECK(ans.wait > 0);
+  ask.may_queue = 1;
+  ask.deadline = 1; /* cannot be met: told now, not then */
+  CHECK(pwadmit_ask(&a, &ask, &pool, 0).code == PW_E_DEADLINE);
+  ask.deadline = 60000;
+  CHECK(pwadmit_ask(&a, &ask, &pool, 0).verdict == PW_ADMIT_QUEUED);
+  pwadmit_end(&a, 100, 10);
+  pwadmit_free(&a);
+}
+
+int main(void) {
+  TESTS_BEGIN("policy");
+  TEST(test_place_against_naive);
+  TEST(test_place_moves_little);
+  TEST(test_place_weights);
+  TEST(test_bound_holds);
+  TEST(test_queue_shares);
+  TEST(test_queue_surge);
+  TEST(test_queue_order);
+  TEST(test_queue_against_naive);
+  TEST(test_retry_budget);
+  TEST(test_bucket);
+  TEST(test_breaker);
+  TEST(test_chats);
+  TEST(test_route_plain);
+  TEST(test_route_prefix);
+  TEST(test_route_full);
+  TEST(test_route_ends);
+  TEST(test_retry_after);
+  TEST(test_admit);
+  TESTS_END();
+}
