Broken links and leaving: resumes pause, lost connections are seen, links rest

(1) An entry that had just dialled an agent took a second request's target for dead (link opening) and told no-target. (2) Three resumes were spent within a millisecond while a link was down for 100 ms. (3) A dead agent stayed 'fresh' for two seconds, so a request was sent into a closed connection and became unknown. (4) An agent that could not reach its entry cancelled the stream at the engine, so no resume could succeed. (5) With every target set aside by its breaker nobody was asked at all. Change: targets set aside are asked last instead of never; resumes pause 25 ms, doubling; connection losses are taken from ZeroMQ's monitor; a stream whose entry is lost rests 5 s at the engine before it is cancelled.

--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -21,6 +21,7 @@
 #define CACHED_MAX 4096
 #define CACHED_KEEP_MS (24LL * 3600 * 1000)
 #define PEER_LOST_MS 10000
+#define UNHEARD_MS 5000 /* a stream may be resumed for this long */
 #define NS_PER_MS 1000000
 
 typedef struct pool {
@@ -42,6 +43,14 @@
   UT_hash_handle hh;
 } held;
 
+/* A stream whose entry could not be reached: it may be resumed, and is
+** cancelled at the target when nobody does. */
+typedef struct unheard {
+  char origin[PW_NAME_MAX];
+  int64_t since;
+  UT_hash_handle hh;
+} unheard;
+
 typedef struct agent {
   pw_proc *p;
   pw_sock *listener;
@@ -54,6 +63,7 @@
   pw_chats *cached;   /* chats whose prefix the target holds */
   pw_chats *pointers; /* chats displaced from here */
   held *jobs;
+  unheard *unheard;
   seen *seen;
   pool pools[POOLS_MAX];
   int npools;
@@ -232,10 +242,20 @@
   return 1;
 }
 
+static void forget_unheard(agent *a, const char *origin) {
+  unheard *u;
+  HASH_FIND_STR(a->unheard, origin, u);
+  if (!u)
+    return;
+  HASH_DEL(a->unheard, u);
+  free(u);
+}
+
 /* A resumed stream takes over from its earlier attempt, with no new place in
 ** the queue: its tokens are in progress at the engine already. */
 static void resume(agent *a, pw_job *j, int64_t now) {
   held *h, *tmp;
+  forget_unheard(a, j->origin);
   HASH_ITER(hh, a->jobs, h, tmp) {
     if (!strcmp(h->job->origin, j->origin) && h->job != j) {
       pwjob_cancel(h->job);
@@ -369,9 +389,36 @@
 
 /* --- words from the workers --- */
 
+/* The entry cannot be reached: stops reading, and lets the stream rest. */
+static void abandon(agent *a, held *h, int64_t now) {
+  pw_job *j = h->job;
+  if (j->run->never || j->run->service || h->cancelled) {
+    cancel(a, h, now);
+    return;
+  }
+  h->cancelled = 1;
+  pwjob_cancel(j);
+  forget_unheard(a, j->origin);
+  unheard *u = pw_alloc(sizeof *u);
+  pw_copy(u->origin, sizeof u->origin, j->origin);
+  u->since = now;
+  HASH_ADD_STR(a->unheard, origin, u);
+}
+
+static void expire_unheard(agent *a, int64_t now) {
+  unheard *u, *tmp;
+  HASH_ITER(hh, a->unheard, u, tmp) {
+    if (now - u->since < UNHEARD_MS)
+      break; /* in order of time */
+    pwjob_cancel_at_target(a->workers, u->origin);
+    HASH_DEL(a->unheard, u);
+    free(u);
+  }
+}
+
 static void send_or_abandon(agent *a, held *h, Pw__Envelope *e, int64_t now) {
   if (pwwire_send(a->listener, &h->job->peer, e) != 0)
-    cancel(a, h, now);
+    abandon(a, h, now);
 }
 
 static void on_head(agent *a, held *h, pw_job_note *n, int64_t now) {
@@ -573,6 +620,7 @@
 static void tick(agent *a, int64_t now) {
   say_hello(a, now);
   expire_jobs(a, now);
+  expire_unheard(a, now);
   start_queued(a, now);
   pwproc_set_ready(a->p, pwsub_may_serve(a->sub, now) && !is_leaving(a));
 }
@@ -670,6 +718,11 @@
     HASH_DEL(a->seen, s);
     free(s);
   }
+  unheard *u, *utmp;
+  HASH_ITER(hh, a->unheard, u, utmp) {
+    HASH_DEL(a->unheard, u);
+    free(u);
+  }
   pwadmit_free(&a->admit);
   pwchat_free(a->cached);
   pwchat_free(a->pointers);
--- a/packages/daemon/pwentry.c
+++ b/packages/daemon/pwentry.c
@@ -231,6 +231,12 @@
   }
 }
 
+static void on_lost(entry *en, int64_t now) {
+  char addr[128];
+  while (pwwire_lost(en->dialler, addr, sizeof addr))
+    pwflight_lost(en->flights, addr, &en->policy, now);
+}
+
 static void on_mail(entry *en, int64_t now) {
   pwmail_clear(en->mail);
   int serve = pwsub_may_serve(en->sub, now);
@@ -309,15 +315,17 @@
 }
 
 static void loop(entry *en) {
-  zmq_pollitem_t items[3] = {{pwwire_raw(en->listener), 0, ZMQ_POLLIN, 0},
+  zmq_pollitem_t items[4] = {{pwwire_raw(en->listener), 0, ZMQ_POLLIN, 0},
                              {pwwire_raw(en->dialler), 0, ZMQ_POLLIN, 0},
+                             {pwwire_lost_raw(en->dialler), 0, ZMQ_POLLIN, 0},
                              {NULL, pwmail_fd(en->mail), ZMQ_POLLIN, 0}};
   int64_t ticked = 0;
   while (!may_end(en, pwclock_ms())) {
-    zmq_poll(items, 3, TICK_MS);
+    zmq_poll(items, 4, TICK_MS);
     int64_t now = pwclock_ms();
     on_listener(en, now);
     on_dialler(en, now);
+    on_lost(en, now);
     on_mail(en, now);
     if (now - ticked >= TICK_MS) {
       ticked = now;
--- a/packages/daemon/pwflight.c
+++ b/packages/daemon/pwflight.c
@@ -15,12 +15,14 @@
 #define RECORD_GIVE_UP_MS 30000
 #define GONE_CHECK_MS 500
 #define ANSWER_MAX (8 * 1024 * 1024) /* bytes of an answer not streamed */
-#define RESUMES_MAX 3
+#define RESUMES_MAX 7
+#define RESUME_MS 25 /* pause before the first resume; doubles */
 #define MARGIN_MS 20 /* an answer out before the deadline, not at it */
 
 typedef enum flight_state {
   F_CLAIMING, /* waits for the once-ledger */
   F_OPENING,  /* waits for a cold link; nothing was sent */
+  F_PAUSING,  /* before a stream is resumed */
   F_SENT,     /* a Run is out, no Head yet */
   F_ANSWERING,
   F_RECORDING /* answered; the ledger has yet to take the answer */
@@ -321,9 +323,19 @@
   pwcount_add(fs->p->counters, PWC_RESUMES, 1);
   pwevent_add(fs->p->events, PWE_RESUMED, 0, f->call->request, f->call->chat,
               t->name, "offset=%llu", (unsigned long long)f->received);
+  f->state = F_PAUSING;
+  f->since = now;
+  return 1;
+}
+
+static void end_pause(pw_flights *fs, flight *f, int64_t now) {
+  pw_target *t = target_of(fs, f);
+  if (!t) {
+    fail(fs, f, PW_E_CUT, now);
+    return;
+  }
   t->in_flight--; /* go_to counts it again */
   go_to(fs, f, t, now);
-  return 1;
 }
 
 static void broken(pw_flights *fs, flight *f, pw_code code,
@@ -535,6 +547,17 @@
   free(hit);
 }
 
+void pwflight_lost(pw_flights *fs, const char *addr, const pw_policy *policy,
+                   int64_t now) {
+  pw_target *t = pwtargets_by_agent(fs->targets, addr);
+  if (!t || t->link != PW_LINK_UP)
+    return;
+  pwevent_add(fs->p->events, PWE_LINK_DOWN, 0, NULL, NULL, t->name,
+              "connection lost, in_flight=%d", t->in_flight);
+  pwtargets_lose(fs->targets, t);
+  break_all(fs, t, PW_E_TIMEOUT, policy, now);
+}
+
 /* Runs that waited for this link go out. */
 static void send_waiting(pw_flights *fs, pw_target *t, int64_t now) {
   for (flight *f = fs->all; f; f = f->hh.next)
@@ -692,7 +715,7 @@
 static void abandon(pw_flights *fs, flight *f) {
   if (f->state == F_RECORDING || f->call->never)
     return;
-  if (f->state != F_CLAIMING && f->state != F_OPENING)
+  if (f->state == F_SENT || f->state == F_ANSWERING)
     send_cancel(fs, f);
   pwcount_add(fs->p->counters, PWC_CANCELS, 1);
   release(fs, f);
@@ -761,6 +784,11 @@
     fail(fs, f, f->unproven ? PW_E_TIMEOUT : PW_E_DEADLINE, now);
     return;
   }
+  if (f->state == F_PAUSING) {
+    if (now - f->since >= (int64_t)RESUME_MS << f->resumes)
+      end_pause(fs, f, now);
+    return;
+  }
   if (f->state == F_OPENING && now - f->since > PW_LINK_OPEN) {
     pw_target *t = target_of(fs, f);
     if (t) {
--- a/packages/daemon/pwflight.h
+++ b/packages/daemon/pwflight.h
@@ -29,6 +29,10 @@
                       const Pw__Envelope *e, const pw_policy *policy,
                       int64_t now);
 
+/* The connection to an agent was lost. */
+void pwflight_lost(pw_flights *fs, const char *addr, const pw_policy *policy,
+                   int64_t now);
+
 /* The ledger's answer to a Claim or Record. */
 void pwflight_claimed(pw_flights *fs, const Pw__Claimed *claimed,
                       const pw_policy *policy, int64_t now);
--- a/packages/daemon/pwtargets.c
+++ b/packages/daemon/pwtargets.c
@@ -100,6 +100,13 @@
   return NULL;
 }
 
+pw_target *pwtargets_by_agent(pw_targets *t, const char *addr) {
+  for (row *r = t->rows; r; r = r->hh.next)
+    if (!strcmp(r->t.agent, addr))
+      return &r->t;
+  return NULL;
+}
+
 pw_target **pwtargets_all(pw_targets *t, int *n) {
   *n = 0;
   for (row *r = t->rows; r; r = r->hh.next)
@@ -291,6 +298,7 @@
     if (!one->agent[0] || pwwire_dial(t->sock, one->agent, &one->peer) != 0)
       return;
     one->link = PW_LINK_OPENING;
+    one->dialled_at = now;
   }
   Pw__Ping ping = PW__PING__INIT;
   ping.clock = now;
@@ -316,14 +324,18 @@
   return one->clock + passed - passed * CLOCK_MARGIN_PPM / 1000000;
 }
 
-static int is_usable(const pw_target *one, uint64_t draw, int64_t now) {
-  if (one->drain || one->leaving)
-    return 0;
-  if (now - one->heard > ALIVE_MS && one->link != PW_LINK_NONE &&
-      one->link != PW_LINK_UP && now - one->asked < PW_LINK_LOST)
+/* Silent by every way, or on a link that does not come up. */
+static int is_silent(const pw_target *one, int64_t now) {
+  if (one->link == PW_LINK_UP)
     return 0;
+  if (one->link == PW_LINK_OPENING && now - one->dialled_at > PW_LINK_OPEN)
+    return 1;
+  return one->incarnation != 0 && now - one->heard > ALIVE_MS;
+}
+
+static int is_aside(const pw_target *one, uint64_t draw, int64_t now) {
   double share = (double)(draw >> 40) / (double)(1 << 24);
-  return pwbreak_allows(&one->breaker, now, share);
+  return is_silent(one, now) || !pwbreak_allows(&one->breaker, now, share);
 }
 
 static void sum_up_pool(pw_targets *t, pool *p, int64_t now) {
@@ -349,7 +361,8 @@
     return 0;
   uint64_t draw = t->pick.draw ^ id * 0x9e3779b97f4a7c15ULL;
   *out = (pw_route_target){.id = id,
-                           .usable = is_usable(one, draw, t->pick.now),
+                           .usable = !one->drain && !one->leaving,
+                           .aside = is_aside(one, draw, t->pick.now),
                            .zone = one->zone,
                            .load = pwreport_low(&one->report, t->pick.now) +
                                    one->pending,
--- a/packages/daemon/pwtargets.h
+++ b/packages/daemon/pwtargets.h
@@ -29,6 +29,7 @@
   pw_peer peer;
   int64_t link_heard; /* over the link */
   int64_t asked;      /* last Ping */
+  int64_t dialled_at; /* when the link was dialled */
   int in_flight;      /* attempts of this entry */
 
   int64_t heard; /* by any way, as of the agent's own report */
@@ -57,6 +58,9 @@
 pw_target *pwtargets_by_name(pw_targets *t, const char *name);
 pw_target *pwtargets_by_peer(pw_targets *t, const pw_peer *peer);
 
+/* The target whose agent is at this address, or NULL. */
+pw_target *pwtargets_by_agent(pw_targets *t, const char *addr);
+
 /* All of them: t[0 .. n-1]. */
 pw_target **pwtargets_all(pw_targets *t, int *n);
 
--- a/packages/policy/pwroute.c
+++ b/packages/policy/pwroute.c
@@ -19,13 +19,19 @@
 }
 
 /* Fills out when id is a usable target that has not refused yet. */
-static int open_target(const pw_route_pool *pool, const pw_route_walk *w,
-                       uint64_t id, pw_route_target *out) {
+static int usable_target(const pw_route_pool *pool, const pw_route_walk *w,
+                         uint64_t id, pw_route_target *out) {
   if (!id || was_tried(w, id) || !pool->get(pool->arg, id, out))
     return 0;
   return out->usable;
 }
 
+/* The same, but for those set aside. */
+static int open_target(const pw_route_pool *pool, const pw_route_walk *w,
+                       uint64_t id, pw_route_target *out) {
+  return usable_target(pool, w, id, out) && !out->aside;
+}
+
 static int fits(const pw_route_target *t, double cost) {
   return t->load <= 0 || t->load + cost <= t->limit;
 }
@@ -77,13 +83,18 @@
   return best.id;
 }
 
-/* First usable target from a drawn start on; with need_fit, that fits. */
+typedef enum scan_mode { SCAN_FITS, SCAN_OPEN, SCAN_ASIDE } scan_mode;
+
+/* First target from a drawn start on: one that fits; any open one; when all
+** are set aside, one of those, since no answer is the worst. */
 static uint64_t anyone(const pw_route_pool *pool, const pw_route_walk *w,
-                       uint64_t draw, int need_fit) {
+                       uint64_t draw, scan_mode mode) {
   for (int i = 0; i < pool->n && i < SCAN_MAX; i++) {
     pw_route_target t;
     uint64_t id = pool->id[(draw + (uint64_t)i) % (uint64_t)pool->n];
-    if (open_target(pool, w, id, &t) && (!need_fit || fits(&t, w->cost)))
+    if (!usable_target(pool, w, id, &t) || (t.aside && mode != SCAN_ASIDE))
+      continue;
+    if (mode != SCAN_FITS || fits(&t, w->cost))
       return id;
   }
   return 0;
@@ -94,10 +105,8 @@
     return 0;
   uint64_t draw = w->draw + (uint64_t)w->ntried * 0x9e3779b97f4a7c15ULL;
   uint64_t id = better_of_two(pool, w, draw);
-  if (!id)
-    id = anyone(pool, w, draw, 1);
-  if (!id)
-    id = anyone(pool, w, draw, 0);
+  for (int mode = SCAN_FITS; !id && mode <= SCAN_ASIDE; mode++)
+    id = anyone(pool, w, draw, (scan_mode)mode);
   return id;
 }
 
--- a/packages/policy/pwroute.h
+++ b/packages/policy/pwroute.h
@@ -10,7 +10,8 @@
 /* What the entry believes of one target. */
 typedef struct pw_route_target {
   uint64_t id;
-  int usable;    /* alive, not leaving, breaker lets this pick through */
+  int usable;    /* may take work */
+  int aside;     /* only when nobody else is left: breaker open, or silent */
   uint32_t zone; /* availability zone, as a number of the caller's choosing */
   double load;   /* tokens in progress, as last reported plus own since */
   double limit;  /* load it may carry, as far as the entry knows */
--- a/packages/wire/pwwire.c
+++ b/packages/wire/pwwire.c
@@ -26,6 +26,7 @@
 struct pw_sock {
   pw_wire *w;
   void *zmq;
+  void *monitor; /* tells of lost connections; NULL: a listener */
   uint32_t dialled;
 };
 
@@ -100,7 +101,28 @@
 }
 
 pw_sock *pwwire_dialler(pw_wire *w) {
-  return new_sock(w);
+  char name[64];
+  pw_sock *s = new_sock(w);
+  snprintf(name, sizeof name, "inproc://monitor-%p", (void *)s);
+  zmq_socket_monitor(s->zmq, name, ZMQ_EVENT_DISCONNECTED);
+  s->monitor = zmq_socket(w->zmq, ZMQ_PAIR);
+  set_int(s->monitor, ZMQ_LINGER, 0);
+  zmq_connect(s->monitor, name);
+  return s;
+}
+
+/* An event is two parts: number and value, then the address. */
+int pwwire_lost(pw_sock *s, char *addr, size_t cap) {
+  uint8_t event[6];
+  if (zmq_recv(s->monitor, event, sizeof event, ZMQ_DONTWAIT) < 0)
+    return 0;
+  int n = zmq_recv(s->monitor, addr, cap - 1, ZMQ_DONTWAIT);
+  addr[n > 0 ? (size_t)n < cap ? (size_t)n : cap - 1 : 0] = 0;
+  return 1;
+}
+
+void *pwwire_lost_raw(pw_sock *s) {
+  return s->monitor;
 }
 
 int pwwire_dial(pw_sock *s, const char *addr, pw_peer *peer) {
@@ -121,6 +143,10 @@
 void pwwire_close(pw_sock *s) {
   if (!s)
     return;
+  if (s->monitor) {
+    zmq_socket_monitor(s->zmq, NULL, 0);
+    zmq_close(s->monitor);
+  }
   zmq_close(s->zmq);
   free(s);
 }
--- a/packages/wire/pwwire.h
+++ b/packages/wire/pwwire.h
@@ -44,6 +44,11 @@
 pw_sock *pwwire_dialler(pw_wire *w);
 int pwwire_dial(pw_sock *s, const char *addr, pw_peer *peer);
 
+/* The address of a dialled peer whose connection was just lost; 0 when there
+** is none. pwwire_lost_raw is the socket to poll for it. */
+int pwwire_lost(pw_sock *s, char *addr, size_t cap);
+void *pwwire_lost_raw(pw_sock *s);
+
 /* Forgets a dialled peer and what is queued for it. */
 void pwwire_hang_up(pw_sock *s, const char *addr);
 
--- /dev/null
+++ b/tests/scenarios/03_not_run.lua
@@ -0,0 +1,75 @@
+-- Promise: when the system tells a caller a request was not run, it was not run.
+local fleet = require("fleet")
+local f = fleet.new{entries = 1, engines = 2, services = 1, relays = "agents"}
+f:start()
+local portal, agent = f.engines[3], f.agents[3]
+
+local function runs() return portal:stats().total end
+local function charge(key, o)
+  o = o or {}
+  o.once, o.body = key, "charge " .. key
+  return f:once(o)
+end
+
+-- The target refuses connections: a proof, the claim is given back.
+portal:kill()
+local r = charge("refused")
+fleet.equal("outcome, target down", r["Peatwell-Outcome"], "not-run")
+fleet.expect("told when to come back", tonumber(r["Retry-After"] or 0) >= 1)
+portal:start()
+fleet.eventually("a resend under the same key runs", function()
+  return charge("refused")["Peatwell-Outcome"] == "done"
+end)
+fleet.equal("runs", runs(), 1)
+
+-- The agent is dead: nothing was ever sent to it.
+agent:kill()
+r = charge("agent-dead")
+fleet.equal("outcome, agent dead", r["Peatwell-Outcome"], "not-run")
+agent:start()
+f:wait_ready(agent)
+fleet.eventually("it runs then", function() return charge("agent-dead")["Peatwell-Outcome"] == "done" end)
+fleet.equal("runs", runs(), 2)
+
+-- The service runs it and closes without an answer: unknown, never a second run.
+portal:fault("close_next=1")
+r = charge("closed")
+fleet.equal("outcome, closed", r["Peatwell-Outcome"], "unknown")
+fleet.equal("a resend learns that", charge("closed")["Peatwell-Outcome"], "unknown")
+fleet.equal("runs", runs(), 3)
+
+-- The link freezes after the request left: silence is no proof.
+portal:fault("delay_ms=1500")
+local h = run.http_start(f:call{body = "charge frozen", headers = {["Peatwell-Repeat"] = "never",
+  ["Idempotency-Key"] = "frozen"}})
+fleet.eventually("it runs", function() return runs() == 4 end)
+run.relay_set(agent.relay, "freeze")
+r = run.http_wait(h)
+fleet.equal("outcome, frozen link", r["Peatwell-Outcome"], "unknown")
+run.relay_set(agent.relay, "pass")
+portal:fault("delay_ms=0")
+fleet.equal("resend", charge("frozen")["Peatwell-Outcome"], "unknown")
+fleet.equal("runs", runs(), 4)
+
+-- A deadline too short to be met is refused before the start, with proof.
+local before = f.engines[1]:stats().started + f.engines[2]:stats().started
+r = f:ask{text = "too late", headers = {["Peatwell-Deadline-Ms"] = "1"}}
+fleet.equal("outcome, no time", r["Peatwell-Outcome"], "not-run")
+fleet.equal("engine starts", f.engines[1]:stats().started + f.engines[2]:stats().started, before)
+
+-- A frozen agent that wakes does not start what was given up meanwhile.
+agent:pause()
+h = run.http_start(f:call{body = "charge paused", headers = {["Peatwell-Repeat"] = "never",
+  ["Idempotency-Key"] = "paused", ["Peatwell-Deadline-Ms"] = "1500"}})
+r = run.http_wait(h)
+local told = r["Peatwell-Outcome"]
+agent:continue()
+f:wait_ready(agent)
+run.pause(300)
+if told == "not-run" then
+  fleet.equal("runs after not-run", runs(), 4)
+else
+  fleet.equal("outcome", told, "unknown")
+  fleet.equal("runs after its deadline", runs(), 4)
+end
+f:stop()
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -188,7 +188,7 @@
 end
 
 -- A target: the stand-in and its agent. With o.relays the entries reach the
--- agent, and the agent its target, through relays.
+-- agent through a relay; with "all" the agent its target, too.
 function fleet:target(name, kind, zone)
   local o = self.o
   local port, wire, health = run.port(), run.port(), run.port()
@@ -197,7 +197,7 @@
   local engine = self:process(name, argv, http(port))
   engine.live = "/stats"
   local url, link = port, wire
-  if o.relays then
+  if o.relays == "all" then
     engine.relay, url = run.relay(port)
   end
   local agent = self:daemon("agent-" .. name, "agent", zone, string.format(
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -523,6 +523,21 @@
   pwplace_free(p);
 }
 
+/* With every target set aside, one of them is asked all the same. */
+static void test_route_aside(void) {
+  fake_pool f;
+  pw_route_pool pool;
+  pw_place *p = make_pool(&f, &pool, 10);
+  pw_route_walk w = {.key = 5, .draw = 9, .cost = 10};
+  uint64_t home = pwplace_rank(p, 5, 0);
+  route_of(&f, home)->aside = 1;
+  CHECK(pwroute_next(&pool, &w).id == pwplace_rank(p, 5, 1));
+  for (int i = 0; i < 10; i++)
+    f.t[i].aside = 1;
+  CHECK(pwroute_next(&pool, &w).id != 0);
+  pwplace_free(p);
+}
+
 /* Whatever is refused or unusable, a walk ends and never repeats a target that
 ** proved to refuse, but for the one it may queue at. */
 static void test_route_ends(void) {
@@ -607,6 +622,7 @@
   TEST(test_route_plain);
   TEST(test_route_prefix);
   TEST(test_route_full);
+  TEST(test_route_aside);
   TEST(test_route_ends);
   TEST(test_retry_after);
   TEST(test_admit);
