bench-policy; the load bound no longer starves the pool; caches are learned

The mean taken strictly from below (report minus rate times age) keeps a pool under rate * age * bound / (bound - 1) = 5,000 tokens from ever filling: every limit lies at or under the mean. Ruled out: the queue (its limit was not reached first), the entries' choice. Change: a report counts at its word for a grace of 1 s and down from there; starts go 0.6 of the way from mean to bound; prompt tokens weigh 0.2 of output tokens; pwcache learns how much the engine's cache holds and corrects a request's cost when the answer's head tells what was cached.

--- /dev/null
+++ b/bench/bench_policy.c
@@ -0,0 +1,822 @@
+/* bench_policy.c: the decisions on a made-up day, against naive versions.
+**
+** A discrete-event model with the code that entries and agents run (pwplace,
+** pwroute, pwadmit, pwchat, pwbound). Engines prefill and decode at fixed
+** rates, batch, and keep prompt prefixes in a cache of limited size. Seeded:
+** the same output each run. */
+#include "pwadmit.h"
+#include "pwbuf.h"
+#include "pwcache.h"
+#include "pwchat.h"
+#include "pwclock.h"
+#include "pwplace.h"
+#include "pwroute.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+#include <xxhash.h>
+
+#define ENTRIES 4
+#define WORKSPACES 10
+#define SLOTS 48             /* requests an engine batches */
+#define CACHE_TOKENS 400000  /* prefix cache of an engine */
+#define PREFILL 8000.0      /* prompt tokens a second */
+#define STREAM 30.0         /* output tokens a second of one stream */
+#define RATE 2000.0         /* load an engine can finish a second */
+#define REPORT_MS 250
+#define DEADLINE_MS 60000
+#define FLOOR 3000.0
+
+typedef enum policy {
+  P_PEATWELL,
+  P_ROUND_ROBIN,
+  P_RANDOM,
+  P_LEAST_STALE,
+  P_TWO_CHOICES,
+  P_STICKY,
+  P_BOUNDED,
+  P_ALL_KNOWING,
+  P_COUNT
+} policy;
+
+static const char *const policy_names[] = {
+    "peatwell",     "round robin", "random",  "least loaded, stale",
+    "two choices",  "sticky hash", "bounded hash, no pointers",
+    "all-knowing"};
+
+typedef struct workload {
+  const char *name;
+  int targets, zones, chats;
+  double per_s;       /* requests a second when quiet */
+  double burst;       /* factor in bursts */
+  int burst_every_ms, burst_ms;
+  int turns_max, tokens_per_turn, output;
+  double returning;   /* share of requests that are of a known chat */
+  double big_share;   /* share of requests of the two large workspaces */
+  int seconds;
+  double churn;       /* share of the targets that change a minute */
+} workload;
+
+typedef struct chat {
+  int turns;
+  int workspace;
+} chat;
+
+typedef struct cached {
+  int chat;
+  int tokens;
+  struct cached *prev, *next;
+  UT_hash_handle hh;
+} cached;
+
+typedef struct job {
+  int chat, workspace, entry, target;
+  int prompt, cached, expected, output;
+  double prefill;  /* prompt tokens still to compute */
+  double left;     /* output tokens still to give */
+  double cost;     /* counted by the agent */
+  int64_t arrived, started;
+  int running;
+  pw_route_walk walk;
+  struct job *next;
+} job;
+
+typedef struct engine {
+  uint64_t id;
+  uint32_t zone;
+  int up;
+  int64_t back_at;
+  cached *cache;
+  int cache_used;
+  pw_admit admit;
+  pw_cache known;
+  pw_chats *pointers;
+  pw_pool_sum view;
+  pw_report report[ENTRIES];
+  double pending[ENTRIES];
+  job *run[SLOTS];
+  int nrun;
+  int queued_plain;      /* naive policies queue without end */
+  job *first, *last;
+  double load;           /* true tokens in progress */
+} engine;
+
+typedef struct result {
+  long requests, done, refused;
+  double prompt, hit;
+  double skew_peak, skew_sum, skew_n, over_bound;
+  double control_bytes;
+  double *quiet_wait;
+  int nquiet, cap;
+  double first_p99;
+  int64_t decide_ns;
+  long decisions;
+} result;
+
+typedef struct world {
+  workload w;
+  policy p;
+  uint64_t seed, draws;
+  int64_t now;
+  engine *e;
+  int n;
+  pw_place *place;
+  uint64_t *ids;
+  chat *chats;
+  int nchats;
+  int rr;
+  result r;
+  int entry; /* whose view get_route gives */
+  double limit;
+} world;
+
+static uint64_t draw(world *w) {
+  uint64_t in[2] = {w->seed, ++w->draws};
+  return XXH3_64bits(in, sizeof in);
+}
+
+static double unit(world *w) {
+  return (double)(draw(w) >> 11) / 9007199254740992.0;
+}
+
+/* --- the engine's cache --- */
+
+static void cache_drop(engine *e, cached *c) {
+  e->cache_used -= c->tokens;
+  HASH_DEL(e->cache, c);
+  free(c);
+}
+
+static int cache_find(engine *e, int id) {
+  cached *c;
+  HASH_FIND_INT(e->cache, &id, c);
+  return c ? c->tokens : 0;
+}
+
+/* uthash keeps order of adding: the first is the least recently used. */
+static int cache_use(engine *e, int id, int tokens) {
+  cached *c;
+  int hit = 0;
+  HASH_FIND_INT(e->cache, &id, c);
+  if (c) {
+    hit = c->tokens < tokens ? c->tokens : tokens;
+    e->cache_used -= c->tokens;
+    HASH_DEL(e->cache, c);
+  } else {
+    c = pw_alloc(sizeof *c);
+    c->chat = id;
+  }
+  c->tokens = tokens;
+  e->cache_used += tokens;
+  HASH_ADD_INT(e->cache, chat, c);
+  while (e->cache_used > CACHE_TOKENS && e->cache != c)
+    cache_drop(e, e->cache);
+  return hit;
+}
+
+static void cache_clear(engine *e) {
+  cached *c, *tmp;
+  HASH_ITER(hh, e->cache, c, tmp) {
+    cache_drop(e, c);
+  }
+}
+
+/* --- running --- */
+
+static void chat_name(int id, char out[24]) {
+  snprintf(out, 24, "c%d", id);
+}
+
+static void note_wait(world *w, const job *j) {
+  if (j->workspace < 2)
+    return; /* the large ones */
+  if (w->r.nquiet == w->r.cap) {
+    w->r.cap = w->r.cap ? w->r.cap * 2 : 4096;
+    w->r.quiet_wait =
+        realloc(w->r.quiet_wait, sizeof(double) * (size_t)w->r.cap);
+  }
+  w->r.quiet_wait[w->r.nquiet++] = (double)(j->started - j->arrived);
+}
+
+static void start_job(world *w, engine *e, job *j) {
+  char name[24];
+  j->cached = cache_use(e, j->chat, j->prompt);
+  j->started = w->now;
+  j->running = 1;
+  j->prefill = j->prompt - j->cached;
+  j->left = j->output;
+  e->run[e->nrun++] = j;
+  e->load += PWBOUND_PROMPT_WEIGHT * j->prefill + j->left;
+  w->r.prompt += j->prompt;
+  w->r.hit += j->cached;
+  note_wait(w, j);
+  chat_name(j->chat, name);
+  if (w->p == P_PEATWELL) {
+    double more = PWBOUND_PROMPT_WEIGHT * (j->expected - j->cached);
+    pwcache_seen(&e->known, name, (uint32_t)j->prompt, (uint32_t)j->cached,
+                 (uint32_t)j->expected, w->now);
+    if (more > 0) { /* told by the answer's head: it has more to compute */
+      pwload_add(&e->admit.load, more, w->now);
+      j->cost += more;
+    }
+  }
+  if (w->now - j->arrived > DEADLINE_MS)
+    w->r.refused++;
+}
+
+static const pw_pool_sum *view_of(void *arg, void *j) {
+  engine *e = arg;
+  (void)j;
+  return &e->view;
+}
+
+static void end_job(world *w, engine *e, int i) {
+  job *j = e->run[i];
+  e->run[i] = e->run[--e->nrun];
+  if (w->p == P_PEATWELL)
+    pwadmit_end(&e->admit, j->cost, w->now);
+  w->r.done++;
+  free(j);
+}
+
+static void start_waiting(world *w, engine *e) {
+  if (w->p == P_PEATWELL) {
+    job *j;
+    while ((j = pwadmit_next(&e->admit, view_of, e, w->now)) != NULL)
+      start_job(w, e, j);
+    return;
+  }
+  while (e->first && e->nrun < SLOTS) {
+    job *j = e->first;
+    e->first = j->next;
+    if (!e->first)
+      e->last = NULL;
+    e->queued_plain--;
+    start_job(w, e, j);
+  }
+}
+
+/* Work done on a request, and off the load. */
+static void progress(world *w, engine *e, job *j, double load) {
+  e->load -= load;
+  if (w->p != P_PEATWELL)
+    return;
+  if (load > j->cost)
+    load = j->cost;
+  pwadmit_progress(&e->admit, load, w->now);
+  j->cost -= load;
+}
+
+static void run_engine(world *w, engine *e, int ms) {
+  double prefill = PREFILL * ms / 1000;
+  if (!e->up)
+    return;
+  for (int i = 0; i < e->nrun;) {
+    job *j = e->run[i];
+    if (j->prefill > 0) {
+      double done = prefill < j->prefill ? prefill : j->prefill;
+      prefill -= done;
+      j->prefill -= done;
+      progress(w, e, j, done * PWBOUND_PROMPT_WEIGHT);
+    } else {
+      double done = STREAM * ms / 1000;
+      done = done < j->left ? done : j->left;
+      j->left -= done;
+      progress(w, e, j, done);
+    }
+    if (j->prefill <= 0 && j->left <= 1e-9)
+      end_job(w, e, i);
+    else
+      i++;
+  }
+  start_waiting(w, e);
+}
+
+/* --- choosing --- */
+
+static int get_route(void *arg, uint64_t id, pw_route_target *out) {
+  world *w = arg;
+  for (int i = (int)(id >> 32); i < w->n; i++) { /* the index is in the id */
+    engine *e = &w->e[i];
+    if (e->id != id)
+      return 0;
+    *out = (pw_route_target){
+        .id = id,
+        .usable = e->up,
+        .zone = e->zone,
+        .load = pwreport_low(&e->report[w->entry], w->now) +
+                e->pending[w->entry],
+        .limit = w->limit};
+    return 1;
+  }
+  return 0;
+}
+
+static engine *by_id(world *w, uint64_t id) {
+  int i = (int)(id >> 32);
+  return i < w->n && w->e[i].id == id ? &w->e[i] : NULL;
+}
+
+static pw_pool_sum sum_of(world *w, int entry) {
+  pw_pool_sum s = {.at = w->now};
+  for (int i = 0; i < w->n; i++) {
+    if (!w->e[i].up)
+      continue;
+    s.targets++;
+    pwpool_add(&s, &w->e[i].report[entry]);
+  }
+  return s;
+}
+
+static void point_home(world *w, const job *j, const engine *at) {
+  char name[24], where[24];
+  engine *home = by_id(w, pwplace_rank(w->place, j->walk.key, 0));
+  if (!home || home == at || !home->up)
+    return;
+  chat_name(j->chat, name);
+  snprintf(where, sizeof where, "%d", (int)(at - w->e));
+  pwchat_put(home->pointers, name, where, 0, w->now);
+  w->r.control_bytes += 90;
+}
+
+/* One try at one agent: 1 taken, 0 refused. */
+static int ask_agent(world *w, job *j, engine *e, const pw_route_pick *pick) {
+  char name[24], where[PW_NAME_MAX];
+  chat_name(j->chat, name);
+  uint32_t known = pwcache_expect(&e->known, name, w->now);
+  if (pick->need_prefix && !known) {
+    if (!j->walk.pointer &&
+        pwchat_get(e->pointers, name, where, NULL, w->now))
+      j->walk.pointer = w->e[atoi(where)].id;
+    pwroute_refused(&j->walk, e->id, PW_REFUSED_MISSED);
+    return 0;
+  }
+  if ((int)known > j->prompt)
+    known = (uint32_t)j->prompt;
+  j->expected = (int)known;
+  j->cost = PWBOUND_PROMPT_WEIGHT * (j->prompt - (double)known) + j->output;
+  char ws[24];
+  snprintf(ws, sizeof ws, "w%d", j->workspace);
+  pw_admit_ask ask = {.workspace = ws,
+                      .weight = 1,
+                      .priority = 4,
+                      .cost = j->cost,
+                      .recompute = known,
+                      .deadline = j->arrived + DEADLINE_MS,
+                      .may_queue = pick->may_queue,
+                      .job = j};
+  pw_admit_answer a = pwadmit_ask(&e->admit, &ask, &e->view, w->now);
+  if (a.pushed_out) {
+    w->r.refused++;
+    free(a.pushed_out);
+  }
+  if (a.verdict == PW_ADMIT_REFUSED) {
+    pwroute_refused(&j->walk, e->id, PW_REFUSED_BUSY);
+    return 0;
+  }
+  e->pending[j->entry] += j->cost;
+  if (a.verdict == PW_ADMIT_START)
+    start_job(w, e, j);
+  point_home(w, j, e);
+  return 1;
+}
+
+static void place_peatwell(world *w, job *j) {
+  char name[24];
+  chat_name(j->chat, name);
+  j->walk = (pw_route_walk){.key = pwplace_key("m", name),
+                            .draw = draw(w),
+                            .zone = 1 + (uint32_t)(j->entry % w->w.zones),
+                            .cost = PWBOUND_PROMPT_WEIGHT * j->prompt + j->output,
+                            .returning = w->chats[j->chat].turns > 0};
+  pw_route_pool pool = {w->place, w->ids, w->n, w, get_route};
+  w->entry = j->entry;
+  for (int hops = 0; hops < 9; hops++) {
+    int64_t t = pwclock_ns();
+    pw_route_pick pick = pwroute_next(&pool, &j->walk);
+    w->r.decide_ns += pwclock_ns() - t;
+    w->r.decisions++;
+    engine *e = by_id(w, pick.id);
+    if (!e)
+      break;
+    if (ask_agent(w, j, e, &pick))
+      return;
+  }
+  w->r.refused++;
+  free(j);
+}
+
+static engine *random_up(world *w) {
+  engine *e;
+  do
+    e = &w->e[draw(w) % (uint64_t)w->n];
+  while (!e->up);
+  return e;
+}
+
+static engine *least(world *w, int stale, int entry) {
+  engine *best = NULL;
+  double least_load = 0;
+  for (int i = 0; i < w->n; i++) {
+    engine *e = &w->e[i];
+    double load = stale ? e->report[entry].tokens : e->load;
+    if (e->up && (!best || load < least_load)) {
+      best = e;
+      least_load = load;
+    }
+  }
+  return best;
+}
+
+static engine *sticky(world *w, const job *j, int bounded) {
+  char name[24];
+  chat_name(j->chat, name);
+  uint64_t key = pwplace_key("m", name);
+  double mean = 0;
+  int up = 0;
+  for (int i = 0; i < w->n; i++) {
+    up += w->e[i].up;
+    mean += w->e[i].up ? w->e[i].load : 0;
+  }
+  mean /= up;
+  for (int rank = 0; rank < PW_RANKS; rank++) {
+    engine *e = by_id(w, pwplace_rank(w->place, key, rank));
+    if (!e || !e->up)
+      continue;
+    if (!bounded || e->load < PWBOUND_BOUND * mean || e->load < FLOOR)
+      return e;
+  }
+  return random_up(w);
+}
+
+/* Knows every cache and every load: the longest prefix among those within the
+** bound, else the least loaded. An upper bound, not a system. */
+static engine *all_knowing(world *w, const job *j) {
+  engine *best = NULL;
+  double mean = 0;
+  int up = 0, most = 0;
+  for (int i = 0; i < w->n; i++) {
+    up += w->e[i].up;
+    mean += w->e[i].up ? w->e[i].load : 0;
+  }
+  mean /= up;
+  for (int i = 0; i < w->n; i++) {
+    engine *e = &w->e[i];
+    int have = e->up ? cache_find(e, j->chat) : 0;
+    double after =
+        e->load + PWBOUND_PROMPT_WEIGHT * (j->prompt - have) + j->output;
+    int fits = after <= PWBOUND_BOUND * mean || after <= FLOOR || e->load <= 0;
+    if (have > most && fits) {
+      most = have;
+      best = e;
+    }
+  }
+  return best ? best : least(w, 0, 0);
+}
+
+static void place_naive(world *w, job *j) {
+  engine *e = NULL;
+  int64_t t = pwclock_ns();
+  switch (w->p) {
+  case P_ROUND_ROBIN:
+    do
+      e = &w->e[w->rr++ % w->n];
+    while (!e->up);
+    break;
+  case P_LEAST_STALE:
+    e = least(w, 1, j->entry);
+    break;
+  case P_TWO_CHOICES: {
+    engine *a = random_up(w), *b = random_up(w);
+    e = a->report[j->entry].tokens <= b->report[j->entry].tokens ? a : b;
+    break;
+  }
+  case P_STICKY:
+    e = sticky(w, j, 0);
+    break;
+  case P_BOUNDED:
+    e = sticky(w, j, 1);
+    break;
+  case P_ALL_KNOWING:
+    e = all_knowing(w, j);
+    break;
+  default:
+    e = random_up(w);
+    break;
+  }
+  w->r.decide_ns += pwclock_ns() - t;
+  w->r.decisions++;
+  if (e->nrun < SLOTS) {
+    start_job(w, e, j);
+    return;
+  }
+  j->next = NULL;
+  if (e->last)
+    e->last->next = j;
+  else
+    e->first = j;
+  e->last = j;
+  e->queued_plain++;
+}
+
+/* --- the day --- */
+
+static int pick_chat(world *w, int workspace) {
+  if (w->nchats > WORKSPACES && unit(w) < w->w.returning) {
+    /* Recent chats come back more often than old ones. */
+    double u = unit(w);
+    int back = (int)(u * u * w->nchats);
+    int c = w->nchats - 1 - back;
+    if (w->chats[c].turns < w->w.turns_max)
+      return c;
+  }
+  if (w->nchats == w->w.chats)
+    return (int)(draw(w) % (uint64_t)w->nchats);
+  w->chats[w->nchats] = (chat){0, workspace};
+  return w->nchats++;
+}
+
+static void arrive(world *w) {
+  job *j = pw_alloc(sizeof *j);
+  int workspace = unit(w) < w->w.big_share ? (int)(draw(w) % 2)
+                                           : 2 + (int)(draw(w) % 8);
+  j->chat = pick_chat(w, workspace);
+  chat *c = &w->chats[j->chat];
+  j->workspace = c->workspace;
+  j->entry = (int)(draw(w) % ENTRIES);
+  j->prompt = 60 + (c->turns + 1) * w->w.tokens_per_turn;
+  j->output = w->w.output / 2 + (int)(draw(w) % (uint64_t)w->w.output);
+  j->arrived = w->now;
+  w->r.requests++;
+  if (w->p == P_PEATWELL)
+    place_peatwell(w, j);
+  else
+    place_naive(w, j);
+  if (c->turns < w->w.turns_max)
+    c->turns++;
+}
+
+static void empty_engine(world *w, engine *e) {
+  while (e->nrun) {
+    job *j = e->run[--e->nrun];
+    if (w->p == P_PEATWELL)
+      pwadmit_end(&e->admit, j->cost, w->now);
+    free(j);
+  }
+  while (e->first) {
+    job *j = e->first;
+    e->first = j->next;
+    free(j);
+  }
+  e->last = NULL;
+  e->queued_plain = 0;
+  e->load = 0;
+  cache_clear(e);
+}
+
+/* A target goes, with its cache, and comes back empty after a while; every
+** second one only flaps and keeps it. */
+static void churn(world *w, int ms) {
+  double p = w->w.churn * w->n * ms / 60000.0;
+  if (unit(w) < p) {
+    engine *e = random_up(w);
+    int flap = draw(w) % 2 == 0;
+    if (!flap) {
+      empty_engine(w, e);
+      pwcache_restarted(&e->known);
+      pwchat_clear(e->pointers);
+    }
+    e->up = 0;
+    e->back_at = w->now + (flap ? 2000 : 15000);
+  }
+  for (int i = 0; i < w->n; i++)
+    if (!w->e[i].up && w->now >= w->e[i].back_at)
+      w->e[i].up = 1;
+}
+
+static void report(world *w) {
+  for (int i = 0; i < w->n; i++) {
+    engine *e = &w->e[i];
+    for (int k = 0; k < ENTRIES; k++) {
+      double tokens = w->p == P_PEATWELL
+                          ? pwload_now(&e->admit.load, w->now)
+                          : e->load;
+      e->report[k] = (pw_report){tokens, e->admit.load.rate, w->now};
+      e->pending[k] = 0;
+    }
+  }
+  for (int i = 0; i < w->n; i++) {
+    w->e[i].view = sum_of(w, i % ENTRIES);
+    w->e[i].view.at -= REPORT_MS; /* as old as the Hello it answers */
+  }
+  /* Each agent's Hello and Welcome, and each entry's rows to its peers. */
+  w->r.control_bytes += w->n * 330.0 + (ENTRIES - 1) * (ENTRIES * 80 + w->n * 70.0) / 2;
+}
+
+static void measure(world *w) {
+  double most = 0, sum = 0;
+  int up = 0;
+  for (int i = 0; i < w->n; i++) {
+    if (!w->e[i].up)
+      continue;
+    up++;
+    sum += w->e[i].load;
+    most = w->e[i].load > most ? w->e[i].load : most;
+  }
+  double mean = sum / up;
+  if (mean < FLOOR / 3)
+    return; /* near idle: the floor rules */
+  double skew = most / mean;
+  double floor_skew = FLOOR / mean;
+  double bound = floor_skew > PWBOUND_BOUND ? floor_skew : PWBOUND_BOUND;
+  w->r.skew_n++;
+  w->r.skew_sum += skew;
+  w->r.over_bound += skew > bound;
+  w->r.skew_peak = skew > w->r.skew_peak ? skew : w->r.skew_peak;
+}
+
+static int by_value(const void *a, const void *b) {
+  double x = *(const double *)a, y = *(const double *)b;
+  return (x > y) - (x < y);
+}
+
+static void build(world *w) {
+  pw_place_target *pt = pw_alloc(sizeof *pt * (size_t)w->w.targets);
+  w->n = w->w.targets;
+  w->e = pw_alloc(sizeof *w->e * (size_t)w->n);
+  w->ids = pw_alloc(sizeof *w->ids * (size_t)w->n);
+  w->chats = pw_alloc(sizeof *w->chats * (size_t)w->w.chats);
+  for (int i = 0; i < w->n; i++) {
+    engine *e = &w->e[i];
+    e->id = ((uint64_t)i << 32) | (0x1234567 + (uint32_t)i * 7919U);
+    e->zone = 1 + (uint32_t)(i % w->w.zones);
+    e->up = 1;
+    pwcache_init(&e->known);
+    e->pointers = pwchat_new(PW_POINTERS_MAX, PW_POINTER_KEEP_MS);
+    pwadmit_init(&e->admit, SLOTS, 256, RATE, 0);
+    e->admit.floor = FLOOR;
+    e->view = (pw_pool_sum){.targets = w->n};
+    w->ids[i] = e->id;
+    pt[i] = (pw_place_target){e->id, 1};
+  }
+  w->place = pwplace_build(pt, w->n, NULL);
+  free(pt);
+}
+
+static void tear_down(world *w) {
+  for (int i = 0; i < w->n; i++) {
+    empty_engine(w, &w->e[i]);
+    pwadmit_free(&w->e[i].admit);
+    pwcache_free(&w->e[i].known);
+    pwchat_free(w->e[i].pointers);
+  }
+  pwplace_free(w->place);
+  free(w->e);
+  free(w->ids);
+  free(w->chats);
+}
+
+static void simulate(world *w) {
+  const int ms = 5;
+  build(w);
+  double owed = 0;
+  while (w->now < w->w.seconds * 1000LL) {
+    w->now += ms;
+    if (w->w.churn > 0)
+      churn(w, ms);
+    if (w->now % REPORT_MS == 0)
+      report(w);
+    if (w->now % 50 == 0) {
+      pw_pool_sum s = sum_of(w, 0);
+      w->limit = pwbound_limit(&s, PWBOUND_BOUND, FLOOR, w->now);
+      measure(w);
+    }
+    int burst = w->w.burst_every_ms && w->now % w->w.burst_every_ms < w->w.burst_ms;
+    owed += w->w.per_s * (burst ? w->w.burst : 1) * ms / 1000;
+    for (; owed >= 1; owed--)
+      arrive(w);
+    for (int i = 0; i < w->n; i++)
+      run_engine(w, &w->e[i], ms);
+  }
+  tear_down(w);
+}
+
+static double p99(double *v, int n) {
+  if (!n)
+    return 0;
+  qsort(v, (size_t)n, sizeof *v, by_value);
+  return v[(int)((n - 1) * 0.99)];
+}
+
+static void print_row(world *w) {
+  const result *r = &w->r;
+  printf("| %-25s | %5.1f | %6.2f | %5.2f | %5.1f | %6.2f | %8.0f | %6.0f |\n",
+         policy_names[w->p], r->prompt ? 100 * r->hit / r->prompt : 0,
+         r->skew_peak, r->skew_n ? r->skew_sum / r->skew_n : 0,
+         r->skew_n ? 100 * r->over_bound / r->skew_n : 0,
+         100.0 * (double)r->refused / (double)r->requests,
+         p99(r->quiet_wait, r->nquiet),
+         w->p == P_PEATWELL
+             ? r->control_bytes / w->w.seconds / ENTRIES
+             : 0);
+  fflush(stdout);
+}
+
+static void run_workload(const workload *wl) {
+  printf("\n### %s: %d targets, %.0f requests/s, bursts x%.0f, churn %.0f%% a "
+         "minute\n\n",
+         wl->name, wl->targets, wl->per_s, wl->burst, wl->churn * 100);
+  printf("| policy | cache hit %% | skew peak | skew mean | time over bound %% "
+         "| refused %% | quiet wait p99 ms | control B/s a router |\n");
+  printf("| --- | --- | --- | --- | --- | --- | --- | --- |\n");
+  for (int p = 0; p < P_COUNT; p++) {
+    world *w = pw_alloc(sizeof *w);
+    w->w = *wl;
+    w->p = (policy)p;
+    w->seed = 7;
+    simulate(w);
+    print_row(w);
+    free(w->r.quiet_wait);
+    free(w);
+  }
+}
+
+/* --- cost of a decision --- */
+
+typedef struct cost_pool {
+  pw_route_target *t;
+} cost_pool;
+
+static int cost_get(void *arg, uint64_t id, pw_route_target *out) {
+  const cost_pool *c = arg;
+  *out = c->t[id >> 32];
+  return 1;
+}
+
+static void decision_cost(int n) {
+  pw_place_target *pt = pw_alloc(sizeof *pt * (size_t)n);
+  cost_pool c = {pw_alloc(sizeof *c.t * (size_t)n)};
+  uint64_t *ids = pw_alloc(sizeof *ids * (size_t)n);
+  for (int i = 0; i < n; i++) {
+    ids[i] = ((uint64_t)i << 32) | 99;
+    pt[i] = (pw_place_target){ids[i], 1};
+    c.t[i] = (pw_route_target){.id = ids[i], .usable = 1, .limit = 1000};
+    c.t[i].load = i % 4 == 0 ? 990 : 100;
+  }
+  int64_t t0 = pwclock_ns();
+  pw_place *p = pwplace_build(pt, n, NULL);
+  int64_t t1 = pwclock_ns();
+  pw_place *q = pwplace_build(pt, n - 1, p);
+  int64_t t2 = pwclock_ns();
+  pw_route_pool pool = {p, ids, n, &c, cost_get};
+  const int rounds = 2000000;
+  uint64_t sink = 0;
+  int64_t t3 = pwclock_ns();
+  for (int i = 0; i < rounds; i++) {
+    pw_route_walk walk = {.key = (uint64_t)i * 0x9e3779b97f4a7c15ULL,
+                          .draw = (uint64_t)i * 0xbf58476d1ce4e5b9ULL,
+                          .cost = 20,
+                          .returning = i & 1};
+    sink ^= pwroute_next(&pool, &walk).id;
+  }
+  int64_t t4 = pwclock_ns();
+  printf("| %d | %.0f | %d | %.1f | %.2f |\n", n,
+         (double)(t4 - t3) / rounds + (double)(sink & 0),
+         (int)sizeof(pw_route_walk), (double)(t1 - t0) / 1e6,
+         (double)(t2 - t1) / 1e6);
+  pwplace_free(p);
+  pwplace_free(q);
+  free(pt);
+  free(c.t);
+  free(ids);
+}
+
+int main(int argc, char **argv) {
+  const workload loads[] = {
+      {"Estonia, register", 20, 4, 40000, 55, 1, 0, 0, 12, 700, 300, 0.8, 0.6,
+       600, 0},
+      {"Estonia, register under churn", 20, 4, 40000, 55, 1, 0, 0, 12, 700,
+       300, 0.8, 0.6, 600, 0.05},
+      {"Brittany, exams in bursts", 20, 3, 40000, 30, 5, 60000, 8000, 6, 350,
+       250, 0.7, 0.6, 600, 0},
+      {"Brittany, exams under churn", 20, 3, 40000, 30, 5, 60000, 8000, 6, 350,
+       250, 0.7, 0.6, 600, 0.05},
+      {"200 targets under churn", 200, 8, 100000, 550, 1, 0, 0, 12, 700, 300,
+       0.8, 0.6, 120, 0.05},
+  };
+  printf("Seed 7; the same output each run but for the times of the last "
+         "table.\n");
+  for (size_t i = 0; i < sizeof loads / sizeof loads[0]; i++)
+    if (argc < 2 || strstr(loads[i].name, argv[1]))
+      run_workload(&loads[i]);
+  printf("\n### Cost of a decision\n\n| targets in the pool | ns a pick | bytes "
+         "of a walk | first build ms | one leaves ms |\n"
+         "| --- | --- | --- | --- | --- |\n");
+  const int sizes[] = {20, 200, 1500, 2000, 12000};
+  for (int i = 0; i < 5; i++)
+    decision_cost(sizes[i]);
+  return 0;
+}
--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -3,6 +3,7 @@
 
 #include "pwadmit.h"
 #include "pwbuf.h"
+#include "pwcache.h"
 #include "pwchat.h"
 #include "pwjob.h"
 #include "pwlog.h"
@@ -18,8 +19,6 @@
 #define TICK_MS 10
 #define SPARE_WORKERS 2 /* for cancels */
 #define POOLS_MAX 16
-#define CACHED_MAX 4096
-#define CACHED_KEEP_MS (24LL * 3600 * 1000)
 #define PEER_LOST_MS 10000
 #define UNHEARD_MS 5000 /* a stream may be resumed for this long */
 #define NS_PER_MS 1000000
@@ -60,7 +59,7 @@
   pw_sub *sub;
   pw_workers *workers;
   pw_admit admit;
-  pw_chats *cached;   /* chats whose prefix the target holds */
+  pw_cache cache;     /* what the target is believed to have cached */
   pw_chats *pointers; /* chats displaced from here */
   held *jobs;
   unheard *unheard;
@@ -221,13 +220,14 @@
 
 /* Cost in tokens: what of the prompt is not cached, and the output. */
 static void reckon(agent *a, pw_job *j, double *recompute, int64_t now) {
-  uint32_t cached = 0;
   const Pw__Run *run = j->run;
-  if (!run->service)
-    pwchat_get(a->cached, run->chat, NULL, &cached, now);
+  uint32_t cached =
+      run->service ? 0 : pwcache_expect(&a->cache, run->chat, now);
+  j->expected = cached;
   if (cached > run->prompt_tokens)
     cached = run->prompt_tokens;
-  j->cost = (double)(run->prompt_tokens - cached) + run->output_tokens;
+  double prompt = run->prompt_tokens - cached;
+  j->cost = PWBOUND_PROMPT_WEIGHT * prompt + run->output_tokens;
   j->left = j->cost;
   *recompute = cached;
 }
@@ -235,7 +235,7 @@
 static int lacks_prefix(agent *a, const Pw__Run *run, const pw_peer *from,
                         int64_t now) {
   char where[PW_NAME_MAX] = "";
-  if (!run->need_prefix || pwchat_get(a->cached, run->chat, NULL, NULL, now))
+  if (!run->need_prefix || pwcache_expect(&a->cache, run->chat, now))
     return 0;
   pwchat_get(a->pointers, run->chat, where, NULL, now);
   refuse(a, from, run, PW_E_MISS, 0, where, now);
@@ -436,7 +436,7 @@
   }
   if (n->status == 200 && !j->run->service && j->run->chat[0]) {
     uint32_t tokens = j->prompt ? j->prompt : j->run->prompt_tokens;
-    pwchat_put(a->cached, j->run->chat, "", tokens, now);
+    pwcache_seen(&a->cache, j->run->chat, tokens, j->cached, j->expected, now);
     pwchat_forget(a->pointers, j->run->chat);
   }
   Pw__Load load;
@@ -502,7 +502,7 @@
     pwwire_send(a->listener, &j->peer, &e);
   }
   if (n->code == PW_E_CONNECT)
-    pwchat_clear(a->cached); /* a target that went away forgot it all */
+    pwcache_restarted(&a->cache); /* a target that went away forgot it all */
   let_go(a, h);
 }
 
@@ -566,7 +566,8 @@
     p->sum = (pw_pool_sum){.tokens = (double)w->pools[i]->tokens,
                            .rate = (double)w->pools[i]->rate,
                            .targets = (int)w->pools[i]->targets,
-                           .at = w->echo};
+                           .at = w->echo,
+                           .age = w->pools[i]->age};
   }
 }
 
@@ -695,7 +696,7 @@
                              (int)set->agent_engine_timeout);
   pwadmit_init(&a->admit, (int)set->agent_slots, (int)set->agent_queue,
                (double)set->agent_decode_rate, now);
-  a->cached = pwchat_new(CACHED_MAX, CACHED_KEEP_MS);
+  pwcache_init(&a->cache);
   a->pointers = pwchat_new(PW_POINTERS_MAX, PW_POINTER_KEEP_MS);
 }
 
@@ -724,7 +725,7 @@
     free(u);
   }
   pwadmit_free(&a->admit);
-  pwchat_free(a->cached);
+  pwcache_free(&a->cache);
   pwchat_free(a->pointers);
   pwsub_free(a->sub);
   pwmail_free(a->mail);
--- a/packages/daemon/pwentry.c
+++ b/packages/daemon/pwentry.c
@@ -208,9 +208,9 @@
   for (int i = 0; i < n; i++) {
     pw__pool_load__init(&rows[i]);
     rows[i].pool = (char *)names[i];
-    pw_report sum = {sums[i].tokens, sums[i].rate, sums[i].at};
-    rows[i].tokens = (uint64_t)pwreport_low(&sum, now);
+    rows[i].tokens = (uint64_t)sums[i].tokens;
     rows[i].rate = (uint64_t)sums[i].rate;
+    rows[i].age = (uint32_t)(sums[i].age + now - sums[i].at);
     rows[i].targets = (uint32_t)sums[i].targets;
     list[i] = &rows[i];
   }
--- a/packages/daemon/pwjob.h
+++ b/packages/daemon/pwjob.h
@@ -14,10 +14,11 @@
   Pw__Run *run;
   char origin[PW_NAME_MAX]; /* id the engine knows the stream by */
   pw_peer peer;
-  int64_t since;    /* queued or started, ms */
-  int64_t deadline; /* agent's clock */
-  double cost;      /* tokens counted for it ... */
-  double left;      /* ... and those still in progress */
+  int64_t since;     /* queued or started, ms */
+  int64_t deadline;  /* agent's clock */
+  double cost;       /* tokens counted for it ... */
+  double left;       /* ... and those still in progress */
+  uint32_t expected; /* tokens believed cached when it was admitted */
   uint32_t cached, prompt, output;
   int started;   /* handed to a worker */
   int is_cancel; /* only tells the target to cancel `origin` */
--- a/packages/policy/pwbound.c
+++ b/packages/policy/pwbound.c
@@ -29,27 +29,35 @@
 }
 
 double pwreport_low(const pw_report *r, int64_t now) {
-  double fallen = now > r->at ? r->rate * (double)(now - r->at) / MS : 0;
+  int64_t age = now - r->at - PWBOUND_GRACE_MS;
+  double fallen = age > 0 ? r->rate * (double)age / MS : 0;
   return r->tokens > fallen ? r->tokens - fallen : 0;
 }
 
 void pwpool_add(pw_pool_sum *sum, const pw_report *r) {
   double low = pwreport_low(r, sum->at);
+  int64_t age = sum->at - r->at;
+  if (low <= 0)
+    return;
   sum->tokens += low;
-  if (low > 0)
-    sum->rate += r->rate;
+  sum->rate += r->rate;
+  if (age > PWBOUND_GRACE_MS)
+    age = PWBOUND_GRACE_MS;
+  if (age > sum->age)
+    sum->age = age;
 }
 
 double pwpool_mean(const pw_pool_sum *sum, int64_t now) {
   if (sum->targets <= 0)
     return 0;
-  pw_report as_one = {sum->tokens, sum->rate, sum->at};
+  pw_report as_one = {sum->tokens, sum->rate, sum->at - sum->age};
   return pwreport_low(&as_one, now) / sum->targets;
 }
 
 double pwbound_limit(const pw_pool_sum *sum, double bound, double floor,
                      int64_t now) {
-  double limit = bound * pwpool_mean(sum, now);
+  double most = 1 + (bound - 1) * PWBOUND_MARGIN;
+  double limit = most * pwpool_mean(sum, now);
   return limit > floor ? limit : floor;
 }
 
--- a/packages/policy/pwbound.h
+++ b/packages/policy/pwbound.h
@@ -1,11 +1,17 @@
 /* pwbound.h: what a target's load is, and the bound on it.
 **
-** Load is tokens in progress: prompt tokens still to compute plus output
-** tokens still allowed, over all requests started and not ended. The counted
-** load falls no faster than `rate` tokens a second, so a report that is `age`
-** old bounds the load now from below: tokens - rate * age. A pool's mean taken
-** from such bounds errs low, and an agent that admits only up to bound * mean
-** never breaks the bound at the moment it admits. See docs/design/bound.md. */
+** Load is tokens in progress over all requests started and not ended: output
+** tokens still allowed, plus prompt tokens still to compute at the weight
+** PWBOUND_PROMPT_WEIGHT, since an engine computes many prompt tokens in the
+** time of one output token. The counted
+** load falls no faster than `rate` tokens a second. A report is taken at its
+*word
+** for PWBOUND_GRACE_MS; past that it counts down at its rate. So a start never
+** goes past bound * (mean + rate * grace), however late reports come and
+*however
+** many routers disagree. With no grace the bound would hold to the letter, but
+** a pool below rate * age * bound / (bound - 1) could not fill up at all: that
+** was measured, see docs/design/bound.md. */
 #ifndef PWBOUND_H
 #define PWBOUND_H
 
@@ -13,7 +19,10 @@
 
 /* Default settings of the bound; `policy` resources change them. */
 #define PWBOUND_BOUND 1.25
-#define PWBOUND_FLOOR 16384.0
+#define PWBOUND_FLOOR 4096.0
+#define PWBOUND_PROMPT_WEIGHT 0.2
+#define PWBOUND_GRACE_MS 1000
+#define PWBOUND_MARGIN 0.6
 
 typedef struct pw_load {
   double actual;  /* tokens in progress */
@@ -47,6 +56,7 @@
   double rate;   /* most tokens a second the sum can fall */
   int targets;   /* all that may take work, also those that report nothing */
   int64_t at;
+  int64_t age; /* ms of the grace that its oldest report has used up */
 } pw_pool_sum;
 
 /* Adds a report's lower bound at sum->at. */
@@ -55,7 +65,9 @@
 /* The least the mean can be now; 0 when the pool is empty. */
 double pwpool_mean(const pw_pool_sum *sum, int64_t now);
 
-/* The load a target may carry: bound * mean, and `floor` at least. */
+/* The load a target may start up to: the part PWBOUND_MARGIN of the way from
+** the mean to bound * mean, and `floor` at least. The rest of the way is for
+** the mean to fall while requests go on. */
 double pwbound_limit(const pw_pool_sum *sum, double bound, double floor,
                      int64_t now);
 
--- /dev/null
+++ b/packages/policy/pwcache.c
@@ -0,0 +1,56 @@
+/* pwcache.c: an agent's picture of its target's prefix cache. */
+#include "pwcache.h"
+
+#include <stddef.h>
+
+#define CHATS_MAX 65536
+#define KEEP_MS (7LL * 24 * 3600 * 1000)
+#define ROOM_FIRST 1e9 /* until a miss tells better */
+#define ROOM_LEAST 2000.0
+#define SHRINK 0.97
+#define GROW 1.005
+
+void pwcache_init(pw_cache *c) {
+  c->chats = pwchat_new(CHATS_MAX, KEEP_MS);
+  c->room = ROOM_FIRST;
+}
+
+void pwcache_free(pw_cache *c) {
+  pwchat_free(c->chats);
+}
+
+uint32_t pwcache_expect(pw_cache *c, const char *chat, int64_t now) {
+  uint32_t tokens = 0;
+  if (!pwchat_get(c->chats, chat, NULL, &tokens, now))
+    return 0;
+  return tokens;
+}
+
+/* A miss says that the cache holds less than what was put there since. */
+static void learn(pw_cache *c, uint32_t cached, uint32_t expected) {
+  if (!expected)
+    return;
+  double held = (double)pwchat_tokens(c->chats);
+  if (cached < expected / 2) {
+    c->room = (held < c->room ? held : c->room) * SHRINK;
+    if (c->room < ROOM_LEAST)
+      c->room = ROOM_LEAST;
+  } else if (held > c->room * SHRINK) {
+    c->room *= GROW;
+  }
+}
+
+void pwcache_seen(pw_cache *c, const char *chat, uint32_t prompt,
+                  uint32_t cached, uint32_t expected, int64_t now) {
+  learn(c, cached, expected);
+  pwchat_put(c->chats, chat, "", prompt, now);
+  pwchat_fit(c->chats, (uint64_t)c->room);
+}
+
+void pwcache_evicted(pw_cache *c, const char *chat) {
+  pwchat_forget(c->chats, chat);
+}
+
+void pwcache_restarted(pw_cache *c) {
+  pwchat_clear(c->chats);
+}
--- a/packages/policy/pwchat.c
+++ b/packages/policy/pwchat.c
@@ -21,6 +21,7 @@
   row *rows;
   int cap;
   int64_t keep;
+  uint64_t tokens;
 };
 
 pw_chats *pwchat_new(int cap, int64_t keep_ms) {
@@ -31,6 +32,7 @@
 }
 
 static void drop(pw_chats *c, row *r) {
+  c->tokens -= r->tokens;
   HASH_DEL(c->rows, r);
   free(r);
 }
@@ -53,6 +55,15 @@
   return (int)HASH_COUNT(c->rows);
 }
 
+uint64_t pwchat_tokens(const pw_chats *c) {
+  return c->tokens;
+}
+
+void pwchat_fit(pw_chats *c, uint64_t tokens) {
+  while (c->tokens > tokens && pwchat_count(c) > 1)
+    drop(c, c->rows);
+}
+
 static row *find(const pw_chats *c, const char *chat) {
   XXH128_hash_t key = XXH3_128bits(chat, strlen(chat));
   row *r;
@@ -70,6 +81,8 @@
     r->key = XXH3_128bits(chat, strlen(chat));
   }
   pw_copy(r->where, sizeof r->where, where);
+  c->tokens -= r->tokens;
+  c->tokens += tokens;
   r->tokens = tokens;
   r->at = now;
   HASH_ADD(hh, c->rows, key, sizeof r->key, r);
--- a/packages/policy/pwchat.h
+++ b/packages/policy/pwchat.h
@@ -14,6 +14,10 @@
 void pwchat_free(pw_chats *c);
 int pwchat_count(const pw_chats *c);
 
+/* Sum of the tokens, and forgetting the oldest until the sum fits. */
+uint64_t pwchat_tokens(const pw_chats *c);
+void pwchat_fit(pw_chats *c, uint64_t tokens);
+
 /* Remembers a chat, as the newest; the oldest makes room. `where` is a target
 ** name or ""; tokens is the length of the cached prefix. */
 void pwchat_put(pw_chats *c, const char *chat, const char *where,
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -2185,7 +2185,7 @@
   (ProtobufCMessageInit) pw__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__pool_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pw__pool_load__field_descriptors[5] =
 {
   {
     "pool",
@@ -2235,8 +2235,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__PoolLoad, age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__pool_load__field_indices_by_name[] = {
+  4,   /* field[4] = age */
   0,   /* field[0] = pool */
   2,   /* field[2] = rate */
   3,   /* field[3] = targets */
@@ -2245,7 +2258,7 @@
 static const ProtobufCIntRange pw__pool_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pw__pool_load__descriptor =
 {
@@ -2255,7 +2268,7 @@
   "Pw__PoolLoad",
   "pw",
   sizeof(Pw__PoolLoad),
-  4,
+  5,
   pw__pool_load__field_descriptors,
   pw__pool_load__field_indices_by_name,
   1,  pw__pool_load__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -197,10 +197,14 @@
    */
   uint64_t rate;
   uint32_t targets;
+  /*
+   * ms of grace its oldest report has used up
+   */
+  uint32_t age;
 };
 #define PW__POOL_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__pool_load__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
