--- a/packages/core/pwlimits.h
+++ b/packages/core/pwlimits.h
@@ -45,7 +45,7 @@
 /* Attempts of one request, first included, and hops between targets that
 ** are refusals with proof. */
 #define PW_ATTEMPTS_MAX 3
-#define PW_HOPS_MAX 8
+#define PW_HOPS_MAX 12
 
 /* Share of the successes that may be spent on retries, and the reserve. */
 #define PW_RETRY_SHARE 0.05
--- a/packages/policy/pwbound.c
+++ b/packages/policy/pwbound.c
@@ -63,7 +63,7 @@
 
 int pwbound_admits(double own, double cost, const pw_pool_sum *sum,
                    double bound, double floor, int64_t now) {
-  if (own <= 0)
+  if (own <= pwpool_mean(sum, now))
     return 1;
   return own + cost <= pwbound_limit(sum, bound, floor, now);
 }
--- a/packages/policy/pwbound.h
+++ b/packages/policy/pwbound.h
@@ -71,8 +71,10 @@
 double pwbound_limit(const pw_pool_sum *sum, double bound, double floor,
                      int64_t now);
 
-/* Whether a target that carries `own` may start a request of `cost`. One alone
-** on an idle target always may, however large. */
+/* Whether a target that carries `own` may start a request of `cost`: when it
+** stays within the limit, or carries no more than the mean. The second keeps a
+** pool alive whose requests are large against its mean: somebody always carries
+** no more than the mean. It goes past the bound by less than one request. */
 int pwbound_admits(double own, double cost, const pw_pool_sum *sum,
                    double bound, double floor, int64_t now);
 
--- a/packages/policy/pwroute.c
+++ b/packages/policy/pwroute.c
@@ -1,10 +1,13 @@
 /* pwroute.c: an entry's choice of the target to try next. */
 #include "pwroute.h"
 
-#define PREFIX_ASKS 2       /* targets asked for a prefix before giving up */
-#define QUEUE_AFTER 3       /* refusals for load until it may queue */
-#define HOME_GAIN 0.8       /* a home looks this much less loaded */
-#define SCAN_MAX 64         /* targets looked at when two draws failed */
+#define PREFIX_ASKS 2   /* targets asked for a prefix before giving up */
+#define QUEUE_AFTER 5   /* refusals for load until it may queue */
+#define HOME_GAIN 0.8   /* a home looks this much less loaded */
+#define DRAWS 4         /* looked at when the ranks are full, doubled by ... */
+#define DRAWS_GROW 4    /* ... each refusal for load, this often at most */
+#define RANKS_SPILLED 2 /* ranks a chat spills along */
+#define SCAN_MAX 64     /* targets looked at when two draws failed */
 #define RETRY_AFTER_MIN 500 /* ms */
 #define RETRY_AFTER_MAX 60000
 
@@ -33,7 +36,7 @@
 }
 
 static int fits(const pw_route_target *t, double cost) {
-  return t->load <= 0 || t->load + cost <= t->limit;
+  return t->load <= t->mean || t->load + cost <= t->limit;
 }
 
 /* A returning chat asks home and next rank for the prefix, full or not: the
@@ -54,7 +57,7 @@
 }
 
 static uint64_t ranked(const pw_route_pool *pool, const pw_route_walk *w) {
-  for (int rank = 0; rank < PW_RANKS; rank++) {
+  for (int rank = 0; rank < RANKS_SPILLED; rank++) {
     pw_route_target t;
     uint64_t id = pwplace_rank(pool->place, w->key, rank);
     if (open_target(pool, w, id, &t) && fits(&t, w->cost))
@@ -67,14 +70,15 @@
   return t->zone == w->zone ? t->load * ZONE_GAIN : t->load;
 }
 
-/* The better of two drawn that fit, or 0. */
-static uint64_t better_of_two(const pw_route_pool *pool, const pw_route_walk *w,
+/* The least loaded of a few drawn that fit, or 0. */
+static uint64_t better_of_few(const pw_route_pool *pool, const pw_route_walk *w,
                               uint64_t draw) {
   pw_route_target best = {0};
-  for (int i = 0; i < 2; i++) {
-    uint64_t pick = i ? (draw >> 32) : (draw & 0xffffffff);
+  int draws = w->busy < DRAWS_GROW ? DRAWS << w->busy : DRAWS << DRAWS_GROW;
+  for (int i = 0; i < draws; i++) {
     pw_route_target t;
-    uint64_t id = pool->id[pick % (uint64_t)pool->n];
+    draw = draw * 6364136223846793005ULL + 1442695040888963407ULL;
+    uint64_t id = pool->id[(draw >> 33) % (uint64_t)pool->n];
     if (!open_target(pool, w, id, &t) || !fits(&t, w->cost))
       continue;
     if (!best.id || apparent(&t, w) < apparent(&best, w))
@@ -104,7 +108,7 @@
   if (!pool->n)
     return 0;
   uint64_t draw = w->draw + (uint64_t)w->ntried * 0x9e3779b97f4a7c15ULL;
-  uint64_t id = better_of_two(pool, w, draw);
+  uint64_t id = better_of_few(pool, w, draw);
   for (int mode = SCAN_FITS; !id && mode <= SCAN_ASIDE; mode++)
     id = anyone(pool, w, draw, (scan_mode)mode);
   return id;
