--- a/bench/control.lua
+++ b/bench/control.lua
@@ -3,7 +3,8 @@
 -- PW_ENTRIES, PW_ENGINES.
 local fleet = require("fleet")
 local entries, engines = tonumber(os.getenv("PW_ENTRIES") or 2), tonumber(os.getenv("PW_ENGINES") or 4)
-local f = fleet.new{control = 3, entries = entries, engines = engines, services = 1}
+local f = fleet.new{control = 3, entries = entries, engines = engines, services = 1,
+  agent = engines > 50 and "slots = 8" or ""}
 local t0 = run.now()
 f:start()
 local processes = 3 + entries + engines + 1
--- a/packages/daemon/pwflight.c
+++ b/packages/daemon/pwflight.c
@@ -16,8 +16,9 @@
 #define GONE_CHECK_MS 500
 #define ANSWER_MAX (8 * 1024 * 1024) /* bytes of an answer not streamed */
 #define RESUMES_MAX 7
-#define RESUME_MS 25 /* pause before the first resume; doubles */
-#define MARGIN_MS 20 /* an answer out before the deadline, not at it */
+#define RESUME_MS 25    /* pause before the first resume; doubles */
+#define QUOTA_BURST_S 2 /* seconds of its limit a workspace may use at once */
+#define MARGIN_MS 20    /* an answer out before the deadline, not at it */
 
 typedef enum flight_state {
   F_CLAIMING, /* waits for the once-ledger */
@@ -56,6 +57,13 @@
   UT_hash_handle hh;
 } flight;
 
+/* A workspace's share of its token limit at this entry. */
+typedef struct quota {
+  char workspace[PW_NAME_MAX];
+  pw_bucket bucket;
+  UT_hash_handle hh;
+} quota;
+
 struct pw_flights {
   pw_proc *p;
   pw_sock *sock;
@@ -64,6 +72,7 @@
   flight *all;
   pw_retry_budget budget;
   double share;
+  quota *quotas;
 };
 
 pw_flights *pwflight_new(pw_proc *p, pw_sock *dialler, pw_targets *targets,
@@ -109,6 +118,11 @@
   HASH_ITER(hh, fs->all, f, tmp) {
     drop(fs, f);
   }
+  quota *q, *qtmp;
+  HASH_ITER(hh, fs->quotas, q, qtmp) {
+    HASH_DEL(fs->quotas, q);
+    free(q);
+  }
   free(fs);
 }
 
@@ -180,7 +194,7 @@
   pw_call *c = f->call;
   int not_run = f->unproven == 0;
   uint32_t retry = 0;
-  if (not_run && pwcode_http(code) == 503)
+  if (not_run && (pwcode_http(code) == 503 || code == PW_E_QUOTA))
     retry = pwroute_retry_after(f->retry_after, f->walk.draw);
   pwevent_add(fs->p->events, not_run ? PWE_REFUSED : PWE_UNKNOWN, code,
               c->request, c->chat, target_name(fs, f), "attempts=%d hops=%d",
@@ -675,6 +689,30 @@
 
 /* --- notes from HTTP threads --- */
 
+/* Takes a request's tokens from its workspace's limit, of which each entry in
+** touch with control has an equal share: no counter is common to them. Gives 0
+** or the ms until there is room. */
+static int64_t over_quota(pw_flights *fs, const pw_call *c, double tokens,
+                          int64_t now) {
+  uint32_t entries = pwsub_entries(fs->sub);
+  double rate = c->workspace.tokens_per_s / (entries ? entries : 1);
+  quota *q;
+  if (rate <= 0)
+    return 0;
+  HASH_FIND_STR(fs->quotas, c->workspace.name, q);
+  if (!q) {
+    q = pw_alloc(sizeof *q);
+    pw_copy(q->workspace, sizeof q->workspace, c->workspace.name);
+    pwbucket_init(&q->bucket, rate, rate * QUOTA_BURST_S, now);
+    HASH_ADD_STR(fs->quotas, workspace, q);
+  }
+  pwbucket_rate(&q->bucket, rate, rate * QUOTA_BURST_S, now);
+  int64_t wait = pwbucket_wait(&q->bucket, 1, now);
+  if (!wait) /* into debt: a request larger than the burst can run, too */
+    pwbucket_charge(&q->bucket, tokens, now);
+  return wait;
+}
+
 static void begin(pw_flights *fs, pw_call *c, const pw_policy *policy,
                   int may_serve, int64_t now) {
   flight *f = pw_alloc(sizeof *f);
@@ -692,8 +730,12 @@
   randombytes_buf(&f->walk.draw, sizeof f->walk.draw);
   HASH_ADD_STR(fs->all, attempt, f);
   pwcount_set(fs->p->counters, PWC_ACTIVE, pwflight_count(fs));
+  int64_t wait = may_serve ? over_quota(fs, c, f->walk.cost, now) : 0;
   if (!may_serve) {
     fail(fs, f, PW_E_NOT_READY, now);
+  } else if (wait) {
+    f->retry_after = (uint32_t)wait;
+    fail(fs, f, PW_E_QUOTA, now);
   } else if (c->never) {
     f->state = F_CLAIMING;
     send_claim(fs, f, now);
