--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 MAKEFLAGS += --no-builtin-rules
 .SECONDARY:
-.PHONY: all bench-policy bench-path bench-control bench-fleet-many deps demo demo-keep test scenarios check mutations sanitized format lint help clean
+.PHONY: all bench-policy bench-path bench-control bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak install sanitized format lint help clean
 
 all: $(BINS)
 
@@ -119,6 +119,25 @@
 	@mkdir -p $(BUILD)
 	@tools/run-mutations $(BUILD) $(CC) $(CPPFLAGS) $(CFLAGS) -- -lcunit $(LDLIBS)
 
+# Outside bytes into the parsers, with a fixed seed, bounded.
+FUZZ_SOURCES = tests/fuzz/fuzz_parsers.c packages/wire/peatwell.pb-c.c \
+  $(wildcard packages/store/*.c packages/consensus/*.c) \
+  packages/core/pwbuf.c packages/core/pwcode.c packages/core/pwclock.c
+fuzz:
+	@mkdir -p $(BUILD)/fuzz
+	@clang -g -O1 -fsanitize=fuzzer,address,undefined $(CPPFLAGS) -std=gnu11 \
+	  $(shell pkg-config --cflags $(PKGS)) -o $(BUILD)/fuzz_parsers $(FUZZ_SOURCES) \
+	  $(LDLIBS)
+	$(BUILD)/fuzz_parsers -seed=1 -runs=300000 -max_len=512 -print_final_stats=1 \
+	  -artifact_prefix=$(BUILD)/fuzz/ $(BUILD)/fuzz >$(BUILD)/fuzz.log 2>&1 || \
+	  { tail -40 $(BUILD)/fuzz.log; exit 1; }
+	@tail -3 $(BUILD)/fuzz.log
+
+# Every scenario again and again, for TIMES rounds.
+TIMES ?= 20
+soak: all $(FAKES) $(RUNNER)
+	@for i in $$(seq $(TIMES)); do tools/run-tests $(BUILD) scenarios || exit 1; done
+
 # The same tests under AddressSanitizer and UndefinedBehaviorSanitizer.
 SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
   -fno-omit-frame-pointer
@@ -126,6 +145,17 @@
 	@$(MAKE) --no-print-directory BUILD=build-san OPT=-O1 SAN="$(SANITIZE)" \
 	  check
 
+PREFIX ?= /usr/local
+install: all
+	install -D -m 755 $(BUILD)/peatwelld $(DESTDIR)$(PREFIX)/bin/peatwelld
+	install -D -m 755 $(BUILD)/peatwell $(DESTDIR)$(PREFIX)/bin/peatwell
+	install -D -m 644 man/peatwell.1 $(DESTDIR)$(PREFIX)/share/man/man1/peatwell.1
+	install -D -m 644 man/peatwelld.8 $(DESTDIR)$(PREFIX)/share/man/man8/peatwelld.8
+	install -D -m 644 completion/peatwell.bash \
+	  $(DESTDIR)$(PREFIX)/share/bash-completion/completions/peatwell
+	install -D -m 644 systemd/peatwelld@.service \
+	  $(DESTDIR)$(PREFIX)/lib/systemd/system/peatwelld@.service
+
 SOURCES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v pb-c)
 
 format:
--- a/packages/consensus/pwcons.c
+++ b/packages/consensus/pwcons.c
@@ -442,7 +442,17 @@
   plan_election(c);
 }
 
+/* Entries follow m->index one by one. */
+static int is_well_formed(const Pw__Cons *m) {
+  for (size_t i = 0; i < m->n_entries; i++)
+    if (m->entries[i]->index != m->index + 1 + i)
+      return 0;
+  return 1;
+}
+
 static void on_append(pw_cons *c, const Pw__Cons *m) {
+  if (!is_well_formed(m))
+    return;
   if (m->term < c->term) {
     reply_append(c, m, 0, 1);
     return;
--- /dev/null
+++ b/tests/fuzz/fuzz_parsers.c
@@ -0,0 +1,101 @@
+/* fuzz_parsers.c: outside bytes into every parser of ours, for libFuzzer.
+** The first byte chooses the parser. */
+#include "peatwell.pb-c.h"
+#include "pwbuf.h"
+#include "pwcons.h"
+#include "pwschema.h"
+#include "pwstate.h"
+#include "pwstore.h"
+#include "pwtoml.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void fuzz_message(const uint8_t *data, size_t n) {
+  Pw__Envelope *e = pw__envelope__unpack(NULL, n, data);
+  if (!e)
+    return;
+  if (e->body_case == PW__ENVELOPE__BODY_WELCOME) {
+    const Pw__Welcome *w = e->welcome;
+    pw_res *r = pwres_new();
+    pwres_merge(r, w->full, w->since, w->revision, w->resources,
+                w->n_resources);
+    pwres_free(r);
+  }
+  if (e->body_case == PW__ENVELOPE__BODY_JOIN) {
+    pw_cons_config c;
+    pwcons_config_unpack(e->join->config, &c);
+  }
+  pw__envelope__free_unpacked(e, NULL);
+}
+
+static void fuzz_record(const uint8_t *data, size_t n) {
+  size_t at = 0, len;
+  const uint8_t *payload;
+  while (pwstore_record(data, n, &at, &payload, &len) == 1) {
+    Pw__Batch *b = pw__batch__unpack(NULL, len, payload);
+    if (b)
+      pw__batch__free_unpacked(b, NULL);
+  }
+}
+
+static void fuzz_state(const uint8_t *data, size_t n) {
+  pw_state *s = pwstate_new();
+  pwstate_load(s, data, n);
+  pwstate_free(s);
+}
+
+static void fuzz_command(const uint8_t *data, size_t n) {
+  Pw__Command *cmd = pw__command__unpack(NULL, n, data);
+  if (!cmd)
+    return;
+  pw_state *s = pwstate_new();
+  Pw__Outcome *o;
+  Pw__Claimed *cl;
+  pwstate_apply(s, cmd, &o, &cl);
+  if (o)
+    pw__outcome__free_unpacked(o, NULL);
+  if (cl)
+    pw__claimed__free_unpacked(cl, NULL);
+  pwstate_free(s);
+  pw__command__free_unpacked(cmd, NULL);
+}
+
+static void fuzz_schema(const uint8_t *data, size_t n) {
+  char why[128];
+  char *text = pw_memdup(data, n);
+  pwschema_check("target", "t", text, why, sizeof why);
+  free(text);
+}
+
+/* A consensus message to a member of three. */
+static void fuzz_consensus(const uint8_t *data, size_t n) {
+  Pw__Cons *m = pw__cons__unpack(NULL, n, data);
+  if (!m)
+    return;
+  pw_cons_config c = {.n = 3, .m = {{1, 1, 1, "", ""}, {2, 2, 1, "", ""},
+                                    {3, 3, 1, "", ""}}};
+  Pw__Snapshot snap = PW__SNAPSHOT__INIT;
+  pwcons_config_pack(&c, &snap.config);
+  pw_cons_setup s = {.id = 1, .seed = 1, .heartbeat = 1, .retry = 1,
+                     .lease = 10, .snapshot = &snap};
+  pw_cons *cons = pwcons_new(&s);
+  m->to = 1;
+  pwcons_step(cons, 100, m);
+  pw_cons_ready r;
+  if (pwcons_ready(cons, &r))
+    pwcons_advance(cons);
+  pwcons_free(cons);
+  pw__config__free_unpacked(snap.config, NULL);
+  pw__cons__free_unpacked(m, NULL);
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t n);
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t n) {
+  static void (*const parser[])(const uint8_t *, size_t) = {
+      fuzz_message, fuzz_record, fuzz_state,
+      fuzz_command, fuzz_schema, fuzz_consensus};
+  if (n)
+    parser[data[0] % 6](data + 1, n - 1);
+  return 0;
+}
