A further level of the tree; agents are sent only what concerns them

Cause: worked out from slopes for docs/CAPACITY.md: a leader with 350 entries below it would ask them to say Hello every 11.7 s, past their stale_ms of 10 s, and an entry would send every change to 34 agents that act on none of it (8 KB/s). Ruled out: larger intervals (a cut-off process would be noticed too late). Change: entry.parents lets entries take configuration from entries; claims go to the leader that the parents name; Hello is never rarer than every 2 s; agents are sent their own target and the policy alone and count as in force up to the first change that concerns them.

--- a/packages/core/pwlimits.h
+++ b/packages/core/pwlimits.h
@@ -77,6 +77,7 @@
 /* Bytes a second a parent may spend on answering its children's Hellos. */
 #define PW_FEED_BYTES_PER_S 6000
 #define PW_HELLO_MS 250
+#define PW_HELLO_MAX_MS 2000
 
 /* Largest message between processes, in bytes. */
 #define PW_WIRE_MAX (64 * 1024 * 1024)
--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -56,6 +56,9 @@
         "tcp://IP:PORT where agents and other entries reach it"),
     LIST("entry", "control", entry_control, "entry",
          "tcp://IP:PORT of the control instances"),
+    LIST("entry", "parents", entry_parents, NULL,
+         "tcp://IP:PORT of entries to take configuration from instead of "
+         "control: a further level of the tree"),
     LIST("entry", "peers", entry_peers, NULL,
          "tcp://IP:PORT of the other entries of the region"),
     INT("entry", "threads", entry_threads, 1, 64, 4, "threads", "HTTP threads"),
--- a/packages/core/pwset.h
+++ b/packages/core/pwset.h
@@ -29,6 +29,7 @@
   char *entry_http;
   char *entry_wire;
   pw_list entry_control;
+  pw_list entry_parents;
   pw_list entry_peers;
   int64_t entry_threads;
   int64_t entry_max_body;
--- a/packages/daemon/pwentry.c
+++ b/packages/daemon/pwentry.c
@@ -165,8 +165,8 @@
 
 static void feed_state(entry *en, pw_feed_state *st, int64_t now) {
   *st = (pw_feed_state){.touch_age = pwsub_touch_age(en->sub, now),
-                        .leader_wire = "",
-                        .leader_http = "",
+                        .leader_wire = pwsub_leader_wire(en->sub),
+                        .leader_http = pwsub_leader_http(en->sub),
                         .term = pwsub_term(en->sub),
                         .entries = pwsub_entries(en->sub)};
 }
@@ -288,7 +288,7 @@
   h.region = en->p->set->region;
   h.http = en->p->set->entry_http;
   h.below = sum.count;
-  h.entries = 1;
+  h.entries = 1 + sum.entries;
   h.below_revision = sum.revision;
   h.behind = sum.behind;
   h.stopping = atomic_load(&en->p->stopping) != 0;
@@ -368,8 +368,10 @@
   const pw_settings *set = en->p->set;
   en->dialler = pwwire_dialler(en->p->wire);
   en->mail = pwmail_new();
-  en->sub = pwsub_new(en->p, en->dialler, &set->entry_control, 1,
-                      set->entry_stale, set->entry_when_cut_off);
+  int direct = set->entry_parents.n == 0;
+  en->sub = pwsub_new(en->p, en->dialler,
+                      direct ? &set->entry_control : &set->entry_parents,
+                      direct, set->entry_stale, set->entry_when_cut_off);
   en->feed = pwfeed_new(en->p, en->listener, pwsub_resources(en->sub));
   en->targets = pwtargets_new(en->p, en->dialler);
   en->flights = pwflight_new(en->p, en->dialler, en->targets, en->sub);
--- a/packages/daemon/pwfeed.c
+++ b/packages/daemon/pwfeed.c
@@ -49,10 +49,23 @@
   return c;
 }
 
-/* Agents stand before one target and need no others. */
+/* Agents act on their own target and the policy, and are sent nothing else:
+** what a workspace may do comes with each Run. */
 static int is_wanted(const pw_child *c, const pw_resource *one) {
-  return strcmp(c->role, "agent") != 0 || strcmp(one->kind, "target") != 0 ||
-         !strcmp(one->name, c->target);
+  if (strcmp(c->role, "agent") != 0 || !strcmp(one->kind, "policy"))
+    return 1;
+  return !strcmp(one->kind, "target") && !strcmp(one->name, c->target);
+}
+
+/* Whether anything newer than `since` concerns a child. */
+static int has_news(const pw_feed *f, const pw_child *c, uint64_t since) {
+  if (since < pwres_floor(f->res))
+    return 1;
+  for (const pw_resource *one = pwres_after(f->res, since); one;
+       one = one->next)
+    if (is_wanted(c, one))
+      return 1;
+  return 0;
 }
 
 static void fill_resources(const pw_feed *f, const pw_child *c,
@@ -77,6 +90,8 @@
 /* How often a child is to say Hello so that all fit the byte budget. */
 static uint32_t hello_interval(const pw_feed *f) {
   uint32_t ms = (uint32_t)(f->n * WELCOME_BYTES * 1000 / PW_FEED_BYTES_PER_S);
+  if (ms > PW_HELLO_MAX_MS)
+    return PW_HELLO_MAX_MS; /* more children than the budget: add a level */
   return ms < PW_HELLO_MS ? PW_HELLO_MS : ms;
 }
 
@@ -86,8 +101,10 @@
   w.echo = c->clock;
   w.leader = st->leader;
   w.touch_age = st->touch_age < 0 ? UINT32_MAX : (uint32_t)st->touch_age;
-  w.leader_wire = (char *)st->leader_wire;
-  w.leader_http = (char *)st->leader_http;
+  if (strcmp(c->role, "agent") != 0) {
+    w.leader_wire = (char *)st->leader_wire;
+    w.leader_http = (char *)st->leader_http;
+  }
   w.term = st->term;
   w.revision = pwres_revision(f->res);
   w.hello_ms = hello_interval(f);
@@ -136,7 +153,8 @@
 void pwfeed_push(pw_feed *f, const pw_feed_state *st, int64_t now) {
   uint64_t revision = pwres_revision(f->res);
   for (pw_child *c = f->children; c; c = c->next)
-    if (c->sent < revision && c->revision < revision)
+    if (c->sent < revision && c->revision < revision &&
+        has_news(f, c, c->sent > c->revision ? c->sent : c->revision))
       send_welcome(f, c, st, NULL, 0, now);
 }
 
@@ -179,8 +197,9 @@
   for (const pw_child *c = f->children; c; c = c->next) {
     out->count += c->below;
     out->entries += c->entries;
-    if (c->below_revision >= out->revision)
-      continue;
+    if (c->below_revision >= out->revision ||
+        !has_news(f, c, c->below_revision))
+      continue; /* what it lacks does not concern it */
     out->revision = c->below_revision;
     pw_copy(out->behind, sizeof out->behind,
             c->behind[0] ? c->behind : c->name);
--- a/packages/daemon/pwfeed.h
+++ b/packages/daemon/pwfeed.h
@@ -44,7 +44,7 @@
 typedef struct pw_feed pw_feed;
 
 /* Serves `res` through `sock`; children of role agent are sent only what
-** agents need. */
+** agents need, and are in force up to the first change that concerns them. */
 pw_feed *pwfeed_new(pw_proc *p, pw_sock *sock, const pw_res *res);
 void pwfeed_free(pw_feed *f);
 
--- a/packages/daemon/pwflight.c
+++ b/packages/daemon/pwflight.c
@@ -171,7 +171,7 @@
   }
   r.content_type = f->kept_over ? "" : (char *)c->type;
   Pw__Envelope e = PW_ENVELOPE(RECORD, record, &r);
-  pwsub_send(fs->sub, &e);
+  pwsub_to_leader(fs->sub, &e);
   f->sent_at = now;
 }
 
@@ -637,7 +637,7 @@
   claim.digest.data = c->digest;
   claim.digest.len = sizeof c->digest;
   Pw__Envelope e = PW_ENVELOPE(CLAIM, claim, &claim);
-  pwsub_send(fs->sub, &e);
+  pwsub_to_leader(fs->sub, &e);
   f->sent_at = now;
 }
 
--- a/packages/daemon/pwsub.c
+++ b/packages/daemon/pwsub.c
@@ -37,7 +37,9 @@
   int caught_up;
   uint64_t term;
   uint32_t entries;
+  char leader_wire[ADDR_MAX];
   char leader_http[ADDR_MAX];
+  parent leader; /* dialled for the ledger when it is not the parent */
 };
 
 /* Children spread over parents by a hash of their own name. */
@@ -96,13 +98,31 @@
   s->hello_at = INT64_MIN / 2;
 }
 
-int pwsub_send(pw_sub *s, Pw__Envelope *e) {
+static int send_to_parent(pw_sub *s, Pw__Envelope *e) {
   const parent *to = &s->parents[s->at];
   if (!s->n || !to->dialled)
     return -1;
   return pwwire_send(s->sock, &to->peer, e);
 }
 
+int pwsub_to_leader(pw_sub *s, Pw__Envelope *e) {
+  const char *addr = s->leader_wire;
+  if (!addr[0] || !strcmp(addr, s->parents[s->at].addr))
+    return send_to_parent(s, e);
+  if (strcmp(addr, s->leader.addr) != 0) {
+    if (s->leader.dialled)
+      pwwire_hang_up(s->sock, s->leader.addr);
+    pw_copy(s->leader.addr, ADDR_MAX, addr);
+    s->leader.dialled =
+        pwwire_dial(s->sock, s->leader.addr, &s->leader.peer) == 0;
+  }
+  return s->leader.dialled ? pwwire_send(s->sock, &s->leader.peer, e) : -1;
+}
+
+const char *pwsub_leader_wire(const pw_sub *s) {
+  return s->leader_wire;
+}
+
 void pwsub_hello(pw_sub *s, Pw__Hello *h, int64_t now) {
   int64_t heard = s->welcomed > s->since ? s->welcomed : s->since;
   if (now - heard > PW_PARENT_LOST + s->interval)
@@ -114,7 +134,7 @@
   h->revision = pwres_revision(s->res);
   h->clock = now;
   Pw__Envelope e = PW_ENVELOPE(HELLO, hello, h);
-  pwsub_send(s, &e);
+  send_to_parent(s, &e);
 }
 
 static void follow(pw_sub *s, const char *leader_wire, int64_t now) {
@@ -159,6 +179,7 @@
     s->interval = w->hello_ms;
   if (w->echo > s->asked_at)
     s->asked_at = w->echo;
+  pw_copy(s->leader_wire, sizeof s->leader_wire, w->leader_wire);
   pw_copy(s->leader_http, sizeof s->leader_http, w->leader_http);
   int merged = pwres_merge(s->res, w->full, w->since, w->revision, w->resources,
                            w->n_resources);
--- a/packages/daemon/pwsub.h
+++ b/packages/daemon/pwsub.h
@@ -38,8 +38,10 @@
 /* ms since it surely was in touch with a leader; -1: never. */
 int64_t pwsub_touch_age(const pw_sub *s, int64_t now);
 
-/* Sends a message to the parent; -1 when there is none. */
-int pwsub_send(pw_sub *s, Pw__Envelope *e);
+/* Sends a message to the control leader, which is the parent or is dialled;
+** -1 when none is known. */
+int pwsub_to_leader(pw_sub *s, Pw__Envelope *e);
+const char *pwsub_leader_wire(const pw_sub *s);
 
 /* The time of the Hello that the last Welcome answered: its contents are not
 ** older than that. */
