--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 MAKEFLAGS += --no-builtin-rules
 .SECONDARY:
-.PHONY: all bench-policy bench-path bench-control bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak install sanitized format lint help clean
+.PHONY: all bench-policy bench-path bench-control bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak capacity install sanitized format lint help clean
 
 all: $(BINS)
 
@@ -119,6 +119,13 @@
 	@mkdir -p $(BUILD)
 	@tools/run-mutations $(BUILD) $(CC) $(CPPFLAGS) $(CFLAGS) -- -lcunit $(LDLIBS)
 
+# The measured numbers that docs/CAPACITY.md and docs/RESULTS.md use.
+capacity: all $(FAKES) $(RUNNER) $(BUILD)/bench_path $(BUILD)/bench_policy
+	PW_ENTRIES=4 PW_ENGINES=20 $(RUNNER) --bin $(BUILD) bench/control.lua >docs/measured/control-28.md
+	PW_ENTRIES=8 PW_ENGINES=140 $(RUNNER) --bin $(BUILD) bench/control.lua >docs/measured/control-152.md
+	$(RUNNER) --bin $(BUILD) bench/path.lua >docs/measured/path.md
+	$(BUILD)/bench_policy all docs/results.svg >docs/measured/policy.md
+
 # Outside bytes into the parsers, with a fixed seed, bounded.
 FUZZ_SOURCES = tests/fuzz/fuzz_parsers.c packages/wire/peatwell.pb-c.c \
   $(wildcard packages/store/*.c packages/consensus/*.c) \
