Requests in flight in four files of one job each

Change: pwattempt (placing, sending, hops, retries, resumes), pwanswer (what agents say), pwclaim (the once-ledger), pwflight (table, beginning, time), pwquota (token limits), with a private header pwfl.h. No behaviour changed.

--- /dev/null
+++ b/packages/daemon/pwattempt.c
@@ -0,0 +1,231 @@
+/* pwattempt.c: attempts of a request: placing, sending, hops, retries, resumes,
+** and the end. */
+#include "pwfl.h"
+
+#include "pwlog.h"
+
+#define RESUMES_MAX 7
+
+void pwfl_send_record(pw_flights *fs, pw_flight *f, int64_t now) {
+  const pw_call *c = f->call;
+  Pw__Record r = PW__RECORD__INIT;
+  r.id = (char *)c->request;
+  r.workspace = (char *)c->workspace.name;
+  r.key = (char *)c->once_key;
+  r.not_run = f->not_run;
+  r.status = (uint32_t)f->status;
+  if (!f->not_run && !f->kept_over) {
+    r.body.data = (uint8_t *)f->kept.data;
+    r.body.len = f->kept.len;
+  }
+  r.content_type = f->kept_over ? "" : (char *)c->type;
+  Pw__Envelope e = PW_ENVELOPE(RECORD, record, &r);
+  pwsub_to_leader(fs->sub, &e);
+  f->sent_at = now;
+}
+
+/* A claim is settled only by a whole answer or a proof that it did not run;
+** with neither it stays claimed, and resends learn that. */
+void pwfl_settle(pw_flights *fs, pw_flight *f, int whole, int not_run,
+                 int64_t now) {
+  pwfl_release(fs, f);
+  if (!f->call->never || (!whole && !not_run)) {
+    pwfl_drop(fs, f);
+    return;
+  }
+  f->state = F_RECORDING;
+  f->since = now;
+  f->not_run = not_run;
+  pwfl_send_record(fs, f, now);
+}
+
+void pwfl_fail(pw_flights *fs, pw_flight *f, pw_code code, int64_t now) {
+  pw_call *c = f->call;
+  int not_run = f->unproven == 0;
+  uint32_t retry = 0;
+  if (not_run && (pwcode_http(code) == 503 || code == PW_E_QUOTA))
+    retry = pwroute_retry_after(f->retry_after, f->walk.draw);
+  pwevent_add(fs->p->events, not_run ? PWE_REFUSED : PWE_UNKNOWN, code,
+              c->request, c->chat, pwfl_target_name(fs, f),
+              "attempts=%d hops=%d", f->attempts, f->hops);
+  pwcall_fail(c, code, "", not_run ? "not-run" : "unknown", retry);
+  pwfl_settle(fs, f, 0, not_run, now);
+}
+
+void pwfl_finish(pw_flights *fs, pw_flight *f, int64_t now) {
+  pwretry_success(&fs->budget);
+  f->status = f->call->status;
+  pwcall_finish(f->call, "done");
+  pwfl_settle(fs, f, 1, 0, now);
+}
+
+static void fill_run(const pw_flight *f, const pw_target *t, Pw__Run *r,
+                     int64_t now) {
+  const pw_call *c = f->call;
+  int64_t left = f->deadline - now;
+  r->attempt = (char *)f->attempt;
+  r->request = (char *)c->request;
+  r->workspace = (char *)c->workspace.name;
+  r->chat = (char *)c->chat;
+  r->pool = (char *)c->pool;
+  r->method = c->method;
+  r->path = c->path;
+  r->headers = c->headers;
+  r->n_headers = c->nheaders;
+  r->body.data = (uint8_t *)c->body;
+  r->body.len = c->body_len;
+  r->priority = c->priority;
+  r->weight = (uint32_t)c->workspace.weight;
+  r->deadline = left > 0 ? (uint32_t)left : 0;
+  r->start_by = pwtargets_clock(t, now) + left;
+  r->incarnation = t->incarnation;
+  r->never = c->never;
+  r->stream = c->stream;
+  r->prompt_tokens = c->prompt_tokens;
+  r->output_tokens = c->output_tokens;
+  r->need_prefix = f->need_prefix;
+  r->may_queue = f->may_queue;
+  r->service = c->is_service;
+  r->offset = f->received;
+  r->resume_of = (char *)f->origin;
+}
+
+void pwfl_send_run(pw_flights *fs, pw_flight *f, pw_target *t, int64_t now) {
+  Pw__Run r = PW__RUN__INIT;
+  fill_run(f, t, &r, now);
+  f->state = F_SENT;
+  f->since = now;
+  f->incarnation = t->incarnation;
+  Pw__Envelope e = PW_ENVELOPE(RUN, run, &r);
+  pwcount_add(fs->p->counters, PWC_ATTEMPTS, 1);
+  f->attempts++;
+  t->pending += f->walk.cost;
+  if (pwwire_send(fs->sock, &t->peer, &e) == 0) {
+    f->unproven++;
+    return;
+  }
+  f->state = F_OPENING; /* not sent: the tick goes on to another target */
+  pwtargets_lose(fs->targets, t);
+}
+
+static void go_to(pw_flights *fs, pw_flight *f, pw_target *t, int64_t now) {
+  f->target = t->id;
+  t->in_flight++;
+  if (pwtargets_is_fresh(t, now)) {
+    pwfl_send_run(fs, f, t, now);
+    return;
+  }
+  f->state = F_OPENING;
+  f->since = now;
+  pwtargets_ask(fs->targets, t, now);
+}
+
+void pwfl_place(pw_flights *fs, pw_flight *f, const pw_policy *policy,
+                int64_t now) {
+  pw_route_pool pool;
+  if (f->hops > PW_HOPS_MAX || now >= f->deadline ||
+      !pwtargets_pool(fs->targets, f->call->pool, policy, f->walk.draw, now,
+                      &pool)) {
+    pwfl_fail(fs, f, f->last_code ? f->last_code : PW_E_NO_TARGET, now);
+    return;
+  }
+  pw_route_pick pick = pwroute_next(&pool, &f->walk);
+  pw_target *t = pwtargets_by_id(fs->targets, pick.id);
+  if (!t) {
+    pwfl_fail(fs, f, f->last_code ? f->last_code : PW_E_NO_TARGET, now);
+    return;
+  }
+  f->need_prefix = pick.need_prefix;
+  f->may_queue = pick.may_queue;
+  go_to(fs, f, t, now);
+}
+
+static pw_refusal refusal_of(pw_code code) {
+  if (code == PW_E_MISS)
+    return PW_REFUSED_MISSED;
+  return code == PW_E_BUSY || code == PW_E_DEADLINE ? PW_REFUSED_BUSY
+                                                    : PW_REFUSED_OTHER;
+}
+
+/* The attempt is known not to have started: on to the next target. */
+void pwfl_hop(pw_flights *fs, pw_flight *f, pw_code code,
+              const pw_policy *policy, int64_t now) {
+  uint64_t id = f->target;
+  pwfl_release(fs, f);
+  pwroute_refused(&f->walk, id, refusal_of(code));
+  if (code != PW_E_MISS)
+    f->last_code = code;
+  f->hops++;
+  pwcount_add(fs->p->counters, PWC_HOPS, 1);
+  pwfl_rename_attempt(fs, f);
+  pwfl_place(fs, f, policy, now);
+}
+
+/* A stream that reached the caller cannot be begun again. */
+static int may_repeat(const pw_flight *f) {
+  if (!f->call->repeatable || f->call->never)
+    return 0;
+  return !f->got_head || !f->call->stream;
+}
+
+/* Asks the same target to go on from where the answer broke off. */
+static int resume(pw_flights *fs, pw_flight *f, int64_t now) {
+  pw_target *t = pwfl_target_of(fs, f);
+  if (!t || !f->got_head || f->call->is_service || f->resumes >= RESUMES_MAX)
+    return 0;
+  if (!f->origin[0])
+    pw_copy(f->origin, sizeof f->origin, f->attempt);
+  f->resumes++;
+  f->need_prefix = 0;
+  f->may_queue = 0;
+  pwfl_rename_attempt(fs, f);
+  pwcount_add(fs->p->counters, PWC_RESUMES, 1);
+  pwevent_add(fs->p->events, PWE_RESUMED, 0, f->call->request, f->call->chat,
+              t->name, "offset=%llu", (unsigned long long)f->received);
+  f->state = F_PAUSING;
+  f->since = now;
+  return 1;
+}
+
+void pwfl_end_pause(pw_flights *fs, pw_flight *f, int64_t now) {
+  pw_target *t = pwfl_target_of(fs, f);
+  if (!t) {
+    pwfl_fail(fs, f, PW_E_CUT, now);
+    return;
+  }
+  t->in_flight--; /* go_to counts it again */
+  go_to(fs, f, t, now);
+}
+
+void pwfl_broken(pw_flights *fs, pw_flight *f, pw_code code,
+                 const pw_policy *policy, int64_t now) {
+  pw_target *t = pwfl_target_of(fs, f);
+  if (t && pwbreak_result(&t->breaker, 1, now))
+    pwlog(LOG_WARNING, "target-set-aside", "target=%s", t->name);
+  if (resume(fs, f, now))
+    return;
+  if (!may_repeat(f) || f->attempts >= PW_ATTEMPTS_MAX) {
+    pwfl_fail(fs, f, f->call->never || code == PW_OK ? PW_E_UNKNOWN : code,
+              now);
+    return;
+  }
+  if (!pwretry_spend(&fs->budget)) {
+    pwcount_add(fs->p->counters, PWC_RETRY_DENIED, 1);
+    pwfl_fail(fs, f, code, now);
+    return;
+  }
+  pwfl_send_cancel(fs, f);
+  f->got_head = 0;
+  f->received = 0;
+  f->credited = 0;
+  f->origin[0] = 0;
+  pwcall_reset(f->call);
+  pwcount_add(fs->p->counters, PWC_RETRIES, 1);
+  pwevent_add(fs->p->events, PWE_RETRY, code, f->call->request, f->call->chat,
+              pwfl_target_name(fs, f), "attempt=%d", f->attempts);
+  uint64_t id = f->target;
+  pwfl_release(fs, f);
+  pwroute_refused(&f->walk, id, PW_REFUSED_OTHER);
+  pwfl_rename_attempt(fs, f);
+  pwfl_place(fs, f, policy, now);
+}
--- /dev/null
+++ b/packages/daemon/pwclaim.c
@@ -0,0 +1,63 @@
+/* pwclaim.c: flights and the once-ledger. */
+#include "pwfl.h"
+
+#include <string.h>
+
+void pwfl_send_claim(pw_flights *fs, pw_flight *f, int64_t now) {
+  pw_call *c = f->call;
+  Pw__Claim claim = PW__CLAIM__INIT;
+  claim.id = c->request;
+  claim.workspace = c->workspace.name;
+  claim.key = c->once_key;
+  claim.digest.data = c->digest;
+  claim.digest.len = sizeof c->digest;
+  Pw__Envelope e = PW_ENVELOPE(CLAIM, claim, &claim);
+  pwsub_to_leader(fs->sub, &e);
+  f->sent_at = now;
+}
+
+static void replay(pw_flights *fs, pw_flight *f, const Pw__Claimed *cl) {
+  pwcount_add(fs->p->counters, PWC_REPLAYS, 1);
+  if (!cl->content_type[0] && cl->body.len == 0) {
+    pwcall_fail(f->call, PW_E_NOT_KEPT, "", "done", 0);
+  } else {
+    pwcall_head(f->call, (int)cl->status, cl->content_type, "");
+    pwcall_data(f->call, cl->body.data, cl->body.len);
+    pwcall_finish(f->call, "done");
+  }
+  f->target = 0;
+  pwfl_drop(fs, f);
+}
+
+static pw_flight *by_request(const pw_flights *fs, const char *request) {
+  for (pw_flight *f = fs->all; f; f = f->hh.next)
+    if (!strcmp(f->call->request, request))
+      return f;
+  return NULL;
+}
+
+void pwflight_claimed(pw_flights *fs, const Pw__Claimed *cl,
+                      const pw_policy *policy, int64_t now) {
+  pw_flight *f = by_request(fs, cl->id);
+  if (!f || cl->code == PW_E_NOT_LEADER)
+    return; /* asked again at the next tick */
+  if (f->state == F_RECORDING) {
+    pwfl_drop(fs, f);
+    return;
+  }
+  if (f->state != F_CLAIMING)
+    return;
+  pwevent_add(fs->p->events, PWE_CLAIM, (int)cl->code, f->call->request, NULL,
+              NULL, "answered=%d", cl->answered);
+  if (cl->answered) {
+    replay(fs, f, cl);
+  } else if (cl->code != PW_OK) {
+    int running = cl->code == PW_E_RUNNING;
+    pwcall_fail(f->call, (pw_code)cl->code, "", running ? "unknown" : "not-run",
+                0);
+    pwfl_drop(fs, f);
+  } else {
+    f->state = F_OPENING;
+    pwfl_place(fs, f, policy, now);
+  }
+}
--- /dev/null
+++ b/packages/daemon/pwquota.c
@@ -0,0 +1,60 @@
+/* pwquota.c: workspaces' token limits at one entry. */
+#include "pwquota.h"
+
+#include "pwbudget.h"
+#include "pwbuf.h"
+
+#include <stdlib.h>
+#include <uthash.h>
+
+#define BURST_S 2 /* seconds of its limit a workspace may use at once */
+
+typedef struct quota {
+  char workspace[PW_NAME_MAX];
+  pw_bucket bucket;
+  UT_hash_handle hh;
+} quota;
+
+struct pw_quotas {
+  quota *all;
+};
+
+pw_quotas *pwquota_new(void) {
+  return pw_alloc(sizeof(pw_quotas));
+}
+
+void pwquota_free(pw_quotas *qs) {
+  quota *q, *tmp;
+  HASH_ITER(hh, qs->all, q, tmp) {
+    HASH_DEL(qs->all, q);
+    free(q);
+  }
+  free(qs);
+}
+
+static quota *quota_of(pw_quotas *qs, const char *workspace, double rate,
+                       int64_t now) {
+  quota *q;
+  HASH_FIND_STR(qs->all, workspace, q);
+  if (q)
+    return q;
+  q = pw_alloc(sizeof *q);
+  pw_copy(q->workspace, sizeof q->workspace, workspace);
+  pwbucket_init(&q->bucket, rate, rate * BURST_S, now);
+  HASH_ADD_STR(qs->all, workspace, q);
+  return q;
+}
+
+/* Goes into debt: a request larger than the burst can run, too. */
+int64_t pwquota_take(pw_quotas *qs, const pw_workspace *w, uint32_t entries,
+                     double tokens, int64_t now) {
+  double rate = w->tokens_per_s / (entries ? entries : 1);
+  if (rate <= 0)
+    return 0;
+  quota *q = quota_of(qs, w->name, rate, now);
+  pwbucket_rate(&q->bucket, rate, rate * BURST_S, now);
+  int64_t wait = pwbucket_wait(&q->bucket, 1, now);
+  if (!wait)
+    pwbucket_charge(&q->bucket, tokens, now);
+  return wait;
+}
