An entry that was stopped takes the loads it reads for as old as the stop

Cause: read through: after SIGSTOP and SIGCONT an entry read reports that had lain unread and counted them as fresh, so the mean erred high by the length of the stop. Change: a round of the loop longer than 100 ms ages what is read in it. The agent's clock is still taken as of now: there, erring low is what is safe.

--- a/packages/daemon/pwentry.c
+++ b/packages/daemon/pwentry.c
@@ -21,6 +21,7 @@
 #define TICK_MS 20
 #define SUM_MS 50
 #define TELL_MS 250
+#define STALL_MS 100 /* a longer round of the loop was a stop */
 #define POOLS_PER_AGENT 16
 #define FORWARD_TIMEOUT_S 40
 #define FORWARD_MAX (64 * 1024 * 1024)
@@ -41,6 +42,8 @@
   pw_policy policy;
   uint64_t in_force; /* revision that the view and the targets show */
   int64_t summed;
+  int64_t looped;       /* when the loop last came round */
+  int64_t waited;       /* ms a message read now may have lain unread */
   int64_t stop_at;      /* when stopping began; 0: not stopping */
   int64_t told;         /* when the next two were filled */
   char leader_http[96]; /* under the lock */
@@ -215,7 +218,7 @@
   int n = 0;
   if (e->hello->load) {
     const Pw__Load *load = e->hello->load;
-    pwreport_child(en->reports, load, now);
+    pwreport_child(en->reports, load, now - en->waited, now);
     n = pwtargets_sums_for(en->targets, load->target, names, sums,
                            POOLS_PER_AGENT);
   }
@@ -240,7 +243,7 @@
     if (e->body_case == PW__ENVELOPE__BODY_HELLO)
       on_hello(en, &from, e, now);
     else if (e->body_case == PW__ENVELOPE__BODY_LOADS)
-      pwreport_peer(en->reports, e, now);
+      pwreport_peer(en->reports, e, now - en->waited, now);
     pw__envelope__free_unpacked(e, NULL);
   }
 }
@@ -343,6 +346,14 @@
   return pwflight_count(en->flights) == 0 && pwserve_active(en->http) == 0;
 }
 
+/* A process that was stopped and goes on reads messages of before: a load they
+** report is taken to be as old as the stop. */
+static void note_wait(entry *en, int64_t now) {
+  int64_t gap = en->looped ? now - en->looped : 0;
+  en->waited = gap > STALL_MS ? gap : 0;
+  en->looped = now;
+}
+
 static void loop(entry *en) {
   zmq_pollitem_t items[4] = {{pwwire_raw(en->listener), 0, ZMQ_POLLIN, 0},
                              {pwwire_raw(en->dialler), 0, ZMQ_POLLIN, 0},
@@ -352,6 +363,7 @@
   while (!may_end(en, pwclock_ms())) {
     zmq_poll(items, 4, TICK_MS);
     int64_t now = pwclock_ms();
+    note_wait(en, now);
     on_listener(en, now);
     on_dialler(en, now);
     resources_changed(en, now);
--- a/packages/daemon/pwreport.c
+++ b/packages/daemon/pwreport.c
@@ -69,18 +69,20 @@
   r->mine[r->nmine++] = (own){id, now};
 }
 
-void pwreport_child(pw_reports *r, const Pw__Load *load, int64_t now) {
+void pwreport_child(pw_reports *r, const Pw__Load *load, int64_t at,
+                    int64_t now) {
   const pw_target *t = pwtargets_by_name(r->targets, load->target);
   if (!t)
     return;
   note_mine(r, t->id, now);
-  pwtargets_report(r->targets, load, now - (int64_t)load->age, now);
+  pwtargets_report(r->targets, load, at - (int64_t)load->age, now);
 }
 
-void pwreport_peer(pw_reports *r, const Pw__Envelope *e, int64_t now) {
+void pwreport_peer(pw_reports *r, const Pw__Envelope *e, int64_t at,
+                   int64_t now) {
   for (size_t i = 0; i < e->loads->n_loads; i++) {
     const Pw__Load *load = e->loads->loads[i];
-    pwtargets_report(r->targets, load, now - (int64_t)load->age, now);
+    pwtargets_report(r->targets, load, at - (int64_t)load->age, now);
   }
 }
 
--- a/packages/daemon/pwreport.h
+++ b/packages/daemon/pwreport.h
@@ -14,11 +14,14 @@
 pw_reports *pwreport_new(pw_proc *p, pw_sock *dialler, pw_targets *targets);
 void pwreport_free(pw_reports *r);
 
-/* A load that an agent below reported; its age is in it. */
-void pwreport_child(pw_reports *r, const Pw__Load *load, int64_t now);
+/* A load that an agent below reported; its age is in it. It arrived at `at` or
+** later: a message may have lain unread until now. */
+void pwreport_child(pw_reports *r, const Pw__Load *load, int64_t at,
+                    int64_t now);
 
-/* A peer's Loads. */
-void pwreport_peer(pw_reports *r, const Pw__Envelope *e, int64_t now);
+/* A peer's Loads, the same. */
+void pwreport_peer(pw_reports *r, const Pw__Envelope *e, int64_t at,
+                   int64_t now);
 
 /* Tells the peers when it is time. */
 void pwreport_tick(pw_reports *r, int64_t now);
