Lost links cost no retries: the same target is asked to go on

Ruled out: bytes lost or mixed up (no answer that looked whole was wrong). Change: an attempt whose link was lost, or whose engine broke off, is taken up again at the same target under its first id, answer begun or not; the engine knows the stream, so nothing starts twice and no retry is spent. An agent that does not know the first attempt admits it like any other. Never-repeated ones still become unknown.

--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -188,12 +188,16 @@
 
 /* --- a Run arrives --- */
 
-static int was_seen(agent *a, const char *attempt) {
+static int is_known(const agent *a, const char *attempt) {
   seen *s;
   HASH_FIND_STR(a->seen, attempt, s);
-  if (s)
+  return s != NULL;
+}
+
+static int was_seen(agent *a, const char *attempt) {
+  if (is_known(a, attempt))
     return 1;
-  s = pw_alloc(sizeof *s);
+  seen *s = pw_alloc(sizeof *s);
   pw_copy(s->attempt, sizeof s->attempt, attempt);
   HASH_ADD_STR(a->seen, attempt, s);
   if (HASH_COUNT(a->seen) > PW_SEEN_MAX) {
@@ -276,7 +280,7 @@
   j->deadline = now + run->deadline;
   if (j->deadline > run->start_by)
     j->deadline = run->start_by;
-  if (run->resume_of[0]) {
+  if (run->resume_of[0] && is_known(a, run->resume_of)) {
     resume(a, j, now);
     return;
   }
--- a/packages/daemon/pwanswer.c
+++ b/packages/daemon/pwanswer.c
@@ -31,11 +31,11 @@
                       const pw_policy *policy, int64_t now) {
   if (f->state != F_SENT)
     return;
-  if (f->resumes && f->got_head) {
-    pwfl_fail(fs, f, PW_E_CUT, now);
+  f->unproven--;
+  if (f->origin[0]) { /* it was to go on with an earlier attempt */
+    pwfl_broken(fs, f, PW_E_CUT, policy, now);
     return;
   }
-  f->unproven--;
   int missed = r->code == PW_E_MISS;
   if (r->retry_after && (!f->retry_after || r->retry_after < f->retry_after))
     f->retry_after = r->retry_after;
--- a/packages/daemon/pwattempt.c
+++ b/packages/daemon/pwattempt.c
@@ -168,10 +168,19 @@
   return !f->got_head || !f->call->stream;
 }
 
-/* Asks the same target to go on from where the answer broke off. */
-static int resume(pw_flights *fs, pw_flight *f, int64_t now) {
+/* Whether to ask the same target to go on: an answer that had begun, or an
+** attempt whose link was lost. The engine knows the stream by its first id, so
+** this starts nothing twice and costs no retry. */
+static int may_resume(const pw_flight *f, pw_code code) {
+  if (f->call->is_service || f->resumes >= RESUMES_MAX)
+    return 0;
+  int link = code == PW_E_TIMEOUT || code == PW_E_CUT;
+  return f->got_head || (link && !f->call->never);
+}
+
+static int resume(pw_flights *fs, pw_flight *f, pw_code code, int64_t now) {
   pw_target *t = pwfl_target_of(fs, f);
-  if (!t || !f->got_head || f->call->is_service || f->resumes >= RESUMES_MAX)
+  if (!t || !may_resume(f, code))
     return 0;
   if (!f->origin[0])
     pw_copy(f->origin, sizeof f->origin, f->attempt);
@@ -202,7 +211,7 @@
   pw_target *t = pwfl_target_of(fs, f);
   if (t && pwbreak_result(&t->breaker, 1, now))
     pwlog(LOG_WARNING, "target-set-aside", "target=%s", t->name);
-  if (resume(fs, f, now))
+  if (resume(fs, f, code, now))
     return;
   if (!may_repeat(f) || f->attempts >= PW_ATTEMPTS_MAX) {
     pwfl_fail(fs, f, f->call->never || code == PW_OK ? PW_E_UNKNOWN : code,
--- /dev/null
+++ b/tests/scenarios/12_rolling.lua
@@ -0,0 +1,60 @@
+-- Promises: a planned stop of any part cuts no request; what is killed cuts only
+-- what it carried, and never makes a cut answer look whole.
+local fleet = require("fleet")
+local f = fleet.new{control = 3, entries = 3, engines = 10, engine_args = {4, 200}}
+f:start()
+
+local calls, n = {}, 0
+local function load(count, avoid)
+  for _ = 1, count do
+    n = n + 1
+    local entry = f.entries[n % 3 + 1]
+    if entry == avoid then entry = f.entries[(n + 1) % 3 + 1] end
+    local o = {entry = entry, chat = "r" .. n, text = "rolling " .. n, stream = n % 2 == 0, max_tokens = 30}
+    calls[#calls + 1] = {o = o, h = run.http_start(f:chat(o))}
+  end
+end
+local function collect(what, may_break)
+  local whole, broken = 0, 0
+  for i, c in ipairs(calls) do
+    local r = run.http_wait(c.h)
+    if fleet.is_answer(r, c.o) then
+      whole = whole + 1
+    else
+      fleet.expect(what .. " " .. i .. ": " .. r.status .. r.body:sub(-120), may_break)
+      fleet.expect("a cut answer looks whole", not (r.whole and r.status == 200))
+      broken = broken + 1
+    end
+  end
+  calls = {}
+  return whole, broken
+end
+
+-- Every process once, under load; the balancer has turned away from an entry that
+-- is not ready.
+for _, list in ipairs{f.agents, f.control, f.entries} do
+  for _, p in ipairs(list) do
+    load(12, p)
+    fleet.equal(p.name .. " exit code", p:stop(), 0)
+    load(6, p)
+    collect("restart of " .. p.name)
+    p:start()
+    if list ~= f.control then f:wait_ready(p) else f:wait_leader() end
+  end
+end
+print(n .. " requests, none cut, through " .. (10 + 3 + 3) .. " planned restarts")
+
+-- A tenth of the targets dies at once, engine and agent.
+load(60)
+run.pause(60)
+f.engines[4]:kill()
+f.agents[4]:kill()
+local whole, broken = collect("a tenth killed", true)
+print(string.format("a tenth killed: %d whole, %d broken off", whole, broken))
+fleet.expect("only what it carried is broken", broken <= 20)
+load(30)
+collect("after it")
+f.engines[4]:start()
+f.agents[4]:start()
+f:wait_ready(f.agents[4])
+f:stop()
