Digests are compared by one function that takes an empty one

Cause: UBSan under test_consensus: memcmp with a null pointer and length 0 in the comparison of resend digests. Change: pw_same, used by the ledger too.

--- a/packages/core/pwbuf.c
+++ b/packages/core/pwbuf.c
@@ -28,6 +28,10 @@
   return s ? pw_memdup(s, strlen(s)) : NULL;
 }
 
+int pw_same(const void *a, size_t an, const void *b, size_t bn) {
+  return an == bn && (an == 0 || memcmp(a, b, an) == 0);
+}
+
 void pw_copy(char *dst, size_t cap, const char *s) {
   size_t n = s ? strlen(s) : 0;
   if (n >= cap)
--- a/packages/core/pwbuf.h
+++ b/packages/core/pwbuf.h
@@ -32,6 +32,9 @@
 char *pw_dup(const char *s);
 void *pw_memdup(const void *p, size_t n);
 
+/* Whether two runs of bytes are the same; NULL is a run of none. */
+int pw_same(const void *a, size_t an, const void *b, size_t bn);
+
 /* Copies s into dst[cap], cut to fit and zero-ended. */
 void pw_copy(char *dst, size_t cap, const char *s);
 
--- a/packages/store/pwonce.c
+++ b/packages/store/pwonce.c
@@ -69,11 +69,6 @@
   return k;
 }
 
-static int same_bytes(const ProtobufCBinaryData *a,
-                      const ProtobufCBinaryData *b) {
-  return a->len == b->len && (a->len == 0 || !memcmp(a->data, b->data, a->len));
-}
-
 static void copy_answer(Pw__Claimed *out, const Pw__KeptClaim *k) {
   out->answered = 1;
   out->status = k->status;
@@ -92,7 +87,7 @@
     return out;
   }
   const Pw__KeptClaim *k = c->kept;
-  if (!same_bytes(&k->digest, &in->digest))
+  if (!pw_same(k->digest.data, k->digest.len, in->digest.data, in->digest.len))
     out->code = PW_E_REUSED;
   else if (k->answered)
     copy_answer(out, k);
--- a/packages/store/pwstate.c
+++ b/packages/store/pwstate.c
@@ -216,7 +216,7 @@
   HASH_FIND_STR(s->outcomes, ch->resend, row);
   if (row) {
     const ProtobufCBinaryData *d = &row->k->digest;
-    if (d->len == ch->digest.len && !memcmp(d->data, ch->digest.data, d->len))
+    if (pw_same(d->data, d->len, ch->digest.data, ch->digest.len))
       return copy_outcome(row->k->outcome);
     return refusal(PW_E_REUSED, pwcode_text(PW_E_REUSED));
   }
