Backup and restore; a group that was founded anew is another group

An entry tells its HTTP threads the leader before it is ready. A null pointer in test_consensus under UBSan.

--- /dev/null
+++ b/packages/cli/pwbackup.c
@@ -0,0 +1,107 @@
+/* pwbackup.c: `peatwell backup` and `restore`: the resources as one file. */
+#include "pwcmd.h"
+
+#include "pwbuf.h"
+#include "pwfile.h"
+
+#include <errno.h>
+#include <libgen.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define FORMAT 1
+#define MESSAGE 256
+#define ROOT "/v1/resources"
+
+static int usage(const char *text) {
+  pwcmd_error(PW_E_USAGE, text);
+  return PWEXIT_USAGE;
+}
+
+static int write_file(const char *path, const json_t *doc) {
+  char *text = json_dumps(doc, JSON_INDENT(1) | JSON_SORT_KEYS);
+  char *copy = pw_dup(path);
+  int rc =
+      pwfile_replace(pwfile_posix(), dirname(copy), path, text, strlen(text));
+  if (rc != 0)
+    fprintf(stderr, "peatwell: %s: %s\n", path, strerror(errno));
+  free(copy);
+  free(text);
+  return rc == 0 ? PWEXIT_OK : PWEXIT_FAILED;
+}
+
+int pwcmd_backup(pw_options *o) {
+  char message[MESSAGE] = "";
+  json_t *have;
+  if (o->nargs != 1)
+    return usage("backup FILE");
+  pw_code rc = pwclient_call(&o->client, "GET", ROOT, NULL, &have, message,
+                             sizeof message);
+  int code;
+  if (rc != PW_OK) {
+    code = pwcmd_error(rc, message);
+  } else {
+    json_object_set_new(have, "peatwell_backup", json_integer(FORMAT));
+    code = write_file(o->args[0], have);
+    if (code == PWEXIT_OK)
+      printf("%zu resources of revision %lld written to %s\n",
+             json_array_size(json_object_get(have, "resources")),
+             (long long)json_integer_value(json_object_get(have, "revision")),
+             o->args[0]);
+  }
+  json_decref(have);
+  return code;
+}
+
+static json_t *read_backup(const char *path) {
+  json_error_t e;
+  json_t *doc = json_load_file(path, JSON_REJECT_DUPLICATES, &e);
+  json_int_t format =
+      json_integer_value(json_object_get(doc, "peatwell_backup"));
+  if (!doc)
+    fprintf(stderr, "%s:%d:%d: %s\n", path, e.line, e.column, e.text);
+  else if (format < 1 || format > FORMAT)
+    fprintf(stderr, "%s: not a backup of this version or an older one\n", path);
+  else
+    return doc;
+  json_decref(doc);
+  return NULL;
+}
+
+/* Writes what the backup holds, whatever its version was; what it does not name
+** stays. All or nothing. */
+int pwcmd_restore(pw_options *o) {
+  char message[MESSAGE] = "";
+  json_t *answer = NULL;
+  size_t i;
+  json_t *r;
+  if (o->nargs != 1)
+    return usage("restore FILE");
+  json_t *doc = read_backup(o->args[0]);
+  if (!doc)
+    return PWEXIT_INPUT;
+  const json_t *list = json_object_get(doc, "resources");
+  json_array_foreach(list, i, r) {
+    json_object_del(r, "version");
+  }
+  if (o->dry_run) {
+    printf("%zu resources would be written\n", json_array_size(list));
+    json_decref(doc);
+    return PWEXIT_OK;
+  }
+  json_t *body = json_pack("{s:O}", "resources", list);
+  pw_code rc = pwclient_call(&o->client, "POST", ROOT, body, &answer, message,
+                             sizeof message);
+  json_int_t revision = json_integer_value(json_object_get(answer, "revision"));
+  int code = rc == PW_OK ? PWEXIT_OK : pwcmd_error(rc, message);
+  if (rc == PW_OK)
+    printf("%zu resources restored at revision %lld\n", json_array_size(list),
+           (long long)revision);
+  if (rc == PW_OK && o->wait)
+    code = pwcmd_wait(o, revision);
+  json_decref(body);
+  json_decref(answer);
+  json_decref(doc);
+  return code;
+}
--- a/packages/cli/pwcmd.h
+++ b/packages/cli/pwcmd.h
@@ -36,6 +36,8 @@
 int pwcmd_status(pw_options *o);
 int pwcmd_drain(pw_options *o);
 int pwcmd_timeline(pw_options *o);
+int pwcmd_backup(pw_options *o);
+int pwcmd_restore(pw_options *o);
 int pwcmd_check(pw_options *o);
 int pwcmd_keygen(pw_options *o);
 int pwcmd_keyhash(pw_options *o);
--- a/packages/consensus/pwcons.c
+++ b/packages/consensus/pwcons.c
@@ -702,6 +702,7 @@
   Pw__Snapshot *s = pw_alloc(sizeof *s);
   pw__snapshot__init(s);
   s->index = index;
+  s->group = c->log.snapshot->group;
   s->term = pwconslog_term(&c->log, index);
   pw_cons_config config;
   pwconslog_config(&c->log, index, &config);
--- a/packages/daemon/pwcontrol.c
+++ b/packages/daemon/pwcontrol.c
@@ -66,7 +66,8 @@
                         .touch_age = leads ? 0 : -1,
                         .leader_wire = pwgroup_leader_wire(c->group),
                         .leader_http = pwgroup_leader_http(c->group),
-                        .term = pwgroup_term(c->group)};
+                        .term = pwgroup_term(c->group),
+                        .group = pwgroup_number(c->group)};
   for (; child; child = child->next)
     st->entries += child->entries;
 }
--- a/packages/daemon/pwentry.c
+++ b/packages/daemon/pwentry.c
@@ -171,7 +171,8 @@
                         .leader_wire = pwsub_leader_wire(en->sub),
                         .leader_http = pwsub_leader_http(en->sub),
                         .term = pwsub_term(en->sub),
-                        .entries = pwsub_entries(en->sub)};
+                        .entries = pwsub_entries(en->sub),
+                        .group = pwsub_group(en->sub)};
 }
 
 static void publish_view(entry *en) {
@@ -298,15 +299,20 @@
   pwsub_hello(en->sub, &h, now);
 }
 
-/* What HTTP threads may know of the wire thread's state. */
+/* What HTTP threads may know of the wire thread's state. The leader's address
+** is told at once: an entry that is ready can forward. */
 static void tell_http(entry *en, int64_t now) {
-  json_t *children = pwfeed_json(en->feed, now);
+  int due = now - en->told >= TELL_MS;
+  json_t *children = due ? pwfeed_json(en->feed, now) : NULL;
   pthread_mutex_lock(&en->lock);
-  json_decref(en->children);
-  en->children = children;
+  if (due) {
+    json_decref(en->children);
+    en->children = children;
+  }
   pw_copy(en->leader_http, sizeof en->leader_http, pwsub_leader_http(en->sub));
   pthread_mutex_unlock(&en->lock);
-  en->told = now;
+  if (due)
+    en->told = now;
 }
 
 static void tick(entry *en, int64_t now) {
@@ -318,9 +324,8 @@
   }
   pwreport_tick(en->reports, now);
   pwflight_tick(en->flights, &en->policy, now);
+  tell_http(en, now);
   pwproc_set_ready(en->p, pwsub_may_serve(en->sub, now));
-  if (now - en->told >= TELL_MS)
-    tell_http(en, now);
 }
 
 /* Stopping: ready fails first, then the listener closes, then what is in
--- a/packages/daemon/pwfeed.c
+++ b/packages/daemon/pwfeed.c
@@ -106,6 +106,7 @@
     w.leader_http = (char *)st->leader_http;
   }
   w.term = st->term;
+  w.group = st->group;
   w.revision = pwres_revision(f->res);
   w.hello_ms = hello_interval(f);
   w.entries = st->entries;
--- a/packages/daemon/pwfeed.h
+++ b/packages/daemon/pwfeed.h
@@ -39,6 +39,7 @@
   const char *leader_http;
   uint64_t term;
   uint32_t entries;
+  uint64_t group; /* number of the control group; 0: not known yet */
 } pw_feed_state;
 
 typedef struct pw_feed pw_feed;
--- a/packages/daemon/pwgroup.c
+++ b/packages/daemon/pwgroup.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define JOIN_MS 200
 #define ENTRY_OVERHEAD 256 /* bytes of a record besides the command */
@@ -120,9 +121,11 @@
 }
 
 /* Starts from nothing under the given configuration. */
-static pw_code found(pw_group *g, const pw_cons_config *config, int64_t now) {
+static pw_code found(pw_group *g, const pw_cons_config *config, uint64_t number,
+                     int64_t now) {
   Pw__Snapshot s = PW__SNAPSHOT__INIT;
   pwcons_config_pack(config, &s.config);
+  s.group = number;
   pw_code rc = pwstore_snapshot(g->store, &s, 0, 0, NULL, 0);
   if (rc == PW_OK) {
     pw_store_state st = {.snapshot = &s};
@@ -135,6 +138,15 @@
   return rc;
 }
 
+/* The same at every founder: from the ids of their disks. */
+static uint64_t number_of(const pw_cons_config *config) {
+  uint64_t number = 0;
+  for (int i = 0; i < config->n; i++)
+    number =
+        XXH3_64bits_withSeed(&config->m[i].id, sizeof config->m[i].id, number);
+  return number ? number : 1;
+}
+
 static int by_slot(const void *a, const void *b) {
   const pw_cons_member *x = a;
   const pw_cons_member *y = b;
@@ -159,7 +171,7 @@
   if (config.n != g->listed + 1)
     return PW_OK;
   qsort(config.m, (size_t)config.n, sizeof config.m[0], by_slot);
-  return found(g, &config, now);
+  return found(g, &config, number_of(&config), now);
 }
 
 static int seeks(const pw_group *g) {
@@ -175,6 +187,7 @@
   j.reply = reply;
   j.initialised = g->cons != NULL;
   j.learner = seeks(g);
+  j.group = pwgroup_number(g);
   if (g->cons)
     pwcons_config_pack(pwcons_config(g->cons), &j.config);
   Pw__Envelope e = PW_ENVELOPE(JOIN, join, &j);
@@ -208,7 +221,7 @@
   pw_cons_config config;
   pwcons_config_unpack(j->config, &config);
   if (j->initialised && pwmember_has(&config, g->id))
-    found(g, &config, now);
+    found(g, &config, j->group, now);
 }
 
 /* --- changes of the group, one at a time --- */
@@ -400,7 +413,7 @@
     rc = begin(g, &st, now);
   } else if (rc == PW_OK && g->listed == 0) {
     pw_cons_config config = {.n = 1, .m = {self(g)}};
-    rc = found(g, &config, now);
+    rc = found(g, &config, number_of(&config), now);
   }
   pwstore_state_free(&st);
   if (rc != PW_OK) {
@@ -462,6 +475,10 @@
   return g->cons ? pwcons_term(g->cons) : 0;
 }
 
+uint64_t pwgroup_number(const pw_group *g) {
+  return g->cons ? pwcons_snapshot(g->cons)->group : 0;
+}
+
 json_t *pwgroup_json(const pw_group *g) {
   json_t *list = json_array();
   if (!g->cons)
--- a/packages/daemon/pwgroup.h
+++ b/packages/daemon/pwgroup.h
@@ -55,6 +55,9 @@
 
 uint64_t pwgroup_term(const pw_group *g);
 
+/* Number of the group, drawn from the disks that founded it; 0: in none. */
+uint64_t pwgroup_number(const pw_group *g);
+
 /* Members and their state as JSON; new reference. */
 json_t *pwgroup_json(const pw_group *g);
 
--- a/packages/daemon/pwsub.c
+++ b/packages/daemon/pwsub.c
@@ -36,6 +36,8 @@
   int in_touch;
   int caught_up;
   uint64_t term;
+  uint64_t group; /* the first one met; no other is heard in this life */
+  int strange;    /* another was met, and told of */
   uint32_t entries;
   char leader_wire[ADDR_MAX];
   char leader_http[ADDR_MAX];
@@ -165,12 +167,26 @@
   }
 }
 
+/* Revisions of two groups cannot be compared: one that was founded anew is
+** taken up by a restart, which holds nothing of the old. */
+static int is_own_group(pw_sub *s, uint64_t group) {
+  if (!group || !s->group)
+    s->group = group ? group : s->group;
+  if (!group || s->group == group)
+    return group != 0;
+  if (!s->strange)
+    pwlog(LOG_ERR, "another-group", "parent=%s; restart to follow it",
+          s->parents[s->at].addr);
+  s->strange = 1;
+  return 0;
+}
+
 int pwsub_welcome(pw_sub *s, const pw_peer *from, const Pw__Envelope *e,
                   int64_t now) {
   const Pw__Welcome *w = e->welcome;
   if (!s->n || !pwwire_same(from, &s->parents[s->at].peer))
     return 0;
-  if (w->term < s->term)
+  if (!is_own_group(s, w->group) || w->term < s->term)
     return 0;
   s->term = w->term;
   s->welcomed = now;
@@ -222,6 +238,10 @@
   return s->term;
 }
 
+uint64_t pwsub_group(const pw_sub *s) {
+  return s->group;
+}
+
 uint32_t pwsub_entries(const pw_sub *s) {
   return s->entries;
 }
--- a/packages/daemon/pwsub.h
+++ b/packages/daemon/pwsub.h
@@ -48,6 +48,7 @@
 int64_t pwsub_asked_at(const pw_sub *s);
 
 uint64_t pwsub_term(const pw_sub *s);
+uint64_t pwsub_group(const pw_sub *s);
 uint32_t pwsub_entries(const pw_sub *s);
 const char *pwsub_leader_http(const pw_sub *s);
 
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -2275,7 +2275,7 @@
   (ProtobufCMessageInit) pw__pool_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__welcome__field_descriptors[13] =
+static const ProtobufCFieldDescriptor pw__welcome__field_descriptors[14] =
 {
   {
     "echo",
@@ -2433,11 +2433,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "group",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Welcome, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__welcome__field_indices_by_name[] = {
   0,   /* field[0] = echo */
   12,   /* field[12] = entries */
   6,   /* field[6] = full */
+  13,   /* field[13] = group */
   11,   /* field[11] = hello_ms */
   1,   /* field[1] = leader */
   3,   /* field[3] = leader_http */
@@ -2452,7 +2465,7 @@
 static const ProtobufCIntRange pw__welcome__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor pw__welcome__descriptor =
 {
@@ -2462,7 +2475,7 @@
   "Pw__Welcome",
   "pw",
   sizeof(Pw__Welcome),
-  13,
+  14,
   pw__welcome__field_descriptors,
   pw__welcome__field_indices_by_name,
   1,  pw__welcome__number_ranges,
@@ -4231,7 +4244,7 @@
   (ProtobufCMessageInit) pw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__join__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pw__join__field_descriptors[9] =
 {
   {
     "id",
@@ -4329,10 +4342,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "group",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Join, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__join__field_indices_by_name[] = {
   4,   /* field[4] = addr */
   3,   /* field[3] = config */
+  8,   /* field[8] = group */
   6,   /* field[6] = http */
   0,   /* field[0] = id */
   2,   /* field[2] = initialised */
@@ -4343,7 +4369,7 @@
 static const ProtobufCIntRange pw__join__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pw__join__descriptor =
 {
@@ -4353,7 +4379,7 @@
   "Pw__Join",
   "pw",
   sizeof(Pw__Join),
-  8,
+  9,
   pw__join__field_descriptors,
   pw__join__field_indices_by_name,
   1,  pw__join__number_ranges,
@@ -5054,7 +5080,7 @@
   (ProtobufCMessageInit) pw__batch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__snapshot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pw__snapshot__field_descriptors[5] =
 {
   {
     "index",
@@ -5104,9 +5130,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "group",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Snapshot, group),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__snapshot__field_indices_by_name[] = {
   2,   /* field[2] = config */
+  4,   /* field[4] = group */
   0,   /* field[0] = index */
   3,   /* field[3] = state */
   1,   /* field[1] = term */
@@ -5114,7 +5153,7 @@
 static const ProtobufCIntRange pw__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pw__snapshot__descriptor =
 {
@@ -5124,7 +5163,7 @@
   "Pw__Snapshot",
   "pw",
   sizeof(Pw__Snapshot),
-  4,
+  5,
   pw__snapshot__field_descriptors,
   pw__snapshot__field_indices_by_name,
   1,  pw__snapshot__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -246,10 +246,14 @@
    * entries in touch with control
    */
   uint32_t entries;
+  /*
+   * of control instances that founded it together
+   */
+  uint64_t group;
 };
 #define PW__WELCOME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__welcome__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 struct  Pw__Resource
@@ -619,6 +623,7 @@
   char *addr;
   protobuf_c_boolean reply;
   char *http;
+  uint64_t group;
   /*
    * in a group as a learner that no leader knows of
    */
@@ -626,7 +631,7 @@
 };
 #define PW__JOIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__join__descriptor) \
-    , 0, 0, 0, NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -797,10 +802,11 @@
   uint64_t term;
   Pw__Config *config;
   ProtobufCBinaryData state;
+  uint64_t group;
 };
 #define PW__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__snapshot__descriptor) \
-    , 0, 0, NULL, {0,NULL} }
+    , 0, 0, NULL, {0,NULL}, 0 }
 
 
 /* Pw__Envelope methods */
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -96,7 +96,8 @@
   uint64_t drop = keep ? s->index - d->snapshot->index : d->n;
   for (size_t i = 0; i < drop; i++)
     pw__entry__free_unpacked(d->entry[i], NULL);
-  memmove(d->entry, d->entry + drop, sizeof *d->entry * (d->n - drop));
+  if (d->n > drop)
+    memmove(d->entry, d->entry + drop, sizeof *d->entry * (d->n - drop));
   d->n -= drop;
   Pw__Snapshot *copy = pwcons_copy_snapshot(s);
   pw__snapshot__free_unpacked(d->snapshot, NULL);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -302,7 +302,7 @@
 
 static void check_same(const pw_state *s, const naive *n) {
   for (int i = 0; i < NAMES; i++) {
-    char name[8], spec[64];
+    char name[16], spec[64];
     snprintf(name, sizeof name, "m%d", i);
     snprintf(spec, sizeof spec, "{\"context_tokens\":%d}", n[i].value);
     const pw_resource *r = pwres_get(pwstate_resources(s), "model", name);
@@ -344,7 +344,7 @@
     int remove = pwrand_below(&rnd, 5) == 0;
     uint64_t have = n[k].live ? n[k].version : 0;
     uint64_t version = pwrand_below(&rnd, 3) ? have : have + 1;
-    char name[8];
+    char name[16];
     snprintf(name, sizeof name, "m%d", k);
     Pw__Outcome *o = put(s, name, version, i + 1, remove);
     pw_code want = remove && !n[k].live ? PW_E_NOT_FOUND
@@ -368,7 +368,7 @@
   }
   follow(copy, pwstate_resources(s));
   for (int i = 0; i < NAMES; i++) {
-    char name[8];
+    char name[16];
     snprintf(name, sizeof name, "m%d", i);
     const pw_resource *r = pwres_get(copy, "model", name);
     CHECK((r != NULL) == n[i].live && (!r || r->version == n[i].version));
