--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,7 @@
 # Makefile: builds, tests and measures peatwell. `make help` lists targets.
 
 BUILD ?= build
+JOBS ?= $(shell nproc)
 CC = gcc
 CXX = g++
 SAN ?=
@@ -101,15 +102,15 @@
 	PW_ENTRIES=8 PW_ENGINES=140 $(RUNNER) --bin $(BUILD) bench/control.lua
 
 demo: deps
-	@$(MAKE) --no-print-directory all $(FAKES) $(RUNNER)
+	@$(MAKE) --no-print-directory -j$(JOBS) all $(FAKES) $(RUNNER)
 	$(RUNNER) --bin $(BUILD) examples/demo/demo.lua
 
 demo-keep: deps
-	@$(MAKE) --no-print-directory all $(FAKES) $(RUNNER)
+	@$(MAKE) --no-print-directory -j$(JOBS) all $(FAKES) $(RUNNER)
 	$(RUNNER) --bin $(BUILD) --keep examples/demo/demo.lua
 
 test: deps
-	@$(MAKE) --no-print-directory check
+	@$(MAKE) --no-print-directory -j$(JOBS) check
 
 check: all $(FAKES) $(RUNNER) $(TESTS)
 	@tools/run-tests $(BUILD)
@@ -127,7 +128,7 @@
 	$(BUILD)/bench_policy all docs/results.svg >docs/measured/policy.md
 
 # Outside bytes into the parsers, with a fixed seed, bounded.
-FUZZ_SOURCES = tests/fuzz/fuzz_parsers.c packages/wire/peatwell.pb-c.c \
+FUZZ_SOURCES = tests/fuzz/fuzz_parsers.c packages/wire/peatwell.pb-c.c packages/wire/pwpb.c \
   $(wildcard packages/store/*.c packages/consensus/*.c) \
   packages/core/pwbuf.c packages/core/pwcode.c packages/core/pwclock.c
 fuzz:
--- a/packages/consensus/pwconslog.c
+++ b/packages/consensus/pwconslog.c
@@ -2,6 +2,7 @@
 #include "pwconslog.h"
 
 #include "pwbuf.h"
+#include "pwpb.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -18,12 +19,7 @@
 }
 
 Pw__Snapshot *pwcons_copy_snapshot(const Pw__Snapshot *s) {
-  size_t n = pw__snapshot__get_packed_size(s);
-  uint8_t *bytes = pw_alloc(n);
-  pw__snapshot__pack(s, bytes);
-  Pw__Snapshot *copy = pw__snapshot__unpack(NULL, n, bytes);
-  free(bytes);
-  return copy;
+  return PWPB_COPY(s);
 }
 
 void pwcons_config_pack(const pw_cons_config *config, Pw__Config **out) {
--- a/packages/store/pwonce.c
+++ b/packages/store/pwonce.c
@@ -3,6 +3,7 @@
 
 #include "pwbuf.h"
 #include "pwlimits.h"
+#include "pwpb.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -128,21 +129,12 @@
   return HASH_COUNT(o->all);
 }
 
-static Pw__KeptClaim *copy_claim(const Pw__KeptClaim *k) {
-  size_t n = pw__kept_claim__get_packed_size(k);
-  uint8_t *bytes = pw_alloc(n);
-  pw__kept_claim__pack(k, bytes);
-  Pw__KeptClaim *copy = pw__kept_claim__unpack(NULL, n, bytes);
-  free(bytes);
-  return copy;
-}
-
 Pw__KeptClaim **pwonce_pack(const pw_once *o, size_t *n) {
   size_t count = HASH_COUNT(o->all);
   Pw__KeptClaim **list = pw_alloc(sizeof *list * (count + 1));
   *n = 0;
   for (const claim *c = o->all; c; c = c->hh.next)
-    list[(*n)++] = copy_claim(c->kept);
+    list[(*n)++] = PWPB_COPY(c->kept);
   return list;
 }
 
@@ -152,5 +144,5 @@
     drop(o, c);
   }
   for (size_t i = 0; i < n; i++)
-    add(o, copy_claim(list[i]));
+    add(o, PWPB_COPY(list[i]));
 }
--- a/packages/store/pwstate.c
+++ b/packages/store/pwstate.c
@@ -3,6 +3,7 @@
 
 #include "pwbuf.h"
 #include "pwlimits.h"
+#include "pwpb.h"
 #include "pwschema.h"
 
 #include <stdlib.h>
@@ -69,15 +70,6 @@
   return s->once;
 }
 
-static Pw__Outcome *copy_outcome(const Pw__Outcome *o) {
-  size_t n = pw__outcome__get_packed_size(o);
-  uint8_t *bytes = pw_alloc(n);
-  pw__outcome__pack(o, bytes);
-  Pw__Outcome *copy = pw__outcome__unpack(NULL, n, bytes);
-  free(bytes);
-  return copy;
-}
-
 static void keep_outcome(pw_state *s, Pw__KeptOutcome *k) {
   kept *row = pw_alloc(sizeof *row);
   row->k = k;
@@ -217,7 +209,7 @@
   if (row) {
     const ProtobufCBinaryData *d = &row->k->digest;
     if (pw_same(d->data, d->len, ch->digest.data, ch->digest.len))
-      return copy_outcome(row->k->outcome);
+      return PWPB_COPY(row->k->outcome);
     return refusal(PW_E_REUSED, pwcode_text(PW_E_REUSED));
   }
   Pw__Outcome *o = apply_change(s, ch);
@@ -226,7 +218,7 @@
   k->key = pw_dup(ch->resend);
   k->digest.len = ch->digest.len;
   k->digest.data = pw_memdup(ch->digest.data, ch->digest.len);
-  k->outcome = copy_outcome(o);
+  k->outcome = PWPB_COPY(o);
   keep_outcome(s, k);
   return o;
 }
@@ -290,16 +282,6 @@
   return bytes;
 }
 
-static Pw__KeptOutcome *copy_kept(const Pw__KeptOutcome *k) {
-  Pw__KeptOutcome *copy = pw_alloc(sizeof *copy);
-  pw__kept_outcome__init(copy);
-  copy->key = pw_dup(k->key);
-  copy->digest.len = k->digest.len;
-  copy->digest.data = pw_memdup(k->digest.data, k->digest.len);
-  copy->outcome = copy_outcome(k->outcome);
-  return copy;
-}
-
 pw_code pwstate_load(pw_state *s, const uint8_t *data, size_t n) {
   Pw__State *in = pw__state__unpack(NULL, n, data);
   if (!in)
@@ -318,7 +300,7 @@
   clear_outcomes(s);
   for (size_t i = 0; i < in->n_outcomes; i++)
     if (in->outcomes[i]->outcome)
-      keep_outcome(s, copy_kept(in->outcomes[i]));
+      keep_outcome(s, PWPB_COPY(in->outcomes[i]));
   pwonce_load(s->once, in->claims, in->n_claims);
   pw__state__free_unpacked(in, NULL);
   return PW_OK;
