Consensus in three files of one job each

Change: pwelect (elections), pwrepl (replication), pwcons (the rest), with a private header. No behaviour changed.

--- /dev/null
+++ b/packages/consensus/pwelect.c
@@ -0,0 +1,122 @@
+/* pwelect.c: elections: asking for votes, giving them, leading. */
+#include "pwconsint.h"
+
+static void become_leader(pw_cons *c) {
+  c->role = PWCONS_LEADER;
+  c->leader = c->id;
+  c->since = c->now;
+  c->transferring = 0;
+  for (int i = 0; i < c->npeers; i++) {
+    c->peer[i].match = 0;
+    c->peer[i].next = pwconslog_last(&c->log) + 1;
+    c->peer[i].heard = c->now;
+    c->peer[i].round = INT64_MIN / 2;
+    c->peer[i].snap_at = INT64_MIN / 2;
+  }
+  pwci_append_own(c, PWCONS_NOOP, NULL, 0);
+  c->noop_index = pwconslog_last(&c->log);
+  pwci_broadcast(c);
+}
+
+static int granted(const pw_cons *c) {
+  int n = 0;
+  for (int i = 0; i < c->npeers; i++)
+    n += c->peer[i].granted && pwci_is_voter(c, c->peer[i].id);
+  return n;
+}
+
+void pwci_campaign(pw_cons *c, int pre, int transfer) {
+  c->since = c->now;
+  c->leader = 0;
+  if (pre) {
+    c->role = PWCONS_PRECANDIDATE;
+  } else {
+    c->role = PWCONS_CANDIDATE;
+    c->term++;
+    c->vote = c->id;
+    c->hard_dirty = 1;
+  }
+  pwci_plan_election(c);
+  uint64_t last = pwconslog_last(&c->log);
+  for (int i = 0; i < c->npeers; i++) {
+    pw_progress *p = &c->peer[i];
+    p->granted = p->id == c->id;
+    if (p->id == c->id || !pwci_is_voter(c, p->id))
+      continue;
+    Pw__Cons *m =
+        pwci_send(c, &c->late, pre ? PWCONS_PREVOTE : PWCONS_VOTE, p->id);
+    m->term = pre ? c->term + 1 : c->term;
+    m->index = last;
+    m->log_term = pwconslog_term(&c->log, last);
+    m->hint = (uint64_t)transfer;
+  }
+  if (granted(c) < pwci_quorum(c))
+    return;
+  if (pre)
+    pwci_campaign(c, 0, transfer);
+  else
+    become_leader(c);
+}
+
+static int up_to_date(const pw_cons *c, const Pw__Cons *m) {
+  uint64_t last = pwconslog_last(&c->log);
+  uint64_t term = pwconslog_term(&c->log, last);
+  if (PW_MUTATION == MUT_EMPTY_VOTES)
+    return 1;
+  return m->log_term > term || (m->log_term == term && m->index >= last);
+}
+
+/* A leader heard of within the lease may still hold it: no votes then. */
+static int lease_open(const pw_cons *c, const Pw__Cons *m) {
+  if (m->hint == 1)
+    return 0;
+  if (c->role == PWCONS_LEADER)
+    return 1;
+  return c->now - c->heard_leader < c->lease;
+}
+
+void pwci_on_prevote(pw_cons *c, const Pw__Cons *m) {
+  int yes = m->term > c->term && up_to_date(c, m) && !lease_open(c, m);
+  Pw__Cons *r = pwci_send(c, &c->late, PWCONS_PREVOTE_REPLY, m->from);
+  r->term = yes ? m->term : c->term;
+  r->reject = !yes;
+}
+
+void pwci_on_vote(pw_cons *c, const Pw__Cons *m) {
+  if (lease_open(c, m) && m->term > c->term)
+    return;
+  if (m->term > c->term)
+    pwci_become_follower(c, m->term, 0);
+  int free_vote =
+      c->vote == 0 || c->vote == m->from || PW_MUTATION == MUT_VOTE_TWICE;
+  int yes = m->term == c->term && free_vote && up_to_date(c, m);
+  if (yes) {
+    c->vote = m->from;
+    c->hard_dirty = 1;
+    pwci_plan_election(c);
+  }
+  pw_outbox *box = PW_MUTATION == MUT_SKIP_TERM_SYNC ? &c->early : &c->late;
+  if (PW_MUTATION == MUT_SKIP_TERM_SYNC)
+    c->hard_dirty = 0;
+  Pw__Cons *r = pwci_send(c, box, PWCONS_VOTE_REPLY, m->from);
+  r->reject = !yes;
+}
+
+void pwci_on_vote_reply(pw_cons *c, const Pw__Cons *m, int pre) {
+  if (m->reject && m->term > c->term) {
+    pwci_become_follower(c, m->term, 0);
+    return;
+  }
+  pw_cons_role want = pre ? PWCONS_PRECANDIDATE : PWCONS_CANDIDATE;
+  uint64_t term = pre ? c->term + 1 : c->term;
+  pw_progress *p = pwci_peer_of(c, m->from);
+  if (c->role != want || m->term != term || m->reject || !p)
+    return;
+  p->granted = 1;
+  if (granted(c) < pwci_quorum(c))
+    return;
+  if (pre)
+    pwci_campaign(c, 0, 0);
+  else
+    become_leader(c);
+}
