--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -8,6 +8,7 @@
 #include "pwjob.h"
 #include "pwlog.h"
 #include "pwsub.h"
+#include "pwunheard.h"
 #include "pwview.h"
 
 #include <jansson.h>
@@ -20,7 +21,6 @@
 #define SPARE_WORKERS 2 /* for cancels */
 #define POOLS_MAX 16
 #define PEER_LOST_MS 10000
-#define UNHEARD_MS 5000 /* a stream may be resumed for this long */
 #define NS_PER_MS 1000000
 
 typedef struct pool {
@@ -42,14 +42,6 @@
   UT_hash_handle hh;
 } held;
 
-/* A stream whose entry could not be reached: it may be resumed, and is
-** cancelled at the target when nobody does. */
-typedef struct unheard {
-  char origin[PW_NAME_MAX];
-  int64_t since;
-  UT_hash_handle hh;
-} unheard;
-
 typedef struct agent {
   pw_proc *p;
   pw_sock *listener;
@@ -62,7 +54,7 @@
   pw_cache cache;     /* what the target is believed to have cached */
   pw_chats *pointers; /* chats displaced from here */
   held *jobs;
-  unheard *unheard;
+  pw_unheard *unheard;
   seen *seen;
   pool pools[POOLS_MAX];
   int npools;
@@ -246,20 +238,11 @@
   return 1;
 }
 
-static void forget_unheard(agent *a, const char *origin) {
-  unheard *u;
-  HASH_FIND_STR(a->unheard, origin, u);
-  if (!u)
-    return;
-  HASH_DEL(a->unheard, u);
-  free(u);
-}
-
 /* A resumed stream takes over from its earlier attempt, with no new place in
 ** the queue: its tokens are in progress at the engine already. */
 static void resume(agent *a, pw_job *j, int64_t now) {
   held *h, *tmp;
-  forget_unheard(a, j->origin);
+  pwunheard_forget(a->unheard, j->origin);
   HASH_ITER(hh, a->jobs, h, tmp) {
     if (!strcmp(h->job->origin, j->origin) && h->job != j) {
       pwjob_cancel(h->job);
@@ -402,22 +385,13 @@
   }
   h->cancelled = 1;
   pwjob_cancel(j);
-  forget_unheard(a, j->origin);
-  unheard *u = pw_alloc(sizeof *u);
-  pw_copy(u->origin, sizeof u->origin, j->origin);
-  u->since = now;
-  HASH_ADD_STR(a->unheard, origin, u);
+  pwunheard_put(a->unheard, j->origin, now);
 }
 
 static void expire_unheard(agent *a, int64_t now) {
-  unheard *u, *tmp;
-  HASH_ITER(hh, a->unheard, u, tmp) {
-    if (now - u->since < UNHEARD_MS)
-      break; /* in order of time */
-    pwjob_cancel_at_target(a->workers, u->origin);
-    HASH_DEL(a->unheard, u);
-    free(u);
-  }
+  char origin[PW_NAME_MAX];
+  while (pwunheard_expired(a->unheard, now, origin))
+    pwjob_cancel_at_target(a->workers, origin);
 }
 
 static void send_or_abandon(agent *a, held *h, Pw__Envelope *e, int64_t now) {
@@ -693,6 +667,7 @@
   int64_t now = pwclock_ms();
   a->dialler = pwwire_dialler(a->p->wire);
   a->mail = pwmail_new();
+  a->unheard = pwunheard_new();
   a->sub = pwsub_new(a->p, a->dialler, &set->agent_upstream, 0,
                      set->agent_stale, set->agent_when_cut_off);
   a->workers = pwjob_workers(a->mail, set->agent_url,
@@ -723,11 +698,7 @@
     HASH_DEL(a->seen, s);
     free(s);
   }
-  unheard *u, *utmp;
-  HASH_ITER(hh, a->unheard, u, utmp) {
-    HASH_DEL(a->unheard, u);
-    free(u);
-  }
+  pwunheard_free(a->unheard);
   pwadmit_free(&a->admit);
   pwcache_free(&a->cache);
   pwchat_free(a->pointers);
