A silent target does not hold an agent's planned stop

Cause: 15_callers: after a request whose engine never answered was given up at its deadline, SIGTERM waited up to 30 s for the worker that still read from that engine. Ruled out: requests in progress (none; the entry had told its caller). Change: only jobs that somebody waits for hold the stop; a worker that stays in a read past one second is left to the end of the process.

--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -604,6 +604,14 @@
   pwproc_set_ready(a->p, pwsub_may_serve(a->sub, now) && !is_leaving(a));
 }
 
+/* Jobs that somebody still waits for. */
+static int live_jobs(const agent *a) {
+  int n = 0;
+  for (const held *h = a->jobs; h; h = h->hh.next)
+    n += !h->cancelled;
+  return n;
+}
+
 static int may_end(agent *a, int64_t now) {
   int stopping = atomic_load(&a->p->stopping);
   if (!stopping)
@@ -617,7 +625,7 @@
   }
   if (stopping > 1 || now - a->stop_at > a->p->set->stop_limit)
     return 1;
-  return HASH_COUNT(a->jobs) == 0 && now - a->stop_at > PW_HELLO_MS;
+  return live_jobs(a) == 0 && now - a->stop_at > PW_HELLO_MS;
 }
 
 static void loop(agent *a) {
@@ -679,17 +687,20 @@
   a->pointers = pwchat_new(PW_POINTERS_MAX, PW_POINTER_KEEP_MS);
 }
 
-/* Breaks off what is left and waits for the workers. */
-static void end_jobs(agent *a) {
+/* Breaks off what is left and waits for the workers. A worker that waits for a
+** silent target keeps its job and the mailbox. */
+static int end_jobs(agent *a) {
   held *h, *tmp;
   HASH_ITER(hh, a->jobs, h, tmp) {
     pwjob_cancel(h->job);
   }
-  pwjob_workers_free(a->workers);
+  if (pwjob_workers_free(a->workers) != 0)
+    return -1;
   on_mail(a, pwclock_ms());
   HASH_ITER(hh, a->jobs, h, tmp) {
     let_go(a, h);
   }
+  return 0;
 }
 
 static void free_parts(agent *a) {
@@ -703,7 +714,6 @@
   pwcache_free(&a->cache);
   pwchat_free(a->pointers);
   pwsub_free(a->sub);
-  pwmail_free(a->mail);
   pwwire_close(a->dialler);
 }
 
@@ -718,7 +728,8 @@
     loop(&a);
     rc = PW_OK;
   }
-  end_jobs(&a);
+  if (end_jobs(&a) == 0)
+    pwmail_free(a.mail);
   pwserve_stop(a.http);
   free_parts(&a);
   pwwire_close(a.listener);
--- a/packages/daemon/pwjob.c
+++ b/packages/daemon/pwjob.c
@@ -4,6 +4,7 @@
 #include "pwbuf.h"
 #include "pwfetch.h"
 
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -12,6 +13,7 @@
 #define STACK_BYTES (256 * 1024)
 #define HEADERS_MAX 72
 #define CHAT_HEADERS 6
+#define END_MS 1000 /* for cancelled jobs to end */
 #define CANCEL_TIMEOUT_S 2
 #define CANCEL_MAX 4096
 
@@ -23,6 +25,7 @@
   pthread_cond_t more;
   pw_job *first, *last;
   int ending;
+  int busy; /* threads at a job */
   pthread_t *thread;
   int n;
 };
@@ -219,6 +222,7 @@
     pthread_cond_wait(&w->more, &w->lock);
   pw_job *j = w->first;
   if (j) {
+    w->busy++;
     w->first = j->next;
     if (!w->first)
       w->last = NULL;
@@ -235,6 +239,9 @@
       run_cancel(w, j);
     else
       run_job(w, j);
+    pthread_mutex_lock(&w->lock);
+    w->busy--;
+    pthread_mutex_unlock(&w->lock);
   }
   return NULL;
 }
@@ -257,11 +264,24 @@
   return w;
 }
 
-void pwjob_workers_free(pw_workers *w) {
+static int is_busy(pw_workers *w) {
+  pthread_mutex_lock(&w->lock);
+  int busy = w->busy;
+  pthread_mutex_unlock(&w->lock);
+  return busy;
+}
+
+int pwjob_workers_free(pw_workers *w) {
+  int64_t until = pwclock_ms() + END_MS;
   pthread_mutex_lock(&w->lock);
   w->ending = 1;
   pthread_cond_broadcast(&w->more);
   pthread_mutex_unlock(&w->lock);
+  while (is_busy(w)) {
+    if (pwclock_ms() >= until)
+      return -1;
+    poll(NULL, 0, 1);
+  }
   for (int i = 0; i < w->n; i++)
     pthread_join(w->thread[i], NULL);
   pthread_mutex_destroy(&w->lock);
@@ -269,6 +289,7 @@
   free(w->thread);
   free(w->url);
   free(w);
+  return 0;
 }
 
 static void enqueue(pw_workers *w, pw_job *j) {
--- a/packages/daemon/pwjob.h
+++ b/packages/daemon/pwjob.h
@@ -53,8 +53,10 @@
 /* Starts n threads that call the target at url. */
 pw_workers *pwjob_workers(pw_mail *mail, const char *url, int n, int timeout_s);
 
-/* Ends the threads; running jobs must have been cancelled. */
-void pwjob_workers_free(pw_workers *w);
+/* Ends the threads; running jobs must have been cancelled. Gives -1, and frees
+** nothing, when one of them still waits for a target that says nothing: the
+** process is about to end, and that thread with it. */
+int pwjob_workers_free(pw_workers *w);
 
 /* A job for a Run it takes over. */
 pw_job *pwjob_new(Pw__Run *run, const pw_peer *peer);
--- a/tests/runner/http.c
+++ b/tests/runner/http.c
@@ -30,8 +30,8 @@
   char *name[HEADERS_MAX], *value[HEADERS_MAX];
   int nheaders;
   int timeout;
-  int read_slowly; /* ms after each block */
-  int give_up;     /* bytes after which the caller goes away; 0: never */
+  int stop_reading; /* ms for which nothing is read after the first block */
+  int give_up;      /* bytes after which the caller goes away; 0: never */
   pthread_t thread;
   /* filled by the call */
   int status;
@@ -51,12 +51,11 @@
 
 static int on_data(void *arg, const char *data, size_t n) {
   call *c = arg;
-  if (!c->first)
-    c->first = pwclock_ns();
   pwbuf_add(&c->out, data, n);
-  if (c->read_slowly) {
-    struct timespec ts = {c->read_slowly / 1000,
-                          c->read_slowly % 1000 * 1000000L};
+  if (!c->first) {
+    c->first = pwclock_ns();
+    struct timespec ts = {c->stop_reading / 1000,
+                          c->stop_reading % 1000 * 1000000L};
     nanosleep(&ts, NULL);
   }
   return c->give_up && c->out.len >= (size_t)c->give_up ? -1 : 0;
@@ -106,7 +105,7 @@
   c->path = field(L, "path", "/");
   c->body = field(L, "body", NULL);
   c->timeout = number(L, "timeout", 60);
-  c->read_slowly = number(L, "read_slowly", 0);
+  c->stop_reading = number(L, "stop_reading", 0);
   c->give_up = number(L, "give_up", 0);
   lua_getfield(L, 1, "headers");
   if (lua_istable(L, -1)) {
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -342,7 +342,7 @@
   for k, v in pairs(o.headers or {}) do headers[k] = v end
   return {url = "http://" .. (o.entry or self.entries[1]).health, method = "POST",
     path = "/v1/chat/completions", headers = headers, timeout = o.timeout or 60,
-    read_slowly = o.read_slowly, give_up = o.give_up,
+    stop_reading = o.stop_reading, give_up = o.give_up,
     body = string.format('{"model": "register", "stream": %s, "max_tokens": %d, "messages": [%s]}',
       tostring(o.stream or false), o.max_tokens or 16, table.concat(parts, ", "))}
 end
