A retry may go to a target that failed once when no other is left

Cause: 02_resume under the sanitizers: of six requests on two engines that fail two answers each, one met both engines' faults and was told no-target though it had a third attempt left. The scenario passed before by luck of the order. Ruled out: the retry budget (not spent), the breaker (targets set aside are asked last). Change: a retry that finds no target left clears the ones tried, once a failure; the code told is that of the failure.

--- a/packages/daemon/pwattempt.c
+++ b/packages/daemon/pwattempt.c
@@ -130,6 +130,11 @@
     return;
   }
   pw_route_pick pick = pwroute_next(&pool, &f->walk);
+  if (!pick.id && f->failed) { /* a retry may go where one has failed */
+    f->failed = 0;
+    f->walk.ntried = 0;
+    pick = pwroute_next(&pool, &f->walk);
+  }
   pw_target *t = pwtargets_by_id(fs->targets, pick.id);
   if (!t) {
     pwfl_fail(fs, f, f->last_code ? f->last_code : PW_E_NO_TARGET, now);
@@ -235,6 +240,8 @@
   uint64_t id = f->target;
   pwfl_release(fs, f);
   pwroute_refused(&f->walk, id, PW_REFUSED_OTHER);
+  f->failed = 1;
+  f->last_code = code;
   pwfl_rename_attempt(fs, f);
   pwfl_place(fs, f, policy, now);
 }
--- a/packages/daemon/pwfl.h
+++ b/packages/daemon/pwfl.h
@@ -28,6 +28,7 @@
   int need_prefix;
   int may_queue;
   int attempts, hops, resumes;
+  int failed;   /* an attempt broke since the targets tried were cleared */
   int unproven; /* attempts sent that no Refuse has proved not started */
   int got_head; /* the caller's answer has begun */
   int64_t deadline;
--- a/packages/policy/pwroute.h
+++ b/packages/policy/pwroute.h
@@ -53,8 +53,10 @@
 } pw_route_pick;
 
 /* Next target: where the prefix is said to be; the home and the next rank,
-** asked for the prefix; the home and the next rank, if they fit; the least loaded
-** of a few drawn that fit, the own availability zone first; anyone usable. After a few
+** asked for the prefix; the home and the next rank, if they fit; the least
+*loaded
+** of a few drawn that fit, the own availability zone first; anyone usable.
+*After a few
 ** refusals for load the pool is taken to be full: the least loaded of those
 ** that refused, the home if it did not look worse, is asked to queue it. */
 pw_route_pick pwroute_next(const pw_route_pool *pool, pw_route_walk *walk);
