Refusals do not use up the attempts of a request

Cause: read through: an attempt refused before its start was counted among the three a request may have, so two busy targets left a later failure without a retry. Change: a Refuse takes the attempt back.

--- a/packages/daemon/pwanswer.c
+++ b/packages/daemon/pwanswer.c
@@ -32,6 +32,7 @@
   if (f->state != F_SENT)
     return;
   f->unproven--;
+  f->attempts--;      /* it was none: nothing started */
   if (f->origin[0]) { /* it was to go on with an earlier attempt */
     pwfl_broken(fs, f, PW_E_CUT, policy, now);
     return;
--- a/packages/policy/pwroute.c
+++ b/packages/policy/pwroute.c
@@ -7,7 +7,7 @@
 #define DRAWS 4         /* looked at when the ranks are full, doubled by ... */
 #define DRAWS_GROW 4    /* ... each refusal for load, this often at most */
 #define RANKS_SPILLED 2 /* ranks a chat spills along */
-#define SCAN_MAX 64     /* targets looked at when two draws failed */
+#define SCAN_MAX 64     /* targets looked at when the draws failed */
 #define RETRY_AFTER_MIN 500 /* ms */
 #define RETRY_AFTER_MAX 60000
 
