--- a/packages/daemon/pwattempt.c
+++ b/packages/daemon/pwattempt.c
@@ -123,7 +123,11 @@
 void pwfl_place(pw_flights *fs, pw_flight *f, const pw_policy *policy,
                 int64_t now) {
   pw_route_pool pool;
-  if (f->hops > PW_HOPS_MAX || now >= f->deadline ||
+  if (now + PWFL_MARGIN_MS >= f->deadline) {
+    pwfl_fail(fs, f, PW_E_DEADLINE, now);
+    return;
+  }
+  if (f->hops > PW_HOPS_MAX ||
       !pwtargets_pool(fs->targets, f->call->pool, policy, f->walk.draw, now,
                       &pool)) {
     pwfl_fail(fs, f, f->last_code ? f->last_code : PW_E_NO_TARGET, now);
--- a/packages/daemon/pwfl.h
+++ b/packages/daemon/pwfl.h
@@ -9,6 +9,10 @@
 
 #include <uthash.h>
 
+/* An answer is out this long before the deadline, not at it; with less time
+** than this left nothing is sent any more. */
+#define PWFL_MARGIN_MS 20
+
 typedef enum pw_flight_state {
   F_CLAIMING, /* waits for the once-ledger */
   F_OPENING,  /* waits for a cold link; nothing was sent */
--- a/packages/daemon/pwflight.c
+++ b/packages/daemon/pwflight.c
@@ -11,7 +11,6 @@
 #define RECORD_GIVE_UP_MS 30000
 #define GONE_CHECK_MS 500
 #define RESUME_MS 25 /* pause before the first resume; doubles */
-#define MARGIN_MS 20 /* an answer out before the deadline, not at it */
 
 pw_flights *pwflight_new(pw_proc *p, pw_sock *dialler, pw_targets *targets,
                          pw_sub *sub) {
@@ -199,7 +198,7 @@
     tick_claim(fs, f, now);
     return;
   }
-  if (now + MARGIN_MS >= f->deadline) {
+  if (now + PWFL_MARGIN_MS >= f->deadline) {
     pwfl_send_cancel(fs, f);
     pwfl_fail(fs, f, f->unproven ? PW_E_TIMEOUT : PW_E_DEADLINE, now);
     return;
