The ledger's record stands with its claim; what a child knows is worked out once

Cause: read through: sending a Record lay with the attempts though pwclaim holds the ledger; the newer of sent and held revision was worked out in two places of pwfeed. Change: moved; known_to. No behaviour changed. Measured: builds without warnings; 04_once, 06_config and 11_levels pass.

--- a/packages/daemon/pwclaim.c
+++ b/packages/daemon/pwclaim.c
@@ -16,6 +16,24 @@
   f->sent_at = now;
 }
 
+void pwfl_send_record(pw_flights *fs, pw_flight *f, int64_t now) {
+  const pw_call *c = f->call;
+  Pw__Record r = PW__RECORD__INIT;
+  r.id = (char *)c->request;
+  r.workspace = (char *)c->workspace.name;
+  r.key = (char *)c->once_key;
+  r.not_run = f->not_run;
+  r.status = (uint32_t)f->status;
+  if (!f->not_run && !f->kept_over) {
+    r.body.data = (uint8_t *)f->kept.data;
+    r.body.len = f->kept.len;
+  }
+  r.content_type = f->kept_over ? "" : (char *)c->type;
+  Pw__Envelope e = PW_ENVELOPE(RECORD, record, &r);
+  pwsub_to_leader(fs->sub, &e);
+  f->sent_at = now;
+}
+
 static void replay(pw_flights *fs, pw_flight *f, const Pw__Claimed *cl) {
   pwcount_add(fs->p->counters, PWC_REPLAYS, 1);
   if (!cl->content_type[0] && cl->body.len == 0) {
--- a/packages/daemon/pwfeed.c
+++ b/packages/daemon/pwfeed.c
@@ -68,9 +68,14 @@
   return 0;
 }
 
+/* The revision a child holds or has been sent. */
+static uint64_t known_to(const pw_child *c) {
+  return c->sent > c->revision ? c->sent : c->revision;
+}
+
 static void fill_resources(const pw_feed *f, const pw_child *c,
                            Pw__Welcome *w) {
-  uint64_t since = c->sent > c->revision ? c->sent : c->revision;
+  uint64_t since = known_to(c);
   if (since > pwres_revision(f->res))
     since = pwres_revision(f->res); /* the child is ahead: nothing to send */
   w->full = since < pwres_floor(f->res);
@@ -154,8 +159,7 @@
 void pwfeed_push(pw_feed *f, const pw_feed_state *st, int64_t now) {
   uint64_t revision = pwres_revision(f->res);
   for (pw_child *c = f->children; c; c = c->next)
-    if (c->sent < revision && c->revision < revision &&
-        has_news(f, c, c->sent > c->revision ? c->sent : c->revision))
+    if (known_to(c) < revision && has_news(f, c, known_to(c)))
       send_welcome(f, c, st, NULL, 0, now);
 }
 
