A link that was merely idle is asked before it is taken for lost

Cause: a request that came over a link not heard for more than 3 s found it silent at the entry's next tick (20 ms) and hung it up, although the Ping had gone out only then; the request then waited 600 ms and went on to the next target, four times over, and ended as 3006. Ruled out: the engines (alive and idle) and their agents (answered others at that moment). Change: silence is counted from the first Ping that is unanswered. Before: 18_idle (12 chats after 3.5 s of sleep, links with 80 ms) fails at its first answer. Conclusion: chats that sleep and arrive at once met this on every cold link whose answer took longer than a tick.

--- a/packages/daemon/pwflight.c
+++ b/packages/daemon/pwflight.c
@@ -235,7 +235,7 @@
     pw_target *t = all[i];
     if (t->in_flight <= 0 || t->link != PW_LINK_UP)
       continue;
-    if (now - t->link_heard > PW_LINK_LOST) {
+    if (pwtargets_silence(t, now) > PW_LINK_LOST - PW_LINK_ASK) {
       pwevent_add(fs->p->events, PWE_LINK_DOWN, 0, NULL, NULL, t->name,
                   "silent for %lld ms", (long long)(now - t->link_heard));
       pwtargets_lose(fs->targets, t);
--- a/packages/daemon/pwtargets.c
+++ b/packages/daemon/pwtargets.c
@@ -305,9 +305,15 @@
   ping.clock = now;
   Pw__Envelope e = PW_ENVELOPE(PING, ping, &ping);
   pwwire_send(t->sock, &one->peer, &e);
+  if (one->asked <= one->link_heard)
+    one->unanswered = now;
   one->asked = now;
 }
 
+int64_t pwtargets_silence(const pw_target *one, int64_t now) {
+  return one->asked > one->link_heard ? now - one->unanswered : 0;
+}
+
 int pwtargets_is_fresh(const pw_target *one, int64_t now) {
   return one->link == PW_LINK_UP && now - one->link_heard < PW_LINK_FRESH;
 }
--- a/packages/daemon/pwtargets.h
+++ b/packages/daemon/pwtargets.h
@@ -29,6 +29,7 @@
   pw_peer peer;
   int64_t link_heard; /* over the link */
   int64_t asked;      /* last Ping */
+  int64_t unanswered; /* first Ping since the link was last heard */
   int64_t dialled_at; /* when the link was dialled */
   int in_flight;      /* attempts of this entry */
 
@@ -75,6 +76,10 @@
 /* Whether a Run may go out on the link now. */
 int pwtargets_is_fresh(const pw_target *one, int64_t now);
 
+/* ms for which the link has owed an answer; 0: it owes none. A link that was
+** merely idle is not silent. */
+int64_t pwtargets_silence(const pw_target *one, int64_t now);
+
 /* Hangs up a link that is lost. */
 void pwtargets_lose(pw_targets *t, pw_target *one);
 
