--- a/tests/runner/process.c
+++ b/tests/runner/process.c
@@ -10,8 +10,10 @@
 #include <lauxlib.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -20,8 +22,9 @@
 
 #define PROCESSES_MAX 1024
 #define ARGS_MAX 64
-#define PORT_FIRST 10000
-#define PORTS 20000
+#define PORT_FIRST 10000 /* below those the kernel gives to connections */
+#define PORT_BLOCKS 40
+#define PORTS 500 /* in a block */
 
 static pid_t started[PROCESSES_MAX];
 static int nstarted;
@@ -127,14 +130,28 @@
   return ok;
 }
 
-/* A port that the kernel says is free, below those it gives to connections of
-** its own, so that none of these takes it before the program listens. */
+/* First port of a block that no other runner has: its lock is held as long as
+** this process lives. 0: all are taken. */
+static int take_block(void) {
+  for (int i = 0; i < PORT_BLOCKS; i++) {
+    char path[64];
+    snprintf(path, sizeof path, "/tmp/peatwell-ports-%d", i);
+    int fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0666);
+    if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0)
+      return PORT_FIRST + i * PORTS;
+    if (fd >= 0)
+      close(fd);
+  }
+  return 0;
+}
+
+/* A port of this runner's block that the kernel says is free. */
 static int free_port(lua_State *L) {
-  static unsigned next;
-  if (!next)
-    next = (unsigned)getpid() * 97U + (unsigned)pwclock_ns() / 1000U;
-  for (int i = 0; i < PORTS; i++) {
-    int port = PORT_FIRST + (int)(next++ % PORTS);
+  static int first, next;
+  if (!first)
+    first = take_block();
+  for (int i = 0; first && i < PORTS; i++) {
+    int port = first + next++ % PORTS;
     if (!can_bind(port))
       continue;
     lua_pushinteger(L, port);
