--- a/Makefile
+++ b/Makefile
@@ -69,7 +69,9 @@
 
 $(BUILD)/fake-%: $(BUILD)/tests/fakes/fake_%.o $(ALL_LIB)
 	@echo "  LD $@"
-	@$(CXX) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(ALL_LIB) $(LDLIBS)
+
+$(BUILD)/fake-engine: $(BUILD)/tests/fakes/models.o
 
 $(RUNNER): $(call obj,$(wildcard tests/runner/*.c)) $(ALL_LIB)
 	@echo "  LD $@"
--- a/packages/cli/pwcmd.c
+++ b/packages/cli/pwcmd.c
@@ -364,6 +364,27 @@
   }
 }
 
+static void print_rollout(const json_t *r) {
+  printf("%-16s %-12s %-12s %5.1f%% %-12s %3lld/%lld serving, %lld loading, "
+         "%lld failed %s\n",
+         text(r, "model"), text(r, "from"), text(r, "to"),
+         json_number_value(json_object_get(r, "share")), text(r, "state"),
+         (long long)number(r, "serving_to"), (long long)number(r, "targets"),
+         (long long)number(r, "loading"), (long long)number(r, "failed"),
+         text(r, "why"));
+}
+
+static void print_rollouts(const json_t *list) {
+  size_t i;
+  const json_t *r;
+  if (json_array_size(list))
+    printf("%-16s %-12s %-12s %6s %-12s %s\n", "MODEL", "FROM", "TO", "SHARE",
+           "STATE", "TARGETS");
+  json_array_foreach(list, i, r) {
+    print_rollout(r);
+  }
+}
+
 static void print_status(const json_t *st) {
   const json_t *force = json_object_get(st, "in_force");
   size_t i;
@@ -380,11 +401,55 @@
     printf("control %lld  %-9s %s\n", (long long)number(m, "id"),
            text(m, "role"), text(m, "wire"));
   }
+  print_rollouts(json_object_get(st, "rollouts"));
   printf("%-16s %-8s %-10s %9s %9s %6s %11s\n", "CHILD", "ROLE", "ZONE",
          "REVISION", "BELOW-REV", "BELOW", "SILENT");
   print_rows(json_object_get(st, "children"));
 }
 
+/* One line for each change of a rollout. Gives 1 when all are settled, -1 when
+** one was rolled back. */
+static int follow_rollouts(const json_t *list, json_t *shown) {
+  size_t i;
+  const json_t *r;
+  int settled = 1;
+  int back = 0;
+  json_array_foreach(list, i, r) {
+    if (!json_equal(r, json_object_get(shown, text(r, "model")))) {
+      fprintf(
+          stderr, "%s: %s to %s, %s, %.1f%% of chats, %lld of %lld targets\n",
+          text(r, "model"), text(r, "from"), text(r, "to"), text(r, "state"),
+          json_number_value(json_object_get(r, "share")),
+          (long long)number(r, "serving_to"), (long long)number(r, "targets"));
+      json_object_set(shown, text(r, "model"), (json_t *)r);
+    }
+    settled &= json_is_true(json_object_get(r, "settled"));
+    back |= !strcmp(text(r, "state"), "rolled-back");
+  }
+  return !settled ? 0 : back ? -1 : 1;
+}
+
+static int wait_for_rollouts(pw_options *o) {
+  char message[MESSAGE] = "";
+  int64_t until = pwclock_ms() + o->client.timeout_ms;
+  json_t *shown = json_object();
+  int settled = 0;
+  while (!settled && pwclock_ms() < until) {
+    json_t *st;
+    if (pwclient_call(&o->client, "GET", "/v1/status", NULL, &st, message,
+                      sizeof message) == PW_OK)
+      settled = follow_rollouts(json_object_get(st, "rollouts"), shown);
+    json_decref(st);
+    struct timespec ts = {0, POLL_NS};
+    nanosleep(&ts, NULL);
+  }
+  json_decref(shown);
+  if (settled > 0)
+    return PWEXIT_OK;
+  return pwcmd_error(settled ? PW_E_ROLLED_BACK : PW_E_WAIT,
+                     settled ? "" : "a rollout is still under way");
+}
+
 int pwcmd_status(pw_options *o) {
   char message[MESSAGE] = "";
   json_t *st;
@@ -400,7 +465,10 @@
     print_status(st);
   json_int_t revision = number(st, "revision");
   json_decref(st);
-  return o->wait ? pwcmd_wait(o, revision) : PWEXIT_OK;
+  if (!o->wait)
+    return PWEXIT_OK;
+  int code = pwcmd_wait(o, revision);
+  return code == PWEXIT_OK ? wait_for_rollouts(o) : code;
 }
 
 int pwcmd_drain(pw_options *o) {
--- a/packages/core/pwcode.h
+++ b/packages/core/pwcode.h
@@ -27,6 +27,8 @@
   X(PW_E_DUPLICATE, 2008, 409, "duplicate", "this attempt was seen before")    \
   X(PW_E_STALE, 2009, 503, "stale", "order or attempt is out of date")         \
   X(PW_E_BROKEN, 2010, 503, "breaker-open", "the target is set aside")         \
+  X(PW_E_ORDER, 2011, 503, "order-failed",                                     \
+    "the target refused an order or could not carry it out")                   \
   X(PW_E_CUT, 3001, 502, "answer-cut", "the answer broke off")                 \
   X(PW_E_UPSTREAM, 3002, 502, "bad-upstream", "the target's answer is bad")    \
   X(PW_E_TIMEOUT, 3003, 504, "timeout", "no answer within the deadline")       \
@@ -45,6 +47,8 @@
   X(PW_E_COMPACTED, 4008, 410, "compacted", "revision too old; read all")      \
   X(PW_E_NOT_KEPT, 4009, 409, "answer-not-kept",                               \
     "it ran; its answer was too large to keep")                                \
+  X(PW_E_ROLLED_BACK, 4010, 409, "rolled-back",                                \
+    "a new version was given up; the old one serves")                          \
   X(PW_E_SETTINGS, 5001, 500, "settings", "the settings file is wrong")        \
   X(PW_E_IO, 5002, 500, "io", "a file could not be read or written")           \
   X(PW_E_DISK_FULL, 5003, 507, "disk-full", "no room left on the disk")        \
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -51,6 +51,7 @@
     "request and answer bytes sent between processes")                         \
   X(PWC_DATA_IN, "data_received_bytes_total", "counter",                       \
     "request and answer bytes received")                                       \
+  X(PWC_ORDERS, "orders_total", "counter", "orders given to targets")          \
   X(PWC_TABLES, "tables_built_total", "counter", "placement tables built")     \
   X(PWC_LOAD, "load_tokens", "gauge", "tokens in progress at the target")      \
   X(PWC_QUEUE, "queue_requests", "gauge", "requests waiting at the agent")     \
--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -4,6 +4,7 @@
 #include "pwadmit.h"
 #include "pwbuf.h"
 #include "pwcache.h"
+#include "pwcarry.h"
 #include "pwchat.h"
 #include "pwjob.h"
 #include "pwlog.h"
@@ -19,15 +20,9 @@
 
 #define TICK_MS 10
 #define SPARE_WORKERS 2 /* for cancels */
-#define POOLS_MAX 16
 #define PEER_LOST_MS 10000
 #define NS_PER_MS 1000000
 
-typedef struct pool {
-  char name[PW_NAME_MAX];
-  pw_pool_sum sum;
-} pool;
-
 /* Attempt ids seen, in order of arrival. */
 typedef struct seen {
   char attempt[PW_NAME_MAX];
@@ -56,11 +51,8 @@
   held *jobs;
   pw_unheard *unheard;
   seen *seen;
-  pool pools[POOLS_MAX];
-  int npools;
-  int serves_pools; /* how many the target's resource names */
-  int drain;
-  int known; /* the target's resource exists */
+  pw_carry carry;  /* what the target is to carry */
+  int64_t news_at; /* when its state last changed */
   pw_policy policy;
   int64_t stop_at;
 } agent;
@@ -68,7 +60,7 @@
 /* --- what it tells others --- */
 
 static int is_leaving(const agent *a) {
-  return a->drain || atomic_load(&a->p->stopping);
+  return a->carry.drain || atomic_load(&a->p->stopping);
 }
 
 static void fill_load(agent *a, Pw__Load *l, int64_t now) {
@@ -118,19 +110,12 @@
 
 /* --- jobs --- */
 
-static pool *pool_of(agent *a, const char *name) {
-  for (int i = 0; i < a->npools; i++)
-    if (!strcmp(a->pools[i].name, name))
-      return &a->pools[i];
-  return NULL;
-}
-
 static const pw_pool_sum *sum_of_job(void *arg, void *job) {
-  agent *a = arg;
+  const agent *a = arg;
   const pw_job *j = job;
   static const pw_pool_sum alone = {.targets = 1}; /* the pool was taken away */
-  const pool *p = pool_of(a, j->run->pool);
-  return p ? &p->sum : &alone;
+  const pw_pool_sum *sum = pwcarry_pool(&a->carry, j->run->pool);
+  return sum ? sum : &alone;
 }
 
 static held *held_of(agent *a, const char *attempt) {
@@ -209,7 +194,7 @@
     return PW_E_LEAVING;
   if (!pwsub_may_serve(a->sub, now))
     return PW_E_NOT_READY;
-  if (!a->known || !pool_of(a, run->pool))
+  if (!a->carry.known || !pwcarry_pool(&a->carry, run->pool))
     return PW_E_NO_TARGET;
   return PW_OK;
 }
@@ -276,7 +261,7 @@
                       .may_queue = run->may_queue,
                       .job = j};
   pw_admit_answer ans =
-      pwadmit_ask(&a->admit, &ask, &pool_of(a, run->pool)->sum, now);
+      pwadmit_ask(&a->admit, &ask, pwcarry_pool(&a->carry, run->pool), now);
   if (ans.by_bound)
     pwcount_add(a->p->counters, PWC_BOUND, 1);
   if (ans.verdict == PW_ADMIT_REFUSED) {
@@ -501,33 +486,21 @@
 
 /* --- configuration --- */
 
-static void note_pools(agent *a, const json_t *names) {
-  size_t i;
-  json_t *name;
-  json_array_foreach(names, i, name) {
-    const char *s = json_string_value(name);
-    if (!s || pool_of(a, s) || a->npools == POOLS_MAX)
-      continue;
-    pool *p = &a->pools[a->npools++];
-    *p = (pool){.sum = {.targets = 1}};
-    pw_copy(p->name, sizeof p->name, s);
+/* Queued for a pool that the target is in no longer: refused with proof. */
+static void refuse_outside(agent *a, int64_t now) {
+  held *h, *tmp;
+  HASH_ITER(hh, a->jobs, h, tmp) {
+    pw_job *j = h->job;
+    if (!j->started && !pwcarry_pool(&a->carry, j->run->pool) &&
+        pwqueue_remove(a->admit.queue, j))
+      refuse_queued(a, j, PW_E_NO_TARGET, now);
   }
 }
 
-static void resources_changed(agent *a) {
+static void resources_changed(agent *a, int64_t now) {
   const pw_res *r = pwsub_resources(a->sub);
-  const pw_resource *one = pwres_get(r, "target", a->p->set->agent_target);
-  json_t *spec = one ? json_loads(one->spec, 0, NULL) : NULL;
-  int drain = json_is_true(json_object_get(spec, "drain"));
-  if (drain != a->drain)
-    pwevent_add(a->p->events, PWE_DRAIN, 0, NULL, NULL, a->p->set->agent_target,
-                "drain=%d", drain);
-  a->drain = drain;
-  a->known = one != NULL;
-  a->npools = 0;
-  note_pools(a, json_object_get(spec, "models"));
-  note_pools(a, json_object_get(spec, "services"));
-  json_decref(spec);
+  pwcarry_update(&a->carry, r);
+  refuse_outside(a, now);
   pwview_read_policy(r, &a->policy);
   a->admit.bound = a->policy.bound;
   a->admit.floor = a->policy.floor_tokens;
@@ -535,28 +508,14 @@
   pwcount_set(a->p->counters, PWC_REVISION, (int64_t)pwres_revision(r));
 }
 
-/* The sums are as old as the Hello they answer. */
-static void note_sums(agent *a, const Pw__Welcome *w) {
-  for (size_t i = 0; i < w->n_pools; i++) {
-    pool *p = pool_of(a, w->pools[i]->pool);
-    if (!p)
-      continue;
-    p->sum = (pw_pool_sum){.tokens = (double)w->pools[i]->tokens,
-                           .rate = (double)w->pools[i]->rate,
-                           .targets = (int)w->pools[i]->targets,
-                           .at = w->echo,
-                           .age = w->pools[i]->age};
-  }
-}
-
 static void on_dialler(agent *a, int64_t now) {
   pw_peer from;
   Pw__Envelope *e;
   while ((e = pwwire_recv(a->dialler, &from)) != NULL) {
     if (e->body_case == PW__ENVELOPE__BODY_WELCOME) {
       if (pwsub_welcome(a->sub, &from, e, now))
-        resources_changed(a);
-      note_sums(a, e->welcome);
+        resources_changed(a, now);
+      pwcarry_sums(&a->carry, e->welcome);
     }
     pw__envelope__free_unpacked(e, NULL);
   }
@@ -579,7 +538,36 @@
   h.behind = a->p->set->name;
   h.load = &load;
   h.stopping = atomic_load(&a->p->stopping) != 0;
+  Pw__TargetState state;
+  Pw__TargetState *states[1] = {&state};
+  int news = pwcarry_has_news(&a->carry);
+  a->news_at = news ? now : a->news_at;
+  int tell = a->news_at >= pwsub_told_at(a->sub);
+  if (tell) {
+    pwcarry_state(&a->carry, &state);
+    h.states = states;
+    h.n_states = 1;
+  }
   pwsub_hello(a->sub, &h, now);
+  if (tell)
+    pworder_state_clear(&state);
+}
+
+static int is_busy(void *arg, const char *model) {
+  const agent *a = arg;
+  for (const held *h = a->jobs; h; h = h->hh.next)
+    if (pwcarry_is_of(h->job->run->pool, model))
+      return 1;
+  return 0;
+}
+
+/* Orders may go out as long as this process may serve. */
+static void act(agent *a, int64_t now) {
+  int64_t touch = pwsub_touch_age(a->sub, now);
+  int64_t left = touch < 0 ? 0 : a->p->set->agent_stale - touch;
+  pwcarry_act(&a->carry, is_busy, a, now + left);
+  if (pwcarry_has_news(&a->carry))
+    pwsub_hurry(a->sub);
 }
 
 /* Jobs whose deadline has passed in the queue, and those whose entry is lost.
@@ -601,6 +589,7 @@
   expire_jobs(a, now);
   expire_unheard(a, now);
   start_queued(a, now);
+  act(a, now);
   pwproc_set_ready(a->p, pwsub_may_serve(a->sub, now) && !is_leaving(a));
 }
 
@@ -683,6 +672,7 @@
                              (int)set->agent_engine_timeout);
   pwadmit_init(&a->admit, (int)set->agent_slots, (int)set->agent_queue,
                (double)set->agent_decode_rate, now);
+  pwcarry_init(&a->carry, a->p);
   pwcache_init(&a->cache);
   a->pointers = pwchat_new(PW_POINTERS_MAX, PW_POINTER_KEEP_MS);
 }
@@ -733,6 +723,7 @@
   }
   if (end_jobs(&a) == 0)
     pwmail_free(a.mail);
+  pwcarry_end(&a.carry); /* a thread that is stuck ends with the process */
   pwserve_stop(a.http);
   free_parts(&a);
   pwwire_close(a.listener);
--- a/packages/daemon/pwapi.c
+++ b/packages/daemon/pwapi.c
@@ -109,6 +109,17 @@
   return ch;
 }
 
+static pw_code check_kinds(const Pw__Change *ch, char *message, size_t cap) {
+  for (size_t i = 0; i < ch->n_puts; i++) {
+    if (!pwres_is_leaders(ch->puts[i]->kind))
+      continue;
+    snprintf(message, cap, "kind: %s is written by the control leader alone",
+             ch->puts[i]->kind);
+    return PW_E_DENIED;
+  }
+  return PW_OK;
+}
+
 static pw_code read_change(pw_http *h, pw_api_call *c, char *message,
                            size_t cap) {
   size_t n;
@@ -138,7 +149,7 @@
   }
   json_decref(doc);
   if (!why)
-    return PW_OK;
+    return check_kinds(c->change, message, cap);
   snprintf(message, cap, "%s", why);
   return PW_E_BODY;
 }
--- a/packages/daemon/pwask.c
+++ b/packages/daemon/pwask.c
@@ -2,6 +2,7 @@
 #include "pwask.h"
 
 #include "pwbuf.h"
+#include "pwplace.h"
 
 #include <ctype.h>
 #include <jansson.h>
@@ -117,6 +118,25 @@
   return NULL;
 }
 
+/* The pool of the version that the chat belongs to. */
+static int choose_pool(const pw_view *view, const char *name, pw_call *c) {
+  const char *model = pwview_model(view, name);
+  pw_rollout r;
+  if (!model)
+    return 0;
+  pw_copy(c->model, sizeof c->model, model);
+  if (!pwview_rollout(view, model, &r)) {
+    pwassign_pool(c->pool, model, "");
+    return 1;
+  }
+  const char *chat = c->chat[0] ? c->chat : c->request;
+  int fresh = pwrollout_takes(r.share, pwplace_key(model, chat));
+  pwassign_pool(c->pool, model, fresh ? r.to : r.from);
+  if (r.state != PW_ROLLOUT_DONE)
+    pwassign_pool(c->other_pool, model, fresh ? r.from : r.to);
+  return 1;
+}
+
 static pw_code read_chat_fields(const json_t *doc, const pw_view *view,
                                 pw_call *c, const char **why) {
   const char *model = json_string_value(json_object_get(doc, "model"));
@@ -136,9 +156,8 @@
     *why = read_messages(json_object_get(doc, "messages"), c);
   if (*why)
     return PW_E_BODY;
-  if (!pwview_has_model(view, model))
+  if (!choose_pool(view, model, c))
     return PW_E_MODEL;
-  pw_copy(c->pool, sizeof c->pool, model);
   c->stream = json_is_true(stream);
   c->output_tokens = max ? (uint32_t)json_integer_value(max) : OUTPUT_DEFAULT;
   return PW_OK;
@@ -224,6 +243,7 @@
   const pw_service *s = pwview_service(view, service);
   if (!s)
     return PW_E_MODEL;
+  pw_copy(c->model, sizeof c->model, service);
   pw_copy(c->pool, sizeof c->pool, service);
   char *rest = pw_dup(name[n] ? name + n : "/");
   free(c->path);
--- a/packages/daemon/pwattempt.c
+++ b/packages/daemon/pwattempt.c
@@ -34,8 +34,15 @@
   pwfl_settle(fs, f, 0, not_run, now);
 }
 
+/* How attempts of a version's pool end decides on its rollout. */
+static void count_version(pw_flights *fs, const pw_flight *f, int failed) {
+  if (f->call->other_pool[0])
+    pwnews_count(fs->news, f->pool, failed);
+}
+
 void pwfl_finish(pw_flights *fs, pw_flight *f, int64_t now) {
   pwretry_success(&fs->budget);
+  count_version(fs, f, 0);
   f->status = f->call->status;
   pwcall_finish(f->call, "done");
   pwfl_settle(fs, f, 1, 0, now);
@@ -49,7 +56,7 @@
   r->request = (char *)c->request;
   r->workspace = (char *)c->workspace.name;
   r->chat = (char *)c->chat;
-  r->pool = (char *)c->pool;
+  r->pool = (char *)f->pool;
   r->method = c->method;
   r->path = c->path;
   r->headers = c->headers;
@@ -102,33 +109,50 @@
   pwtargets_ask(fs->targets, t, now);
 }
 
-void pwfl_place(pw_flights *fs, pw_flight *f, const pw_policy *policy,
-                int64_t now) {
+/* The pool of the other version, while two share the chats: where to go when
+** nobody serves this one any more. 0 when there is none, or it was taken. */
+static int other_version(pw_flight *f) {
+  const char *other = f->call->other_pool;
+  if (!other[0] || f->pool == other || f->last_code == PW_E_BUSY ||
+      f->last_code == PW_E_DEADLINE)
+    return 0;
+  f->pool = other;
+  f->walk.ntried = 0;
+  return 1;
+}
+
+/* The next target, or NULL: nobody is left. */
+static pw_target *pick_target(pw_flights *fs, pw_flight *f,
+                              const pw_policy *policy, int64_t now) {
   pw_route_pool pool;
-  if (now + PWFL_MARGIN_MS >= f->deadline) {
-    pwfl_fail(fs, f, PW_E_DEADLINE, now);
-    return;
-  }
-  if (f->hops > PW_HOPS_MAX ||
-      !pwtargets_pool(fs->targets, f->call->pool, policy, f->walk.draw, now,
-                      &pool)) {
-    pwfl_fail(fs, f, f->last_code ? f->last_code : PW_E_NO_TARGET, now);
-    return;
-  }
+  if (!pwtargets_pool(fs->targets, f->pool, policy, f->walk.draw, now, &pool))
+    return NULL;
   pw_route_pick pick = pwroute_next(&pool, &f->walk);
   if (!pick.id && f->failed) { /* a retry may go where one has failed */
     f->failed = 0;
     f->walk.ntried = 0;
     pick = pwroute_next(&pool, &f->walk);
   }
-  pw_target *t = pwtargets_by_id(fs->targets, pick.id);
-  if (!t) {
-    pwfl_fail(fs, f, f->last_code ? f->last_code : PW_E_NO_TARGET, now);
-    return;
-  }
   f->need_prefix = pick.need_prefix;
   f->may_queue = pick.may_queue;
-  go_to(fs, f, t, now);
+  return pwtargets_by_id(fs->targets, pick.id);
+}
+
+void pwfl_place(pw_flights *fs, pw_flight *f, const pw_policy *policy,
+                int64_t now) {
+  if (now + PWFL_MARGIN_MS >= f->deadline) {
+    pwfl_fail(fs, f, PW_E_DEADLINE, now);
+    return;
+  }
+  pw_target *t = NULL;
+  if (f->hops <= PW_HOPS_MAX)
+    t = pick_target(fs, f, policy, now);
+  if (!t && f->hops <= PW_HOPS_MAX && other_version(f))
+    t = pick_target(fs, f, policy, now);
+  if (t)
+    go_to(fs, f, t, now);
+  else
+    pwfl_fail(fs, f, f->last_code ? f->last_code : PW_E_NO_TARGET, now);
 }
 
 static pw_refusal refusal_of(pw_code code) {
@@ -204,6 +228,7 @@
     pwlog(LOG_WARNING, "target-set-aside", "target=%s", t->name);
   if (resume(fs, f, code, now))
     return;
+  count_version(fs, f, 1);
   if (!may_repeat(f) || f->attempts >= PW_ATTEMPTS_MAX) {
     pwfl_fail(fs, f, f->call->never || code == PW_OK ? PW_E_UNKNOWN : code,
               now);
--- a/packages/daemon/pwcall.h
+++ b/packages/daemon/pwcall.h
@@ -5,6 +5,7 @@
 #ifndef PWCALL_H
 #define PWCALL_H
 
+#include "pwassign.h"
 #include "pwmail.h"
 #include "pwproc.h"
 #include "pwview.h"
@@ -19,7 +20,9 @@
   /* What was asked; not changed after it is posted. */
   char request[PW_NAME_MAX];
   char chat[PW_NAME_MAX + PW_KEY_MAX + 2]; /* "WORKSPACE/CHAT", or "" */
-  char pool[PW_NAME_MAX];                  /* model or service */
+  char model[PW_NAME_MAX];                 /* model or service */
+  char pool[PWASSIGN_POOL];                /* of those that serve its version */
+  char other_pool[PWASSIGN_POOL]; /* of the version it is exchanged with */
   pw_workspace workspace;
   char *method;
   char *path;
--- /dev/null
+++ b/packages/daemon/pwcarry.c
@@ -0,0 +1,112 @@
+/* pwcarry.c: what an agent's target is to carry. */
+#include "pwcarry.h"
+
+#include "pwbuf.h"
+
+#include <string.h>
+
+void pwcarry_init(pw_carry *c, pw_proc *p) {
+  *c = (pw_carry){.p = p};
+  c->order = pworder_start(p, p->set->agent_url);
+}
+
+int pwcarry_end(pw_carry *c) {
+  return pworder_stop(c->order);
+}
+
+static pw_carry_pool *find(const pw_carry *c, const char *name) {
+  for (int i = 0; i < c->npools; i++)
+    if (!strcmp(c->pool[i].name, name))
+      return (pw_carry_pool *)&c->pool[i];
+  return NULL;
+}
+
+const pw_pool_sum *pwcarry_pool(const pw_carry *c, const char *name) {
+  const pw_carry_pool *p = find(c, name);
+  return p ? &p->sum : NULL;
+}
+
+int pwcarry_is_of(const char *pool, const char *model) {
+  size_t n = strlen(model);
+  return !strncmp(pool, model, n) && (!pool[n] || pool[n] == '@');
+}
+
+/* Pools as they are read, with the sums that were known. */
+typedef struct reading {
+  const pw_carry *before;
+  pw_carry *c;
+} reading;
+
+static void add_pool(void *arg, const char *name) {
+  const reading *rd = arg;
+  if (find(rd->c, name) || rd->c->npools == PWCARRY_POOLS)
+    return;
+  const pw_carry_pool *old = find(rd->before, name);
+  pw_carry_pool *p = &rd->c->pool[rd->c->npools++];
+  *p = old ? *old : (pw_carry_pool){.sum = {.targets = 1}};
+  pw_copy(p->name, sizeof p->name, name);
+}
+
+void pwcarry_update(pw_carry *c, const pw_res *r) {
+  const char *target = c->p->set->agent_target;
+  const pw_resource *one = pwres_get(r, "target", target);
+  const pw_carry before = *c;
+  reading rd = {&before, c};
+  json_t *spec = one ? json_loads(one->spec, 0, NULL) : NULL;
+  c->known = one != NULL;
+  c->drain = json_is_true(json_object_get(spec, "drain"));
+  if (c->drain != before.drain)
+    pwevent_add(c->p->events, PWE_DRAIN, 0, NULL, NULL, target, "drain=%d",
+                c->drain);
+  pwassign_read(r, target, &c->assignment);
+  c->npools = 0;
+  pwassign_pools(&c->assignment, json_object_get(spec, "models"), add_pool,
+                 &rd);
+  size_t i;
+  const json_t *service;
+  json_array_foreach(json_object_get(spec, "services"), i, service) {
+    add_pool(&rd, json_string_value(service));
+  }
+  json_decref(spec);
+}
+
+/* The sums are as old as the Hello they answer. */
+void pwcarry_sums(pw_carry *c, const Pw__Welcome *w) {
+  for (size_t i = 0; i < w->n_pools; i++) {
+    pw_carry_pool *p = find(c, w->pools[i]->pool);
+    if (!p)
+      continue;
+    p->sum = (pw_pool_sum){.tokens = (double)w->pools[i]->tokens,
+                           .rate = (double)w->pools[i]->rate,
+                           .targets = (int)w->pools[i]->targets,
+                           .at = w->echo,
+                           .age = w->pools[i]->age};
+  }
+}
+
+void pwcarry_act(pw_carry *c, int (*is_busy)(void *arg, const char *model),
+                 void *arg, int64_t until) {
+  pw_order_want want;
+  const pw_assignment *a = &c->assignment;
+  memset(&want, 0, sizeof want);
+  want.term = a->term;
+  want.sequence = a->sequence;
+  pw_copy(want.role, sizeof want.role, a->role);
+  for (int i = 0; i < a->nmodels; i++) {
+    pw_order_item *it = &want.item[want.n++];
+    it->want = a->model[i];
+    it->idle = !it->want.has_serve && !is_busy(arg, it->want.model);
+  }
+  pworder_want(c->order, &want, until);
+}
+
+int pwcarry_has_news(pw_carry *c) {
+  return pworder_changes(c->order) != c->told;
+}
+
+void pwcarry_state(pw_carry *c, Pw__TargetState *out) {
+  pw__target_state__init(out);
+  out->target = c->p->set->agent_target;
+  c->told = pworder_changes(c->order);
+  pworder_state(c->order, out);
+}
--- a/packages/daemon/pwcontrol.c
+++ b/packages/daemon/pwcontrol.c
@@ -7,6 +7,8 @@
 #include "pwfile.h"
 #include "pwgroup.h"
 #include "pwlog.h"
+#include "pwnews.h"
+#include "pwplanner.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -19,6 +21,7 @@
 #define WATCH_MS 25000 /* a watch is answered by then, changed or not */
 #define BODY_MAX (16 * 1024 * 1024)
 #define HAND_OVER_MS 2000
+#define PLAN_MS 5000 /* a plan's change that is not decided by then is lost */
 #define NS_PER_US 1000
 
 /* Who waits for the entry at an index. */
@@ -46,6 +49,10 @@
   pw_server *http;
   pw_group *group;
   pw_feed *feed;
+  pw_news *news;
+  pw_planner *planner;
+  uint64_t planned; /* index of the planner's change; 0: none is under way */
+  int64_t planned_at;
   waiter *waiters;
   watcher *watchers;
   char *operators;
@@ -90,12 +97,13 @@
 }
 
 static json_t *status_json(control *c, int64_t now) {
-  return json_pack("{s:I,s:I,s:s,s:o,s:o,s:o,s:i}", "revision",
+  return json_pack("{s:I,s:I,s:s,s:o,s:o,s:o,s:o,s:i}", "revision",
                    (json_int_t)pwres_revision(resources(c)), "term",
                    (json_int_t)pwgroup_term(c->group), "leader",
                    pwgroup_leader_http(c->group), "in_force", in_force(c, now),
                    "members", pwgroup_json(c->group), "children",
-                   pwfeed_json(c->feed, now), "once_claims",
+                   pwfeed_json(c->feed, now), "rollouts",
+                   pwplanner_json(c->planner, now), "once_claims",
                    (int)pwonce_count(pwstate_once(pwgroup_state(c->group))));
 }
 
@@ -297,6 +305,10 @@
   }
   if (cl)
     pwcount_add(c->p->counters, PWC_CLAIMS, 1);
+  if (index == c->planned) {
+    c->planned = 0;
+    pwplanner_done(c->planner, o ? (pw_code)o->code : PW_E_CONFLICT);
+  }
   if (o && o->code == PW_OK)
     pwevent_add(c->p->events, PWE_CHANGE, 0, NULL, NULL, NULL,
                 "revision=%llu resources=%zu", (unsigned long long)o->revision,
@@ -312,6 +324,8 @@
   if (!leader)
     return;
   c->led_at = pwclock_ms();
+  c->planned = 0;
+  pwplanner_lead(c->planner, c->led_at);
   c->led_revision = pwres_revision(resources(c));
 }
 
@@ -328,6 +342,7 @@
       pwgroup_message(c->group, e, now);
       break;
     case PW__ENVELOPE__BODY_HELLO:
+      pwnews_hello(c->news, e, now);
       feed_state(c, &st, now);
       pwfeed_hello(c->feed, &from, e, &st, NULL, 0, now);
       break;
@@ -375,10 +390,42 @@
     pwfeed_push(c->feed, &st, now);
 }
 
+/* Proposes the planner's next change; one at a time. The log fences it: it has
+** an effect only if this instance still leads when it is committed. */
+static void plan(control *c, int64_t now) {
+  if (!pwgroup_lease(c->group, now) || atomic_load(&c->p->stopping))
+    return;
+  if (c->planned && now - c->planned_at > PLAN_MS) {
+    c->planned = 0;
+    pwplanner_done(c->planner, PW_E_UNKNOWN);
+  }
+  Pw__Change *ch = pwplanner_next(c->planner, pwgroup_term(c->group), now);
+  if (!ch)
+    return;
+  Pw__Command cmd = PW__COMMAND__INIT;
+  uint64_t term;
+  cmd.wall = (uint64_t)pwclock_wall_ms();
+  cmd.body_case = PW__COMMAND__BODY_CHANGE;
+  cmd.change = ch;
+  c->planned_at = now;
+  pw_code rc = pwgroup_propose(c->group, &cmd, &c->planned, &term);
+  if (rc != PW_OK) {
+    c->planned = 0;
+    pwplanner_done(c->planner, rc);
+  }
+  pw__change__free_unpacked(ch, NULL);
+}
+
+static void on_child_left(void *arg, const pw_child *child) {
+  control *c = arg;
+  pwnews_child_left(c->news, child, pwclock_ms());
+}
+
 static void tick(control *c, int64_t now) {
   pwgroup_tick(c->group, now);
-  pwfeed_expire(c->feed, now);
+  pwfeed_expire(c->feed, on_child_left, c, now);
   expire_waiters(c, now);
+  plan(c, now);
   pwproc_set_ready(c->p, pwgroup_leader_http(c->group)[0] != 0);
 }
 
@@ -508,6 +555,8 @@
   if (rc != PW_OK)
     goto out;
   c.feed = pwfeed_new(p, c.listener, resources(&c));
+  c.news = pwnews_new();
+  c.planner = pwplanner_new(resources(&c), c.news);
   rc = PW_E_SETTINGS;
   if (start_http(&c, err) == 0)
     rc = loop(&c);
@@ -515,6 +564,8 @@
     end_calls(&c);
 out:
   pwserve_stop(c.http);
+  pwplanner_free(c.planner);
+  pwnews_free(c.news);
   pwfeed_free(c.feed);
   pwgroup_close(c.group);
   pwwire_close(c.listener);
--- a/packages/daemon/pwentry.c
+++ b/packages/daemon/pwentry.c
@@ -8,6 +8,7 @@
 #include "pwfetch.h"
 #include "pwflight.h"
 #include "pwlog.h"
+#include "pwnews.h"
 #include "pwreport.h"
 #include "pwsub.h"
 #include "pwtargets.h"
@@ -38,6 +39,7 @@
   pw_targets *targets;
   pw_flights *flights;
   pw_reports *reports;
+  pw_news *news;
   pw_view *view; /* published with RCU */
   pw_policy policy;
   uint64_t in_force; /* revision that the view and the targets show */
@@ -187,7 +189,7 @@
 
 static int targets_changed(const pw_res *r, uint64_t since) {
   for (const pw_resource *one = pwres_after(r, since); one; one = one->next)
-    if (!strcmp(one->kind, "target"))
+    if (!strcmp(one->kind, "target") || !strcmp(one->kind, "assignment"))
       return 1;
   return since < pwres_floor(r);
 }
@@ -232,6 +234,7 @@
     rows[i].targets = (uint32_t)sums[i].targets;
     list[i] = &rows[i];
   }
+  pwnews_hello(en->news, e, now);
   pw_feed_state st;
   feed_state(en, &st, now);
   pwfeed_hello(en->feed, from, e, &st, list, (size_t)n, now);
@@ -296,7 +299,14 @@
   h.below_revision = sum.revision;
   h.behind = sum.behind;
   h.stopping = atomic_load(&en->p->stopping) != 0;
+  pwnews_fill(en->news, &h, pwsub_told_at(en->sub), now);
   pwsub_hello(en->sub, &h, now);
+  pwnews_clear(&h);
+}
+
+static void on_child_left(void *arg, const pw_child *c) {
+  entry *en = arg;
+  pwnews_child_left(en->news, c, pwclock_ms());
 }
 
 /* What HTTP threads may know of the wire thread's state. The leader's address
@@ -317,7 +327,7 @@
 
 static void tick(entry *en, int64_t now) {
   say_hello(en, now);
-  pwfeed_expire(en->feed, now);
+  pwfeed_expire(en->feed, on_child_left, en, now);
   if (now - en->summed >= SUM_MS) {
     pwtargets_sum_up(en->targets, now);
     en->summed = now;
@@ -391,7 +401,9 @@
                       direct, set->entry_stale, set->entry_when_cut_off);
   en->feed = pwfeed_new(en->p, en->listener, pwsub_resources(en->sub));
   en->targets = pwtargets_new(en->p, en->dialler);
-  en->flights = pwflight_new(en->p, en->dialler, en->targets, en->sub);
+  en->news = pwnews_new();
+  en->flights =
+      pwflight_new(en->p, en->dialler, en->targets, en->sub, en->news);
   en->reports = pwreport_new(en->p, en->dialler, en->targets);
   pwview_read_policy(pwsub_resources(en->sub), &en->policy);
   en->children = json_array();
@@ -429,6 +441,7 @@
   pwserve_stop(en.http);
   on_mail(&en, pwclock_ms());
   pwreport_free(en.reports);
+  pwnews_free(en.news);
   pwtargets_free(en.targets);
   pwfeed_free(en.feed);
   pwsub_free(en.sub);
--- a/packages/daemon/pwfeed.c
+++ b/packages/daemon/pwfeed.c
@@ -49,12 +49,15 @@
   return c;
 }
 
-/* Agents act on their own target and the policy, and are sent nothing else:
-** what a workspace may do comes with each Run. */
+/* Agents act on their own target, its assignment and the policy, and are sent
+ *nothing else:
+ ** what a workspace may do comes with each Run. */
 static int is_wanted(const pw_child *c, const pw_resource *one) {
   if (strcmp(c->role, "agent") != 0 || !strcmp(one->kind, "policy"))
     return 1;
-  return !strcmp(one->kind, "target") && !strcmp(one->name, c->target);
+  int about_target =
+      !strcmp(one->kind, "target") || !strcmp(one->kind, "assignment");
+  return about_target && !strcmp(one->name, c->target);
 }
 
 /* Whether anything newer than `since` concerns a child. */
@@ -163,7 +166,8 @@
       send_welcome(f, c, st, NULL, 0, now);
 }
 
-void pwfeed_expire(pw_feed *f, int64_t now) {
+void pwfeed_expire(pw_feed *f, void (*left)(void *arg, const pw_child *c),
+                   void *arg, int64_t now) {
   pw_child **at = &f->children;
   while (*at) {
     pw_child *c = *at;
@@ -173,6 +177,7 @@
       continue;
     }
     pwlog(LOG_NOTICE, "child-left", "name=%s", c->name);
+    left(arg, c);
     *at = c->next;
     f->n--;
     free(c);
--- a/packages/daemon/pwfeed.h
+++ b/packages/daemon/pwfeed.h
@@ -57,8 +57,9 @@
 /* Something changed: children that lack it are sent it. */
 void pwfeed_push(pw_feed *f, const pw_feed_state *st, int64_t now);
 
-/* Drops children that have gone silent. */
-void pwfeed_expire(pw_feed *f, int64_t now);
+/* Drops children that have gone silent, each told of before. */
+void pwfeed_expire(pw_feed *f, void (*left)(void *arg, const pw_child *c),
+                   void *arg, int64_t now);
 
 /* First child; follow ->next. */
 const pw_child *pwfeed_children(const pw_feed *f);
--- a/packages/daemon/pwfl.h
+++ b/packages/daemon/pwfl.h
@@ -25,6 +25,7 @@
 typedef struct pw_flight {
   char attempt[PW_NAME_MAX]; /* key of the table */
   pw_call *call;
+  const char *pool; /* of the call: the pool, or the other one */
   pw_flight_state state;
   pw_route_walk walk;
   uint64_t target;      /* id */
@@ -56,6 +57,7 @@
   pw_sock *sock;
   pw_targets *targets;
   pw_sub *sub;
+  pw_news *news;
   pw_flight *all;
   pw_retry_budget budget;
   double share;
--- a/packages/daemon/pwflight.c
+++ b/packages/daemon/pwflight.c
@@ -13,12 +13,13 @@
 #define RESUME_MS 25 /* pause before the first resume; doubles */
 
 pw_flights *pwflight_new(pw_proc *p, pw_sock *dialler, pw_targets *targets,
-                         pw_sub *sub) {
+                         pw_sub *sub, pw_news *news) {
   pw_flights *fs = pw_alloc(sizeof *fs);
   fs->p = p;
   fs->sock = dialler;
   fs->targets = targets;
   fs->sub = sub;
+  fs->news = news;
   fs->quotas = pwquota_new();
   fs->share = PW_RETRY_SHARE;
   pwretry_init(&fs->budget, PW_RETRY_SHARE, PW_RETRY_RESERVE);
@@ -94,11 +95,12 @@
   pw_flight *f = pw_alloc(sizeof *f);
   draw_id(f->attempt);
   f->call = c;
+  f->pool = c->pool;
   pwcall_ref(c);
   f->deadline = now + c->deadline_ms;
   f->since = now;
   f->checked = now;
-  f->walk.key = pwplace_key(c->pool, c->chat[0] ? c->chat : c->request);
+  f->walk.key = pwplace_key(c->model, c->chat[0] ? c->chat : c->request);
   f->walk.zone = pwtargets_zone(fs->p->set->availability_zone);
   f->walk.cost = PWBOUND_PROMPT_WEIGHT * c->prompt_tokens + c->output_tokens;
   f->walk.returning = c->returning && !c->is_service && c->chat[0] &&
--- a/packages/daemon/pwflight.h
+++ b/packages/daemon/pwflight.h
@@ -9,13 +9,14 @@
 
 #include "pwbudget.h"
 #include "pwcall.h"
+#include "pwnews.h"
 #include "pwsub.h"
 #include "pwtargets.h"
 
 typedef struct pw_flights pw_flights;
 
 pw_flights *pwflight_new(pw_proc *p, pw_sock *dialler, pw_targets *targets,
-                         pw_sub *sub);
+                         pw_sub *sub, pw_news *news);
 void pwflight_free(pw_flights *fs);
 
 int pwflight_count(const pw_flights *fs);
--- /dev/null
+++ b/packages/daemon/pwnews.c
@@ -0,0 +1,264 @@
+/* pwnews.c: what a process tells its parent of the targets and versions below.
+ */
+#include "pwnews.h"
+
+#include "pwbuf.h"
+#include "pwpb.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#define STATES_PER_HELLO 24
+#define POOLS_MAX 64   /* versions counted; the longest unused makes room */
+#define BASES_MAX 4096 /* children times versions whose counts are known */
+
+typedef struct state_row {
+  char target[PW_NAME_MAX];
+  Pw__TargetState *state;
+  int64_t at;      /* the state was read then or later */
+  int64_t changed; /* when it came or changed here */
+  UT_hash_handle hh;
+} state_row;
+
+typedef struct count_row {
+  char pool[PW_NAME_MAX * 2];
+  uint64_t done, failed;
+  int64_t changed;
+  UT_hash_handle hh;
+} count_row;
+
+/* Counts of one child and pool as last told. */
+typedef struct base_row {
+  char key[PW_NAME_MAX * 3]; /* "CHILD POOL" */
+  uint64_t incarnation, done, failed;
+  UT_hash_handle hh;
+} base_row;
+
+struct pw_news {
+  state_row *states;
+  count_row *counts;
+  base_row *bases;
+  uint64_t changes;
+};
+
+pw_news *pwnews_new(void) {
+  return pw_alloc(sizeof(pw_news));
+}
+
+static void drop_state(pw_news *n, state_row *r) {
+  HASH_DEL(n->states, r);
+  pw__target_state__free_unpacked(r->state, NULL);
+  free(r);
+}
+
+void pwnews_free(pw_news *n) {
+  if (!n)
+    return;
+  state_row *s, *stmp;
+  HASH_ITER(hh, n->states, s, stmp) {
+    drop_state(n, s);
+  }
+  count_row *c, *ctmp;
+  HASH_ITER(hh, n->counts, c, ctmp) {
+    HASH_DEL(n->counts, c);
+    free(c);
+  }
+  base_row *b, *btmp;
+  HASH_ITER(hh, n->bases, b, btmp) {
+    HASH_DEL(n->bases, b);
+    free(b);
+  }
+  free(n);
+}
+
+/* --- targets --- */
+
+static int is_same_model(const Pw__ModelState *a, const Pw__ModelState *b) {
+  return !strcmp(a->model, b->model) && !strcmp(a->version, b->version) &&
+         a->loaded == b->loaded && a->code == b->code &&
+         a->attempt == b->attempt;
+}
+
+static int is_same(const Pw__TargetState *a, const Pw__TargetState *b) {
+  if (a->gone != b->gone || a->n_models != b->n_models)
+    return 0;
+  for (size_t i = 0; i < a->n_models; i++)
+    if (!is_same_model(a->models[i], b->models[i]))
+      return 0;
+  return 1;
+}
+
+/* Takes a state over if it is newer than what is known. */
+static void note_state(pw_news *n, const Pw__TargetState *s, int64_t at,
+                       int64_t now) {
+  state_row *r;
+  HASH_FIND_STR(n->states, s->target, r);
+  if (r && at < r->at)
+    return;
+  if (!r) {
+    r = pw_alloc(sizeof *r);
+    pw_copy(r->target, sizeof r->target, s->target);
+    HASH_ADD_STR(n->states, target, r);
+  }
+  r->at = at;
+  if (r->state && is_same(r->state, s))
+    return;
+  if (r->state)
+    pw__target_state__free_unpacked(r->state, NULL);
+  r->state = PWPB_COPY(s);
+  r->changed = now;
+  n->changes++;
+}
+
+void pwnews_child_left(pw_news *n, const pw_child *c, int64_t now) {
+  if (!c->target[0])
+    return;
+  Pw__TargetState gone = PW__TARGET_STATE__INIT;
+  gone.target = (char *)c->target;
+  gone.gone = 1;
+  note_state(n, &gone, c->heard, now);
+}
+
+const Pw__TargetState *pwnews_target(const pw_news *n, const char *target,
+                                     int64_t *at) {
+  const state_row *r;
+  HASH_FIND_STR(n->states, target, r);
+  if (!r)
+    return NULL;
+  *at = r->at;
+  return r->state;
+}
+
+uint64_t pwnews_changes(const pw_news *n) {
+  return n->changes;
+}
+
+/* --- counts --- */
+
+static count_row *count_of(pw_news *n, const char *pool) {
+  count_row *c;
+  HASH_FIND_STR(n->counts, pool, c);
+  if (c)
+    return c;
+  if (HASH_COUNT(n->counts) >= POOLS_MAX) {
+    c = n->counts;
+    HASH_DEL(n->counts, c);
+    free(c);
+  }
+  c = pw_alloc(sizeof *c);
+  pw_copy(c->pool, sizeof c->pool, pool);
+  HASH_ADD_STR(n->counts, pool, c);
+  return c;
+}
+
+static void add(pw_news *n, const char *pool, uint64_t done, uint64_t failed,
+                int64_t now) {
+  if (!done && !failed)
+    return;
+  count_row *c = count_of(n, pool);
+  c->done += done;
+  c->failed += failed;
+  c->changed = now;
+}
+
+void pwnews_count(pw_news *n, const char *pool, int failed) {
+  add(n, pool, !failed, !!failed, pwclock_ms());
+}
+
+static base_row *base_of(pw_news *n, const char *child, const char *pool) {
+  char key[sizeof((base_row *)0)->key];
+  base_row *b;
+  snprintf(key, sizeof key, "%s %s", child, pool);
+  HASH_FIND_STR(n->bases, key, b);
+  if (b)
+    return b;
+  if (HASH_COUNT(n->bases) >= BASES_MAX) {
+    b = n->bases;
+    HASH_DEL(n->bases, b);
+    free(b);
+  }
+  b = pw_alloc(sizeof *b);
+  pw_copy(b->key, sizeof b->key, key);
+  HASH_ADD_STR(n->bases, key, b);
+  return b;
+}
+
+/* Whether this life of the child was heard before. */
+static int is_known(pw_news *n, const Pw__Envelope *e) {
+  base_row *b = base_of(n, e->from, "");
+  int known = b->incarnation == e->incarnation;
+  b->incarnation = e->incarnation;
+  return known;
+}
+
+/* What a child told before this process knew it is no news. */
+static void note_count(pw_news *n, const Pw__Envelope *e,
+                       const Pw__VersionCount *v, int known, int64_t now) {
+  base_row *b = base_of(n, e->from, v->pool);
+  if (known && v->done >= b->done && v->failed >= b->failed)
+    add(n, v->pool, v->done - b->done, v->failed - b->failed, now);
+  b->done = v->done;
+  b->failed = v->failed;
+}
+
+void pwnews_sum(const pw_news *n, const char *pool, double *done,
+                double *failed) {
+  const count_row *c;
+  HASH_FIND_STR(n->counts, pool, c);
+  *done = c ? (double)c->done : 0;
+  *failed = c ? (double)c->failed : 0;
+}
+
+/* --- Hellos --- */
+
+void pwnews_hello(pw_news *n, const Pw__Envelope *e, int64_t now) {
+  const Pw__Hello *h = e->hello;
+  for (size_t i = 0; i < h->n_states; i++)
+    note_state(n, h->states[i], now - h->states[i]->age, now);
+  int known = is_known(n, e);
+  for (size_t i = 0; i < h->n_counts; i++)
+    note_count(n, e, h->counts[i], known, now);
+}
+
+static void fill_states(pw_news *n, Pw__Hello *h, int64_t told_at,
+                        int64_t now) {
+  h->states = pw_alloc(sizeof *h->states * STATES_PER_HELLO);
+  for (state_row *r = n->states; r; r = r->hh.next) {
+    if (r->changed < told_at)
+      continue;
+    if (h->n_states == STATES_PER_HELLO) {
+      r->changed = now; /* it goes with the next one */
+      continue;
+    }
+    r->state->age = (uint32_t)(now - r->at);
+    h->states[h->n_states++] = r->state;
+  }
+}
+
+static void fill_counts(pw_news *n, Pw__Hello *h, int64_t told_at) {
+  h->counts = pw_alloc(sizeof *h->counts * POOLS_MAX);
+  for (count_row *c = n->counts; c; c = c->hh.next) {
+    if (c->changed < told_at)
+      continue;
+    Pw__VersionCount *v = pw_alloc(sizeof *v);
+    pw__version_count__init(v);
+    v->pool = c->pool;
+    v->done = c->done;
+    v->failed = c->failed;
+    h->counts[h->n_counts++] = v;
+  }
+}
+
+void pwnews_fill(pw_news *n, Pw__Hello *h, int64_t told_at, int64_t now) {
+  fill_states(n, h, told_at, now);
+  fill_counts(n, h, told_at);
+}
+
+void pwnews_clear(Pw__Hello *h) {
+  for (size_t i = 0; i < h->n_counts; i++)
+    free(h->counts[i]);
+  free(h->counts);
+  free(h->states);
+}
--- /dev/null
+++ b/packages/daemon/pworder.c
@@ -0,0 +1,391 @@
+/* pworder.c: carries out the assignment at the target. */
+#include "pworder.h"
+
+#include "pwbuf.h"
+#include "pwfetch.h"
+#include "pwlog.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define POLL_MS 200       /* while an order is under way */
+#define REST_MS 2000      /* else: has the target lost something? */
+#define TIMEOUT_S 5       /* for one call */
+#define ANSWER_MAX 262144 /* bytes */
+#define STACK_BYTES (256 * 1024)
+#define STOP_MS 1000
+
+/* What became of the order for one model. */
+typedef struct done {
+  char model[PW_NAME_MAX];
+  char version[PW_NAME_MAX];
+  uint64_t attempt;
+  int given; /* the order of this attempt went out */
+  int loaded;
+  int under_way; /* the target says that it is loading */
+  pw_code code;
+} done;
+
+/* Whether nothing more will come of the order by itself. */
+static int is_over(const done *d) {
+  return d->loaded || d->code != PW_OK;
+}
+
+struct pw_order {
+  pw_proc *p;
+  char *url;
+  pthread_t thread;
+  done done[PWASSIGN_MODELS]; /* the thread's own */
+  int ndone;
+
+  pthread_mutex_t lock; /* over all that follows */
+  pthread_cond_t more;
+  pw_order_want want;
+  int64_t until;
+  int ending, ended;
+  done shown[PWASSIGN_MODELS];
+  int nshown;
+  uint64_t changes;
+};
+
+/* --- the target's protocol: docs/ENGINE.md --- */
+
+static pw_code call(pw_order *o, const char *method, const char *path,
+                    const pw_fetch_header *h, int nh, const char *body,
+                    json_t **out) {
+  pw_buf text = {0};
+  int status = 0;
+  pw_code rc = pwfetch_text(o->url, method, path, h, nh, body, TIMEOUT_S,
+                            ANSWER_MAX, &status, &text);
+  if (rc == PW_OK && status == 409)
+    rc = PW_E_STALE;
+  else if (rc == PW_OK && status >= 300)
+    rc = PW_E_ORDER;
+  *out = rc == PW_OK ? json_loadb(text.data ? text.data : "", text.len, 0, NULL)
+                     : NULL;
+  pwbuf_free(&text);
+  return rc;
+}
+
+static json_t *order_json(const char *op, const pw_assigned *m) {
+  json_t *adapters = json_array();
+  for (int i = 0; i < m->nadapters; i++)
+    json_array_append_new(adapters, json_string(m->adapter[i]));
+  return json_pack("{s:s,s:s,s:s,s:o}", "op", op, "model", m->model, "version",
+                   m->load, "adapters", adapters);
+}
+
+/* Sends an order if it may still be sent. */
+static pw_code send_order(pw_order *o, const pw_order_want *w, json_t *order) {
+  char term[24], sequence[24];
+  snprintf(term, sizeof term, "%llu", (unsigned long long)w->term);
+  snprintf(sequence, sizeof sequence, "%llu", (unsigned long long)w->sequence);
+  pw_fetch_header h[] = {{"Content-Type", "application/json"},
+                         {"X-Order-Term", term},
+                         {"X-Order-Sequence", sequence}};
+  char *body = json_dumps(order, JSON_COMPACT);
+  json_t *answer = NULL;
+  pthread_mutex_lock(&o->lock);
+  int may = pwclock_ms() < o->until && o->want.sequence == w->sequence;
+  pthread_mutex_unlock(&o->lock);
+  pw_code rc =
+      may ? call(o, "POST", "/v1/orders", h, 3, body, &answer) : PW_E_NOT_READY;
+  const json_t *op = json_object_get(order, "op");
+  const json_t *model = json_object_get(order, "model");
+  pwcount_add(o->p->counters, PWC_ORDERS, may);
+  pwevent_add(o->p->events, PWE_ORDER, rc, NULL, NULL, o->p->set->agent_target,
+              "%s %s %s seq=%s", json_string_value(op),
+              model ? json_string_value(model) : "",
+              model ? json_string_value(json_object_get(order, "version")) : "",
+              sequence);
+  json_decref(answer);
+  json_decref(order);
+  free(body);
+  return rc;
+}
+
+/* --- one model --- */
+
+static done *done_of(pw_order *o, const char *model) {
+  for (int i = 0; i < o->ndone; i++)
+    if (!strcmp(o->done[i].model, model))
+      return &o->done[i];
+  if (o->ndone == PWASSIGN_MODELS)
+    return NULL;
+  done *d = &o->done[o->ndone++];
+  *d = (done){0};
+  pw_copy(d->model, sizeof d->model, model);
+  return d;
+}
+
+static const json_t *listed(const json_t *models, const char *model) {
+  size_t i;
+  const json_t *m;
+  json_array_foreach(models, i, m) {
+    const char *name = json_string_value(json_object_get(m, "model"));
+    if (name && !strcmp(name, model))
+      return m;
+  }
+  return NULL;
+}
+
+static int has_adapters(const json_t *m, const pw_assigned *want) {
+  const json_t *list = json_object_get(m, "adapters");
+  for (int k = 0; k < want->nadapters; k++) {
+    size_t i;
+    const json_t *name;
+    int found = 0;
+    json_array_foreach(list, i, name) {
+      found |= json_is_string(name) &&
+               !strcmp(json_string_value(name), want->adapter[k]);
+    }
+    if (!found)
+      return 0;
+  }
+  return 1;
+}
+
+static int has_version(const json_t *m, const char *version) {
+  const char *v = json_string_value(json_object_get(m, "version"));
+  return m && !strcmp(v ? v : "", version);
+}
+
+static const char *state_of(const json_t *m) {
+  const char *s = json_string_value(json_object_get(m, "state"));
+  return s ? s : "";
+}
+
+/* What the target says about the version that is wanted. */
+static void look(done *d, const json_t *m, const pw_assigned *want) {
+  int same = has_version(m, want->load);
+  d->loaded = same && !strcmp(state_of(m), "loaded");
+  d->under_way = same && !strcmp(state_of(m), "loading");
+  if (d->loaded || d->under_way)
+    d->code = PW_OK;
+  else if (d->given && d->code == PW_OK)
+    d->code = PW_E_ORDER; /* it was taken, and came to nothing */
+}
+
+/* Gives the order for one model if it was not given yet. A version is exchanged
+** only when nothing runs on the one before. */
+static void tend(pw_order *o, const pw_order_want *w, const pw_order_item *it,
+                 const json_t *models) {
+  const pw_assigned *want = &it->want;
+  done *d = done_of(o, want->model);
+  if (!d)
+    return;
+  if (d->attempt != want->attempt || strcmp(d->version, want->load) != 0) {
+    d->attempt = want->attempt;
+    d->given = 0;
+    d->code = PW_OK;
+    pw_copy(d->version, sizeof d->version, want->load);
+  }
+  const json_t *m = listed(models, want->model);
+  look(d, m, want);
+  int complete = d->loaded && has_adapters(m, want);
+  if (complete || d->under_way || d->given)
+    return;
+  if (!it->idle && !d->loaded)
+    return;
+  pw_code rc = send_order(o, w, order_json("load", want));
+  if (rc == PW_E_NOT_READY)
+    return;
+  d->given = 1;
+  d->under_way = rc == PW_OK && !d->loaded;
+  d->code = rc;
+}
+
+/* Models that the target has and should not. */
+static void retire(pw_order *o, const pw_order_want *w, const json_t *models) {
+  size_t i;
+  const json_t *m;
+  json_array_foreach(models, i, m) {
+    const char *name = json_string_value(json_object_get(m, "model"));
+    for (int k = 0; name && k < w->n; k++) {
+      const pw_order_item *it = &w->item[k];
+      if (strcmp(it->want.model, name) != 0 || it->want.has_load || !it->idle)
+        continue;
+      send_order(o, w, order_json("retire", &it->want));
+    }
+  }
+}
+
+static void set_role(pw_order *o, const pw_order_want *w, const json_t *doc) {
+  const char *role = json_string_value(json_object_get(doc, "role"));
+  if (!w->role[0] || (role && !strcmp(role, w->role)))
+    return;
+  send_order(o, w, json_pack("{s:s,s:s}", "op", "role", "role", w->role));
+}
+
+/* --- the thread --- */
+
+static int is_under_way(const pw_order *o) {
+  for (int i = 0; i < o->nshown; i++)
+    if (!is_over(&o->shown[i]))
+      return 1;
+  return 0;
+}
+
+static void show(pw_order *o) {
+  pthread_mutex_lock(&o->lock);
+  if (o->nshown != o->ndone || memcmp(o->shown, o->done, sizeof o->done) != 0) {
+    memcpy(o->shown, o->done, sizeof o->done);
+    o->nshown = o->ndone;
+    o->changes++;
+  }
+  pthread_mutex_unlock(&o->lock);
+}
+
+/* One round; gives whether anything is still to come. */
+static int round_of(pw_order *o) {
+  json_t *doc;
+  pthread_mutex_lock(&o->lock);
+  pw_order_want w = o->want;
+  pthread_mutex_unlock(&o->lock);
+  if (!w.sequence)
+    return 0;
+  if (call(o, "GET", "/v1/models", NULL, 0, NULL, &doc) != PW_OK || !doc) {
+    json_decref(doc);
+    return 1;
+  }
+  const json_t *models = json_object_get(doc, "models");
+  for (int i = 0; i < w.n; i++)
+    if (w.item[i].want.has_load)
+      tend(o, &w, &w.item[i], models);
+  retire(o, &w, models);
+  set_role(o, &w, doc);
+  json_decref(doc);
+  show(o);
+  return is_under_way(o);
+}
+
+/* Waits for the next round, or for something new. */
+static int rest(pw_order *o, int64_t ms) {
+  struct timespec ts;
+  clock_gettime(CLOCK_MONOTONIC, &ts);
+  ts.tv_sec += ms / 1000;
+  ts.tv_nsec += ms % 1000 * 1000000;
+  if (ts.tv_nsec >= 1000000000) {
+    ts.tv_sec++;
+    ts.tv_nsec -= 1000000000;
+  }
+  pthread_mutex_lock(&o->lock);
+  if (!o->ending)
+    pthread_cond_timedwait(&o->more, &o->lock, &ts);
+  int ending = o->ending;
+  pthread_mutex_unlock(&o->lock);
+  return !ending;
+}
+
+static void *work(void *arg) {
+  pw_order *o = arg;
+  int more = 0;
+  while (rest(o, more ? POLL_MS : REST_MS))
+    more = round_of(o);
+  pthread_mutex_lock(&o->lock);
+  o->ended = 1;
+  pthread_mutex_unlock(&o->lock);
+  return NULL;
+}
+
+pw_order *pworder_start(pw_proc *p, const char *url) {
+  pw_order *o = pw_alloc(sizeof *o);
+  pthread_condattr_t clock;
+  pthread_attr_t attr;
+  o->p = p;
+  o->url = pw_dup(url);
+  pthread_mutex_init(&o->lock, NULL);
+  pthread_condattr_init(&clock);
+  pthread_condattr_setclock(&clock, CLOCK_MONOTONIC);
+  pthread_cond_init(&o->more, &clock);
+  pthread_condattr_destroy(&clock);
+  pthread_attr_init(&attr);
+  pthread_attr_setstacksize(&attr, STACK_BYTES);
+  pthread_create(&o->thread, &attr, work, o);
+  pthread_attr_destroy(&attr);
+  return o;
+}
+
+static int has_ended(pw_order *o) {
+  pthread_mutex_lock(&o->lock);
+  int ended = o->ended;
+  pthread_mutex_unlock(&o->lock);
+  return ended;
+}
+
+int pworder_stop(pw_order *o) {
+  int64_t until = pwclock_ms() + STOP_MS;
+  pthread_mutex_lock(&o->lock);
+  o->ending = 1;
+  pthread_cond_signal(&o->more);
+  pthread_mutex_unlock(&o->lock);
+  while (!has_ended(o)) {
+    if (pwclock_ms() >= until)
+      return -1;
+    struct timespec ts = {0, 1000000};
+    nanosleep(&ts, NULL);
+  }
+  pthread_join(o->thread, NULL);
+  pthread_mutex_destroy(&o->lock);
+  pthread_cond_destroy(&o->more);
+  free(o->url);
+  free(o);
+  return 0;
+}
+
+/* --- the wire thread's side --- */
+
+/* Whether there is work that there was not before. */
+static int has_new_work(const pw_order *o, const pw_order_want *want) {
+  if (o->want.sequence != want->sequence)
+    return 1;
+  for (int i = 0; i < want->n && i < o->want.n; i++)
+    if (want->item[i].idle && !o->want.item[i].idle)
+      return !o->nshown || is_under_way(o);
+  return 0;
+}
+
+void pworder_want(pw_order *o, const pw_order_want *want, int64_t until) {
+  pthread_mutex_lock(&o->lock);
+  int wake = has_new_work(o, want);
+  o->want = *want;
+  o->until = until;
+  if (wake)
+    pthread_cond_signal(&o->more);
+  pthread_mutex_unlock(&o->lock);
+}
+
+static Pw__ModelState *model_state(const done *d) {
+  Pw__ModelState *m = pw_alloc(sizeof *m);
+  pw__model_state__init(m);
+  m->model = pw_dup(d->model);
+  m->version = pw_dup(d->version);
+  m->loaded = d->loaded;
+  m->code = d->code;
+  m->attempt = d->attempt;
+  return m;
+}
+
+uint64_t pworder_changes(pw_order *o) {
+  pthread_mutex_lock(&o->lock);
+  uint64_t changes = o->changes;
+  pthread_mutex_unlock(&o->lock);
+  return changes;
+}
+
+void pworder_state(pw_order *o, Pw__TargetState *out) {
+  pthread_mutex_lock(&o->lock);
+  out->models = pw_alloc(sizeof *out->models * PWASSIGN_MODELS);
+  for (int i = 0; i < o->nshown; i++)
+    if (is_over(&o->shown[i]))
+      out->models[out->n_models++] = model_state(&o->shown[i]);
+  pthread_mutex_unlock(&o->lock);
+}
+
+void pworder_state_clear(Pw__TargetState *s) {
+  for (size_t i = 0; i < s->n_models; i++)
+    pw__model_state__free_unpacked(s->models[i], NULL);
+  free(s->models);
+}
--- a/packages/daemon/pwsub.c
+++ b/packages/daemon/pwsub.c
@@ -32,6 +32,8 @@
   int64_t welcomed; /* when the parent last answered */
   int64_t since;    /* when this parent was chosen */
   int64_t asked_at;
+  int64_t told_at;
+  uint64_t parent_life;
   int64_t touch_at; /* surely in touch with a leader then */
   int in_touch;
   int caught_up;
@@ -60,6 +62,7 @@
   s->stale = stale_ms;
   s->serve_cut_off = !strcmp(cut_off, "serve");
   s->touch_at = INT64_MIN / 2;
+  s->told_at = INT64_MIN / 2;
   s->hello_at = INT64_MIN / 2;
   s->interval = PW_HELLO_MS;
   s->since = pwclock_ms();
@@ -181,6 +184,16 @@
   return 0;
 }
 
+static void note_told(pw_sub *s, const Pw__Envelope *e) {
+  const Pw__Welcome *w = e->welcome;
+  int same = s->parent_life == e->incarnation && s->term == w->term;
+  s->parent_life = e->incarnation;
+  if (!same)
+    s->told_at = INT64_MIN / 2;
+  else if (w->echo > s->told_at)
+    s->told_at = w->echo;
+}
+
 int pwsub_welcome(pw_sub *s, const pw_peer *from, const Pw__Envelope *e,
                   int64_t now) {
   const Pw__Welcome *w = e->welcome;
@@ -188,6 +201,7 @@
     return 0;
   if (!is_own_group(s, w->group) || w->term < s->term)
     return 0;
+  note_told(s, e);
   s->term = w->term;
   s->welcomed = now;
   s->entries = w->entries;
@@ -234,6 +248,10 @@
   return s->asked_at;
 }
 
+int64_t pwsub_told_at(const pw_sub *s) {
+  return s->told_at;
+}
+
 uint64_t pwsub_term(const pw_sub *s) {
   return s->term;
 }
--- a/packages/daemon/pwsub.h
+++ b/packages/daemon/pwsub.h
@@ -47,6 +47,10 @@
 ** older than that. */
 int64_t pwsub_asked_at(const pw_sub *s);
 
+/* The time of the newest Hello that the parent answered, as long as parent and
+** leader are the same ones: what changed before it needs no telling again. */
+int64_t pwsub_told_at(const pw_sub *s);
+
 uint64_t pwsub_term(const pw_sub *s);
 uint64_t pwsub_group(const pw_sub *s);
 uint32_t pwsub_entries(const pw_sub *s);
--- a/packages/daemon/pwtargets.c
+++ b/packages/daemon/pwtargets.c
@@ -1,6 +1,7 @@
 /* pwtargets.c: an entry's table of targets. */
 #include "pwtargets.h"
 
+#include "pwassign.h"
 #include "pwbuf.h"
 #include "pwlog.h"
 
@@ -21,7 +22,8 @@
 } row;
 
 typedef struct pool {
-  char name[PW_NAME_MAX];
+  char name[PWASSIGN_POOL];
+  uint64_t shape; /* hash of members and weights that place was built from */
   pw_place *place;
   uint64_t *id; /* members, sorted */
   int n;
@@ -172,21 +174,33 @@
   size_t n, cap;
 } members;
 
-static void add_members(pw_targets *t, const json_t *names, uint64_t id,
-                        members *all) {
+/* A target whose pools are read. */
+typedef struct joining {
+  pw_targets *t;
+  members *all;
+  uint64_t id;
+} joining;
+
+static void add_member(void *arg, const char *name) {
+  joining *j = arg;
+  members *all = j->all;
+  if (all->n == all->cap) {
+    all->cap = all->cap ? all->cap * 2 : 64;
+    member *grown = realloc(all->m, sizeof *grown * all->cap);
+    if (!grown)
+      abort();
+    all->m = grown;
+  }
+  pool *p = pool_of(j->t, name);
+  p->marked = 1;
+  all->m[all->n++] = (member){p, j->id};
+}
+
+static void add_services(joining *j, const json_t *names) {
   size_t i;
-  json_t *name;
+  const json_t *name;
   json_array_foreach(names, i, name) {
-    if (all->n == all->cap) {
-      all->cap = all->cap ? all->cap * 2 : 64;
-      member *grown = realloc(all->m, sizeof *grown * all->cap);
-      if (!grown)
-        abort();
-      all->m = grown;
-    }
-    pool *p = pool_of(t, json_string_value(name));
-    p->marked = 1;
-    all->m[all->n++] = (member){p, id};
+    add_member(j, json_string_value(name));
   }
 }
 
@@ -206,14 +220,20 @@
     if (all->m[i].p == p)
       id[n++] = all->m[i].id;
   qsort(id, (size_t)n, sizeof *id, by_value);
-  for (int i = 0; i < n; i++)
-    pt[i] = (pw_place_target){id[i], pwtargets_by_id(t, id[i])->weight};
-  pwcount_add(t->p->counters, PWC_TABLES, 1);
-  pw_place *place = pwplace_build(pt, n, p->place);
-  pwplace_free(p->place);
+  for (int i = 0; i < n; i++) {
+    pt[i].id = id[i];
+    pt[i].weight = pwtargets_by_id(t, id[i])->weight;
+  }
+  uint64_t shape = XXH3_64bits(pt, sizeof *pt * (size_t)n);
+  if (!p->place || shape != p->shape || n != p->n) {
+    pwcount_add(t->p->counters, PWC_TABLES, 1);
+    pw_place *place = pwplace_build(pt, n, p->place);
+    pwplace_free(p->place);
+    p->place = place;
+    p->shape = shape;
+  }
   free(p->id);
   free(pt);
-  p->place = place;
   p->id = id;
   p->n = n;
 }
@@ -239,6 +259,7 @@
 
 void pwtargets_update(pw_targets *t, const pw_res *r, int64_t now) {
   members all = {0};
+  pw_assignment *a = pw_alloc(sizeof *a);
   for (row *x = t->rows; x; x = x->hh.next)
     x->t.marked = 0;
   for (pool *p = t->pools; p; p = p->hh.next)
@@ -249,9 +270,10 @@
     json_t *spec = json_loads(one->spec, 0, NULL);
     if (is_near(t, spec)) {
       read_target(t, one->name, spec, now);
-      uint64_t id = pwplace_id(one->name);
-      add_members(t, json_object_get(spec, "models"), id, &all);
-      add_members(t, json_object_get(spec, "services"), id, &all);
+      joining j = {t, &all, pwplace_id(one->name)};
+      pwassign_read(r, one->name, a);
+      pwassign_pools(a, json_object_get(spec, "models"), add_member, &j);
+      add_services(&j, json_object_get(spec, "services"));
     }
     json_decref(spec);
   }
@@ -259,6 +281,7 @@
   for (pool *p = t->pools; p; p = p->hh.next)
     rebuild_pool(t, p, &all);
   free(all.m);
+  free(a);
   int n = (int)HASH_COUNT(t->rows);
   free(t->all);
   t->all = pw_alloc(sizeof(pw_target *) * (size_t)(n + 1));
--- a/packages/daemon/pwview.c
+++ b/packages/daemon/pwview.c
@@ -1,6 +1,7 @@
 /* pwview.c: the read-only picture of the configuration. */
 #include "pwview.h"
 
+#include "pwassign.h"
 #include "pwbound.h"
 #include "pwbuf.h"
 
@@ -18,7 +19,10 @@
 
 typedef struct named_row {
   char name[PW_NAME_MAX];
+  char model[PW_NAME_MAX]; /* that it means */
   pw_service service;
+  int has_rollout;
+  pw_rollout rollout;
   UT_hash_handle hh;
 } named_row;
 
@@ -30,6 +34,7 @@
 struct pw_view {
   key_row *keys;
   named_row *models;
+  named_row *adapters;
   named_row *services;
   workspace_row *workspaces;
   pw_policy policy;
@@ -83,6 +88,18 @@
       (uint32_t)number(spec, "timeout_ms", PW_DEADLINE_DEFAULT);
 }
 
+static void add_model(pw_view *v, const pw_res *r, const char *name) {
+  named_row *row = add_named(&v->models, name);
+  pw_copy(row->model, sizeof row->model, name);
+  row->has_rollout = pwassign_rollout(r, name, &row->rollout);
+}
+
+static void add_adapter(pw_view *v, const char *name, const json_t *spec) {
+  named_row *row = add_named(&v->adapters, name);
+  const char *model = json_string_value(json_object_get(spec, "model"));
+  pw_copy(row->model, sizeof row->model, model ? model : "");
+}
+
 void pwview_read_policy(const pw_res *r, pw_policy *out) {
   const pw_resource *one = pwres_get(r, "policy", "default");
   json_t *spec = one ? json_loads(one->spec, 0, NULL) : NULL;
@@ -102,7 +119,9 @@
     if (!strcmp(one->kind, "workspace"))
       add_workspace(v, one->name, spec);
     else if (!strcmp(one->kind, "model"))
-      add_named(&v->models, one->name);
+      add_model(v, r, one->name);
+    else if (!strcmp(one->kind, "adapter"))
+      add_adapter(v, one->name, spec);
     else if (!strcmp(one->kind, "service"))
       add_service(v, one->name, spec);
     json_decref(spec);
@@ -128,6 +147,7 @@
     free(k);
   }
   free_named(v->models);
+  free_named(v->adapters);
   free_named(v->services);
   while (v->workspaces) {
     workspace_row *row = v->workspaces;
@@ -157,8 +177,19 @@
   return row;
 }
 
-int pwview_has_model(const pw_view *v, const char *name) {
-  return find_named(v->models, name) != NULL;
+const char *pwview_model(const pw_view *v, const char *name) {
+  const named_row *row = find_named(v->models, name);
+  if (!row)
+    row = find_named(v->adapters, name);
+  return row ? row->model : NULL;
+}
+
+int pwview_rollout(const pw_view *v, const char *model, pw_rollout *out) {
+  const named_row *row = find_named(v->models, model);
+  if (!row || !row->has_rollout)
+    return 0;
+  *out = row->rollout;
+  return 1;
 }
 
 const pw_service *pwview_service(const pw_view *v, const char *name) {
--- a/packages/daemon/pwview.h
+++ b/packages/daemon/pwview.h
@@ -8,6 +8,7 @@
 
 #include "pwlimits.h"
 #include "pwres.h"
+#include "pwrollout.h"
 
 #include <stddef.h>
 
@@ -42,7 +43,14 @@
 
 /* The workspace a bearer key opens, or NULL. */
 const pw_workspace *pwview_workspace(const pw_view *v, const char *key);
-int pwview_has_model(const pw_view *v, const char *name);
+
+/* The model that a name means, its own or that of an adapter of it; NULL when
+** there is none. */
+const char *pwview_model(const pw_view *v, const char *name);
+
+/* The two versions that share a model's chats; 0 when it has no versions. */
+int pwview_rollout(const pw_view *v, const char *model, pw_rollout *out);
+
 const pw_service *pwview_service(const pw_view *v, const char *name);
 const pw_policy *pwview_policy(const pw_view *v);
 
--- a/packages/store/pwres.c
+++ b/packages/store/pwres.c
@@ -37,6 +37,10 @@
   return 0;
 }
 
+int pwres_is_leaders(const char *kind) {
+  return !strcmp(kind, "rollout") || !strcmp(kind, "assignment");
+}
+
 pw_res *pwres_new(void) {
   return pw_alloc(sizeof(pw_res));
 }
--- a/packages/store/pwres.h
+++ b/packages/store/pwres.h
@@ -19,7 +19,9 @@
   X("workspace")                                                               \
   X("target")                                                                  \
   X("service")                                                                 \
-  X("policy")
+  X("policy")                                                                  \
+  X("rollout")                                                                 \
+  X("assignment")
 
 /* One resource. `spec` is JSON text, "" once deleted. */
 typedef struct pw_resource {
@@ -75,7 +77,8 @@
 /* A pb copy of one resource; freed by the pb functions. */
 Pw__Resource *pwres_pack(const pw_resource *one);
 
-/* Non-zero for a known kind. */
+/* Non-zero for a known kind, and for one that only the leader writes. */
 int pwres_is_kind(const char *kind);
+int pwres_is_leaders(const char *kind);
 
 #endif
--- a/packages/store/pwschema.c
+++ b/packages/store/pwschema.c
@@ -13,6 +13,7 @@
   F_NUMBER,
   F_BOOL,
   F_NAMES,
+  F_OBJECT,
   F_STEPS
 } field_type;
 
@@ -38,6 +39,8 @@
     {"version", "size_bytes", F_NUMBER, 0, 0, BIG, NULL},
     {"version", "steps", F_STEPS, 0, 0, 100, NULL},
     {"version", "max_error_share", F_NUMBER, 0, 0, 1, NULL},
+    {"version", "step_s", F_NUMBER, 0, 0, 86400, NULL},
+    {"version", "min_requests", F_NUMBER, 0, 0, BIG, NULL},
     {"workspace", "key_hashes", F_NAMES, 0, 0, 0, NULL},
     {"workspace", "weight", F_NUMBER, 0, 1, 1000, NULL},
     {"workspace", "priority", F_NUMBER, 0, 0, 9, NULL},
@@ -52,6 +55,7 @@
     {"target", "region", F_STRING, 0, 0, 0, NULL},
     {"target", "drain", F_BOOL, 0, 0, 0, NULL},
     {"target", "checks_orders", F_BOOL, 0, 0, 0, NULL},
+    {"target", "role", F_STRING, 0, 0, 0, NULL},
     {"service", "repeatable", F_BOOL, 0, 0, 0, NULL},
     {"service", "timeout_ms", F_NUMBER, 0, 1, PW_DEADLINE_MAX, NULL},
     {"policy", "bound", F_NUMBER, 0, 1.01, 100, NULL},
@@ -60,6 +64,18 @@
     {"policy", "retry_share", F_NUMBER, 0, 0, 1, NULL},
     {"policy", "min_prefix_tokens", F_NUMBER, 0, 0, BIG, NULL},
     {"policy", "load_bytes_per_s", F_NUMBER, 0, 0, BIG, NULL},
+    {"policy", "weights_bytes_per_s", F_NUMBER, 0, 0, BIG, NULL},
+    {"policy", "loads_at_once", F_NUMBER, 0, 1, 10000, NULL},
+    {"rollout", "from", F_STRING, 1, 0, 0, NULL},
+    {"rollout", "to", F_STRING, 1, 0, 0, NULL},
+    {"rollout", "step", F_NUMBER, 1, 0, 100, NULL},
+    {"rollout", "share", F_NUMBER, 1, 0, 100, NULL},
+    {"rollout", "state", F_STRING, 1, 0, 0, NULL},
+    {"rollout", "why", F_STRING, 0, 0, 0, NULL},
+    {"rollout", "asked", F_NUMBER, 1, 0, BIG, NULL},
+    {"assignment", "term", F_NUMBER, 1, 0, BIG, NULL},
+    {"assignment", "role", F_STRING, 0, 0, 0, NULL},
+    {"assignment", "models", F_OBJECT, 1, 0, 0, NULL},
 };
 
 #define NROWS (sizeof rows / sizeof rows[0])
@@ -119,6 +135,8 @@
     return check_names(v);
   case F_STEPS:
     return check_steps(v);
+  case F_OBJECT:
+    return json_is_object(v) ? NULL : "an object is allowed";
   case F_NUMBER:
     break;
   }
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -142,6 +142,141 @@
   assert(message->base.descriptor == &pw__hello__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pw__model_state__init
+                     (Pw__ModelState         *message)
+{
+  static const Pw__ModelState init_value = PW__MODEL_STATE__INIT;
+  *message = init_value;
+}
+size_t pw__model_state__get_packed_size
+                     (const Pw__ModelState *message)
+{
+  assert(message->base.descriptor == &pw__model_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__model_state__pack
+                     (const Pw__ModelState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__model_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__model_state__pack_to_buffer
+                     (const Pw__ModelState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__model_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__ModelState *
+       pw__model_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__ModelState *)
+     protobuf_c_message_unpack (&pw__model_state__descriptor,
+                                allocator, len, data);
+}
+void   pw__model_state__free_unpacked
+                     (Pw__ModelState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__model_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pw__target_state__init
+                     (Pw__TargetState         *message)
+{
+  static const Pw__TargetState init_value = PW__TARGET_STATE__INIT;
+  *message = init_value;
+}
+size_t pw__target_state__get_packed_size
+                     (const Pw__TargetState *message)
+{
+  assert(message->base.descriptor == &pw__target_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__target_state__pack
+                     (const Pw__TargetState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__target_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__target_state__pack_to_buffer
+                     (const Pw__TargetState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__target_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__TargetState *
+       pw__target_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__TargetState *)
+     protobuf_c_message_unpack (&pw__target_state__descriptor,
+                                allocator, len, data);
+}
+void   pw__target_state__free_unpacked
+                     (Pw__TargetState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__target_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pw__version_count__init
+                     (Pw__VersionCount         *message)
+{
+  static const Pw__VersionCount init_value = PW__VERSION_COUNT__INIT;
+  *message = init_value;
+}
+size_t pw__version_count__get_packed_size
+                     (const Pw__VersionCount *message)
+{
+  assert(message->base.descriptor == &pw__version_count__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__version_count__pack
+                     (const Pw__VersionCount *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__version_count__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__version_count__pack_to_buffer
+                     (const Pw__VersionCount *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__version_count__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__VersionCount *
+       pw__version_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__VersionCount *)
+     protobuf_c_message_unpack (&pw__version_count__descriptor,
+                                allocator, len, data);
+}
+void   pw__version_count__free_unpacked
+                     (Pw__VersionCount *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__version_count__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pw__pool_load__init
                      (Pw__PoolLoad         *message)
 {
@@ -2004,7 +2139,7 @@
   (ProtobufCMessageInit) pw__load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__hello__field_descriptors[12] =
+static const ProtobufCFieldDescriptor pw__hello__field_descriptors[14] =
 {
   {
     "role",
@@ -2150,6 +2285,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "states",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Hello, n_states),
+    offsetof(Pw__Hello, states),
+    &pw__target_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "counts",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Hello, n_counts),
+    offsetof(Pw__Hello, counts),
+    &pw__version_count__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__hello__field_indices_by_name[] = {
   1,   /* field[1] = availability_zone */
@@ -2157,18 +2316,20 @@
   4,   /* field[4] = below */
   5,   /* field[5] = below_revision */
   7,   /* field[7] = clock */
+  13,   /* field[13] = counts */
   11,   /* field[11] = entries */
   10,   /* field[10] = http */
   8,   /* field[8] = load */
   2,   /* field[2] = region */
   3,   /* field[3] = revision */
   0,   /* field[0] = role */
+  12,   /* field[12] = states */
   9,   /* field[9] = stopping */
 };
 static const ProtobufCIntRange pw__hello__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor pw__hello__descriptor =
 {
@@ -2178,13 +2339,244 @@
   "Pw__Hello",
   "pw",
   sizeof(Pw__Hello),
-  12,
+  14,
   pw__hello__field_descriptors,
   pw__hello__field_indices_by_name,
   1,  pw__hello__number_ranges,
   (ProtobufCMessageInit) pw__hello__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pw__model_state__field_descriptors[5] =
+{
+  {
+    "model",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ModelState, model),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ModelState, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loaded",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ModelState, loaded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ModelState, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ModelState, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__model_state__field_indices_by_name[] = {
+  4,   /* field[4] = attempt */
+  3,   /* field[3] = code */
+  2,   /* field[2] = loaded */
+  0,   /* field[0] = model */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange pw__model_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor pw__model_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.ModelState",
+  "ModelState",
+  "Pw__ModelState",
+  "pw",
+  sizeof(Pw__ModelState),
+  5,
+  pw__model_state__field_descriptors,
+  pw__model_state__field_indices_by_name,
+  1,  pw__model_state__number_ranges,
+  (ProtobufCMessageInit) pw__model_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__target_state__field_descriptors[4] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__TargetState, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__TargetState, age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gone",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__TargetState, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "models",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__TargetState, n_models),
+    offsetof(Pw__TargetState, models),
+    &pw__model_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__target_state__field_indices_by_name[] = {
+  1,   /* field[1] = age */
+  2,   /* field[2] = gone */
+  3,   /* field[3] = models */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange pw__target_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pw__target_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.TargetState",
+  "TargetState",
+  "Pw__TargetState",
+  "pw",
+  sizeof(Pw__TargetState),
+  4,
+  pw__target_state__field_descriptors,
+  pw__target_state__field_indices_by_name,
+  1,  pw__target_state__number_ranges,
+  (ProtobufCMessageInit) pw__target_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__version_count__field_descriptors[3] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__VersionCount, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "done",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__VersionCount, done),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__VersionCount, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__version_count__field_indices_by_name[] = {
+  1,   /* field[1] = done */
+  2,   /* field[2] = failed */
+  0,   /* field[0] = pool */
+};
+static const ProtobufCIntRange pw__version_count__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pw__version_count__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.VersionCount",
+  "VersionCount",
+  "Pw__VersionCount",
+  "pw",
+  sizeof(Pw__VersionCount),
+  3,
+  pw__version_count__field_descriptors,
+  pw__version_count__field_indices_by_name,
+  1,  pw__version_count__number_ranges,
+  (ProtobufCMessageInit) pw__version_count__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pw__pool_load__field_descriptors[5] =
 {
   {
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -18,6 +18,9 @@
 typedef struct Pw__Envelope Pw__Envelope;
 typedef struct Pw__Load Pw__Load;
 typedef struct Pw__Hello Pw__Hello;
+typedef struct Pw__ModelState Pw__ModelState;
+typedef struct Pw__TargetState Pw__TargetState;
+typedef struct Pw__VersionCount Pw__VersionCount;
 typedef struct Pw__PoolLoad Pw__PoolLoad;
 typedef struct Pw__Welcome Pw__Welcome;
 typedef struct Pw__Resource Pw__Resource;
@@ -175,10 +178,87 @@
    * entries among those below
    */
   uint32_t entries;
+  /*
+   * news of targets below
+   */
+  size_t n_states;
+  Pw__TargetState **states;
+  /*
+   * of all entries below, itself included
+   */
+  size_t n_counts;
+  Pw__VersionCount **counts;
 };
 #define PW__HELLO__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__hello__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, 0, NULL, 0, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * One version of a model at a target, and what became of the order for it.
+ */
+struct  Pw__ModelState
+{
+  ProtobufCMessage base;
+  char *model;
+  /*
+   * "": the model has no versions
+   */
+  char *version;
+  protobuf_c_boolean loaded;
+  /*
+   * why it is not: a result code
+   */
+  uint32_t code;
+  /*
+   * of the order that came to this
+   */
+  uint64_t attempt;
+};
+#define PW__MODEL_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__model_state__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * What a target carries, as its agent last saw it.
+ */
+struct  Pw__TargetState
+{
+  ProtobufCMessage base;
+  char *target;
+  /*
+   * ms at least since this was so, at sending
+   */
+  uint32_t age;
+  /*
+   * its agent is not heard any more
+   */
+  protobuf_c_boolean gone;
+  /*
+   * whose orders have come to an end
+   */
+  size_t n_models;
+  Pw__ModelState **models;
+};
+#define PW__TARGET_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__target_state__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+/*
+ * Attempts of one pool that ended, counted up in one life of the sender.
+ */
+struct  Pw__VersionCount
+{
+  ProtobufCMessage base;
+  char *pool;
+  uint64_t done;
+  uint64_t failed;
+};
+#define PW__VERSION_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__version_count__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -866,6 +946,63 @@
 void   pw__hello__free_unpacked
                      (Pw__Hello *message,
                       ProtobufCAllocator *allocator);
+/* Pw__ModelState methods */
+void   pw__model_state__init
+                     (Pw__ModelState         *message);
+size_t pw__model_state__get_packed_size
+                     (const Pw__ModelState   *message);
+size_t pw__model_state__pack
+                     (const Pw__ModelState   *message,
+                      uint8_t             *out);
+size_t pw__model_state__pack_to_buffer
+                     (const Pw__ModelState   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__ModelState *
+       pw__model_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__model_state__free_unpacked
+                     (Pw__ModelState *message,
+                      ProtobufCAllocator *allocator);
+/* Pw__TargetState methods */
+void   pw__target_state__init
+                     (Pw__TargetState         *message);
+size_t pw__target_state__get_packed_size
+                     (const Pw__TargetState   *message);
+size_t pw__target_state__pack
+                     (const Pw__TargetState   *message,
+                      uint8_t             *out);
+size_t pw__target_state__pack_to_buffer
+                     (const Pw__TargetState   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__TargetState *
+       pw__target_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__target_state__free_unpacked
+                     (Pw__TargetState *message,
+                      ProtobufCAllocator *allocator);
+/* Pw__VersionCount methods */
+void   pw__version_count__init
+                     (Pw__VersionCount         *message);
+size_t pw__version_count__get_packed_size
+                     (const Pw__VersionCount   *message);
+size_t pw__version_count__pack
+                     (const Pw__VersionCount   *message,
+                      uint8_t             *out);
+size_t pw__version_count__pack_to_buffer
+                     (const Pw__VersionCount   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__VersionCount *
+       pw__version_count__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__version_count__free_unpacked
+                     (Pw__VersionCount *message,
+                      ProtobufCAllocator *allocator);
 /* Pw__PoolLoad methods */
 void   pw__pool_load__init
                      (Pw__PoolLoad         *message);
@@ -1466,6 +1603,15 @@
 typedef void (*Pw__Hello_Closure)
                  (const Pw__Hello *message,
                   void *closure_data);
+typedef void (*Pw__ModelState_Closure)
+                 (const Pw__ModelState *message,
+                  void *closure_data);
+typedef void (*Pw__TargetState_Closure)
+                 (const Pw__TargetState *message,
+                  void *closure_data);
+typedef void (*Pw__VersionCount_Closure)
+                 (const Pw__VersionCount *message,
+                  void *closure_data);
 typedef void (*Pw__PoolLoad_Closure)
                  (const Pw__PoolLoad *message,
                   void *closure_data);
@@ -1568,6 +1714,9 @@
 extern const ProtobufCMessageDescriptor pw__envelope__descriptor;
 extern const ProtobufCMessageDescriptor pw__load__descriptor;
 extern const ProtobufCMessageDescriptor pw__hello__descriptor;
+extern const ProtobufCMessageDescriptor pw__model_state__descriptor;
+extern const ProtobufCMessageDescriptor pw__target_state__descriptor;
+extern const ProtobufCMessageDescriptor pw__version_count__descriptor;
 extern const ProtobufCMessageDescriptor pw__pool_load__descriptor;
 extern const ProtobufCMessageDescriptor pw__welcome__descriptor;
 extern const ProtobufCMessageDescriptor pw__resource__descriptor;
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -1,6 +1,7 @@
 /* fake_engine.c: a model engine for tests: batches, a prefix cache of limited
 ** size with eviction, streams that can be resumed and cancelled, and faults.
 ** Speaks the protocol of docs/ENGINE.md. */
+#include "models.h"
 #include "pwbuf.h"
 #include "pwclock.h"
 
@@ -206,6 +207,15 @@
   return rc;
 }
 
+static enum MHD_Result reply_json(struct MHD_Connection *c, int status,
+                                  json_t *o) {
+  char *text = json_dumps(o, 0);
+  enum MHD_Result rc = reply(c, status, text);
+  free(text);
+  json_decref(o);
+  return rc;
+}
+
 static const char *header(struct MHD_Connection *c, const char *name) {
   const char *v = MHD_lookup_connection_value(c, MHD_HEADER_KIND, name);
   return v ? v : "";
@@ -225,11 +235,8 @@
       (json_int_t)engine.cached_tokens, "prompt_tokens",
       (json_int_t)engine.prompt_tokens);
   pthread_mutex_unlock(&engine.lock);
-  char *text = json_dumps(o, 0);
-  enum MHD_Result rc = reply(c, 200, text);
-  free(text);
-  json_decref(o);
-  return rc;
+  json_object_set_new(o, "models", models_stats());
+  return reply_json(c, 200, o);
 }
 
 static double query(struct MHD_Connection *c, const char *name, double old) {
@@ -242,6 +249,16 @@
   engine.fail_next = (int)query(c, "fail", engine.fail_next);
   engine.hang_next = (int)query(c, "hang", engine.hang_next);
   engine.slow = query(c, "slow", engine.slow);
+  faults.checks = (int)query(c, "checks", faults.checks);
+  faults.refuse_orders = (int)query(c, "refuse_orders", faults.refuse_orders);
+  faults.fail_loads = (int)query(c, "fail_loads", faults.fail_loads);
+  faults.load_ms = query(c, "load_ms", faults.load_ms);
+  const char *bad =
+      MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "bad");
+  if (bad)
+    pw_copy(faults.bad, sizeof faults.bad, bad);
+  if (query(c, "forget", 0) > 0)
+    models_forget();
   return reply(c, 200, "{}");
 }
 
@@ -283,8 +300,11 @@
 static enum MHD_Result complete(struct MHD_Connection *c, request *r) {
   const char *offset = header(c, "X-Resume-Offset");
   json_t *doc = json_loadb(r->in.data ? r->in.data : "", r->in.len, 0, NULL);
+  const char *model = json_string_value(json_object_get(doc, "model"));
+  char version[64] = "";
+  int may_run = models_may_run(model ? model : "", version);
   pthread_mutex_lock(&engine.lock);
-  int fail = take(&engine.fail_next);
+  int fail = take(&engine.fail_next) || !may_run;
   int hang = take(&engine.hang_next);
   engine.active++;
   engine.most = engine.active > engine.most ? engine.active : engine.most;
@@ -315,6 +335,15 @@
   return respond(c, r, stream);
 }
 
+static enum MHD_Result order(struct MHD_Connection *c, const request *r) {
+  json_t *doc = json_loadb(r->in.data ? r->in.data : "", r->in.len, 0, NULL);
+  int status =
+      models_order(strtoull(header(c, "X-Order-Term"), NULL, 10),
+                   strtoull(header(c, "X-Order-Sequence"), NULL, 10), doc);
+  json_decref(doc);
+  return reply(c, status, "{}");
+}
+
 static enum MHD_Result handle(void *cls, struct MHD_Connection *c,
                               const char *url, const char *method,
                               const char *version, const char *data,
@@ -338,6 +367,10 @@
     return fault(c);
   if (!strcmp(url, "/v1/cancel"))
     return cancel(c);
+  if (!strcmp(url, "/v1/models"))
+    return reply_json(c, 200, models_list());
+  if (!strcmp(url, "/v1/orders"))
+    return order(c, r);
   return complete(c, r);
 }
 
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -6,7 +6,9 @@
 #include "pwbuf.h"
 #include "pwchat.h"
 #include "pwplace.h"
+#include "pwplan.h"
 #include "pwqueue.h"
+#include "pwrollout.h"
 #include "pwroute.h"
 #include "pwtest.h"
 
@@ -613,8 +615,240 @@
   pwadmit_free(&a);
 }
 
+/* --- rollouts --- */
+
+static pw_rollout_ask roll_ask(const char *wanted, uint64_t asked) {
+  return (pw_rollout_ask){.wanted = wanted,
+                          .asked = asked,
+                          .step = {10, 50},
+                          .nsteps = 2,
+                          .max_errors = 0.1,
+                          .step_ms = 1000,
+                          .min_requests = 20,
+                          .done_from = 1000};
+}
+
+/* Goes on until nothing changes; gives the changes. */
+static int roll_on(pw_rollout *r, const pw_rollout_ask *ask) {
+  pw_rollout next;
+  int n = 0;
+  while (pwrollout_next(r, ask, &next) && n < 20) {
+    *r = next;
+    n++;
+  }
+  return n;
+}
+
+static void test_rollout_steps(void) {
+  pw_rollout r = {.share = 100, .state = PW_ROLLOUT_DONE};
+  pw_rollout_ask ask = roll_ask("v1", 1);
+  ask.is_new = 1;
+  CHECK(roll_on(&r, &ask) == 1 && r.state == PW_ROLLOUT_DONE);
+  ask = roll_ask("v2", 2);
+  CHECK(roll_on(&r, &ask) == 1 && r.share == 0);
+  CHECK(!strcmp(r.from, "v1") && r.state == PW_ROLLOUT_ROLLING);
+  ask.ready = 5; /* the share follows what is loaded ... */
+  CHECK(roll_on(&r, &ask) == 1 && r.share == 5);
+  ask.ready = 25; /* ... up to the step */
+  CHECK(roll_on(&r, &ask) == 1 && r.share == 10);
+  ask.in_step = 1000;
+  CHECK(roll_on(&r, &ask) == 0); /* too few requests */
+  ask.done_to = 20;
+  CHECK(pwrollout_next(&r, &ask, &r) == 1 && r.step == 1);
+  ask.ready = 100;
+  ask.in_step = 0;
+  CHECK(roll_on(&r, &ask) == 1 && r.share == 50);
+  ask.done_to = 0; /* asleep: goes on in time, but for the last step */
+  ask.in_step = PWROLLOUT_PATIENCE * ask.step_ms;
+  CHECK(roll_on(&r, &ask) == 2 && r.share == 100);
+  CHECK(r.state == PW_ROLLOUT_ROLLING);
+  ask.done_to = 20;
+  CHECK(roll_on(&r, &ask) == 1 && r.state == PW_ROLLOUT_DONE);
+}
+
+static void test_rollout_back(void) {
+  pw_rollout start = {.from = "v1",
+                      .to = "v2",
+                      .share = 10,
+                      .state = PW_ROLLOUT_ROLLING,
+                      .asked = 2};
+  pw_rollout_ask ask = roll_ask("v2", 2);
+  pw_rollout r = start;
+  ask.ready = 100;
+  ask.in_step = 100 * ask.step_ms;
+  ask.done_to = 16;
+  ask.failed_to = 4; /* too few to prove it, too many to go on */
+  CHECK(roll_on(&r, &ask) == 0);
+  ask.done_from = 800; /* the old version fails as often: not its fault */
+  ask.failed_from = 200;
+  ask.failed_to = 5;
+  CHECK(pwrollout_next(&r, &ask, &r) == 1 && r.state == PW_ROLLOUT_ROLLING);
+  r = start;
+  ask.failed_from = 0;
+  CHECK(roll_on(&r, &ask) == 1 && r.state == PW_ROLLOUT_BACK && r.share == 0);
+  CHECK(r.why == PW_ROLLOUT_WHY_ERRORS);
+  CHECK(roll_on(&r, &ask) == 0); /* not tried again ... */
+  ask = roll_ask("v2", 3);
+  CHECK(roll_on(&r, &ask) == 1); /* ... until it is asked for again */
+  CHECK(r.state == PW_ROLLOUT_ROLLING && !strcmp(r.from, "v1"));
+  ask.loads_failed = PWROLLOUT_LOADS_FAILED;
+  CHECK(roll_on(&r, &ask) == 1 && r.why == PW_ROLLOUT_WHY_LOADS);
+}
+
+/* Back to the stable version in the middle; on to a third one. */
+static void test_rollout_changes(void) {
+  pw_rollout r = {.from = "v1",
+                  .to = "v2",
+                  .share = 50,
+                  .state = PW_ROLLOUT_ROLLING,
+                  .asked = 2};
+  pw_rollout_ask ask = roll_ask("v3", 3);
+  CHECK(roll_on(&r, &ask) == 1 && !strcmp(r.from, "v1") && r.share == 0);
+  ask = roll_ask("v1", 4);
+  CHECK(roll_on(&r, &ask) == 1 && r.state == PW_ROLLOUT_DONE);
+  CHECK(!strcmp(r.to, "v1"));
+  r.state = PW_ROLLOUT_ROLLING; /* all chats are there, not yet proved */
+  ask = roll_ask("v4", 5);
+  CHECK(roll_on(&r, &ask) == 1 && !strcmp(r.from, "v1"));
+}
+
+/* A growing share only ever takes chats over. */
+static void test_rollout_share(void) {
+  pw_random rnd = {.seed = test_seed(31)};
+  int taken = 0;
+  for (int i = 0; i < 20000; i++) {
+    uint64_t chat = pwrand(&rnd);
+    CHECK(!pwrollout_takes(0, chat) && pwrollout_takes(100, chat));
+    CHECK(!pwrollout_takes(25, chat) || pwrollout_takes(33.3, chat));
+    taken += pwrollout_takes(25, chat);
+  }
+  CHECK(taken > 4700 && taken < 5300);
+}
+
+/* --- the plan: a random fleet that loads, fails, loses and is drained --- */
+
+#define PLAN_SLOTS 40
+
+typedef struct plan_fleet {
+  pw_random rnd;
+  pw_plan_slot s[PLAN_SLOTS];
+  int hopeless; /* slot at which no load ever succeeds; -1: none */
+} plan_fleet;
+
+static int plan_serving(const plan_fleet *f, const char *version) {
+  int n = 0;
+  for (int i = 0; i < PLAN_SLOTS; i++)
+    n += f->s[i].usable && f->s[i].has_serve &&
+         (!version || !strcmp(f->s[i].serve, version));
+  return n;
+}
+
+static void plan_take(plan_fleet *f, const pw_plan_step *step) {
+  pw_plan_slot *s = &f->s[step->slot];
+  s->has_serve = step->kind == PW_PLAN_SERVE;
+  if (s->has_serve) {
+    CHECK(s->acted && s->loaded);
+    pw_copy(s->serve, sizeof s->serve, s->load);
+  }
+  if (step->kind == PW_PLAN_RETIRE)
+    s->has_load = 0;
+  if (step->kind == PW_PLAN_LOAD) {
+    s->has_load = 1;
+    s->acted = 0;
+    s->loaded = 0;
+    pw_copy(s->load, sizeof s->load, step->version);
+  }
+}
+
+/* The agents' side: loads end, some badly; some targets lose theirs. */
+static void plan_world(plan_fleet *f, int trouble, int64_t now) {
+  for (int i = 0; i < PLAN_SLOTS; i++) {
+    pw_plan_slot *s = &f->s[i];
+    if (s->has_load && !s->acted && pwrand_below(&f->rnd, 3) == 0) {
+      s->acted = 1;
+      s->loaded = i != f->hopeless && (!trouble || pwrand_below(&f->rnd, 4));
+      s->failures = s->loaded ? 0 : s->failures + 1;
+      s->retry_at = now + pwplan_backoff(s->failures);
+    } else if (trouble && s->acted && pwrand_below(&f->rnd, 300) == 0) {
+      s->loaded = 0;
+    }
+    if (trouble && pwrand_below(&f->rnd, 200) == 0)
+      s->usable = !s->usable;
+  }
+}
+
+/* Never takes more out of service by itself than it may, and gets there. */
+static void test_plan_keeps_capacity(void) {
+  for (unsigned round = 0; round < 20; round++) {
+    plan_fleet f = {.rnd = {.seed = test_seed(40) + round},
+                    .hopeless = round % 2 ? 7 : -1};
+    for (int i = 0; i < PLAN_SLOTS; i++)
+      f.s[i] = (pw_plan_slot){
+          .id = pwrand(&f.rnd), .usable = 1, .has_serve = 1, .serve = "v1"};
+    pw_plan_ask ask = {.from = "v1", .to = "v2", .share = 100, .may_load = 1};
+    if (round % 3 == 0)
+      ask.replicas = 25;
+    for (int64_t now = 0; now < 400000; now += 100) {
+      int taken_out = 0;
+      int before = plan_serving(&f, NULL);
+      pw_plan_step step;
+      for (int k = 0; k < 100; k++) {
+        step = pwplan_next(&ask, f.s, PLAN_SLOTS, now);
+        if (step.kind == PW_PLAN_NONE)
+          break;
+        taken_out += step.kind == PW_PLAN_LOAD && f.s[step.slot].has_serve;
+        plan_take(&f, &step);
+      }
+      CHECK(step.kind == PW_PLAN_NONE);
+      CHECK(taken_out <= (int)(PLAN_SLOTS * PWPLAN_AWAY));
+      CHECK(before >= taken_out);
+      plan_world(&f, now < 100000, now);
+      if (now == 100000)
+        for (int i = 0; i < PLAN_SLOTS; i++)
+          f.s[i].usable = 1;
+    }
+    int want = ask.replicas ? ask.replicas : PLAN_SLOTS;
+    int broken = f.hopeless >= 0 && f.s[f.hopeless].has_load;
+    CHECK(plan_serving(&f, "v2") == want - broken);
+    CHECK(plan_serving(&f, "v1") == 0);
+  }
+}
+
+/* Against a naive count: as many targets get the new version as the share
+** says, rounded up, and those that have it keep it. */
+static void test_plan_share(void) {
+  pw_random rnd = {.seed = test_seed(41)};
+  for (int round = 0; round < 200; round++) {
+    plan_fleet f = {.rnd = {.seed = pwrand(&rnd)}, .hopeless = -1};
+    for (int i = 0; i < PLAN_SLOTS; i++)
+      f.s[i] = (pw_plan_slot){.id = pwrand(&f.rnd), .usable = 1};
+    pw_plan_ask ask = {.from = "v1", .to = "v2", .may_load = 1};
+    int before[PLAN_SLOTS] = {0};
+    for (ask.share = 0; ask.share <= 100; ask.share += 12.5) {
+      for (int64_t now = 0; now < 60000; now += 100) {
+        pw_plan_step step;
+        while ((step = pwplan_next(&ask, f.s, PLAN_SLOTS, now)).kind)
+          plan_take(&f, &step);
+        plan_world(&f, 0, now);
+      }
+      CHECK(plan_serving(&f, "v2") == (int)ceil(PLAN_SLOTS * ask.share / 100));
+      for (int i = 0; i < PLAN_SLOTS; i++) {
+        int has = !strcmp(f.s[i].serve, "v2");
+        CHECK(has || !before[i]);
+        before[i] = has;
+      }
+    }
+  }
+}
+
 int main(void) {
   TESTS_BEGIN("policy");
+  TEST(test_rollout_steps);
+  TEST(test_rollout_back);
+  TEST(test_rollout_changes);
+  TEST(test_rollout_share);
+  TEST(test_plan_keeps_capacity);
+  TEST(test_plan_share);
   TEST(test_place_against_naive);
   TEST(test_place_moves_little);
   TEST(test_place_weights);
