A group founded anew fences out the orders of the lost one; backups leave out the plan

A backup also held the leader's own resources, which nobody may write back. Change: a founding instance begins at the wall clock's seconds as its term; `peatwell backup` leaves out rollouts and assignments, which are made anew. Before: 14_backup with two elections in the old group fails at the first order of the new one. After: passes, no order refused as old.

--- a/packages/cli/pwbackup.c
+++ b/packages/cli/pwbackup.c
@@ -3,6 +3,7 @@
 
 #include "pwbuf.h"
 #include "pwfile.h"
+#include "pwres.h"
 
 #include <errno.h>
 #include <libgen.h>
@@ -31,6 +32,15 @@
   return rc == 0 ? PWEXIT_OK : PWEXIT_FAILED;
 }
 
+/* What the leader writes follows from the rest, and is made anew. */
+static void drop_leaders(json_t *list) {
+  for (size_t i = json_array_size(list); i-- > 0;) {
+    const json_t *r = json_array_get(list, i);
+    if (pwres_is_leaders(json_string_value(json_object_get(r, "kind"))))
+      json_array_remove(list, i);
+  }
+}
+
 int pwcmd_backup(pw_options *o) {
   char message[MESSAGE] = "";
   json_t *have;
@@ -43,6 +53,7 @@
     code = pwcmd_error(rc, message);
   } else {
     json_object_set_new(have, "peatwell_backup", json_integer(FORMAT));
+    drop_leaders(json_object_get(have, "resources"));
     code = write_file(o->args[0], have);
     if (code == PWEXIT_OK)
       printf("%zu resources of revision %lld written to %s\n",
--- a/packages/daemon/pwgroup.c
+++ b/packages/daemon/pwgroup.c
@@ -12,6 +12,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#define MS_PER_S 1000
 #define JOIN_MS 200
 #define ENTRY_OVERHEAD 256 /* bytes of a record besides the command */
 
@@ -120,15 +121,23 @@
   return PW_OK;
 }
 
-/* Starts from nothing under the given configuration. */
+/* First term of a group founded now. Terms fence orders at targets, which may
+** remember a group that was lost: a group founded later counts from later on.
+** Elections are seconds apart, so no group's terms overtake the clock. */
+static uint64_t first_term(void) {
+  return (uint64_t)pwclock_wall_ms() / MS_PER_S;
+}
+
+/* Starts from nothing under the given configuration; term 0: the group is there
+** already, and will tell. */
 static pw_code found(pw_group *g, const pw_cons_config *config, uint64_t number,
-                     int64_t now) {
+                     uint64_t term, int64_t now) {
   Pw__Snapshot s = PW__SNAPSHOT__INIT;
   pwcons_config_pack(config, &s.config);
   s.group = number;
-  pw_code rc = pwstore_snapshot(g->store, &s, 0, 0, NULL, 0);
+  pw_code rc = pwstore_snapshot(g->store, &s, term, 0, NULL, 0);
   if (rc == PW_OK) {
-    pw_store_state st = {.snapshot = &s};
+    pw_store_state st = {.snapshot = &s, .term = term};
     rc = begin(g, &st, now);
   }
   pw__config__free_unpacked(s.config, NULL);
@@ -171,7 +180,7 @@
   if (config.n != g->listed + 1)
     return PW_OK;
   qsort(config.m, (size_t)config.n, sizeof config.m[0], by_slot);
-  return found(g, &config, number_of(&config), now);
+  return found(g, &config, number_of(&config), first_term(), now);
 }
 
 static int seeks(const pw_group *g) {
@@ -221,7 +230,7 @@
   pw_cons_config config;
   pwcons_config_unpack(j->config, &config);
   if (j->initialised && pwmember_has(&config, g->id))
-    found(g, &config, j->group, now);
+    found(g, &config, j->group, 0, now);
 }
 
 /* --- changes of the group, one at a time --- */
@@ -413,7 +422,7 @@
     rc = begin(g, &st, now);
   } else if (rc == PW_OK && g->listed == 0) {
     pw_cons_config config = {.n = 1, .m = {self(g)}};
-    rc = found(g, &config, number_of(&config), now);
+    rc = found(g, &config, number_of(&config), first_term(), now);
   }
   pwstore_state_free(&st);
   if (rc != PW_OK) {
