States are told again to a new leader; ready fails before the first refusal

Change: answers to Hellos sent before the change count for nothing; ready is set where the refusal is decided.

--- a/packages/daemon/pwentry.c
+++ b/packages/daemon/pwentry.c
@@ -276,6 +276,7 @@
 static void on_mail(entry *en, int64_t now) {
   pwmail_clear(en->mail);
   int serve = pwsub_may_serve(en->sub, now);
+  pwproc_set_ready(en->p, serve); /* not later than the first refusal */
   pw_note *n;
   while ((n = (pw_note *)pwmail_take(en->mail)) != NULL) {
     pwflight_note(en->flights, n, &en->policy, serve, now);
--- a/packages/daemon/pwsub.c
+++ b/packages/daemon/pwsub.c
@@ -33,6 +33,7 @@
   int64_t since;    /* when this parent was chosen */
   int64_t asked_at;
   int64_t told_at;
+  int64_t told_since; /* when parent or leader last changed */
   uint64_t parent_life;
   int64_t touch_at; /* surely in touch with a leader then */
   int in_touch;
@@ -184,14 +185,19 @@
   return 0;
 }
 
-static void note_told(pw_sub *s, const Pw__Envelope *e) {
+/* Answers to Hellos that were under way when the parent or the leader changed
+ *say
+ ** nothing: those left out what the one before had been told. */
+static void note_told(pw_sub *s, const Pw__Envelope *e, int64_t now) {
   const Pw__Welcome *w = e->welcome;
   int same = s->parent_life == e->incarnation && s->term == w->term;
   s->parent_life = e->incarnation;
-  if (!same)
+  if (!same) {
     s->told_at = INT64_MIN / 2;
-  else if (w->echo > s->told_at)
+    s->told_since = now;
+  } else if (w->echo > s->told_since && w->echo > s->told_at) {
     s->told_at = w->echo;
+  }
 }
 
 int pwsub_welcome(pw_sub *s, const pw_peer *from, const Pw__Envelope *e,
@@ -201,7 +207,7 @@
     return 0;
   if (!is_own_group(s, w->group) || w->term < s->term)
     return 0;
-  note_told(s, e);
+  note_told(s, e, now);
   s->term = w->term;
   s->welcomed = now;
   s->entries = w->entries;
