One price for a cached prefix: wait for it, move it or compute it anew

Cause: an agent held a returning chat back for as long as its prompt had tokens at the rate of load, which counts prompts at a fifth: five times too long by its own units; when several were full, the entry waited at the one that looked least loaded, whatever that had said; KV caches could not move at all. Change: a refusal tells how long one would wait and for how long that pays (reuse_worth times the time to compute the prefix); the entry waits where the wait less that is shortest. Where agents say kv_cache = "moves", a full target also tells what it has cached, the next one lets its engine take it over, and the prices of both ways are learned from answers (pwmove).

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -9,6 +9,7 @@
 #include "pwcache.h"
 #include "pwchat.h"
 #include "pwclock.h"
+#include "pwmove.h"
 #include "pwplace.h"
 #include "pwroute.h"
 
@@ -29,9 +30,11 @@
 #define REPORT_MS 250
 #define DEADLINE_MS 60000
 #define FLOOR 3000.0
+#define IMPORT 40000.0 /* prompt tokens a second taken over from another */
 
 typedef enum policy {
   P_PEATWELL,
+  P_MOVES, /* the same, engines take over each other's KV cache */
   P_ROUND_ROBIN,
   P_RANDOM,
   P_LEAST_STALE,
@@ -42,14 +45,10 @@
   P_COUNT
 } policy;
 
-static const char *const policy_names[] = {"peatwell",
-                                           "round robin",
-                                           "random",
-                                           "least loaded, stale",
-                                           "two choices",
-                                           "sticky hash",
-                                           "bounded hash, no pointers",
-                                           "all-knowing"};
+static const char *const policy_names[] = {
+    "peatwell",    "peatwell, KV moved",        "round robin",
+    "random",      "least loaded, stale",       "two choices",
+    "sticky hash", "bounded hash, no pointers", "all-knowing"};
 
 typedef struct workload {
   const char *name;
@@ -85,6 +84,9 @@
   int64_t arrived, started;
   int running;
   pw_route_walk walk;
+  struct engine *holder; /* of the prefix, and full */
+  struct engine *from;   /* it is taken over from */
+  int offered;           /* tokens of it */
   struct job *next;
 } job;
 
@@ -97,6 +99,7 @@
   int cache_used;
   pw_admit admit;
   pw_cache known;
+  pw_move move;
   pw_chats *pointers;
   pw_pool_sum view;
   pw_report report[ENTRIES];
@@ -194,6 +197,10 @@
   snprintf(out, 24, "c%d", id);
 }
 
+static int is_ours(const world *w) {
+  return w->p == P_PEATWELL || w->p == P_MOVES;
+}
+
 static void note_wait(world *w, const job *j) {
   if (j->workspace < 2)
     return; /* the large ones */
@@ -207,10 +214,20 @@
 
 static void start_job(world *w, engine *e, job *j) {
   char name[24];
+  int moved = j->from ? cache_find(j->from, j->chat) : 0;
   j->cached = cache_use(e, j->chat, j->prompt);
+  if (moved > j->prompt)
+    moved = j->prompt;
+  moved = moved > j->cached ? moved - j->cached : 0;
+  j->cached += moved;
   j->started = w->now;
   j->running = 1;
-  j->prefill = j->prompt - j->cached;
+  j->prefill = j->prompt - j->cached + moved * PREFILL / IMPORT;
+  if (moved)
+    pwmove_imported(&e->move, (uint32_t)j->offered, (uint32_t)moved,
+                    moved * 1000 / IMPORT);
+  pwmove_computed(&e->move, (uint32_t)(j->prompt - j->cached),
+                  (j->prompt - j->cached) * 1000 / PREFILL);
   j->left = j->output;
   e->run[e->nrun++] = j;
   e->load += PWBOUND_PROMPT_WEIGHT * j->prefill + j->left;
@@ -218,7 +235,7 @@
   w->r.hit += j->cached;
   note_wait(w, j);
   chat_name(j->chat, name);
-  if (w->p == P_PEATWELL) {
+  if (is_ours(w)) {
     double more = PWBOUND_PROMPT_WEIGHT * (j->expected - j->cached);
     pwcache_seen(&e->known, name, (uint32_t)j->prompt, (uint32_t)j->cached,
                  (uint32_t)j->expected, w->now);
@@ -240,14 +257,14 @@
 static void end_job(world *w, engine *e, int i) {
   job *j = e->run[i];
   e->run[i] = e->run[--e->nrun];
-  if (w->p == P_PEATWELL)
+  if (is_ours(w))
     pwadmit_end(&e->admit, j->cost, w->now);
   w->r.done++;
   free(j);
 }
 
 static void start_waiting(world *w, engine *e) {
-  if (w->p == P_PEATWELL) {
+  if (is_ours(w)) {
     job *j;
     while ((j = pwadmit_next(&e->admit, view_of, e, w->now)) != NULL)
       start_job(w, e, j);
@@ -266,7 +283,7 @@
 /* Work done on a request, and off the load. */
 static void progress(world *w, engine *e, job *j, double load) {
   e->load -= load;
-  if (w->p != P_PEATWELL)
+  if (!is_ours(w))
     return;
   if (load > j->cost)
     load = j->cost;
@@ -355,20 +372,26 @@
   if (pick->need_prefix && !known) {
     if (!j->walk.pointer && pwchat_get(e->pointers, name, where, NULL, w->now))
       j->walk.pointer = w->e[atoi(where)].id;
-    pwroute_refused(&j->walk, e->id, PW_REFUSED_MISSED);
+    pwroute_refused(&j->walk, e->id, PW_REFUSED_MISSED, 0, 0);
     return 0;
   }
   if ((int)known > j->prompt)
     known = (uint32_t)j->prompt;
   j->expected = (int)known;
-  j->cost = PWBOUND_PROMPT_WEIGHT * (j->prompt - (double)known) + j->output;
+  j->from = j->holder;
+  if (known || !j->offered || !pwmove_takes(&e->move, (uint32_t)j->offered))
+    j->from = NULL;
+  double compute = j->prompt - (double)known;
+  if (j->from)
+    compute -= j->offered * (1 - pwmove_share(&e->move));
+  j->cost = PWBOUND_PROMPT_WEIGHT * compute + j->output;
   char ws[24];
   snprintf(ws, sizeof ws, "w%d", j->workspace);
   pw_admit_ask ask = {.workspace = ws,
                       .weight = 1,
                       .priority = 4,
                       .cost = j->cost,
-                      .recompute = known,
+                      .recompute = known * pwmove_share(&e->move),
                       .deadline = j->arrived + DEADLINE_MS,
                       .may_queue = pick->may_queue,
                       .job = j};
@@ -378,7 +401,11 @@
     free(a.pushed_out);
   }
   if (a.verdict == PW_ADMIT_REFUSED) {
-    pwroute_refused(&j->walk, e->id, PW_REFUSED_BUSY);
+    if (known && w->p == P_MOVES) {
+      j->holder = e;
+      j->offered = (int)known;
+    }
+    pwroute_refused(&j->walk, e->id, PW_REFUSED_BUSY, a.wait, a.worth);
     return 0;
   }
   e->pending[j->entry] += j->cost;
@@ -556,7 +583,7 @@
   j->output = w->w.output / 2 + (int)(random_bits(w) % (uint64_t)w->w.output);
   j->arrived = w->now;
   w->r.requests++;
-  if (w->p == P_PEATWELL)
+  if (is_ours(w))
     place_peatwell(w, j);
   else
     place_naive(w, j);
@@ -567,7 +594,7 @@
 static void empty_engine(world *w, engine *e) {
   while (e->nrun) {
     job *j = e->run[--e->nrun];
-    if (w->p == P_PEATWELL)
+    if (is_ours(w))
       pwadmit_end(&e->admit, j->cost, w->now);
     free(j);
   }
@@ -606,8 +633,7 @@
   for (int i = 0; i < w->n; i++) {
     engine *e = &w->e[i];
     for (int k = 0; k < ENTRIES; k++) {
-      double tokens =
-          w->p == P_PEATWELL ? pwload_now(&e->admit.load, w->now) : e->load;
+      double tokens = is_ours(w) ? pwload_now(&e->admit.load, w->now) : e->load;
       e->report[k] = (pw_report){tokens, e->admit.load.rate, w->now};
       e->pending[k] = 0;
     }
@@ -660,6 +686,7 @@
     e->zone = 1 + (uint32_t)(i % w->w.zones);
     e->up = 1;
     pwcache_init(&e->known);
+    pwmove_init(&e->move, w->p == P_MOVES);
     e->pointers = pwchat_new(PW_POINTERS_MAX, PW_POINTER_KEEP_MS);
     pwadmit_init(&e->admit, SLOTS, 256, RATE, 0);
     e->admit.floor = FLOOR;
@@ -730,7 +757,7 @@
          r->skew_peak, r->skew_n ? r->skew_sum / r->skew_n : 0,
          r->skew_n ? 100 * r->over_bound / r->skew_n : 0,
          100.0 * (double)r->refused / (double)r->requests, p95, last,
-         w->p == P_PEATWELL ? r->control_bytes / w->w.seconds / ENTRIES : 0);
+         is_ours(w) ? r->control_bytes / w->w.seconds / ENTRIES : 0);
   fflush(stdout);
 }
 
@@ -770,7 +797,7 @@
             "<rect x='%d' y='%d' width='%.1f' height='13' fill='%s'/>"
             "<text x='%d' y='%d'>%s %.4g</text>\n",
             x, y + row * 17, width > 150 ? 150 : width,
-            bars[i].p == P_PEATWELL      ? "#2a6f97"
+            bars[i].p <= P_MOVES         ? "#2a6f97"
             : bars[i].p == P_ALL_KNOWING ? "#8ab17d"
                                          : "#c9ced6",
             x + 4, y + row * 17 + 11, policy_names[bars[i].p], v);
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -28,6 +28,8 @@
     "times the load bound held a request back")                                \
   X(PWC_CACHED, "cached_tokens_total", "counter", "prompt tokens cached")      \
   X(PWC_PROMPT, "prompt_tokens_total", "counter", "prompt tokens in all")      \
+  X(PWC_KV_MOVED, "kv_moved_tokens_total", "counter",                          \
+    "prompt tokens whose KV cache was taken over from another target")         \
   X(PWC_OUTPUT, "output_tokens_total", "counter", "tokens generated")          \
   X(PWC_CANCELS, "cancels_total", "counter", "streams cancelled")              \
   X(PWC_DUPLICATES, "duplicates_total", "counter",                             \
--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -101,6 +101,8 @@
         NULL, "what it does then"),
     INT("agent", "engine_timeout_s", agent_engine_timeout, 1, 3600, 30, "s",
         "an engine that sends nothing for this long has failed"),
+    STR("agent", "kv_cache", agent_kv_cache, "stays", "stays|moves", NULL,
+        "whether engines take over each other's KV cache of a chat"),
     INT("agent", "decode_tokens_per_s", agent_decode_rate, 1, 10000000, 2000,
         "tokens/s",
         "most tokens the target can finish in a second; the load "
--- a/packages/core/pwset.h
+++ b/packages/core/pwset.h
@@ -53,6 +53,7 @@
   int64_t agent_stale;
   char *agent_when_cut_off;
   int64_t agent_engine_timeout;
+  char *agent_kv_cache;
   int64_t agent_decode_rate;
 
   char *control_http;
--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -8,6 +8,7 @@
 #include "pwchat.h"
 #include "pwjob.h"
 #include "pwlog.h"
+#include "pwmove.h"
 #include "pwsub.h"
 #include "pwunheard.h"
 #include "pwview.h"
@@ -47,6 +48,7 @@
   pw_workers *workers;
   pw_admit admit;
   pw_cache cache;     /* what the target is believed to have cached */
+  pw_move move;       /* prices of computing and moving prefixes */
   pw_chats *pointers; /* chats displaced from here */
   held *jobs;
   pw_unheard *unheard;
@@ -78,23 +80,34 @@
   pwcount_set(a->p->counters, PWC_QUEUE, l->queued);
 }
 
+/* Why, and what may help elsewhere. */
+typedef struct refusal {
+  pw_code code;
+  uint32_t wait, worth; /* ms, as pw_admit_answer has them */
+  uint32_t kv_tokens;   /* prefix that another engine may take over */
+  const char *pointer;  /* target that has the prefix, or NULL */
+} refusal;
+
 static void refuse(agent *a, const pw_peer *to, const Pw__Run *run,
-                   pw_code code, uint32_t wait, const char *pointer,
-                   int64_t now) {
+                   const refusal *why, int64_t now) {
   Pw__Load load;
   fill_load(a, &load, now);
   Pw__Refuse r = PW__REFUSE__INIT;
   r.attempt = run->attempt;
-  r.code = code;
-  r.retry_after = wait;
-  r.pointer = (char *)pointer;
+  r.code = why->code;
+  r.retry_after = why->wait;
+  r.worth = why->worth;
+  r.pointer = (char *)(why->pointer ? why->pointer : "");
+  r.kv_tokens = why->kv_tokens;
+  r.kv_url = why->kv_tokens ? a->p->set->agent_url : "";
   r.load = &load;
   Pw__Envelope e = PW_ENVELOPE(REFUSE, refuse, &r);
   pwwire_send(a->listener, to, &e);
   pwcount_add(a->p->counters, PWC_REFUSED, 1);
-  if (code != PW_E_MISS)
-    pwevent_add(a->p->events, PWE_REFUSED, code, run->request, run->chat,
-                a->p->set->agent_target, "wait=%u", wait);
+  if (why->code != PW_E_MISS)
+    pwevent_add(a->p->events, PWE_REFUSED, why->code, run->request, run->chat,
+                a->p->set->agent_target, "wait=%u worth=%u kv=%u", why->wait,
+                why->worth, why->kv_tokens);
 }
 
 static void send_pong(agent *a, const pw_peer *to, int64_t now) {
@@ -159,7 +172,7 @@
   held *h = held_of(a, j->run->attempt);
   uint32_t wait = pwadmit_wait(&a->admit, j->run->workspace, j->run->weight,
                                j->run->priority);
-  refuse(a, &j->peer, j->run, code, wait, "", now);
+  refuse(a, &j->peer, j->run, &(refusal){.code = code, .wait = wait}, now);
   let_go(a, h);
 }
 
@@ -199,18 +212,38 @@
   return PW_OK;
 }
 
-/* Cost in tokens: what of the prompt is not cached, and the output. */
+/* Cost in tokens: what of the prompt is neither cached nor taken over from
+** another engine, and the output. */
 static void reckon(agent *a, pw_job *j, double *recompute, int64_t now) {
   const Pw__Run *run = j->run;
   uint32_t cached =
       run->service ? 0 : pwcache_expect(&a->cache, run->chat, now);
+  double share = pwmove_share(&a->move);
   j->expected = cached;
   if (cached > run->prompt_tokens)
     cached = run->prompt_tokens;
   double prompt = run->prompt_tokens - cached;
+  j->import = !cached && run->kv_tokens <= run->prompt_tokens &&
+              pwmove_takes(&a->move, run->kv_tokens);
+  if (j->import)
+    prompt -= run->kv_tokens * (1 - share);
   j->cost = PWBOUND_PROMPT_WEIGHT * prompt + run->output_tokens;
   j->left = j->cost;
-  *recompute = cached;
+  *recompute = cached * share;
+}
+
+/* What the answer's head says about the price of prompts. */
+static void learn_prices(agent *a, const pw_job *j, int64_t now) {
+  double ms = (double)(now - j->since);
+  uint32_t computed = j->prompt > j->cached ? j->prompt - j->cached : 0;
+  if (!j->import) {
+    pwmove_computed(&a->move, computed, ms);
+    return;
+  }
+  double rest = computed * a->move.compute;
+  pwmove_imported(&a->move, j->run->kv_tokens, j->cached,
+                  ms > rest ? ms - rest : 0);
+  pwcount_add(a->p->counters, PWC_KV_MOVED, j->cached);
 }
 
 static int lacks_prefix(agent *a, const Pw__Run *run, const pw_peer *from,
@@ -219,7 +252,7 @@
   if (!run->need_prefix || pwcache_expect(&a->cache, run->chat, now))
     return 0;
   pwchat_get(a->pointers, run->chat, where, NULL, now);
-  refuse(a, from, run, PW_E_MISS, 0, where, now);
+  refuse(a, from, run, &(refusal){.code = PW_E_MISS, .pointer = where}, now);
   return 1;
 }
 
@@ -265,7 +298,11 @@
   if (ans.by_bound)
     pwcount_add(a->p->counters, PWC_BOUND, 1);
   if (ans.verdict == PW_ADMIT_REFUSED) {
-    refuse(a, &j->peer, run, ans.code, ans.wait, "", now);
+    refusal why = {.code = ans.code,
+                   .wait = ans.wait,
+                   .worth = ans.worth,
+                   .kv_tokens = a->move.may_import ? j->expected : 0};
+    refuse(a, &j->peer, run, &why, now);
     pwjob_free(j);
     return;
   }
@@ -288,7 +325,7 @@
   }
   pw_code rc = check_run(a, run, now);
   if (rc != PW_OK) {
-    refuse(a, from, run, rc, 0, "", now);
+    refuse(a, from, run, &(refusal){.code = rc}, now);
     return;
   }
   if (lacks_prefix(a, run, from, now))
@@ -304,7 +341,7 @@
   pw_job *j = h->job;
   if (!j->started) {
     if (pwqueue_remove(a->admit.queue, j)) {
-      refuse(a, &j->peer, j->run, PW_E_GONE, 0, "", now);
+      refuse(a, &j->peer, j->run, &(refusal){.code = PW_E_GONE}, now);
       let_go(a, h);
     }
     return;
@@ -399,6 +436,7 @@
   }
   if (n->status == 200 && !j->run->service && j->run->chat[0]) {
     uint32_t tokens = j->prompt ? j->prompt : j->run->prompt_tokens;
+    learn_prices(a, j, now);
     pwcache_seen(&a->cache, j->run->chat, tokens, j->cached, j->expected, now);
     pwchat_forget(a->pointers, j->run->chat);
   }
@@ -448,7 +486,7 @@
   pwadmit_end(&a->admit, j->left, now);
   int proof = n->code == PW_E_CONNECT && !n->sent && !j->run->resume_of[0];
   if (proof) {
-    refuse(a, &j->peer, j->run, PW_E_CONNECT, 0, "", now);
+    refuse(a, &j->peer, j->run, &(refusal){.code = PW_E_CONNECT}, now);
   } else {
     Pw__Load load;
     fill_load(a, &load, now);
@@ -499,9 +537,11 @@
 
 static void resources_changed(agent *a, int64_t now) {
   const pw_res *r = pwsub_resources(a->sub);
-  pwcarry_update(&a->carry, r);
+  if (pwcarry_update(&a->carry, r))
+    pwcache_restarted(&a->cache); /* a version's cache is no other's */
   refuse_outside(a, now);
   pwview_read_policy(r, &a->policy);
+  a->admit.reuse = a->policy.reuse_worth;
   a->admit.bound = a->policy.bound;
   a->admit.floor = a->policy.floor_tokens;
   pwwire_set_revision(a->p->wire, pwres_revision(r));
@@ -674,6 +714,7 @@
                (double)set->agent_decode_rate, now);
   pwcarry_init(&a->carry, a->p);
   pwcache_init(&a->cache);
+  pwmove_init(&a->move, !strcmp(set->agent_kv_cache, "moves"));
   a->pointers = pwchat_new(PW_POINTERS_MAX, PW_POINTER_KEEP_MS);
 }
 
--- a/packages/daemon/pwanswer.c
+++ b/packages/daemon/pwanswer.c
@@ -38,6 +38,12 @@
     return;
   }
   int missed = r->code == PW_E_MISS;
+  f->told_wait = r->retry_after;
+  f->told_worth = r->worth;
+  if (r->kv_tokens) {
+    f->kv_tokens = r->kv_tokens;
+    pw_copy(f->kv_url, sizeof f->kv_url, r->kv_url);
+  }
   if (r->retry_after && (!f->retry_after || r->retry_after < f->retry_after))
     f->retry_after = r->retry_after;
   if (missed && r->pointer[0] && !f->walk.pointer)
--- a/packages/daemon/pwattempt.c
+++ b/packages/daemon/pwattempt.c
@@ -77,6 +77,8 @@
   r->service = c->is_service;
   r->offset = f->received;
   r->resume_of = (char *)f->origin;
+  r->kv_tokens = f->kv_tokens;
+  r->kv_url = (char *)f->kv_url;
 }
 
 void pwfl_send_run(pw_flights *fs, pw_flight *f, pw_target *t, int64_t now) {
@@ -117,6 +119,7 @@
       f->last_code == PW_E_DEADLINE)
     return 0;
   f->pool = other;
+  f->kv_tokens = 0; /* of the first version */
   f->walk.ntried = 0;
   return 1;
 }
@@ -167,7 +170,7 @@
               const pw_policy *policy, int64_t now) {
   uint64_t id = f->target;
   pwfl_release(fs, f);
-  pwroute_refused(&f->walk, id, refusal_of(code));
+  pwroute_refused(&f->walk, id, refusal_of(code), f->told_wait, f->told_worth);
   if (code != PW_E_MISS)
     f->last_code = code;
   f->hops++;
@@ -250,7 +253,7 @@
               pwfl_target_name(fs, f), "attempt=%d", f->attempts);
   uint64_t id = f->target;
   pwfl_release(fs, f);
-  pwroute_refused(&f->walk, id, PW_REFUSED_OTHER);
+  pwroute_refused(&f->walk, id, PW_REFUSED_OTHER, 0, 0);
   f->failed = 1;
   f->last_code = code;
   pwfl_rename_attempt(fs, f);
--- a/packages/daemon/pwcarry.c
+++ b/packages/daemon/pwcarry.c
@@ -47,7 +47,7 @@
   pw_copy(p->name, sizeof p->name, name);
 }
 
-void pwcarry_update(pw_carry *c, const pw_res *r) {
+int pwcarry_update(pw_carry *c, const pw_res *r) {
   const char *target = c->p->set->agent_target;
   const pw_resource *one = pwres_get(r, "target", target);
   const pw_carry before = *c;
@@ -68,6 +68,10 @@
     add_pool(&rd, json_string_value(service));
   }
   json_decref(spec);
+  int changed = c->npools != before.npools;
+  for (int k = 0; k < c->npools; k++)
+    changed |= !find(&before, c->pool[k].name);
+  return changed;
 }
 
 /* The sums are as old as the Hello they answer. */
--- a/packages/daemon/pwfl.h
+++ b/packages/daemon/pwfl.h
@@ -12,6 +12,7 @@
 /* An answer is out this long before the deadline, not at it; with less time
 ** than this left nothing is sent any more. */
 #define PWFL_MARGIN_MS 20
+#define PWFL_URL 96
 
 typedef enum pw_flight_state {
   F_CLAIMING, /* waits for the once-ledger */
@@ -44,6 +45,9 @@
   uint64_t credited;
   pw_code last_code; /* of the last refusal */
   uint32_t retry_after;
+  uint32_t told_wait, told_worth; /* ms, of the last refusal */
+  uint32_t kv_tokens; /* prefix that a full target has, for another engine */
+  char kv_url[PWFL_URL];
   char origin[PW_NAME_MAX]; /* attempt whose stream is resumed */
   int not_run;              /* F_RECORDING: give the claim back */
   int status;
--- a/packages/daemon/pwjob.c
+++ b/packages/daemon/pwjob.c
@@ -12,7 +12,7 @@
 #define TAIL 64 /* bytes in which a whole stream's end mark lies */
 #define STACK_BYTES (256 * 1024)
 #define HEADERS_MAX 72
-#define CHAT_HEADERS 6
+#define CHAT_HEADERS 7
 #define END_MS 1000 /* for cancelled jobs to end */
 #define CANCEL_TIMEOUT_S 2
 #define CANCEL_MAX 4096
@@ -156,6 +156,8 @@
   h[n++] = (pw_fetch_header){"X-Priority", priority};
   if (j->run->chat[0])
     h[n++] = (pw_fetch_header){"X-Cache-Key", j->run->chat};
+  if (j->import)
+    h[n++] = (pw_fetch_header){"X-KV-From", j->run->kv_url};
   if (j->run->resume_of[0])
     h[n++] = (pw_fetch_header){"X-Resume-Offset", offset};
   return n;
--- a/packages/daemon/pwjob.h
+++ b/packages/daemon/pwjob.h
@@ -20,6 +20,7 @@
   double left;       /* ... and those still in progress */
   uint32_t expected; /* tokens believed cached when it was admitted */
   uint32_t cached, prompt, output;
+  int import;    /* the engine is to take over another's KV cache */
   int started;   /* handed to a worker */
   int is_cancel; /* only tells the target to cancel `origin` */
 
--- a/packages/daemon/pwview.c
+++ b/packages/daemon/pwview.c
@@ -1,6 +1,7 @@
 /* pwview.c: the read-only picture of the configuration. */
 #include "pwview.h"
 
+#include "pwadmit.h"
 #include "pwassign.h"
 #include "pwbound.h"
 #include "pwbuf.h"
@@ -107,6 +108,7 @@
   out->floor_tokens = number(spec, "floor_tokens", PWBOUND_FLOOR);
   out->retry_share = number(spec, "retry_share", PW_RETRY_SHARE);
   out->min_prefix_tokens = number(spec, "min_prefix_tokens", 64);
+  out->reuse_worth = number(spec, "reuse_worth", PWADMIT_REUSE);
   json_decref(spec);
 }
 
--- a/packages/daemon/pwview.h
+++ b/packages/daemon/pwview.h
@@ -34,6 +34,7 @@
   double floor_tokens;
   double retry_share;
   double min_prefix_tokens;
+  double reuse_worth; /* pw_admit.reuse */
 } pw_policy;
 
 typedef struct pw_view pw_view;
--- a/packages/policy/pwadmit.c
+++ b/packages/policy/pwadmit.c
@@ -10,6 +10,7 @@
   *a = (pw_admit){.queue = pwqueue_new(queue),
                   .slots = slots,
                   .bound = PWBOUND_BOUND,
+                  .reuse = PWADMIT_REUSE,
                   .floor = PWBOUND_FLOOR,
                   .served = rate,
                   .served_at = now};
@@ -41,12 +42,13 @@
   return (uint32_t)(ms > WAIT_MAX_MS ? WAIT_MAX_MS : ms);
 }
 
-/* Waiting pays when it ends before another target would have computed the
-** prompt again. */
-static int worth_waiting(const pw_admit *a, const pw_admit_ask *ask,
-                         uint32_t wait) {
+/* How long a wait for the cached prefix pays: the time in which the target
+ *would
+ ** compute the prompt again, at the rate it works at, times `reuse`. */
+static uint32_t worth_of(const pw_admit *a, double recompute) {
   double rate = a->served > 1 ? a->served : 1;
-  return ask->may_queue || (double)wait < ask->recompute / rate * MS;
+  double ms = a->reuse * PWBOUND_PROMPT_WEIGHT * recompute / rate * MS;
+  return (uint32_t)(ms > WAIT_MAX_MS ? WAIT_MAX_MS : ms);
 }
 
 pw_admit_answer pwadmit_ask(pw_admit *a, const pw_admit_ask *ask,
@@ -66,7 +68,8 @@
     out.code = PW_E_DEADLINE;
     return out;
   }
-  if (!worth_waiting(a, ask, out.wait))
+  out.worth = worth_of(a, ask->recompute);
+  if (!ask->may_queue && out.wait >= out.worth)
     return out;
   pw_item item = {.weight = ask->weight,
                   .priority = ask->priority,
--- a/packages/policy/pwadmit.h
+++ b/packages/policy/pwadmit.h
@@ -12,6 +12,7 @@
   int slots; /* requests in progress at most */
   int running;
   double bound, floor;
+  double reuse;    /* how much more than its time a cached prefix is worth */
   double served;   /* tokens a second lately, for estimates */
   double since_at; /* tokens ended since served_at */
   int64_t served_at;
@@ -23,7 +24,8 @@
   double weight;
   int priority;
   double cost;      /* tokens it will have in progress */
-  double recompute; /* tokens another target would compute again */
+  double recompute; /* tokens another target would compute again, or the cost
+                       of taking them over in tokens computed */
   int64_t deadline; /* agent's clock, ms */
   int may_queue;
   void *job;
@@ -39,6 +41,7 @@
   pw_admit_verdict verdict;
   pw_code code;     /* when refused */
   uint32_t wait;    /* ms until it could start, estimated */
+  uint32_t worth;   /* ms that it may wait here for the cached prefix */
   void *pushed_out; /* a queued job to refuse in its place, or NULL */
   int by_bound;     /* a slot was free, only the bound held it back */
 } pw_admit_answer;
@@ -46,6 +49,9 @@
 void pwadmit_init(pw_admit *a, int slots, int queue, double rate, int64_t now);
 void pwadmit_free(pw_admit *a);
 
+/* Default of `reuse`. */
+#define PWADMIT_REUSE 8.0
+
 /* Decides. PW_ADMIT_START has counted the cost. */
 pw_admit_answer pwadmit_ask(pw_admit *a, const pw_admit_ask *ask,
                             const pw_pool_sum *pool, int64_t now);
--- a/packages/policy/pwroute.c
+++ b/packages/policy/pwroute.c
@@ -3,7 +3,6 @@
 
 #define PREFIX_ASKS 2   /* targets asked for a prefix before giving up */
 #define QUEUE_AFTER 5   /* refusals for load until it may queue */
-#define HOME_GAIN 0.8   /* a home looks this much less loaded */
 #define DRAWS 4         /* looked at when the ranks are full, doubled by ... */
 #define DRAWS_GROW 4    /* ... each refusal for load, this often at most */
 #define RANKS_SPILLED 2 /* ranks a chat spills along */
@@ -114,19 +113,18 @@
   return id;
 }
 
-/* Where to wait: the least loaded of those that refused, home preferred. */
-static uint64_t queue_at(const pw_route_pool *pool, const pw_route_walk *w,
-                         uint64_t home) {
-  double least = 0;
+/* Where to wait: at the one of those that refused where the wait, less what a
+** prefix cached there is worth, is shortest. */
+static uint64_t queue_at(const pw_route_pool *pool, const pw_route_walk *w) {
+  int64_t least = 0;
   uint64_t best = 0;
   for (int i = 0; i < w->ntried; i++) {
     pw_route_target t;
     if (!pool->get(pool->arg, w->tried[i], &t) || !t.usable)
       continue;
-    double load = t.id == home && w->returning ? t.load * HOME_GAIN : t.load;
-    if (!best || load < least) {
+    if (!best || w->wait[i] < least) {
       best = t.id;
-      least = load;
+      least = w->wait[i];
     }
   }
   return best;
@@ -139,7 +137,7 @@
     return pick;
   if (w->busy >= QUEUE_AFTER) {
     w->queued = 1;
-    pick.id = queue_at(pool, w, home);
+    pick.id = queue_at(pool, w);
     pick.may_queue = 1;
     return pick;
   }
@@ -157,14 +155,17 @@
   return pick;
 }
 
-void pwroute_refused(pw_route_walk *w, uint64_t id, pw_refusal why) {
+void pwroute_refused(pw_route_walk *w, uint64_t id, pw_refusal why,
+                     uint32_t wait_ms, uint32_t worth_ms) {
   if (w->pointer == id)
     w->pointer = 0;
   if (why == PW_REFUSED_MISSED)
     return;
   w->busy += why == PW_REFUSED_BUSY;
-  if (!was_tried(w, id) && w->ntried < PWROUTE_TRIED)
-    w->tried[w->ntried++] = id;
+  if (was_tried(w, id) || w->ntried == PWROUTE_TRIED)
+    return;
+  w->wait[w->ntried] = (int64_t)wait_ms - worth_ms;
+  w->tried[w->ntried++] = id;
 }
 
 uint32_t pwroute_retry_after(uint32_t wait_ms, uint64_t draw) {
--- a/packages/policy/pwroute.h
+++ b/packages/policy/pwroute.h
@@ -40,6 +40,8 @@
   int asked_prefix; /* targets asked with need_prefix */
   int prefix_done;  /* no more asking for a prefix */
   uint64_t tried[PWROUTE_TRIED];
+  int64_t wait[PWROUTE_TRIED]; /* ms one would wait there, less the worth of a
+                                  prefix cached there */
   int ntried;
   int busy;   /* refusals for load */
   int queued; /* the pick that may wait in a queue was made */
@@ -67,8 +69,11 @@
   PW_REFUSED_OTHER
 } pw_refusal;
 
-/* A target refused with proof. */
-void pwroute_refused(pw_route_walk *walk, uint64_t id, pw_refusal why);
+/* A target refused with proof. wait_ms: how long one would wait there,
+ *worth_ms:
+ ** for how long that pays because of a prefix cached there. */
+void pwroute_refused(pw_route_walk *walk, uint64_t id, pw_refusal why,
+                     uint32_t wait_ms, uint32_t worth_ms);
 
 /* Milliseconds after which to come back: the wait told by the target, spread
 ** over as long again so that callers do not return together. */
--- a/packages/store/pwschema.c
+++ b/packages/store/pwschema.c
@@ -63,6 +63,7 @@
     {"policy", "pointer_keep_ms", F_NUMBER, 0, 0, BIG, NULL},
     {"policy", "retry_share", F_NUMBER, 0, 0, 1, NULL},
     {"policy", "min_prefix_tokens", F_NUMBER, 0, 0, BIG, NULL},
+    {"policy", "reuse_worth", F_NUMBER, 0, 0, 1000, NULL},
     {"policy", "load_bytes_per_s", F_NUMBER, 0, 0, BIG, NULL},
     {"policy", "weights_bytes_per_s", F_NUMBER, 0, 0, BIG, NULL},
     {"policy", "loads_at_once", F_NUMBER, 0, 1, 10000, NULL},
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -3028,7 +3028,7 @@
   (ProtobufCMessageInit) pw__header__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__run__field_descriptors[23] =
+static const ProtobufCFieldDescriptor pw__run__field_descriptors[25] =
 {
   {
     "attempt",
@@ -3306,6 +3306,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "kv_tokens",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Run, kv_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kv_url",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Run, kv_url),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__run__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
@@ -3314,6 +3338,8 @@
   10,   /* field[10] = deadline */
   7,   /* field[7] = headers */
   12,   /* field[12] = incarnation */
+  23,   /* field[23] = kv_tokens */
+  24,   /* field[24] = kv_url */
   21,   /* field[21] = may_queue */
   5,   /* field[5] = method */
   17,   /* field[17] = need_prefix */
@@ -3335,7 +3361,7 @@
 static const ProtobufCIntRange pw__run__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 23 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor pw__run__descriptor =
 {
@@ -3345,14 +3371,14 @@
   "Pw__Run",
   "pw",
   sizeof(Pw__Run),
-  23,
+  25,
   pw__run__field_descriptors,
   pw__run__field_indices_by_name,
   1,  pw__run__number_ranges,
   (ProtobufCMessageInit) pw__run__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__refuse__field_descriptors[5] =
+static const ProtobufCFieldDescriptor pw__refuse__field_descriptors[8] =
 {
   {
     "attempt",
@@ -3414,18 +3440,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worth",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Refuse, worth),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kv_tokens",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Refuse, kv_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kv_url",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Refuse, kv_url),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__refuse__field_indices_by_name[] = {
   0,   /* field[0] = attempt */
   1,   /* field[1] = code */
+  6,   /* field[6] = kv_tokens */
+  7,   /* field[7] = kv_url */
   4,   /* field[4] = load */
   3,   /* field[3] = pointer */
   2,   /* field[2] = retry_after */
+  5,   /* field[5] = worth */
 };
 static const ProtobufCIntRange pw__refuse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor pw__refuse__descriptor =
 {
@@ -3435,7 +3500,7 @@
   "Pw__Refuse",
   "pw",
   sizeof(Pw__Refuse),
-  5,
+  8,
   pw__refuse__field_descriptors,
   pw__refuse__field_indices_by_name,
   1,  pw__refuse__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -425,10 +425,18 @@
    */
   protobuf_c_boolean may_queue;
   protobuf_c_boolean service;
+  /*
+   * prefix that may be taken over ...
+   */
+  uint32_t kv_tokens;
+  /*
+   * ... from the engine that holds it
+   */
+  char *kv_url;
 };
 #define PW__RUN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__run__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0,NULL, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -448,10 +456,22 @@
    */
   char *pointer;
   Pw__Load *load;
+  /*
+   * ms that waiting there pays, for the prefix cached
+   */
+  uint32_t worth;
+  /*
+   * of that prefix, that may be taken over ...
+   */
+  uint32_t kv_tokens;
+  /*
+   * ... from this engine
+   */
+  char *kv_url;
 };
 #define PW__REFUSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__refuse__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, NULL, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Pw__Head
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -4,6 +4,7 @@
 #include "models.h"
 #include "pwbuf.h"
 #include "pwclock.h"
+#include "pwfetch.h"
 
 #include <jansson.h>
 #include <microhttpd.h>
@@ -43,6 +44,9 @@
   answer *answers;
   int active, batch, most;
   double token_ms, prefill_per_ms;
+  double import_per_ms; /* tokens taken over from another engine */
+  int no_export;
+  long imports, exports;
   long started, ended, cancels, resumed, cut;
   long cached_tokens, prompt_tokens;
   int cut_next;   /* cut this many answers half way */
@@ -55,6 +59,7 @@
             .batch = 32,
             .token_ms = 2,
             .prefill_per_ms = 50,
+            .import_per_ms = 1000,
             .slow = 1};
 
 typedef struct request {
@@ -147,6 +152,62 @@
   free(old);
 }
 
+static enum MHD_Result reply(struct MHD_Connection *c, int status,
+                             const char *text) {
+  struct MHD_Response *r = MHD_create_response_from_buffer(
+      strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
+  enum MHD_Result rc = MHD_queue_response(c, (unsigned)status, r);
+  MHD_destroy_response(r);
+  return rc;
+}
+
+static enum MHD_Result reply_json(struct MHD_Connection *c, int status,
+                                  json_t *o) {
+  char *text = json_dumps(o, 0);
+  enum MHD_Result rc = reply(c, status, text);
+  free(text);
+  json_decref(o);
+  return rc;
+}
+
+/* Another engine asks what is cached under a key. */
+static enum MHD_Result export_kv(struct MHD_Connection *c) {
+  const char *key =
+      MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "key");
+  cached *found = NULL;
+  pthread_mutex_lock(&engine.lock);
+  if (key)
+    HASH_FIND_STR(engine.cache, key, found);
+  int tokens = found && !engine.no_export ? (int)found->tokens : 0;
+  engine.exports += tokens > 0;
+  pthread_mutex_unlock(&engine.lock);
+  return reply_json(c, 200, json_pack("{s:i}", "tokens", tokens));
+}
+
+/* Takes over what another engine has cached under a key; gives its tokens. */
+static uint32_t import_kv(const char *url, const char *key) {
+  pw_buf path = {0}, out = {0};
+  int status = 0;
+  uint32_t tokens = 0;
+  pwbuf_fmt(&path, "/v1/kv?key=%s", key);
+  if (pwfetch_text(url, "GET", path.data, NULL, 0, NULL, 2, 4096, &status,
+                   &out) == PW_OK) {
+    json_t *doc = json_loadb(out.data, out.len, 0, NULL);
+    tokens = (uint32_t)json_integer_value(json_object_get(doc, "tokens"));
+    json_decref(doc);
+  }
+  pwbuf_free(&path);
+  pwbuf_free(&out);
+  sleep_ms(tokens / engine.import_per_ms);
+  if (tokens) {
+    pthread_mutex_lock(&engine.lock);
+    use_cache(key, tokens);
+    engine.imports++;
+    pthread_mutex_unlock(&engine.lock);
+  }
+  return tokens;
+}
+
 static answer *begin(const char *id, const char *key, const json_t *doc,
                      size_t len) {
   answer *a;
@@ -198,24 +259,6 @@
   return (ssize_t)n;
 }
 
-static enum MHD_Result reply(struct MHD_Connection *c, int status,
-                             const char *text) {
-  struct MHD_Response *r = MHD_create_response_from_buffer(
-      strlen(text), (void *)text, MHD_RESPMEM_MUST_COPY);
-  enum MHD_Result rc = MHD_queue_response(c, (unsigned)status, r);
-  MHD_destroy_response(r);
-  return rc;
-}
-
-static enum MHD_Result reply_json(struct MHD_Connection *c, int status,
-                                  json_t *o) {
-  char *text = json_dumps(o, 0);
-  enum MHD_Result rc = reply(c, status, text);
-  free(text);
-  json_decref(o);
-  return rc;
-}
-
 static const char *header(struct MHD_Connection *c, const char *name) {
   const char *v = MHD_lookup_connection_value(c, MHD_HEADER_KIND, name);
   return v ? v : "";
@@ -236,6 +279,8 @@
       (json_int_t)engine.prompt_tokens);
   pthread_mutex_unlock(&engine.lock);
   json_object_set_new(o, "models", models_stats());
+  json_object_set_new(o, "imports", json_integer(engine.imports));
+  json_object_set_new(o, "exports", json_integer(engine.exports));
   return reply_json(c, 200, o);
 }
 
@@ -249,6 +294,7 @@
   engine.fail_next = (int)query(c, "fail", engine.fail_next);
   engine.hang_next = (int)query(c, "hang", engine.hang_next);
   engine.slow = query(c, "slow", engine.slow);
+  engine.no_export = (int)query(c, "no_export", engine.no_export);
   faults.checks = (int)query(c, "checks", faults.checks);
   faults.refuse_orders = (int)query(c, "refuse_orders", faults.refuse_orders);
   faults.fail_loads = (int)query(c, "fail_loads", faults.fail_loads);
@@ -303,6 +349,8 @@
   const char *model = json_string_value(json_object_get(doc, "model"));
   char version[64] = "";
   int may_run = models_may_run(model ? model : "", version);
+  if (header(c, "X-KV-From")[0] && !offset[0])
+    import_kv(header(c, "X-KV-From"), header(c, "X-Cache-Key"));
   pthread_mutex_lock(&engine.lock);
   int fail = take(&engine.fail_next) || !may_run;
   int hang = take(&engine.hang_next);
@@ -367,6 +415,8 @@
     return fault(c);
   if (!strcmp(url, "/v1/cancel"))
     return cancel(c);
+  if (!strcmp(url, "/v1/kv"))
+    return export_kv(c);
   if (!strcmp(url, "/v1/models"))
     return reply_json(c, 200, models_list());
   if (!strcmp(url, "/v1/orders"))
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -5,6 +5,7 @@
 #include "pwbudget.h"
 #include "pwbuf.h"
 #include "pwchat.h"
+#include "pwmove.h"
 #include "pwplace.h"
 #include "pwplan.h"
 #include "pwqueue.h"
@@ -497,14 +498,14 @@
   uint64_t home = pwplace_rank(p, 5, 0);
   pw_route_pick pick = pwroute_next(&pool, &w);
   CHECK(pick.id == home && pick.need_prefix);
-  pwroute_refused(&w, home, PW_REFUSED_MISSED);
+  pwroute_refused(&w, home, PW_REFUSED_MISSED, 0, 0);
   w.pointer = 3007; /* home knows where it lies */
   pick = pwroute_next(&pool, &w);
   CHECK(pick.id == 3007 && pick.need_prefix);
-  pwroute_refused(&w, 3007, PW_REFUSED_MISSED);
+  pwroute_refused(&w, 3007, PW_REFUSED_MISSED, 0, 0);
   pick = pwroute_next(&pool, &w);
   CHECK(pick.id == pwplace_rank(p, 5, 1) && pick.need_prefix);
-  pwroute_refused(&w, pick.id, PW_REFUSED_MISSED);
+  pwroute_refused(&w, pick.id, PW_REFUSED_MISSED, 0, 0);
   pick = pwroute_next(&pool, &w); /* nobody has it: home computes it */
   CHECK(pick.id == home && !pick.need_prefix);
   pwplace_free(p);
@@ -522,13 +523,13 @@
   int refusals = 0;
   while (pick.id && !pick.may_queue) {
     CHECK(pick.id != home); /* it is known to be full */
-    pwroute_refused(&w, pick.id, PW_REFUSED_BUSY);
+    pwroute_refused(&w, pick.id, PW_REFUSED_BUSY, 0, 0);
     pick = pwroute_next(&pool, &w);
     refusals++;
   }
   CHECK(pick.may_queue); /* the pool is full: it may wait somewhere */
   CHECK(refusals == 5);
-  pwroute_refused(&w, pick.id, PW_REFUSED_BUSY);
+  pwroute_refused(&w, pick.id, PW_REFUSED_BUSY, 0, 0);
   CHECK(pwroute_next(&pool, &w).id == 0); /* and then it is told at once */
   pwplace_free(p);
 }
@@ -568,7 +569,7 @@
     pw_route_pick pick;
     while ((pick = pwroute_next(&pool, &w)).id) {
       CHECK(route_of(&f, pick.id)->usable);
-      pwroute_refused(&w, pick.id, (pw_refusal)pwrand_below(&r, 3));
+      pwroute_refused(&w, pick.id, (pw_refusal)pwrand_below(&r, 3), 0, 0);
       if (!CU_get_number_of_failures() && ++steps > 60)
         break;
     }
@@ -615,6 +616,51 @@
   pwadmit_free(&a);
 }
 
+/* --- moving KV caches --- */
+
+static void test_move(void) {
+  pw_move m;
+  pwmove_init(&m, 0);
+  CHECK(pwmove_share(&m) == 1 && !pwmove_takes(&m, 10000));
+  pwmove_init(&m, 1);
+  CHECK(pwmove_takes(&m, 1000) && !pwmove_takes(&m, 10)); /* untried */
+  pwmove_computed(&m, 1000, 100);
+  pwmove_imported(&m, 1000, 1000, 25);
+  CHECK(fabs(pwmove_share(&m) - 0.25) < 1e-9);
+  for (int i = 0; i < 40; i++) /* nothing comes: dearer than to compute */
+    pwmove_imported(&m, 1000, 0, 5);
+  CHECK(pwmove_share(&m) == 1);
+  int tries = 0;
+  for (int i = 0; i < 10 * PWMOVE_TRY_EVERY; i++)
+    tries += pwmove_takes(&m, 1000);
+  CHECK(tries == 10); /* tried again now and then */
+  for (int i = 0; i < 40; i++)
+    pwmove_imported(&m, 1000, 1000, 10);
+  CHECK(pwmove_takes(&m, 1000) && pwmove_share(&m) < 0.2);
+}
+
+/* A wait pays as long as the prefix is worth, by `reuse`. */
+static void test_worth(void) {
+  pw_admit a;
+  pw_pool_sum pool = {.targets = 1};
+  int jobs[2];
+  pwadmit_init(&a, 1, 8, 1000, 0);
+  pw_admit_ask ask = {.workspace = "w",
+                      .weight = 1,
+                      .cost = 1000,
+                      .recompute = 1000,
+                      .deadline = 60000,
+                      .job = &jobs[0]};
+  CHECK(pwadmit_ask(&a, &ask, &pool, 0).verdict == PW_ADMIT_START);
+  ask.job = &jobs[1]; /* waits half a request: 500 ms */
+  a.reuse = 2;        /* worth 0.2 * 1000 / 1000 s * 2 = 400 ms */
+  pw_admit_answer ans = pwadmit_ask(&a, &ask, &pool, 0);
+  CHECK(ans.verdict == PW_ADMIT_REFUSED && ans.wait == 500 && ans.worth == 400);
+  a.reuse = 3;
+  CHECK(pwadmit_ask(&a, &ask, &pool, 0).verdict == PW_ADMIT_QUEUED);
+  pwadmit_free(&a);
+}
+
 /* --- rollouts --- */
 
 static pw_rollout_ask roll_ask(const char *wanted, uint64_t asked) {
@@ -843,6 +889,8 @@
 
 int main(void) {
   TESTS_BEGIN("policy");
+  TEST(test_move);
+  TEST(test_worth);
   TEST(test_rollout_steps);
   TEST(test_rollout_back);
   TEST(test_rollout_changes);
