bench-fleet-many: all restarted in turn under load, a tenth killed, control frozen

Cause: rolling restarts and mass failures were proved with 16 processes only. Change: bench/fleet.lua, run by make bench-fleet-many and make capacity.

--- a/Makefile
+++ b/Makefile
@@ -99,9 +99,11 @@
 bench-control: all $(FAKES) $(RUNNER)
 	$(RUNNER) --bin $(BUILD) bench/control.lua
 
-# The same with 152 processes of peatwell and 141 stand-ins.
+# The same with 152 processes of peatwell and 141 stand-ins; then all of them
+# restarted under load, and a tenth killed.
 bench-fleet-many: all $(FAKES) $(RUNNER)
 	PW_ENTRIES=8 PW_ENGINES=140 $(RUNNER) --bin $(BUILD) bench/control.lua
+	PW_ENTRIES=8 PW_ENGINES=140 $(RUNNER) --bin $(BUILD) bench/fleet.lua
 
 demo: deps
 	@$(MAKE) --no-print-directory -j$(JOBS) all $(FAKES) $(RUNNER)
@@ -126,6 +128,7 @@
 capacity: all $(FAKES) $(RUNNER) $(BUILD)/bench_path $(BUILD)/bench_policy
 	PW_ENTRIES=4 PW_ENGINES=20 $(RUNNER) --bin $(BUILD) bench/control.lua >docs/measured/control-28.md
 	PW_ENTRIES=8 PW_ENGINES=140 $(RUNNER) --bin $(BUILD) bench/control.lua >docs/measured/control-152.md
+	PW_ENTRIES=8 PW_ENGINES=140 $(RUNNER) --bin $(BUILD) bench/fleet.lua >docs/measured/fleet-151.md
 	$(RUNNER) --bin $(BUILD) bench/path.lua >docs/measured/path.md
 	$(BUILD)/bench_policy all docs/results.svg >docs/measured/policy.md
 
