What may begin anew elsewhere is resumed twice at most at a lost target

Cause: a request whose target was killed asked the same target to go on seven times (over 6 s) before it went elsewhere, though nothing of its answer had reached the caller. Change: seven resumes only where the caller has seen part of the answer.

--- a/packages/daemon/pwattempt.c
+++ b/packages/daemon/pwattempt.c
@@ -5,6 +5,7 @@
 #include "pwlog.h"
 
 #define RESUMES_MAX 7
+#define RESUMES_FIRST 2 /* of what may begin anew elsewhere instead */
 
 /* A claim is settled only by a whole answer or a proof that it did not run;
 ** with neither it stays claimed, and resends learn that. */
@@ -190,7 +191,8 @@
 ** attempt whose link was lost. The engine knows the stream by its first id, so
 ** this starts nothing twice and costs no retry. */
 static int may_resume(const pw_flight *f, pw_code code) {
-  if (f->call->is_service || f->resumes >= RESUMES_MAX)
+  int most = may_repeat(f) ? RESUMES_FIRST : RESUMES_MAX;
+  if (f->call->is_service || f->resumes >= most)
     return 0;
   int link = code == PW_E_TIMEOUT || code == PW_E_CUT;
   return f->got_head || (link && !f->call->never);
