peatwell report: the three measures over a time, as a table and a picture

Cause: the measures could be had only by reading /metrics of every process. Change: report samples all processes once a second; refusals by workspace come from the time line. Finding the processes is shared with timeline (pwprocs).

--- a/packages/cli/peatwell.c
+++ b/packages/cli/peatwell.c
@@ -35,6 +35,7 @@
     {"drain", pwcmd_drain, "TARGET [off]",
      "give a target no new work, or (off) work again", 1},
     {"timeline", pwcmd_timeline, "", "merge the events of all processes", 1},
+    {"report", pwcmd_report, "[FILE.html]", "measure the fleet for a while", 1},
     {"backup", pwcmd_backup, "FILE", "write all resources to a file", 1},
     {"restore", pwcmd_restore, "FILE",
      "make the resources of a backup so, all or none", 1},
@@ -133,6 +134,8 @@
   struct arg_lit *follow = arg_lit0("f", "follow", "go on until interrupted");
   struct arg_str *since =
       arg_str0(NULL, "since", "N", "revision (watch) or ms since 1970");
+  struct arg_int *seconds =
+      arg_int0(NULL, "seconds", "N", "report: how long to measure (10)");
   struct arg_str *chat = arg_str0(NULL, "chat", "ID", "only this chat");
   struct arg_str *request =
       arg_str0(NULL, "request", "ID", "only this request");
@@ -140,14 +143,15 @@
   struct arg_lit *help = arg_lit0("h", "help", "print this help");
   struct arg_str *args = arg_strn(NULL, NULL, cmd->args, 0, ARGS_MAX, "");
   struct arg_end *end = arg_end(8);
-  void *table[] = {server, key,  output,  wait,   timeout, dry,  follow,
-                   since,  chat, request, target, help,    args, end};
+  void *table[] = {server,  key,  output,  wait,   timeout, dry,  follow, since,
+                   seconds, chat, request, target, help,    args, end};
   int errors = arg_parse(argc, argv, table);
   int code = PWEXIT_USAGE;
   pw_options o = {.wait = wait->count,
                   .dry_run = dry->count,
                   .follow = follow->count,
                   .since = value(since),
+                  .seconds = seconds->count ? seconds->ival[0] : 10,
                   .chat = value(chat),
                   .request = value(request),
                   .target = value(target),
--- a/packages/cli/pwcmd.h
+++ b/packages/cli/pwcmd.h
@@ -21,6 +21,7 @@
   int wait;
   int dry_run;
   int follow;
+  int seconds; /* report: how long to measure */
   const char *since;
   const char *chat;
   const char *request;
@@ -36,6 +37,7 @@
 int pwcmd_status(pw_options *o);
 int pwcmd_drain(pw_options *o);
 int pwcmd_timeline(pw_options *o);
+int pwcmd_report(pw_options *o);
 int pwcmd_backup(pw_options *o);
 int pwcmd_restore(pw_options *o);
 int pwcmd_check(pw_options *o);
@@ -45,6 +47,9 @@
 /* Prints an error as one line with its code; gives the exit code. */
 int pwcmd_error(pw_code code, const char *message);
 
+/* The processes of the fleet as a JSON list of {http, role}; new reference. */
+json_t *pwcmd_processes(pw_options *o);
+
 /* Waits until `revision` is in force everywhere, showing progress. */
 int pwcmd_wait(pw_options *o, json_int_t revision);
 
--- a/packages/cli/pwtime.c
+++ b/packages/cli/pwtime.c
@@ -10,7 +10,6 @@
 
 #define FOLLOW_NS 500000000L
 #define HLC_BITS 16
-#define SERVERS_MAX 4096
 
 static const char *text(const json_t *o, const char *key) {
   const char *s = json_string_value(json_object_get(o, key));
@@ -25,52 +24,6 @@
   return (i > j) - (i < j);
 }
 
-/* Adds the HTTP address of a process unless it is there. */
-static void add_server(json_t *servers, const char *addr) {
-  size_t i;
-  json_t *s;
-  if (!addr[0] || json_array_size(servers) >= SERVERS_MAX)
-    return;
-  json_array_foreach(servers, i, s) {
-    if (!strcmp(json_string_value(s), addr))
-      return;
-  }
-  json_array_append_new(servers, json_string(addr));
-}
-
-/* Control instances and entries from the status; agents from the entries. */
-static json_t *find_servers(pw_options *o) {
-  char message[256];
-  json_t *servers = json_array();
-  json_t *st;
-  size_t i;
-  json_t *row;
-  for (int k = 0; k < o->client.nservers; k++)
-    add_server(servers, o->client.server[k]);
-  if (pwclient_call(&o->client, "GET", "/v1/status", NULL, &st, message,
-                    sizeof message) == PW_OK) {
-    json_array_foreach(json_object_get(st, "members"), i, row) {
-      add_server(servers, text(row, "http"));
-    }
-    json_array_foreach(json_object_get(st, "children"), i, row) {
-      add_server(servers, text(row, "http"));
-    }
-  }
-  json_decref(st);
-  for (i = 0; i < json_array_size(servers); i++) {
-    json_t *children;
-    const char *s = json_string_value(json_array_get(servers, i));
-    if (pwclient_get(s, "/v1/children", &children) == PW_OK) {
-      size_t j;
-      json_array_foreach(children, j, row) {
-        add_server(servers, text(row, "http"));
-      }
-    }
-    json_decref(children);
-  }
-  return servers;
-}
-
 static int is_wanted(const pw_options *o, const json_t *e) {
   if (o->chat && !strstr(text(e, "chat"), o->chat))
     return 0;
@@ -90,7 +43,7 @@
     json_t *events;
     size_t j;
     json_t *e;
-    pwclient_get(json_string_value(s), path, &events);
+    pwclient_get(text(s, "http"), path, &events);
     json_array_foreach(events, j, e) {
       if (is_wanted(o, e))
         json_array_append(all, e);
@@ -146,7 +99,7 @@
 }
 
 int pwcmd_timeline(pw_options *o) {
-  json_t *servers = find_servers(o);
+  json_t *servers = pwcmd_processes(o);
   json_int_t since = o->since ? atoll(o->since) << HLC_BITS : 0;
   for (;;) {
     json_t *events = gather(o, servers, since);
--- a/tests/scenarios/01_path.lua
+++ b/tests/scenarios/01_path.lua
@@ -16,6 +16,20 @@
   fleet.expect("answer " .. i .. " whole and its own: " .. r.status .. r.body, fleet.is_answer(r, c.o))
 end
 
+-- The report shows what went on: here a refusal of one workspace.
+local report = io.popen(run.bin .. "/peatwell report " .. f.dir .. "/report.html --seconds 2 --server " .. f.control[1].health)
+for _ = 1, 40 do -- longer than it measures
+  f:ask{text = "measured", chat = "m"}
+  local r = f:ask{text = "late", chat = "late", headers = {["Peatwell-Deadline-Ms"] = "1"}}
+  fleet.equal("a deadline that cannot be met", r["Peatwell-Code"], "2002")
+  run.pause(100)
+end
+local table_text = report:read("a")
+report:close()
+fleet.expect("a measure", table_text:find("prompt tokens cached"))
+fleet.expect("a workspace's refusals: " .. table_text, table_text:find("\nkett%s+%d"))
+fleet.expect("a picture", fleet.read(f.dir .. "/report.html"):find("<polyline"))
+
 -- Bad input: the code, the outcome, and no run at any engine.
 local function started()
   local n = 0
