A roll-out is settled when every target was heard and the last step is in force

Change: targets never heard of are counted (`unheard`) and keep it waiting, and the last revision is waited for.

--- a/packages/cli/pwcmd.c
+++ b/packages/cli/pwcmd.c
@@ -366,12 +366,12 @@
 
 static void print_rollout(const json_t *r) {
   printf("%-16s %-12s %-12s %5.1f%% %-12s %3lld/%lld serving, %lld loading, "
-         "%lld failed %s\n",
+         "%lld failed, %lld unheard %s\n",
          text(r, "model"), text(r, "from"), text(r, "to"),
          json_number_value(json_object_get(r, "share")), text(r, "state"),
          (long long)number(r, "serving_to"), (long long)number(r, "targets"),
          (long long)number(r, "loading"), (long long)number(r, "failed"),
-         text(r, "why"));
+         (long long)number(r, "unheard"), text(r, "why"));
 }
 
 static void print_rollouts(const json_t *list) {
@@ -433,19 +433,21 @@
   char message[MESSAGE] = "";
   int64_t until = pwclock_ms() + o->client.timeout_ms;
   json_t *shown = json_object();
+  json_int_t revision = 0;
   int settled = 0;
   while (!settled && pwclock_ms() < until) {
     json_t *st;
     if (pwclient_call(&o->client, "GET", "/v1/status", NULL, &st, message,
                       sizeof message) == PW_OK)
       settled = follow_rollouts(json_object_get(st, "rollouts"), shown);
+    revision = number(st, "revision");
     json_decref(st);
     struct timespec ts = {0, POLL_NS};
     nanosleep(&ts, NULL);
   }
   json_decref(shown);
-  if (settled > 0)
-    return PWEXIT_OK;
+  if (settled > 0) /* the last step, too, is to be in force */
+    return pwcmd_wait(o, revision);
   return pwcmd_error(settled ? PW_E_ROLLED_BACK : PW_E_WAIT,
                      settled ? "" : "a rollout is still under way");
 }
--- a/packages/daemon/pwplanner.c
+++ b/packages/daemon/pwplanner.c
@@ -328,6 +328,17 @@
   free(sl->s);
 }
 
+/* Targets that should carry the model and were never heard of. */
+static int count_unheard(const pw_planner *pl, const slots *sl) {
+  int n = 0;
+  int64_t at;
+  for (int i = 0; i < sl->n; i++) {
+    const target *t = sl->of[i]->t;
+    n += !t->drain && !pwnews_target(pl->news, t->name, &at);
+  }
+  return n;
+}
+
 static int count_loading(const pw_planner *pl) {
   int n = 0;
   for (const target *t = pl->targets; t; t = t->hh.next)
@@ -655,15 +666,17 @@
   int back = r->state == PW_ROLLOUT_BACK;
   int carry = m->replicas && m->replicas < usable ? m->replicas : usable;
   int right = count_serving(&sl, back ? r->from : r->to);
+  int unheard = count_unheard(pl, &sl);
   int moves = r->state == PW_ROLLOUT_ROLLING && r->share < 100;
   json_t *o = pwassign_rollout_json(r);
   json_object_update_new(
-      o, json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:b}", "model", m->name,
+      o, json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i,s:b}", "model", m->name,
                    "wanted", m->wanted, "targets", carry, "serving_to",
                    count_serving(&sl, r->to), "serving_from",
                    count_serving(&sl, r->from), "loading", loading, "failed",
-                   failed, "settled",
-                   !moves && right == carry && !strcmp(r->to, m->wanted)));
+                   failed, "unheard", unheard, "settled",
+                   !moves && !unheard && right == carry &&
+                       !strcmp(r->to, m->wanted)));
   slots_free(&sl);
   return o;
 }
--- a/tests/scenarios/14_backup.lua
+++ b/tests/scenarios/14_backup.lua
@@ -48,7 +48,8 @@
 rolled, why = f:peatwell("status --wait")
 fleet.equal("in service again: " .. rolled, why, 0)
 local o = {text = "under the new group"}
-fleet.expect("answered under the new group", fleet.is_answer(f:ask(o), o))
+local answer = f:ask(o)
+fleet.expect("answered under the new group: " .. answer.body, fleet.is_answer(answer, o))
 
 -- Orders of the new group are newer to an engine that remembers the old one's.
 f:apply('[[resource]]\nkind = "version"\nname = "v2"\n[resource.spec]\nmodel = "register"\nstep_s = 0\nmin_requests = 0\n' ..
