--- a/packages/daemon/pwtargets.c
+++ b/packages/daemon/pwtargets.c
@@ -6,11 +6,14 @@
 #include "pwlog.h"
 
 #include <jansson.h>
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
 #include <xxhash.h>
 
+#define TABLE_THREADS 3      /* besides the wire thread */
 #define CLOCK_MARGIN_PPM 200 /* two clocks drift apart by no more */
 
 /* A target that no report has named for this long is taken for dead. */
@@ -210,32 +213,90 @@
   return (x > y) - (x < y);
 }
 
+/* A pool's members as read, and its table if that is to be built anew. */
+typedef struct build {
+  pool *p;
+  uint64_t *id;
+  pw_place_target *pt;
+  int n;
+  int is_due;
+  pw_place *place;
+} build;
+
+typedef struct builds {
+  build *b;
+  int n;
+  atomic_int next;
+} builds;
+
 /* A draining target keeps its place: its chats spill along the ranks and come
 ** home when the drain is lifted. */
-static void rebuild_pool(pw_targets *t, pool *p, const members *all) {
-  uint64_t *id = pw_alloc(sizeof *id * (all->n + 1));
-  pw_place_target *pt = pw_alloc(sizeof *pt * (all->n + 1));
-  int n = 0;
+static void read_pool(const pw_targets *t, pool *p, const members *all,
+                      build *out) {
+  *out = (build){.p = p};
+  out->id = pw_alloc(sizeof *out->id * (all->n + 1));
+  out->pt = pw_alloc(sizeof *out->pt * (all->n + 1));
   for (size_t i = 0; i < all->n; i++)
     if (all->m[i].p == p)
-      id[n++] = all->m[i].id;
-  qsort(id, (size_t)n, sizeof *id, by_value);
-  for (int i = 0; i < n; i++) {
-    pt[i].id = id[i];
-    pt[i].weight = pwtargets_by_id(t, id[i])->weight;
+      out->id[out->n++] = all->m[i].id;
+  qsort(out->id, (size_t)out->n, sizeof *out->id, by_value);
+  for (int i = 0; i < out->n; i++) {
+    out->pt[i].id = out->id[i];
+    out->pt[i].weight = pwtargets_by_id((pw_targets *)t, out->id[i])->weight;
+  }
+  uint64_t shape = XXH3_64bits(out->pt, sizeof *out->pt * (size_t)out->n);
+  out->is_due = !p->place || shape != p->shape || out->n != p->n;
+  p->shape = shape;
+}
+
+static void *build_some(void *arg) {
+  builds *bs = arg;
+  int i;
+  while ((i = atomic_fetch_add(&bs->next, 1)) < bs->n) {
+    build *b = &bs->b[i];
+    if (b->is_due)
+      b->place = pwplace_build(b->pt, b->n, b->p->place);
   }
-  uint64_t shape = XXH3_64bits(pt, sizeof *pt * (size_t)n);
-  if (!p->place || shape != p->shape || n != p->n) {
+  return NULL;
+}
+
+/* Tables are built side by side: at the start of a large region they take
+** seconds. */
+static void build_tables(builds *bs) {
+  pthread_t thread[TABLE_THREADS];
+  int due = 0;
+  int n = 0;
+  for (int i = 0; i < bs->n; i++)
+    due += bs->b[i].is_due;
+  while (n < due - 1 && n < TABLE_THREADS &&
+         pthread_create(&thread[n], NULL, build_some, bs) == 0)
+    n++;
+  build_some(bs);
+  for (int i = 0; i < n; i++)
+    pthread_join(thread[i], NULL);
+}
+
+static void take_build(pw_targets *t, build *b) {
+  pool *p = b->p;
+  if (b->is_due) {
     pwcount_add(t->p->counters, PWC_TABLES, 1);
-    pw_place *place = pwplace_build(pt, n, p->place);
     pwplace_free(p->place);
-    p->place = place;
-    p->shape = shape;
+    p->place = b->place;
   }
   free(p->id);
-  free(pt);
-  p->id = id;
-  p->n = n;
+  free(b->pt);
+  p->id = b->id;
+  p->n = b->n;
+}
+
+static void rebuild_pools(pw_targets *t, const members *all) {
+  builds bs = {.b = pw_alloc(sizeof *bs.b * (HASH_COUNT(t->pools) + 1))};
+  for (pool *p = t->pools; p; p = p->hh.next)
+    read_pool(t, p, all, &bs.b[bs.n++]);
+  build_tables(&bs);
+  for (int i = 0; i < bs.n; i++)
+    take_build(t, &bs.b[i]);
+  free(bs.b);
 }
 
 static void drop_unmarked(pw_targets *t) {
@@ -278,8 +339,7 @@
     json_decref(spec);
   }
   drop_unmarked(t);
-  for (pool *p = t->pools; p; p = p->hh.next)
-    rebuild_pool(t, p, &all);
+  rebuild_pools(t, &all);
   free(all.m);
   free(a);
   int n = (int)HASH_COUNT(t->rows);
