--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 MAKEFLAGS += --no-builtin-rules
 .SECONDARY:
-.PHONY: all bench-policy bench-path bench-control bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak capacity install sanitized format lint help clean
+.PHONY: all bench-policy bench-path bench-control bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak capacity install deb sanitized format lint help clean
 
 all: $(BINS)
 
@@ -169,6 +169,10 @@
 	install -D -m 644 systemd/peatwelld@.service \
 	  $(DESTDIR)$(PREFIX)/lib/systemd/system/peatwelld@.service
 
+# A Debian package of the same.
+deb: all
+	@tools/make-deb $(BUILD)
+
 SOURCES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v pb-c)
 
 format:
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -104,7 +104,9 @@
 function process:fault(what) self:get("/fault?" .. what) end
 
 -- Builds a fleet. o: control, entries, engines, services (counts), and texts
--- added to settings: agent, entry, control; relays between entry and agent.
+-- added to settings: agent, entry, control; relays between entry and agent;
+-- regions: a list from which entries and engines take one in turn, each region's
+-- entries reaching control through relays of its own (self.region_relays).
 function fleet.new(o)
   local f = setmetatable({dir = run.temp_dir(), all = {}, control = {},
     entries = {}, agents = {}, engines = {}, o = o}, {__index = fleet})
@@ -142,9 +144,10 @@
   return string.format("keys_file = %q\ntrust_file = %q\n", file, self.dir .. "/trust")
 end
 
-function fleet:daemon(name, role, zone, text, port)
+function fleet:daemon(name, role, zone, text, port, region)
   local path = self.dir .. "/" .. name .. ".toml"
   local keys = self.o.curve and self:add_key(name, text) or ""
+  if region then keys = keys .. string.format("region = %q\n", region) end
   write(path, string.format('[instance]\nname = %q\nroles = [%q]\n' ..
     'availability_zone = %q\n%s\n%s', name, role, zone,
     keys .. (self.o.instance or ""), text))
@@ -155,6 +158,42 @@
 
 local function zone_of(i, n) return "az-" .. ((i - 1) % n + 1) end
 
+-- Region of the i-th entry or engine, or nil.
+function fleet:region(i)
+  local list = self.o.regions
+  return list and list[(i - 1) % #list + 1]
+end
+
+-- Wires of control as a region reaches them: through relays that can be cut.
+-- They are set as parents, so that no entry follows the leader's own address.
+function fleet:control_of(region)
+  self.region_links = self.region_links or {}
+  self.region_relays = self.region_relays or {}
+  if not self.region_links[region] then
+    local links, relays = {}, {}
+    for k, w in ipairs(self.control_wires) do
+      local relay, port = run.relay(tonumber(w:match(":(%d+)$")))
+      links[k], relays[k] = tcp(port), relay
+    end
+    self.region_links[region], self.region_relays[region] = links, relays
+  end
+  return self.region_links[region]
+end
+
+-- Sets the relays between a region and control: "pass", "cut" or "freeze".
+function fleet:set_region(region, mode)
+  for _, r in ipairs(self.region_relays[region]) do run.relay_set(r, mode) end
+end
+
+-- Wires of the entries of a region; of all when there are none.
+function fleet:entry_wires_of(region)
+  local out = {}
+  for i, w in ipairs(self.entry_wires) do
+    if not region or self:region(i) == region then out[#out + 1] = w end
+  end
+  return out
+end
+
 function fleet:plan()
   local o = self.o
   local zones = o.zones or 3
@@ -176,19 +215,20 @@
   end
   for i, p in ipairs(self.entries) do
     local others = {}
-    for k, w in ipairs(self.entry_wires) do
-      if k ~= i then others[#others + 1] = w end
+    for _, w in ipairs(self:entry_wires_of(region)) do
+      if w ~= self.entry_wires[i] then others[#others + 1] = w end
     end
-    local parents = o.relays_of and o.relays_of[i]
-    local level = parents and "parents = " .. quoted(parents(self)) .. "\n" or ""
+    local region = self:region(i)
+    local parents = region and self:control_of(region) or o.relays_of and o.relays_of[i] and o.relays_of[i](self)
+    local level = parents and "parents = " .. quoted(parents) .. "\n" or ""
     local e = self:daemon("entry-" .. i, "entry", zone_of(i, zones), string.format(
       '[entry]\nhttp = %q\nwire = %q\ncontrol = %s\npeers = %s\n%s\n',
       http(p.http), tcp(p.wire), quoted(self.control_links or self.control_wires),
-      quoted(others), level .. (o.entry or "")), p.http)
+      quoted(others), level .. (o.entry or "")), p.http, region)
     e.wire = p.wire
     self.entries[i] = e
   end
-  for i = 1, o.engines or 3 do self:target("engine-" .. i, "engine", zone_of(i, zones)) end
+  for i = 1, o.engines or 3 do self:target("engine-" .. i, "engine", zone_of(i, zones), self:region(i)) end
   for i = 1, o.services or 0 do self:target("portal-" .. i, "service", zone_of(i, zones)) end
 end
 
@@ -204,7 +244,7 @@
 
 -- A target: the stand-in and its agent. With o.relays the entries reach the
 -- agent through a relay; with "all" the agent its target, too.
-function fleet:target(name, kind, zone)
+function fleet:target(name, kind, zone, region)
   local o = self.o
   local port, wire, health = run.port(), run.port(), run.port()
   local argv = {run.bin .. "/fake-" .. kind, tostring(port)}
@@ -218,11 +258,12 @@
   local agent = self:daemon("agent-" .. name, "agent", zone, string.format(
     '[agent]\nhttp = %q\nwire = %q\nupstream = %s\ntarget = %q\nkind = %q\n' ..
     'url = "http://127.0.0.1:%d"\n%s\n', http(health), tcp(wire),
-    quoted(self.entry_wires), name, kind, url, o.agent or ""), health)
+    quoted(self:entry_wires_of(region)), name, kind, url, o.agent or ""), health, region)
   if o.relays then
     agent.relay, link = run.relay(wire)
   end
   agent.link, agent.zone, agent.target, agent.kind = tcp(link), zone, name, kind
+  agent.region = region
   self.engines[#self.engines + 1] = engine
   self.agents[#self.agents + 1] = agent
   engine.agent, agent.engine = agent, engine
@@ -232,7 +273,8 @@
 function fleet:target_toml(agent)
   local serves = agent.kind == "engine" and 'models = ["register"]' or 'services = ["portal"]'
   return string.format('[[resource]]\nkind = "target"\nname = %q\n[resource.spec]\n' ..
-    'agent = %q\navailability_zone = %q\n%s\n', agent.target, agent.link, agent.zone, serves)
+    'agent = %q\navailability_zone = %q\nregion = %q\n%s\n', agent.target, agent.link, agent.zone,
+    agent.region or "", serves)
 end
 
 fleet.KEYS = {kett = "kett-key-0001", exams = "exams-key-0001", quiet = "quiet-key-0001"}
