--- a/packages/cli/pwcmd.c
+++ b/packages/cli/pwcmd.c
@@ -3,6 +3,7 @@
 
 #include "pwbuf.h"
 #include "pwclock.h"
+#include "pwjson.h"
 #include "pwset.h"
 #include "pwtoml.h"
 
@@ -15,11 +16,6 @@
 #define POLL_NS 100000000L
 #define ROOT "/v1/resources"
 
-static const char *text(const json_t *o, const char *key) {
-  const char *s = json_string_value(json_object_get(o, key));
-  return s ? s : "";
-}
-
 static json_int_t number(const json_t *o, const char *key) {
   return json_integer_value(json_object_get(o, key));
 }
@@ -40,7 +36,7 @@
 /* --- files --- */
 
 static int is_resource(const json_t *r) {
-  return text(r, "kind")[0] && text(r, "name")[0];
+  return pwjson_text(r, "kind")[0] && pwjson_text(r, "name")[0];
 }
 
 static int add_file(json_t *list, const char *path) {
@@ -96,7 +92,8 @@
   size_t i;
   json_t *r;
   json_array_foreach(list, i, r) {
-    if (!strcmp(text(r, "kind"), kind) && !strcmp(text(r, "name"), name))
+    if (!strcmp(pwjson_text(r, "kind"), kind) &&
+        !strcmp(pwjson_text(r, "name"), name))
       return r;
   }
   return NULL;
@@ -127,12 +124,13 @@
   size_t i;
   json_t *r;
   json_array_foreach(wanted, i, r) {
-    const json_t *old = find(have, text(r, "kind"), text(r, "name"));
+    const json_t *old =
+        find(have, pwjson_text(r, "kind"), pwjson_text(r, "name"));
     const json_t *old_spec = json_object_get(old, "spec");
     const json_t *spec = json_object_get(r, "spec");
     int same = old && json_equal(old_spec, spec);
     if (!o->json)
-      printf("%s/%s: %s\n", text(r, "kind"), text(r, "name"),
+      printf("%s/%s: %s\n", pwjson_text(r, "kind"), pwjson_text(r, "name"),
              same  ? "unchanged"
              : old ? "changed"
                    : "created");
@@ -218,7 +216,7 @@
           (long long)now, (long long)revision,
           (long long)number(force, "processes"),
           now < revision ? ", behind: " : "",
-          now < revision ? text(force, "behind") : "");
+          now < revision ? pwjson_text(force, "behind") : "");
 }
 
 int pwcmd_wait(pw_options *o, json_int_t revision) {
@@ -234,7 +232,8 @@
       show_progress(force, revision, &shown);
       int done = is_everywhere(force, revision);
       snprintf(why, sizeof why, "%s still has revision %lld",
-               text(force, "behind"), (long long)number(force, "revision"));
+               pwjson_text(force, "behind"),
+               (long long)number(force, "revision"));
       if (!json_is_true(json_object_get(force, "settled")))
         snprintf(why, sizeof why, "the new leader has not heard from all yet");
       json_decref(st);
@@ -255,8 +254,9 @@
 
 static void print_resource_line(const json_t *r) {
   char *spec = json_dumps(json_object_get(r, "spec"), JSON_COMPACT);
-  printf("%-10s %-24s %7lld %9lld %s\n", text(r, "kind"), text(r, "name"),
-         (long long)number(r, "version"), (long long)number(r, "revision"),
+  printf("%-10s %-24s %7lld %9lld %s\n", pwjson_text(r, "kind"),
+         pwjson_text(r, "name"), (long long)number(r, "version"),
+         (long long)number(r, "revision"),
          json_is_true(json_object_get(r, "deleted")) ? "deleted" : spec);
   free(spec);
 }
@@ -265,7 +265,7 @@
   size_t i;
   json_t *r;
   json_array_foreach(list, i, r) {
-    if (!kind || !strcmp(kind, text(r, "kind")))
+    if (!kind || !strcmp(kind, pwjson_text(r, "kind")))
       print_resource_line(r);
   }
 }
@@ -355,8 +355,9 @@
   size_t i;
   json_t *r;
   json_array_foreach(list, i, r) {
-    printf("%-16s %-8s %-10s %9lld %9lld %6lld %8lld ms%s\n", text(r, "name"),
-           text(r, "role"), text(r, "availability_zone"),
+    printf("%-16s %-8s %-10s %9lld %9lld %6lld %8lld ms%s\n",
+           pwjson_text(r, "name"), pwjson_text(r, "role"),
+           pwjson_text(r, "availability_zone"),
            (long long)number(r, "revision"),
            (long long)number(r, "below_revision"),
            (long long)number(r, "below"), (long long)number(r, "silent_ms"),
@@ -367,11 +368,12 @@
 static void print_rollout(const json_t *r) {
   printf("%-16s %-12s %-12s %5.1f%% %-12s %3lld/%lld serving, %lld loading, "
          "%lld failed, %lld unheard %s\n",
-         text(r, "model"), text(r, "from"), text(r, "to"),
-         json_number_value(json_object_get(r, "share")), text(r, "state"),
-         (long long)number(r, "serving_to"), (long long)number(r, "targets"),
-         (long long)number(r, "loading"), (long long)number(r, "failed"),
-         (long long)number(r, "unheard"), text(r, "why"));
+         pwjson_text(r, "model"), pwjson_text(r, "from"), pwjson_text(r, "to"),
+         json_number_value(json_object_get(r, "share")),
+         pwjson_text(r, "state"), (long long)number(r, "serving_to"),
+         (long long)number(r, "targets"), (long long)number(r, "loading"),
+         (long long)number(r, "failed"), (long long)number(r, "unheard"),
+         pwjson_text(r, "why"));
 }
 
 static void print_rollouts(const json_t *list) {
@@ -389,7 +391,7 @@
   const json_t *force = json_object_get(st, "in_force");
   size_t i;
   json_t *m;
-  printf("leader %s  term %lld  revision %lld\n", text(st, "leader"),
+  printf("leader %s  term %lld  revision %lld\n", pwjson_text(st, "leader"),
          (long long)number(st, "term"), (long long)number(st, "revision"));
   printf("in force: revision %lld in %lld processes%s\n",
          (long long)number(force, "revision"),
@@ -399,7 +401,7 @@
              : " (a new leader is still hearing from all)");
   json_array_foreach(json_object_get(st, "members"), i, m) {
     printf("control %lld  %-9s %s\n", (long long)number(m, "id"),
-           text(m, "role"), text(m, "wire"));
+           pwjson_text(m, "role"), pwjson_text(m, "wire"));
   }
   print_rollouts(json_object_get(st, "rollouts"));
   printf("%-16s %-8s %-10s %9s %9s %6s %11s\n", "CHILD", "ROLE", "ZONE",
@@ -415,16 +417,17 @@
   int settled = 1;
   int back = 0;
   json_array_foreach(list, i, r) {
-    if (!json_equal(r, json_object_get(shown, text(r, "model")))) {
+    if (!json_equal(r, json_object_get(shown, pwjson_text(r, "model")))) {
       fprintf(
           stderr, "%s: %s to %s, %s, %.1f%% of chats, %lld of %lld targets\n",
-          text(r, "model"), text(r, "from"), text(r, "to"), text(r, "state"),
+          pwjson_text(r, "model"), pwjson_text(r, "from"), pwjson_text(r, "to"),
+          pwjson_text(r, "state"),
           json_number_value(json_object_get(r, "share")),
           (long long)number(r, "serving_to"), (long long)number(r, "targets"));
-      json_object_set(shown, text(r, "model"), (json_t *)r);
+      json_object_set(shown, pwjson_text(r, "model"), (json_t *)r);
     }
     settled &= json_is_true(json_object_get(r, "settled"));
-    back |= !strcmp(text(r, "state"), "rolled-back");
+    back |= !strcmp(pwjson_text(r, "state"), "rolled-back");
   }
   return !settled ? 0 : back ? -1 : 1;
 }
--- a/packages/cli/pwprocs.c
+++ b/packages/cli/pwprocs.c
@@ -1,15 +1,12 @@
 /* pwprocs.c: finds the processes of a fleet. */
 #include "pwcmd.h"
 
+#include "pwjson.h"
+
 #include <string.h>
 
 #define PROCESSES_MAX 16384
 
-static const char *text(const json_t *o, const char *key) {
-  const char *s = json_string_value(json_object_get(o, key));
-  return s ? s : "";
-}
-
 /* Adds a process by its HTTP address unless it is there. */
 static void add(json_t *list, const char *http, const char *role) {
   size_t i;
@@ -17,7 +14,7 @@
   if (!http[0] || json_array_size(list) >= PROCESSES_MAX)
     return;
   json_array_foreach(list, i, p) {
-    if (!strcmp(text(p, "http"), http))
+    if (!strcmp(pwjson_text(p, "http"), http))
       return;
   }
   json_array_append_new(list,
@@ -28,7 +25,7 @@
   size_t i;
   json_t *row;
   json_array_foreach(rows, i, row) {
-    add(list, text(row, "http"), role ? role : text(row, "role"));
+    add(list, pwjson_text(row, "http"), role ? role : pwjson_text(row, "role"));
   }
 }
 
@@ -48,7 +45,8 @@
   for (size_t i = 0; i < json_array_size(list); i++) {
     json_t *children;
     const json_t *p = json_array_get(list, i);
-    if (pwclient_get(text(p, "http"), "/v1/children", &children) == PW_OK)
+    if (pwclient_get(pwjson_text(p, "http"), "/v1/children", &children) ==
+        PW_OK)
       add_rows(list, children, NULL);
     json_decref(children);
   }
--- a/packages/cli/pwreportcmd.c
+++ b/packages/cli/pwreportcmd.c
@@ -1,11 +1,11 @@
-/* pwreportcmd.c: `peatwell report`: the three measures over a time, as a table
- *and
- ** as one HTML file with a picture. */
+/* pwreportcmd.c: `peatwell report`: the three measures over a time, as a
+** table and as one HTML file with a picture. */
 #include "pwcmd.h"
 
 #include "pwbuf.h"
 #include "pwclock.h"
 #include "pwfetch.h"
+#include "pwjson.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -22,7 +22,7 @@
 
 /* What is read of one process. */
 typedef struct reading {
-  double cached, prompt, control, requests, not_run, unknown, load;
+  double cached, prompt, control, requests, not_run, load;
   int ok;
 } reading;
 
@@ -78,7 +78,6 @@
                                 counter(t, "control_received_bytes_total"),
                      .requests = counter(t, "requests_total"),
                      .not_run = counter(t, "answers_not_run_total"),
-                     .unknown = counter(t, "answers_unknown_total"),
                      .load = counter(t, "load_tokens")};
   pwbuf_free(&out);
 }
@@ -153,11 +152,6 @@
   r->w[r->nw++].refused = 1;
 }
 
-static const char *text(const json_t *o, const char *key) {
-  const char *s = json_string_value(json_object_get(o, key));
-  return s ? s : "";
-}
-
 static void read_refusals(report *r, int64_t since_ms) {
   char path[64];
   snprintf(path, sizeof path, "/v1/events?since=%lld",
@@ -170,8 +164,8 @@
       continue; /* what an agent refuses may run elsewhere */
     pwclient_get(r->p[i].http, path, &events);
     json_array_foreach(events, k, e) {
-      if (!strcmp(text(e, "event"), "refused"))
-        count_refusal(r, text(e, "chat"));
+      if (!strcmp(pwjson_text(e, "event"), "refused"))
+        count_refusal(r, pwjson_text(e, "chat"));
     }
     json_decref(events);
   }
@@ -305,8 +299,8 @@
   r->p = pw_alloc(sizeof *r->p * (json_array_size(list) + 1));
   json_array_foreach(list, i, p) {
     process *at = &r->p[r->n++];
-    at->http = text(p, "http");
-    at->is_agent = !strcmp(text(p, "role"), "agent");
+    at->http = pwjson_text(p, "http");
+    at->is_agent = !strcmp(pwjson_text(p, "role"), "agent");
   }
 }
 
--- a/packages/cli/pwtime.c
+++ b/packages/cli/pwtime.c
@@ -2,6 +2,7 @@
 #include "pwcmd.h"
 
 #include "pwbuf.h"
+#include "pwjson.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -11,11 +12,6 @@
 #define FOLLOW_NS 500000000L
 #define HLC_BITS 16
 
-static const char *text(const json_t *o, const char *key) {
-  const char *s = json_string_value(json_object_get(o, key));
-  return s ? s : "";
-}
-
 static int by_stamp(const void *a, const void *b) {
   const json_t *x = *(json_t *const *)a;
   const json_t *y = *(json_t *const *)b;
@@ -25,11 +21,11 @@
 }
 
 static int is_wanted(const pw_options *o, const json_t *e) {
-  if (o->chat && !strstr(text(e, "chat"), o->chat))
+  if (o->chat && !strstr(pwjson_text(e, "chat"), o->chat))
     return 0;
-  if (o->request && strcmp(text(e, "request"), o->request) != 0)
+  if (o->request && strcmp(pwjson_text(e, "request"), o->request) != 0)
     return 0;
-  return !o->target || !strcmp(text(e, "target"), o->target);
+  return !o->target || !strcmp(pwjson_text(e, "target"), o->target);
 }
 
 static json_t *gather(const pw_options *o, const json_t *servers,
@@ -43,7 +39,7 @@
     json_t *events;
     size_t j;
     json_t *e;
-    pwclient_get(text(s, "http"), path, &events);
+    pwclient_get(pwjson_text(s, "http"), path, &events);
     json_array_foreach(events, j, e) {
       if (is_wanted(o, e))
         json_array_append(all, e);
@@ -62,17 +58,17 @@
   gmtime_r(&sec, &tm);
   strftime(stamp, sizeof stamp, "%H:%M:%S", &tm);
   json_int_t code = json_integer_value(json_object_get(e, "code"));
-  printf("%s.%03d %-12s %-10s", stamp, (int)(ms % 1000), text(e, "instance"),
-         text(e, "event"));
+  printf("%s.%03d %-12s %-10s", stamp, (int)(ms % 1000),
+         pwjson_text(e, "instance"), pwjson_text(e, "event"));
   if (code)
     printf(" %s", pwcode_name((pw_code)code));
-  if (text(e, "request")[0])
-    printf(" request=%.8s", text(e, "request"));
-  if (text(e, "chat")[0])
-    printf(" chat=%s", text(e, "chat"));
-  if (text(e, "target")[0])
-    printf(" target=%s", text(e, "target"));
-  printf(" %s\n", text(e, "detail"));
+  if (pwjson_text(e, "request")[0])
+    printf(" request=%.8s", pwjson_text(e, "request"));
+  if (pwjson_text(e, "chat")[0])
+    printf(" chat=%s", pwjson_text(e, "chat"));
+  if (pwjson_text(e, "target")[0])
+    printf(" target=%s", pwjson_text(e, "target"));
+  printf(" %s\n", pwjson_text(e, "detail"));
 }
 
 /* Prints events in order; gives the newest stamp. */
--- /dev/null
+++ b/packages/core/pwjson.h
@@ -0,0 +1,13 @@
+/* pwjson.h: members of JSON objects with what stands for a missing one. */
+#ifndef PWJSON_H
+#define PWJSON_H
+
+#include <jansson.h>
+
+/* The string under a key; "" when there is none. Borrowed. */
+const char *pwjson_text(const json_t *o, const char *key);
+
+/* The number under a key; fallback when there is none. */
+double pwjson_number(const json_t *o, const char *key, double fallback);
+
+#endif
--- a/packages/daemon/pwassign.c
+++ b/packages/daemon/pwassign.c
@@ -2,15 +2,11 @@
 #include "pwassign.h"
 
 #include "pwbuf.h"
+#include "pwjson.h"
 
 #include <stdio.h>
 #include <string.h>
 
-static const char *text(const json_t *o, const char *key) {
-  const char *s = json_string_value(json_object_get(o, key));
-  return s ? s : "";
-}
-
 pw_assigned *pwassign_model(pw_assignment *a, const char *model) {
   for (int i = 0; i < a->nmodels; i++)
     if (!strcmp(a->model[i].model, model))
@@ -31,9 +27,9 @@
 static void read_model(pw_assigned *m, const json_t *o) {
   m->has_load = json_object_get(o, "load") != NULL;
   m->has_serve = json_object_get(o, "serve") != NULL;
-  pw_copy(m->load, sizeof m->load, text(o, "load"));
+  pw_copy(m->load, sizeof m->load, pwjson_text(o, "load"));
   m->attempt = (uint64_t)json_integer_value(json_object_get(o, "attempt"));
-  pw_copy(m->serve, sizeof m->serve, text(o, "serve"));
+  pw_copy(m->serve, sizeof m->serve, pwjson_text(o, "serve"));
   size_t i;
   const json_t *name;
   json_array_foreach(json_object_get(o, "adapters"), i, name) {
@@ -53,7 +49,7 @@
   out->term = (uint64_t)json_number_value(json_object_get(spec, "term"));
   out->sequence = one->revision;
   out->version = one->version;
-  pw_copy(out->role, sizeof out->role, text(spec, "role"));
+  pw_copy(out->role, sizeof out->role, pwjson_text(spec, "role"));
   json_object_foreach(json_object_get(spec, "models"), model, o) {
     pw_assigned *m = pwassign_add(out, model);
     if (m)
@@ -116,12 +112,12 @@
   if (!one)
     return 0;
   json_t *spec = json_loads(one->spec, 0, NULL);
-  pw_copy(out->from, sizeof out->from, text(spec, "from"));
-  pw_copy(out->to, sizeof out->to, text(spec, "to"));
+  pw_copy(out->from, sizeof out->from, pwjson_text(spec, "from"));
+  pw_copy(out->to, sizeof out->to, pwjson_text(spec, "to"));
   out->step = (int)json_number_value(json_object_get(spec, "step"));
   out->share = json_number_value(json_object_get(spec, "share"));
-  out->state = pwrollout_state_of(text(spec, "state"));
-  out->why = pwrollout_why_of(text(spec, "why"));
+  out->state = pwrollout_state_of(pwjson_text(spec, "state"));
+  out->why = pwrollout_why_of(pwjson_text(spec, "why"));
   out->asked = (uint64_t)json_number_value(json_object_get(spec, "asked"));
   json_decref(spec);
   return 1;
--- a/packages/daemon/pwassign.h
+++ b/packages/daemon/pwassign.h
@@ -1,10 +1,9 @@
 /* pwassign.h: the resources that the control leader writes, as typed values.
 **
-** An `assignment` says for a target which version of each model it is to load,
-** and which one it serves; a `rollout` says for a model which two versions
-*share
-** its chats. A target whose assignment does not name a model serves it as it
-** came, without a version. */
+** An `assignment` says for a target which version of each model it is to
+** load, and which one it serves; a `rollout` says for a model which two
+** versions share its chats. A target whose assignment does not name a model
+** serves it as it came, without a version. */
 #ifndef PWASSIGN_H
 #define PWASSIGN_H
 
--- a/packages/daemon/pwfeed.c
+++ b/packages/daemon/pwfeed.c
@@ -49,9 +49,8 @@
   return c;
 }
 
-/* Agents act on their own target, its assignment and the policy, and are sent
- *nothing else:
- ** what a workspace may do comes with each Run. */
+/* Agents act on their own target, its assignment and the policy, and are
+** sent nothing else: what a workspace may do comes with each Run. */
 static int is_wanted(const pw_child *c, const pw_resource *one) {
   if (strcmp(c->role, "agent") != 0 || !strcmp(one->kind, "policy"))
     return 1;
--- a/packages/daemon/pwnews.c
+++ b/packages/daemon/pwnews.c
@@ -121,14 +121,10 @@
   note_state(n, &gone, c->heard, now);
 }
 
-const Pw__TargetState *pwnews_target(const pw_news *n, const char *target,
-                                     int64_t *at) {
+const Pw__TargetState *pwnews_target(const pw_news *n, const char *target) {
   const state_row *r;
   HASH_FIND_STR(n->states, target, r);
-  if (!r)
-    return NULL;
-  *at = r->at;
-  return r->state;
+  return r ? r->state : NULL;
 }
 
 uint64_t pwnews_changes(const pw_news *n) {
--- a/packages/daemon/pwnews.h
+++ b/packages/daemon/pwnews.h
@@ -32,10 +32,8 @@
 void pwnews_sum(const pw_news *n, const char *pool, double *done,
                 double *failed);
 
-/* A target as the newest report has it, or NULL. *at is when it was so at the
-** latest. The state is borrowed. */
-const Pw__TargetState *pwnews_target(const pw_news *n, const char *target,
-                                     int64_t *at);
+/* A target as the newest report has it, or NULL. Borrowed. */
+const Pw__TargetState *pwnews_target(const pw_news *n, const char *target);
 
 /* Counts up with every change of a target's state. */
 uint64_t pwnews_changes(const pw_news *n);
--- a/packages/daemon/pworder.c
+++ b/packages/daemon/pworder.c
@@ -3,6 +3,7 @@
 
 #include "pwbuf.h"
 #include "pwfetch.h"
+#include "pwjson.h"
 #include "pwlog.h"
 
 #include <stdio.h>
@@ -92,13 +93,10 @@
   pthread_mutex_unlock(&o->lock);
   pw_code rc =
       may ? call(o, "POST", "/v1/orders", h, 3, body, &answer) : PW_E_NOT_READY;
-  const json_t *op = json_object_get(order, "op");
-  const json_t *model = json_object_get(order, "model");
   pwcount_add(o->p->counters, PWC_ORDERS, may);
   pwevent_add(o->p->events, PWE_ORDER, rc, NULL, NULL, o->p->set->agent_target,
-              "%s %s %s seq=%s", json_string_value(op),
-              model ? json_string_value(model) : "",
-              model ? json_string_value(json_object_get(order, "version")) : "",
+              "%s %s %s seq=%s", pwjson_text(order, "op"),
+              pwjson_text(order, "model"), pwjson_text(order, "version"),
               sequence);
   json_decref(answer);
   json_decref(order);
@@ -124,8 +122,7 @@
   size_t i;
   const json_t *m;
   json_array_foreach(models, i, m) {
-    const char *name = json_string_value(json_object_get(m, "model"));
-    if (name && !strcmp(name, model))
+    if (!strcmp(pwjson_text(m, "model"), model))
       return m;
   }
   return NULL;
@@ -148,20 +145,14 @@
 }
 
 static int has_version(const json_t *m, const char *version) {
-  const char *v = json_string_value(json_object_get(m, "version"));
-  return m && !strcmp(v ? v : "", version);
-}
-
-static const char *state_of(const json_t *m) {
-  const char *s = json_string_value(json_object_get(m, "state"));
-  return s ? s : "";
+  return m && !strcmp(pwjson_text(m, "version"), version);
 }
 
 /* What the target says about the version that is wanted. */
 static void look(done *d, const json_t *m, const pw_assigned *want) {
   int same = has_version(m, want->load);
-  d->loaded = same && !strcmp(state_of(m), "loaded");
-  d->under_way = same && !strcmp(state_of(m), "loading");
+  d->loaded = same && !strcmp(pwjson_text(m, "state"), "loaded");
+  d->under_way = same && !strcmp(pwjson_text(m, "state"), "loading");
   if (d->loaded || d->under_way)
     d->code = PW_OK;
   else if (d->given && d->code == PW_OK)
@@ -199,22 +190,15 @@
 
 /* Models that the target has and should not. */
 static void retire(pw_order *o, const pw_order_want *w, const json_t *models) {
-  size_t i;
-  const json_t *m;
-  json_array_foreach(models, i, m) {
-    const char *name = json_string_value(json_object_get(m, "model"));
-    for (int k = 0; name && k < w->n; k++) {
-      const pw_order_item *it = &w->item[k];
-      if (strcmp(it->want.model, name) != 0 || it->want.has_load || !it->idle)
-        continue;
+  for (int k = 0; k < w->n; k++) {
+    const pw_order_item *it = &w->item[k];
+    if (!it->want.has_load && it->idle && listed(models, it->want.model))
       send_order(o, w, order_json("retire", &it->want));
-    }
   }
 }
 
 static void set_role(pw_order *o, const pw_order_want *w, const json_t *doc) {
-  const char *role = json_string_value(json_object_get(doc, "role"));
-  if (!w->role[0] || (role && !strcmp(role, w->role)))
+  if (!strcmp(pwjson_text(doc, "role"), w->role) || !w->role[0])
     return;
   send_order(o, w, json_pack("{s:s,s:s}", "op", "role", "role", w->role));
 }
--- a/packages/daemon/pwplanner.c
+++ b/packages/daemon/pwplanner.c
@@ -3,6 +3,7 @@
 
 #include "pwassign.h"
 #include "pwbuf.h"
+#include "pwjson.h"
 #include "pwplace.h"
 #include "pwplan.h"
 
@@ -13,7 +14,6 @@
 #define PASS_MS 1000 /* between passes in which nothing has changed */
 #define BATCH_MAX 8  /* targets whose assignments one change writes */
 #define LOADS_AT_ONCE 2
-#define ADAPTERS_MAX PWASSIGN_ADAPTERS
 
 typedef struct target target;
 
@@ -32,7 +32,6 @@
   int drain;
   int gone; /* its resource is deleted */
   char role[PW_NAME_MAX];
-  char written_role[PW_NAME_MAX]; /* in the assignment */
   slot *slot;
   int nslots;
   int in_batch; /* number of the batch that writes it */
@@ -48,8 +47,7 @@
   int has_rollout;
   pw_rollout rollout;
   uint64_t rollout_version;
-  int in_batch;
-  char adapter[ADAPTERS_MAX][PW_NAME_MAX];
+  char adapter[PWASSIGN_ADAPTERS][PW_NAME_MAX];
   int nadapters;
   double done_to, failed_to, done_from, failed_from; /* when the step began */
   int counted_step; /* step and version that these are of */
@@ -111,16 +109,6 @@
 
 /* --- reading resources --- */
 
-static const char *text(const json_t *o, const char *key) {
-  const char *s = json_string_value(json_object_get(o, key));
-  return s ? s : "";
-}
-
-static double number(const json_t *o, const char *key, double fallback) {
-  const json_t *v = json_object_get(o, key);
-  return json_is_number(v) ? json_number_value(v) : fallback;
-}
-
 static model *model_of(pw_planner *pl, const char *name) {
   model *m;
   HASH_FIND_STR(pl->models, name, m);
@@ -149,9 +137,9 @@
                        const json_t *spec) {
   model *m = model_of(pl, one->name);
   m->asked = one->deleted ? 0 : one->version;
-  m->replicas = (int)number(spec, "replicas", 0);
+  m->replicas = (int)pwjson_number(spec, "replicas", 0);
   m->managed = json_object_get(spec, "version") || m->replicas;
-  pw_copy(m->wanted, sizeof m->wanted, text(spec, "version"));
+  pw_copy(m->wanted, sizeof m->wanted, pwjson_text(spec, "version"));
 }
 
 static void read_rollout(pw_planner *pl, const pw_resource *one) {
@@ -167,8 +155,8 @@
     if (one->deleted || strcmp(one->kind, "adapter") != 0)
       continue;
     json_t *spec = json_loads(one->spec, 0, NULL);
-    model *m = model_of(pl, text(spec, "model"));
-    if (m->nadapters < ADAPTERS_MAX)
+    model *m = model_of(pl, pwjson_text(spec, "model"));
+    if (m->nadapters < PWASSIGN_ADAPTERS)
       pw_copy(m->adapter[m->nadapters++], PW_NAME_MAX, one->name);
     json_decref(spec);
   }
@@ -212,8 +200,7 @@
   pwassign_read(pl->res, name, a);
   t->gone = one == NULL;
   t->drain = json_is_true(json_object_get(spec, "drain"));
-  pw_copy(t->role, sizeof t->role, text(spec, "role"));
-  pw_copy(t->written_role, sizeof t->written_role, a->role);
+  pw_copy(t->role, sizeof t->role, pwjson_text(spec, "role"));
   t->slot = pw_alloc(sizeof *t->slot * PWASSIGN_MODELS);
   t->nslots = 0;
   size_t i;
@@ -229,8 +216,8 @@
 }
 
 static void read_policy(pw_planner *pl, const json_t *spec) {
-  pl->weights = number(spec, "weights_bytes_per_s", 0);
-  pl->loads_at_once = (int)number(spec, "loads_at_once", LOADS_AT_ONCE);
+  pl->weights = pwjson_number(spec, "weights_bytes_per_s", 0);
+  pl->loads_at_once = (int)pwjson_number(spec, "loads_at_once", LOADS_AT_ONCE);
 }
 
 static void read_one(pw_planner *pl, const pw_resource *one, int *adapters) {
@@ -250,6 +237,8 @@
 
 static void read_changes(pw_planner *pl) {
   int adapters = 0;
+  if (pl->read != pwres_revision(pl->res))
+    pl->passed = 0; /* whoever asked: the next pass is due */
   if (pl->read < pwres_floor(pl->res))
     clear(pl);
   for (const pw_resource *one = pwres_after(pl->res, pl->read); one;
@@ -285,8 +274,7 @@
 /* A target whose assignment does not name the model serves it as it came, as
 ** long as no version has taken over from that. */
 static void look(const pw_planner *pl, const model *m, slot *s, int64_t now) {
-  int64_t at;
-  const Pw__TargetState *st = pwnews_target(pl->news, s->t->name, &at);
+  const Pw__TargetState *st = pwnews_target(pl->news, s->t->name);
   s->s.usable = st && !st->gone && !s->t->drain;
   s->s.acted = 0;
   s->s.loaded = 0;
@@ -331,19 +319,22 @@
 /* Targets that should carry the model and were never heard of. */
 static int count_unheard(const pw_planner *pl, const slots *sl) {
   int n = 0;
-  int64_t at;
   for (int i = 0; i < sl->n; i++) {
     const target *t = sl->of[i]->t;
-    n += !t->drain && !pwnews_target(pl->news, t->name, &at);
+    n += !t->drain && !pwnews_target(pl->news, t->name);
   }
   return n;
 }
 
+static int is_loading(const pw_plan_slot *s) {
+  return s->usable && s->has_load && !s->acted;
+}
+
 static int count_loading(const pw_planner *pl) {
   int n = 0;
   for (const target *t = pl->targets; t; t = t->hh.next)
     for (int i = 0; i < t->nslots; i++)
-      n += t->slot[i].s.usable && t->slot[i].s.has_load && !t->slot[i].s.acted;
+      n += is_loading(&t->slot[i].s);
   return n;
 }
 
@@ -385,11 +376,9 @@
     pw_copy(row->serve, sizeof row->serve, row->load);
   } else if (row) {
     row->has_serve = 0;
-    row->attempt++;
     row->has_load = step->kind != PW_PLAN_RETIRE;
+    row->attempt += step->kind != PW_PLAN_PAUSE; /* its order has ended */
   }
-  if (row && step->kind == PW_PLAN_PAUSE)
-    row->attempt--; /* the order stands as it came to its end */
   if (row && step->kind == PW_PLAN_LOAD) {
     pw_copy(row->load, sizeof row->load, step->version);
     set_adapters(m, row);
@@ -405,7 +394,7 @@
   const pw_resource *one = version[0] ? pwres_get(pl->res, "version", version)
                                       : pwres_get(pl->res, "model", m->name);
   json_t *spec = one ? json_loads(one->spec, 0, NULL) : NULL;
-  double bytes = number(spec, "size_bytes", 0);
+  double bytes = pwjson_number(spec, "size_bytes", 0);
   json_decref(spec);
   return bytes;
 }
@@ -426,10 +415,11 @@
   const pw_resource *one = pwres_get(pl->res, "version", name);
   json_t *spec = one ? json_loads(one->spec, 0, NULL) : NULL;
   read_steps(spec, ask);
-  ask->max_errors = number(spec, "max_error_share", PWROLLOUT_ERRORS);
+  ask->max_errors = pwjson_number(spec, "max_error_share", PWROLLOUT_ERRORS);
   ask->step_ms =
-      (int64_t)(number(spec, "step_s", PWROLLOUT_STEP_MS / 1000.0) * 1000);
-  ask->min_requests = number(spec, "min_requests", PWROLLOUT_REQUESTS);
+      (int64_t)(pwjson_number(spec, "step_s", PWROLLOUT_STEP_MS / 1000.0) *
+                1000);
+  ask->min_requests = pwjson_number(spec, "min_requests", PWROLLOUT_REQUESTS);
   json_decref(spec);
 }
 
@@ -478,7 +468,7 @@
     targets++;
     most = s->failures > most ? s->failures : most;
   }
-  int runs = pwplan_ready(sl->s, sl->n, version) > 0;
+  int runs = pwplan_serving(sl->s, sl->n, version) > 0;
   return runs || targets > most ? targets : most;
 }
 
@@ -495,7 +485,6 @@
   if (!pwrollout_next(&m->rollout, &ask, &next))
     return;
   m->rollout = next;
-  m->in_batch = pl->batch;
   put_rollout(ch, m);
 }
 
@@ -645,36 +634,28 @@
 
 /* --- progress --- */
 
-static int count_serving(const slots *sl, const char *version) {
-  int n = 0;
-  for (int i = 0; i < sl->n; i++)
-    n += sl->s[i].usable && sl->s[i].has_serve &&
-         !strcmp(sl->s[i].serve, version);
-  return n;
-}
-
 static json_t *model_json(pw_planner *pl, const model *m, int64_t now) {
   slots sl;
   gather(pl, m, &sl, now);
   int usable = 0, loading = 0, failed = 0;
   for (int i = 0; i < sl.n; i++) {
     usable += sl.s[i].usable;
-    loading += sl.s[i].usable && sl.s[i].has_load && !sl.s[i].acted;
+    loading += is_loading(&sl.s[i]);
     failed += sl.s[i].has_load && sl.s[i].acted && !sl.s[i].loaded;
   }
   const pw_rollout *r = &m->rollout;
   int back = r->state == PW_ROLLOUT_BACK;
   int carry = m->replicas && m->replicas < usable ? m->replicas : usable;
-  int right = count_serving(&sl, back ? r->from : r->to);
+  int right = pwplan_serving(sl.s, sl.n, back ? r->from : r->to);
   int unheard = count_unheard(pl, &sl);
   int moves = r->state == PW_ROLLOUT_ROLLING && r->share < 100;
   json_t *o = pwassign_rollout_json(r);
   json_object_update_new(
       o, json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:i,s:i,s:b}", "model", m->name,
                    "wanted", m->wanted, "targets", carry, "serving_to",
-                   count_serving(&sl, r->to), "serving_from",
-                   count_serving(&sl, r->from), "loading", loading, "failed",
-                   failed, "unheard", unheard, "settled",
+                   pwplan_serving(sl.s, sl.n, r->to), "serving_from",
+                   pwplan_serving(sl.s, sl.n, r->from), "loading", loading,
+                   "failed", failed, "unheard", unheard, "settled",
                    !moves && !unheard && right == carry &&
                        !strcmp(r->to, m->wanted)));
   slots_free(&sl);
--- a/packages/daemon/pwsub.c
+++ b/packages/daemon/pwsub.c
@@ -185,9 +185,8 @@
   return 0;
 }
 
-/* Answers to Hellos that were under way when the parent or the leader changed
- *say
- ** nothing: those left out what the one before had been told. */
+/* Answers to Hellos that were under way when the parent or the leader
+** changed say nothing: those left out what the one before had been told. */
 static void note_told(pw_sub *s, const Pw__Envelope *e, int64_t now) {
   const Pw__Welcome *w = e->welcome;
   int same = s->parent_life == e->incarnation && s->term == w->term;
--- a/packages/daemon/pwtargets.c
+++ b/packages/daemon/pwtargets.c
@@ -3,6 +3,7 @@
 
 #include "pwassign.h"
 #include "pwbuf.h"
+#include "pwjson.h"
 #include "pwlog.h"
 
 #include <jansson.h>
@@ -119,11 +120,6 @@
   return t->all;
 }
 
-static const char *text(const json_t *spec, const char *field) {
-  const char *s = json_string_value(json_object_get(spec, field));
-  return s ? s : "";
-}
-
 static pw_target *row_of(pw_targets *t, const char *name, int64_t now) {
   uint64_t id = pwplace_id(name);
   pw_target *have = pwtargets_by_id(t, id);
@@ -143,14 +139,14 @@
 static void read_target(pw_targets *t, const char *name, const json_t *spec,
                         int64_t now) {
   pw_target *one = row_of(t, name, now);
-  const char *agent = text(spec, "agent");
+  const char *agent = pwjson_text(spec, "agent");
   if (strcmp(one->agent, agent) != 0) {
     pwtargets_lose(t, one);
     pw_copy(one->agent, sizeof one->agent, agent);
   }
   const json_t *weight = json_object_get(spec, "weight");
   one->weight = weight ? (uint32_t)json_number_value(weight) : 1;
-  one->zone = pwtargets_zone(text(spec, "availability_zone"));
+  one->zone = pwtargets_zone(pwjson_text(spec, "availability_zone"));
   one->drain = json_is_true(json_object_get(spec, "drain"));
   one->marked = 1;
 }
@@ -313,7 +309,7 @@
 }
 
 static int is_near(const pw_targets *t, const json_t *spec) {
-  const char *region = text(spec, "region");
+  const char *region = pwjson_text(spec, "region");
   return !region[0] || !t->p->set->region[0] ||
          !strcmp(region, t->p->set->region);
 }
--- a/packages/daemon/pwunheard.h
+++ b/packages/daemon/pwunheard.h
@@ -1,6 +1,5 @@
 /* pwunheard.h: streams whose entry could not be reached. They may be resumed
- *for
- ** a while; one that nobody resumes is to be cancelled at the target. */
+** for a while; one that nobody resumes is to be cancelled at the target. */
 #ifndef PWUNHEARD_H
 #define PWUNHEARD_H
 
--- a/packages/daemon/pwview.c
+++ b/packages/daemon/pwview.c
@@ -5,6 +5,7 @@
 #include "pwassign.h"
 #include "pwbound.h"
 #include "pwbuf.h"
+#include "pwjson.h"
 
 #include <jansson.h>
 #include <sodium.h>
@@ -48,17 +49,12 @@
   sodium_bin2hex(out, 2 * PWVIEW_HASH + 1, hash, sizeof hash);
 }
 
-static double number(const json_t *spec, const char *field, double fallback) {
-  const json_t *v = json_object_get(spec, field);
-  return json_is_number(v) ? json_number_value(v) : fallback;
-}
-
 static void add_workspace(pw_view *v, const char *name, const json_t *spec) {
   workspace_row *row = pw_alloc(sizeof *row);
   pw_copy(row->w.name, sizeof row->w.name, name);
-  row->w.weight = number(spec, "weight", 1);
-  row->w.priority = (int)number(spec, "priority", 4);
-  row->w.tokens_per_s = number(spec, "tokens_per_s", 0);
+  row->w.weight = pwjson_number(spec, "weight", 1);
+  row->w.priority = (int)pwjson_number(spec, "priority", 4);
+  row->w.tokens_per_s = pwjson_number(spec, "tokens_per_s", 0);
   row->w.is_operator = json_is_true(json_object_get(spec, "operator"));
   row->next = v->workspaces;
   v->workspaces = row;
@@ -86,7 +82,7 @@
   pw_copy(row->service.name, sizeof row->service.name, name);
   row->service.repeatable = json_is_true(json_object_get(spec, "repeatable"));
   row->service.timeout =
-      (uint32_t)number(spec, "timeout_ms", PW_DEADLINE_DEFAULT);
+      (uint32_t)pwjson_number(spec, "timeout_ms", PW_DEADLINE_DEFAULT);
 }
 
 static void add_model(pw_view *v, const pw_res *r, const char *name) {
@@ -104,11 +100,11 @@
 void pwview_read_policy(const pw_res *r, pw_policy *out) {
   const pw_resource *one = pwres_get(r, "policy", "default");
   json_t *spec = one ? json_loads(one->spec, 0, NULL) : NULL;
-  out->bound = number(spec, "bound", PWBOUND_BOUND);
-  out->floor_tokens = number(spec, "floor_tokens", PWBOUND_FLOOR);
-  out->retry_share = number(spec, "retry_share", PW_RETRY_SHARE);
-  out->min_prefix_tokens = number(spec, "min_prefix_tokens", 64);
-  out->reuse_worth = number(spec, "reuse_worth", PWADMIT_REUSE);
+  out->bound = pwjson_number(spec, "bound", PWBOUND_BOUND);
+  out->floor_tokens = pwjson_number(spec, "floor_tokens", PWBOUND_FLOOR);
+  out->retry_share = pwjson_number(spec, "retry_share", PW_RETRY_SHARE);
+  out->min_prefix_tokens = pwjson_number(spec, "min_prefix_tokens", 64);
+  out->reuse_worth = pwjson_number(spec, "reuse_worth", PWADMIT_REUSE);
   json_decref(spec);
 }
 
--- a/packages/policy/pwadmit.c
+++ b/packages/policy/pwadmit.c
@@ -43,8 +43,7 @@
 }
 
 /* How long a wait for the cached prefix pays: the time in which the target
- *would
- ** compute the prompt again, at the rate it works at, times `reuse`. */
+** would compute the prompt again, at the rate it works at, times `reuse`. */
 static uint32_t worth_of(const pw_admit *a, double recompute) {
   double rate = a->served > 1 ? a->served : 1;
   double ms = a->reuse * PWBOUND_PROMPT_WEIGHT * recompute / rate * MS;
--- a/packages/policy/pwbound.h
+++ b/packages/policy/pwbound.h
@@ -3,15 +3,13 @@
 ** Load is tokens in progress over all requests started and not ended: output
 ** tokens still allowed, plus prompt tokens still to compute at the weight
 ** PWBOUND_PROMPT_WEIGHT, since an engine computes many prompt tokens in the
-** time of one output token. The counted
-** load falls no faster than `rate` tokens a second. A report is taken at its
-*word
-** for PWBOUND_GRACE_MS; past that it counts down at its rate. So a start never
-** goes past bound * (mean + rate * grace), however late reports come and
-*however
-** many routers disagree. With no grace the bound would hold to the letter, but
-** a pool below rate * age * bound / (bound - 1) could not fill up at all: that
-** was measured, see docs/design/bound.md. */
+** time of one output token. The counted load falls no faster than `rate`
+** tokens a second. A report is taken at its word for PWBOUND_GRACE_MS; past
+** that it counts down at its rate. So a start never goes past bound * (mean
+** + rate * grace), however late reports come and however many routers
+** disagree. With no grace the bound would hold to the letter, but a pool
+** below rate * age * bound / (bound - 1) could not fill up at all: that was
+** measured, see docs/design/bound.md. */
 #ifndef PWBOUND_H
 #define PWBOUND_H
 
--- a/packages/policy/pwbreak.h
+++ b/packages/policy/pwbreak.h
@@ -1,10 +1,10 @@
 /* pwbreak.h: circuit breaker and slow start of one target, from evidence.
 **
-** Failures of attempts (not refusals) raise a decaying share; past the limit,
-** or after a few in a row whatever was before, the target is set aside for a
-*time that doubles, then takes back a share of
-** its picks that grows from nothing to all, so that it meets no herd. The same
-** ramp serves a target that has just joined or warmed up. */
+** Failures of attempts (not refusals) raise a decaying share; past the
+** limit, or after a few in a row whatever was before, the target is set
+** aside for a time that doubles, then takes back a share of its picks that
+** grows from nothing to all, so that it meets no herd. The same ramp serves
+** a target that has just joined or warmed up. */
 #ifndef PWBREAK_H
 #define PWBREAK_H
 
--- a/packages/policy/pwmove.h
+++ b/packages/policy/pwmove.h
@@ -1,12 +1,11 @@
 /* pwmove.h: what a cached prefix is worth: wait for it, move it, compute it
- *anew.
- **
- ** One model for the three ways, from what the target was seen to do: ms a
- *token
- ** to compute a prompt, and ms a token to take over another target's KV cache.
- ** Taking over is tried only where it is allowed, and is given up by itself
- *where
- ** it turns out slower than computing; now and then it is tried again. */
+** anew.
+**
+** One model for the three ways, from what the target was seen to do: ms a
+** token to compute a prompt, and ms a token to take over another target's KV
+** cache. Taking over is tried only where it is allowed, and is given up by
+** itself where it turns out slower than computing; now and then it is tried
+** again. */
 #ifndef PWMOVE_H
 #define PWMOVE_H
 
--- a/packages/policy/pwplan.c
+++ b/packages/policy/pwplan.c
@@ -24,10 +24,6 @@
   return (x->s->id > y->s->id) - (x->s->id < y->s->id);
 }
 
-static int serves(const pw_plan_slot *s, const char *version) {
-  return s->usable && s->has_serve && !strcmp(s->serve, version);
-}
-
 static int loads(const pw_plan_slot *s, const char *version) {
   return s->has_load && !strcmp(s->load, version);
 }
@@ -36,14 +32,19 @@
   return s->has_load && !s->acted;
 }
 
-double pwplan_ready(const pw_plan_slot *slot, int n, const char *version) {
-  int all = 0;
-  int with = 0;
+int pwplan_serving(const pw_plan_slot *slot, int n, const char *version) {
+  int count = 0;
   for (int i = 0; i < n; i++) {
-    all += slot[i].usable && slot[i].has_serve;
-    with += serves(&slot[i], version);
+    const pw_plan_slot *s = &slot[i];
+    if (s->usable && s->has_serve)
+      count += !version || !strcmp(s->serve, version);
   }
-  return all ? ALL * with / all : 0;
+  return count;
+}
+
+double pwplan_ready(const pw_plan_slot *slot, int n, const char *version) {
+  int all = pwplan_serving(slot, n, NULL);
+  return all ? ALL * pwplan_serving(slot, n, version) / all : 0;
 }
 
 int64_t pwplan_backoff(int failures) {
--- a/packages/policy/pwplan.h
+++ b/packages/policy/pwplan.h
@@ -55,6 +55,9 @@
 pw_plan_step pwplan_next(const pw_plan_ask *ask, const pw_plan_slot *slot,
                          int n, int64_t now);
 
+/* Targets that serve `version`, or any when it is NULL. */
+int pwplan_serving(const pw_plan_slot *slot, int n, const char *version);
+
 /* Percent of the serving targets that serve `version`. */
 double pwplan_ready(const pw_plan_slot *slot, int n, const char *version);
 
--- a/packages/policy/pwrollout.c
+++ b/packages/policy/pwrollout.c
@@ -4,9 +4,8 @@
 #include <string.h>
 
 #define ALL 100.0
-#define SHARE_UNIT                                                             \
-  10000 /* chats are told apart to a hundredth of a percent                    \
-         */
+/* Chats are told apart to a hundredth of a percent. */
+#define SHARE_UNIT 10000
 
 static const char *const states[] = {"done", "rolling", "rolled-back"};
 static const char *const whys[] = {"", "errors", "loads-failed"};
--- a/packages/policy/pwroute.h
+++ b/packages/policy/pwroute.h
@@ -56,11 +56,10 @@
 
 /* Next target: where the prefix is said to be; the home and the next rank,
 ** asked for the prefix; the home and the next rank, if they fit; the least
-*loaded
-** of a few drawn that fit, the own availability zone first; anyone usable.
-*After a few
-** refusals for load the pool is taken to be full: the least loaded of those
-** that refused, the home if it did not look worse, is asked to queue it. */
+** loaded of a few drawn that fit, the own availability zone first; anyone
+** usable. After a few refusals for load the pool is taken to be full: the
+** least loaded of those that refused, the home if it did not look worse, is
+** asked to queue it. */
 pw_route_pick pwroute_next(const pw_route_pool *pool, pw_route_walk *walk);
 
 typedef enum pw_refusal {
@@ -70,8 +69,7 @@
 } pw_refusal;
 
 /* A target refused with proof. wait_ms: how long one would wait there,
- *worth_ms:
- ** for how long that pays because of a prefix cached there. */
+** worth_ms: for how long that pays because of a prefix cached there. */
 void pwroute_refused(pw_route_walk *walk, uint64_t id, pw_refusal why,
                      uint32_t wait_ms, uint32_t worth_ms);
 
--- a/packages/store/pwstore.h
+++ b/packages/store/pwstore.h
@@ -1,13 +1,12 @@
 /* pwstore.h: the data folder of a control instance: log and snapshots.
 **
 ** Files, each beginning with a 16-byte header (magic, version, identity):
-**   identity          the disk's id and its settings' control.id
-**   log-BASE          what follows the snapshot of index BASE (hexadecimal);
-**                     records: length, checksum, a packed Batch
-**   snapshot          a packed Snapshot, with checksum
-** A batch is one write and one sync, so a record that ends the segment broken
-*was never acknowledged and is cut off; a broken record with more
-** behind it is damage, and the start is refused. */
+** identity          the disk's id and its settings' control.id log-BASE
+** what follows the snapshot of index BASE (hexadecimal); records: length,
+** checksum, a packed Batch snapshot          a packed Snapshot, with
+** checksum A batch is one write and one sync, so a record that ends the
+** segment broken was never acknowledged and is cut off; a broken record with
+** more behind it is damage, and the start is refused. */
 #ifndef PWSTORE_H
 #define PWSTORE_H
 
--- a/tests/fakes/models.c
+++ b/tests/fakes/models.c
@@ -3,6 +3,7 @@
 
 #include "pwbuf.h"
 #include "pwclock.h"
+#include "pwjson.h"
 
 #include <pthread.h>
 #include <string.h>
@@ -35,11 +36,6 @@
   return NULL;
 }
 
-static const char *text(const json_t *o, const char *key) {
-  const char *s = json_string_value(json_object_get(o, key));
-  return s ? s : "";
-}
-
 static const char *state_of(model *m) {
   if (!m->there)
     return "";
@@ -57,7 +53,7 @@
 }
 
 static int load(const json_t *order) {
-  model *m = find(text(order, "model"));
+  model *m = find(pwjson_text(order, "model"));
   if (faults.refuse_orders > 0) {
     faults.refuse_orders--;
     refused++;
@@ -67,10 +63,10 @@
     return 507;
   if (!m) {
     m = &models[nmodels++];
-    pw_copy(m->name, sizeof m->name, text(order, "model"));
+    pw_copy(m->name, sizeof m->name, pwjson_text(order, "model"));
   }
-  int same = m->there && !strcmp(m->version, text(order, "version"));
-  pw_copy(m->version, sizeof m->version, text(order, "version"));
+  int same = m->there && !strcmp(m->version, pwjson_text(order, "version"));
+  pw_copy(m->version, sizeof m->version, pwjson_text(order, "version"));
   json_decref(m->adapters);
   m->adapters = json_deep_copy(json_object_get(order, "adapters"));
   m->fails = faults.fail_loads > 0;
@@ -82,14 +78,14 @@
 }
 
 static int carry_out(const json_t *order) {
-  const char *op = text(order, "op");
+  const char *op = pwjson_text(order, "op");
   if (!strcmp(op, "load"))
     return load(order);
-  model *m = find(text(order, "model"));
+  model *m = find(pwjson_text(order, "model"));
   if (!strcmp(op, "retire") && m)
     m->there = 0;
   else if (!strcmp(op, "role"))
-    pw_copy(role, sizeof role, text(order, "role"));
+    pw_copy(role, sizeof role, pwjson_text(order, "role"));
   return 202;
 }
 
