--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 
 MAKEFLAGS += --no-builtin-rules
 .SECONDARY:
-.PHONY: all bench-policy bench-path bench-control bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak capacity install deb sanitized format lint help clean
+.PHONY: all bench-policy bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak capacity install deb sanitized format lint help clean
 
 all: $(BINS)
 
@@ -99,6 +99,10 @@
 bench-control: all $(FAKES) $(RUNNER)
 	$(RUNNER) --bin $(BUILD) bench/control.lua
 
+# The once-ledger at its limit: time, memory, snapshot.
+bench-ledger: $(BUILD)/bench_ledger
+	$(BUILD)/bench_ledger
+
 # The same with 152 processes of peatwell and 141 stand-ins; then all of them
 # restarted under load, and a tenth killed.
 bench-fleet-many: all $(FAKES) $(RUNNER)
@@ -125,17 +129,18 @@
 	@tools/run-mutations $(BUILD) $(CC) $(CPPFLAGS) $(CFLAGS) -- -lcunit $(LDLIBS)
 
 # The measured numbers that docs/CAPACITY.md and docs/RESULTS.md use.
-capacity: all $(FAKES) $(RUNNER) $(BUILD)/bench_path $(BUILD)/bench_policy
+capacity: all $(FAKES) $(RUNNER) $(BUILD)/bench_path $(BUILD)/bench_policy $(BUILD)/bench_ledger
 	PW_ENTRIES=4 PW_ENGINES=20 $(RUNNER) --bin $(BUILD) bench/control.lua >docs/measured/control-28.md
 	PW_ENTRIES=8 PW_ENGINES=140 $(RUNNER) --bin $(BUILD) bench/control.lua >docs/measured/control-152.md
 	PW_ENTRIES=8 PW_ENGINES=140 $(RUNNER) --bin $(BUILD) bench/fleet.lua >docs/measured/fleet-151.md
 	$(RUNNER) --bin $(BUILD) bench/path.lua >docs/measured/path.md
+	$(BUILD)/bench_ledger >docs/measured/ledger.md
 	$(BUILD)/bench_policy all docs/results.svg >docs/measured/policy.md
 
 # Outside bytes into the parsers, with a fixed seed, bounded.
 FUZZ_SOURCES = tests/fuzz/fuzz_parsers.c packages/wire/peatwell.pb-c.c packages/wire/pwpb.c \
   $(wildcard packages/store/*.c packages/consensus/*.c) \
-  packages/core/pwbuf.c packages/core/pwcode.c packages/core/pwclock.c
+  $(addprefix packages/core/,pwbuf.c pwcode.c pwclock.c pwjson.c)
 fuzz:
 	@mkdir -p $(BUILD)/fuzz
 	@clang -g -O1 -fsanitize=fuzzer,address,undefined $(CPPFLAGS) -std=gnu11 \
--- a/packages/consensus/pwcons.c
+++ b/packages/consensus/pwcons.c
@@ -278,10 +278,14 @@
   return e;
 }
 
-void pwcons_compact(pw_cons *c, uint64_t index, const void *state, size_t len) {
-  assert(index <= c->applied);
-  if (index <= c->log.snapshot->index)
-    return;
+void pwcons_shed(pw_cons *c) {
+  ProtobufCBinaryData *state = &c->log.snapshot->state;
+  free(state->data);
+  *state = (ProtobufCBinaryData){0};
+}
+
+void pwcons_compact(pw_cons *c, uint64_t index, uint8_t *state, size_t len) {
+  assert(index <= c->applied && index > c->log.snapshot->index);
   Pw__Snapshot *s = pw_alloc(sizeof *s);
   pw__snapshot__init(s);
   s->index = index;
@@ -291,7 +295,7 @@
   pwconslog_config(&c->log, index, &config);
   pwcons_config_pack(&config, &s->config);
   s->state.len = len;
-  s->state.data = len ? pw_memdup(state, len) : NULL;
+  s->state.data = state;
   pwconslog_compact(&c->log, s, 0);
 }
 
--- a/packages/consensus/pwcons.h
+++ b/packages/consensus/pwcons.h
@@ -116,8 +116,13 @@
 /* Next committed entry not yet handed out, or NULL. */
 const Pw__Entry *pwcons_next(pw_cons *c);
 
-/* Drops the log up to `index` for the given state of that index. */
-void pwcons_compact(pw_cons *c, uint64_t index, const void *state, size_t len);
+/* Gives back the memory of the snapshot's state, which is large: only right
+** before pwcons_compact with a newer one, so that there never are two. */
+void pwcons_shed(pw_cons *c);
+
+/* Drops the log up to `index`, which is past the snapshot's, for the given
+** state of that index. Takes ownership of state. */
+void pwcons_compact(pw_cons *c, uint64_t index, uint8_t *state, size_t len);
 
 /* The entries that follow the snapshot; borrowed until the next call. */
 Pw__Entry **pwcons_entries(const pw_cons *c, size_t *n);
--- a/packages/core/pwcode.h
+++ b/packages/core/pwcode.h
@@ -46,9 +46,11 @@
     "a request under this key was begun and has no recorded answer")           \
   X(PW_E_COMPACTED, 4008, 410, "compacted", "revision too old; read all")      \
   X(PW_E_NOT_KEPT, 4009, 409, "answer-not-kept",                               \
-    "it ran; its answer was too large to keep")                                \
+    "it ran; its answer was too large or is too old to keep")                  \
   X(PW_E_ROLLED_BACK, 4010, 409, "rolled-back",                                \
     "a new version was given up; the old one serves")                          \
+  X(PW_E_LEDGER_FULL, 4011, 503, "ledger-full",                                \
+    "no room to remember another request that may not be repeated")            \
   X(PW_E_SETTINGS, 5001, 500, "settings", "the settings file is wrong")        \
   X(PW_E_IO, 5002, 500, "io", "a file could not be read or written")           \
   X(PW_E_DISK_FULL, 5003, 507, "disk-full", "no room left on the disk")        \
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -37,6 +37,8 @@
   X(PWC_POINTER_HITS, "pointer_hits_total", "counter",                         \
     "displaced chats found by a pointer")                                      \
   X(PWC_CLAIMS, "once_claims_total", "counter", "once-claims decided")         \
+  X(PWC_ONCE_KEPT, "once_kept", "gauge",                                       \
+    "keys that the once-ledger holds, at most 1000000")                        \
   X(PWC_REPLAYS, "once_replays_total", "counter", "recorded answers regiven")  \
   X(PWC_CHANGES, "changes_total", "counter", "resource changes accepted")      \
   X(PWC_CONFLICTS, "conflicts_total", "counter", "resource conflicts")         \
--- a/packages/core/pwlimits.h
+++ b/packages/core/pwlimits.h
@@ -21,11 +21,21 @@
 /* Largest answer kept in the once-ledger to be given again, in bytes. */
 #define PW_RECORD_MAX 4096
 
-/* How long once-claims and their answers are kept, in milliseconds. */
-#define PW_ONCE_KEEP_MS (24LL * 3600 * 1000)
-
-/* Most once-claims kept; past that the oldest finished one goes first. */
-#define PW_ONCE_MAX 200000
+/* How long a key may not be claimed again, in milliseconds: the default of
+** policy's once_keep_s. */
+#define PW_ONCE_KEEP_MS (24ULL * 3600 * 1000)
+
+/* The once-ledger: claims at most, past that new ones are refused; open ones of
+** them; answers kept to be given again, and their bytes. A claim takes 24 bytes
+** and 8 of index once its answer went, about 500 and the answer before. */
+#define PW_ONCE_MAX 1000000
+#define PW_ONCE_OPEN_MAX 32768
+#define PW_ONCE_ANSWERS 32768
+#define PW_ONCE_ANSWER_BYTES (8UL * 1024 * 1024)
+
+/* An open claim's answer cannot be recorded any more after this (ms): the
+** longest deadline, and as long again for a record that is sent late. */
+#define PW_ONCE_OPEN_MS (2ULL * PW_DEADLINE_MAX)
 
 /* Results kept for resends of resource changes. */
 #define PW_RESEND_MAX 8192
--- a/packages/daemon/pwclaim.c
+++ b/packages/daemon/pwclaim.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+#define FULL_RETRY_MS 5000 /* a full ledger empties as claims grow old */
+
 void pwfl_send_claim(pw_flights *fs, pw_flight *f, int64_t now) {
   pw_call *c = f->call;
   Pw__Claim claim = PW__CLAIM__INIT;
@@ -71,8 +73,9 @@
     replay(fs, f, cl);
   } else if (cl->code != PW_OK) {
     int running = cl->code == PW_E_RUNNING;
+    int full = cl->code == PW_E_LEDGER_FULL;
     pwcall_fail(f->call, (pw_code)cl->code, "", running ? "unknown" : "not-run",
-                0);
+                full ? pwroute_retry_after(FULL_RETRY_MS, f->walk.draw) : 0);
     pwfl_drop(fs, f);
   } else {
     f->state = F_OPENING;
--- a/packages/daemon/pwcontrol.c
+++ b/packages/daemon/pwcontrol.c
@@ -303,8 +303,11 @@
     answer_waiter(c, w, e, o, cl);
     free(w);
   }
-  if (cl)
+  if (cl) {
     pwcount_add(c->p->counters, PWC_CLAIMS, 1);
+    pwcount_set(c->p->counters, PWC_ONCE_KEPT,
+                (int64_t)pwonce_count(pwstate_once(pwgroup_state(c->group))));
+  }
   if (index == c->planned) {
     c->planned = 0;
     pwplanner_done(c->planner, o ? (pw_code)o->code : PW_E_CONFLICT);
--- a/packages/daemon/pwgroup.c
+++ b/packages/daemon/pwgroup.c
@@ -342,9 +342,9 @@
   if (g->applied - since < (uint64_t)g->p->set->control_snapshot_every)
     return PW_OK;
   size_t n;
+  pwcons_shed(g->cons);
   uint8_t *bytes = pwstate_save(g->state, &n);
   pwcons_compact(g->cons, g->applied, bytes, n);
-  free(bytes);
   size_t count;
   Pw__Entry **entries = pwcons_entries(g->cons, &count);
   pw_cons_ready r;
--- a/packages/store/pwfile.c
+++ b/packages/store/pwfile.c
@@ -99,14 +99,14 @@
   return NULL;
 }
 
-int pwfile_replace(const pw_file_ops *ops, const char *dir, const char *path,
-                   const void *data, size_t n) {
+int pwfile_replace_with(const pw_file_ops *ops, const char *dir,
+                        const char *path, pw_file_fill fill, void *arg) {
   char tmp[PATH_BYTES];
   snprintf(tmp, sizeof tmp, "%s.tmp", path);
   int fd = open(tmp, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
   if (fd < 0)
     return -1;
-  if (pwfile_write_all(ops, fd, data, n) != 0)
+  if (fill(arg, ops, fd) != 0)
     goto fail;
   if (ops->sync(ops->arg, fd) != 0)
     goto fail;
@@ -119,3 +119,20 @@
   unlink(tmp);
   return -1;
 }
+
+/* Bytes to be written as they are. */
+typedef struct piece {
+  const void *data;
+  size_t n;
+} piece;
+
+static int fill_piece(void *arg, const pw_file_ops *ops, int fd) {
+  const piece *p = arg;
+  return pwfile_write_all(ops, fd, p->data, p->n);
+}
+
+int pwfile_replace(const pw_file_ops *ops, const char *dir, const char *path,
+                   const void *data, size_t n) {
+  piece p = {data, n};
+  return pwfile_replace_with(ops, dir, path, fill_piece, &p);
+}
--- a/packages/store/pwfile.h
+++ b/packages/store/pwfile.h
@@ -28,7 +28,17 @@
 /* Reads a whole file into memory the caller frees; NULL when it fails. */
 uint8_t *pwfile_read(const char *path, size_t *n);
 
-/* Makes path hold exactly these bytes, by write, sync, rename, sync folder. */
+/* Writes a file's content to fd. Returns 0 or -1. */
+typedef int (*pw_file_fill)(void *arg, const pw_file_ops *ops, int fd);
+
+/* Makes path hold exactly what fill writes, by write, sync, rename, sync
+*folder.
+** Returns 0, or -1 with path as it was before (or, when only the folder's sync
+** failed, as it is to be). */
+int pwfile_replace_with(const pw_file_ops *ops, const char *dir,
+                        const char *path, pw_file_fill fill, void *arg);
+
+/* The same with these bytes. */
 int pwfile_replace(const pw_file_ops *ops, const char *dir, const char *path,
                    const void *data, size_t n);
 
--- a/packages/store/pwonce.c
+++ b/packages/store/pwonce.c
@@ -1,61 +1,118 @@
-/* pwonce.c: the once-ledger, in order of claiming. */
+/* pwonce.c: the once-ledger. */
 #include "pwonce.h"
 
 #include "pwbuf.h"
+#include "pwdedup.h"
 #include "pwlimits.h"
 #include "pwpb.h"
 
-#include <stdio.h>
+#include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
 
-#define ID_MAX (PW_NAME_MAX + PW_KEY_MAX + 2)
+#define MS_PER_S 1000
 
-/* uthash keeps the order in which claims were added. */
+#ifndef PW_MUTATION
+#define PW_MUTATION 0
+#endif
+enum {
+  MUT_FORGET_CROWDED = 15, /* claims go with their answers */
+  MUT_NEVER_FULL = 16      /* a full ledger takes claims all the same */
+};
+#define BODY_BITS 0x7fffffffU
+
+/* uthash keeps the order of adding: open ones in order of claiming, answered
+** ones in order of answering. */
 typedef struct claim {
-  char id[ID_MAX]; /* "WORKSPACE KEY"; a workspace name has no space */
+  uint8_t id[PWDEDUP_KEY]; /* hash of workspace and key */
   Pw__KeptClaim *kept;
   UT_hash_handle hh;
 } claim;
 
 struct pw_once {
-  claim *all;
+  claim *open, *answered;
+  size_t answer_bytes;
+  pw_dedup *past;
 };
 
 pw_once *pwonce_new(void) {
-  return pw_alloc(sizeof(pw_once));
+  pw_once *o = pw_alloc(sizeof *o);
+  o->past = pwdedup_new();
+  return o;
+}
+
+static size_t answer_size(const claim *c) {
+  return c->kept->body.len + strlen(c->kept->content_type);
+}
+
+static void drop_open(pw_once *o, claim *c) {
+  HASH_DEL(o->open, c);
+  pw__kept_claim__free_unpacked(c->kept, NULL);
+  free(c);
 }
 
-static void drop(pw_once *o, claim *c) {
-  HASH_DEL(o->all, c);
+static void drop_answered(pw_once *o, claim *c) {
+  o->answer_bytes -= answer_size(c);
+  HASH_DEL(o->answered, c);
   pw__kept_claim__free_unpacked(c->kept, NULL);
   free(c);
 }
 
+static void clear(pw_once *o) {
+  claim *c, *tmp;
+  HASH_ITER(hh, o->open, c, tmp) {
+    drop_open(o, c);
+  }
+  HASH_ITER(hh, o->answered, c, tmp) {
+    drop_answered(o, c);
+  }
+}
+
 void pwonce_free(pw_once *o) {
   if (!o)
     return;
-  claim *c, *tmp;
-  HASH_ITER(hh, o->all, c, tmp) {
-    drop(o, c);
-  }
+  clear(o);
+  pwdedup_free(o->past);
   free(o);
 }
 
-static claim *find(const pw_once *o, const char *workspace, const char *key) {
-  char id[ID_MAX];
+/* Both lengths belong to the hash: no workspace can write another's key. */
+static void hash_id(const char *workspace, const char *key,
+                    uint8_t id[PWDEDUP_KEY]) {
+  crypto_generichash_state st;
+  crypto_generichash_init(&st, NULL, 0, PWDEDUP_KEY);
+  crypto_generichash_update(&st, (const uint8_t *)workspace,
+                            strlen(workspace) + 1);
+  crypto_generichash_update(&st, (const uint8_t *)key, strlen(key) + 1);
+  crypto_generichash_final(&st, id, PWDEDUP_KEY);
+}
+
+/* The digest is a hash already; a part of it tells bodies apart. */
+static uint32_t short_digest(const ProtobufCBinaryData *digest) {
+  uint32_t h = 0;
+  memcpy(&h, digest->data, digest->len < sizeof h ? digest->len : sizeof h);
+  return h & BODY_BITS;
+}
+
+static claim *find(const pw_once *o, const uint8_t *id) {
   claim *c;
-  snprintf(id, sizeof id, "%s %s", workspace, key);
-  HASH_FIND_STR(o->all, id, c);
+  HASH_FIND(hh, o->open, id, PWDEDUP_KEY, c);
+  if (!c)
+    HASH_FIND(hh, o->answered, id, PWDEDUP_KEY, c);
   return c;
 }
 
 static void add(pw_once *o, Pw__KeptClaim *kept) {
   claim *c = pw_alloc(sizeof *c);
-  snprintf(c->id, sizeof c->id, "%s %s", kept->workspace, kept->key);
+  hash_id(kept->workspace, kept->key, c->id);
   c->kept = kept;
-  HASH_ADD_STR(o->all, id, c);
+  if (!kept->answered) {
+    HASH_ADD(hh, o->open, id, sizeof c->id, c);
+    return;
+  }
+  o->answer_bytes += answer_size(c);
+  HASH_ADD(hh, o->answered, id, sizeof c->id, c);
 }
 
 static Pw__KeptClaim *keep(uint64_t wall, const Pw__Claim *in) {
@@ -78,71 +135,139 @@
   out->content_type = pw_dup(k->content_type);
 }
 
-Pw__Claimed *pwonce_claim(pw_once *o, uint64_t wall, const Pw__Claim *in) {
-  Pw__Claimed *out = pw_alloc(sizeof *out);
-  pw__claimed__init(out);
-  out->id = pw_dup(in->id);
-  const claim *c = find(o, in->workspace, in->key);
-  if (!c) {
-    add(o, keep(wall, in));
-    return out;
-  }
-  const Pw__KeptClaim *k = c->kept;
+static void tell_kept(const Pw__KeptClaim *k, const Pw__Claim *in,
+                      Pw__Claimed *out) {
   if (!pw_same(k->digest.data, k->digest.len, in->digest.data, in->digest.len))
     out->code = PW_E_REUSED;
   else if (k->answered)
     copy_answer(out, k);
   else if (strcmp(k->owner, in->id) != 0)
     out->code = PW_E_RUNNING;
+}
+
+static void tell_past(const pw_dedup_entry *e, const Pw__Claim *in,
+                      Pw__Claimed *out) {
+  if (e->body != short_digest(&in->digest))
+    out->code = PW_E_REUSED;
+  else if (e->answered)
+    out->answered = 1;
+  else
+    out->code = PW_E_RUNNING;
+}
+
+static int is_full(const pw_once *o) {
+  if (PW_MUTATION == MUT_NEVER_FULL)
+    return 0;
+  return pwonce_count(o) >= PW_ONCE_MAX ||
+         HASH_COUNT(o->open) >= PW_ONCE_OPEN_MAX;
+}
+
+Pw__Claimed *pwonce_claim(pw_once *o, uint64_t wall, const Pw__Claim *in) {
+  uint8_t id[PWDEDUP_KEY];
+  pw_dedup_entry e;
+  Pw__Claimed *out = pw_alloc(sizeof *out);
+  pw__claimed__init(out);
+  out->id = pw_dup(in->id);
+  hash_id(in->workspace, in->key, id);
+  const claim *c = find(o, id);
+  if (c)
+    tell_kept(c->kept, in, out);
+  else if (pwdedup_find(o->past, id, &e))
+    tell_past(&e, in, out);
+  else if (is_full(o))
+    out->code = PW_E_LEDGER_FULL;
+  else
+    add(o, keep(wall, in));
   return out;
 }
 
 void pwonce_record(pw_once *o, const Pw__Record *in) {
-  claim *c = find(o, in->workspace, in->key);
+  uint8_t id[PWDEDUP_KEY];
+  hash_id(in->workspace, in->key, id);
+  claim *c = find(o, id);
   if (!c || c->kept->answered || strcmp(c->kept->owner, in->id) != 0)
     return;
   if (in->not_run) {
-    drop(o, c);
+    drop_open(o, c);
     return;
   }
   Pw__KeptClaim *k = c->kept;
+  HASH_DEL(o->open, c);
+  free(c);
   k->answered = 1;
   k->status = in->status;
   k->body.len = in->body.len;
   k->body.data = pw_memdup(in->body.data, in->body.len);
   k->content_type = pw_dup(in->content_type);
+  add(o, k);
 }
 
-void pwonce_expire(pw_once *o, uint64_t wall) {
-  claim *c, *tmp;
-  HASH_ITER(hh, o->all, c, tmp) {
-    int old = c->kept->wall + PW_ONCE_KEEP_MS < wall;
-    int over = HASH_COUNT(o->all) > PW_ONCE_MAX && c->kept->answered;
-    if (old || over)
-      drop(o, c);
-    else if (HASH_COUNT(o->all) <= PW_ONCE_MAX)
-      break;
+/* Only the hash stays. */
+static void make_past(pw_once *o, const claim *c) {
+  pw_dedup_entry e = {.at = (uint32_t)(c->kept->wall / MS_PER_S),
+                      .body = short_digest(&c->kept->digest),
+                      .answered = c->kept->answered};
+  memcpy(e.key, c->id, sizeof e.key);
+  if (PW_MUTATION != MUT_FORGET_CROWDED)
+    pwdedup_add(o->past, &e);
+}
+
+/* Open claims that nobody can record any more. */
+static void expire_open(pw_once *o, uint64_t wall) {
+  while (o->open && o->open->kept->wall + PW_ONCE_OPEN_MS < wall) {
+    make_past(o, o->open);
+    drop_open(o, o->open);
+  }
+}
+
+static int is_crowded(const pw_once *o) {
+  return HASH_COUNT(o->answered) > PW_ONCE_ANSWERS ||
+         o->answer_bytes > PW_ONCE_ANSWER_BYTES;
+}
+
+static void expire_answered(pw_once *o, uint64_t wall, uint64_t keep_ms) {
+  while (o->answered) {
+    claim *c = o->answered;
+    int old = c->kept->wall + keep_ms < wall;
+    if (!old && !is_crowded(o))
+      return;
+    if (!old)
+      make_past(o, c);
+    drop_answered(o, c);
   }
 }
 
+void pwonce_expire(pw_once *o, uint64_t wall, uint64_t keep_ms) {
+  expire_open(o, wall);
+  expire_answered(o, wall, keep_ms);
+  if (wall > keep_ms)
+    pwdedup_expire(o->past, (uint32_t)((wall - keep_ms) / MS_PER_S));
+}
+
 size_t pwonce_count(const pw_once *o) {
-  return HASH_COUNT(o->all);
+  return HASH_COUNT(o->open) + HASH_COUNT(o->answered) + pwonce_past(o);
 }
 
-Pw__KeptClaim **pwonce_pack(const pw_once *o, size_t *n) {
-  size_t count = HASH_COUNT(o->all);
-  Pw__KeptClaim **list = pw_alloc(sizeof *list * (count + 1));
-  *n = 0;
-  for (const claim *c = o->all; c; c = c->hh.next)
-    list[(*n)++] = PWPB_COPY(c->kept);
-  return list;
+size_t pwonce_past(const pw_once *o) {
+  return pwdedup_count(o->past);
 }
 
-void pwonce_load(pw_once *o, Pw__KeptClaim **list, size_t n) {
-  claim *c, *tmp;
-  HASH_ITER(hh, o->all, c, tmp) {
-    drop(o, c);
-  }
-  for (size_t i = 0; i < n; i++)
-    add(o, PWPB_COPY(list[i]));
+void pwonce_pack(const pw_once *o, Pw__State *out) {
+  size_t n = HASH_COUNT(o->open) + HASH_COUNT(o->answered);
+  out->claims = pw_alloc(sizeof(Pw__KeptClaim *) * (n + 1));
+  out->n_claims = 0;
+  for (const claim *c = o->open; c; c = c->hh.next)
+    out->claims[out->n_claims++] = c->kept;
+  for (const claim *c = o->answered; c; c = c->hh.next)
+    out->claims[out->n_claims++] = c->kept;
+  out->past.data = pwdedup_pack(o->past, &out->past.len);
+}
+
+pw_code pwonce_load(pw_once *o, const Pw__State *in) {
+  if (pwdedup_load(o->past, in->past.data, in->past.len) != 0)
+    return PW_E_CORRUPT;
+  clear(o);
+  for (size_t i = 0; i < in->n_claims; i++)
+    add(o, PWPB_COPY(in->claims[i]));
+  return PW_OK;
 }
--- a/packages/store/pwschema.c
+++ b/packages/store/pwschema.c
@@ -67,6 +67,7 @@
     {"policy", "load_bytes_per_s", F_NUMBER, 0, 0, BIG, NULL},
     {"policy", "weights_bytes_per_s", F_NUMBER, 0, 0, BIG, NULL},
     {"policy", "loads_at_once", F_NUMBER, 0, 1, 10000, NULL},
+    {"policy", "once_keep_s", F_NUMBER, 0, 60, 7 * 86400, NULL},
     {"rollout", "from", F_STRING, 1, 0, 0, NULL},
     {"rollout", "to", F_STRING, 1, 0, 0, NULL},
     {"rollout", "step", F_NUMBER, 1, 0, 100, NULL},
--- a/packages/store/pwstate.c
+++ b/packages/store/pwstate.c
@@ -2,16 +2,19 @@
 #include "pwstate.h"
 
 #include "pwbuf.h"
+#include "pwjson.h"
 #include "pwlimits.h"
 #include "pwpb.h"
 #include "pwschema.h"
 
+#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
 
-#define STATE_VERSION 1
+#define STATE_VERSION 2 /* 2: claims that are past */
 #define REASON_BYTES 256
+#define MS_PER_S 1000
 
 #ifndef PW_MUTATION
 #define PW_MUTATION 0
@@ -31,12 +34,15 @@
   pw_res *res;
   pw_once *once;
   kept *outcomes;
+  uint64_t keep_ms; /* of once-claims, as policy has it at keep_read */
+  uint64_t keep_read;
 };
 
 pw_state *pwstate_new(void) {
   pw_state *s = pw_alloc(sizeof *s);
   s->res = pwres_new();
   s->once = pwonce_new();
+  s->keep_ms = PW_ONCE_KEEP_MS;
   return s;
 }
 
@@ -223,6 +229,20 @@
   return o;
 }
 
+/* Read anew only when the configuration has changed. */
+static uint64_t once_keep(pw_state *s) {
+  if (s->keep_read == pwres_revision(s->res))
+    return s->keep_ms;
+  const pw_resource *one = pwres_get(s->res, "policy", "default");
+  json_t *spec = one ? json_loads(one->spec, 0, NULL) : NULL;
+  s->keep_ms = (uint64_t)(pwjson_number(spec, "once_keep_s",
+                                        (double)PW_ONCE_KEEP_MS / MS_PER_S) *
+                          MS_PER_S);
+  s->keep_read = pwres_revision(s->res);
+  json_decref(spec);
+  return s->keep_ms;
+}
+
 void pwstate_apply(pw_state *s, const Pw__Command *cmd, Pw__Outcome **outcome,
                    Pw__Claimed **claimed) {
   *outcome = NULL;
@@ -232,7 +252,7 @@
     *outcome = apply_resend(s, cmd->change);
     break;
   case PW__COMMAND__BODY_CLAIM:
-    pwonce_expire(s->once, cmd->wall);
+    pwonce_expire(s->once, cmd->wall, once_keep(s));
     *claimed = pwonce_claim(s->once, cmd->wall, cmd->claim);
     break;
   case PW__COMMAND__BODY_RECORD:
@@ -268,17 +288,16 @@
   out.floor = pwres_floor(s->res);
   pack_resources(s, &out);
   pack_outcomes(s, &out);
-  out.claims = pwonce_pack(s->once, &out.n_claims);
+  pwonce_pack(s->once, &out);
   *n = pw__state__get_packed_size(&out);
   uint8_t *bytes = pw_alloc(*n);
   pw__state__pack(&out, bytes);
   for (size_t i = 0; i < out.n_resources; i++)
     pw__resource__free_unpacked(out.resources[i], NULL);
-  for (size_t i = 0; i < out.n_claims; i++)
-    pw__kept_claim__free_unpacked(out.claims[i], NULL);
   free(out.resources);
-  free(out.claims);
-  free(out.outcomes); /* its items are borrowed */
+  free(out.claims); /* borrowed, as the outcomes */
+  free(out.outcomes);
+  free(out.past.data);
   return bytes;
 }
 
@@ -301,7 +320,9 @@
   for (size_t i = 0; i < in->n_outcomes; i++)
     if (in->outcomes[i]->outcome)
       keep_outcome(s, PWPB_COPY(in->outcomes[i]));
-  pwonce_load(s->once, in->claims, in->n_claims);
+  s->keep_read = 0;
+  s->keep_ms = PW_ONCE_KEEP_MS;
+  pw_code rc = pwonce_load(s->once, in);
   pw__state__free_unpacked(in, NULL);
-  return PW_OK;
+  return rc;
 }
--- a/packages/store/pwstore.c
+++ b/packages/store/pwstore.c
@@ -19,6 +19,7 @@
 #define LOG_MAGIC 0x474c5750U
 #define SNAP_MAGIC 0x4e535750U
 #define ID_MAGIC 0x44495750U
+#define SINK_BYTES 65536 /* of a snapshot, written at once */
 
 typedef struct file_header {
   uint32_t magic;
@@ -363,19 +364,74 @@
   free(bytes);
 }
 
+/* A snapshot is packed twice, in pieces: into its checksum, then into the file.
+** In one piece it would take its own size in memory again. */
+typedef struct snapshot_sink {
+  ProtobufCBuffer base; /* first, so that append can be given the sink */
+  XXH3_state_t *sum;    /* NULL: into the file */
+  const pw_file_ops *ops;
+  int fd;
+  int rc;
+  size_t n;
+  uint8_t held[SINK_BYTES];
+} snapshot_sink;
+
+static void flush_sink(snapshot_sink *k) {
+  if (k->rc == 0)
+    k->rc = pwfile_write_all(k->ops, k->fd, k->held, k->n);
+  k->n = 0;
+}
+
+static void append_to_sink(ProtobufCBuffer *buffer, size_t len,
+                           const uint8_t *data) {
+  snapshot_sink *k = (snapshot_sink *)buffer;
+  if (k->sum) {
+    XXH3_64bits_update(k->sum, data, len);
+    return;
+  }
+  if (k->n + len > sizeof k->held)
+    flush_sink(k);
+  if (len <= sizeof k->held) {
+    memcpy(k->held + k->n, data, len);
+    k->n += len;
+  } else if (k->rc == 0) {
+    k->rc = pwfile_write_all(k->ops, k->fd, data, len);
+  }
+}
+
+typedef struct snapshot_fill {
+  file_header head;
+  const Pw__Snapshot *snapshot;
+} snapshot_fill;
+
+static int fill_snapshot(void *arg, const pw_file_ops *ops, int fd) {
+  const snapshot_fill *f = arg;
+  snapshot_sink *k = pw_alloc(sizeof *k);
+  k->base.append = append_to_sink;
+  k->ops = ops;
+  k->fd = fd;
+  k->sum = XXH3_createState();
+  if (!k->sum)
+    abort();
+  XXH3_64bits_reset(k->sum);
+  size_t len = pw__snapshot__pack_to_buffer(f->snapshot, &k->base);
+  record_header h = {(uint32_t)len, 0, XXH3_64bits_digest(k->sum)};
+  XXH3_freeState(k->sum);
+  k->sum = NULL;
+  append_to_sink(&k->base, sizeof f->head, (const uint8_t *)&f->head);
+  append_to_sink(&k->base, sizeof h, (const uint8_t *)&h);
+  pw__snapshot__pack_to_buffer(f->snapshot, &k->base);
+  flush_sink(k);
+  int rc = k->rc;
+  free(k);
+  return rc;
+}
+
 static pw_code write_snapshot(pw_store *s, const Pw__Snapshot *snapshot) {
-  pw_buf out = {0};
-  file_header h = {SNAP_MAGIC, FILE_VERSION, s->disk_id};
-  pwbuf_add(&out, &h, sizeof h);
-  size_t len = pw__snapshot__get_packed_size(snapshot);
-  uint8_t *bytes = pw_alloc(len);
-  pw__snapshot__pack(snapshot, bytes);
-  frame(&out, bytes, len);
-  free(bytes);
+  snapshot_fill f = {{SNAP_MAGIC, FILE_VERSION, s->disk_id}, snapshot};
   char path[PATH_BYTES];
   path_of(s, "snapshot", path);
-  int rc = pwfile_replace(s->ops, s->dir, path, out.data, out.len);
-  pwbuf_free(&out);
+  int rc = pwfile_replace_with(s->ops, s->dir, path, fill_snapshot, &f);
   return rc == 0 ? PW_OK : io_code();
 }
 
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -5370,7 +5370,7 @@
   (ProtobufCMessageInit) pw__kept_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__state__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pw__state__field_descriptors[7] =
 {
   {
     "version",
@@ -5444,11 +5444,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "past",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Pw__State, past),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__state__field_indices_by_name[] = {
   4,   /* field[4] = claims */
   2,   /* field[2] = floor */
   5,   /* field[5] = outcomes */
+  6,   /* field[6] = past */
   3,   /* field[3] = resources */
   1,   /* field[1] = revision */
   0,   /* field[0] = version */
@@ -5456,7 +5469,7 @@
 static const ProtobufCIntRange pw__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pw__state__descriptor =
 {
@@ -5466,7 +5479,7 @@
   "Pw__State",
   "pw",
   sizeof(Pw__State),
-  6,
+  7,
   pw__state__field_descriptors,
   pw__state__field_indices_by_name,
   1,  pw__state__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -870,10 +870,14 @@
   Pw__KeptClaim **claims;
   size_t n_outcomes;
   Pw__KeptOutcome **outcomes;
+  /*
+   * claims without their answers, as pwdedup packs them
+   */
+  ProtobufCBinaryData past;
 };
 #define PW__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__state__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL} }
 
 
 /*
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -283,10 +283,10 @@
   if (x->applied - x->d.snapshot->index < 40 || pwrand_below(&m->rnd, 4))
     return;
   size_t n;
+  pwcons_shed(x->cons);
   uint8_t *bytes = pwstate_save(x->state, &n);
   pwcons_compact(x->cons, x->applied, bytes, n);
   disk_snapshot(&x->d, pwcons_snapshot(x->cons), 1);
-  free(bytes);
 }
 
 static void work(model *m, node *x) {
--- /dev/null
+++ b/tests/test_ledger.c
@@ -0,0 +1,232 @@
+/* test_ledger.c: the once-ledger when it is crowded, full, old, and packed. */
+#include "pwbuf.h"
+#include "pwdedup.h"
+#include "pwlimits.h"
+#include "pwonce.h"
+#include "pwtest.h"
+
+#include <string.h>
+
+static Pw__Claimed *claim(pw_once *o, uint64_t wall, const char *id,
+                          const char *key, const char *body) {
+  Pw__Claim c = PW__CLAIM__INIT;
+  c.id = (char *)id;
+  c.workspace = "w";
+  c.key = (char *)key;
+  c.digest.data = (uint8_t *)body;
+  c.digest.len = strlen(body);
+  return pwonce_claim(o, wall, &c);
+}
+
+/* The wire has type and body where they are kept. */
+static void expect_claim(pw_once *o, uint64_t wall, const char *id,
+                         const char *key, const char *body, pw_code code,
+                         int answered) {
+  Pw__Claimed *c = claim(o, wall, id, key, body);
+  CHECK(c->code == code && c->answered == answered);
+  pw__claimed__free_unpacked(c, NULL);
+}
+
+static void test_once(void) {
+  pw_once *o = pwonce_new();
+  Pw__Record r = PW__RECORD__INIT;
+  r.workspace = "w";
+  r.key = "k";
+  expect_claim(o, 1, "a", "k", "body", PW_OK, 0);
+  expect_claim(o, 1, "a", "k", "body", PW_OK, 0); /* its own resend */
+  expect_claim(o, 1, "b", "k", "body", PW_E_RUNNING, 0);
+  expect_claim(o, 1, "b", "k", "other", PW_E_REUSED, 0);
+  r.id = "b";
+  r.status = 200;
+  pwonce_record(o, &r); /* not its owner */
+  expect_claim(o, 1, "c", "k", "body", PW_E_RUNNING, 0);
+  r.id = "a";
+  r.not_run = 1;
+  pwonce_record(o, &r); /* given back */
+  expect_claim(o, 1, "c", "k", "body", PW_OK, 0);
+  r.id = "c";
+  r.not_run = 0;
+  pwonce_record(o, &r);
+  expect_claim(o, 1, "d", "k", "body", PW_OK, 1);
+  pwonce_expire(o, 1 + PW_ONCE_KEEP_MS + 1, PW_ONCE_KEEP_MS);
+  CHECK(pwonce_count(o) == 0);
+  pwonce_free(o);
+}
+
+
+static void record(pw_once *o, const char *id, const char *key) {
+  Pw__Record r = PW__RECORD__INIT;
+  r.id = (char *)id;
+  r.workspace = "w";
+  r.key = (char *)key;
+  r.status = 200;
+  r.content_type = "text/plain";
+  pwonce_record(o, &r);
+}
+
+/* A key for each number, longest last: none fits another's room. */
+static const char *key_of(uint32_t i) {
+  static char key[32];
+  snprintf(key, sizeof key, "key-%u", i);
+  return key;
+}
+
+/* The fault this is for: a ledger that forgot its oldest answered claims when
+** it was crowded let their resends run again. */
+static void test_crowded(void) {
+  pw_once *o = pwonce_new();
+  const uint32_t n = PW_ONCE_ANSWERS + 100;
+  for (uint32_t i = 0; i < n; i++) {
+    pwonce_expire(o, 1000, PW_ONCE_KEEP_MS);
+    expect_claim(o, 1000, "a", key_of(i), "body", PW_OK, 0);
+    record(o, "a", key_of(i));
+  }
+  pwonce_expire(o, 1000, PW_ONCE_KEEP_MS);
+  CHECK(pwonce_count(o) == n);
+  CHECK(pwonce_past(o) == 100);
+  for (uint32_t i = 0; i < n; i += 50)
+    expect_claim(o, 1000, "b", key_of(i), "body", PW_OK, 1);
+  expect_claim(o, 1000, "b", key_of(0), "other", PW_E_REUSED, 0);
+  Pw__Claimed *c = claim(o, 1000, "b", key_of(0), "body");
+  CHECK(c->answered && !c->content_type[0] && !c->body.len);
+  pw__claimed__free_unpacked(c, NULL);
+  pwonce_free(o);
+}
+
+/* One that was begun and never ended stays claimed when only its hash is left,
+** until it is as old as all others. */
+static void test_open_past(void) {
+  pw_once *o = pwonce_new();
+  expect_claim(o, 1000, "a", "k", "body", PW_OK, 0);
+  uint64_t wall = 1000 + PW_ONCE_OPEN_MS + 1;
+  pwonce_expire(o, wall, PW_ONCE_KEEP_MS);
+  CHECK(pwonce_past(o) == 1);
+  expect_claim(o, wall, "b", "k", "body", PW_E_RUNNING, 0);
+  record(o, "a", "k"); /* too late */
+  expect_claim(o, wall, "a", "k", "body", PW_E_RUNNING, 0);
+  wall = 2000 + PW_ONCE_KEEP_MS + 1000;
+  pwonce_expire(o, wall, PW_ONCE_KEEP_MS);
+  expect_claim(o, wall, "b", "k", "body", PW_OK, 0);
+  pwonce_free(o);
+}
+
+/* A full ledger refuses; it forgets nothing. */
+static void test_full(void) {
+  pw_once *o = pwonce_new();
+  for (uint32_t i = 0; i < PW_ONCE_OPEN_MAX; i++)
+    expect_claim(o, 1000, "a", key_of(i), "body", PW_OK, 0);
+  expect_claim(o, 1000, "a", "more", "body", PW_E_LEDGER_FULL, 0);
+  expect_claim(o, 1000, "b", key_of(0), "body", PW_E_RUNNING, 0);
+  record(o, "a", key_of(0));
+  expect_claim(o, 1000, "a", "more", "body", PW_OK, 0);
+  pwonce_free(o);
+
+  Pw__State full = PW__STATE__INIT;
+  full.past.len = (size_t)PW_ONCE_MAX * PWDEDUP_BYTES;
+  full.past.data = pw_alloc(full.past.len);
+  for (uint32_t i = 0; i < PW_ONCE_MAX; i++) {
+    uint8_t *at = full.past.data + (size_t)i * PWDEDUP_BYTES;
+    uint32_t spread = i * 2654435761U;
+    memcpy(at, &spread, sizeof spread);
+    at[PWDEDUP_KEY] = 100; /* seconds */
+  }
+  o = pwonce_new();
+  CHECK(pwonce_load(o, &full) == PW_OK);
+  CHECK(pwonce_past(o) == PW_ONCE_MAX);
+  expect_claim(o, 101000, "a", "k", "body", PW_E_LEDGER_FULL, 0);
+  pwonce_expire(o, 101000 + PW_ONCE_KEEP_MS, PW_ONCE_KEEP_MS);
+  expect_claim(o, 101000 + PW_ONCE_KEEP_MS, "a", "k", "body", PW_OK, 0);
+  full.past.len--;
+  CHECK(pwonce_load(o, &full) == PW_E_CORRUPT);
+  free(full.past.data);
+  pwonce_free(o);
+}
+
+/* Packed and loaded, it says the same of every claim. */
+static void test_packed(void) {
+  pw_once *o = pwonce_new();
+  pw_once *copy = pwonce_new();
+  for (uint32_t i = 0; i < PW_ONCE_ANSWERS + 10; i++) {
+    pwonce_expire(o, 1000, PW_ONCE_KEEP_MS);
+    expect_claim(o, 1000, "a", key_of(i), "body", PW_OK, 0);
+    if (i % 7)
+      record(o, "a", key_of(i));
+  }
+  Pw__State s = PW__STATE__INIT;
+  pwonce_pack(o, &s);
+  CHECK(pwonce_load(copy, &s) == PW_OK);
+  CHECK(pwonce_count(copy) == pwonce_count(o));
+  CHECK(pwonce_past(copy) == pwonce_past(o));
+  for (uint32_t i = 0; i < PW_ONCE_ANSWERS + 10; i += 3) {
+    Pw__Claimed *x = claim(o, 1000, "b", key_of(i), "body");
+    Pw__Claimed *y = claim(copy, 1000, "b", key_of(i), "body");
+    CHECK(x->code == y->code && x->answered == y->answered);
+    CHECK(!strcmp(x->content_type, y->content_type));
+    pw__claimed__free_unpacked(x, NULL);
+    pw__claimed__free_unpacked(y, NULL);
+  }
+  free(s.claims);
+  free(s.past.data);
+  pwonce_free(o);
+  pwonce_free(copy);
+}
+
+#define NAIVE_MAX 4000
+
+/* A plain list, searched from end to end. */
+typedef struct naive {
+  pw_dedup_entry e[NAIVE_MAX];
+  int first, n;
+} naive;
+
+static int naive_find(const naive *l, const uint8_t *key) {
+  for (int i = l->first; i < l->n; i++)
+    if (!memcmp(l->e[i].key, key, PWDEDUP_KEY))
+      return i;
+  return -1;
+}
+
+/* The table against the list: few first bytes, so that keys crowd one place. */
+static void test_dedup_against_naive(void) {
+  pw_random rnd = {test_seed(71), 0};
+  naive *l = pw_alloc(sizeof *l);
+  pw_dedup *d = pwdedup_new();
+  for (uint32_t round = 0; l->n < NAIVE_MAX; round++) {
+    pw_dedup_entry e = {.at = round / 4, .body = round, .answered = round & 1};
+    e.key[0] = (uint8_t)pwrand_below(&rnd, 8);
+    e.key[3] = 0xff; /* near the end of the table: searches wrap round */
+    e.key[8] = (uint8_t)pwrand_below(&rnd, 256);
+    e.key[9] = (uint8_t)pwrand_below(&rnd, 16);
+    pw_dedup_entry got = {0};
+    int at = naive_find(l, e.key);
+    int found = pwdedup_find(d, e.key, &got);
+    CHECK(found == (at >= 0));
+    if (found && at >= 0)
+      CHECK(got.at == l->e[at].at && got.body == l->e[at].body &&
+            got.answered == l->e[at].answered);
+    if (!found) {
+      pwdedup_add(d, &e);
+      l->e[l->n++] = e;
+    }
+    if (pwrand_below(&rnd, 50) == 0 && round > 1500) {
+      uint32_t before = (round - 1500 + (uint32_t)pwrand_below(&rnd, 500)) / 4;
+      pwdedup_expire(d, before);
+      while (l->first < l->n && l->e[l->first].at < before)
+        l->first++;
+    }
+    CHECK((int)pwdedup_count(d) == l->n - l->first);
+  }
+  pwdedup_free(d);
+  free(l);
+}
+
+int main(void) {
+  TESTS_BEGIN("ledger");
+  TEST(test_once);
+  TEST(test_crowded);
+  TEST(test_open_past);
+  TEST(test_full);
+  TEST(test_packed);
+  TEST(test_dedup_against_naive);
+  TESTS_END();
+}
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -447,51 +447,6 @@
   pwstate_free(s);
 }
 
-static Pw__Claimed *claim(pw_once *o, uint64_t wall, const char *id,
-                          const char *key, const char *body) {
-  Pw__Claim c = PW__CLAIM__INIT;
-  c.id = (char *)id;
-  c.workspace = "w";
-  c.key = (char *)key;
-  c.digest.data = (uint8_t *)body;
-  c.digest.len = strlen(body);
-  return pwonce_claim(o, wall, &c);
-}
-
-static void expect_claim(pw_once *o, uint64_t wall, const char *id,
-                         const char *key, const char *body, pw_code code,
-                         int answered) {
-  Pw__Claimed *c = claim(o, wall, id, key, body);
-  CHECK(c->code == code && c->answered == answered);
-  pw__claimed__free_unpacked(c, NULL);
-}
-
-static void test_once(void) {
-  pw_once *o = pwonce_new();
-  Pw__Record r = PW__RECORD__INIT;
-  r.workspace = "w";
-  r.key = "k";
-  expect_claim(o, 1, "a", "k", "body", PW_OK, 0);
-  expect_claim(o, 1, "a", "k", "body", PW_OK, 0); /* its own resend */
-  expect_claim(o, 1, "b", "k", "body", PW_E_RUNNING, 0);
-  expect_claim(o, 1, "b", "k", "other", PW_E_REUSED, 0);
-  r.id = "b";
-  r.status = 200;
-  pwonce_record(o, &r); /* not its owner */
-  expect_claim(o, 1, "c", "k", "body", PW_E_RUNNING, 0);
-  r.id = "a";
-  r.not_run = 1;
-  pwonce_record(o, &r); /* given back */
-  expect_claim(o, 1, "c", "k", "body", PW_OK, 0);
-  r.id = "c";
-  r.not_run = 0;
-  pwonce_record(o, &r);
-  expect_claim(o, 1, "d", "k", "body", PW_OK, 1);
-  pwonce_expire(o, 1 + PW_ONCE_KEEP_MS + 1);
-  CHECK(pwonce_count(o) == 0);
-  pwonce_free(o);
-}
-
 int main(void) {
   TESTS_BEGIN("store");
   TEST(test_log_lasts);
@@ -507,6 +462,5 @@
   TEST(test_only_forwards);
   TEST(test_references);
   TEST(test_schema);
-  TEST(test_once);
   TESTS_END();
 }
