A request that had queued is retried; a bad version's failures are tried on the other

Looked at beside it: pwroute_next gives nothing once a walk had queued, so no retry after a queue ever found a target.

--- a/packages/daemon/pwattempt.c
+++ b/packages/daemon/pwattempt.c
@@ -132,16 +132,26 @@
   if (!pwtargets_pool(fs->targets, f->pool, policy, f->walk.draw, now, &pool))
     return NULL;
   pw_route_pick pick = pwroute_next(&pool, &f->walk);
-  if (!pick.id && f->failed) { /* a retry may go where one has failed */
-    f->failed = 0;
-    f->walk.ntried = 0;
-    pick = pwroute_next(&pool, &f->walk);
-  }
   f->need_prefix = pick.need_prefix;
   f->may_queue = pick.may_queue;
   return pwtargets_by_id(fs->targets, pick.id);
 }
 
+/* The same, wider: a retry may go where one has failed when no other is left.
+ */
+static pw_target *pick_anywhere(pw_flights *fs, pw_flight *f,
+                                const pw_policy *policy, int64_t now) {
+  pw_target *t = pick_target(fs, f, policy, now);
+  if (!t && other_version(f))
+    t = pick_target(fs, f, policy, now);
+  if (t || !f->failed)
+    return t;
+  f->failed = 0;
+  f->pool = f->call->pool;
+  f->walk.ntried = 0;
+  return pick_target(fs, f, policy, now);
+}
+
 void pwfl_place(pw_flights *fs, pw_flight *f, const pw_policy *policy,
                 int64_t now) {
   if (now + PWFL_MARGIN_MS >= f->deadline) {
@@ -150,9 +160,7 @@
   }
   pw_target *t = NULL;
   if (f->hops <= PW_HOPS_MAX)
-    t = pick_target(fs, f, policy, now);
-  if (!t && f->hops <= PW_HOPS_MAX && other_version(f))
-    t = pick_target(fs, f, policy, now);
+    t = pick_anywhere(fs, f, policy, now);
   if (t)
     go_to(fs, f, t, now);
   else
@@ -256,8 +264,11 @@
   uint64_t id = f->target;
   pwfl_release(fs, f);
   pwroute_refused(&f->walk, id, PW_REFUSED_OTHER, 0, 0);
+  f->walk.queued = 0;
+  f->walk.busy = 0;
   f->failed = 1;
   f->last_code = code;
+  other_version(f); /* one that fails may be bad itself */
   pwfl_rename_attempt(fs, f);
   pwfl_place(fs, f, policy, now);
 }
--- a/packages/store/pwdedup.c
+++ b/packages/store/pwdedup.c
@@ -96,9 +96,9 @@
 }
 
 void pwdedup_add(pw_dedup *d, const pw_dedup_entry *e) {
-  packed p = {.at = htole32(e->at),
-              .body = htole32((e->body & ~ANSWERED) |
-                              (e->answered ? ANSWERED : 0))};
+  packed p = {
+      .at = htole32(e->at),
+      .body = htole32((e->body & ~ANSWERED) | (e->answered ? ANSWERED : 0))};
   memcpy(p.key, e->key, sizeof p.key);
   assert(!pwdedup_find(d, e->key, NULL));
   if (d->count == d->cap)
--- a/tests/scenarios/17_rollout.lua
+++ b/tests/scenarios/17_rollout.lua
@@ -73,6 +73,7 @@
   local r = rollout()
   return r and r.state == "rolled-back" and r.why == "errors"
 end, 60000)
+fleet.equal("requests that failed for a bad version, while another served", failed, 0)
 until_state("v2 serves everywhere again", function(r) return r.settled and r.serving_from == 4 end)
 text, code = f:peatwell("status --wait")
 fleet.equal("status --wait tells the roll-back: " .. text, code, 1)
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -53,7 +53,6 @@
   pwonce_free(o);
 }
 
-
 static void record(pw_once *o, const char *id, const char *key) {
   Pw__Record r = PW__RECORD__INIT;
   r.id = (char *)id;
