Cache events: the agent's picture is corrected, and had back after a restart

Cause: an agent learned its engine's cache only from answers. Restarted, it knew nothing: a displaced chat's prefix was lost with it. Evictions showed only as misses. Change: pwkvfeed asks the engine (docs/ENGINE.md); pwcache takes events by number and time, a gap asks for all; prefixes may be asked of a target that has just joined; a plain service is never asked (03_not_run and 04_once saw it run once more). pwthread is one way to run a thread in rounds, for pworder too.

--- a/Makefile
+++ b/Makefile
@@ -71,7 +71,7 @@
 	@echo "  LD $@"
 	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(ALL_LIB) $(LDLIBS)
 
-$(BUILD)/fake-engine: $(BUILD)/tests/fakes/models.o
+$(BUILD)/fake-engine: $(addprefix $(BUILD)/tests/fakes/,models.o cachelog.o)
 
 $(RUNNER): $(call obj,$(wildcard tests/runner/*.c)) $(ALL_LIB)
 	@echo "  LD $@"
--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -30,11 +30,15 @@
 #define REPORT_MS 250
 #define DEADLINE_MS 60000
 #define FLOOR 3000.0
-#define IMPORT 40000.0 /* prompt tokens a second taken over from another */
+#define EVENTS_HELD 4096
+#define EVENTS_LATE_MS 1000
+#define EVENTS_LOST 0.02 /* share of the answers with events that lack one */
+#define IMPORT 40000.0   /* prompt tokens a second taken over from another */
 
 typedef enum policy {
   P_PEATWELL,
-  P_MOVES, /* the same, engines take over each other's KV cache */
+  P_MOVES,  /* the same, engines take over each other's KV cache */
+  P_EVENTS, /* the same, and engines publish cache events */
   P_ROUND_ROBIN,
   P_RANDOM,
   P_LEAST_STALE,
@@ -45,10 +49,16 @@
   P_COUNT
 } policy;
 
-static const char *const policy_names[] = {
-    "peatwell",    "peatwell, KV moved",        "round robin",
-    "random",      "least loaded, stale",       "two choices",
-    "sticky hash", "bounded hash, no pointers", "all-knowing"};
+static const char *const policy_names[] = {"peatwell",
+                                           "peatwell, KV moved",
+                                           "peatwell, moved, events",
+                                           "round robin",
+                                           "random",
+                                           "least loaded, stale",
+                                           "two choices",
+                                           "sticky hash",
+                                           "bounded hash, no pointers",
+                                           "all-knowing"};
 
 typedef struct workload {
   const char *name;
@@ -90,7 +100,15 @@
   struct job *next;
 } job;
 
+/* Cache events of an engine that were not told yet. */
+typedef struct event_log {
+  pw_cache_event e[EVENTS_HELD];
+  size_t n;
+  uint64_t newest;
+} event_log;
+
 typedef struct engine {
+  event_log *events; /* P_EVENTS */
   uint64_t id;
   uint32_t zone;
   int up;
@@ -151,7 +169,25 @@
 
 /* --- the engine's cache --- */
 
-static void cache_drop(engine *e, cached *c) {
+static void chat_name(int id, char out[24]) {
+  snprintf(out, 24, "c%d", id);
+}
+
+static void tell_event(engine *e, int id, int tokens, int64_t now) {
+  if (!e->events)
+    return;
+  event_log *l = e->events;
+  l->newest++;
+  if (l->n == EVENTS_HELD)
+    return; /* a gap */
+  pw_cache_event *v = &l->e[l->n++];
+  *v = (pw_cache_event){
+      .number = l->newest, .tokens = (uint32_t)tokens, .at = now};
+  chat_name(id, v->chat);
+}
+
+static void cache_drop(engine *e, cached *c, int64_t now) {
+  tell_event(e, c->chat, 0, now);
   e->cache_used -= c->tokens;
   HASH_DEL(e->cache, c);
   free(c);
@@ -164,7 +200,7 @@
 }
 
 /* uthash keeps order of adding: the first is the least recently used. */
-static int cache_use(engine *e, int id, int tokens) {
+static int cache_use(engine *e, int id, int tokens, int64_t now) {
   cached *c;
   int hit = 0;
   HASH_FIND_INT(e->cache, &id, c);
@@ -179,26 +215,63 @@
   c->tokens = tokens;
   e->cache_used += tokens;
   HASH_ADD_INT(e->cache, chat, c);
+  tell_event(e, id, tokens, now);
   while (e->cache_used > CACHE_TOKENS && e->cache != c)
-    cache_drop(e, e->cache);
+    cache_drop(e, e->cache, now);
   return hit;
 }
 
-static void cache_clear(engine *e) {
+static void cache_clear(engine *e, int64_t now) {
   cached *c, *tmp;
   HASH_ITER(hh, e->cache, c, tmp) {
-    cache_drop(e, c);
+    cache_drop(e, c, now);
+  }
+}
+
+/* All that the engine holds. */
+static void tell_all(engine *e, int64_t now) {
+  size_t n = 0;
+  pw_cache_event *list = pw_alloc(sizeof *list * (HASH_COUNT(e->cache) + 1));
+  for (const cached *c = e->cache; c; c = c->hh.next) {
+    list[n].tokens = (uint32_t)c->tokens;
+    list[n].at = now;
+    chat_name(c->chat, list[n++].chat);
   }
+  pw_cache_news news = {.epoch = 1,
+                        .newest = e->events->newest,
+                        .is_picture = 1,
+                        .at = now,
+                        .event = list,
+                        .n = n};
+  pwcache_news(&e->known, &news);
+  e->events->n = 0;
+  free(list);
 }
 
 /* --- running --- */
 
-static void chat_name(int id, char out[24]) {
-  snprintf(out, 24, "c%d", id);
+static int is_ours(const world *w) {
+  return w->p <= P_EVENTS;
 }
 
-static int is_ours(const world *w) {
-  return w->p == P_PEATWELL || w->p == P_MOVES;
+/* Events reach the agent late, and now and then one is missing. */
+static void hear_events(world *w, engine *e) {
+  event_log *l = e->events;
+  size_t n = 0;
+  while (n < l->n && l->e[n].at + EVENTS_LATE_MS <= w->now)
+    n++;
+  if (!n)
+    return;
+  size_t skip = unit(w) < EVENTS_LOST;
+  pw_cache_news news = {.epoch = 1,
+                        .newest = l->e[n - 1].number,
+                        .event = l->e + skip,
+                        .n = n - skip};
+  int whole = pwcache_news(&e->known, &news);
+  l->n -= n;
+  memmove(l->e, l->e + n, sizeof *l->e * l->n);
+  if (!whole)
+    tell_all(e, w->now);
 }
 
 static void note_wait(world *w, const job *j) {
@@ -215,7 +288,7 @@
 static void start_job(world *w, engine *e, job *j) {
   char name[24];
   int moved = j->from ? cache_find(j->from, j->chat) : 0;
-  j->cached = cache_use(e, j->chat, j->prompt);
+  j->cached = cache_use(e, j->chat, j->prompt, w->now);
   if (moved > j->prompt)
     moved = j->prompt;
   moved = moved > j->cached ? moved - j->cached : 0;
@@ -401,7 +474,7 @@
     free(a.pushed_out);
   }
   if (a.verdict == PW_ADMIT_REFUSED) {
-    if (known && w->p == P_MOVES) {
+    if (known && w->p >= P_MOVES) {
       j->holder = e;
       j->offered = (int)known;
     }
@@ -606,7 +679,7 @@
   e->last = NULL;
   e->queued_plain = 0;
   e->load = 0;
-  cache_clear(e);
+  cache_clear(e, w->now);
 }
 
 /* A target goes, with its cache, and comes back empty after a while; every
@@ -638,6 +711,9 @@
       e->pending[k] = 0;
     }
   }
+  for (int i = 0; i < w->n; i++)
+    if (w->e[i].events)
+      hear_events(w, &w->e[i]);
   for (int i = 0; i < w->n; i++) {
     w->e[i].view = sum_of(w, i % ENTRIES);
     w->e[i].view.at -= REPORT_MS; /* as old as the Hello it answers */
@@ -686,7 +762,10 @@
     e->zone = 1 + (uint32_t)(i % w->w.zones);
     e->up = 1;
     pwcache_init(&e->known);
-    pwmove_init(&e->move, w->p == P_MOVES);
+    pwmove_init(&e->move, w->p == P_MOVES || w->p == P_EVENTS);
+    e->events = w->p == P_EVENTS ? pw_alloc(sizeof *e->events) : NULL;
+    if (e->events)
+      tell_all(e, 0);
     e->pointers = pwchat_new(PW_POINTERS_MAX, PW_POINTER_KEEP_MS);
     pwadmit_init(&e->admit, SLOTS, 256, RATE, 0);
     e->admit.floor = FLOOR;
@@ -704,6 +783,7 @@
     pwadmit_free(&w->e[i].admit);
     pwcache_free(&w->e[i].known);
     pwchat_free(w->e[i].pointers);
+    free(w->e[i].events);
   }
   pwplace_free(w->place);
   free(w->e);
@@ -797,7 +877,7 @@
             "<rect x='%d' y='%d' width='%.1f' height='13' fill='%s'/>"
             "<text x='%d' y='%d'>%s %.4g</text>\n",
             x, y + row * 17, width > 150 ? 150 : width,
-            bars[i].p <= P_MOVES         ? "#2a6f97"
+            bars[i].p <= P_EVENTS        ? "#2a6f97"
             : bars[i].p == P_ALL_KNOWING ? "#8ab17d"
                                          : "#c9ced6",
             x + 4, y + row * 17 + 11, policy_names[bars[i].p], v);
@@ -809,9 +889,12 @@
   FILE *f = fopen(path, "w");
   if (!f)
     return;
-  fprintf(f, "<svg xmlns='http://www.w3.org/2000/svg' width='760' "
-             "height='760' font-family='sans-serif' font-size='11'>\n"
-             "<rect width='760' height='760' fill='white'/>\n");
+  int height = nbars / P_COUNT * (P_COUNT * 17 + 54) + 20;
+  fprintf(f,
+          "<svg xmlns='http://www.w3.org/2000/svg' width='760' "
+          "height='%d' font-family='sans-serif' font-size='11'>\n"
+          "<rect width='760' height='%d' fill='white'/>\n",
+          height, height);
   int y = 40;
   for (int i = 0; i < nbars; i += P_COUNT) {
     fprintf(f, "<text x='10' y='%d' font-size='13'>%s</text>\n", y - 22,
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -34,6 +34,12 @@
   X(PWC_CANCELS, "cancels_total", "counter", "streams cancelled")              \
   X(PWC_DUPLICATES, "duplicates_total", "counter",                             \
     "second arrivals of one attempt, refused")                                 \
+  X(PWC_CACHE_EVENTS, "cache_events_total", "counter",                         \
+    "cache events of the target taken")                                        \
+  X(PWC_CACHE_GAPS, "cache_gaps_total", "counter",                             \
+    "times that cache events were missing, and all were asked for")            \
+  X(PWC_CACHE_WRONG, "cache_wrong_total", "counter",                           \
+    "prefixes believed cached of which not half was found")                    \
   X(PWC_POINTER_HITS, "pointer_hits_total", "counter",                         \
     "displaced chats found by a pointer")                                      \
   X(PWC_CLAIMS, "once_claims_total", "counter", "once-claims decided")         \
--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -103,6 +103,8 @@
         "an engine that sends nothing for this long has failed"),
     STR("agent", "kv_cache", agent_kv_cache, "stays", "stays|moves", NULL,
         "whether engines take over each other's KV cache of a chat"),
+    INT("agent", "cache_events_ms", agent_cache_events, 0, 60000, 500, "ms",
+        "how often the target is asked for its cache events; 0: never"),
     INT("agent", "decode_tokens_per_s", agent_decode_rate, 1, 10000000, 2000,
         "tokens/s",
         "most tokens the target can finish in a second; the load "
--- a/packages/core/pwset.h
+++ b/packages/core/pwset.h
@@ -54,6 +54,7 @@
   char *agent_when_cut_off;
   int64_t agent_engine_timeout;
   char *agent_kv_cache;
+  int64_t agent_cache_events;
   int64_t agent_decode_rate;
 
   char *control_http;
--- /dev/null
+++ b/packages/core/pwthread.c
@@ -0,0 +1,88 @@
+/* pwthread.c: a thread that works in rounds. */
+#include "pwthread.h"
+
+#include "pwclock.h"
+
+#include <stdlib.h>
+#include <time.h>
+
+#define STACK_BYTES (256 * 1024)
+#define NS_PER_MS 1000000LL
+#define NS_PER_S 1000000000LL
+
+static struct timespec in_ms(int64_t ms) {
+  struct timespec ts;
+  clock_gettime(CLOCK_MONOTONIC, &ts);
+  int64_t ns = ts.tv_nsec + ms * NS_PER_MS;
+  ts.tv_sec += (time_t)(ns / NS_PER_S);
+  ts.tv_nsec = (long)(ns % NS_PER_S);
+  return ts;
+}
+
+/* Until the time is over, or it is woken or ended; 0: ended. */
+static int rest(pw_thread *t, int64_t ms) {
+  struct timespec until = in_ms(ms);
+  pthread_mutex_lock(&t->lock);
+  if (!t->ending)
+    pthread_cond_timedwait(&t->more, &t->lock, &until);
+  int ending = t->ending;
+  pthread_mutex_unlock(&t->lock);
+  return !ending;
+}
+
+static void *work(void *arg) {
+  pw_thread *t = arg;
+  int64_t ms = t->first;
+  while (rest(t, ms))
+    ms = t->round(t->arg);
+  pthread_mutex_lock(&t->lock);
+  t->ended = 1;
+  pthread_mutex_unlock(&t->lock);
+  return NULL;
+}
+
+void pwthread_start(pw_thread *t, int64_t (*round)(void *arg), void *arg,
+                    int64_t first) {
+  pthread_condattr_t clock;
+  pthread_attr_t attr;
+  *t = (pw_thread){.round = round, .arg = arg, .first = first};
+  pthread_mutex_init(&t->lock, NULL);
+  pthread_condattr_init(&clock);
+  pthread_condattr_setclock(&clock, CLOCK_MONOTONIC);
+  pthread_cond_init(&t->more, &clock);
+  pthread_condattr_destroy(&clock);
+  pthread_attr_init(&attr);
+  pthread_attr_setstacksize(&attr, STACK_BYTES);
+  if (pthread_create(&t->id, &attr, work, t) != 0)
+    abort();
+  pthread_attr_destroy(&attr);
+}
+
+void pwthread_wake(pw_thread *t) {
+  pthread_cond_signal(&t->more);
+}
+
+static int has_ended(pw_thread *t) {
+  pthread_mutex_lock(&t->lock);
+  int ended = t->ended;
+  pthread_mutex_unlock(&t->lock);
+  return ended;
+}
+
+int pwthread_stop(pw_thread *t, int64_t limit_ms) {
+  int64_t until = pwclock_ms() + limit_ms;
+  pthread_mutex_lock(&t->lock);
+  t->ending = 1;
+  pthread_cond_signal(&t->more);
+  pthread_mutex_unlock(&t->lock);
+  while (!has_ended(t)) {
+    if (pwclock_ms() >= until)
+      return -1;
+    struct timespec ts = {0, NS_PER_MS};
+    nanosleep(&ts, NULL);
+  }
+  pthread_join(t->id, NULL);
+  pthread_mutex_destroy(&t->lock);
+  pthread_cond_destroy(&t->more);
+  return 0;
+}
--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -7,6 +7,7 @@
 #include "pwcarry.h"
 #include "pwchat.h"
 #include "pwjob.h"
+#include "pwkvfeed.h"
 #include "pwlog.h"
 #include "pwmove.h"
 #include "pwsub.h"
@@ -48,6 +49,7 @@
   pw_workers *workers;
   pw_admit admit;
   pw_cache cache;     /* what the target is believed to have cached */
+  pw_kvfeed *kvfeed;  /* its cache events */
   pw_move move;       /* prices of computing and moving prefixes */
   pw_chats *pointers; /* chats displaced from here */
   held *jobs;
@@ -437,6 +439,8 @@
   if (n->status == 200 && !j->run->service && j->run->chat[0]) {
     uint32_t tokens = j->prompt ? j->prompt : j->run->prompt_tokens;
     learn_prices(a, j, now);
+    if (j->cached < j->expected / 2)
+      pwcount_add(a->p->counters, PWC_CACHE_WRONG, 1);
     pwcache_seen(&a->cache, j->run->chat, tokens, j->cached, j->expected, now);
     pwchat_forget(a->pointers, j->run->chat);
   }
@@ -624,7 +628,21 @@
   }
 }
 
+/* Cache events: what is missing between two of them is asked for as a whole. */
+static void hear_cache(agent *a) {
+  pw_cache_news news;
+  if (!pwkvfeed_take(a->kvfeed, &news))
+    return;
+  int whole = pwcache_news(&a->cache, &news);
+  pwcount_add(a->p->counters, PWC_CACHE_EVENTS, (int64_t)news.n);
+  if (!whole)
+    pwcount_add(a->p->counters, PWC_CACHE_GAPS, 1);
+  pwkvfeed_clear(&news);
+  pwkvfeed_go_on(a->kvfeed, a->cache.seen, !whole);
+}
+
 static void tick(agent *a, int64_t now) {
+  hear_cache(a);
   say_hello(a, now);
   expire_jobs(a, now);
   expire_unheard(a, now);
@@ -710,6 +728,9 @@
   a->workers = pwjob_workers(a->mail, set->agent_url,
                              (int)set->agent_slots + SPARE_WORKERS,
                              (int)set->agent_engine_timeout);
+  int is_engine = !strcmp(set->agent_kind, "engine"); /* a service has none */
+  a->kvfeed = pwkvfeed_start(a->p, set->agent_url,
+                             is_engine ? set->agent_cache_events : 0);
   pwadmit_init(&a->admit, (int)set->agent_slots, (int)set->agent_queue,
                (double)set->agent_decode_rate, now);
   pwcarry_init(&a->carry, a->p);
@@ -765,6 +786,7 @@
   if (end_jobs(&a) == 0)
     pwmail_free(a.mail);
   pwcarry_end(&a.carry); /* a thread that is stuck ends with the process */
+  pwkvfeed_stop(a.kvfeed);
   pwserve_stop(a.http);
   free_parts(&a);
   pwwire_close(a.listener);
--- a/packages/daemon/pwcarry.c
+++ b/packages/daemon/pwcarry.c
@@ -68,6 +68,8 @@
     add_pool(&rd, json_string_value(service));
   }
   json_decref(spec);
+  if (!before.known)
+    return 0; /* read for the first time */
   int changed = c->npools != before.npools;
   for (int k = 0; k < c->npools; k++)
     changed |= !find(&before, c->pool[k].name);
--- a/packages/daemon/pwcarry.h
+++ b/packages/daemon/pwcarry.h
@@ -31,8 +31,8 @@
 /* -1 when a thread still waits for the target. */
 int pwcarry_end(pw_carry *c);
 
-/* The resources changed. Gives 1 when the target is in other pools than before.
- */
+/* The resources changed. Gives 1 when the target is in other pools than before,
+** and was known before. */
 int pwcarry_update(pw_carry *c, const pw_res *r);
 
 /* The parent told the sums of pools, in answer to a Hello. */
--- /dev/null
+++ b/packages/daemon/pwkvfeed.c
@@ -0,0 +1,158 @@
+/* pwkvfeed.c: hears the target's cache events. */
+#include "pwkvfeed.h"
+
+#include "pwbuf.h"
+#include "pwfetch.h"
+#include "pwjson.h"
+#include "pwthread.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIMEOUT_S 5
+#define ANSWER_MAX (16UL * 1024 * 1024) /* bytes: a picture of 65,536 chats */
+#define RETRY_MS 2000                   /* after an answer that was none */
+#define NOT_SPOKEN_MS 60000 /* an engine without events is asked again */
+#define STOP_MS 1000
+
+struct pw_kvfeed {
+  pw_proc *p;
+  char *url;
+  int64_t every;
+  pw_thread thread;
+  /* Under the thread's lock: */
+  pw_cache_news news;
+  int has_news; /* not taken yet, or its taker did not say how to go on */
+  int is_taken;
+  uint64_t seen;
+  int picture;
+};
+
+static void read_event(const json_t *one, int64_t asked, pw_cache_news *out) {
+  const char *key = pwjson_text(one, "key");
+  double tokens = pwjson_number(one, "tokens", -1);
+  double number = pwjson_number(one, "n", 0);
+  if (!key[0] || strlen(key) >= sizeof out->event->chat || tokens < 0 ||
+      tokens > UINT32_MAX || number < 0)
+    return;
+  pw_cache_event *e = &out->event[out->n++];
+  pw_copy(e->chat, sizeof e->chat, key);
+  e->tokens = (uint32_t)tokens;
+  e->number = (uint64_t)number;
+  e->at = asked - (int64_t)pwjson_number(one, "age_ms", 0);
+}
+
+int pwkvfeed_read(const char *text, size_t len, int64_t asked,
+                  pw_cache_news *out) {
+  json_t *doc = json_loadb(text, len, 0, NULL);
+  const json_t *events = json_object_get(doc, "events");
+  *out = (pw_cache_news){0};
+  if (!json_is_array(events)) {
+    json_decref(doc);
+    return -1;
+  }
+  out->epoch = (uint64_t)pwjson_number(doc, "epoch", 0);
+  out->newest = (uint64_t)pwjson_number(doc, "newest", 0);
+  out->is_picture = json_is_true(json_object_get(doc, "all"));
+  out->at = asked - (int64_t)pwjson_number(doc, "age_ms", 0);
+  out->event = pw_alloc(sizeof *out->event * (json_array_size(events) + 1));
+  size_t i;
+  const json_t *one;
+  json_array_foreach(events, i, one) {
+    read_event(one, asked, out);
+  }
+  json_decref(doc);
+  return 0;
+}
+
+/* One question to the target: PW_OK with news, or why not. */
+static pw_code ask(const pw_kvfeed *f, uint64_t seen, int picture,
+                   pw_cache_news *out) {
+  char path[96];
+  pw_buf text = {0};
+  int status = 0;
+  int64_t asked = pwclock_ms();
+  snprintf(path, sizeof path, "/v1/cache/events?after=%llu&all=%d",
+           (unsigned long long)seen, picture);
+  pw_code rc = pwfetch_text(f->url, "GET", path, NULL, 0, NULL, TIMEOUT_S,
+                            ANSWER_MAX, &status, &text);
+  if (rc == PW_OK && status != 200)
+    rc = status == 404 ? PW_E_PATH : PW_E_UPSTREAM;
+  if (rc == PW_OK && pwkvfeed_read(text.data ? text.data : "", text.len, asked,
+                                   out) != 0)
+    rc = PW_E_UPSTREAM;
+  pwbuf_free(&text);
+  return rc;
+}
+
+static int64_t work(void *arg) {
+  pw_kvfeed *f = arg;
+  pthread_mutex_lock(&f->thread.lock);
+  int waits = f->has_news;
+  uint64_t seen = f->seen;
+  int picture = f->picture;
+  pthread_mutex_unlock(&f->thread.lock);
+  if (waits)
+    return f->every;
+  pw_cache_news news;
+  pw_code rc = ask(f, seen, picture, &news);
+  if (rc != PW_OK)
+    return rc == PW_E_PATH ? NOT_SPOKEN_MS : RETRY_MS;
+  pthread_mutex_lock(&f->thread.lock);
+  f->news = news;
+  f->has_news = 1;
+  f->is_taken = 0;
+  pthread_mutex_unlock(&f->thread.lock);
+  return f->every;
+}
+
+pw_kvfeed *pwkvfeed_start(pw_proc *p, const char *url, int64_t every_ms) {
+  pw_kvfeed *f = pw_alloc(sizeof *f);
+  f->p = p;
+  f->url = pw_dup(url);
+  f->every = every_ms;
+  f->picture = 1;
+  if (every_ms)
+    pwthread_start(&f->thread, work, f, 0);
+  return f;
+}
+
+int pwkvfeed_stop(pw_kvfeed *f) {
+  if (f->every && pwthread_stop(&f->thread, STOP_MS) != 0)
+    return -1;
+  if (f->has_news && !f->is_taken)
+    pwkvfeed_clear(&f->news);
+  free(f->url);
+  free(f);
+  return 0;
+}
+
+int pwkvfeed_take(pw_kvfeed *f, pw_cache_news *out) {
+  if (!f->every)
+    return 0;
+  pthread_mutex_lock(&f->thread.lock);
+  int has = f->has_news && !f->is_taken;
+  if (has) {
+    *out = f->news;
+    f->is_taken = 1;
+  }
+  pthread_mutex_unlock(&f->thread.lock);
+  return has;
+}
+
+void pwkvfeed_clear(pw_cache_news *news) {
+  free(news->event);
+  *news = (pw_cache_news){0};
+}
+
+void pwkvfeed_go_on(pw_kvfeed *f, uint64_t seen, int picture) {
+  pthread_mutex_lock(&f->thread.lock);
+  int at_once = picture && !f->picture; /* else as often as always */
+  f->seen = seen;
+  f->picture = picture;
+  f->has_news = 0;
+  if (at_once)
+    pwthread_wake(&f->thread);
+  pthread_mutex_unlock(&f->thread.lock);
+}
--- a/packages/daemon/pworder.c
+++ b/packages/daemon/pworder.c
@@ -5,17 +5,16 @@
 #include "pwfetch.h"
 #include "pwjson.h"
 #include "pwlog.h"
+#include "pwthread.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #define POLL_MS 200       /* while an order is under way */
 #define REST_MS 2000      /* else: has the target lost something? */
 #define TIMEOUT_S 5       /* for one call */
 #define ANSWER_MAX 262144 /* bytes */
-#define STACK_BYTES (256 * 1024)
 #define STOP_MS 1000
 
 /* What became of the order for one model. */
@@ -37,15 +36,13 @@
 struct pw_order {
   pw_proc *p;
   char *url;
-  pthread_t thread;
+  pw_thread thread;
   done done[PWASSIGN_MODELS]; /* the thread's own */
   int ndone;
 
-  pthread_mutex_t lock; /* over all that follows */
-  pthread_cond_t more;
+  /* Under the thread's lock: */
   pw_order_want want;
   int64_t until;
-  int ending, ended;
   done shown[PWASSIGN_MODELS];
   int nshown;
   uint64_t changes;
@@ -88,9 +85,9 @@
                          {"X-Order-Sequence", sequence}};
   char *body = json_dumps(order, JSON_COMPACT);
   json_t *answer = NULL;
-  pthread_mutex_lock(&o->lock);
+  pthread_mutex_lock(&o->thread.lock);
   int may = pwclock_ms() < o->until && o->want.sequence == w->sequence;
-  pthread_mutex_unlock(&o->lock);
+  pthread_mutex_unlock(&o->thread.lock);
   pw_code rc =
       may ? call(o, "POST", "/v1/orders", h, 3, body, &answer) : PW_E_NOT_READY;
   pwcount_add(o->p->counters, PWC_ORDERS, may);
@@ -213,21 +210,21 @@
 }
 
 static void show(pw_order *o) {
-  pthread_mutex_lock(&o->lock);
+  pthread_mutex_lock(&o->thread.lock);
   if (o->nshown != o->ndone || memcmp(o->shown, o->done, sizeof o->done) != 0) {
     memcpy(o->shown, o->done, sizeof o->done);
     o->nshown = o->ndone;
     o->changes++;
   }
-  pthread_mutex_unlock(&o->lock);
+  pthread_mutex_unlock(&o->thread.lock);
 }
 
 /* One round; gives whether anything is still to come. */
 static int round_of(pw_order *o) {
   json_t *doc;
-  pthread_mutex_lock(&o->lock);
+  pthread_mutex_lock(&o->thread.lock);
   pw_order_want w = o->want;
-  pthread_mutex_unlock(&o->lock);
+  pthread_mutex_unlock(&o->thread.lock);
   if (!w.sequence)
     return 0;
   if (call(o, "GET", "/v1/models", NULL, 0, NULL, &doc) != PW_OK || !doc) {
@@ -245,75 +242,21 @@
   return is_under_way(o);
 }
 
-/* Waits for the next round, or for something new. */
-static int rest(pw_order *o, int64_t ms) {
-  struct timespec ts;
-  clock_gettime(CLOCK_MONOTONIC, &ts);
-  ts.tv_sec += ms / 1000;
-  ts.tv_nsec += ms % 1000 * 1000000;
-  if (ts.tv_nsec >= 1000000000) {
-    ts.tv_sec++;
-    ts.tv_nsec -= 1000000000;
-  }
-  pthread_mutex_lock(&o->lock);
-  if (!o->ending)
-    pthread_cond_timedwait(&o->more, &o->lock, &ts);
-  int ending = o->ending;
-  pthread_mutex_unlock(&o->lock);
-  return !ending;
-}
-
-static void *work(void *arg) {
-  pw_order *o = arg;
-  int more = 0;
-  while (rest(o, more ? POLL_MS : REST_MS))
-    more = round_of(o);
-  pthread_mutex_lock(&o->lock);
-  o->ended = 1;
-  pthread_mutex_unlock(&o->lock);
-  return NULL;
+static int64_t work(void *arg) {
+  return round_of(arg) ? POLL_MS : REST_MS;
 }
 
 pw_order *pworder_start(pw_proc *p, const char *url) {
   pw_order *o = pw_alloc(sizeof *o);
-  pthread_condattr_t clock;
-  pthread_attr_t attr;
   o->p = p;
   o->url = pw_dup(url);
-  pthread_mutex_init(&o->lock, NULL);
-  pthread_condattr_init(&clock);
-  pthread_condattr_setclock(&clock, CLOCK_MONOTONIC);
-  pthread_cond_init(&o->more, &clock);
-  pthread_condattr_destroy(&clock);
-  pthread_attr_init(&attr);
-  pthread_attr_setstacksize(&attr, STACK_BYTES);
-  pthread_create(&o->thread, &attr, work, o);
-  pthread_attr_destroy(&attr);
+  pwthread_start(&o->thread, work, o, REST_MS);
   return o;
 }
 
-static int has_ended(pw_order *o) {
-  pthread_mutex_lock(&o->lock);
-  int ended = o->ended;
-  pthread_mutex_unlock(&o->lock);
-  return ended;
-}
-
 int pworder_stop(pw_order *o) {
-  int64_t until = pwclock_ms() + STOP_MS;
-  pthread_mutex_lock(&o->lock);
-  o->ending = 1;
-  pthread_cond_signal(&o->more);
-  pthread_mutex_unlock(&o->lock);
-  while (!has_ended(o)) {
-    if (pwclock_ms() >= until)
-      return -1;
-    struct timespec ts = {0, 1000000};
-    nanosleep(&ts, NULL);
-  }
-  pthread_join(o->thread, NULL);
-  pthread_mutex_destroy(&o->lock);
-  pthread_cond_destroy(&o->more);
+  if (pwthread_stop(&o->thread, STOP_MS) != 0)
+    return -1;
   free(o->url);
   free(o);
   return 0;
@@ -332,13 +275,13 @@
 }
 
 void pworder_want(pw_order *o, const pw_order_want *want, int64_t until) {
-  pthread_mutex_lock(&o->lock);
+  pthread_mutex_lock(&o->thread.lock);
   int wake = has_new_work(o, want);
   o->want = *want;
   o->until = until;
   if (wake)
-    pthread_cond_signal(&o->more);
-  pthread_mutex_unlock(&o->lock);
+    pwthread_wake(&o->thread);
+  pthread_mutex_unlock(&o->thread.lock);
 }
 
 static Pw__ModelState *model_state(const done *d) {
@@ -353,19 +296,19 @@
 }
 
 uint64_t pworder_changes(pw_order *o) {
-  pthread_mutex_lock(&o->lock);
+  pthread_mutex_lock(&o->thread.lock);
   uint64_t changes = o->changes;
-  pthread_mutex_unlock(&o->lock);
+  pthread_mutex_unlock(&o->thread.lock);
   return changes;
 }
 
 void pworder_state(pw_order *o, Pw__TargetState *out) {
-  pthread_mutex_lock(&o->lock);
+  pthread_mutex_lock(&o->thread.lock);
   out->models = pw_alloc(sizeof *out->models * PWASSIGN_MODELS);
   for (int i = 0; i < o->nshown; i++)
     if (is_over(&o->shown[i]))
       out->models[out->n_models++] = model_state(&o->shown[i]);
-  pthread_mutex_unlock(&o->lock);
+  pthread_mutex_unlock(&o->thread.lock);
 }
 
 void pworder_state_clear(Pw__TargetState *s) {
--- a/packages/policy/pwbreak.c
+++ b/packages/policy/pwbreak.c
@@ -67,3 +67,7 @@
     share = FIRST_SHARE;
   return draw < share;
 }
+
+int pwbreak_is_joining(const pw_breaker *b) {
+  return b->ramp_from && !b->open_until;
+}
--- a/packages/policy/pwbreak.h
+++ b/packages/policy/pwbreak.h
@@ -33,4 +33,7 @@
 /* Whether it may be picked; `draw` is uniform in [0, 1). */
 int pwbreak_allows(const pw_breaker *b, int64_t now, double draw);
 
+/* Whether its slow start is that of one that joined, not of one that failed. */
+int pwbreak_is_joining(const pw_breaker *b);
+
 #endif
--- a/packages/policy/pwcache.c
+++ b/packages/policy/pwcache.c
@@ -47,10 +47,55 @@
   pwchat_fit(c->chats, (uint64_t)c->room);
 }
 
-void pwcache_evicted(pw_cache *c, const char *chat) {
-  pwchat_forget(c->chats, chat);
-}
-
 void pwcache_restarted(pw_cache *c) {
   pwchat_clear(c->chats);
+  c->epoch = 0;
+  c->seen = 0;
+}
+
+/* What the agent saw itself, later, counts more. */
+static void take(pw_cache *c, const pw_cache_event *e) {
+  if (pwchat_at(c->chats, e->chat) > e->at)
+    return;
+  if (e->tokens)
+    pwchat_put(c->chats, e->chat, "", e->tokens, e->at);
+  else
+    pwchat_forget(c->chats, e->chat);
+}
+
+static void take_picture(pw_cache *c, const pw_cache_news *news) {
+  pwchat_forget_before(c->chats, news->at);
+  for (size_t i = 0; i < news->n; i++)
+    take(c, &news->event[i]);
+}
+
+/* In order of their numbers; those seen before are passed over. */
+static int take_changes(pw_cache *c, const pw_cache_news *news) {
+  for (size_t i = 0; i < news->n; i++) {
+    const pw_cache_event *e = &news->event[i];
+    if (e->number <= c->seen)
+      continue;
+    if (e->number != c->seen + 1)
+      return 0;
+    take(c, e);
+    c->seen = e->number;
+  }
+  return c->seen >= news->newest;
+}
+
+int pwcache_news(pw_cache *c, const pw_cache_news *news) {
+  int whole = 1;
+  if (news->is_picture) {
+    take_picture(c, news);
+    c->seen = news->newest;
+  } else if (news->epoch != c->epoch) {
+    pwcache_restarted(c);
+    return 0;
+  } else {
+    whole = take_changes(c, news);
+  }
+  c->epoch = news->epoch;
+  if (news->n)
+    pwchat_sort(c->chats);
+  return whole;
 }
--- a/packages/policy/pwchat.c
+++ b/packages/policy/pwchat.c
@@ -106,6 +106,27 @@
   return 1;
 }
 
+int64_t pwchat_at(const pw_chats *c, const char *chat) {
+  const row *r = find(c, chat);
+  return r ? r->at : INT64_MIN;
+}
+
+void pwchat_forget_before(pw_chats *c, int64_t at) {
+  row *r, *tmp;
+  HASH_ITER(hh, c->rows, r, tmp) {
+    if (r->at < at)
+      drop(c, r);
+  }
+}
+
+static int by_time(const row *a, const row *b) {
+  return (a->at > b->at) - (a->at < b->at);
+}
+
+void pwchat_sort(pw_chats *c) {
+  HASH_SORT(c->rows, by_time);
+}
+
 void pwchat_forget(pw_chats *c, const char *chat) {
   row *r = find(c, chat);
   if (r)
--- a/packages/policy/pwchat.h
+++ b/packages/policy/pwchat.h
@@ -27,6 +27,15 @@
 int pwchat_get(pw_chats *c, const char *chat, char where[PW_NAME_MAX],
                uint32_t *tokens, int64_t now);
 
+/* When a chat was last put, as it was told; INT64_MIN when unknown. */
+int64_t pwchat_at(const pw_chats *c, const char *chat);
+
+/* Forgets all that were put before a time. */
+void pwchat_forget_before(pw_chats *c, int64_t at);
+
+/* Puts the chats in order of when they were put: for times told late. */
+void pwchat_sort(pw_chats *c);
+
 void pwchat_forget(pw_chats *c, const char *chat);
 void pwchat_clear(pw_chats *c);
 
--- a/packages/policy/pwroute.c
+++ b/packages/policy/pwroute.c
@@ -34,6 +34,12 @@
   return usable_target(pool, w, id, out) && !out->aside;
 }
 
+/* The same, with those that have only just joined. */
+static int prefix_target(const pw_route_pool *pool, const pw_route_walk *w,
+                         uint64_t id, pw_route_target *out) {
+  return usable_target(pool, w, id, out) && (!out->aside || out->joining);
+}
+
 static int fits(const pw_route_target *t, double cost) {
   return t->load <= t->mean || t->load + cost <= t->limit;
 }
@@ -44,11 +50,11 @@
   pw_route_target t;
   if (!w->returning || w->prefix_done)
     return 0;
-  if (open_target(pool, w, w->pointer, &t))
+  if (prefix_target(pool, w, w->pointer, &t))
     return w->pointer;
   while (w->asked_prefix < PREFIX_ASKS) {
     uint64_t id = pwplace_rank(pool->place, w->key, w->asked_prefix++);
-    if (open_target(pool, w, id, &t))
+    if (prefix_target(pool, w, id, &t))
       return id;
   }
   w->prefix_done = 1;
--- a/packages/policy/pwroute.h
+++ b/packages/policy/pwroute.h
@@ -12,6 +12,8 @@
   uint64_t id;
   int usable;    /* may take work */
   int aside;     /* only when nobody else is left: breaker open, or silent */
+  int joining;   /* aside for nothing but its slow start: a prefix cached there
+                    may be asked for all the same */
   uint32_t zone; /* availability zone, as a number of the caller's choosing */
   double load;   /* tokens in progress, as last reported plus own since */
   double limit;  /* load it may carry, as far as the entry knows */
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -1,6 +1,7 @@
 /* fake_engine.c: a model engine for tests: batches, a prefix cache of limited
 ** size with eviction, streams that can be resumed and cancelled, and faults.
 ** Speaks the protocol of docs/ENGINE.md. */
+#include "cachelog.h"
 #include "models.h"
 #include "pwbuf.h"
 #include "pwclock.h"
@@ -24,6 +25,7 @@
 typedef struct cached {
   char key[ID_BYTES * 2];
   uint32_t tokens;
+  int64_t at; /* last used */
   UT_hash_handle hh;
 } cached;
 
@@ -91,12 +93,15 @@
     pw_copy(c->key, sizeof c->key, key);
   }
   c->tokens = prompt;
+  c->at = pwclock_ms();
   engine.cache_used += prompt;
+  cachelog_add(key, prompt);
   HASH_ADD_STR(engine.cache, key, c);
   while (engine.cache_used > engine.cache_size && engine.cache != c) {
     cached *old = engine.cache;
     engine.cache_used -= old->tokens;
     HASH_DEL(engine.cache, old);
+    cachelog_add(old->key, 0);
     free(old);
   }
   return hit;
@@ -184,6 +189,27 @@
   return reply_json(c, 200, json_pack("{s:i}", "tokens", tokens));
 }
 
+static enum MHD_Result cache_events(struct MHD_Connection *c) {
+  const char *after =
+      MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "after");
+  const char *all =
+      MHD_lookup_connection_value(c, MHD_GET_ARGUMENT_KIND, "all");
+  if (cache_faults.off)
+    return reply(c, 404, "{}");
+  pthread_mutex_lock(&engine.lock);
+  json_t *out;
+  if (all && all[0] == '1') {
+    out = cachelog_all();
+    for (const cached *k = engine.cache; k; k = k->hh.next)
+      json_array_append_new(json_object_get(out, "events"),
+                            cachelog_item(0, k->key, k->tokens, k->at));
+  } else {
+    out = cachelog_after(after ? strtoull(after, NULL, 10) : 0);
+  }
+  pthread_mutex_unlock(&engine.lock);
+  return reply_json(c, 200, out);
+}
+
 /* Takes over what another engine has cached under a key; gives its tokens. */
 static uint32_t import_kv(const char *url, const char *key) {
   pw_buf path = {0}, out = {0};
@@ -289,12 +315,30 @@
   return v ? atof(v) : old;
 }
 
+/* The engine gives its whole cache up, as it may for want of memory. */
+static void evict_all(void) {
+  cached *c, *tmp;
+  pthread_mutex_lock(&engine.lock);
+  HASH_ITER(hh, engine.cache, c, tmp) {
+    HASH_DEL(engine.cache, c);
+    cachelog_add(c->key, 0);
+    free(c);
+  }
+  engine.cache_used = 0;
+  pthread_mutex_unlock(&engine.lock);
+}
+
 static enum MHD_Result fault(struct MHD_Connection *c) {
   engine.cut_next = (int)query(c, "cut", engine.cut_next);
   engine.fail_next = (int)query(c, "fail", engine.fail_next);
   engine.hang_next = (int)query(c, "hang", engine.hang_next);
   engine.slow = query(c, "slow", engine.slow);
   engine.no_export = (int)query(c, "no_export", engine.no_export);
+  cache_faults.late_ms = query(c, "events_late_ms", cache_faults.late_ms);
+  cache_faults.lose = (int)query(c, "events_lose", cache_faults.lose);
+  cache_faults.off = (int)query(c, "events_off", cache_faults.off);
+  if (query(c, "evict", 0) > 0)
+    evict_all();
   faults.checks = (int)query(c, "checks", faults.checks);
   faults.refuse_orders = (int)query(c, "refuse_orders", faults.refuse_orders);
   faults.fail_loads = (int)query(c, "fail_loads", faults.fail_loads);
@@ -417,6 +461,8 @@
     return cancel(c);
   if (!strcmp(url, "/v1/kv"))
     return export_kv(c);
+  if (!strcmp(url, "/v1/cache/events"))
+    return cache_events(c);
   if (!strcmp(url, "/v1/models"))
     return reply_json(c, 200, models_list());
   if (!strcmp(url, "/v1/orders"))
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -546,6 +546,15 @@
   for (int i = 0; i < 10; i++)
     f.t[i].aside = 1;
   CHECK(pwroute_next(&pool, &w).id != 0);
+  /* One that has just joined is asked for a prefix, and for nothing else. */
+  route_of(&f, home)->joining = 1;
+  for (int i = 0; i < 10; i++)
+    f.t[i].aside = f.t[i].id == home;
+  w = (pw_route_walk){.key = 5, .draw = 9, .cost = 10, .returning = 1};
+  pw_route_pick pick = pwroute_next(&pool, &w);
+  CHECK(pick.id == home && pick.need_prefix);
+  w = (pw_route_walk){.key = 5, .draw = 9, .cost = 10};
+  CHECK(pwroute_next(&pool, &w).id != home);
   pwplace_free(p);
 }
 
