--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -30,6 +30,7 @@
 #define REPORT_MS 250
 #define DEADLINE_MS 60000
 #define FLOOR 3000.0
+#define MARGIN_EVENTS 0.9
 #define EVENTS_HELD 4096
 #define EVENTS_LATE_MS 1000
 #define EVENTS_LOST 0.02 /* share of the answers with events that lack one */
@@ -51,7 +52,7 @@
 
 static const char *const policy_names[] = {"peatwell",
                                            "peatwell, KV moved",
-                                           "peatwell, moved, events",
+                                           "... and events, margin 0.9",
                                            "round robin",
                                            "random",
                                            "least loaded, stale",
@@ -749,6 +750,15 @@
   return (x > y) - (x < y);
 }
 
+/* Where caches move and events tell of them, starts use more of the way. */
+static pw_bound bound_of(const world *w) {
+  pw_bound b = PWBOUND_DEFAULT;
+  b.floor = FLOOR;
+  if (w->p == P_EVENTS)
+    b.margin = MARGIN_EVENTS;
+  return b;
+}
+
 static void build(world *w) {
   pw_place_target *pt = pw_alloc(sizeof *pt * (size_t)w->w.targets);
   w->n = w->w.targets;
@@ -767,7 +777,7 @@
       tell_all(e, 0);
     e->pointers = pwchat_new(PW_POINTERS_MAX, PW_POINTER_KEEP_MS);
     pwadmit_init(&e->admit, SLOTS, 256, RATE, 0);
-    e->admit.floor = FLOOR;
+    e->admit.bound = bound_of(w);
     e->view = (pw_pool_sum){.targets = w->n};
     w->ids[i] = e->id;
     pt[i] = (pw_place_target){e->id, 1};
@@ -802,7 +812,8 @@
       report(w);
     if (w->now % 50 == 0) {
       pw_pool_sum s = sum_of(w, 0);
-      w->limit = pwbound_limit(&s, PWBOUND_BOUND, FLOOR, w->now);
+      pw_bound b = bound_of(w);
+      w->limit = pwbound_limit(&s, &b, w->now);
       measure(w);
     }
     int burst =
--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -547,7 +547,6 @@
   pwview_read_policy(r, &a->policy);
   a->admit.reuse = a->policy.reuse_worth;
   a->admit.bound = a->policy.bound;
-  a->admit.floor = a->policy.floor_tokens;
   pwwire_set_revision(a->p->wire, pwres_revision(r));
   pwcount_set(a->p->counters, PWC_REVISION, (int64_t)pwres_revision(r));
 }
--- a/packages/daemon/pwtargets.c
+++ b/packages/daemon/pwtargets.c
@@ -469,8 +469,7 @@
     return 0;
   t->pick.draw = draw;
   t->pick.now = now;
-  t->pick.limit =
-      pwbound_limit(&p->sum, policy->bound, policy->floor_tokens, now);
+  t->pick.limit = pwbound_limit(&p->sum, &policy->bound, now);
   *out = (pw_route_pool){p->place, p->id, p->n, t, get_route};
   return 1;
 }
--- a/packages/daemon/pwview.c
+++ b/packages/daemon/pwview.c
@@ -100,8 +100,9 @@
 void pwview_read_policy(const pw_res *r, pw_policy *out) {
   const pw_resource *one = pwres_get(r, "policy", "default");
   json_t *spec = one ? json_loads(one->spec, 0, NULL) : NULL;
-  out->bound = pwjson_number(spec, "bound", PWBOUND_BOUND);
-  out->floor_tokens = pwjson_number(spec, "floor_tokens", PWBOUND_FLOOR);
+  out->bound.bound = pwjson_number(spec, "bound", PWBOUND_BOUND);
+  out->bound.margin = pwjson_number(spec, "bound_margin", PWBOUND_MARGIN);
+  out->bound.floor = pwjson_number(spec, "floor_tokens", PWBOUND_FLOOR);
   out->retry_share = pwjson_number(spec, "retry_share", PW_RETRY_SHARE);
   out->min_prefix_tokens = pwjson_number(spec, "min_prefix_tokens", 64);
   out->reuse_worth = pwjson_number(spec, "reuse_worth", PWADMIT_REUSE);
--- a/packages/daemon/pwview.h
+++ b/packages/daemon/pwview.h
@@ -6,6 +6,7 @@
 #ifndef PWVIEW_H
 #define PWVIEW_H
 
+#include "pwbound.h"
 #include "pwlimits.h"
 #include "pwres.h"
 #include "pwrollout.h"
@@ -30,8 +31,7 @@
 
 /* What the `policy` resource named "default" sets. */
 typedef struct pw_policy {
-  double bound;
-  double floor_tokens;
+  pw_bound bound;
   double retry_share;
   double min_prefix_tokens;
   double reuse_worth; /* pw_admit.reuse */
--- a/packages/policy/pwadmit.c
+++ b/packages/policy/pwadmit.c
@@ -9,9 +9,8 @@
 void pwadmit_init(pw_admit *a, int slots, int queue, double rate, int64_t now) {
   *a = (pw_admit){.queue = pwqueue_new(queue),
                   .slots = slots,
-                  .bound = PWBOUND_BOUND,
+                  .bound = PWBOUND_DEFAULT,
                   .reuse = PWADMIT_REUSE,
-                  .floor = PWBOUND_FLOOR,
                   .served = rate,
                   .served_at = now};
   pwload_init(&a->load, rate, now);
@@ -23,15 +22,13 @@
 
 static int fits(pw_admit *a, double cost, const pw_pool_sum *pool,
                 int64_t now) {
-  return pwbound_fits(pwload_now(&a->load, now), cost, pool, a->bound, a->floor,
-                      now);
+  return pwbound_fits(pwload_now(&a->load, now), cost, pool, &a->bound, now);
 }
 
 /* Of a request that others had no room for, or that has waited. */
 static int may_start(pw_admit *a, double cost, const pw_pool_sum *pool,
                      int64_t now) {
-  return pwbound_admits(pwload_now(&a->load, now), cost, pool, a->bound,
-                        a->floor, now);
+  return pwbound_admits(pwload_now(&a->load, now), cost, pool, &a->bound, now);
 }
 
 static void start(pw_admit *a, double cost, int64_t now) {
--- a/packages/policy/pwadmit.h
+++ b/packages/policy/pwadmit.h
@@ -11,7 +11,7 @@
   pw_load load;
   int slots; /* requests in progress at most */
   int running;
-  double bound, floor;
+  pw_bound bound;
   double reuse;    /* how much more than its time a cached prefix is worth */
   double served;   /* tokens a second lately, for estimates */
   double since_at; /* tokens ended since served_at */
--- a/packages/policy/pwbound.c
+++ b/packages/policy/pwbound.c
@@ -54,20 +54,18 @@
   return pwreport_low(&as_one, now) / sum->targets;
 }
 
-double pwbound_limit(const pw_pool_sum *sum, double bound, double floor,
-                     int64_t now) {
-  double most = 1 + (bound - 1) * PWBOUND_MARGIN;
+double pwbound_limit(const pw_pool_sum *sum, const pw_bound *b, int64_t now) {
+  double most = 1 + (b->bound - 1) * b->margin;
   double limit = most * pwpool_mean(sum, now);
-  return limit > floor ? limit : floor;
+  return limit > b->floor ? limit : b->floor;
 }
 
-int pwbound_fits(double own, double cost, const pw_pool_sum *sum, double bound,
-                 double floor, int64_t now) {
-  return own + cost <= pwbound_limit(sum, bound, floor, now);
+int pwbound_fits(double own, double cost, const pw_pool_sum *sum,
+                 const pw_bound *b, int64_t now) {
+  return own + cost <= pwbound_limit(sum, b, now);
 }
 
 int pwbound_admits(double own, double cost, const pw_pool_sum *sum,
-                   double bound, double floor, int64_t now) {
-  return own <= pwpool_mean(sum, now) ||
-         pwbound_fits(own, cost, sum, bound, floor, now);
+                   const pw_bound *b, int64_t now) {
+  return own <= pwpool_mean(sum, now) || pwbound_fits(own, cost, sum, b, now);
 }
--- a/packages/policy/pwbound.h
+++ b/packages/policy/pwbound.h
@@ -22,6 +22,16 @@
 #define PWBOUND_GRACE_MS 1000
 #define PWBOUND_MARGIN 0.6
 
+/* The bound as it is set. */
+typedef struct pw_bound {
+  double bound;  /* times the mean that no target may carry more than */
+  double margin; /* part of the way from the mean to it that starts may use */
+  double floor;  /* tokens: near-idle pools are ruled by this instead */
+} pw_bound;
+
+#define PWBOUND_DEFAULT                                                        \
+  ((pw_bound){PWBOUND_BOUND, PWBOUND_MARGIN, PWBOUND_FLOOR})
+
 typedef struct pw_load {
   double actual;  /* tokens in progress */
   double counted; /* >= actual; falls no faster than rate */
@@ -63,22 +73,22 @@
 /* The least the mean can be now; 0 when the pool is empty. */
 double pwpool_mean(const pw_pool_sum *sum, int64_t now);
 
-/* The load a target may start up to: the part PWBOUND_MARGIN of the way from
-** the mean to bound * mean, and `floor` at least. The rest of the way is for
-** the mean to fall while requests go on. */
-double pwbound_limit(const pw_pool_sum *sum, double bound, double floor,
-                     int64_t now);
+/* The load a target may start up to: the part b->margin of the way from the
+** mean to b->bound times the mean, and b->floor at least. The rest of the way
+*is
+** for the mean to fall while requests go on. */
+double pwbound_limit(const pw_pool_sum *sum, const pw_bound *b, int64_t now);
 
 /* Whether a target that carries `own` stays within the limit with a request of
 ** `cost` more. */
-int pwbound_fits(double own, double cost, const pw_pool_sum *sum, double bound,
-                 double floor, int64_t now);
+int pwbound_fits(double own, double cost, const pw_pool_sum *sum,
+                 const pw_bound *b, int64_t now);
 
 /* The same for a request that found no target with room: one that carries no
 ** more than the mean may start it, too. That keeps a pool alive whose requests
 ** are large against its mean: somebody always carries no more than the mean. It
 ** goes past the bound by less than one request. */
 int pwbound_admits(double own, double cost, const pw_pool_sum *sum,
-                   double bound, double floor, int64_t now);
+                   const pw_bound *b, int64_t now);
 
 #endif
--- a/packages/store/pwschema.c
+++ b/packages/store/pwschema.c
@@ -59,6 +59,7 @@
     {"service", "repeatable", F_BOOL, 0, 0, 0, NULL},
     {"service", "timeout_ms", F_NUMBER, 0, 1, PW_DEADLINE_MAX, NULL},
     {"policy", "bound", F_NUMBER, 0, 1.01, 100, NULL},
+    {"policy", "bound_margin", F_NUMBER, 0, 0, 1, NULL},
     {"policy", "floor_tokens", F_NUMBER, 0, 1, BIG, NULL},
     {"policy", "pointer_keep_ms", F_NUMBER, 0, 0, BIG, NULL},
     {"policy", "retry_share", F_NUMBER, 0, 0, 1, NULL},
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -118,7 +118,7 @@
   int nrun;
   int starts, held, broken;
   double worst;
-  double floor;
+  double floor, margin;
   uint64_t most_cost;
 } sim;
 
@@ -155,12 +155,12 @@
   s->run[s->nrun++] = (sim_run){i, ask.cost};
   double slack = SIM_RATE * PWBOUND_GRACE_MS / 1000.0;
   double limit = PWBOUND_BOUND * (mean + slack);
-  if (limit < g->a.floor)
-    limit = g->a.floor;
+  if (limit < g->a.bound.floor)
+    limit = g->a.bound.floor;
   int one_more = ask.may_queue && own <= mean + slack;
   if (!one_more && own + ask.cost > limit + 1e-6)
     s->broken++;
-  if (mean > g->a.floor && (own + ask.cost) / mean > s->worst)
+  if (mean > g->a.bound.floor && (own + ask.cost) / mean > s->worst)
     s->worst = (own + ask.cost) / mean;
 }
 
@@ -220,13 +220,18 @@
       s->g[k].view.targets++;
 }
 
-static void run_sim(sim *s, uint64_t seed, double floor, uint64_t most_cost) {
-  *s = (sim){
-      .r = {.seed = seed}, .now = 1000, .floor = floor, .most_cost = most_cost};
+static void run_sim(sim *s, uint64_t seed, double margin, double floor,
+                    uint64_t most_cost) {
+  *s = (sim){.r = {.seed = seed},
+             .now = 1000,
+             .floor = floor,
+             .margin = margin,
+             .most_cost = most_cost};
   for (int i = 0; i < AGENTS; i++) {
     s->g[i].member = i < 20;
     pwadmit_init(&s->g[i].a, 1000, 0, SIM_RATE, s->now);
-    s->g[i].a.floor = s->floor;
+    s->g[i].a.bound.floor = s->floor;
+    s->g[i].a.bound.margin = s->margin;
     s->g[i].view = (pw_pool_sum){.targets = 20, .at = s->now};
   }
   for (int step = 0; step < 30000; step++) {
@@ -254,15 +259,15 @@
   double worst = 0;
   int starts = 0, held = 0;
   for (int i = 0; i < 8; i++) {
-    run_sim(&s, seed + (uint64_t)i, 600, 900);
+    run_sim(&s, seed + (uint64_t)i, PWBOUND_MARGIN, 600, 900);
     CHECK(s.broken == 0);
     CHECK(s.starts > 1000);
     starts += s.starts;
     held += s.held;
     worst = s.worst > worst ? s.worst : worst;
   }
-  for (int i = 0; i < 8; i++) { /* a floor far below what a burst brings */
-    run_sim(&s, seed + (uint64_t)i, 60, 200);
+  for (int i = 0; i < 8; i++) { /* low floor, the whole way to the bound */
+    run_sim(&s, seed + (uint64_t)i, 1, 60, 200);
     CHECK(s.broken == 0);
     CHECK(s.starts > 500);
     worst = s.worst > worst ? s.worst : worst;
@@ -616,7 +621,7 @@
   pw_admit a;
   pw_pool_sum pool = {.targets = 1, .at = 0};
   pwadmit_init(&a, 2, 4, 1000, 0);
-  a.floor = 100000;
+  a.bound.floor = 100000;
   int job;
   pw_admit_ask ask = {.workspace = "w",
                       .weight = 1,
