A certificate is replaced without a cut: SIGHUP, a second listener on the same socket

Cause: a new certificate needed a restart of the entry, and TLS had no test. Weighed: GnuTLS's own retrieval call-back (no argument of ours: a hidden global), a restart of the listener (refuses connections meanwhile). Change: pwserve_renew starts a listener with the new files on a copy of the socket, then the old one stops listening and ends what it has. pwfetch speaks https.

--- a/packages/daemon/peatwelld.c
+++ b/packages/daemon/peatwelld.c
@@ -54,7 +54,8 @@
 }
 
 /* A SIGTERM or SIGINT stops, a second one hurries; SIGUSR1 says that a role
-** has ended. A role that fails takes the others with it. */
+** has ended, SIGHUP has certificates read anew. A role that fails takes the
+*others with it. */
 static void wait_for_roles(role *roles, int n, const sigset_t *signals) {
   int level = 0;
   for (;;) {
@@ -74,6 +75,8 @@
     sigwait(signals, &sig);
     if (sig == SIGTERM || sig == SIGINT)
       level++;
+    for (int i = 0; i < n && sig == SIGHUP; i++)
+      atomic_store(&roles[i].proc.renew, 1);
   }
 }
 
--- a/packages/daemon/pwentry.c
+++ b/packages/daemon/pwentry.c
@@ -326,7 +326,24 @@
     en->told = now;
 }
 
+/* A certificate that cannot be used leaves the one before in use. */
+static void renew(entry *en) {
+  pw_buf err = {0};
+  if (!atomic_exchange(&en->p->renew, 0) || !en->p->set->entry_tls_cert[0])
+    return;
+  if (atomic_load(&en->p->stopping))
+    return;
+  if (pwserve_renew(en->http, &err) == 0)
+    pwlog(LOG_NOTICE, "certificate-renewed", "file=%s",
+          en->p->set->entry_tls_cert);
+  else
+    pwlog(LOG_ERR, "certificate-refused", "code=%d reason=%s", PW_E_SETTINGS,
+          err.data);
+  pwbuf_free(&err);
+}
+
 static void tick(entry *en, int64_t now) {
+  renew(en);
   say_hello(en, now);
   pwfeed_expire(en->feed, on_child_left, en, now);
   if (now - en->summed >= SUM_MS) {
--- a/packages/daemon/pwproc.h
+++ b/packages/daemon/pwproc.h
@@ -19,6 +19,7 @@
   pw_wire *wire;
   const char *role;
   atomic_int stopping; /* 1: finish what is in progress; 2: hurry */
+  atomic_int renew;    /* certificates are to be read anew */
   atomic_int ready;
 } pw_proc;
 
--- a/packages/http/pwfetch.c
+++ b/packages/http/pwfetch.c
@@ -3,6 +3,7 @@
 
 #include <ne_request.h>
 #include <ne_session.h>
+#include <ne_ssl.h>
 #include <ne_uri.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -41,11 +42,27 @@
     *(int *)arg = 1;
 }
 
+/* Trusts the certificate of a file, or the system's own authorities. */
+static void trust(ne_session *s, const char *ca) {
+  ne_ssl_certificate *cert = ca ? ne_ssl_cert_read(ca) : NULL;
+  if (cert) {
+    ne_ssl_trust_cert(s, cert);
+    ne_ssl_cert_free(cert);
+  } else if (!ca) {
+    ne_ssl_trust_default_ca(s);
+  }
+}
+
 static ne_session *open_session(const pw_fetch *f, int *sent) {
   ne_uri uri = {0};
   ne_session *s = NULL;
-  if (ne_uri_parse(f->url, &uri) == 0 && uri.host)
-    s = ne_session_create("http", uri.host, uri.port ? uri.port : 80);
+  if (ne_uri_parse(f->url, &uri) == 0 && uri.host) {
+    int tls = uri.scheme && !strcmp(uri.scheme, "https");
+    unsigned port = uri.port ? uri.port : tls ? 443 : 80;
+    s = ne_session_create(tls ? "https" : "http", uri.host, port);
+    if (tls)
+      trust(s, f->ca);
+  }
   ne_uri_free(&uri);
   if (!s)
     return NULL;
--- a/packages/http/pwserve.c
+++ b/packages/http/pwserve.c
@@ -5,6 +5,7 @@
 #include "pwcode.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <microhttpd.h>
 #include <netinet/in.h>
 #include <stdatomic.h>
@@ -12,17 +13,24 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define HEADER_MEMORY (32 * 1024) /* bytes of request line and headers */
 #define STREAM_BLOCK (16 * 1024)
 #define ADDED_MAX 24
 
-struct pw_server {
+/* One life of the listener: a new certificate takes a new one. */
+typedef struct listener {
   struct MHD_Daemon *daemon;
-  pw_serve_setup set;
-  atomic_int active;
   char *cert;
   char *key;
+  struct listener *older; /* do not listen any more, but end what they have */
+} listener;
+
+struct pw_server {
+  listener *now;
+  pw_serve_setup set;
+  atomic_int active;
 };
 
 typedef struct added {
@@ -269,27 +277,63 @@
   return pwbuf_take(&b);
 }
 
-static struct MHD_Daemon *start_daemon(pw_server *s, struct sockaddr_in *at) {
+static struct MHD_Daemon *start_daemon(pw_server *s, const listener *l,
+                                       const struct sockaddr_in *at, int fd) {
   unsigned flags =
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-  struct MHD_OptionItem tls[] = {{MHD_OPTION_HTTPS_MEM_CERT, 0, s->cert},
-                                 {MHD_OPTION_HTTPS_MEM_KEY, 0, s->key},
+  struct MHD_OptionItem tls[] = {{MHD_OPTION_HTTPS_MEM_CERT, 0, l->cert},
+                                 {MHD_OPTION_HTTPS_MEM_KEY, 0, l->key},
                                  {MHD_OPTION_END, 0, NULL}};
   struct MHD_OptionItem none[] = {{MHD_OPTION_END, 0, NULL}};
-  if (s->cert)
+  struct MHD_OptionItem where[] = {
+      {MHD_OPTION_SOCK_ADDR, 0, (void *)at},
+      {MHD_OPTION_END, 0, NULL},
+  };
+  if (fd >= 0)
+    where[0] = (struct MHD_OptionItem){MHD_OPTION_LISTEN_SOCKET, fd, NULL};
+  if (l->cert)
     flags |= MHD_USE_TLS;
   return MHD_start_daemon(
-      flags, 0, NULL, NULL, on_request, s, MHD_OPTION_SOCK_ADDR, at,
-      MHD_OPTION_THREAD_POOL_SIZE, (unsigned)s->set.threads,
-      MHD_OPTION_CONNECTION_LIMIT,
+      flags, 0, NULL, NULL, on_request, s, MHD_OPTION_THREAD_POOL_SIZE,
+      (unsigned)s->set.threads, MHD_OPTION_CONNECTION_LIMIT,
       (unsigned)(s->set.max_connections < s->set.threads
                      ? s->set.threads
                      : s->set.max_connections),
       MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)s->set.idle_timeout,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HEADER_MEMORY,
       MHD_OPTION_NOTIFY_COMPLETED, on_done, s, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      1024u, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY,
-      s->cert ? tls : none, MHD_OPTION_END);
+      1024u, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY, where,
+      MHD_OPTION_ARRAY, l->cert ? tls : none, MHD_OPTION_END);
+}
+
+static void end_listener(listener *l) {
+  if (l->daemon)
+    MHD_stop_daemon(l->daemon);
+  free(l->cert);
+  free(l->key);
+  free(l);
+}
+
+/* Reads the certificate and listens, at an address or on a socket that listens
+** already (fd, taken over). NULL with a reason in err. */
+static listener *start_listener(pw_server *s, const struct sockaddr_in *at,
+                                int fd, pw_buf *err) {
+  listener *l = pw_alloc(sizeof *l);
+  int tls = s->set.tls_cert && s->set.tls_cert[0];
+  l->cert = read_text(s->set.tls_cert);
+  l->key = read_text(s->set.tls_key);
+  if (!tls || (l->cert && l->key))
+    l->daemon = start_daemon(s, l, at, fd);
+  if (l->daemon)
+    return l;
+  if (tls)
+    pwbuf_fmt(
+        err, "%s: cannot listen, or %s and %s are no certificate and its key\n",
+        s->set.addr, s->set.tls_cert, s->set.tls_key);
+  else
+    pwbuf_fmt(err, "%s: cannot listen\n", s->set.addr);
+  end_listener(l);
+  return NULL;
 }
 
 pw_server *pwserve_start(const pw_serve_setup *setup, pw_buf *err) {
@@ -300,20 +344,52 @@
   }
   pw_server *s = pw_alloc(sizeof *s);
   s->set = *setup;
-  s->cert = read_text(setup->tls_cert);
-  s->key = read_text(setup->tls_key);
-  s->daemon = start_daemon(s, &at);
-  if (s->daemon)
+  s->now = start_listener(s, &at, -1, err);
+  if (s->now)
     return s;
-  pwbuf_fmt(err, "%s: cannot listen\n", setup->addr);
-  free(s->cert);
-  free(s->key);
   free(s);
   return NULL;
 }
 
+/* Those that have no connection left. */
+static void end_idle(listener **at) {
+  while (*at) {
+    listener *l = *at;
+    const union MHD_DaemonInfo *info =
+        MHD_get_daemon_info(l->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    if (info && info->num_connections > 0) {
+      at = &l->older;
+      continue;
+    }
+    *at = l->older;
+    end_listener(l);
+  }
+}
+
+int pwserve_renew(pw_server *s, pw_buf *err) {
+  const union MHD_DaemonInfo *info =
+      MHD_get_daemon_info(s->now->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+  int fd = info ? fcntl(info->listen_fd, F_DUPFD_CLOEXEC, 0) : -1;
+  if (fd < 0) {
+    pwbuf_fmt(err, "%s: cannot listen\n", s->set.addr);
+    return -1;
+  }
+  listener *l = start_listener(s, NULL, fd, err);
+  if (!l) {
+    close(fd);
+    return -1;
+  }
+  MHD_socket old = MHD_quiesce_daemon(s->now->daemon);
+  if (old != MHD_INVALID_SOCKET)
+    close(old);
+  l->older = s->now;
+  s->now = l;
+  end_idle(&l->older);
+  return 0;
+}
+
 void pwserve_quiesce(pw_server *s) {
-  MHD_socket fd = MHD_quiesce_daemon(s->daemon);
+  MHD_socket fd = MHD_quiesce_daemon(s->now->daemon);
   if (fd != MHD_INVALID_SOCKET)
     shutdown(fd, SHUT_RD);
 }
@@ -325,8 +401,10 @@
 void pwserve_stop(pw_server *s) {
   if (!s)
     return;
-  MHD_stop_daemon(s->daemon);
-  free(s->cert);
-  free(s->key);
+  while (s->now) {
+    listener *l = s->now;
+    s->now = l->older;
+    end_listener(l);
+  }
   free(s);
 }
--- a/packages/http/pwserve.h
+++ b/packages/http/pwserve.h
@@ -33,6 +33,10 @@
 /* Starts the server's threads; NULL with a reason in err. */
 pw_server *pwserve_start(const pw_serve_setup *setup, pw_buf *err);
 
+/* Reads certificate and key anew for connections to come; those that are there
+** go on with the old ones. 0, or -1 with a reason in err and all as it was. */
+int pwserve_renew(pw_server *s, pw_buf *err);
+
 /* Stops listening; requests in progress go on. */
 void pwserve_quiesce(pw_server *s);
 
--- a/tests/runner/http.c
+++ b/tests/runner/http.c
@@ -26,6 +26,7 @@
 #define NTOLD ((int)(sizeof told / sizeof told[0]))
 
 typedef struct call {
+  char *ca; /* trusted certificate, for https */
   char *url, *method, *path, *body;
   char *name[HEADERS_MAX], *value[HEADERS_MAX];
   int nheaders;
@@ -67,6 +68,7 @@
   for (int i = 0; i < c->nheaders; i++)
     h[i] = (pw_fetch_header){c->name[i], c->value[i]};
   pw_fetch f = {.url = c->url,
+                .ca = c->ca,
                 .method = c->method,
                 .path = c->path,
                 .headers = h,
@@ -101,6 +103,7 @@
 static call *read_call(lua_State *L) {
   call *c = pw_alloc(sizeof *c);
   c->url = field(L, "url", NULL);
+  c->ca = field(L, "ca", NULL);
   c->method = field(L, "method", "GET");
   c->path = field(L, "path", "/");
   c->body = field(L, "body", NULL);
@@ -147,6 +150,7 @@
     free(c->value[i]);
   }
   free(c->url);
+  free(c->ca);
   free(c->method);
   free(c->path);
   free(c->body);
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -62,7 +62,7 @@
   self.pid = run.spawn(args)
   if self.health then
     fleet.eventually(self.name .. " is live", function()
-      return run.http{url = "http://" .. self.health, path = self.live or "/health/live"}.status == 200
+      return self:get(self.live or "/health/live").status == 200
     end)
   end
   return self
@@ -87,8 +87,11 @@
 function process:pause() self:signal("STOP") end
 function process:continue() self:signal("CONT") end
 
+-- With tls (a function) it is reached by TLS, and the certificate it gives is trusted.
+function process:base() return (self.tls and "https://" or "http://") .. self.health end
+
 function process:get(path)
-  return run.http{url = "http://" .. self.health, path = path, timeout = 10}
+  return run.http{url = self:base(), ca = self.tls and self.tls(), path = path, timeout = 10}
 end
 
 -- Value of a counter on /metrics.
@@ -382,7 +385,7 @@
     ["Authorization"] = "Bearer " .. (o.key or self.KEYS.kett)}
   if o.chat then headers["Peatwell-Chat"] = o.chat end
   for k, v in pairs(o.headers or {}) do headers[k] = v end
-  return {url = "http://" .. (o.entry or self.entries[1]).health, method = "POST",
+  return {url = (o.entry or self.entries[1]):base(), method = "POST",
     path = "/v1/chat/completions", headers = headers, timeout = o.timeout or 60,
     stop_reading = o.stop_reading, give_up = o.give_up,
     body = string.format('{"model": "register", "stream": %s, "max_tokens": %d, "messages": [%s]}',
