--- a/Makefile
+++ b/Makefile
@@ -139,15 +139,16 @@
 
 # Outside bytes into the parsers, with a fixed seed, bounded.
 FUZZ_SOURCES = tests/fuzz/fuzz_parsers.c packages/wire/peatwell.pb-c.c packages/wire/pwpb.c \
-  $(wildcard packages/store/*.c packages/consensus/*.c) \
-  $(addprefix packages/core/,pwbuf.c pwcode.c pwclock.c pwjson.c)
+  $(wildcard packages/store/*.c packages/consensus/*.c packages/core/*.c) \
+  $(addprefix packages/policy/,pwcache.c pwchat.c) packages/daemon/pwkvfeed.c packages/http/pwfetch.c
+FUZZ_FLAGS = -g -O1 -fsanitize=fuzzer,address,undefined
 fuzz:
-	@mkdir -p $(BUILD)/fuzz
-	@clang -g -O1 -fsanitize=fuzzer,address,undefined $(CPPFLAGS) -std=gnu11 \
-	  $(shell pkg-config --cflags $(PKGS)) -o $(BUILD)/fuzz_parsers $(FUZZ_SOURCES) \
-	  $(LDLIBS)
+	@mkdir -p $(BUILD)/fuzz/corpus
+	@clang++ $(FUZZ_FLAGS) -fno-sanitize=vptr,function $(CPPFLAGS) -std=c++17 -c -o $(BUILD)/fuzz/pwtoml.o packages/core/pwtoml.cc
+	@clang $(FUZZ_FLAGS) $(CPPFLAGS) -std=gnu11 $(shell pkg-config --cflags $(PKGS)) \
+	  -o $(BUILD)/fuzz_parsers $(FUZZ_SOURCES) $(BUILD)/fuzz/pwtoml.o $(LDLIBS) -lstdc++
 	$(BUILD)/fuzz_parsers -seed=1 -runs=300000 -max_len=512 -print_final_stats=1 \
-	  -artifact_prefix=$(BUILD)/fuzz/ $(BUILD)/fuzz >$(BUILD)/fuzz.log 2>&1 || \
+	  -artifact_prefix=$(BUILD)/fuzz/ $(BUILD)/fuzz/corpus >$(BUILD)/fuzz.log 2>&1 || \
 	  { tail -40 $(BUILD)/fuzz.log; exit 1; }
 	@tail -3 $(BUILD)/fuzz.log
 
--- a/packages/store/pwonce.c
+++ b/packages/store/pwonce.c
@@ -96,7 +96,8 @@
 /* The digest is a hash already; a part of it tells bodies apart. */
 static uint32_t short_digest(const ProtobufCBinaryData *digest) {
   uint32_t h = 0;
-  memcpy(&h, digest->data, digest->len < sizeof h ? digest->len : sizeof h);
+  if (digest->len >= sizeof h)
+    memcpy(&h, digest->data, sizeof h);
   return h & BODY_BITS;
 }
 
@@ -215,7 +216,7 @@
                       .body = short_digest(&c->kept->digest),
                       .answered = c->kept->answered};
   memcpy(e.key, c->id, sizeof e.key);
-  if (PW_MUTATION != MUT_FORGET_CROWDED)
+  if (PW_MUTATION != MUT_FORGET_CROWDED && !pwdedup_find(o->past, e.key, NULL))
     pwdedup_add(o->past, &e);
 }
 
--- a/tests/fuzz/fuzz_parsers.c
+++ b/tests/fuzz/fuzz_parsers.c
@@ -1,15 +1,20 @@
 /* fuzz_parsers.c: outside bytes into every parser of ours, for libFuzzer.
 ** The first byte chooses the parser. */
+#define _GNU_SOURCE
 #include "peatwell.pb-c.h"
 #include "pwbuf.h"
 #include "pwcons.h"
+#include "pwkvfeed.h"
 #include "pwschema.h"
+#include "pwset.h"
 #include "pwstate.h"
 #include "pwstore.h"
 #include "pwtoml.h"
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/mman.h>
+#include <unistd.h>
 
 static void fuzz_message(const uint8_t *data, size_t n) {
   Pw__Envelope *e = pw__envelope__unpack(NULL, n, data);
@@ -94,12 +99,40 @@
   pw__cons__free_unpacked(m, NULL);
 }
 
+/* A settings file, in memory. */
+static void fuzz_settings(const uint8_t *data, size_t n) {
+  char path[32];
+  pw_settings s;
+  pw_buf err = {0};
+  int fd = memfd_create("settings", 0);
+  if (fd < 0 || write(fd, data, n) != (ssize_t)n)
+    abort();
+  snprintf(path, sizeof path, "/proc/self/fd/%d", fd);
+  pwset_read(&s, path, &err);
+  pwset_free(&s);
+  pwbuf_free(&err);
+  close(fd);
+}
+
+/* An engine's cache events, taken by an agent's picture. */
+static void fuzz_cache_events(const uint8_t *data, size_t n) {
+  pw_cache_news news;
+  pw_cache c;
+  if (pwkvfeed_read((const char *)data, n, 1000, &news) != 0)
+    return;
+  pwcache_init(&c);
+  pwcache_news(&c, &news);
+  pwcache_free(&c);
+  pwkvfeed_clear(&news);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t n);
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t n) {
   static void (*const parser[])(const uint8_t *, size_t) = {
-      fuzz_message, fuzz_record, fuzz_state,
-      fuzz_command, fuzz_schema, fuzz_consensus};
+      fuzz_message, fuzz_record,    fuzz_state,    fuzz_command,
+      fuzz_schema,  fuzz_consensus, fuzz_settings, fuzz_cache_events};
+  const size_t parsers = sizeof parser / sizeof parser[0];
   if (n)
-    parser[data[0] % 6](data + 1, n - 1);
+    parser[data[0] % parsers](data + 1, n - 1);
   return 0;
 }
--- a/tests/test_core.c
+++ b/tests/test_core.c
@@ -106,6 +106,20 @@
   pwbuf_free(&err);
 }
 
+/* Texts that the library stumbles over, found by fuzzing: refused in one line,
+** not the end of the process. */
+static void test_bad_toml(void) {
+  static const char *const bad[] = {"[&[0\t2", "[instance]\n\xcc\xae = 1\n",
+                                    "[instance]\nname = \xc3\xa9\n",
+                                    "\xae\xcc\xae"};
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++) {
+    pw_buf err = {0};
+    CHECK(check_text(bad[i], &err) == PW_E_SETTINGS);
+    CHECK(lines_in(&err) == 1);
+    pwbuf_free(&err);
+  }
+}
+
 static void test_secret_file(void) {
   char text[512];
   char path[] = "/tmp/pwkeyXXXXXX";
@@ -170,6 +184,7 @@
   TEST(test_codes_page);
   TEST(test_settings_page);
   TEST(test_settings);
+  TEST(test_bad_toml);
   TEST(test_secret_file);
   TEST(test_counters);
   TEST(test_events);
