06_config: agents, too, are in touch before all of control is paused

Ruled out: ready that lags behind the first refusal (entries ready 10 ms and more before the request, in touch all the time). Change: the scenario waits for entries and agents; its assertions are the same.

--- a/tests/scenarios/06_config.lua
+++ b/tests/scenarios/06_config.lua
@@ -70,8 +70,9 @@
 end
 
 -- An entry that is cut off stops taking work; back in touch it catches up. The
--- frozen leader has cut them off already: they are to be in touch first.
-for _, e in ipairs(f.entries) do f:wait_ready(e) end
+-- frozen leader has cut entries and agents off already: all are to be in touch first,
+-- or the refusal comes from an agent that is not yet.
+for _, p in ipairs{f.entries[1], f.entries[2], f.agents[1], f.agents[2]} do f:wait_ready(p) end
 for _, c in ipairs(f.control) do c:pause() end
 fleet.eventually("entries refuse", function()
   local r = f:ask{text = "cut off"}
