--- a/packages/daemon/pwag.h
+++ b/packages/daemon/pwag.h
@@ -49,6 +49,7 @@
   pw_carry carry;  /* what the target is to carry */
   int64_t news_at; /* when its state last changed */
   pw_policy policy;
+  int64_t acted; /* when the target was last told what it is to carry */
   int64_t stop_at;
 } pw_agent;
 
--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -9,6 +9,8 @@
 #include <zmq.h>
 
 #define TICK_MS 10
+#define IDLE_TICK_MS 50 /* with no request; what arrives wakes it at once */
+#define ACT_MS 50       /* between looks at what the target is to carry */
 #define SPARE_WORKERS 2 /* for cancels */
 #define PEER_LOST_MS 10000
 
@@ -92,6 +94,9 @@
 
 /* Orders may go out as long as this process may serve. */
 static void act(pw_agent *a, int64_t now) {
+  if (now - a->acted < ACT_MS)
+    return;
+  a->acted = now;
   int64_t touch = pwsub_touch_age(a->sub, now);
   int64_t left = touch < 0 ? 0 : a->p->set->agent_stale - touch;
   pwcarry_act(&a->carry, is_busy, a, now + left);
@@ -166,7 +171,7 @@
                              {NULL, pwmail_fd(a->mail), ZMQ_POLLIN, 0}};
   int64_t ticked = 0;
   while (!may_end(a, pwclock_ms())) {
-    zmq_poll(items, 3, TICK_MS);
+    zmq_poll(items, 3, a->jobs ? TICK_MS : IDLE_TICK_MS);
     int64_t now = pwclock_ms();
     on_dialler(a, now);
     pwag_on_mail(a, now);
