--- a/packages/store/pwonce.c
+++ b/packages/store/pwonce.c
@@ -82,7 +82,7 @@
   free(o);
 }
 
-/* Both lengths belong to the hash: no workspace can write another's key. */
+/* With their ends, so that no workspace and key make another's. */
 static void hash_id(const char *workspace, const char *key,
                     uint8_t id[PWDEDUP_KEY]) {
   crypto_generichash_state st;
