--- a/packages/cli/pwbackup.c
+++ b/packages/cli/pwbackup.c
@@ -99,37 +99,37 @@
   return NULL;
 }
 
-/* How long keys were kept that may not run again, s. */
-static double kept_s(const json_t *list) {
+/* Place of a policy in the list, or its size when it is not there. */
+static size_t find_policy(const json_t *list, const char *name) {
   size_t i;
   const json_t *r;
-  double s = (double)PW_ONCE_KEEP_MS / 1000;
   json_array_foreach(list, i, r) {
     if (!strcmp(pwjson_text(r, "kind"), "policy") &&
-        !strcmp(pwjson_text(r, "name"), "default"))
-      s = pwjson_number(json_object_get(r, "spec"), "once_keep_s", s);
+        !strcmp(pwjson_text(r, "name"), name))
+      break;
   }
-  return s;
+  return i;
+}
+
+/* How long keys were kept that may not run again, s. */
+static double kept_s(const json_t *list) {
+  const json_t *r = json_array_get(list, find_policy(list, "default"));
+  return pwjson_number(json_object_get(r, "spec"), "once_keep_s",
+                       (double)PW_ONCE_KEEP_MS / 1000);
 }
 
 /* Another group does not know which keys ran: it claims none until the last of
 ** them is as old as keys get. */
 static void hold_keys(json_t *list) {
-  double until = (double)pwclock_wall_ms() / 1000 + kept_s(list);
-  size_t i;
-  const json_t *r;
-  json_array_foreach(list, i, r) {
-    if (strcmp(pwjson_text(r, "name"), PWSTATE_ONCE_HOLD) != 0)
-      continue;
-    json_array_remove(list, i);
-    break;
-  }
+  double keep = kept_s(list);
+  double until = (double)pwclock_wall_ms() / 1000 + keep;
+  json_array_remove(list, find_policy(list, PWSTATE_ONCE_HOLD));
   json_array_append_new(list, json_pack("{s:s,s:s,s:{s:f}}", "kind", "policy",
                                         "name", PWSTATE_ONCE_HOLD, "spec",
                                         "once_from_s", until));
   printf("the once-ledger is in no backup: requests that may not be repeated "
          "are refused (%d) for %.0f s, unless policy/%s is deleted\n",
-         PW_E_LEDGER_LOST, kept_s(list), PWSTATE_ONCE_HOLD);
+         PW_E_LEDGER_LOST, keep, PWSTATE_ONCE_HOLD);
 }
 
 /* Writes what the backup holds, whatever its version was; what it does not name
--- a/packages/daemon/peatwelld.c
+++ b/packages/daemon/peatwelld.c
@@ -55,7 +55,7 @@
 
 /* A SIGTERM or SIGINT stops, a second one hurries; SIGUSR1 says that a role
 ** has ended, SIGHUP has certificates read anew. A role that fails takes the
-*others with it. */
+** others with it. */
 static void wait_for_roles(role *roles, int n, const sigset_t *signals) {
   int level = 0;
   for (;;) {
--- a/packages/daemon/pwagent.c
+++ b/packages/daemon/pwagent.c
@@ -219,8 +219,8 @@
                              (int)set->agent_slots + SPARE_WORKERS,
                              (int)set->agent_engine_timeout);
   int is_engine = !strcmp(set->agent_kind, "engine"); /* a service has none */
-  a->kvfeed = pwkvfeed_start(a->p, set->agent_url,
-                             is_engine ? set->agent_cache_events : 0);
+  a->kvfeed =
+      pwkvfeed_start(set->agent_url, is_engine ? set->agent_cache_events : 0);
   pwadmit_init(&a->admit, (int)set->agent_slots, (int)set->agent_queue,
                (double)set->agent_decode_rate, now);
   pwcarry_init(&a->carry, a->p);
--- a/packages/daemon/pwkvfeed.c
+++ b/packages/daemon/pwkvfeed.c
@@ -2,6 +2,7 @@
 #include "pwkvfeed.h"
 
 #include "pwbuf.h"
+#include "pwclock.h"
 #include "pwfetch.h"
 #include "pwjson.h"
 #include "pwthread.h"
@@ -17,7 +18,6 @@
 #define STOP_MS 1000
 
 struct pw_kvfeed {
-  pw_proc *p;
   char *url;
   int64_t every;
   pw_thread thread;
@@ -107,9 +107,8 @@
   return f->every;
 }
 
-pw_kvfeed *pwkvfeed_start(pw_proc *p, const char *url, int64_t every_ms) {
+pw_kvfeed *pwkvfeed_start(const char *url, int64_t every_ms) {
   pw_kvfeed *f = pw_alloc(sizeof *f);
-  f->p = p;
   f->url = pw_dup(url);
   f->every = every_ms;
   f->picture = 1;
--- a/packages/daemon/pwkvfeed.h
+++ b/packages/daemon/pwkvfeed.h
@@ -4,12 +4,11 @@
 #define PWKVFEED_H
 
 #include "pwcache.h"
-#include "pwproc.h"
 
 typedef struct pw_kvfeed pw_kvfeed;
 
 /* Starts asking every every_ms; 0: never. */
-pw_kvfeed *pwkvfeed_start(pw_proc *p, const char *url, int64_t every_ms);
+pw_kvfeed *pwkvfeed_start(const char *url, int64_t every_ms);
 
 /* Ends it; -1 when it waits for a target that says nothing. */
 int pwkvfeed_stop(pw_kvfeed *f);
--- a/packages/policy/pwbound.h
+++ b/packages/policy/pwbound.h
@@ -74,9 +74,8 @@
 double pwpool_mean(const pw_pool_sum *sum, int64_t now);
 
 /* The load a target may start up to: the part b->margin of the way from the
-** mean to b->bound times the mean, and b->floor at least. The rest of the way
-*is
-** for the mean to fall while requests go on. */
+** mean to b->bound times the mean, and b->floor at least. The rest of the
+** way is for the mean to fall while requests go on. */
 double pwbound_limit(const pw_pool_sum *sum, const pw_bound *b, int64_t now);
 
 /* Whether a target that carries `own` stays within the limit with a request of
--- a/packages/policy/pwcache.h
+++ b/packages/policy/pwcache.h
@@ -1,18 +1,15 @@
 /* pwcache.h: an agent's picture of its target's prefix cache.
 **
 ** The engine says how much of a prompt it found cached when it starts to
-*answer.
-** So the agent keeps the chats it sent there, newest last, up to a size in
-*tokens
-** that it learns: a prefix that was expected and not found shrinks it, prefixes
-** found near the old end let it grow.
+** answer. So the agent keeps the chats it sent there, newest last, up to a size
+** in tokens that it learns: a prefix that was expected and not found shrinks
+** it, prefixes found near the old end let it grow.
 **
 ** Engines that publish cache events correct the picture. Events come late,
-*twice
-** and with gaps: each has a number and a time; one that was seen, or is older
-** than what the agent itself saw of that chat, changes nothing; after a gap the
-** whole picture is asked for anew. A wrong picture costs a hop or an estimate,
-** never an answer. */
+** twice and with gaps: each has a number and a time; one that was seen, or is
+** older than what the agent itself saw of that chat, changes nothing; after a
+** gap the whole picture is asked for anew. A wrong picture costs a hop or an
+** estimate, never an answer. */
 #ifndef PWCACHE_H
 #define PWCACHE_H
 
--- a/packages/store/pwfile.h
+++ b/packages/store/pwfile.h
@@ -32,9 +32,8 @@
 typedef int (*pw_file_fill)(void *arg, const pw_file_ops *ops, int fd);
 
 /* Makes path hold exactly what fill writes, by write, sync, rename, sync
- *folder.
- ** Returns 0, or -1 with path as it was before (or, when only the folder's sync
- ** failed, as it is to be). */
+** folder. Returns 0, or -1 with path as it was before (or, when only the
+** folder's sync failed, as it is to be). */
 int pwfile_replace_with(const pw_file_ops *ops, const char *dir,
                         const char *path, pw_file_fill fill, void *arg);
 
--- a/packages/store/pwstate.h
+++ b/packages/store/pwstate.h
@@ -11,8 +11,7 @@
 #include "pwres.h"
 
 /* Policy whose once_from_s holds claims back: a restore writes it on a group
- *that
- ** is not the one the backup was made of. */
+** that is not the one the backup was made of. */
 #define PWSTATE_ONCE_HOLD "once-hold"
 
 typedef struct pw_state pw_state;
--- a/tests/fakes/cachelog.h
+++ b/tests/fakes/cachelog.h
@@ -1,6 +1,5 @@
 /* cachelog.h: the stand-in engine's cache events (docs/ENGINE.md), late and
- *with
- ** gaps on demand. */
+** with gaps on demand. */
 #ifndef CACHELOG_H
 #define CACHELOG_H
 
--- a/tests/scenarios/14_backup.lua
+++ b/tests/scenarios/14_backup.lua
@@ -17,6 +17,8 @@
   '[[resource]]\nkind = "model"\nname = "register"\n[resource.spec]\nversion = "v1"\n', "")
 local rolled, why = f:peatwell("status --wait")
 fleet.equal("rolled out: " .. rolled, why, 0)
+-- A resource of another kind may have the name that the restore's own policy has.
+f:apply('[[resource]]\nkind = "model"\nname = "once-hold"\n', "")
 local portal = f.engines[2]
 local function charge() return f:once{once = "charge-1", body = "a fee"} end
 fleet.equal("the charge", charge().status, 200)
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -421,7 +421,7 @@
 function fleet:call(o)
   local headers = {["Authorization"] = "Bearer " .. (o.key or self.KEYS.kett)}
   for k, v in pairs(o.headers or {}) do headers[k] = v end
-  return {url = "http://" .. (o.entry or self.entries[1]).health, method = o.method or "POST",
+  return {url = (o.entry or self.entries[1]):base(), method = o.method or "POST",
     path = "/v1/services/portal" .. (o.path or "/charge"), headers = headers,
     body = o.body, timeout = o.timeout or 30}
 end
--- a/tests/test_cache.c
+++ b/tests/test_cache.c
@@ -1,6 +1,5 @@
 /* test_cache.c: an agent's picture of its target's cache, from cache events
- *that
- ** come late, twice and with gaps. */
+** that come late, twice and with gaps. */
 #include "pwbuf.h"
 #include "pwcache.h"
 #include "pwkvfeed.h"
