--- a/Makefile
+++ b/Makefile
@@ -7,18 +7,20 @@
 SAN ?=
 OPT ?= -O2
 
-PKGS = libzmq libmicrohttpd neon jansson libsodium libprotobuf-c liburcu-bp
-INC = $(addprefix -Ipackages/,core policy consensus store wire http daemon cli)
+PKGS = libzmq libmicrohttpd neon jansson libsodium libprotobuf-c liburcu-bp libzstd
+INC = $(addprefix -Ipackages/,core policy consensus store wire http net site \
+  membership daemon gateway cli) -Iplatform
 CPPFLAGS += $(INC) -Itests
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wvla -Werror=implicit-function-declaration
 CFLAGS += -std=gnu11 -g $(OPT) $(WARN) $(SAN) $(shell pkg-config --cflags $(PKGS))
 CXXFLAGS += -std=c++17 -g $(OPT) -Wall $(SAN)
 LDFLAGS += $(SAN)
-LDLIBS = $(shell pkg-config --libs $(PKGS)) -lurcu-common -lxxhash -lpthread -lm
+LDLIBS = $(shell pkg-config --libs $(PKGS)) -lurcu-common -lxxhash -lev -lhttp_parser -lpthread -lm
 
 CORE = $(wildcard packages/core/*.c) packages/core/pwtoml.cc
 LIBS = $(CORE) $(wildcard packages/policy/*.c packages/consensus/*.c \
-  packages/store/*.c packages/wire/*.c packages/http/*.c)
+  packages/store/*.c packages/wire/*.c packages/http/*.c packages/net/*.c \
+  packages/site/*.c packages/membership/*.c packages/gateway/*.c platform/*.c)
 DAEMON = $(filter-out %/peatwelld.c,$(wildcard packages/daemon/*.c))
 CLI = $(filter-out %/peatwell.c,$(wildcard packages/cli/*.c))
 
--- a/packages/consensus/pwmember.h
+++ b/packages/consensus/pwmember.h
@@ -17,12 +17,21 @@
 ** to be a member, or holds a log, but no leader knows of it. */
 int pwmember_seeks(const pw_cons *cons, uint64_t id, int64_t lease);
 
+/* A voter silent for so long gives its place to a learner that has caught up,
+** in a group of a set size; ms. Longer than an election, so that a change of
+** leader removes nobody. */
+#define PWMEMBER_REPLACE_MS 2500
+
 /* The next change towards having `joining` (id 0: nobody) and every learner
 ** that has caught up as voters. Fills *next and gives what it does, such as
 ** "promote"; NULL when there is nothing to do. Nobody joins for a slot whose
 ** voter has answered within two leases: a disk that was replaced cannot push
-** out its successor, nor can a second instance set up with the same id. */
+** out its successor, nor can a second instance set up with the same id.
+**
+** `size` above 0: the group has so many voters at most. More learners wait
+** until a voter is silent, and take its place: first it is removed, if those
+** that answer are a quorum without it too, then the learner is promoted. */
 const char *pwmember_next(const pw_cons *cons, const pw_cons_member *joining,
-                          int64_t lease, pw_cons_config *next);
+                          int64_t lease, int size, pw_cons_config *next);
 
 #endif
--- a/packages/core/pwcode.h
+++ b/packages/core/pwcode.h
@@ -15,6 +15,11 @@
   X(PW_E_DENIED, 1007, 403, "denied", "this key may not do that")              \
   X(PW_E_IDEMPOTENCY, 1008, 400, "need-key",                                   \
     "Peatwell-Repeat: never needs an Idempotency-Key")                         \
+  X(PW_E_REQUEST, 1009, 400, "bad-request", "not HTTP/1.1 that can be read")   \
+  X(PW_E_HEAD_TOO_LARGE, 1010, 431, "head-too-large",                          \
+    "the request's headers are over their limit")                              \
+  X(PW_E_SLOW, 1011, 408, "too-slow", "the request did not come in time")      \
+  X(PW_E_ROUTE, 1012, 404, "no-route", "no route for this host and path")      \
   X(PW_E_BUSY, 2001, 503, "busy", "the pool is full; come back later")         \
   X(PW_E_DEADLINE, 2002, 503, "deadline", "the deadline cannot be met")        \
   X(PW_E_QUOTA, 2003, 429, "quota", "the workspace is over its limit")         \
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -66,6 +66,18 @@
   X(PWC_LOAD, "load_tokens", "gauge", "tokens in progress at the target")      \
   X(PWC_QUEUE, "queue_requests", "gauge", "requests waiting at the agent")     \
   X(PWC_REVISION, "revision", "gauge", "configuration revision in force")      \
+  X(PWC_GW_CONNECTS, "gateway_connects_total", "counter",                      \
+    "connections opened to targets")                                           \
+  X(PWC_GW_BROKEN, "gateway_broken_total", "counter",                          \
+    "answers broken off midway")                                               \
+  X(PWC_GW_GONE, "gateway_callers_gone_total", "counter",                      \
+    "callers that left before their answer")                                   \
+  X(PWC_GW_SITE, "gateway_configuration", "gauge",                             \
+    "version of the configuration in force")                                   \
+  X(PWC_GW_TARGETS, "gateway_targets", "gauge", "targets known")               \
+  X(PWC_GW_CLIENTS, "gateway_clients", "gauge", "callers' connections open")   \
+  X(PWC_GW_LEFT_OUT, "gateway_lines_left_out", "gauge",                        \
+    "log lines left out for want of budget")                                   \
   X(PWC_ACTIVE, "active_requests", "gauge", "requests in progress")
 
 typedef enum pw_counter {
--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -8,14 +8,21 @@
 #include <string.h>
 #include <sys/stat.h>
 
-typedef enum set_type { T_STRING, T_INT, T_LIST, T_SECRET_FILE } set_type;
+typedef enum set_type {
+  T_STRING,
+  T_INT,
+  T_REAL,
+  T_BOOL,
+  T_LIST,
+  T_SECRET_FILE
+} set_type;
 
 typedef struct set_row {
   const char *section;
   const char *key;
   set_type type;
   size_t offset;
-  int64_t min, max, fallback; /* T_INT */
+  int64_t min, max, fallback; /* T_INT, T_REAL, T_BOOL */
   const char *text;           /* default of a string, or NULL: none */
   const char *choices;        /* "a|b", or NULL: any string */
   const char *need;           /* role that cannot do without it, or NULL */
@@ -36,11 +43,16 @@
 #define INT(sec, key, field, min, max, def, unit, help)                        \
   { sec, key, T_INT, AT(field), min, max, def, NULL, NULL, NULL, unit, help }
 
+#define REAL(sec, key, field, min, max, def, unit, help)                       \
+  { sec, key, T_REAL, AT(field), min, max, def, NULL, NULL, NULL, unit, help }
+#define BOOL(sec, key, field, help)                                            \
+  { sec, key, T_BOOL, AT(field), 0, 1, 0, NULL, NULL, NULL, "truth", help }
+
 static const set_row rows[] = {
     STR("instance", "name", name, NULL, NULL, "any",
         "name of this instance, unique in the fleet"),
     LIST("instance", "roles", roles, "any",
-         "what this process does: entry, agent, control"),
+         "what this process does: entry, agent, gateway, control"),
     STR("instance", "availability_zone", availability_zone, "", NULL, NULL,
         "availability zone it runs in"),
     STR("instance", "region", region, "", NULL, NULL, "region it runs in"),
@@ -109,6 +121,30 @@
         "tokens/s",
         "most tokens the target can finish in a second; the load "
         "counts down no faster"),
+    STR("gateway", "http", gateway_http, NULL, NULL, "gateway",
+        "IP:PORT where callers are served"),
+    STR("gateway", "ready", gateway_ready, NULL, NULL, "gateway",
+        "IP:PORT where it says whether it is ready, and of /metrics"),
+    STR("gateway", "gossip", gateway_gossip, NULL, NULL, "gateway",
+        "IP:PORT (UDP) where gateways tell each other their loads"),
+    LIST("gateway", "control", gateway_control, "gateway",
+         "IP:PORT of the HTTP of control instances to begin with"),
+    INT("gateway", "control_port", gateway_control_port, 1, 65535, 7340, "port",
+        "port of `control.wire` at all of these"),
+    INT("gateway", "beat_ms", gateway_beat, 50, 60000, 1200, "ms",
+        "how often a target says that it is there"),
+    REAL("gateway", "retry_ratio", gateway_retry_ratio, 0, 10, 0, "share",
+         "retries of all gateways in a window, as a share of the requests"),
+    REAL("gateway", "retry_slack", gateway_retry_slack, 0, 1000000, 10,
+         "retries", "and so many more"),
+    REAL("gateway", "retry_window_s", gateway_retry_window, 1, 3600, 10, "s",
+         "that window"),
+    REAL("gateway", "grace_s", gateway_grace, 1, 3600, 8, "s",
+         "a planned stop ends within this time"),
+    REAL("gateway", "load_times", gateway_load_times, 1, 100, 2, "times",
+         "most load of a target, as a multiple of the mean of its service"),
+    INT("gateway", "log_bytes_per_s", gateway_log_bytes, 0, 10000000, 16384,
+        "bytes/s", "budget of its log lines"),
     STR("control", "http", control_http, NULL, NULL, "control",
         "IP:PORT of the resource API"),
     STR("control", "wire", control_wire, NULL, NULL, "control",
@@ -130,6 +166,18 @@
         "a follower that hears nothing for this long starts an election"),
     INT("control", "snapshot_every", control_snapshot_every, 10, 10000000,
         10000, "entries", "log entries between snapshots"),
+    LIST("control", "seeds", control_seeds, NULL,
+         "IP:PORT of the HTTP of control instances that found the group, or "
+         "through which it is found; instead of peers and id"),
+    INT("control", "seed_port", control_seed_port, 1, 65535, 7340, "port",
+        "port of `control.wire` at all of these"),
+    BOOL("control", "found", control_found,
+         "the group is new: its seeds found it together"),
+    INT("control", "losses", control_losses, 0, 3, 2, "instances",
+        "lost at once without harm: the group has twice as many and one "
+        "voters; with seeds only"),
+    INT("control", "beat_ms", control_beat, 50, 60000, 1200, "ms",
+        "how often a target says that it is there"),
 };
 
 #define NROWS ((int)(sizeof rows / sizeof rows[0]))
@@ -207,6 +255,28 @@
   }
 }
 
+static void take_real(reading *rd, const set_row *r, const pw_toml_value *v) {
+  char allowed[96];
+  pw_buf b = {0};
+  pwbuf_fmt(&b, "%lld to %lld %s is allowed", (long long)r->min,
+            (long long)r->max, r->unit);
+  pw_copy(allowed, sizeof allowed, b.data);
+  pwbuf_free(&b);
+  if (v->type != PWTOML_INT && v->type != PWTOML_FLOAT)
+    complain(rd, v, "wrong type", allowed);
+  else if (!(v->real >= (double)r->min && v->real <= (double)r->max))
+    complain(rd, v, "out of range", allowed);
+  else
+    *(double *)field(rd->s, r) = v->real;
+}
+
+static void take_bool(reading *rd, const set_row *r, const pw_toml_value *v) {
+  if (v->type == PWTOML_BOOL)
+    *(int64_t *)field(rd->s, r) = v->integer;
+  else
+    complain(rd, v, "wrong type", "true or false is allowed");
+}
+
 static void take_list(reading *rd, const set_row *r, const pw_toml_value *v) {
   if (v->type != PWTOML_LIST || v->nlist > PW_LIST_MAX) {
     complain(rd, v, "wrong type", "a list of up to 64 strings is allowed");
@@ -227,6 +297,10 @@
   rd->seen[r - rows] = 1;
   if (r->type == T_INT)
     take_int(rd, r, v);
+  else if (r->type == T_REAL)
+    take_real(rd, r, v);
+  else if (r->type == T_BOOL)
+    take_bool(rd, r, v);
   else if (r->type == T_LIST)
     take_list(rd, r, v);
   else
@@ -236,8 +310,10 @@
 static void set_defaults(pw_settings *s) {
   *s = (pw_settings){0};
   for (int i = 0; i < NROWS; i++) {
-    if (rows[i].type == T_INT)
+    if (rows[i].type == T_INT || rows[i].type == T_BOOL)
       *(int64_t *)field(s, &rows[i]) = rows[i].fallback;
+    else if (rows[i].type == T_REAL)
+      *(double *)field(s, &rows[i]) = (double)rows[i].fallback;
     else if (rows[i].type != T_LIST)
       *(char **)field(s, &rows[i]) = pw_dup(rows[i].text ? rows[i].text : "");
   }
@@ -260,8 +336,9 @@
   pw_toml_value v = {
       .section = "instance", .key = "roles", .line = 1, .column = 1};
   for (int i = 0; i < rd->s->roles.n; i++)
-    if (!is_choice("entry|agent|control", rd->s->roles.item[i]))
-      complain(rd, &v, "unknown role", "entry, agent and control are allowed");
+    if (!is_choice("entry|agent|gateway|control", rd->s->roles.item[i]))
+      complain(rd, &v, "unknown role",
+               "entry, agent, gateway and control are allowed");
 }
 
 /* The timing rule: a leader has a heartbeat and two whole retries to renew
@@ -306,7 +383,9 @@
 
 static void document_row(const set_row *r, pw_buf *out) {
   pwbuf_fmt(out, "| `%s` | %s | ", r->key, r->unit);
-  if (r->type == T_INT)
+  if (r->type == T_BOOL)
+    pwbuf_str(out, "true, false | false");
+  else if (r->type == T_INT || r->type == T_REAL)
     pwbuf_fmt(out, "%lld to %lld | %lld", (long long)r->min, (long long)r->max,
               (long long)r->fallback);
   else if (r->choices)
@@ -338,7 +417,8 @@
 
 void pwset_free(pw_settings *s) {
   for (int i = 0; i < NROWS; i++) {
-    if (rows[i].type == T_INT)
+    if (rows[i].type == T_INT || rows[i].type == T_REAL ||
+        rows[i].type == T_BOOL)
       continue;
     if (rows[i].type != T_LIST) {
       free(*(char **)field(s, &rows[i]));
--- a/packages/core/pwset.h
+++ b/packages/core/pwset.h
@@ -57,6 +57,19 @@
   int64_t agent_cache_events;
   int64_t agent_decode_rate;
 
+  char *gateway_http;
+  char *gateway_ready;
+  char *gateway_gossip;
+  pw_list gateway_control;
+  int64_t gateway_control_port;
+  int64_t gateway_beat;
+  double gateway_retry_ratio;
+  double gateway_retry_slack;
+  double gateway_retry_window;
+  double gateway_grace;
+  double gateway_load_times;
+  int64_t gateway_log_bytes;
+
   char *control_http;
   char *control_wire;
   int64_t control_id;
@@ -67,6 +80,11 @@
   int64_t control_retry;
   int64_t control_lease;
   int64_t control_snapshot_every;
+  pw_list control_seeds;
+  int64_t control_seed_port;
+  int64_t control_found;
+  int64_t control_losses;
+  int64_t control_beat;
 } pw_settings;
 
 /* Reads and checks a file. Every mistake adds one line
--- /dev/null
+++ b/packages/core/pwtrace.c
@@ -0,0 +1,136 @@
+/* pwtrace.c: structured lines within a budget. */
+#include "pwtrace.h"
+
+#include "pwbuf.h"
+#include "pwclock.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#define LINE_BYTES 512
+#define RING_BYTES (64 * 1024)  /* lines that wait to be written */
+#define FLUSH_BYTES (16 * 1024) /* written early when so many wait */
+#define MS_PER_S 1000
+
+/* Lines of requests that go well may use this share of the budget. */
+#define WELL_SHARE 0.5
+
+struct pw_trace {
+  char *instance;
+  int fd;
+  double rate; /* bytes a second */
+  double left;
+  int64_t at;
+  pw_buf out;
+  size_t out_at;
+  uint64_t dropped, told;
+};
+
+pw_trace *pwtrace_new(const char *instance, int fd, int64_t bytes_per_s) {
+  pw_trace *t = pw_alloc(sizeof *t);
+  struct stat st;
+  t->instance = pw_dup(instance);
+  t->fd = fd;
+  t->rate = (double)bytes_per_s;
+  t->left = t->rate;
+  if (fstat(fd, &st) == 0 && (S_ISFIFO(st.st_mode) || S_ISSOCK(st.st_mode)))
+    fcntl(fd, F_SETFL, fcntl(fd, F_GETFL) | O_NONBLOCK);
+  return t;
+}
+
+void pwtrace_free(pw_trace *t) {
+  if (!t)
+    return;
+  pwtrace_flush(t, t->at);
+  pwbuf_free(&t->out);
+  free(t->instance);
+  free(t);
+}
+
+static void refill(pw_trace *t, int64_t now) {
+  if (now <= t->at)
+    return;
+  t->left += t->rate * (double)(now - t->at) / MS_PER_S;
+  if (t->left > t->rate)
+    t->left = t->rate;
+  t->at = now;
+}
+
+static void append(pw_trace *t, const char *line, size_t n) {
+  t->left -= (double)n;
+  pwbuf_add(&t->out, line, n);
+}
+
+static size_t head(const pw_trace *t, char *line, const char *event) {
+  int64_t wall = pwclock_wall_ms();
+  int n = snprintf(line, LINE_BYTES, "ts=%lld.%03d inst=%s ev=%s ",
+                   (long long)(wall / MS_PER_S), (int)(wall % MS_PER_S),
+                   t->instance, event);
+  return n > 0 && n < LINE_BYTES ? (size_t)n : 0;
+}
+
+static void tell_dropped(pw_trace *t) {
+  char line[LINE_BYTES];
+  if (t->dropped == t->told)
+    return;
+  size_t n = head(t, line, "left-out");
+  n += (size_t)snprintf(line + n, LINE_BYTES - n, "lines=%llu\n",
+                        (unsigned long long)(t->dropped - t->told));
+  t->told = t->dropped;
+  append(t, line, n);
+}
+
+/* Whether a line of this kind still has room. */
+static int has_room(const pw_trace *t, pw_trace_kind kind) {
+  if (t->out.len - t->out_at + 2 * LINE_BYTES > RING_BYTES)
+    return 0;
+  double keep = kind == PWTRACE_WELL ? t->rate * (1 - WELL_SHARE) : 0;
+  return t->left - LINE_BYTES > keep;
+}
+
+void pwtrace_line(pw_trace *t, pw_trace_kind kind, int64_t now,
+                  const char *event, const char *fmt, ...) {
+  char line[LINE_BYTES];
+  if (!t || t->rate <= 0)
+    return;
+  refill(t, now);
+  if (!has_room(t, kind)) {
+    t->dropped++;
+    return;
+  }
+  tell_dropped(t);
+  size_t n = head(t, line, event);
+  va_list ap;
+  va_start(ap, fmt);
+  int m = vsnprintf(line + n, LINE_BYTES - n, fmt, ap);
+  va_end(ap);
+  n += m > 0 ? (size_t)m : 0;
+  if (n > LINE_BYTES - 1)
+    n = LINE_BYTES - 1;
+  line[n++] = '\n';
+  append(t, line, n);
+  if (t->out.len - t->out_at > FLUSH_BYTES)
+    pwtrace_flush(t, now);
+}
+
+void pwtrace_flush(pw_trace *t, int64_t now) {
+  if (!t || t->out.len == t->out_at)
+    return;
+  refill(t, now);
+  ssize_t n = write(t->fd, t->out.data + t->out_at, t->out.len - t->out_at);
+  if (n > 0)
+    t->out_at += (size_t)n;
+  else if (errno != EAGAIN && errno != EINTR)
+    t->out_at = t->out.len; /* nobody reads any more: these lines are lost */
+  if (t->out_at == t->out.len)
+    t->out.len = t->out_at = 0;
+}
+
+uint64_t pwtrace_dropped(const pw_trace *t) {
+  return t ? t->dropped : 0;
+}
--- a/packages/daemon/peatwelld.c
+++ b/packages/daemon/peatwelld.c
@@ -3,7 +3,9 @@
 #include "pwagent.h"
 #include "pwbuf.h"
 #include "pwcontrol.h"
+#include "platform.h"
 #include "pwentry.h"
+#include "pwgateway.h"
 #include "pwlog.h"
 #include "pwproc.h"
 #include "pwversion.h"
@@ -94,13 +96,15 @@
 static int run(const pw_settings *set, const char *role_names) {
   role roles[] = {{.name = "control", .run = pwcontrol_run},
                   {.name = "entry", .run = pwentry_run},
-                  {.name = "agent", .run = pwagent_run}};
+                  {.name = "agent", .run = pwagent_run},
+                  {.name = "gateway", .run = pwgateway_run}};
   enum { N = sizeof roles / sizeof roles[0] };
   sigset_t signals;
   block_signals(&signals);
   pwlog_init(set->name, role_names);
   for (int i = 0; i < N; i++) {
     roles[i].proc.set = set;
+    roles[i].proc.dialect = &platform_dialect;
     if (!pwset_has_role(set, roles[i].name))
       continue;
     roles[i].started =
--- a/packages/daemon/pwapi.c
+++ b/packages/daemon/pwapi.c
@@ -195,25 +195,33 @@
   return PW_E_PATH;
 }
 
-static void free_call(pw_api_call *c) {
+void pwapi_free(pw_api_call *c) {
   if (c->change)
     pw__change__free_unpacked(c->change, NULL);
   json_decref(c->answer);
+  pwbuf_free(&c->document);
+  pwbuf_free(&c->text);
   pthread_mutex_destroy(&c->lock);
   free(c);
 }
 
-pw_code pwapi_read(pw_http *h, const char *operators, pw_api_call **out,
-                   char *message, size_t cap) {
-  if (!is_operator(operators, pwask_key(h)))
-    return PW_E_KEY;
+pw_api_call *pwapi_new(pw_api_op op) {
   pw_api_call *c = pw_alloc(sizeof *c);
   pthread_mutex_init(&c->lock, NULL);
   c->started = pwclock_ns();
   c->refs = 2;
+  c->op = op;
+  return c;
+}
+
+pw_code pwapi_read(pw_http *h, const char *operators, pw_api_call **out,
+                   char *message, size_t cap) {
+  if (!is_operator(operators, pwask_key(h)))
+    return PW_E_KEY;
+  pw_api_call *c = pwapi_new(PW_API_GET);
   pw_code rc = read_call(h, c, message, cap);
   if (rc != PW_OK) {
-    free_call(c);
+    pwapi_free(c);
     return rc;
   }
   *out = c;
@@ -227,7 +235,7 @@
   int left = --c->refs;
   pthread_mutex_unlock(&c->lock);
   if (left == 0)
-    free_call(c);
+    pwapi_free(c);
 }
 
 void pwapi_begin(pw_api_call *c, pw_http *h, pw_mail *mail) {
@@ -244,7 +252,12 @@
   pw_http *h = c->h;
   if (c->leader[0])
     pwserve_add(h, "Peatwell-Leader", c->leader);
-  if (c->code == PW_OK) {
+  if (c->location[0]) {
+    pwserve_add(h, "Location", c->location);
+    pwserve_reply(h, c->status, "application/json", "{}", 2);
+  } else if (c->text.data) {
+    pwserve_reply(h, c->status, "application/json", c->text.data, c->text.len);
+  } else if (c->code == PW_OK) {
     pwproc_json(h, c->status, json_incref(c->answer));
   } else if (c->answer) {
     char number[16];
@@ -280,6 +293,20 @@
   wake(c);
 }
 
+void pwapi_answer_text(pw_api_call *c, const char *text, size_t n) {
+  c->status = 200;
+  pwbuf_add(&c->text, text, n);
+  wake(c);
+}
+
+#define HTTP_TEMPORARY_REDIRECT 307
+
+void pwapi_redirect(pw_api_call *c, const char *http, const char *path) {
+  c->status = HTTP_TEMPORARY_REDIRECT;
+  snprintf(c->location, sizeof c->location, "http://%s%s", http, path);
+  wake(c);
+}
+
 void pwapi_fail(pw_api_call *c, pw_code code, const char *message,
                 const char *outcome, json_t *more) {
   c->code = code;
--- a/packages/daemon/pwapi.h
+++ b/packages/daemon/pwapi.h
@@ -12,7 +12,13 @@
   PW_API_GET,    /* one resource */
   PW_API_LIST,   /* all, or those after a revision */
   PW_API_CHANGE, /* one or many written */
-  PW_API_STATUS
+  PW_API_STATUS,
+
+  /* calls of the platform, see pwsitecall.h */
+  PW_API_SITE_READ,
+  PW_API_SITE_WRITE,
+  PW_API_BEAT,
+  PW_API_LEAVE
 } pw_api_op;
 
 /* One request. The HTTP thread fills it and waits; the control thread answers
@@ -25,6 +31,9 @@
   int has_since;
   uint64_t since;
   Pw__Change *change; /* PW_API_CHANGE */
+  pw_buf document;    /* PW_API_SITE_WRITE: a valid one */
+  uint64_t document_version;
+  pw_beat beat; /* PW_API_BEAT; of PW_API_LEAVE the id */
   int64_t started;    /* ns */
 
   pthread_mutex_t lock;
@@ -33,6 +42,8 @@
   int refs;
   int status;
   json_t *answer;
+  pw_buf text;        /* an answer that is JSON text already */
+  char location[160]; /* the caller is sent there */
   pw_code code;
   char message[256];
   char outcome[16];
@@ -56,6 +67,15 @@
 void pwapi_fail(pw_api_call *c, pw_code code, const char *message,
                 const char *outcome, json_t *more);
 
+/* The same with JSON text, which is copied; and by sending the caller to
+** another address. */
+void pwapi_answer_text(pw_api_call *c, const char *text, size_t n);
+void pwapi_redirect(pw_api_call *c, const char *http, const char *path);
+
+/* A call that is filled by others than pwapi_read. */
+pw_api_call *pwapi_new(pw_api_op op);
+void pwapi_free(pw_api_call *c); /* one that was not begun */
+
 /* JSON of a resource; new reference. */
 json_t *pwapi_resource(const pw_resource *one);
 json_t *pwapi_packed(const Pw__Resource *one);
--- a/packages/daemon/pwcontrol.c
+++ b/packages/daemon/pwcontrol.c
@@ -9,6 +9,9 @@
 #include "pwlog.h"
 #include "pwnews.h"
 #include "pwplanner.h"
+#include "pwpublish.h"
+#include "pwsitecall.h"
+#include "pwwatch.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -51,6 +54,8 @@
   pw_feed *feed;
   pw_news *news;
   pw_planner *planner;
+  pw_watch *watch;
+  pw_publish *publish;
   uint64_t planned; /* index of the planner's change; 0: none is under way */
   int64_t planned_at;
   waiter *waiters;
@@ -216,6 +221,10 @@
 }
 
 static void on_call(control *c, pw_api_call *call, int64_t now) {
+  if (call->op >= PW_API_SITE_READ) {
+    pwsitecall_take(call, c->group, c->publish, c->watch, now);
+    return;
+  }
   if (!pwgroup_lease(c->group, now)) {
     pw_copy(call->leader, sizeof call->leader,
             pwgroup_is_leader(c->group) ? "" : pwgroup_leader_http(c->group));
@@ -311,6 +320,7 @@
     pwcount_set(c->p->counters, PWC_ONCE_KEPT,
                 (int64_t)pwonce_count(pwstate_once(pwgroup_state(c->group))));
   }
+  pwpublish_applied(c->publish, e, o);
   if (index == c->planned) {
     c->planned = 0;
     pwplanner_done(c->planner, o ? (pw_code)o->code : PW_E_CONFLICT);
@@ -356,6 +366,10 @@
     case PW__ENVELOPE__BODY_RECORD:
       on_ledger(c, &from, e, now);
       break;
+    case PW__ENVELOPE__BODY_WATCH:
+    case PW__ENVELOPE__BODY_NOTICE:
+      pwwatch_message(c->watch, &from, e, now);
+      break;
     default:
       break;
     }
@@ -427,10 +441,19 @@
   pwnews_child_left(c->news, child, pwclock_ms());
 }
 
+static void tell_watchers(control *c, int64_t now) {
+  char members[PWCONS_MEMBERS][PW_NAME_MAX];
+  int n = pwgroup_members(c->group, members);
+  pwwatch_others(c->watch, members, n);
+  pwwatch_tick(c->watch, pwgroup_in_touch(c->group, now), now);
+}
+
 static void tick(control *c, int64_t now) {
   pwgroup_tick(c->group, now);
   pwfeed_expire(c->feed, on_child_left, c, now);
   expire_waiters(c, now);
+  pwpublish_tick(c->publish, now);
+  tell_watchers(c, now);
   plan(c, now);
   pwproc_set_ready(c->p, pwgroup_leader_http(c->group)[0] != 0);
 }
@@ -466,7 +489,10 @@
     int64_t now = pwclock_ms();
     on_messages(c, c->listener, now);
     on_messages(c, c->dialler, now);
-    on_mail(c, now);
+    rc = pwgroup_work(c->group, now); /* reads see what is committed by now */
+    if (rc != PW_OK)
+      break;
+    on_mail(c, pwclock_ms());
     if (now - ticked >= TICK_MS) {
       ticked = now;
       tick(c, now);
@@ -490,7 +516,10 @@
     return;
   pw_api_call *call;
   char message[160] = "";
-  pw_code rc = pwapi_read(h, c->operators, &call, message, sizeof message);
+  pw_code rc = pwsitecall_read(h, c->p->dialect, &call, message,
+                               sizeof message);
+  if (rc == PW_E_PATH)
+    rc = pwapi_read(h, c->operators, &call, message, sizeof message);
   if (rc == PW_OK)
     pwapi_begin(call, h, c->mail);
   else
@@ -543,6 +572,7 @@
   }
   atomic_store(&c->p->stopping, 1);
   answer_watchers(c, pwclock_ms());
+  pwpublish_end(c->publish);
   pw_api_call *call;
   while ((call = (pw_api_call *)pwmail_take(c->mail)) != NULL)
     pwapi_fail(call, PW_E_NOT_LEADER, "", "not-run", NULL);
@@ -563,6 +593,9 @@
   c.feed = pwfeed_new(p, c.listener, resources(&c));
   c.news = pwnews_new();
   c.planner = pwplanner_new(resources(&c), c.news);
+  const pw_doc *doc = pwstate_document(pwgroup_state(c.group));
+  c.watch = pwwatch_new(p, c.listener, c.dialler, doc);
+  c.publish = pwpublish_new(c.group, doc);
   rc = PW_E_SETTINGS;
   if (start_http(&c, err) == 0)
     rc = loop(&c);
@@ -571,6 +604,8 @@
 out:
   pwserve_stop(c.http);
   pwplanner_free(c.planner);
+  pwpublish_free(c.publish);
+  pwwatch_free(c.watch);
   pwnews_free(c.news);
   pwfeed_free(c.feed);
   pwgroup_close(c.group);
--- a/packages/daemon/pwgroup.c
+++ b/packages/daemon/pwgroup.c
@@ -38,6 +38,8 @@
   uint32_t slot;
   contact *contacts;
   int listed; /* contacts of the settings besides this one */
+  int may_found;
+  int by_seeds; /* the settings name seeds, not peers */
   int64_t join_at;
   int was_leader;
   int disk_full;
@@ -87,6 +89,37 @@
   return 0;
 }
 
+/* Instances that seeds name have no number: their address stands for it. */
+static uint32_t slot_of(const char *addr) {
+  uint32_t slot = (uint32_t)XXH3_64bits(addr, strlen(addr));
+  return slot ? slot : 1;
+}
+
+/* Reads "IP:PORT" items of control.seeds: the HTTP of instances whose wire is
+** at control.seed_port. */
+static int read_seeds(pw_group *g, pw_buf *err) {
+  const pw_settings *set = g->p->set;
+  g->by_seeds = 1;
+  g->may_found = 0;
+  g->slot = slot_of(set->control_wire);
+  for (int i = 0; i < set->control_seeds.n; i++) {
+    char ip[48], addr[PWCONS_ADDR];
+    if (sscanf(set->control_seeds.item[i], "%40[0-9.]:", ip) != 1) {
+      pwbuf_fmt(err, "control.seeds: \"%s\": IP:PORT is allowed\n",
+                set->control_seeds.item[i]);
+      return -1;
+    }
+    snprintf(addr, sizeof addr, "tcp://%s:%d", ip, (int)set->control_seed_port);
+    if (!strcmp(addr, set->control_wire)) {
+      g->may_found = set->control_found != 0;
+      continue;
+    }
+    contact_of(g, addr)->slot = slot_of(addr);
+    g->listed++;
+  }
+  return 0;
+}
+
 /* --- joining and founding a group --- */
 
 static pw_cons_member self(const pw_group *g) {
@@ -166,9 +199,11 @@
 ** does not answer may hold what was accepted. */
 static pw_code try_found(pw_group *g, int64_t now) {
   pw_cons_config config = {0};
+  if (!g->may_found)
+    return PW_OK;
   config.m[config.n++] = self(g);
   for (contact *c = g->contacts; c; c = c->next) {
-    if (!c->slot)
+    if (!c->slot) /* not of the settings' list */
       continue;
     if (!c->is_empty || config.n == PWCONS_MEMBERS)
       return PW_OK;
@@ -183,8 +218,16 @@
   return found(g, &config, number_of(&config), first_term(), now);
 }
 
+/* A voter by its own log may have been removed, and all that it knows have
+** moved: it asks the seeds too. */
+#define LOST_LEASES 3
+
 static int seeks(const pw_group *g) {
-  return g->cons && pwmember_seeks(g->cons, g->id, g->p->set->control_lease);
+  int64_t lease = g->p->set->control_lease;
+  if (!g->cons)
+    return 0;
+  return pwmember_seeks(g->cons, g->id, lease) ||
+         (g->by_seeds && pwcons_silence(g->cons) > LOST_LEASES * lease);
 }
 
 static void send_join(pw_group *g, const char *addr, int reply) {
@@ -215,9 +258,18 @@
   pw_copy(g->joining.http, sizeof g->joining.http, j->http);
 }
 
+/* Seeds may be stale: whoever answers knows the others. */
+static void learn_contacts(pw_group *g, const Pw__Config *config) {
+  for (size_t i = 0; config && i < config->n_members; i++)
+    if (strcmp(config->members[i]->addr, g->p->set->control_wire) != 0)
+      contact_of(g, config->members[i]->addr);
+}
+
 static void on_join(pw_group *g, const Pw__Join *j, int64_t now) {
   if (!j->reply)
     send_join(g, j->addr, 1);
+  if (g->by_seeds)
+    learn_contacts(g, j->config);
   if (g->cons) {
     if (!j->initialised || j->learner)
       note_joining(g, j);
@@ -241,8 +293,9 @@
     return;
   if (pwmember_has(pwcons_config(g->cons), g->joining.id))
     g->joining.id = 0;
-  const char *what =
-      pwmember_next(g->cons, &g->joining, g->p->set->control_lease, &next);
+  int size = g->by_seeds ? 2 * (int)g->p->set->control_losses + 1 : 0;
+  const char *what = pwmember_next(g->cons, &g->joining,
+                                   g->p->set->control_lease, size, &next);
   if (!what || pwcons_propose_config(g->cons, &next) != PW_OK)
     return;
   pwevent_add(g->p->events, PWE_MEMBER, 0, NULL, NULL, NULL, "%s, members=%d",
@@ -411,8 +464,10 @@
   g->calls = *calls;
   g->slot = (uint32_t)p->set->control_id;
   g->state = pwstate_new();
+  g->may_found = 1;
   pw_store_state st = {0};
-  pw_code rc = read_peers(g, err) == 0 ? PW_OK : PW_E_SETTINGS;
+  int bad = p->set->control_seeds.n ? read_seeds(g, err) : read_peers(g, err);
+  pw_code rc = bad ? PW_E_SETTINGS : PW_OK;
   if (rc == PW_OK)
     rc = pwstore_open(p->set->control_data_dir, g->slot, pwfile_posix(),
                       &g->store, &st, err);
@@ -420,7 +475,7 @@
   int64_t now = pwclock_ms();
   if (rc == PW_OK && st.snapshot) {
     rc = begin(g, &st, now);
-  } else if (rc == PW_OK && g->listed == 0) {
+  } else if (rc == PW_OK && g->listed == 0 && g->may_found) {
     pw_cons_config config = {.n = 1, .m = {self(g)}};
     rc = found(g, &config, number_of(&config), first_term(), now);
   }
@@ -456,8 +511,33 @@
   return g->cons && pwcons_role(g->cons) == PWCONS_LEADER;
 }
 
+/* What is committed must be applied too: a new leader may have learnt just now
+** what the old one has accepted. */
 int pwgroup_lease(const pw_group *g, int64_t now) {
-  return g->cons && pwcons_lease(g->cons, now);
+  return g->cons && pwcons_lease(g->cons, now) &&
+         g->applied >= pwcons_commit(g->cons);
+}
+
+int pwgroup_in_touch(const pw_group *g, int64_t now) {
+  if (!g->cons)
+    return 0;
+  if (pwgroup_is_leader(g))
+    return pwgroup_lease(g, now);
+  return pwcons_leader(g->cons) != 0 &&
+         pwcons_silence(g->cons) <= g->p->set->control_lease;
+}
+
+int pwgroup_members(const pw_group *g, char (*addr)[PW_NAME_MAX]) {
+  int n = 0;
+  if (!g->cons) {
+    for (contact *c = g->contacts; c && n < PWCONS_MEMBERS; c = c->next)
+      pw_copy(addr[n++], PW_NAME_MAX, c->addr);
+    return n;
+  }
+  const pw_cons_config *c = pwcons_config(g->cons);
+  for (; n < c->n; n++)
+    pw_copy(addr[n], PW_NAME_MAX, c->m[n].addr);
+  return n;
 }
 
 static const pw_cons_member *leader_member(const pw_group *g) {
--- a/packages/daemon/pwgroup.h
+++ b/packages/daemon/pwgroup.h
@@ -53,6 +53,12 @@
 const char *pwgroup_leader_wire(const pw_group *g);
 const char *pwgroup_leader_http(const pw_group *g);
 
+/* Whether a leader was heard just now, or it is the one. */
+int pwgroup_in_touch(const pw_group *g, int64_t now);
+
+/* Wire addresses of the members; gives how many, at most PWCONS_MEMBERS. */
+int pwgroup_members(const pw_group *g, char (*addr)[PW_NAME_MAX]);
+
 uint64_t pwgroup_term(const pw_group *g);
 
 /* Number of the group, drawn from the disks that founded it; 0: in none. */
--- a/packages/daemon/pwproc.h
+++ b/packages/daemon/pwproc.h
@@ -4,6 +4,7 @@
 
 #include "pwclock.h"
 #include "pwcount.h"
+#include "pwdialect.h"
 #include "pwevent.h"
 #include "pwserve.h"
 #include "pwset.h"
@@ -18,6 +19,7 @@
   pw_hlc hlc;
   pw_wire *wire;
   const char *role;
+  const pw_dialect *dialect; /* how the platform speaks; NULL: no platform */
   atomic_int stopping; /* 1: finish what is in progress; 2: hurry */
   atomic_int renew;    /* certificates are to be read anew */
   atomic_int ready;
--- /dev/null
+++ b/packages/daemon/pwsitecall.c
@@ -0,0 +1,91 @@
+/* pwsitecall.c: the platform's calls to a control instance. */
+#include "pwsitecall.h"
+
+#include "pwlog.h"
+
+#include <string.h>
+
+static pw_code read_document(pw_http *h, const pw_dialect *d, pw_api_call *c,
+                             char *message, size_t cap) {
+  size_t n;
+  pw_site *site;
+  const char *body = pwserve_body(h, &n);
+  pw_code rc = d->read_site(body, n, &site, message, cap);
+  if (rc != PW_OK)
+    return rc;
+  c->document_version = pwsite_version(site);
+  pwsite_drop(site);
+  pwbuf_add(&c->document, body, n);
+  return PW_OK;
+}
+
+pw_code pwsitecall_read(pw_http *h, const pw_dialect *d, pw_api_call **out,
+                        char *message, size_t cap) {
+  static const pw_api_op ops[] = {[PWCALL_SITE_READ] = PW_API_SITE_READ,
+                                  [PWCALL_SITE_WRITE] = PW_API_SITE_WRITE,
+                                  [PWCALL_BEAT] = PW_API_BEAT,
+                                  [PWCALL_LEAVE] = PW_API_LEAVE};
+  char id[PW_NAME_MAX];
+  if (!d)
+    return PW_E_PATH;
+  pw_call_kind kind = d->read_call(pwserve_method(h), pwserve_path(h), id);
+  if (kind == PWCALL_OTHER || kind == PWCALL_BAD_METHOD)
+    return PW_E_PATH;
+  pw_api_call *c = pwapi_new(ops[kind]);
+  size_t n;
+  const char *body = pwserve_body(h, &n);
+  pw_code rc = PW_OK;
+  pw_copy(c->name, sizeof c->name, pwserve_path(h));
+  pw_copy(c->beat.id, sizeof c->beat.id, id);
+  if (kind == PWCALL_SITE_WRITE)
+    rc = read_document(h, d, c, message, cap);
+  else if (kind == PWCALL_BEAT)
+    rc = d->read_beat(id, body, n, &c->beat, message, cap);
+  if (rc == PW_OK)
+    *out = c;
+  else
+    pwapi_free(c);
+  return rc;
+}
+
+static void to_leader(pw_api_call *call, const pw_group *g) {
+  const char *leader = pwgroup_is_leader(g) ? "" : pwgroup_leader_http(g);
+  if (leader[0])
+    pwapi_redirect(call, leader, call->name);
+  else
+    pwapi_fail(call, PW_E_NOT_LEADER, "", "not-run", NULL);
+}
+
+static void read_site(pw_api_call *call, const pw_group *g) {
+  size_t n;
+  const pw_doc *doc = pwstate_document(pwgroup_state(g));
+  const char *text = pwdoc_text(doc, &n);
+  if (pwdoc_version(doc))
+    pwapi_answer_text(call, text, n);
+  else
+    pwapi_fail(call, PW_E_NOT_READY, "no configuration was taken yet",
+               "not-run", NULL);
+}
+
+void pwsitecall_take(pw_api_call *call, pw_group *g, pw_publish *p, pw_watch *w,
+                     int64_t now) {
+  switch (call->op) {
+  case PW_API_BEAT:
+  case PW_API_LEAVE:
+    pwwatch_beat(w, &call->beat, call->op == PW_API_LEAVE, now);
+    pwapi_answer_text(call, "{}", 2);
+    break;
+  case PW_API_SITE_WRITE:
+    if (pwgroup_lease(g, now))
+      pwpublish_add(p, call, now);
+    else
+      to_leader(call, g);
+    break;
+  default:
+    if (pwgroup_lease(g, now))
+      read_site(call, g);
+    else
+      to_leader(call, g);
+    break;
+  }
+}
--- /dev/null
+++ b/packages/daemon/pwwatch.h
@@ -0,0 +1,35 @@
+/* pwwatch.h: those who watch a control instance: gateways and other control
+** instances. They are told of targets, of the configuration's version, and of
+** each other. */
+#ifndef PWWATCH_H
+#define PWWATCH_H
+
+#include "pwdoc.h"
+#include "pwfleet.h"
+#include "pwproc.h"
+
+typedef struct pw_watch pw_watch;
+
+/* Watchers reach `listener`; other control instances are watched through
+** `dialler`. `doc` is the configuration applied here. */
+pw_watch *pwwatch_new(pw_proc *p, pw_sock *listener, pw_sock *dialler,
+                      const pw_doc *doc);
+void pwwatch_free(pw_watch *w);
+
+/* A message of a watcher, or a notice of another control instance. */
+void pwwatch_message(pw_watch *w, const pw_peer *from, const Pw__Envelope *e,
+                     int64_t now);
+
+/* A target was heard here. */
+void pwwatch_beat(pw_watch *w, const pw_beat *b, int gone, int64_t now);
+
+/* A heartbeat as it is passed on. */
+void pwwatch_unpack(const Pw__Beat *in, pw_beat *out);
+
+/* Other control instances, by their wire addresses. */
+void pwwatch_others(pw_watch *w, char (*addr)[PW_NAME_MAX], int n);
+
+/* Sends what is due; `in_touch`: a leader was heard just now. */
+void pwwatch_tick(pw_watch *w, int in_touch, int64_t now);
+
+#endif
--- /dev/null
+++ b/packages/gateway/pwevents.c
@@ -0,0 +1,99 @@
+/* pwevents.c: streams of events, passed on whole event by whole event. */
+#include "pwexint.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+/* A caller that has not taken so many bytes holds the target up. */
+#define PAUSE_BYTES (128UL * 1024)
+
+void pwexi_note(const pw_exchange *x, pw_trace_kind kind, const char *event,
+                const char *fmt, ...) {
+  char text[320];
+  va_list ap;
+  va_start(ap, fmt);
+  vsnprintf(text, sizeof text, fmt, ap);
+  va_end(ap);
+  int64_t now = pwclock_ms();
+  pwtrace_line(x->g->trace, kind, now, event,
+               "req=%.*s route=%s ws=%s age=%lld %s", (int)x->ask.id.n,
+               x->ask.id.p ? x->ask.id.p : "", x->route ? x->route->name : "-",
+               x->workspace ? x->workspace->name : "-",
+               (long long)(x->arrived ? now - x->arrived : 0), text);
+}
+
+void pwexi_begin_answer(pw_exchange *x) {
+  x->has_begun = 1;
+  pwclient_begin(x->client, x->status, x->lines.data ? x->lines.data : "");
+  pwbuf_free(&x->lines);
+}
+
+void pwexi_pass(pw_exchange *x, const char *data, size_t n) {
+  if (!x->has_begun)
+    pwexi_begin_answer(x);
+  pwclient_piece(x->client, data, n);
+  if (x->u && pwtcp_pending(x->client->tcp) > PAUSE_BYTES && !x->is_paused) {
+    x->is_paused = 1;
+    pwupconn_pause(x->u, 1);
+  }
+}
+
+void pwexchange_resume(pw_exchange *x) {
+  if (!x->is_paused)
+    return;
+  x->is_paused = 0;
+  if (x->u)
+    pwupconn_pause(x->u, 0);
+}
+
+/* Bytes up to the end of the last whole event: an empty line ends one. */
+static size_t whole_events(const char *p, size_t n) {
+  for (size_t i = n; i >= 2; i--) {
+    if (p[i - 1] != '\n')
+      continue;
+    if (p[i - 2] == '\n')
+      return i;
+    if (i >= 4 && p[i - 2] == '\r' && p[i - 3] == '\n')
+      return i;
+  }
+  return 0;
+}
+
+/* Notes the id of the last event that has one. */
+static void note_id(pw_exchange *x, const char *p, size_t n) {
+  for (size_t i = n; i-- > 0;) {
+    int begins = i == 0 || p[i - 1] == '\n';
+    if (!begins || n - i < 3 || memcmp(p + i, "id:", 3) != 0)
+      continue;
+    size_t from = i + 3;
+    if (from < n && p[from] == ' ')
+      from++;
+    size_t len = strcspn(p + from, "\r\n"); /* an empty line ends the event */
+    if (len < sizeof x->last_event) {
+      memcpy(x->last_event, p + from, len);
+      x->nlast_event = len;
+    }
+    return;
+  }
+}
+
+void pwexi_events(pw_exchange *x, const char *data, size_t n) {
+  if (x->held.len) {
+    pwbuf_add(&x->held, data, n);
+    size_t whole = whole_events(x->held.data, x->held.len);
+    if (!whole)
+      return;
+    note_id(x, x->held.data, whole);
+    pwexi_pass(x, x->held.data, whole);
+    pwbuf_skip(&x->held, whole);
+    return;
+  }
+  size_t whole = whole_events(data, n);
+  if (whole) {
+    note_id(x, data, whole);
+    pwexi_pass(x, data, whole);
+  }
+  if (whole < n)
+    pwbuf_add(&x->held, data + whole, n - whole);
+}
--- /dev/null
+++ b/packages/gateway/pwgateway.c
@@ -0,0 +1,305 @@
+/* pwgateway.c: the gateway role: its loop, readiness and planned stop. */
+#define _GNU_SOURCE
+#include "pwgateway.h"
+
+#include "pwgate.h"
+#include "pwlog.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TICK_S 0.02
+#define SWEEP_MS 250
+#define MS_PER_S 1000
+
+/* A planned stop, as shares of its grace: callers may still come by then (the
+** balancer asks for readiness twice before it turns away); requests that are
+** not answered by then are broken off. */
+#define STOP_LISTEN_MS 2500
+#define STOP_MARGIN_MS 400
+
+/* The retry budget of one service. */
+typedef struct pw_gate_retries {
+  char service[PW_NAME_MAX];
+  pw_retries budget;
+  struct pw_gate_retries *next;
+} pw_gate_retries;
+
+/* --- small parts that all files of the gateway use --- */
+
+void pwgate_later(pw_gate *g, void *p) {
+  if (g->nlater == g->later_cap) {
+    g->later_cap = g->later_cap ? g->later_cap * 2 : 64;
+    g->later = realloc(g->later, sizeof(void *) * g->later_cap);
+    if (!g->later)
+      abort();
+  }
+  g->later[g->nlater++] = p;
+}
+
+static void free_later(pw_gate *g) {
+  for (size_t i = 0; i < g->nlater; i++)
+    free(g->later[i]);
+  g->nlater = 0;
+}
+
+static void on_reap(struct ev_loop *ev, ev_prepare *w, int events) {
+  (void)ev;
+  (void)events;
+  free_later(w->data);
+}
+
+/* xorshift64*; nothing secret hangs on it. */
+double pwgate_draw(pw_gate *g) {
+  g->random ^= g->random >> 12;
+  g->random ^= g->random << 25;
+  g->random ^= g->random >> 27;
+  return (double)((g->random * 2685821657736338717ULL) >> 11) / 9007199254740992.0;
+}
+
+pw_retries *pwgate_retries(pw_gate *g, const char *service) {
+  for (pw_gate_retries *r = g->retries; r; r = r->next)
+    if (!strcmp(r->service, service))
+      return &r->budget;
+  const pw_settings *set = g->p->set;
+  pw_gate_retries *r = pw_alloc(sizeof *r);
+  pw_copy(r->service, sizeof r->service, service);
+  pwretries_init(&r->budget, set->gateway_retry_ratio,
+                 set->gateway_retry_slack,
+                 (int64_t)(set->gateway_retry_window * MS_PER_S));
+  r->next = g->retries;
+  g->retries = r;
+  return &r->budget;
+}
+
+void pwgate_adopt(pw_gate *g, pw_site *site) {
+  uint64_t version = pwsite_version(site);
+  if (g->site && version <= pwsite_version(g->site)) {
+    pwsite_drop(site);
+    return;
+  }
+  pwsite_drop(g->site);
+  g->site = site;
+  pwcount_set(g->p->counters, PWC_GW_SITE, (int64_t)version);
+  pwtrace_line(g->trace, PWTRACE_STATE, pwclock_ms(), "configuration",
+               "version=%llu", (unsigned long long)version);
+}
+
+/* --- the platform's question --- */
+
+static int knows_targets(pw_gate *g, int64_t now) {
+  for (int i = 0; i < pwsite_services(g->site); i++)
+    if (pwfleet_usable(g->fleet, pwsite_service(g->site, i)->name, now))
+      return 1;
+  return 0;
+}
+
+/* Once ready, only a planned stop ends it: what is known serves on. */
+static void note_ready(pw_gate *g, int64_t now) {
+  if (g->is_ready || !g->site || !pwlink_is_current(g->link, now) ||
+      !knows_targets(g, now))
+    return;
+  g->is_ready = 1;
+  pwproc_set_ready(g->p, 1);
+  pwtrace_line(g->trace, PWTRACE_STATE, now, "ready", "targets=%u",
+               pwfleet_first(g->fleet) ? HASH_COUNT(pwfleet_first(g->fleet))
+                                       : 0);
+}
+
+static int path_is(const pw_client *c, const char *path) {
+  return c->request.nurl == strlen(path) &&
+         !memcmp(c->request.url, path, c->request.nurl);
+}
+
+static void answer_metrics(pw_client *c) {
+  pw_buf b = {0};
+  pw_gate *g = c->g;
+  pwcount_set(g->p->counters, PWC_GW_CLIENTS, g->nclients);
+  pwcount_set(g->p->counters, PWC_ACTIVE, g->nexchanges);
+  pwcount_set(g->p->counters, PWC_GW_LEFT_OUT,
+              (int64_t)pwtrace_dropped(g->trace));
+  pwcount_render(g->p->counters, &b);
+  pwclient_answer(c, 200, "Content-Type: text/plain; version=0.0.4\r\n", b.data,
+                  b.len);
+  pwbuf_free(&b);
+}
+
+static void handle_ready(pw_client *c) {
+  pw_gate *g = c->g;
+  if (path_is(c, "/metrics"))
+    answer_metrics(c);
+  else if (!path_is(c, g->dialect->ready_path))
+    pwclient_refuse(c, PW_E_PATH, "", 0);
+  else if (g->is_ready && !g->stop_at)
+    pwclient_answer(c, 200, "", "ready\n", 6);
+  else
+    pwclient_refuse(c, PW_E_NOT_READY, "", 0);
+}
+
+/* --- listening --- */
+
+static void accept_all(pw_gate *g, int fd, void (*handle)(pw_client *c)) {
+  for (;;) {
+    int one = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (one >= 0) {
+      pwclient_new(g, one, handle);
+      continue;
+    }
+    if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+      pwlog(LOG_WARNING, "accept-failed", "errno=%d", errno);
+    if (errno != EINTR && errno != ECONNABORTED)
+      return;
+  }
+}
+
+static void on_front(struct ev_loop *ev, ev_io *w, int events) {
+  (void)ev;
+  (void)events;
+  accept_all(w->data, w->fd, pwexchange_begin);
+}
+
+static void on_ready(struct ev_loop *ev, ev_io *w, int events) {
+  (void)ev;
+  (void)events;
+  accept_all(w->data, w->fd, handle_ready);
+}
+
+static int listen_at(pw_gate *g, ev_io *io, const char *key, const char *addr,
+                     void (*on)(struct ev_loop *, ev_io *, int), pw_buf *err) {
+  struct sockaddr_in at;
+  int fd = pwtcp_address(addr, &at) == 0 ? pwtcp_listen(&at) : -1;
+  if (fd < 0) {
+    pwbuf_fmt(err, "gateway.%s: \"%s\": cannot listen there\n", key, addr);
+    return -1;
+  }
+  ev_io_init(io, on, fd, EV_READ);
+  io->data = g;
+  ev_io_start(g->ev, io);
+  return 0;
+}
+
+static void stop_listening(pw_gate *g, ev_io *io) {
+  if (!ev_is_active(io))
+    return;
+  ev_io_stop(g->ev, io);
+  close(io->fd);
+}
+
+/* --- planned stop --- */
+
+static int may_end(pw_gate *g, int64_t now) {
+  if (!g->stop_at)
+    return 0;
+  int64_t grace = (int64_t)(g->p->set->gateway_grace * MS_PER_S);
+  int64_t since = now - g->stop_at;
+  int64_t listen = STOP_LISTEN_MS < grace / 2 ? STOP_LISTEN_MS : grace / 2;
+  if (since >= listen)
+    stop_listening(g, &g->front);
+  return since >= grace - STOP_MARGIN_MS ||
+         (since >= listen && g->nexchanges == 0);
+}
+
+static void begin_stop(pw_gate *g, int64_t now) {
+  g->stop_at = now;
+  pwproc_set_ready(g->p, 0);
+  pwtrace_line(g->trace, PWTRACE_STATE, now, "stopping", "requests=%d",
+               g->nexchanges);
+}
+
+/* --- the loop --- */
+
+static void sweep(pw_gate *g, int64_t now) {
+  pwclient_sweep(g, now);
+  for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
+    pwupconn_sweep(g, t, now);
+  pwfleet_tick(g->fleet, now);
+}
+
+static void on_tick(struct ev_loop *ev, ev_timer *w, int events) {
+  (void)events;
+  pw_gate *g = w->data;
+  int64_t now = pwclock_ms();
+  pwlink_tick(g->link, now);
+  pwgossip_tick(g->gossip, now);
+  if (now - g->swept_at >= SWEEP_MS) {
+    g->swept_at = now;
+    sweep(g, now);
+  }
+  note_ready(g, now);
+  pwtrace_flush(g->trace, now);
+  if (atomic_load(&g->p->stopping) && !g->stop_at)
+    begin_stop(g, now);
+  if (may_end(g, now) || atomic_load(&g->p->stopping) > 1)
+    ev_break(ev, EVBREAK_ALL);
+}
+
+static void end_clients(pw_gate *g) {
+  while (g->clients)
+    pwclient_break(g->clients);
+}
+
+static void free_retries(pw_gate *g) {
+  while (g->retries) {
+    pw_gate_retries *r = g->retries;
+    g->retries = r->next;
+    free(r);
+  }
+}
+
+static void end_targets(pw_gate *g) {
+  for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next) {
+    t->is_gone = 1;
+    pwupconn_sweep(g, t, pwclock_ms());
+  }
+}
+
+pw_code pwgateway_run(pw_proc *p, pw_buf *err) {
+  pw_gate g = {.p = p, .dialect = p->dialect};
+  pw_code rc = PW_E_SETTINGS;
+  g.ev = ev_loop_new(EVFLAG_AUTO | EVFLAG_NOENV);
+  if (!g.ev)
+    return PW_E_INTERNAL;
+  randombytes_buf(&g.random, sizeof g.random);
+  g.random |= 1;
+  pwtcp_loop_init(&g.tcp, g.ev);
+  ev_prepare_init(&g.reap, on_reap);
+  ev_timer_init(&g.tick, on_tick, TICK_S, TICK_S);
+  g.reap.data = g.tick.data = &g;
+  ev_prepare_start(g.ev, &g.reap);
+  ev_timer_start(g.ev, &g.tick);
+  g.trace = pwtrace_new(p->set->name, STDOUT_FILENO, p->set->gateway_log_bytes);
+  g.fleet = pwfleet_new(p->set->availability_zone, p->set->gateway_beat);
+  g.gossip = pwgossip_new(&g, err);
+  g.link = g.gossip ? pwlink_new(&g, err) : NULL;
+  if (g.link &&
+      listen_at(&g, &g.ready, "ready", p->set->gateway_ready, on_ready, err) ==
+          0 &&
+      listen_at(&g, &g.front, "http", p->set->gateway_http, on_front, err) ==
+          0) {
+    rc = PW_OK;
+    ev_run(g.ev, 0);
+  }
+  end_clients(&g);
+  end_targets(&g);
+  stop_listening(&g, &g.front);
+  stop_listening(&g, &g.ready);
+  ev_timer_stop(g.ev, &g.tick);
+  ev_prepare_stop(g.ev, &g.reap);
+  pwlink_free(g.link);
+  pwgossip_free(g.gossip);
+  free_later(&g);
+  free(g.later);
+  pwtcp_loop_free(&g.tcp);
+  pwfleet_free(g.fleet);
+  free_retries(&g);
+  pwsite_drop(g.site);
+  pwtrace_free(g.trace);
+  ev_loop_destroy(g.ev);
+  return rc;
+}
--- /dev/null
+++ b/packages/gateway/pwupconn.c
@@ -0,0 +1,272 @@
+/* pwupconn.c: kept connections to targets. */
+#include "pwgate.h"
+
+#include "pwlog.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define CONNECT_MS 300      /* a connection that is not up by then is lost */
+#define SILENT_MS 1500      /* a target that acknowledges nothing for so long */
+#define HEAD_MAX 65536      /* bytes of an answer's head */
+#define REST_DEFAULT_MS 4000 /* kept without a word from the target */
+#define REST_MARGIN_MS 1000 /* closed so long before the target does */
+#define MS_PER_S 1000
+
+struct pw_upconn {
+  pw_gate *g;
+  pw_target *t;
+  pw_tcp *tcp;
+  pw_h1 answer;
+  pw_exchange *x; /* NULL: at rest */
+  ev_timer connecting;
+  pw_buf out; /* to be written when it is up */
+  int is_up;
+  int has_rested; /* the request in progress is not its first ... */
+  int has_spoken; /* ... and the target has sent something since */
+  int is_surplus; /* an answer to an earlier request is being let pass */
+  int is_closed;
+  int64_t rest_ms; /* longest rest, as the target has told */
+  int64_t rested_at;
+  pw_upconn *next;
+};
+
+/* --- ends --- */
+
+static void unlist(pw_upconn *u) {
+  for (pw_upconn **at = &u->t->idle; *at; at = &(*at)->next) {
+    if (*at != u)
+      continue;
+    *at = u->next;
+    return;
+  }
+}
+
+static void close_conn(pw_upconn *u, int reset) {
+  if (u->is_closed)
+    return;
+  u->is_closed = 1;
+  if (!u->x)
+    unlist(u);
+  ev_timer_stop(u->g->ev, &u->connecting);
+  pwtcp_close(u->tcp, reset);
+  u->t->nconns--;
+  pwfleet_drop(u->t);
+  pwh1_free(&u->answer);
+  pwbuf_free(&u->out);
+  pwgate_later(u->g, u);
+}
+
+void pwupconn_cancel(pw_upconn *u) {
+  close_conn(u, 1);
+}
+
+static void fail(pw_upconn *u, pw_tcp_end how) {
+  pw_exchange *x = u->x;
+  int unused = u->has_rested && !u->has_spoken;
+  if (!u->is_up)
+    how = PWTCP_REFUSED;
+  close_conn(u, how != PWTCP_EOF);
+  if (x)
+    pwexchange_failed(x, how, unused);
+}
+
+static void rest(pw_upconn *u) {
+  u->x = NULL;
+  u->rested_at = pwclock_ms();
+  u->next = u->t->idle;
+  u->t->idle = u;
+}
+
+/* --- answers --- */
+
+/* Keep-Alive: timeout=S. */
+static void read_rest(pw_upconn *u) {
+  const pw_h1_header *h = pwh1_find(&u->answer, "Keep-Alive");
+  static const char key[] = "timeout=";
+  for (size_t i = 0; h && i + sizeof key - 1 < h->nvalue; i++)
+    if (!memcmp(h->value + i, key, sizeof key - 1))
+      u->rest_ms = atoi(h->value + i + sizeof key - 1) * MS_PER_S;
+}
+
+static void on_body(void *arg, const char *data, size_t n) {
+  pw_upconn *u = arg;
+  if (u->x && !u->is_surplus && !u->is_closed)
+    pwexchange_body(u->x, data, n);
+}
+
+/* The head of an answer is there: that of this request, or one that came too
+** late for an earlier one. */
+static void on_head(pw_upconn *u) {
+  pw_told told;
+  read_rest(u);
+  if (u->answer.parser.status_code / 100 == 1) {
+    u->is_surplus = 1;
+    return;
+  }
+  u->is_surplus = pwexchange_is_surplus(u->x, &u->answer, &told);
+  if (!u->is_surplus)
+    pwexchange_head(u->x, &u->answer, &told);
+}
+
+/* An answer is whole. `more`: bytes follow it. */
+static void on_whole(pw_upconn *u, int more) {
+  int keep = u->answer.keep;
+  pw_exchange *x = u->x;
+  if (u->is_surplus) {
+    u->is_surplus = 0;
+    if (keep)
+      pwh1_reset(&u->answer);
+    else
+      fail(u, PWTCP_EOF);
+    return;
+  }
+  /* What follows belongs to no request; and a body that is still being written
+  ** must not be followed by another request. */
+  if (!keep || more || pwtcp_pending(u->tcp) > 0 || u->t->is_gone) {
+    close_conn(u, 1);
+  } else {
+    pwh1_reset(&u->answer);
+    rest(u);
+  }
+  pwexchange_whole(x);
+}
+
+static void on_data(void *arg, const char *data, size_t n) {
+  pw_upconn *u = arg;
+  if (!u->x) { /* belongs to no request */
+    close_conn(u, 1);
+    return;
+  }
+  u->has_spoken = 1;
+  while (n > 0 && u->x && !u->is_closed) {
+    pw_h1_state before = u->answer.state;
+    size_t used = pwh1_take(&u->answer, data, n);
+    data += used;
+    n -= used;
+    if (u->is_closed)
+      return;
+    pw_h1_state now = u->answer.state;
+    if (now == PWH1_BAD || now == PWH1_TOO_LARGE) {
+      fail(u, PWTCP_RESET);
+      return;
+    }
+    if (before == PWH1_HEAD && now != PWH1_HEAD)
+      on_head(u);
+    if (!u->is_closed && u->answer.state == PWH1_DONE)
+      on_whole(u, n > 0);
+  }
+}
+
+static void on_ended(void *arg, pw_tcp_end how) {
+  pw_upconn *u = arg;
+  if (how == PWTCP_EOF && u->x && !u->is_surplus) {
+    pwh1_eof(&u->answer);
+    if (u->answer.state == PWH1_DONE) {
+      u->answer.keep = 0;
+      on_whole(u, 0);
+      return;
+    }
+  }
+  fail(u, how);
+}
+
+/* --- sending --- */
+
+static void on_connected(void *arg) {
+  pw_upconn *u = arg;
+  ev_timer_stop(u->g->ev, &u->connecting);
+  u->is_up = 1;
+  pwtcp_write(u->tcp, u->out.data, u->out.len);
+  pwbuf_free(&u->out);
+  if (u->x)
+    pwexchange_sent(u->x);
+}
+
+static const pw_tcp_calls calls = {on_connected, on_data, on_ended, NULL};
+
+static void on_connect_timeout(struct ev_loop *ev, ev_timer *w, int events) {
+  (void)ev;
+  (void)events;
+  fail(w->data, PWTCP_REFUSED);
+}
+
+static pw_upconn *open_conn(pw_gate *g, pw_target *t) {
+  pw_upconn *u = pw_alloc(sizeof *u);
+  u->g = g;
+  u->t = pwfleet_hold(t);
+  u->rest_ms = REST_DEFAULT_MS;
+  pwh1_init(&u->answer, HTTP_RESPONSE, HEAD_MAX);
+  u->answer.arg = u;
+  u->answer.on_body = on_body;
+  ev_timer_init(&u->connecting, on_connect_timeout, CONNECT_MS / 1000.0, 0);
+  u->connecting.data = u;
+  u->tcp = pwtcp_connect(&g->tcp, &t->addr, SILENT_MS, &calls, u);
+  if (!u->tcp) {
+    pwfleet_drop(t);
+    free(u);
+    return NULL;
+  }
+  ev_timer_start(g->ev, &u->connecting);
+  t->nconns++;
+  pwcount_add(g->p->counters, PWC_GW_CONNECTS, 1);
+  return u;
+}
+
+static int64_t longest_rest(const pw_upconn *u) {
+  return u->rest_ms - REST_MARGIN_MS;
+}
+
+static pw_upconn *take_idle(pw_target *t, int64_t rest_ms, int64_t now) {
+  pw_upconn *u = t->idle;
+  if (!u)
+    return NULL;
+  int64_t rested = now - u->rested_at;
+  if (rested > rest_ms || rested > longest_rest(u))
+    return NULL;
+  t->idle = u->next;
+  u->next = NULL;
+  u->has_rested = 1;
+  return u;
+}
+
+pw_upconn *pwupconn_send(pw_gate *g, pw_target *t, pw_exchange *x, pw_buf *head,
+                         const pw_buf *body, int is_head_only,
+                         int64_t rest_ms) {
+  pw_upconn *u = take_idle(t, rest_ms, pwclock_ms());
+  if (!u)
+    u = open_conn(g, t);
+  if (!u)
+    return NULL;
+  u->x = x;
+  u->has_spoken = 0;
+  u->answer.skip_body = is_head_only;
+  if (u->is_up) {
+    pwtcp_write2(u->tcp, head->data, head->len, body->data, body->len);
+    pwexchange_sent(x);
+    return u;
+  }
+  pwbuf_add(&u->out, head->data, head->len);
+  pwbuf_add(&u->out, body->data, body->len);
+  return u;
+}
+
+void pwupconn_pause(pw_upconn *u, int paused) {
+  pwtcp_pause(u->tcp, paused);
+}
+
+/* --- upkeep --- */
+
+void pwupconn_sweep(pw_gate *g, pw_target *t, int64_t now) {
+  (void)g;
+  for (pw_upconn *u = t->idle, *next; u; u = next) {
+    next = u->next;
+    if (t->is_gone || now - u->rested_at > longest_rest(u))
+      close_conn(u, 0);
+  }
+}
+
+int pwupconn_count(const pw_target *t) {
+  return t->nconns;
+}
--- /dev/null
+++ b/packages/membership/pwfleet.c
@@ -0,0 +1,230 @@
+/* pwfleet.c: the targets that a gateway knows. */
+#include "pwfleet.h"
+
+#include "pwbuf.h"
+#include "pwtcp.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define PICKS_MAX 1024 /* targets of one service that are weighed */
+
+/* A target is silent after so many heartbeats have not come, and is forgotten
+** after so many. */
+#define SILENT_BEATS 4
+#define FORGET_BEATS 40
+
+/* One that answered this gateway within so many heartbeats is there, whatever
+** control hears of it. */
+#define ALIVE_BEATS 3
+
+/* Set aside after a failure: at first, and at most; ms. */
+#define ASIDE_MS 400
+#define ASIDE_MAX_MS 6400
+#define ASIDE_AFTER 2 /* failures in a row */
+
+#define WORK_SHARE 0.1 /* weight of the newest measurement */
+#define WORK_FIRST_MS 50
+#define SLOTS_DEFAULT 1
+
+struct pw_fleet {
+  char *zone;
+  int64_t beat_ms;
+  pw_target *by_id;
+};
+
+pw_fleet *pwfleet_new(const char *zone, int64_t beat_ms) {
+  pw_fleet *f = pw_alloc(sizeof *f);
+  f->zone = pw_dup(zone);
+  f->beat_ms = beat_ms;
+  return f;
+}
+
+pw_target *pwfleet_hold(pw_target *t) {
+  t->refs++;
+  return t;
+}
+
+void pwfleet_drop(pw_target *t) {
+  if (t && --t->refs == 0)
+    free(t);
+}
+
+static void remove_target(pw_fleet *f, pw_target *t) {
+  HASH_DEL(f->by_id, t);
+  pwfleet_drop(t);
+}
+
+void pwfleet_free(pw_fleet *f) {
+  pw_target *t, *tmp;
+  if (!f)
+    return;
+  HASH_ITER(hh, f->by_id, t, tmp) {
+    remove_target(f, t);
+  }
+  free(f->zone);
+  free(f);
+}
+
+pw_target *pwfleet_find(pw_fleet *f, const char *id) {
+  pw_target *t;
+  HASH_FIND_STR(f->by_id, id, t);
+  return t;
+}
+
+pw_target *pwfleet_first(const pw_fleet *f) {
+  return f->by_id;
+}
+
+/* --- heartbeats --- */
+
+static pw_target *add(pw_fleet *f, const pw_beat *b, int64_t heard_at) {
+  pw_target *t = pw_alloc(sizeof *t);
+  t->refs = 1;
+  pw_copy(t->id, sizeof t->id, b->id);
+  t->hash = XXH3_64bits(t->id, strlen(t->id));
+  t->short_hash = (uint32_t)(t->hash >> 32);
+  t->work_ms = WORK_FIRST_MS;
+  t->heard_at = heard_at;
+  HASH_ADD_STR(f->by_id, id, t);
+  return t;
+}
+
+static void write_down(pw_target *t, const pw_beat *b, int64_t heard_at) {
+  pw_copy(t->service, sizeof t->service, b->service);
+  pw_copy(t->zone, sizeof t->zone, b->zone);
+  pw_copy(t->address, sizeof t->address, b->address);
+  if (pwtcp_address(b->address, &t->addr) != 0)
+    t->is_gone = 1;
+  t->slots = b->slots > 0 ? b->slots : SLOTS_DEFAULT;
+  t->cold_until = heard_at + b->cold_ms;
+}
+
+/* An address is one target's: who had it before has ended. */
+static void take_address(pw_fleet *f, const pw_target *owner) {
+  for (pw_target *t = f->by_id; t; t = t->hh.next)
+    if (t != owner && !t->is_gone && !strcmp(t->address, owner->address) &&
+        t->heard_at <= owner->heard_at)
+      t->is_gone = 1;
+}
+
+pw_fleet_news pwfleet_beat(pw_fleet *f, const pw_beat *b, int gone,
+                           int64_t heard_at) {
+  pw_target *t = pwfleet_find(f, b->id);
+  int is_new = !t;
+  if (is_new)
+    t = add(f, b, heard_at);
+  if (heard_at > t->heard_at)
+    t->heard_at = heard_at;
+  if (t->is_gone)
+    return PWFLEET_OLD;
+  if (gone) {
+    t->is_gone = 1;
+    return PWFLEET_GONE;
+  }
+  if (!is_new && b->seq <= t->seq)
+    return PWFLEET_OLD;
+  t->seq = b->seq;
+  write_down(t, b, heard_at);
+  if (is_new)
+    take_address(f, t);
+  int was_leaving = t->is_leaving;
+  t->is_leaving = b->leaving;
+  if (t->is_leaving && !was_leaving)
+    return PWFLEET_LEAVING;
+  return is_new ? PWFLEET_JOINED : PWFLEET_RENEWED;
+}
+
+void pwfleet_forget(pw_fleet *f, pw_target *t, int64_t now) {
+  (void)f;
+  t->is_gone = 1;
+  t->heard_at = now;
+}
+
+void pwfleet_tick(pw_fleet *f, int64_t now) {
+  pw_target *t, *tmp;
+  HASH_ITER(hh, f->by_id, t, tmp) {
+    if (now - t->heard_at > FORGET_BEATS * f->beat_ms && t->inflight == 0)
+      remove_target(f, t);
+  }
+}
+
+void pwfleet_clear_others(pw_fleet *f) {
+  for (pw_target *t = f->by_id; t; t = t->hh.next)
+    t->others = 0;
+}
+
+void pwfleet_add_others(pw_fleet *f, uint32_t short_hash, int others) {
+  for (pw_target *t = f->by_id; t; t = t->hh.next)
+    if (t->short_hash == short_hash)
+      t->others += others;
+}
+
+/* --- picking --- */
+
+static int is_heard(const pw_fleet *f, const pw_target *t, int64_t now) {
+  return now - t->heard_at <= SILENT_BEATS * f->beat_ms ||
+         now - t->answered_at <= ALIVE_BEATS * f->beat_ms;
+}
+
+static int is_usable(const pw_fleet *f, const pw_target *t, int64_t now) {
+  return !t->is_gone && !t->is_leaving && is_heard(f, t, now) &&
+         t->set_aside <= now;
+}
+
+int pwfleet_usable(pw_fleet *f, const char *service, int64_t now) {
+  int n = 0;
+  for (pw_target *t = f->by_id; t; t = t->hh.next)
+    n += !strcmp(t->service, service) && is_usable(f, t, now);
+  return n;
+}
+
+static int was_tried(const pw_fleet_ask *ask, const pw_target *t) {
+  for (int i = 0; i < ask->ntried; i++)
+    if (ask->tried[i] == t)
+      return 1;
+  return 0;
+}
+
+pw_target *pwfleet_pick(pw_fleet *f, const pw_fleet_ask *ask, int64_t now) {
+  pw_pick row[PICKS_MAX];
+  pw_target *who[PICKS_MAX];
+  int n = 0;
+  for (pw_target *t = f->by_id; t && n < PICKS_MAX; t = t->hh.next) {
+    if (t->is_gone || strcmp(t->service, ask->service) != 0)
+      continue;
+    row[n] = (pw_pick){.id = t->hash,
+                       .load = t->inflight + t->others,
+                       .slots = t->slots,
+                       .work_ms = t->work_ms,
+                       .is_usable = is_usable(f, t, now) && !was_tried(ask, t),
+                       .is_near = !strcmp(t->zone, f->zone)};
+    who[n++] = t;
+  }
+  int best = -1;
+  if (ask->is_sticky)
+    best = pwpick_home(row, n, ask->key, ask->bound);
+  if (best < 0)
+    best = pwpick_least(row, n, ask->wait_ms, ask->draw, ask->bound);
+  return best < 0 ? NULL : pwfleet_hold(who[best]);
+}
+
+/* --- evidence --- */
+
+void pwfleet_answered(pw_target *t, double work_ms, int64_t now) {
+  t->failures = 0;
+  t->set_aside = 0;
+  t->answered_at = now;
+  if (work_ms >= 0)
+    t->work_ms += WORK_SHARE * (work_ms - t->work_ms);
+}
+
+void pwfleet_failed(pw_target *t, int64_t now) {
+  t->failures++;
+  if (t->failures < ASIDE_AFTER)
+    return;
+  int doublings = t->failures - ASIDE_AFTER;
+  int64_t ms = ASIDE_MS << (doublings < 4 ? doublings : 4);
+  t->set_aside = now + (ms < ASIDE_MAX_MS ? ms : ASIDE_MAX_MS);
+}
--- /dev/null
+++ b/packages/membership/pwfleet.h
@@ -0,0 +1,101 @@
+/* pwfleet.h: the targets that a gateway knows, and what it has seen of them. */
+#ifndef PWFLEET_H
+#define PWFLEET_H
+
+#include "pwdialect.h"
+#include "pwpick.h"
+
+#include <netinet/in.h>
+#include <stdint.h>
+#include <uthash.h>
+
+typedef struct pw_upconn pw_upconn;
+
+/* One start of a target. Kept while anything refers to it. */
+typedef struct pw_target {
+  char id[PW_NAME_MAX];
+  char service[PW_NAME_MAX];
+  char zone[PW_NAME_MAX];
+  char address[PW_NAME_MAX];
+  struct sockaddr_in addr;
+  uint64_t hash;
+  uint32_t short_hash; /* names it between gateways */
+  int slots;
+  int is_leaving;
+  int is_gone;
+  uint64_t seq;
+  int64_t heard_at;   /* its newest heartbeat, ms */
+  int64_t cold_until; /* slow from its start until then, ms */
+
+  int inflight; /* requests of this gateway that it has */
+  int others;   /* and of the other gateways, as they said last */
+  int nconns;
+  pw_upconn *idle; /* connections at rest, the newest first */
+
+  int failures;          /* in a row */
+  int64_t set_aside;     /* not sent to until then, ms */
+  int64_t answered_at;   /* its newest sign of life, ms */
+  double work_ms;        /* smoothed time of one request there */
+  int refs;
+  struct pw_target *next_of_all;
+  UT_hash_handle hh;
+} pw_target;
+
+typedef struct pw_fleet pw_fleet;
+
+/* `beat_ms`: how often a target says that it is there. */
+pw_fleet *pwfleet_new(const char *zone, int64_t beat_ms);
+void pwfleet_free(pw_fleet *f);
+
+/* What a heartbeat changed. */
+typedef enum pw_fleet_news {
+  PWFLEET_OLD, /* nothing: known already */
+  PWFLEET_RENEWED,
+  PWFLEET_JOINED,
+  PWFLEET_LEAVING,
+  PWFLEET_GONE
+} pw_fleet_news;
+
+/* Takes a heartbeat that was heard at `heard_at`, ms. */
+pw_fleet_news pwfleet_beat(pw_fleet *f, const pw_beat *b, int gone,
+                           int64_t heard_at);
+
+/* The id does not answer at its address any more. */
+void pwfleet_forget(pw_fleet *f, pw_target *t, int64_t now);
+
+/* Lets time pass: targets long silent are dropped. */
+void pwfleet_tick(pw_fleet *f, int64_t now);
+
+pw_target *pwfleet_find(pw_fleet *f, const char *id);
+pw_target *pwfleet_first(const pw_fleet *f);
+
+/* The other gateways have `others` requests at the target of this short hash. */
+void pwfleet_clear_others(pw_fleet *f);
+void pwfleet_add_others(pw_fleet *f, uint32_t short_hash, int others);
+
+/* Targets of a service that may be sent to, and all that are known of it. */
+int pwfleet_usable(pw_fleet *f, const char *service, int64_t now);
+
+/* What a request needs of its target. */
+typedef struct pw_fleet_ask {
+  const char *service;
+  int is_sticky; /* `key` is the hash of what its prompt shares */
+  uint64_t key;
+  double wait_ms; /* longest wait for a slot that pays */
+  double draw;    /* uniform in [0, 1) */
+  pw_pick_bound bound;
+  pw_target *const *tried; /* not these again */
+  int ntried;
+} pw_fleet_ask;
+
+/* Picks a target; NULL when there is none. The caller holds it. */
+pw_target *pwfleet_pick(pw_fleet *f, const pw_fleet_ask *ask, int64_t now);
+
+/* A request at the target ended: it answered, or failed in some way. */
+void pwfleet_answered(pw_target *t, double work_ms, int64_t now);
+void pwfleet_failed(pw_target *t, int64_t now);
+
+pw_target *pwfleet_hold(pw_target *t);
+void pwfleet_drop(pw_target *t);
+
+#endif
--- /dev/null
+++ b/packages/net/pwh1.c
@@ -0,0 +1,189 @@
+/* pwh1.c: HTTP/1 messages, parsed by http-parser. */
+#define _GNU_SOURCE
+#include "pwh1.h"
+
+#include <string.h>
+#include <strings.h>
+
+/* --- the parser's calls --- */
+
+static int on_url(http_parser *p, const char *at, size_t n) {
+  pw_h1 *m = p->data;
+  if (!m->url)
+    m->url = at;
+  m->nurl += n;
+  return 0;
+}
+
+static int on_field(http_parser *p, const char *at, size_t n) {
+  pw_h1 *m = p->data;
+  if (m->nheaders == PWH1_HEADERS)
+    return -1;
+  m->header[m->nheaders] = (pw_h1_header){.name = at, .nname = n};
+  return 0;
+}
+
+static int on_value(http_parser *p, const char *at, size_t n) {
+  pw_h1 *m = p->data;
+  if (m->nheaders == PWH1_HEADERS)
+    return -1;
+  pw_h1_header *h = &m->header[m->nheaders++];
+  h->value = at;
+  h->nvalue = n;
+  return 0;
+}
+
+static int on_head(http_parser *p) {
+  pw_h1 *m = p->data;
+  int length = (p->flags & F_CONTENTLENGTH) && p->content_length > 0;
+  m->has_body = length || (p->flags & F_CHUNKED);
+  m->keep = http_should_keep_alive(p);
+  m->to_eof = p->type == HTTP_RESPONSE && !m->skip_body &&
+              p->status_code / 100 != 1 && p->status_code != 204 &&
+              p->status_code != 304 &&
+              !(p->flags & (F_CHUNKED | F_CONTENTLENGTH));
+  m->state = PWH1_BODY;
+  return m->skip_body ? 1 : 0;
+}
+
+static int on_bytes(http_parser *p, const char *at, size_t n) {
+  pw_h1 *m = p->data;
+  if (m->on_body)
+    m->on_body(m->arg, at, n);
+  return 0;
+}
+
+static int on_end(http_parser *p) {
+  pw_h1 *m = p->data;
+  m->state = PWH1_DONE;
+  http_parser_pause(p, 1);
+  return 0;
+}
+
+static const http_parser_settings settings = {.on_url = on_url,
+                                              .on_header_field = on_field,
+                                              .on_header_value = on_value,
+                                              .on_headers_complete = on_head,
+                                              .on_body = on_bytes,
+                                              .on_message_complete = on_end};
+
+/* --- messages --- */
+
+void pwh1_init(pw_h1 *m, enum http_parser_type type, size_t head_max) {
+  *m = (pw_h1){.head_max = head_max};
+  http_parser_init(&m->parser, type);
+  m->parser.data = m;
+}
+
+void pwh1_free(pw_h1 *m) {
+  pwbuf_free(&m->head);
+}
+
+void pwh1_reset(pw_h1 *m) {
+  enum http_parser_type type = (enum http_parser_type)m->parser.type;
+  http_parser_init(&m->parser, type);
+  m->parser.data = m;
+  m->state = PWH1_HEAD;
+  m->head.len = 0;
+  m->url = NULL;
+  m->nurl = 0;
+  m->nheaders = 0;
+  m->has_body = m->keep = m->to_eof = m->skip_body = 0;
+}
+
+/* Bytes up to and with the empty line, or 0 while it has not come. */
+static size_t head_end(const pw_buf *b, size_t from) {
+  size_t start = from > 3 ? from - 3 : 0;
+  const char *p = memmem(b->data + start, b->len - start, "\r\n\r\n", 4);
+  return p ? (size_t)(p - b->data) + 4 : 0;
+}
+
+static void run(pw_h1 *m, const char *data, size_t n, size_t *used) {
+  *used = http_parser_execute(&m->parser, &settings, data, n);
+  enum http_errno e = HTTP_PARSER_ERRNO(&m->parser);
+  if (e != HPE_OK && e != HPE_PAUSED)
+    m->state = PWH1_BAD;
+  else if (m->parser.upgrade)
+    m->state = PWH1_BAD; /* no other protocol is spoken here */
+}
+
+static size_t take_head(pw_h1 *m, const char *data, size_t n) {
+  size_t skip = 0; /* empty lines before a message are let pass */
+  while (m->head.len == 0 && skip < n && strchr("\r\n", data[skip]) &&
+         data[skip])
+    skip++;
+  size_t before = m->head.len;
+  pwbuf_add(&m->head, data + skip, n - skip);
+  if (m->head.len == 0)
+    return n;
+  size_t end = head_end(&m->head, before);
+  if ((end ? end : m->head.len) > m->head_max) {
+    m->state = PWH1_TOO_LARGE;
+    return n;
+  }
+  if (!end)
+    return n;
+  m->head.len = end;
+  size_t used;
+  run(m, m->head.data, end, &used);
+  if (m->state == PWH1_HEAD)
+    m->state = PWH1_BAD;
+  if (m->state == PWH1_BODY && !m->has_body && !m->to_eof)
+    m->state = PWH1_DONE;
+  return skip + end - before;
+}
+
+size_t pwh1_take(pw_h1 *m, const char *data, size_t n) {
+  if (m->state == PWH1_HEAD)
+    return take_head(m, data, n);
+  if (m->state != PWH1_BODY || n == 0)
+    return 0;
+  size_t used;
+  run(m, data, n, &used);
+  return used;
+}
+
+void pwh1_eof(pw_h1 *m) {
+  size_t used;
+  if (m->state == PWH1_BODY && m->to_eof)
+    run(m, NULL, 0, &used);
+  if (m->state != PWH1_DONE)
+    m->state = PWH1_BAD;
+}
+
+int pwh1_is(const pw_h1_header *h, const char *name) {
+  return strlen(name) == h->nname && !strncasecmp(h->name, name, h->nname);
+}
+
+const pw_h1_header *pwh1_find(const pw_h1 *m, const char *name) {
+  for (int i = 0; i < m->nheaders; i++)
+    if (pwh1_is(&m->header[i], name))
+      return &m->header[i];
+  return NULL;
+}
+
+/* Whether Connection names this header. */
+static int is_named(const pw_h1 *m, const pw_h1_header *h) {
+  const pw_h1_header *c = pwh1_find(m, "Connection");
+  if (!c)
+    return 0;
+  for (size_t i = 0; i + h->nname <= c->nvalue; i++) {
+    char after = i + h->nname < c->nvalue ? c->value[i + h->nname] : ',';
+    int begins = i == 0 || c->value[i - 1] == ' ' || c->value[i - 1] == ',';
+    if (begins && (after == ',' || after == ' ') &&
+        !strncasecmp(c->value + i, h->name, h->nname))
+      return 1;
+  }
+  return 0;
+}
+
+int pwh1_is_hop(const pw_h1 *m, const pw_h1_header *h) {
+  static const char *const hop[] = {
+      "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
+      "Trailer",    "Transfer-Encoding", "Upgrade",          "Content-Length",
+      "Expect"};
+  for (size_t i = 0; i < sizeof hop / sizeof hop[0]; i++)
+    if (pwh1_is(h, hop[i]))
+      return 1;
+  return is_named(m, h);
+}
--- /dev/null
+++ b/packages/net/pwtcp.c
@@ -0,0 +1,274 @@
+/* pwtcp.c: TCP connections on an event loop. */
+#define _GNU_SOURCE
+#include "pwtcp.h"
+
+#include <arpa/inet.h>
+#include <assert.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+#include <unistd.h>
+
+#define BLOCK (64 * 1024) /* bytes of one read */
+#define BACKLOG 1024
+#define LINGER_MS 3000 /* a peer that takes nothing more may keep a close so */
+
+struct pw_tcp {
+  pw_tcp_loop *l;
+  const pw_tcp_calls *calls;
+  void *arg;
+  int fd;
+  int connecting;
+  int closed;
+  int closing; /* closes when `out` has left */
+  ev_io rd, wr;
+  pw_buf out;
+  size_t out_at;
+  pw_tcp *next_dead;
+};
+
+/* --- the loop --- */
+
+static void reap(struct ev_loop *ev, ev_prepare *w, int events) {
+  (void)ev;
+  (void)events;
+  pw_tcp_loop *l = w->data;
+  while (l->dead) {
+    pw_tcp *c = l->dead;
+    l->dead = c->next_dead;
+    pwbuf_free(&c->out);
+    free(c);
+  }
+}
+
+void pwtcp_loop_init(pw_tcp_loop *l, struct ev_loop *ev) {
+  *l = (pw_tcp_loop){.ev = ev, .block = pw_alloc(BLOCK)};
+  ev_prepare_init(&l->reap, reap);
+  l->reap.data = l;
+  ev_prepare_start(ev, &l->reap);
+  ev_unref(ev);
+}
+
+void pwtcp_loop_free(pw_tcp_loop *l) {
+  reap(l->ev, &l->reap, 0);
+  ev_ref(l->ev);
+  ev_prepare_stop(l->ev, &l->reap);
+  free(l->block);
+}
+
+/* --- sockets --- */
+
+static void set_int(int fd, int level, int option, int value) {
+  setsockopt(fd, level, option, &value, sizeof value);
+}
+
+int pwtcp_listen(const struct sockaddr_in *at) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return -1;
+  set_int(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (bind(fd, (const struct sockaddr *)at, sizeof *at) == 0 &&
+      listen(fd, BACKLOG) == 0)
+    return fd;
+  close(fd);
+  return -1;
+}
+
+int pwtcp_address(const char *text, struct sockaddr_in *out) {
+  char ip[32];
+  unsigned port;
+  *out = (struct sockaddr_in){.sin_family = AF_INET};
+  if (sscanf(text, "%31[0-9.]:%u", ip, &port) != 2 || port > 65535)
+    return -1;
+  out->sin_port = htons((uint16_t)port);
+  return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -1;
+}
+
+/* --- ends --- */
+
+void pwtcp_close(pw_tcp *c, int reset) {
+  if (c->closed)
+    return;
+  c->closed = 1;
+  ev_io_stop(c->l->ev, &c->rd);
+  ev_io_stop(c->l->ev, &c->wr);
+  if (reset) {
+    struct linger hard = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+  }
+  close(c->fd);
+  c->next_dead = c->l->dead;
+  c->l->dead = c;
+}
+
+static void end(pw_tcp *c, pw_tcp_end how) {
+  if (c->closing)
+    pwtcp_close(c, 0);
+  else if (!c->closed)
+    c->calls->ended(c->arg, how);
+}
+
+void pwtcp_close_after_write(pw_tcp *c) {
+  if (c->closed)
+    return;
+  if (pwtcp_pending(c) == 0) {
+    shutdown(c->fd, SHUT_WR);
+    pwtcp_close(c, 0);
+    return;
+  }
+  c->closing = 1;
+  set_int(c->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, LINGER_MS);
+}
+
+/* --- reading and writing --- */
+
+static void on_read(struct ev_loop *ev, ev_io *w, int events) {
+  (void)ev;
+  (void)events;
+  pw_tcp *c = w->data;
+  ssize_t n = read(c->fd, c->l->block, BLOCK);
+  if (n > 0) {
+    if (!c->closing)
+      c->calls->data(c->arg, c->l->block, (size_t)n);
+  } else if (n == 0) {
+    end(c, PWTCP_EOF);
+  } else if (errno != EAGAIN && errno != EINTR) {
+    end(c, PWTCP_RESET);
+  }
+}
+
+static void drained(pw_tcp *c) {
+  ev_io_stop(c->l->ev, &c->wr);
+  c->out.len = 0;
+  c->out_at = 0;
+  if (c->closing)
+    pwtcp_close(c, 0);
+  else if (c->calls->drained)
+    c->calls->drained(c->arg);
+}
+
+static void flush(pw_tcp *c) {
+  while (c->out_at < c->out.len) {
+    ssize_t n = write(c->fd, c->out.data + c->out_at, c->out.len - c->out_at);
+    if (n > 0) {
+      c->out_at += (size_t)n;
+      continue;
+    }
+    if (errno == EINTR)
+      continue;
+    if (errno != EAGAIN)
+      end(c, PWTCP_RESET);
+    return;
+  }
+  drained(c);
+}
+
+static void connect_done(pw_tcp *c) {
+  int err = 0;
+  socklen_t len = sizeof err;
+  getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &err, &len);
+  if (err) {
+    end(c, PWTCP_REFUSED);
+    return;
+  }
+  c->connecting = 0;
+  ev_io_start(c->l->ev, &c->rd);
+  c->calls->connected(c->arg);
+  if (!c->closed)
+    flush(c);
+}
+
+static void on_write(struct ev_loop *ev, ev_io *w, int events) {
+  (void)ev;
+  (void)events;
+  pw_tcp *c = w->data;
+  if (c->connecting)
+    connect_done(c);
+  else
+    flush(c);
+}
+
+void pwtcp_write2(pw_tcp *c, const void *a, size_t an, const void *b,
+                  size_t bn) {
+  if (c->closed || c->closing)
+    return;
+  size_t done = 0;
+  if (!c->connecting && pwtcp_pending(c) == 0) {
+    struct iovec v[2] = {{(void *)a, an}, {(void *)b, bn}};
+    ssize_t n = bn ? writev(c->fd, v, 2) : write(c->fd, a, an);
+    done = n > 0 ? (size_t)n : 0;
+    if (done == an + bn)
+      return;
+  }
+  /* An error shows again when the socket is next writable. */
+  if (done < an)
+    pwbuf_add(&c->out, (const char *)a + done, an - done);
+  size_t skip = done > an ? done - an : 0;
+  if (bn > skip)
+    pwbuf_add(&c->out, (const char *)b + skip, bn - skip);
+  ev_io_start(c->l->ev, &c->wr);
+}
+
+void pwtcp_write(pw_tcp *c, const void *data, size_t n) {
+  pwtcp_write2(c, data, n, NULL, 0);
+}
+
+size_t pwtcp_pending(const pw_tcp *c) {
+  return c->out.len - c->out_at;
+}
+
+void pwtcp_pause(pw_tcp *c, int paused) {
+  if (c->closed || c->connecting)
+    return;
+  if (paused)
+    ev_io_stop(c->l->ev, &c->rd);
+  else
+    ev_io_start(c->l->ev, &c->rd);
+}
+
+/* --- making --- */
+
+static pw_tcp *new_conn(pw_tcp_loop *l, int fd, const pw_tcp_calls *calls,
+                        void *arg) {
+  pw_tcp *c = pw_alloc(sizeof *c);
+  c->l = l;
+  c->fd = fd;
+  c->calls = calls;
+  c->arg = arg;
+  ev_io_init(&c->rd, on_read, fd, EV_READ);
+  ev_io_init(&c->wr, on_write, fd, EV_WRITE);
+  c->rd.data = c;
+  c->wr.data = c;
+  set_int(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  return c;
+}
+
+pw_tcp *pwtcp_accepted(pw_tcp_loop *l, int fd, const pw_tcp_calls *calls,
+                       void *arg) {
+  pw_tcp *c = new_conn(l, fd, calls, arg);
+  ev_io_start(l->ev, &c->rd);
+  return c;
+}
+
+pw_tcp *pwtcp_connect(pw_tcp_loop *l, const struct sockaddr_in *to,
+                      int silent_ms, const pw_tcp_calls *calls, void *arg) {
+  int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return NULL;
+  set_int(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, silent_ms);
+  pw_tcp *c = new_conn(l, fd, calls, arg);
+  c->connecting = 1;
+  if (connect(fd, (const struct sockaddr *)to, sizeof *to) != 0 &&
+      errno != EINPROGRESS) {
+    close(fd);
+    free(c);
+    return NULL;
+  }
+  ev_io_start(l->ev, &c->wr);
+  return c;
+}
--- /dev/null
+++ b/packages/net/pwtcp.h
@@ -0,0 +1,78 @@
+/* pwtcp.h: TCP connections on an event loop (libev). All of a loop belongs to
+** one thread. Nothing here blocks.
+**
+** A connection is closed by its owner only. After pwtcp_close none of its
+** calls comes any more; the memory goes at the loop's next turn, so an owner
+** may close from within a call. */
+#ifndef PWTCP_H
+#define PWTCP_H
+
+#include "pwbuf.h"
+
+#include <ev.h>
+#include <netinet/in.h>
+#include <stddef.h>
+#include <stdint.h>
+
+typedef struct pw_tcp pw_tcp;
+
+/* How a connection ended. */
+typedef enum pw_tcp_end {
+  PWTCP_EOF,   /* the peer closed in order */
+  PWTCP_RESET, /* reset, timed out or broken */
+  PWTCP_REFUSED /* never came up: nothing was sent */
+} pw_tcp_end;
+
+typedef struct pw_tcp_calls {
+  void (*connected)(void *arg);
+  void (*data)(void *arg, const char *data, size_t n);
+  void (*ended)(void *arg, pw_tcp_end how);
+  void (*drained)(void *arg); /* all that was written has left; may be NULL */
+} pw_tcp_calls;
+
+/* What the connections of one loop share. */
+typedef struct pw_tcp_loop {
+  struct ev_loop *ev;
+  ev_prepare reap;
+  pw_tcp *dead;
+  char *block; /* one read's bytes */
+} pw_tcp_loop;
+
+void pwtcp_loop_init(pw_tcp_loop *l, struct ev_loop *ev);
+void pwtcp_loop_free(pw_tcp_loop *l);
+
+/* Listens on ip:port; the descriptor, or -1. */
+int pwtcp_listen(const struct sockaddr_in *at);
+
+/* Takes over an accepted descriptor. */
+pw_tcp *pwtcp_accepted(pw_tcp_loop *l, int fd, const pw_tcp_calls *calls,
+                       void *arg);
+
+/* Begins to connect; NULL when no descriptor can be had. `silent_ms`: a peer
+** that acknowledges nothing for so long is taken for lost. */
+pw_tcp *pwtcp_connect(pw_tcp_loop *l, const struct sockaddr_in *to,
+                      int silent_ms, const pw_tcp_calls *calls, void *arg);
+
+/* Writes, at once or when the peer takes it. */
+void pwtcp_write(pw_tcp *c, const void *data, size_t n);
+
+/* The same for two runs of bytes that follow one another. */
+void pwtcp_write2(pw_tcp *c, const void *a, size_t an, const void *b,
+                  size_t bn);
+
+/* Bytes that the peer has not taken yet. */
+size_t pwtcp_pending(const pw_tcp *c);
+
+/* Stops and resumes reading; the end of a stopped one is not noticed. */
+void pwtcp_pause(pw_tcp *c, int paused);
+
+/* Closes; `reset` drops what is pending and resets. */
+void pwtcp_close(pw_tcp *c, int reset);
+
+/* Closes in order once all that is pending has left. No calls come any more. */
+void pwtcp_close_after_write(pw_tcp *c);
+
+/* Parses "IP:PORT"; 0 or -1. */
+int pwtcp_address(const char *text, struct sockaddr_in *out);
+
+#endif
--- /dev/null
+++ b/packages/policy/pwpick.c
@@ -0,0 +1,65 @@
+/* pwpick.c: which target a gateway sends a request to. */
+#include "pwpick.h"
+
+#include <xxhash.h>
+
+#define NEAR_MS 1.0 /* what staying in the availability zone may cost in wait */
+
+double pwpick_limit(const pw_pick *t, int n, pw_pick_bound bound) {
+  double sum = 0;
+  int count = 0;
+  for (int i = 0; i < n; i++) {
+    if (!t[i].is_usable)
+      continue;
+    sum += t[i].load;
+    count++;
+  }
+  return count ? bound.times * sum / count + bound.extra : 0;
+}
+
+static uint64_t score(uint64_t key, uint64_t id) {
+  uint64_t both[2] = {key, id};
+  return XXH3_64bits(both, sizeof both);
+}
+
+int pwpick_home(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound) {
+  double limit = pwpick_limit(t, n, bound);
+  uint64_t best_score = 0;
+  int best = -1;
+  for (int i = 0; i < n; i++) {
+    if (!t[i].is_usable || t[i].load >= t[i].slots || t[i].load + 1 > limit)
+      continue;
+    uint64_t s = score(key, t[i].id);
+    if (best < 0 || s > best_score) {
+      best = i;
+      best_score = s;
+    }
+  }
+  return best;
+}
+
+double pwpick_wait(const pw_pick *t) {
+  double over = t->load + 1 - t->slots;
+  return over > 0 && t->slots > 0 ? over / t->slots * t->work_ms : 0;
+}
+
+int pwpick_least(const pw_pick *t, int n, double wait_ms, double draw,
+                 pw_pick_bound bound) {
+  double limit = pwpick_limit(t, n, bound);
+  int start = n ? (int)(draw * n) % n : 0;
+  double best_cost = 0;
+  int best = -1;
+  for (int k = 0; k < n; k++) {
+    const pw_pick *one = &t[(start + k) % n];
+    double wait = pwpick_wait(one);
+    if (!one->is_usable || one->load + 1 > limit || wait > wait_ms)
+      continue;
+    double share = one->slots > 0 ? (one->load + 1) / one->slots : one->load;
+    double cost = wait + share * one->work_ms + (one->is_near ? 0 : NEAR_MS);
+    if (best < 0 || cost < best_cost) {
+      best = (start + k) % n;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/policy/pwpick.h
@@ -0,0 +1,41 @@
+/* pwpick.h: which target a gateway sends a request to.
+**
+** Pure: what is known of each target goes in, an index comes out. */
+#ifndef PWPICK_H
+#define PWPICK_H
+
+#include <stdint.h>
+
+/* One target as the gateway sees it now. */
+typedef struct pw_pick {
+  uint64_t id;    /* hash of its name */
+  double load;    /* requests there now, of all gateways */
+  double slots;   /* requests that it works on at once */
+  double work_ms; /* measured time of one request there; 0: not known */
+  int is_usable;  /* may be sent to at all */
+  int is_near;    /* in the gateway's own availability zone */
+} pw_pick;
+
+/* How far a target may be loaded beyond the mean of its service. */
+typedef struct pw_pick_bound {
+  double times; /* of the mean load */
+  double extra; /* requests more than that */
+} pw_pick_bound;
+
+/* The load up to which one more request may be sent to a target. */
+double pwpick_limit(const pw_pick *t, int n, pw_pick_bound bound);
+
+/* By rendezvous hashing of `key`: the first in the key's order that is under
+** the bound and has a free slot; -1 when there is none. */
+int pwpick_home(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound);
+
+/* The one with the shortest expected wait; among equals one in the same
+** availability zone, then by `draw`, uniform in [0, 1). -1 when there is none
+** or the shortest wait would be longer than `wait_ms`. */
+int pwpick_least(const pw_pick *t, int n, double wait_ms, double draw,
+                 pw_pick_bound bound);
+
+/* Expected wait in ms for a slot at a target. */
+double pwpick_wait(const pw_pick *t);
+
+#endif
--- /dev/null
+++ b/packages/policy/pwretries.c
@@ -0,0 +1,44 @@
+/* pwretries.c: a retry budget over a sliding window. */
+#include "pwretries.h"
+
+/* Share of the budget that is spent: the rest is for requests of this window
+** that another one counts, and for retries that are under way. */
+#define MARGIN 0.7
+
+void pwretries_init(pw_retries *b, double ratio, double slack,
+                    int64_t window_ms) {
+  *b = (pw_retries){.ratio = ratio, .slack = slack, .window_ms = window_ms};
+}
+
+static int *cell_of(pw_retries *b, int *cells, int64_t now) {
+  int64_t cell = now * PWRETRIES_CELLS / b->window_ms;
+  if (cell - b->cell > PWRETRIES_CELLS)
+    b->cell = cell - PWRETRIES_CELLS;
+  while (b->cell < cell) {
+    b->cell++;
+    b->requests[b->cell % PWRETRIES_CELLS] = 0;
+    b->retries[b->cell % PWRETRIES_CELLS] = 0;
+  }
+  return &cells[b->cell % PWRETRIES_CELLS];
+}
+
+static int sum(const int *cells) {
+  int n = 0;
+  for (int i = 0; i < PWRETRIES_CELLS; i++)
+    n += cells[i];
+  return n;
+}
+
+void pwretries_request(pw_retries *b, int64_t now) {
+  (*cell_of(b, b->requests, now))++;
+}
+
+int pwretries_spend(pw_retries *b, int gateways, int64_t now) {
+  int *cell = cell_of(b, b->retries, now);
+  double share = b->slack / (gateways > 0 ? gateways : 1);
+  double may = MARGIN * (b->ratio * sum(b->requests) + share);
+  if (sum(b->retries) + 1 > may)
+    return 0;
+  (*cell)++;
+  return 1;
+}
--- /dev/null
+++ b/packages/site/pwdialect.h
@@ -0,0 +1,110 @@
+/* pwdialect.h: how a platform speaks, as a table of functions.
+**
+** A dialect reads names, formats and calls into these types and writes them
+** back. It decides nothing, keeps no state and does no I/O. */
+#ifndef PWDIALECT_H
+#define PWDIALECT_H
+
+#include "pwbuf.h"
+#include "pwh1.h"
+#include "pwlimits.h"
+#include "pwsite.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+#define PWASK_PARTS 32 /* parts of a prompt that are read */
+
+/* A run of bytes that belongs to somebody else. */
+typedef struct pw_span {
+  const char *p; /* NULL: not there */
+  size_t n;
+} pw_span;
+
+/* One part of a prompt. */
+typedef struct pw_ask_part {
+  uint64_t id;
+  uint32_t tokens;
+} pw_ask_part;
+
+/* What a caller's request says of itself. */
+typedef struct pw_ask {
+  pw_span id;
+  pw_span host;
+  pw_span key;
+  pw_span last_event; /* of a stream that is taken up again */
+  int64_t deadline_ms; /* how long the caller waits; -1: not said */
+  uint32_t prompt_tokens;
+  uint32_t output_tokens; /* most it may generate */
+  uint32_t output_guess;  /* the caller's guess; 0: none */
+  pw_ask_part part[PWASK_PARTS];
+  int nparts;
+} pw_ask;
+
+/* What a gateway adds to a request that it sends on. */
+typedef struct pw_forward {
+  const char *target;    /* id that the target must have */
+  const char *workspace; /* name, or NULL */
+  int64_t deadline_ms;   /* what is left */
+  int urgency;           /* class from 0, first, to 9; -1: not said */
+  pw_span last_event;    /* events up to this one are not wanted */
+} pw_forward;
+
+/* What a target's answer says beside its status. */
+typedef struct pw_told {
+  int is_mine;  /* it carries the id of the request */
+  int not_run;  /* the request has not run there and will not */
+  int is_whole; /* it carries the target's signature */
+  int has_load;
+  int running, waiting, slots;
+} pw_told;
+
+/* A target's heartbeat. */
+typedef struct pw_beat {
+  char id[PW_NAME_MAX];
+  char service[PW_NAME_MAX];
+  char address[PW_NAME_MAX]; /* IP:PORT */
+  char zone[PW_NAME_MAX];    /* availability zone */
+  char version[PW_NAME_MAX]; /* of its software */
+  int slots;
+  int leaving;
+  int64_t cold_ms; /* how much longer it is slow from its start */
+  uint64_t seq;    /* rises with each */
+} pw_beat;
+
+/* Calls to a control instance. */
+typedef enum pw_call_kind {
+  PWCALL_OTHER,
+  PWCALL_SITE_READ,
+  PWCALL_SITE_WRITE,
+  PWCALL_BEAT,
+  PWCALL_LEAVE, /* a target ends */
+  PWCALL_BAD_METHOD
+} pw_call_kind;
+
+typedef struct pw_dialect {
+  void (*read_request)(const pw_h1 *m, pw_ask *out);
+
+  /* Whether a caller's header goes on to the target as it is. */
+  int (*passes)(const pw_h1_header *h);
+
+  /* Appends header lines. */
+  void (*write_forward)(pw_buf *out, const pw_forward *f);
+
+  void (*read_answer)(const pw_h1 *m, const pw_ask *ask, pw_told *out);
+
+  /* Kind of a call; id[PW_NAME_MAX] is the target that it is about. */
+  pw_call_kind (*read_call)(const char *method, const char *path, char *id);
+
+  /* Reads a configuration document; PW_E_BODY or PW_E_SCHEMA with a reason. */
+  pw_code (*read_site)(const char *text, size_t n, pw_site **out, char *why,
+                       size_t cap);
+
+  pw_code (*read_beat)(const char *id, const char *text, size_t n,
+                       pw_beat *out, char *why, size_t cap);
+
+  /* Path that the platform asks for readiness. */
+  const char *ready_path;
+} pw_dialect;
+
+#endif
--- /dev/null
+++ b/packages/site/pwsite.c
@@ -0,0 +1,264 @@
+/* pwsite.c: the configuration of a gateway: checks and look-ups. */
+#include "pwsite.h"
+
+#include "pwbuf.h"
+
+#include <assert.h>
+#include <ctype.h>
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#define PLACE_MAX 4096 /* bytes of a host and a path that are looked up */
+
+typedef struct row {
+  const char *text;
+  int index;
+  UT_hash_handle hh;
+} row;
+
+struct pw_site {
+  int refs;
+  pw_site_parts p;
+  row *place_rows, *key_rows; /* storage */
+  row *places, *keys;         /* hashes */
+};
+
+void pwsite_free_parts(pw_site_parts *p) {
+  for (int i = 0; i < p->nservices; i++) {
+    free(p->service[i].name);
+    free(p->service[i].health_path);
+  }
+  for (int i = 0; i < p->nroutes; i++) {
+    free(p->route[i].name);
+    free(p->route[i].place);
+  }
+  for (int i = 0; i < p->nworkspaces; i++)
+    free(p->workspace[i].name);
+  for (int i = 0; i < p->nkeys; i++)
+    free(p->key[i]);
+  free(p->service);
+  free(p->route);
+  free(p->workspace);
+  free(p->key);
+  free(p->key_workspace);
+  *p = (pw_site_parts){0};
+}
+
+/* --- checks --- */
+
+static const char *check_route(const pw_site_parts *p, const pw_site_route *r) {
+  const char *slash = strchr(r->place, '/');
+  if (!slash || slash == r->place)
+    return "a host and a path prefix are needed";
+  if (r->place[strlen(r->place) - 1] != '/')
+    return "a path prefix ends with a slash";
+  if (r->timeout_ms <= 0)
+    return "the time-out must be above 0";
+  if (r->attempts < 1)
+    return "attempts must be above 0";
+  if (r->nbackends == 0)
+    return "a service is needed";
+  if (!isfinite(r->weight) || r->weight <= 0)
+    return "the weights must sum to more than 0";
+  for (int i = 0; i < r->nbackends; i++)
+    if (r->backend[i].service < 0 || r->backend[i].service >= p->nservices)
+      return "it names an unknown service";
+  for (int i = 0; i < r->nbackends; i++)
+    if (!(r->backend[i].weight >= 0))
+      return "a weight is below 0";
+  return NULL;
+}
+
+static pw_code refuse(char *why, size_t cap, const char *what, const char *name,
+                      const char *reason) {
+  snprintf(why, cap, "%s \"%s\": %s", what, name, reason);
+  return PW_E_SCHEMA;
+}
+
+static pw_code index_routes(pw_site *s, char *why, size_t cap) {
+  s->place_rows = pw_alloc(sizeof(row) * (size_t)(s->p.nroutes + 1));
+  for (int i = 0; i < s->p.nroutes; i++) {
+    const pw_site_route *r = &s->p.route[i];
+    const char *reason = check_route(&s->p, r);
+    if (reason)
+      return refuse(why, cap, "route", r->name, reason);
+    row *old, *one = &s->place_rows[i];
+    *one = (row){.text = r->place, .index = i};
+    HASH_FIND_STR(s->places, one->text, old);
+    if (old)
+      return refuse(why, cap, "route", r->name,
+                    "another has the same host and prefix");
+    HASH_ADD_KEYPTR(hh, s->places, one->text, strlen(one->text), one);
+  }
+  return PW_OK;
+}
+
+static pw_code index_keys(pw_site *s, char *why, size_t cap) {
+  s->key_rows = pw_alloc(sizeof(row) * (size_t)(s->p.nkeys + 1));
+  for (int i = 0; i < s->p.nkeys; i++) {
+    const char *owner = s->p.workspace[s->p.key_workspace[i]].name;
+    row *old, *one = &s->key_rows[i];
+    *one = (row){.text = s->p.key[i], .index = s->p.key_workspace[i]};
+    if (!one->text[0])
+      return refuse(why, cap, "workspace", owner, "a key is empty");
+    HASH_FIND_STR(s->keys, one->text, old);
+    if (old && old->index != one->index)
+      return refuse(why, cap, "workspace", owner, "another has the same key");
+    if (!old)
+      HASH_ADD_KEYPTR(hh, s->keys, one->text, strlen(one->text), one);
+  }
+  return PW_OK;
+}
+
+static pw_code check_names(const pw_site_parts *p, char *why, size_t cap) {
+  for (int i = 0; i < p->nservices; i++)
+    for (int j = 0; j < i; j++)
+      if (!strcmp(p->service[i].name, p->service[j].name))
+        return refuse(why, cap, "service", p->service[i].name,
+                      "another has the same name");
+  for (int i = 0; i < p->nworkspaces; i++)
+    for (int j = 0; j < i; j++)
+      if (!strcmp(p->workspace[i].name, p->workspace[j].name))
+        return refuse(why, cap, "workspace", p->workspace[i].name,
+                      "another has the same name");
+  return PW_OK;
+}
+
+static pw_code check_limits(const pw_site_limits *l, char *why, size_t cap) {
+  if (l->header_bytes > 0 && l->body_bytes >= 0 && l->header_timeout_ms > 0 &&
+      l->idle_timeout_ms > 0)
+    return PW_OK;
+  return refuse(why, cap, "limits", "", "each must be above 0");
+}
+
+static void free_site(pw_site *s) {
+  HASH_CLEAR(hh, s->places);
+  HASH_CLEAR(hh, s->keys);
+  free(s->place_rows);
+  free(s->key_rows);
+  pwsite_free_parts(&s->p);
+  free(s);
+}
+
+pw_code pwsite_new(pw_site_parts *parts, pw_site **out, char *why, size_t cap) {
+  pw_site *s = pw_alloc(sizeof *s);
+  s->refs = 1;
+  s->p = *parts;
+  *parts = (pw_site_parts){0};
+  pw_code rc = PW_OK;
+  if (s->p.version == 0)
+    rc = refuse(why, cap, "version", "", "a number above 0 is needed");
+  if (rc == PW_OK)
+    rc = check_names(&s->p, why, cap);
+  if (rc == PW_OK)
+    rc = check_limits(&s->p.limits, why, cap);
+  if (rc == PW_OK)
+    rc = index_routes(s, why, cap);
+  if (rc == PW_OK)
+    rc = index_keys(s, why, cap);
+  if (rc != PW_OK)
+    free_site(s);
+  else
+    *out = s;
+  return rc;
+}
+
+pw_site *pwsite_hold(pw_site *s) {
+  s->refs++;
+  return s;
+}
+
+void pwsite_drop(pw_site *s) {
+  if (s && --s->refs == 0)
+    free_site(s);
+}
+
+/* --- look-ups --- */
+
+uint64_t pwsite_version(const pw_site *s) {
+  return s->p.version;
+}
+
+const pw_site_limits *pwsite_limits(const pw_site *s) {
+  return &s->p.limits;
+}
+
+static size_t host_length(const char *host, size_t n) {
+  const char *colon = memchr(host, ':', n);
+  return colon ? (size_t)(colon - host) : n;
+}
+
+const pw_site_route *pwsite_route(const pw_site *s, const char *host,
+                                  size_t nhost, const char *path,
+                                  size_t npath) {
+  char place[PLACE_MAX];
+  const char *query = memchr(path, '?', npath);
+  if (query)
+    npath = (size_t)(query - path);
+  nhost = host_length(host, nhost);
+  if (nhost >= sizeof place)
+    return NULL;
+  for (size_t i = 0; i < nhost; i++)
+    place[i] = (char)tolower((unsigned char)host[i]);
+  if (npath > sizeof place - nhost) /* no prefix is as long as that */
+    npath = sizeof place - nhost;
+  memcpy(place + nhost, path, npath);
+  for (size_t n = nhost + npath; n > nhost; n--) {
+    row *found;
+    if (place[n - 1] != '/')
+      continue;
+    HASH_FIND(hh, s->places, place, n, found);
+    if (found)
+      return &s->p.route[found->index];
+  }
+  return NULL;
+}
+
+const pw_site_workspace *pwsite_workspace(const pw_site *s, const char *key,
+                                          size_t nkey) {
+  row *found;
+  HASH_FIND(hh, s->keys, key, nkey, found);
+  return found ? &s->p.workspace[found->index] : NULL;
+}
+
+int pwsite_workspace_index(const pw_site *s, const pw_site_workspace *w) {
+  return (int)(w - s->p.workspace);
+}
+
+int pwsite_has_workspaces(const pw_site *s) {
+  return s->p.nworkspaces > 0;
+}
+
+int pwsite_services(const pw_site *s) {
+  return s->p.nservices;
+}
+
+const pw_site_service *pwsite_service(const pw_site *s, int i) {
+  assert(i >= 0 && i < s->p.nservices);
+  return &s->p.service[i];
+}
+
+int pwsite_service_index(const pw_site *s, const char *name) {
+  for (int i = 0; i < s->p.nservices; i++)
+    if (!strcmp(s->p.service[i].name, name))
+      return i;
+  return -1;
+}
+
+const pw_site_service *pwsite_backend(const pw_site *s, const pw_site_route *r,
+                                      double draw) {
+  double at = draw * r->weight;
+  int last = 0;
+  for (int i = 0; i < r->nbackends; i++) {
+    if (r->backend[i].weight <= 0)
+      continue;
+    last = i;
+    if (at < r->backend[i].weight)
+      break;
+    at -= r->backend[i].weight;
+  }
+  return pwsite_service(s, r->backend[last].service);
+}
--- a/packages/store/pwstate.c
+++ b/packages/store/pwstate.c
@@ -12,7 +12,7 @@
 #include <string.h>
 #include <uthash.h>
 
-#define STATE_VERSION 2 /* 2: claims that are past */
+#define STATE_VERSION 3 /* 2: claims that are past; 3: the document */
 #define REASON_BYTES 256
 #define MS_PER_S 1000
 
@@ -33,6 +33,7 @@
 struct pw_state {
   pw_res *res;
   pw_once *once;
+  pw_doc *doc;
   kept *outcomes;
   uint64_t keep_ms; /* of once-claims, as policy has it at keep_read */
   uint64_t keep_read;
@@ -42,6 +43,7 @@
   pw_state *s = pw_alloc(sizeof *s);
   s->res = pwres_new();
   s->once = pwonce_new();
+  s->doc = pwdoc_new();
   s->keep_ms = PW_ONCE_KEEP_MS;
   return s;
 }
@@ -65,6 +67,7 @@
   clear_outcomes(s);
   pwres_free(s->res);
   pwonce_free(s->once);
+  pwdoc_free(s->doc);
   free(s);
 }
 
@@ -76,6 +79,10 @@
   return s->once;
 }
 
+const pw_doc *pwstate_document(const pw_state *s) {
+  return s->doc;
+}
+
 static void keep_outcome(pw_state *s, Pw__KeptOutcome *k) {
   kept *row = pw_alloc(sizeof *row);
   row->k = k;
@@ -249,6 +256,18 @@
   return s->keep_ms;
 }
 
+/* Taken when it is newer and follows what is held here: an instance that began
+** from a snapshot has no older bases, and all must do the same. */
+static Pw__Outcome *apply_publish(pw_state *s, const Pw__Document *d) {
+  int is_newer = d->version > pwdoc_version(s->doc);
+  pw_code rc = PW_OK;
+  if (is_newer && d->since && d->since != pwdoc_version(s->doc))
+    rc = PW_E_STALE;
+  else
+    rc = pwdoc_take(s->doc, d);
+  return refusal(rc, rc == PW_OK ? "" : pwcode_text(rc));
+}
+
 void pwstate_apply(pw_state *s, const Pw__Command *cmd, Pw__Outcome **outcome,
                    Pw__Claimed **claimed) {
   *outcome = NULL;
@@ -264,6 +283,9 @@
   case PW__COMMAND__BODY_RECORD:
     pwonce_record(s->once, cmd->record);
     break;
+  case PW__COMMAND__BODY_PUBLISH:
+    *outcome = apply_publish(s, cmd->publish);
+    break;
   default:
     break;
   }
@@ -295,6 +317,9 @@
   pack_resources(s, &out);
   pack_outcomes(s, &out);
   pwonce_pack(s->once, &out);
+  Pw__Document doc;
+  pwdoc_pack(s->doc, 0, &doc);
+  out.document = pwdoc_version(s->doc) ? &doc : NULL;
   *n = pw__state__get_packed_size(&out);
   uint8_t *bytes = pw_alloc(*n);
   pw__state__pack(&out, bytes);
@@ -304,6 +329,7 @@
   free(out.claims); /* borrowed, as the outcomes */
   free(out.outcomes);
   free(out.past.data);
+  free(doc.data.data);
   return bytes;
 }
 
@@ -328,7 +354,10 @@
       keep_outcome(s, PWPB_COPY(in->outcomes[i]));
   s->keep_read = 0;
   s->keep_ms = PW_ONCE_KEEP_MS;
+  pwdoc_clear(s->doc);
   pw_code rc = pwonce_load(s->once, in);
+  if (rc == PW_OK && in->document)
+    rc = pwdoc_take(s->doc, in->document);
   pw__state__free_unpacked(in, NULL);
   return rc;
 }
--- a/packages/store/pwstate.h
+++ b/packages/store/pwstate.h
@@ -7,6 +7,7 @@
 
 #include "peatwell.pb-c.h"
 #include "pwcode.h"
+#include "pwdoc.h"
 #include "pwonce.h"
 #include "pwres.h"
 
@@ -23,6 +24,9 @@
 const pw_res *pwstate_resources(const pw_state *s);
 const pw_once *pwstate_once(const pw_state *s);
 
+/* The configuration document of gateways. */
+const pw_doc *pwstate_document(const pw_state *s);
+
 /* Applies one command. For a Change *outcome is what to answer, for a Claim
 ** *claimed is; the caller frees it with the pb functions. Either may be NULL
 ** when the command has none. */
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -1042,6 +1042,231 @@
   assert(message->base.descriptor == &pw__record__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pw__beat__init
+                     (Pw__Beat         *message)
+{
+  static const Pw__Beat init_value = PW__BEAT__INIT;
+  *message = init_value;
+}
+size_t pw__beat__get_packed_size
+                     (const Pw__Beat *message)
+{
+  assert(message->base.descriptor == &pw__beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__beat__pack
+                     (const Pw__Beat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__beat__pack_to_buffer
+                     (const Pw__Beat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__Beat *
+       pw__beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__Beat *)
+     protobuf_c_message_unpack (&pw__beat__descriptor,
+                                allocator, len, data);
+}
+void   pw__beat__free_unpacked
+                     (Pw__Beat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pw__watch__init
+                     (Pw__Watch         *message)
+{
+  static const Pw__Watch init_value = PW__WATCH__INIT;
+  *message = init_value;
+}
+size_t pw__watch__get_packed_size
+                     (const Pw__Watch *message)
+{
+  assert(message->base.descriptor == &pw__watch__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__watch__pack
+                     (const Pw__Watch *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__watch__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__watch__pack_to_buffer
+                     (const Pw__Watch *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__watch__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__Watch *
+       pw__watch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__Watch *)
+     protobuf_c_message_unpack (&pw__watch__descriptor,
+                                allocator, len, data);
+}
+void   pw__watch__free_unpacked
+                     (Pw__Watch *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__watch__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pw__notice__init
+                     (Pw__Notice         *message)
+{
+  static const Pw__Notice init_value = PW__NOTICE__INIT;
+  *message = init_value;
+}
+size_t pw__notice__get_packed_size
+                     (const Pw__Notice *message)
+{
+  assert(message->base.descriptor == &pw__notice__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__notice__pack
+                     (const Pw__Notice *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__notice__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__notice__pack_to_buffer
+                     (const Pw__Notice *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__notice__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__Notice *
+       pw__notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__Notice *)
+     protobuf_c_message_unpack (&pw__notice__descriptor,
+                                allocator, len, data);
+}
+void   pw__notice__free_unpacked
+                     (Pw__Notice *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__notice__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pw__document__init
+                     (Pw__Document         *message)
+{
+  static const Pw__Document init_value = PW__DOCUMENT__INIT;
+  *message = init_value;
+}
+size_t pw__document__get_packed_size
+                     (const Pw__Document *message)
+{
+  assert(message->base.descriptor == &pw__document__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__document__pack
+                     (const Pw__Document *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__document__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__document__pack_to_buffer
+                     (const Pw__Document *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__document__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__Document *
+       pw__document__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__Document *)
+     protobuf_c_message_unpack (&pw__document__descriptor,
+                                allocator, len, data);
+}
+void   pw__document__free_unpacked
+                     (Pw__Document *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__document__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pw__gossip__init
+                     (Pw__Gossip         *message)
+{
+  static const Pw__Gossip init_value = PW__GOSSIP__INIT;
+  *message = init_value;
+}
+size_t pw__gossip__get_packed_size
+                     (const Pw__Gossip *message)
+{
+  assert(message->base.descriptor == &pw__gossip__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__gossip__pack
+                     (const Pw__Gossip *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__gossip__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__gossip__pack_to_buffer
+                     (const Pw__Gossip *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__gossip__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__Gossip *
+       pw__gossip__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__Gossip *)
+     protobuf_c_message_unpack (&pw__gossip__descriptor,
+                                allocator, len, data);
+}
+void   pw__gossip__free_unpacked
+                     (Pw__Gossip *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__gossip__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pw__entry__init
                      (Pw__Entry         *message)
 {
@@ -1672,7 +1897,7 @@
   assert(message->base.descriptor == &pw__snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pw__envelope__field_descriptors[21] =
+static const ProtobufCFieldDescriptor pw__envelope__field_descriptors[24] =
 {
   {
     "from",
@@ -1926,6 +2151,42 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "watch",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Envelope, body_case),
+    offsetof(Pw__Envelope, watch),
+    &pw__watch__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "notice",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Envelope, body_case),
+    offsetof(Pw__Envelope, notice),
+    &pw__notice__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
+    29,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Envelope, body_case),
+    offsetof(Pw__Envelope, document),
+    &pw__document__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__envelope__field_indices_by_name[] = {
   12,   /* field[12] = cancel */
@@ -1934,6 +2195,7 @@
   15,   /* field[15] = claimed */
   17,   /* field[17] = cons */
   11,   /* field[11] = credit */
+  23,   /* field[23] = document */
   10,   /* field[10] = end */
   0,   /* field[0] = from */
   8,   /* field[8] = head */
@@ -1942,19 +2204,21 @@
   1,   /* field[1] = incarnation */
   20,   /* field[20] = join */
   19,   /* field[19] = loads */
+  22,   /* field[22] = notice */
   18,   /* field[18] = ping */
   13,   /* field[13] = pointer */
   16,   /* field[16] = record */
   7,   /* field[7] = refuse */
   2,   /* field[2] = revision */
   6,   /* field[6] = run */
+  21,   /* field[21] = watch */
   5,   /* field[5] = welcome */
 };
 static const ProtobufCIntRange pw__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor pw__envelope__descriptor =
 {
@@ -1964,7 +2228,7 @@
   "Pw__Envelope",
   "pw",
   sizeof(Pw__Envelope),
-  21,
+  24,
   pw__envelope__field_descriptors,
   pw__envelope__field_indices_by_name,
   2,  pw__envelope__number_ranges,
@@ -4315,162 +4579,651 @@
   (ProtobufCMessageInit) pw__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__entry__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pw__beat__field_descriptors[11] =
 {
   {
-    "term",
+    "target",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Pw__Entry, term),
-    NULL,
+    offsetof(Pw__Beat, target),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
+    "service",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Pw__Entry, index),
-    NULL,
+    offsetof(Pw__Beat, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
+    "address",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Pw__Entry, kind),
-    NULL,
+    offsetof(Pw__Beat, address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
+    "availability_zone",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Pw__Entry, data),
-    NULL,
+    offsetof(Pw__Beat, availability_zone),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned pw__entry__field_indices_by_name[] = {
-  3,   /* field[3] = data */
-  1,   /* field[1] = index */
-  2,   /* field[2] = kind */
-  0,   /* field[0] = term */
-};
-static const ProtobufCIntRange pw__entry__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor pw__entry__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "pw.Entry",
-  "Entry",
-  "Pw__Entry",
-  "pw",
-  sizeof(Pw__Entry),
-  4,
-  pw__entry__field_descriptors,
-  pw__entry__field_indices_by_name,
-  1,  pw__entry__number_ranges,
-  (ProtobufCMessageInit) pw__entry__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor pw__cons__field_descriptors[12] =
-{
   {
-    "type",
-    1,
+    "version",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Pw__Cons, type),
-    NULL,
+    offsetof(Pw__Beat, version),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to",
-    2,
+    "slots",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Pw__Cons, to),
+    offsetof(Pw__Beat, slots),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from",
-    3,
+    "leaving",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Pw__Cons, from),
+    offsetof(Pw__Beat, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
-    4,
+    "gone",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Pw__Cons, term),
+    offsetof(Pw__Beat, gone),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "log_term",
-    5,
+    "cold",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Pw__Cons, log_term),
+    offsetof(Pw__Beat, cold),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "index",
-    6,
+    "seq",
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Pw__Cons, index),
+    offsetof(Pw__Beat, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "commit",
-    7,
+    "age",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Beat, age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__beat__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  10,   /* field[10] = age */
+  3,   /* field[3] = availability_zone */
+  8,   /* field[8] = cold */
+  7,   /* field[7] = gone */
+  6,   /* field[6] = leaving */
+  9,   /* field[9] = seq */
+  1,   /* field[1] = service */
+  5,   /* field[5] = slots */
+  0,   /* field[0] = target */
+  4,   /* field[4] = version */
+};
+static const ProtobufCIntRange pw__beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor pw__beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Beat",
+  "Beat",
+  "Pw__Beat",
+  "pw",
+  sizeof(Pw__Beat),
+  11,
+  pw__beat__field_descriptors,
+  pw__beat__field_indices_by_name,
+  1,  pw__beat__number_ranges,
+  (ProtobufCMessageInit) pw__beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__watch__field_descriptors[3] =
+{
+  {
+    "site",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Watch, site),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "want",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Watch, want),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gossip",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Watch, gossip),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__watch__field_indices_by_name[] = {
+  2,   /* field[2] = gossip */
+  0,   /* field[0] = site */
+  1,   /* field[1] = want */
+};
+static const ProtobufCIntRange pw__watch__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pw__watch__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Watch",
+  "Watch",
+  "Pw__Watch",
+  "pw",
+  sizeof(Pw__Watch),
+  3,
+  pw__watch__field_descriptors,
+  pw__watch__field_indices_by_name,
+  1,  pw__watch__number_ranges,
+  (ProtobufCMessageInit) pw__watch__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__notice__field_descriptors[6] =
+{
+  {
+    "site",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Notice, site),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_touch",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Notice, in_touch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Notice, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beats",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Notice, n_beats),
+    offsetof(Pw__Notice, beats),
+    &pw__beat__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "control",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pw__Notice, n_control),
+    offsetof(Pw__Notice, control),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "gateways",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pw__Notice, n_gateways),
+    offsetof(Pw__Notice, gateways),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__notice__field_indices_by_name[] = {
+  3,   /* field[3] = beats */
+  4,   /* field[4] = control */
+  2,   /* field[2] = full */
+  5,   /* field[5] = gateways */
+  1,   /* field[1] = in_touch */
+  0,   /* field[0] = site */
+};
+static const ProtobufCIntRange pw__notice__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor pw__notice__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Notice",
+  "Notice",
+  "Pw__Notice",
+  "pw",
+  sizeof(Pw__Notice),
+  6,
+  pw__notice__field_descriptors,
+  pw__notice__field_indices_by_name,
+  1,  pw__notice__number_ranges,
+  (ProtobufCMessageInit) pw__notice__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__document__field_descriptors[4] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Document, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Document, since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Document, size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Document, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__document__field_indices_by_name[] = {
+  3,   /* field[3] = data */
+  1,   /* field[1] = since */
+  2,   /* field[2] = size */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange pw__document__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pw__document__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Document",
+  "Document",
+  "Pw__Document",
+  "pw",
+  sizeof(Pw__Document),
+  4,
+  pw__document__field_descriptors,
+  pw__document__field_indices_by_name,
+  1,  pw__document__number_ranges,
+  (ProtobufCMessageInit) pw__document__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__gossip__field_descriptors[4] =
+{
+  {
+    "incarnation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Gossip, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Gossip, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Pw__Gossip, n_targets),
+    offsetof(Pw__Gossip, targets),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Pw__Gossip, n_loads),
+    offsetof(Pw__Gossip, loads),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__gossip__field_indices_by_name[] = {
+  0,   /* field[0] = incarnation */
+  3,   /* field[3] = loads */
+  1,   /* field[1] = seq */
+  2,   /* field[2] = targets */
+};
+static const ProtobufCIntRange pw__gossip__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pw__gossip__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Gossip",
+  "Gossip",
+  "Pw__Gossip",
+  "pw",
+  sizeof(Pw__Gossip),
+  4,
+  pw__gossip__field_descriptors,
+  pw__gossip__field_indices_by_name,
+  1,  pw__gossip__number_ranges,
+  (ProtobufCMessageInit) pw__gossip__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__entry__field_descriptors[4] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Entry, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Entry, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Entry, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Entry, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__entry__field_indices_by_name[] = {
+  3,   /* field[3] = data */
+  1,   /* field[1] = index */
+  2,   /* field[2] = kind */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange pw__entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pw__entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Entry",
+  "Entry",
+  "Pw__Entry",
+  "pw",
+  sizeof(Pw__Entry),
+  4,
+  pw__entry__field_descriptors,
+  pw__entry__field_indices_by_name,
+  1,  pw__entry__number_ranges,
+  (ProtobufCMessageInit) pw__entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__cons__field_descriptors[12] =
+{
+  {
+    "type",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Cons, type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Cons, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Cons, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Cons, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_term",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Cons, log_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Cons, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
     offsetof(Pw__Cons, commit),
     NULL,
@@ -5010,7 +5763,7 @@
   (ProtobufCMessageInit) pw__change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__command__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pw__command__field_descriptors[5] =
 {
   {
     "wall",
@@ -5060,17 +5813,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "publish",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Command, body_case),
+    offsetof(Pw__Command, publish),
+    &pw__document__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__command__field_indices_by_name[] = {
   1,   /* field[1] = change */
   2,   /* field[2] = claim */
+  4,   /* field[4] = publish */
   3,   /* field[3] = record */
   0,   /* field[0] = wall */
 };
 static const ProtobufCIntRange pw__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pw__command__descriptor =
 {
@@ -5080,7 +5846,7 @@
   "Pw__Command",
   "pw",
   sizeof(Pw__Command),
-  4,
+  5,
   pw__command__field_descriptors,
   pw__command__field_indices_by_name,
   1,  pw__command__number_ranges,
@@ -5370,7 +6136,7 @@
   (ProtobufCMessageInit) pw__kept_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__state__field_descriptors[7] =
+static const ProtobufCFieldDescriptor pw__state__field_descriptors[8] =
 {
   {
     "version",
@@ -5456,9 +6222,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "document",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Pw__State, document),
+    &pw__document__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__state__field_indices_by_name[] = {
   4,   /* field[4] = claims */
+  7,   /* field[7] = document */
   2,   /* field[2] = floor */
   5,   /* field[5] = outcomes */
   6,   /* field[6] = past */
@@ -5469,7 +6248,7 @@
 static const ProtobufCIntRange pw__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor pw__state__descriptor =
 {
@@ -5479,7 +6258,7 @@
   "Pw__State",
   "pw",
   sizeof(Pw__State),
-  7,
+  8,
   pw__state__field_descriptors,
   pw__state__field_indices_by_name,
   1,  pw__state__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -38,6 +38,11 @@
 typedef struct Pw__Claim Pw__Claim;
 typedef struct Pw__Claimed Pw__Claimed;
 typedef struct Pw__Record Pw__Record;
+typedef struct Pw__Beat Pw__Beat;
+typedef struct Pw__Watch Pw__Watch;
+typedef struct Pw__Notice Pw__Notice;
+typedef struct Pw__Document Pw__Document;
+typedef struct Pw__Gossip Pw__Gossip;
 typedef struct Pw__Entry Pw__Entry;
 typedef struct Pw__Cons Pw__Cons;
 typedef struct Pw__Member Pw__Member;
@@ -77,7 +82,10 @@
   PW__ENVELOPE__BODY_CONS = 23,
   PW__ENVELOPE__BODY_PING = 24,
   PW__ENVELOPE__BODY_LOADS = 25,
-  PW__ENVELOPE__BODY_JOIN = 26
+  PW__ENVELOPE__BODY_JOIN = 26,
+  PW__ENVELOPE__BODY_WATCH = 27,
+  PW__ENVELOPE__BODY_NOTICE = 28,
+  PW__ENVELOPE__BODY_DOCUMENT = 29
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PW__ENVELOPE__BODY__CASE)
 } Pw__Envelope__BodyCase;
 
@@ -111,6 +119,9 @@
     Pw__Ping *ping;
     Pw__Loads *loads;
     Pw__Join *join;
+    Pw__Watch *watch;
+    Pw__Notice *notice;
+    Pw__Document *document;
   };
 };
 #define PW__ENVELOPE__INIT \
@@ -640,6 +651,133 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * A target's heartbeat, as a control instance passes it on.
+ */
+struct  Pw__Beat
+{
+  ProtobufCMessage base;
+  char *target;
+  char *service;
+  char *address;
+  char *availability_zone;
+  char *version;
+  uint32_t slots;
+  protobuf_c_boolean leaving;
+  protobuf_c_boolean gone;
+  /*
+   * ms that it is slow from its start yet
+   */
+  uint32_t cold;
+  /*
+   * rises with each heartbeat of the target
+   */
+  uint64_t seq;
+  /*
+   * ms since it was heard, at sending
+   */
+  uint32_t age;
+};
+#define PW__BEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__beat__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Gateway or control instance to a control instance: tell me what is new.
+ */
+struct  Pw__Watch
+{
+  ProtobufCMessage base;
+  /*
+   * version of the configuration in force at the sender
+   */
+  uint64_t site;
+  /*
+   * send me a newer one
+   */
+  protobuf_c_boolean want;
+  /*
+   * a gateway's address of load reports; "": a control
+   */
+  char *gossip;
+};
+#define PW__WATCH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__watch__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * To those who watch.
+ */
+struct  Pw__Notice
+{
+  ProtobufCMessage base;
+  /*
+   * version of the newest configuration here
+   */
+  uint64_t site;
+  /*
+   * a leader was heard just now
+   */
+  protobuf_c_boolean in_touch;
+  /*
+   * all targets known here
+   */
+  protobuf_c_boolean full;
+  size_t n_beats;
+  Pw__Beat **beats;
+  /*
+   * wire addresses of the control group
+   */
+  size_t n_control;
+  char **control;
+  /*
+   * where gateways take load reports
+   */
+  size_t n_gateways;
+  char **gateways;
+};
+#define PW__NOTICE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__notice__descriptor) \
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+
+
+/*
+ * A configuration document, compressed; `since` is the version that the
+ * receiver must hold to read it, 0: none.
+ */
+struct  Pw__Document
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  uint64_t since;
+  uint32_t size;
+  ProtobufCBinaryData data;
+};
+#define PW__DOCUMENT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__document__descriptor) \
+    , 0, 0, 0, {0,NULL} }
+
+
+/*
+ * Gateway to gateway, by UDP: requests in progress at each target.
+ */
+struct  Pw__Gossip
+{
+  ProtobufCMessage base;
+  uint64_t incarnation;
+  uint64_t seq;
+  size_t n_targets;
+  uint32_t *targets;
+  size_t n_loads;
+  uint32_t *loads;
+};
+#define PW__GOSSIP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__gossip__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL }
+
+
 /*
  * A log entry of the consensus.
  */
@@ -779,7 +917,8 @@
   PW__COMMAND__BODY__NOT_SET = 0,
   PW__COMMAND__BODY_CHANGE = 2,
   PW__COMMAND__BODY_CLAIM = 3,
-  PW__COMMAND__BODY_RECORD = 4
+  PW__COMMAND__BODY_RECORD = 4,
+  PW__COMMAND__BODY_PUBLISH = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PW__COMMAND__BODY__CASE)
 } Pw__Command__BodyCase;
 
@@ -798,6 +937,10 @@
     Pw__Change *change;
     Pw__Claim *claim;
     Pw__Record *record;
+    /*
+     * the whole configuration, if its version is newer
+     */
+    Pw__Document *publish;
   };
 };
 #define PW__COMMAND__INIT \
@@ -874,10 +1017,11 @@
    * claims without their answers, as pwdedup packs them
    */
   ProtobufCBinaryData past;
+  Pw__Document *document;
 };
 #define PW__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__state__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL} }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, NULL }
 
 
 /*
@@ -1350,6 +1494,101 @@
 void   pw__record__free_unpacked
                      (Pw__Record *message,
                       ProtobufCAllocator *allocator);
+/* Pw__Beat methods */
+void   pw__beat__init
+                     (Pw__Beat         *message);
+size_t pw__beat__get_packed_size
+                     (const Pw__Beat   *message);
+size_t pw__beat__pack
+                     (const Pw__Beat   *message,
+                      uint8_t             *out);
+size_t pw__beat__pack_to_buffer
+                     (const Pw__Beat   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__Beat *
+       pw__beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__beat__free_unpacked
+                     (Pw__Beat *message,
+                      ProtobufCAllocator *allocator);
+/* Pw__Watch methods */
+void   pw__watch__init
+                     (Pw__Watch         *message);
+size_t pw__watch__get_packed_size
+                     (const Pw__Watch   *message);
+size_t pw__watch__pack
+                     (const Pw__Watch   *message,
+                      uint8_t             *out);
+size_t pw__watch__pack_to_buffer
+                     (const Pw__Watch   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__Watch *
+       pw__watch__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__watch__free_unpacked
+                     (Pw__Watch *message,
+                      ProtobufCAllocator *allocator);
+/* Pw__Notice methods */
+void   pw__notice__init
+                     (Pw__Notice         *message);
+size_t pw__notice__get_packed_size
+                     (const Pw__Notice   *message);
+size_t pw__notice__pack
+                     (const Pw__Notice   *message,
+                      uint8_t             *out);
+size_t pw__notice__pack_to_buffer
+                     (const Pw__Notice   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__Notice *
+       pw__notice__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__notice__free_unpacked
+                     (Pw__Notice *message,
+                      ProtobufCAllocator *allocator);
+/* Pw__Document methods */
+void   pw__document__init
+                     (Pw__Document         *message);
+size_t pw__document__get_packed_size
+                     (const Pw__Document   *message);
+size_t pw__document__pack
+                     (const Pw__Document   *message,
+                      uint8_t             *out);
+size_t pw__document__pack_to_buffer
+                     (const Pw__Document   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__Document *
+       pw__document__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__document__free_unpacked
+                     (Pw__Document *message,
+                      ProtobufCAllocator *allocator);
+/* Pw__Gossip methods */
+void   pw__gossip__init
+                     (Pw__Gossip         *message);
+size_t pw__gossip__get_packed_size
+                     (const Pw__Gossip   *message);
+size_t pw__gossip__pack
+                     (const Pw__Gossip   *message,
+                      uint8_t             *out);
+size_t pw__gossip__pack_to_buffer
+                     (const Pw__Gossip   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__Gossip *
+       pw__gossip__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__gossip__free_unpacked
+                     (Pw__Gossip *message,
+                      ProtobufCAllocator *allocator);
 /* Pw__Entry methods */
 void   pw__entry__init
                      (Pw__Entry         *message);
@@ -1687,6 +1926,21 @@
 typedef void (*Pw__Record_Closure)
                  (const Pw__Record *message,
                   void *closure_data);
+typedef void (*Pw__Beat_Closure)
+                 (const Pw__Beat *message,
+                  void *closure_data);
+typedef void (*Pw__Watch_Closure)
+                 (const Pw__Watch *message,
+                  void *closure_data);
+typedef void (*Pw__Notice_Closure)
+                 (const Pw__Notice *message,
+                  void *closure_data);
+typedef void (*Pw__Document_Closure)
+                 (const Pw__Document *message,
+                  void *closure_data);
+typedef void (*Pw__Gossip_Closure)
+                 (const Pw__Gossip *message,
+                  void *closure_data);
 typedef void (*Pw__Entry_Closure)
                  (const Pw__Entry *message,
                   void *closure_data);
@@ -1758,6 +2012,11 @@
 extern const ProtobufCMessageDescriptor pw__claim__descriptor;
 extern const ProtobufCMessageDescriptor pw__claimed__descriptor;
 extern const ProtobufCMessageDescriptor pw__record__descriptor;
+extern const ProtobufCMessageDescriptor pw__beat__descriptor;
+extern const ProtobufCMessageDescriptor pw__watch__descriptor;
+extern const ProtobufCMessageDescriptor pw__notice__descriptor;
+extern const ProtobufCMessageDescriptor pw__document__descriptor;
+extern const ProtobufCMessageDescriptor pw__gossip__descriptor;
 extern const ProtobufCMessageDescriptor pw__entry__descriptor;
 extern const ProtobufCMessageDescriptor pw__cons__descriptor;
 extern const ProtobufCMessageDescriptor pw__member__descriptor;
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -399,7 +399,7 @@
   pw_cons_member me = {.id = x->d.id, .slot = x->slot};
   const pw_cons_config *now = pwcons_config(l->cons);
   if (!pwmember_has(now, x->d.id)) {
-    if (pwmember_next(l->cons, &me, LEASE, &next))
+    if (pwmember_next(l->cons, &me, LEASE, 0, &next))
       pwcons_propose_config(l->cons, &next);
   } else if (!x->d.snapshot) {
     disk_found(&x->d, now);
@@ -411,7 +411,7 @@
   pw_cons_config next;
   pw_cons_member nobody = {0};
   node *l = leader(m);
-  if (l && pwmember_next(l->cons, &nobody, LEASE, &next))
+  if (l && pwmember_next(l->cons, &nobody, LEASE, 0, &next))
     pwcons_propose_config(l->cons, &next);
 }
 
