A planned stop closes callers' connections at rest

Ruled out: the listening socket (closed after 2.5 s; the requests came over connections that were there before). Change: connections at rest are closed when the stop begins and when listening ends.

--- a/packages/gateway/pwclient.c
+++ b/packages/gateway/pwclient.c
@@ -298,6 +298,15 @@
   }
 }
 
+void pwclient_close_idle(pw_gate *g) {
+  for (pw_client *c = g->clients, *next; c; c = next) {
+    next = c->next;
+    if (!c->is_busy && c->request.state == PWH1_HEAD &&
+        c->request.head.len == 0)
+      close_client(c, 0);
+  }
+}
+
 void pwclient_sweep(pw_gate *g, int64_t now) {
   for (pw_client *c = g->clients, *next; c; c = next) {
     next = c->next;
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -94,6 +94,9 @@
 /* Breaks off: an answer in progress does not look whole. */
 void pwclient_break(pw_client *c);
 
+/* Closes connections at rest: a planned stop. */
+void pwclient_close_idle(pw_gate *g);
+
 /* Closes connections that have rested or dawdled for too long. */
 void pwclient_sweep(pw_gate *g, int64_t now);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -199,8 +199,10 @@
   int64_t grace = (int64_t)(g->p->set->gateway_grace * MS_PER_S);
   int64_t since = now - g->stop_at;
   int64_t listen = STOP_LISTEN_MS < grace / 2 ? STOP_LISTEN_MS : grace / 2;
-  if (since >= listen)
+  if (since >= listen && ev_is_active(&g->front)) {
     stop_listening(g, &g->front);
+    pwclient_close_idle(g);
+  }
   return since >= grace - STOP_MARGIN_MS ||
          (since >= listen && g->nexchanges == 0);
 }
@@ -210,6 +212,7 @@
   pwproc_set_ready(g->p, 0);
   pwtrace_line(g->trace, PWTRACE_STATE, now, "stopping", "requests=%d",
                g->nexchanges);
+  pwclient_close_idle(g); /* else a request may come when it is too late */
 }
 
 /* --- the loop --- */
