--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -19,10 +19,14 @@
 #define CONNECTS_MAX 6
 
 /* When to come back, where nothing better is known, ms. */
-#define RETRY_NOT_READY_MS 500
+#define RETRY_SPREAD_MS 300 /* so that not all come at once */
 #define RETRY_NO_TARGET_MS 700
 #define RETRY_LEAST_MS 100
 
+/* A gateway that was started has its configuration by then: control elects a
+** leader in one to two leases of 500 ms. */
+#define START_MS 1000
+
 #define MS_PER_S 1000
 
 /* --- the end of an exchange --- */
@@ -278,7 +282,10 @@
 void pwexchange_begin(pw_client *c) {
   pw_gate *g = c->g;
   if (!g->site) {
-    pwclient_refuse(c, PW_E_NOT_READY, "", RETRY_NOT_READY_MS);
+    int64_t left = g->started_at + START_MS - pwclock_ms();
+    pwclient_refuse(c, PW_E_NOT_READY, "",
+                    (left > RETRY_LEAST_MS ? left : RETRY_LEAST_MS) +
+                        (int64_t)(pwgate_draw(g) * RETRY_SPREAD_MS));
     return;
   }
   pw_exchange *x = pw_alloc(sizeof *x);
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -52,6 +52,7 @@
   int nclients;
   int nexchanges;
   uint64_t random;
+  int64_t started_at;
   int64_t stop_at; /* when the planned stop began, ms; 0: it has not */
   int is_ready;
   int64_t swept_at;
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -263,7 +263,7 @@
 }
 
 pw_code pwgateway_run(pw_proc *p, pw_buf *err) {
-  pw_gate g = {.p = p, .dialect = p->dialect};
+  pw_gate g = {.p = p, .dialect = p->dialect, .started_at = pwclock_ms()};
   pw_code rc = PW_E_SETTINGS;
   g.ev = ev_loop_new(EVFLAG_AUTO | EVFLAG_NOENV);
   if (!g.ev)
