A target without a sign of life for half a second is dark: what may go on elsewhere does

Ruled out: heartbeats (4 missed take 4.8 s) as evidence; a lost packet alone, hence the sign of life. Change: any byte is a sign of life; a connection that does not come up to a dark target sets it aside at once; every 0.1 s requests that may go on elsewhere leave a dark target.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -368,7 +368,9 @@
 void pwexchange_failed(pw_exchange *x, pw_tcp_end how, int unused) {
   int64_t now = pwclock_ms();
   x->u = NULL;
-  if (!unused)
+  if (!x->is_sent)
+    pwfleet_unreached(x->t, now);
+  else if (!unused)
     pwfleet_failed(x->t, now);
   if (!x->is_sent) { /* nothing left this gateway */
     if (x->connects++ < CONNECTS_MAX)
@@ -389,6 +391,30 @@
   pwexi_unknown(x, how == PWTCP_EOF ? "the target closed" : "reset");
 }
 
+/* Sent at least so long ago, ms: less is usual for a request that waits. */
+#define STALL_MS 600
+
+/* A target that went dark says nothing: who may go on elsewhere does so while
+** there is time, another waits for its time-out. */
+static void check_stall(pw_exchange *x, int64_t now) {
+  if (!x->u || !x->is_sent || now - x->sent_at < STALL_MS ||
+      !pwfleet_is_dark(x->t, now) || !may_repeat(x, now))
+    return;
+  pwfleet_unreached(x->t, now);
+  pw_upconn *u = x->u;
+  x->u = NULL;
+  pwupconn_cancel(u);
+  pwexi_retry(x, "the target went dark", 1);
+}
+
+void pwexchange_check(pw_gate *g, int64_t now) {
+  for (pw_client *c = g->clients, *next; c; c = next) {
+    next = c->next;
+    if (c->exchange)
+      check_stall(c->exchange, now);
+  }
+}
+
 /* --- answers --- */
 
 void pwexchange_sent(pw_exchange *x) {
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -55,7 +55,7 @@
   int64_t started_at;
   int64_t stop_at; /* when the planned stop began, ms; 0: it has not */
   int is_ready;
-  int64_t swept_at;
+  int64_t swept_at, checked_at;
   ev_io front, ready;
   ev_timer tick;
   ev_prepare reap;
@@ -107,6 +107,9 @@
 /* Begins the exchange of a whole request. */
 void pwexchange_begin(pw_client *c);
 
+/* Has requests go on elsewhere whose target went dark. */
+void pwexchange_check(pw_gate *g, int64_t now);
+
 /* The caller has gone. */
 void pwexchange_abandon(pw_exchange *x);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -16,6 +16,7 @@
 
 #define TICK_S 0.02
 #define SWEEP_MS 250
+#define CHECK_MS 100
 #define MS_PER_S 1000
 
 /* A planned stop, as shares of its grace: callers may still come by then (the
@@ -230,6 +231,10 @@
   int64_t now = pwclock_ms();
   pwlink_tick(g->link, now);
   pwgossip_tick(g->gossip, now);
+  if (now - g->checked_at >= CHECK_MS) {
+    g->checked_at = now;
+    pwexchange_check(g, now);
+  }
   if (now - g->swept_at >= SWEEP_MS) {
     g->swept_at = now;
     sweep(g, now);
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -140,6 +140,7 @@
     return;
   }
   u->has_spoken = 1;
+  u->t->seen_at = pwclock_ms();
   while (n > 0 && u->x && !u->is_closed) {
     pw_h1_state before = u->answer.state;
     size_t used = pwh1_take(&u->answer, data, n);
@@ -177,6 +178,7 @@
 static void on_connected(void *arg) {
   pw_upconn *u = arg;
   ev_timer_stop(u->g->ev, &u->connecting);
+  u->t->seen_at = pwclock_ms();
   u->is_up = 1;
   pwtcp_write(u->tcp, u->out.data, u->out.len);
   pwbuf_free(&u->out);
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -25,6 +25,10 @@
 #define ASIDE_MAX_MS 6400
 #define ASIDE_AFTER 2 /* failures in a row */
 
+/* A target that sends nothing to this gateway for so long, ms, while requests
+** wait for it: several times what a busy one's events are apart. */
+#define DARK_MS 500
+
 /* Errors: weight of the newest answer; the time in which a share fades by half
 ** without answers, ms; and how far above the mean of its service a target's share
 ** may be before others are preferred. */
@@ -320,7 +324,7 @@
 void pwfleet_answered(pw_target *t, double work_ms, int64_t now) {
   t->failures = 0;
   t->set_aside = 0;
-  t->answered_at = now;
+  t->answered_at = t->seen_at = now;
   note_error(t, 0, now);
   if (work_ms >= 0)
     t->work_ms += WORK_SHARE * (work_ms - t->work_ms);
@@ -328,15 +332,29 @@
 
 void pwfleet_erred(pw_target *t, int64_t now) {
   t->failures = 0;
-  t->answered_at = now;
+  t->answered_at = t->seen_at = now;
   note_error(t, 1, now);
 }
 
-void pwfleet_failed(pw_target *t, int64_t now) {
-  t->failures++;
-  if (t->failures < ASIDE_AFTER)
-    return;
-  int doublings = t->failures - ASIDE_AFTER;
+int pwfleet_is_dark(const pw_target *t, int64_t now) {
+  return now - t->seen_at > DARK_MS;
+}
+
+static void set_aside(pw_target *t, int doublings, int64_t now) {
   int64_t ms = ASIDE_MS << (doublings < 4 ? doublings : 4);
   t->set_aside = now + (ms < ASIDE_MAX_MS ? ms : ASIDE_MAX_MS);
 }
+
+void pwfleet_failed(pw_target *t, int64_t now) {
+  t->failures++;
+  if (t->failures >= ASIDE_AFTER)
+    set_aside(t, t->failures - ASIDE_AFTER, now);
+}
+
+/* One lost packet keeps a connection from coming up in time: that alone says
+** nothing of a target that has just sent something. */
+void pwfleet_unreached(pw_target *t, int64_t now) {
+  t->failures++;
+  if (t->failures >= ASIDE_AFTER || pwfleet_is_dark(t, now))
+    set_aside(t, t->failures - 1, now);
+}
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -37,7 +37,8 @@
   double errors;       /* share of its answers that were errors, smoothed ... */
   int64_t errors_at;   /* ... as of then, ms; it fades without answers */
   int64_t set_aside;   /* not sent to until then, ms */
-  int64_t answered_at; /* its newest sign of life, ms */
+  int64_t answered_at; /* its newest answer, ms */
+  int64_t seen_at;     /* its newest byte, ms */
   double work_ms;      /* smoothed time of one request there */
   int refs;
   struct pw_target *next_of_all;
@@ -109,6 +110,13 @@
 void pwfleet_answered(pw_target *t, double work_ms, int64_t now);
 void pwfleet_failed(pw_target *t, int64_t now);
 
+/* It could not be reached: no connection came up. */
+void pwfleet_unreached(pw_target *t, int64_t now);
+
+/* Whether it has shown no sign of life for so long that requests which wait for
+** it are better off elsewhere. */
+int pwfleet_is_dark(const pw_target *t, int64_t now);
+
 /* It answered with an error of its own. */
 void pwfleet_erred(pw_target *t, int64_t now);
 
