--- a/packages/consensus/pwmember.c
+++ b/packages/consensus/pwmember.c
@@ -1,6 +1,14 @@
 /* pwmember.c: which single change of a group's membership comes next. */
 #include "pwmember.h"
 
+#ifndef PW_MUTATION
+#define PW_MUTATION 0
+#endif
+enum {
+  MUT_KEEP_SILENT = 18, /* a lost machine keeps its place */
+  MUT_CROWD = 19        /* learners vote whatever the group's size */
+};
+
 int pwmember_has(const pw_cons_config *c, uint64_t id) {
   for (int i = 0; i < c->n; i++)
     if (c->m[i].id == id)
@@ -48,26 +56,18 @@
   return found;
 }
 
-/* Whether those that answer are a quorum of `c`. */
-static int quorum_answers(const pw_cons *cons, const pw_cons_config *c,
-                          int64_t lease) {
-  int n = 0;
-  for (int i = 0; i < c->n; i++)
-    n += c->m[i].voter && pwcons_peer_silence(cons, c->m[i].id) <= lease;
-  return n > voters(c) / 2;
-}
-
-/* A learner wants a place and there is none: that of a silent voter. */
-static const char *make_place(const pw_cons *cons, int64_t lease,
-                              pw_cons_config *next) {
-  int silent = find_silent(cons, next);
-  if (silent < 0)
-    return NULL;
-  drop(next, silent);
-  return quorum_answers(cons, next, lease) ? "remove" : NULL;
+/* Whether one more may vote. In a full group only beside a silent voter, which
+** is removed after that: removed before, two losses at once could leave too few
+** of those that are left, and the silent one, back again, would not count. */
+static int has_place(const pw_cons *cons, int size, const pw_cons_config *c) {
+  int n = voters(c);
+  if (size <= 0 || n < size || PW_MUTATION == MUT_CROWD)
+    return 1;
+  return n == size && find_silent(cons, c) >= 0 &&
+         PW_MUTATION != MUT_KEEP_SILENT;
 }
 
-static const char *promote(const pw_cons *cons, int64_t lease, int size,
+static const char *promote(const pw_cons *cons, int size,
                            pw_cons_config *next) {
   for (int i = 0; i < next->n; i++) {
     if (next->m[i].voter || !pwcons_caught_up(cons, next->m[i].id))
@@ -77,14 +77,23 @@
       drop(next, old);
       return "remove";
     }
-    if (size > 0 && voters(next) >= size)
-      return make_place(cons, lease, next);
+    if (!has_place(cons, size, next))
+      continue;
     next->m[i].voter = 1;
     return "promote";
   }
   return NULL;
 }
 
+/* A group that is larger than its size loses a silent voter. */
+static const char *shrink(const pw_cons *cons, int size, pw_cons_config *next) {
+  int silent = find_silent(cons, next);
+  if (size <= 0 || voters(next) <= size || silent < 0)
+    return NULL;
+  drop(next, silent);
+  return "remove";
+}
+
 static int slot_is_alive(const pw_cons *cons, const pw_cons_config *c,
                          uint32_t slot, int64_t lease) {
   int voter = find_slot(c, slot, 1);
@@ -103,7 +112,9 @@
 const char *pwmember_next(const pw_cons *cons, const pw_cons_member *joining,
                           int64_t lease, int size, pw_cons_config *next) {
   *next = *pwcons_config(cons);
-  const char *what = promote(cons, lease, size, next);
+  const char *what = shrink(cons, size, next);
+  if (!what)
+    what = promote(cons, size, next);
   if (what || !joining->id || pwmember_has(pwcons_config(cons), joining->id))
     return what;
   *next = *pwcons_config(cons);
--- a/packages/consensus/pwmember.h
+++ b/packages/consensus/pwmember.h
@@ -28,9 +28,9 @@
 ** voter has answered within two leases: a disk that was replaced cannot push
 ** out its successor, nor can a second instance set up with the same id.
 **
-** `size` above 0: the group has so many voters at most. More learners wait
-** until a voter is silent, and take its place: first it is removed, if those
-** that answer are a quorum without it too, then the learner is promoted. */
+** `size` above 0: the group has so many voters. More learners wait until a voter
+** is silent, and take its place: the learner is promoted, then the silent one
+** removed. */
 const char *pwmember_next(const pw_cons *cons, const pw_cons_member *joining,
                           int64_t lease, int size, pw_cons_config *next);
 
--- a/packages/daemon/pwwatch.c
+++ b/packages/daemon/pwwatch.c
@@ -5,28 +5,37 @@
 #include "pwcons.h"
 #include "pwlimits.h"
 #include "pwlog.h"
+#include "pwtable.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-/* A watcher that says nothing for so long is gone, ms. */
-#define WATCHER_LOST_MS 3000
-
 /* Heartbeats that change nothing are passed on together, ms. */
 #define RENEW_MS 250
 
-/* Watchers hear something at least so often, ms. */
+/* Watchers hear something at least so often, and say that they are there; the
+** more there are the rarer, so that what a control instance sends and takes
+** stays bounded; ms. */
 #define NOTICE_MS 500
+#define NOTICE_MS_A_WATCHER 10
+
+/* A watcher that says nothing for so many of these times is gone. */
+#define LOST_TIMES 5
 
-/* And the list of gateways again after so long, ms. */
+/* And the lists of instances again after so long, ms. */
 #define LIST_MS 2000
 
-#define NEWS_MAX 256 /* heartbeats that wait to be passed on */
+/* A single change goes out at once, more within so long together, ms. */
+#define GATHER_MS 30
+
+#define NEWS_MAX 2048 /* heartbeats that wait to be passed on */
 
 typedef struct watcher {
   pw_peer peer;
   uint64_t incarnation;
-  char gossip[PW_NAME_MAX];
+  char gossip[PW_NAME_MAX]; /* "": another control instance */
+  int is_primary;           /* it relies on this one for all of the targets */
+  int is_lost;              /* a message to it was dropped */
   int64_t heard_at, told_at, listed_at;
   uint64_t told_site;
   struct watcher *next;
@@ -41,7 +50,9 @@
 
 typedef struct news {
   pw_beat beat;
-  int gone;
+  int gone, silent;
+  int is_change; /* else: it was heard again, as before */
+  int is_own;    /* heard here, not told by another control instance */
   int64_t heard_at;
 } news;
 
@@ -51,13 +62,15 @@
   const pw_doc *doc;
   pw_fleet *targets;
   watcher *watchers;
+  int nwatchers;
   other others[PWCONS_MEMBERS];
   int nothers;
   news news[NEWS_MAX];
   int nnews;
-  int is_urgent; /* something has changed: it is told at once */
+  int64_t urgent_at; /* when the oldest change came; 0: there is none */
   int64_t renewed_at;
   int gateways_changed;
+  int in_touch; /* a leader was heard just now */
 };
 
 pw_watch *pwwatch_new(pw_proc *p, pw_sock *listener, pw_sock *dialler,
@@ -83,111 +96,51 @@
   free(w);
 }
 
-/* --- messages to watchers --- */
-
-typedef struct beats {
-  Pw__Beat *beat;
-  Pw__Beat **at;
-  size_t n;
-} beats;
-
-static void pack_beat(Pw__Beat *out, const pw_beat *b, int gone, int64_t age) {
-  pw__beat__init(out);
-  out->target = (char *)b->id;
-  out->service = (char *)b->service;
-  out->address = (char *)b->address;
-  out->availability_zone = (char *)b->zone;
-  out->version = (char *)b->version;
-  out->slots = (uint32_t)b->slots;
-  out->leaving = b->leaving;
-  out->gone = gone;
-  out->cold = (uint32_t)(b->cold_ms > age ? b->cold_ms - age : 0);
-  out->seq = b->seq;
-  out->age = (uint32_t)(age > 0 ? age : 0);
-}
-
-static void new_beats(beats *b, size_t cap) {
-  b->beat = pw_alloc(sizeof *b->beat * (cap + 1));
-  b->at = pw_alloc(sizeof *b->at * (cap + 1));
-  b->n = 0;
-}
-
-static void free_beats(beats *b) {
-  free(b->beat);
-  free(b->at);
+static int64_t notice_ms(const pw_watch *w) {
+  int64_t ms = NOTICE_MS_A_WATCHER * (int64_t)w->nwatchers;
+  return ms > NOTICE_MS ? ms : NOTICE_MS;
 }
 
-static void add_beat(beats *b, const pw_beat *beat, int gone, int64_t age) {
-  pack_beat(&b->beat[b->n], beat, gone, age);
-  b->at[b->n] = &b->beat[b->n];
-  b->n++;
-}
-
-/* A target as its last heartbeat told. Its strings are the target's. */
-static pw_beat beat_of(const pw_target *t, int64_t now) {
-  pw_beat b = {.slots = t->slots,
-               .leaving = t->is_leaving,
-               .cold_ms = t->cold_until > now ? t->cold_until - now : 0,
-               .seq = t->seq};
-  pw_copy(b.id, sizeof b.id, t->id);
-  pw_copy(b.service, sizeof b.service, t->service);
-  pw_copy(b.address, sizeof b.address, t->address);
-  pw_copy(b.zone, sizeof b.zone, t->zone);
-  return b;
-}
+/* --- messages to watchers --- */
 
 static void add_lists(pw_watch *w, Pw__Notice *n, int with_gateways) {
-  size_t count = 1;
-  for (watcher *one = w->watchers; one; one = one->next)
-    count++;
   n->control = pw_alloc(sizeof(char *) * (size_t)(w->nothers + 1));
   for (int i = 0; i < w->nothers; i++)
     n->control[n->n_control++] = w->others[i].addr;
   n->control[n->n_control++] = w->p->set->control_wire;
   if (!with_gateways)
     return;
-  n->gateways = pw_alloc(sizeof(char *) * count);
+  n->gateways = pw_alloc(sizeof(char *) * (size_t)(w->nwatchers + 1));
   for (watcher *one = w->watchers; one; one = one->next)
     if (one->gossip[0])
       n->gateways[n->n_gateways++] = one->gossip;
 }
 
-static void tell(pw_watch *w, watcher *to, const beats *b, int full,
-                 int in_touch, int64_t now) {
-  Pw__Notice n = PW__NOTICE__INIT;
-  n.site = pwdoc_version(w->doc);
-  n.in_touch = in_touch;
-  n.full = full;
-  n.beats = b->at;
-  n.n_beats = b->n;
-  int lists = full || w->gateways_changed || now - to->listed_at >= LIST_MS;
-  if (lists) {
-    add_lists(w, &n, to->gossip[0] != 0);
+/* Sends a notice whose heartbeats the caller has filled in. */
+static void tell(pw_watch *w, watcher *to, Pw__Notice *n, int64_t now) {
+  n->site = pwdoc_version(w->doc);
+  n->in_touch = w->in_touch;
+  n->watch_ms = (uint32_t)notice_ms(w);
+  if (w->gateways_changed || now - to->listed_at >= LIST_MS) {
+    add_lists(w, n, to->is_primary && to->gossip[0]);
     to->listed_at = now;
   }
-  Pw__Envelope e = PW_ENVELOPE(NOTICE, notice, &n);
-  pwwire_send(w->listener, &to->peer, &e);
-  free(n.control);
-  free(n.gateways);
+  Pw__Envelope e = PW_ENVELOPE(NOTICE, notice, n);
+  if (pwwire_send(w->listener, &to->peer, &e) != 0)
+    to->is_lost = 1; /* it comes again, and is told all */
+  free(n->control);
+  free(n->gateways);
   to->told_at = now;
-  to->told_site = n.site;
+  to->told_site = n->site;
 }
 
 static void tell_all_targets(pw_watch *w, watcher *to, int64_t now) {
-  beats b;
-  size_t n = 0;
-  for (pw_target *t = pwfleet_first(w->targets); t; t = t->hh.next)
-    n++;
-  pw_beat *all = pw_alloc(sizeof *all * (n + 1));
-  new_beats(&b, n);
-  for (pw_target *t = pwfleet_first(w->targets); t; t = t->hh.next) {
-    pw_beat *one = &all[b.n];
-    *one = beat_of(t, now);
-    add_beat(&b, one, t->is_gone, now - t->heard_at);
-  }
-  tell(w, to, &b, 1, 0, now);
-  free_beats(&b);
-  free(all);
+  Pw__Notice n = PW__NOTICE__INIT;
+  pwtable_write(w->targets, now, &n);
+  n.full = 1;
+  to->listed_at = 0;
+  tell(w, to, &n, now);
+  free(n.table.data);
 }
 
 static void send_document(pw_watch *w, const pw_peer *to, uint64_t have) {
@@ -200,55 +153,55 @@
 
 /* --- news --- */
 
-static void note_news(pw_watch *w, const pw_beat *b, int gone, int urgent,
-                      int64_t heard_at) {
-  if (w->nnews == NEWS_MAX) { /* a later heartbeat says the same again */
-    pwlog(LOG_WARNING, "news-full", "target=%s", b->id);
-    return;
+static void note_news(pw_watch *w, const pw_beat *b, pw_fleet_news what,
+                      int is_own, int64_t heard_at) {
+  int is_change = what != PWFLEET_RENEWED;
+  if (is_change)
+    pwlog(LOG_NOTICE, pwfleet_news_name(what),
+          "target=%s service=%s address=%s", b->id, b->service, b->address);
+  if (w->nnews == NEWS_MAX) { /* watchers are told all, as if they were new */
+    for (watcher *one = w->watchers; one; one = one->next)
+      one->is_lost = 1;
+    w->nnews = 0;
   }
-  w->news[w->nnews++] = (news){*b, gone, heard_at};
-  w->is_urgent |= urgent;
-}
-
-static void log_change(const pw_beat *b, pw_fleet_news what) {
-  static const char *const name[] = {[PWFLEET_JOINED] = "target-joined",
-                                     [PWFLEET_LEAVING] = "target-leaving",
-                                     [PWFLEET_GONE] = "target-gone"};
-  if (what >= PWFLEET_JOINED)
-    pwlog(LOG_NOTICE, name[what], "target=%s service=%s address=%s", b->id,
-          b->service, b->address);
+  w->news[w->nnews++] = (news){
+      *b,      what == PWFLEET_GONE, what == PWFLEET_SILENT, is_change, is_own,
+      heard_at};
+  if (is_change && !w->urgent_at)
+    w->urgent_at = pwclock_ms();
 }
 
 void pwwatch_beat(pw_watch *w, const pw_beat *b, int gone, int64_t now) {
   pw_fleet_news what = pwfleet_beat(w->targets, b, gone, now);
-  log_change(b, what);
   if (what != PWFLEET_OLD)
-    note_news(w, b, gone, what != PWFLEET_RENEWED, now);
+    note_news(w, b, what, 1, now);
 }
 
-/* Another control instance tells: what is new here is passed on. */
-static void on_notice(pw_watch *w, const Pw__Notice *n, int64_t now) {
-  for (size_t i = 0; i < n->n_beats; i++) {
-    pw_beat b;
-    pwwatch_unpack(n->beats[i], &b);
-    int64_t heard_at = now - n->beats[i]->age;
-    pw_fleet_news what =
-        pwfleet_beat(w->targets, &b, n->beats[i]->gone, heard_at);
-    if (what >= PWFLEET_JOINED)
-      note_news(w, &b, n->beats[i]->gone, 1, heard_at);
-  }
+static void on_silent(void *arg, pw_target *t) {
+  pw_watch *w = arg;
+  pw_beat b;
+  int64_t now = pwclock_ms();
+  pwfleet_beat_of(t, now, &b);
+  note_news(w, &b, PWFLEET_SILENT, 0, now);
 }
 
-void pwwatch_unpack(const Pw__Beat *in, pw_beat *out) {
-  *out = (pw_beat){.slots = (int)in->slots,
-                   .leaving = in->leaving,
-                   .cold_ms = in->cold,
-                   .seq = in->seq};
-  pw_copy(out->id, sizeof out->id, in->target);
-  pw_copy(out->service, sizeof out->service, in->service);
-  pw_copy(out->address, sizeof out->address, in->address);
-  pw_copy(out->zone, sizeof out->zone, in->availability_zone);
-  pw_copy(out->version, sizeof out->version, in->version);
+typedef struct told {
+  pw_watch *w;
+  int64_t now;
+} told;
+
+/* Another control instance has heard a target. Who is silent each judges by
+** itself, from all that they have told each other. */
+static void on_told(void *arg, const Pw__Beat *beat) {
+  const told *in = arg;
+  pw_beat b;
+  if (beat->silent)
+    return;
+  pwtable_unpack(beat, &b);
+  int64_t heard_at = in->now - beat->age;
+  pw_fleet_news what = pwfleet_beat(in->w->targets, &b, beat->gone, heard_at);
+  if (what >= PWFLEET_JOINED)
+    note_news(in->w, &b, what, 0, heard_at);
 }
 
 /* --- watchers --- */
@@ -261,22 +214,30 @@
   return NULL;
 }
 
+static watcher *add_watcher(pw_watch *w, const pw_peer *from,
+                            const Pw__Envelope *e) {
+  watcher *one = pw_alloc(sizeof *one);
+  one->peer = *from;
+  one->incarnation = e->incarnation;
+  one->next = w->watchers;
+  w->watchers = one;
+  w->nwatchers++;
+  one->told_site = UINT64_MAX; /* it is told at once */
+  pw_copy(one->gossip, sizeof one->gossip, e->watch->gossip);
+  w->gateways_changed |= one->gossip[0] != 0;
+  return one;
+}
+
 static void on_watch(pw_watch *w, const pw_peer *from, const Pw__Envelope *e,
                      int64_t now) {
   const Pw__Watch *m = e->watch;
   watcher *one = watcher_of(w, from, e->incarnation);
-  int is_new = !one;
-  if (is_new) {
-    one = pw_alloc(sizeof *one);
-    one->peer = *from;
-    one->incarnation = e->incarnation;
-    one->next = w->watchers;
-    w->watchers = one;
-    pw_copy(one->gossip, sizeof one->gossip, m->gossip);
-    w->gateways_changed |= one->gossip[0] != 0;
-  }
+  if (!one)
+    one = add_watcher(w, from, e);
   one->heard_at = now;
-  if (is_new)
+  int relies = m->primary && !one->is_primary;
+  one->is_primary = m->primary;
+  if (relies)
     tell_all_targets(w, one, now);
   if (m->want && pwdoc_version(w->doc) > m->site)
     send_document(w, from, m->site);
@@ -284,20 +245,23 @@
 
 void pwwatch_message(pw_watch *w, const pw_peer *from, const Pw__Envelope *e,
                      int64_t now) {
+  told in = {w, now};
   if (e->body_case == PW__ENVELOPE__BODY_WATCH)
     on_watch(w, from, e, now);
   else if (e->body_case == PW__ENVELOPE__BODY_NOTICE)
-    on_notice(w, e->notice, now);
+    pwtable_read(e->notice, on_told, &in);
 }
 
 static void drop_lost(pw_watch *w, int64_t now) {
+  int64_t longest = LOST_TIMES * notice_ms(w);
   for (watcher **at = &w->watchers; *at;) {
     watcher *one = *at;
-    if (now - one->heard_at < WATCHER_LOST_MS) {
+    if (!one->is_lost && now - one->heard_at < longest) {
       at = &one->next;
       continue;
     }
     *at = one->next;
+    w->nwatchers--;
     w->gateways_changed |= one->gossip[0] != 0;
     free(one);
   }
@@ -333,6 +297,7 @@
       continue;
     o->asked_at = now;
     Pw__Watch m = PW__WATCH__INIT;
+    m.primary = 1;
     Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
     pwwire_send(w->dialler, &o->peer, &e);
   }
@@ -340,21 +305,36 @@
 
 /* --- time --- */
 
-static void tell_news(pw_watch *w, int in_touch, int64_t now) {
-  beats b;
-  new_beats(&b, NEWS_MAX);
-  for (int i = 0; i < w->nnews; i++)
-    add_beat(&b, &w->news[i].beat, w->news[i].gone, now - w->news[i].heard_at);
-  int all = b.n > 0 || w->gateways_changed;
-  for (watcher *one = w->watchers; one; one = one->next)
-    if (all || one->told_site != pwdoc_version(w->doc) ||
-        now - one->told_at >= NOTICE_MS)
-      tell(w, one, &b, 0, in_touch, now);
-  free_beats(&b);
-  w->nnews = 0;
-  w->is_urgent = 0;
-  w->gateways_changed = 0;
-  w->renewed_at = now;
+/* Other control instances hear what was heard here, and its renewals. A gateway
+** hears of changes: of all from the instance that it relies on, of what was
+** heard here and leaves from every one. */
+static int concerns(const news *n, const watcher *to) {
+  if (!to->gossip[0])
+    return n->is_own;
+  if (!n->is_change)
+    return 0;
+  return to->is_primary || (n->is_own && (n->gone || n->beat.leaving));
+}
+
+static void tell_news(pw_watch *w, watcher *to, int64_t now) {
+  Pw__Notice n = PW__NOTICE__INIT;
+  Pw__Beat *beat = pw_alloc(sizeof *beat * (size_t)(w->nnews + 1));
+  n.beats = pw_alloc(sizeof *n.beats * (size_t)(w->nnews + 1));
+  for (int i = 0; i < w->nnews; i++) {
+    const news *one = &w->news[i];
+    if (!concerns(one, to))
+      continue;
+    pwtable_pack(&beat[n.n_beats], &one->beat, one->gone, one->silent,
+                 now - one->heard_at);
+    n.beats[n.n_beats] = &beat[n.n_beats];
+    n.n_beats++;
+  }
+  if (n.n_beats || w->gateways_changed ||
+      to->told_site != pwdoc_version(w->doc) ||
+      now - to->told_at >= notice_ms(w))
+    tell(w, to, &n, now);
+  free(n.beats);
+  free(beat);
 }
 
 static int site_is_news(const pw_watch *w) {
@@ -364,11 +344,26 @@
   return 0;
 }
 
+/* The first change goes out at once; those that follow closely wait a little
+** for each other. */
+static int is_due(const pw_watch *w, int64_t now) {
+  if (now - w->renewed_at >= RENEW_MS)
+    return 1;
+  return (w->urgent_at || w->gateways_changed || site_is_news(w)) &&
+         now - w->renewed_at >= GATHER_MS;
+}
+
 void pwwatch_tick(pw_watch *w, int in_touch, int64_t now) {
+  w->in_touch = in_touch;
   drop_lost(w, now);
   watch_others(w, now);
-  pwfleet_tick(w->targets, now);
-  if (w->is_urgent || w->gateways_changed || site_is_news(w) ||
-      now - w->renewed_at >= RENEW_MS)
-    tell_news(w, in_touch, now);
+  pwfleet_tick(w->targets, now, on_silent, w);
+  if (!is_due(w, now))
+    return;
+  for (watcher *one = w->watchers; one; one = one->next)
+    tell_news(w, one, now);
+  w->nnews = 0;
+  w->urgent_at = 0;
+  w->gateways_changed = 0;
+  w->renewed_at = now;
 }
--- a/packages/daemon/pwwatch.h
+++ b/packages/daemon/pwwatch.h
@@ -23,9 +23,6 @@
 /* A target was heard here. */
 void pwwatch_beat(pw_watch *w, const pw_beat *b, int gone, int64_t now);
 
-/* A heartbeat as it is passed on. */
-void pwwatch_unpack(const Pw__Beat *in, pw_beat *out);
-
 /* Other control instances, by their wire addresses. */
 void pwwatch_others(pw_watch *w, char (*addr)[PW_NAME_MAX], int n);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -221,7 +221,7 @@
   pwclient_sweep(g, now);
   for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
     pwupconn_sweep(g, t, now);
-  pwfleet_tick(g->fleet, now);
+  pwfleet_tick(g->fleet, now, NULL, NULL);
   pwcount_set(g->p->counters, PWC_GW_TARGETS, pwfleet_count(g->fleet));
 }
 
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -4,20 +4,21 @@
 
 #include "pwdoc.h"
 #include "pwlog.h"
-#include "pwwatch.h"
+#include "pwtable.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 #include <zmq.h>
 
 #define WATCH_MS 500     /* control is told so often that we are there */
 #define ASK_AGAIN_MS 300 /* a document that did not come is asked for again */
-#define FRESH_MS 1500    /* what control said so long ago still counts */
+#define FRESH_TIMES 3    /* missed notices after which control is silent */
+#define TELL_ALL_MS 1000 /* a primary has told all of its targets by then */
 #define FORGET_MS 20000  /* a control instance silent for so long is dropped */
 #define ALONE_MS 1500    /* with a configuration, but nobody to confirm it */
 #define POLL_S 0.05      /* in case an edge of the socket was missed */
-#define GATEWAYS_MAX 256
 
 typedef struct contact {
   char addr[PW_NAME_MAX];
@@ -26,9 +27,8 @@
   uint64_t site; /* version it has told */
   int in_touch;
   int64_t heard_at; /* 0: never */
+  int64_t watch_ms; /* how often it wants to hear of us */
   int64_t asked_at, wanted_at, dialled_at;
-  char **gateways;
-  size_t ngateways;
   struct contact *next;
 } contact;
 
@@ -37,6 +37,8 @@
   pw_sock *sock;
   pw_doc *doc;
   contact *contacts;
+  contact *primary; /* it tells all that is known of targets */
+  int64_t chosen_at, full_at;
   int64_t site_at; /* when the configuration in force came */
   int ngateways;
   ev_io io;
@@ -51,24 +53,18 @@
   pw_copy(c->addr, sizeof c->addr, addr);
   pwwire_dial(l->sock, addr, &c->peer);
   c->dialled_at = now;
+  c->watch_ms = WATCH_MS;
   c->next = l->contacts;
   l->contacts = c;
   return c;
 }
 
-static void free_gateways(contact *c) {
-  for (size_t i = 0; i < c->ngateways; i++)
-    free(c->gateways[i]);
-  free(c->gateways);
-  c->gateways = NULL;
-  c->ngateways = 0;
-}
-
 static void send_watch(pw_link *l, contact *c, int want, int64_t now) {
   Pw__Watch m = PW__WATCH__INIT;
   m.site = pwdoc_version(l->doc);
   m.want = want;
   m.gossip = l->g->p->set->gateway_gossip;
+  m.primary = c == l->primary;
   Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
   pwwire_send(l->sock, &c->peer, &e);
   c->asked_at = now;
@@ -78,66 +74,50 @@
 
 /* --- what control tells --- */
 
-static void log_target(pw_gate *g, const pw_beat *b, pw_fleet_news what,
-                       int64_t now) {
-  static const char *const name[] = {[PWFLEET_JOINED] = "target-joined",
-                                     [PWFLEET_LEAVING] = "target-leaving",
-                                     [PWFLEET_GONE] = "target-gone"};
-  if (what >= PWFLEET_JOINED)
-    pwtrace_line(g->trace, PWTRACE_STATE, now, name[what],
-                 "target=%s service=%s addr=%s seq=%llu", b->id, b->service,
-                 b->address, (unsigned long long)b->seq);
-}
-
-static void take_beats(pw_link *l, const Pw__Notice *n, int64_t now) {
-  for (size_t i = 0; i < n->n_beats; i++) {
-    pw_beat b;
-    pwwatch_unpack(n->beats[i], &b);
-    log_target(l->g, &b,
-               pwfleet_beat(l->g->fleet, &b, n->beats[i]->gone,
-                            now - n->beats[i]->age),
-               now);
-  }
-}
-
-static int cmp_text(const void *a, const void *b) {
-  return strcmp(*(char *const *)a, *(char *const *)b);
-}
+typedef struct told {
+  pw_link *l;
+  int in_touch;
+  int64_t now;
+} told;
 
-/* The gateways that any control instance in touch has told of. */
-static void tell_gossip(pw_link *l, int64_t now) {
-  char *all[GATEWAYS_MAX];
-  size_t n = 0, kept = 0;
-  for (contact *c = l->contacts; c; c = c->next)
-    for (size_t i = 0; now - c->heard_at < FRESH_MS * 2 && i < c->ngateways &&
-                       n < GATEWAYS_MAX;
-         i++)
-      all[n++] = c->gateways[i];
-  qsort(all, n, sizeof all[0], cmp_text);
-  for (size_t i = 0; i < n; i++)
-    if (kept == 0 || strcmp(all[kept - 1], all[i]) != 0)
-      all[kept++] = all[i];
-  l->ngateways = (int)kept;
-  pwgossip_peers(l->g->gossip, all, kept);
+/* What a control instance that is out of touch believes to be silent, others
+** may hear. */
+static void on_told(void *arg, const Pw__Beat *in) {
+  const told *t = arg;
+  pw_gate *g = t->l->g;
+  pw_beat b;
+  pwtable_unpack(in, &b);
+  pw_fleet_news what = pwfleet_beat(g->fleet, &b, in->gone, t->now - in->age);
+  if (in->silent && t->in_touch)
+    what = pwfleet_told_silent(g->fleet, b.id, 1, t->now);
+  else if (!in->silent && what == PWFLEET_OLD)
+    what = pwfleet_told_silent(g->fleet, b.id, 0, t->now);
+  if (pwfleet_news_name(what))
+    pwtrace_line(g->trace, PWTRACE_STATE, t->now, pwfleet_news_name(what),
+                 "target=%s service=%s addr=%s seq=%llu", b.id, b.service,
+                 b.address, (unsigned long long)b.seq);
 }
 
-static void take_lists(pw_link *l, contact *from, const Pw__Notice *n,
+/* The gateways, as the primary tells: it knows all of them. */
+static void take_lists(pw_link *l, const contact *from, const Pw__Notice *n,
                        int64_t now) {
   for (size_t i = 0; i < n->n_control; i++)
     contact_of(l, n->control[i], now);
-  if (!n->n_gateways)
+  if (!n->n_gateways || from != l->primary)
     return;
-  free_gateways(from);
-  from->gateways = pw_alloc(sizeof(char *) * n->n_gateways);
-  for (size_t i = 0; i < n->n_gateways; i++)
-    from->gateways[from->ngateways++] = pw_dup(n->gateways[i]);
+  l->ngateways = (int)n->n_gateways;
+  pwgossip_peers(l->g->gossip, n->gateways, n->n_gateways);
 }
 
 static void on_notice(pw_link *l, contact *c, const Pw__Notice *n,
                       int64_t now) {
   c->site = n->site;
   c->in_touch = n->in_touch;
-  take_beats(l, n, now);
+  c->watch_ms = n->watch_ms ? n->watch_ms : WATCH_MS;
+  if (n->full)
+    l->full_at = now;
+  told t = {l, n->in_touch, now};
+  pwtable_read(n, on_told, &t);
   take_lists(l, c, n, now);
   if (n->site > pwdoc_version(l->doc) && now - c->wanted_at >= ASK_AGAIN_MS)
     send_watch(l, c, 1, now);
@@ -213,21 +193,69 @@
       continue;
     }
     *at = c->next;
+    if (c == l->primary)
+      l->primary = NULL;
     pwwire_hang_up(l->sock, c->addr);
-    free_gateways(c);
     free(c);
   }
 }
 
+static int is_fresh(const contact *c, int64_t now) {
+  return c->heard_at && now - c->heard_at <= FRESH_TIMES * c->watch_ms;
+}
+
+/* Each gateway has an order of its own, so that they spread. */
+static uint64_t rank(const pw_link *l, const contact *c) {
+  const char *self = l->g->p->set->gateway_gossip;
+  return XXH3_64bits_withSeed(c->addr, strlen(c->addr),
+                              XXH3_64bits(self, strlen(self)));
+}
+
+static int is_better(const pw_link *l, const contact *a, const contact *b) {
+  if (!b || a->in_touch != b->in_touch)
+    return !b || a->in_touch;
+  return rank(l, a) > rank(l, b);
+}
+
+/* Whether another one must be chosen: the primary is silent, or has not told
+** its targets, or is out of touch with a leader while `best` is in touch. */
+static int must_choose(const pw_link *l, const contact *best, int64_t now) {
+  const contact *p = l->primary;
+  if (!p || !is_fresh(p, now))
+    return 1;
+  if (l->full_at < l->chosen_at && now - l->chosen_at > TELL_ALL_MS)
+    return 1;
+  return best->in_touch && !p->in_touch;
+}
+
+/* The first in this gateway's order that is heard, before all one in touch with
+** a leader. It stays while it is both. */
+static void choose_primary(pw_link *l, int64_t now) {
+  contact *best = NULL;
+  for (contact *c = l->contacts; c; c = c->next)
+    if (is_fresh(c, now) && c != l->primary && is_better(l, c, best))
+      best = c;
+  if (!best || !must_choose(l, best, now))
+    return;
+  contact *old = l->primary;
+  l->primary = best;
+  l->chosen_at = now;
+  pwtrace_line(l->g->trace, PWTRACE_STATE, now, "primary", "control=%s",
+               best->addr);
+  if (old)
+    send_watch(l, old, 0, now);
+  send_watch(l, best, 0, now);
+}
+
 void pwlink_tick(pw_link *l, int64_t now) {
+  choose_primary(l, now);
   for (contact *c = l->contacts; c; c = c->next) {
     int behind =
         c->site > pwdoc_version(l->doc) && now - c->wanted_at >= ASK_AGAIN_MS;
-    if (behind || now - c->asked_at >= WATCH_MS)
+    if (behind || now - c->asked_at >= c->watch_ms)
       send_watch(l, c, behind, now);
   }
   drop_silent(l, now);
-  tell_gossip(l, now);
 }
 
 int pwlink_is_current(const pw_link *l, int64_t now) {
@@ -236,7 +264,7 @@
   if (!held)
     return 0;
   for (const contact *c = l->contacts; c; c = c->next) {
-    if (!c->heard_at || now - c->heard_at > FRESH_MS)
+    if (!is_fresh(c, now))
       continue;
     newer |= c->site > held;
     confirmed |= c->in_touch && c->site <= held;
@@ -295,7 +323,6 @@
   while (l->contacts) {
     contact *c = l->contacts;
     l->contacts = c->next;
-    free_gateways(c);
     free(c);
   }
   pwwire_close(l->sock);
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -153,6 +153,8 @@
   if (!is_new && b->seq <= t->seq)
     return PWFLEET_OLD;
   t->seq = b->seq;
+  int was_silent = t->is_silent;
+  t->is_silent = 0;
   write_down(t, b, heard_at);
   if (is_new)
     take_address(f, t);
@@ -160,19 +162,59 @@
   t->is_leaving = b->leaving;
   if (t->is_leaving && !was_leaving)
     return PWFLEET_LEAVING;
+  if (was_silent)
+    return PWFLEET_BACK;
   return is_new ? PWFLEET_JOINED : PWFLEET_RENEWED;
 }
 
+pw_fleet_news pwfleet_told_silent(pw_fleet *f, const char *id, int silent,
+                                  int64_t now) {
+  pw_target *t = pwfleet_find(f, id);
+  if (!t || t->is_gone || t->is_silent == silent)
+    return PWFLEET_OLD;
+  t->is_silent = silent;
+  t->heard_at = now; /* when that was last known to be otherwise */
+  return silent ? PWFLEET_SILENT : PWFLEET_BACK;
+}
+
+const char *pwfleet_news_name(pw_fleet_news news) {
+  static const char *const names[] = {[PWFLEET_JOINED] = "target-joined",
+                                      [PWFLEET_BACK] = "target-back",
+                                      [PWFLEET_SILENT] = "target-silent",
+                                      [PWFLEET_LEAVING] = "target-leaving",
+                                      [PWFLEET_GONE] = "target-gone"};
+  return news >= PWFLEET_JOINED ? names[news] : NULL;
+}
+
+void pwfleet_beat_of(const pw_target *t, int64_t now, pw_beat *out) {
+  *out = (pw_beat){.slots = t->slots,
+                   .leaving = t->is_leaving,
+                   .cold_ms = t->cold_until > now ? t->cold_until - now : 0,
+                   .seq = t->seq};
+  pw_copy(out->id, sizeof out->id, t->id);
+  pw_copy(out->service, sizeof out->service, t->service);
+  pw_copy(out->address, sizeof out->address, t->address);
+  pw_copy(out->zone, sizeof out->zone, t->zone);
+}
+
 void pwfleet_forget(pw_fleet *f, pw_target *t, int64_t now) {
   (void)f;
   t->is_gone = 1;
   t->heard_at = now;
 }
 
-void pwfleet_tick(pw_fleet *f, int64_t now) {
+void pwfleet_tick(pw_fleet *f, int64_t now,
+                  void (*judge)(void *arg, pw_target *t), void *arg) {
   pw_target *t, *tmp;
   HASH_ITER(hh, f->by_id, t, tmp) {
-    if (now - t->heard_at > FORGET_BEATS * f->beat_ms && t->inflight == 0)
+    int64_t silence = now - t->heard_at;
+    if (judge && !t->is_gone && !t->is_silent &&
+        silence > SILENT_BEATS * f->beat_ms) {
+      t->is_silent = 1;
+      judge(arg, t);
+    }
+    if ((t->is_gone || t->is_silent) && silence > FORGET_BEATS * f->beat_ms &&
+        t->inflight == 0)
       remove_target(f, t);
   }
 }
@@ -191,8 +233,7 @@
 /* --- picking --- */
 
 static int is_heard(const pw_fleet *f, const pw_target *t, int64_t now) {
-  return now - t->heard_at <= SILENT_BEATS * f->beat_ms ||
-         now - t->answered_at <= ALIVE_BEATS * f->beat_ms;
+  return !t->is_silent || now - t->answered_at <= ALIVE_BEATS * f->beat_ms;
 }
 
 static double errors_of(const pw_target *t, int64_t now) {
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -23,6 +23,7 @@
   int slots;
   int is_leaving;
   int is_gone;
+  int is_silent; /* it has missed its heartbeats */
   uint64_t seq;
   int64_t heard_at;   /* its newest heartbeat, ms */
   int64_t joined_at;  /* when it started, about, ms */
@@ -57,10 +58,15 @@
   PWFLEET_OLD, /* nothing: known already */
   PWFLEET_RENEWED,
   PWFLEET_JOINED,
+  PWFLEET_BACK, /* after it was silent */
+  PWFLEET_SILENT,
   PWFLEET_LEAVING,
   PWFLEET_GONE
 } pw_fleet_news;
 
+/* "target-joined" and so on, for log lines; NULL where nothing has changed. */
+const char *pwfleet_news_name(pw_fleet_news news);
+
 /* Takes a heartbeat that was heard at `heard_at`, ms. */
 pw_fleet_news pwfleet_beat(pw_fleet *f, const pw_beat *b, int gone,
                            int64_t heard_at);
@@ -68,8 +74,17 @@
 /* The id does not answer at its address any more. */
 void pwfleet_forget(pw_fleet *f, pw_target *t, int64_t now);
 
-/* Lets time pass: targets long silent are dropped. */
-void pwfleet_tick(pw_fleet *f, int64_t now);
+/* A control instance tells that the target has missed its heartbeats, or not. */
+pw_fleet_news pwfleet_told_silent(pw_fleet *f, const char *id, int silent,
+                                  int64_t now);
+
+/* Lets time pass: targets long silent are forgotten. With `judge` it also finds
+** who has missed its heartbeats, and tells of each. */
+void pwfleet_tick(pw_fleet *f, int64_t now,
+                  void (*judge)(void *arg, pw_target *t), void *arg);
+
+/* A target as its last heartbeat told. */
+void pwfleet_beat_of(const pw_target *t, int64_t now, pw_beat *out);
 
 pw_target *pwfleet_find(pw_fleet *f, const char *id);
 pw_target *pwfleet_first(const pw_fleet *f);
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -1177,6 +1177,51 @@
   assert(message->base.descriptor == &pw__notice__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pw__table__init
+                     (Pw__Table         *message)
+{
+  static const Pw__Table init_value = PW__TABLE__INIT;
+  *message = init_value;
+}
+size_t pw__table__get_packed_size
+                     (const Pw__Table *message)
+{
+  assert(message->base.descriptor == &pw__table__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__table__pack
+                     (const Pw__Table *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__table__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__table__pack_to_buffer
+                     (const Pw__Table *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__table__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__Table *
+       pw__table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__Table *)
+     protobuf_c_message_unpack (&pw__table__descriptor,
+                                allocator, len, data);
+}
+void   pw__table__free_unpacked
+                     (Pw__Table *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__table__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pw__document__init
                      (Pw__Document         *message)
 {
@@ -4579,7 +4624,7 @@
   (ProtobufCMessageInit) pw__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__beat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor pw__beat__field_descriptors[12] =
 {
   {
     "target",
@@ -4713,6 +4758,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "silent",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Beat, silent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__beat__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -4723,6 +4780,7 @@
   6,   /* field[6] = leaving */
   9,   /* field[9] = seq */
   1,   /* field[1] = service */
+  11,   /* field[11] = silent */
   5,   /* field[5] = slots */
   0,   /* field[0] = target */
   4,   /* field[4] = version */
@@ -4730,7 +4788,7 @@
 static const ProtobufCIntRange pw__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pw__beat__descriptor =
 {
@@ -4740,14 +4798,14 @@
   "Pw__Beat",
   "pw",
   sizeof(Pw__Beat),
-  11,
+  12,
   pw__beat__field_descriptors,
   pw__beat__field_indices_by_name,
   1,  pw__beat__number_ranges,
   (ProtobufCMessageInit) pw__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__watch__field_descriptors[3] =
+static const ProtobufCFieldDescriptor pw__watch__field_descriptors[4] =
 {
   {
     "site",
@@ -4785,16 +4843,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "primary",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Watch, primary),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__watch__field_indices_by_name[] = {
   2,   /* field[2] = gossip */
+  3,   /* field[3] = primary */
   0,   /* field[0] = site */
   1,   /* field[1] = want */
 };
 static const ProtobufCIntRange pw__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor pw__watch__descriptor =
 {
@@ -4804,14 +4875,14 @@
   "Pw__Watch",
   "pw",
   sizeof(Pw__Watch),
-  3,
+  4,
   pw__watch__field_descriptors,
   pw__watch__field_indices_by_name,
   1,  pw__watch__number_ranges,
   (ProtobufCMessageInit) pw__watch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__notice__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pw__notice__field_descriptors[9] =
 {
   {
     "site",
@@ -4885,6 +4956,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "table",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Notice, table),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_size",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Notice, table_size),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "watch_ms",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Notice, watch_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__notice__field_indices_by_name[] = {
   3,   /* field[3] = beats */
@@ -4893,11 +5000,14 @@
   5,   /* field[5] = gateways */
   1,   /* field[1] = in_touch */
   0,   /* field[0] = site */
+  6,   /* field[6] = table */
+  7,   /* field[7] = table_size */
+  8,   /* field[8] = watch_ms */
 };
 static const ProtobufCIntRange pw__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pw__notice__descriptor =
 {
@@ -4907,13 +5017,51 @@
   "Pw__Notice",
   "pw",
   sizeof(Pw__Notice),
-  6,
+  9,
   pw__notice__field_descriptors,
   pw__notice__field_indices_by_name,
   1,  pw__notice__number_ranges,
   (ProtobufCMessageInit) pw__notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pw__table__field_descriptors[1] =
+{
+  {
+    "beats",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Table, n_beats),
+    offsetof(Pw__Table, beats),
+    &pw__beat__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__table__field_indices_by_name[] = {
+  0,   /* field[0] = beats */
+};
+static const ProtobufCIntRange pw__table__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor pw__table__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Table",
+  "Table",
+  "Pw__Table",
+  "pw",
+  sizeof(Pw__Table),
+  1,
+  pw__table__field_descriptors,
+  pw__table__field_indices_by_name,
+  1,  pw__table__number_ranges,
+  (ProtobufCMessageInit) pw__table__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pw__document__field_descriptors[4] =
 {
   {
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -41,6 +41,7 @@
 typedef struct Pw__Beat Pw__Beat;
 typedef struct Pw__Watch Pw__Watch;
 typedef struct Pw__Notice Pw__Notice;
+typedef struct Pw__Table Pw__Table;
 typedef struct Pw__Document Pw__Document;
 typedef struct Pw__Gossip Pw__Gossip;
 typedef struct Pw__Entry Pw__Entry;
@@ -677,10 +678,14 @@
    * ms since it was heard, at sending
    */
   uint32_t age;
+  /*
+   * it has missed its heartbeats
+   */
+  protobuf_c_boolean silent;
 };
 #define PW__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -701,10 +706,14 @@
    * a gateway's address of load reports; "": a control
    */
   char *gossip;
+  /*
+   * tell me all that is known of targets; others tell
+   */
+  protobuf_c_boolean primary;
 };
 #define PW__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__watch__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -737,10 +746,33 @@
    */
   size_t n_gateways;
   char **gateways;
+  /*
+   * many beats, compressed: a Table
+   */
+  ProtobufCBinaryData table;
+  /*
+   * its bytes before
+   */
+  uint32_t table_size;
+  /*
+   * how often to watch: less with more watchers
+   */
+  uint32_t watch_ms;
 };
 #define PW__NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__notice__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0 }
+
+
+struct  Pw__Table
+{
+  ProtobufCMessage base;
+  size_t n_beats;
+  Pw__Beat **beats;
+};
+#define PW__TABLE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__table__descriptor) \
+    , 0,NULL }
 
 
 /*
@@ -1561,6 +1593,25 @@
 void   pw__notice__free_unpacked
                      (Pw__Notice *message,
                       ProtobufCAllocator *allocator);
+/* Pw__Table methods */
+void   pw__table__init
+                     (Pw__Table         *message);
+size_t pw__table__get_packed_size
+                     (const Pw__Table   *message);
+size_t pw__table__pack
+                     (const Pw__Table   *message,
+                      uint8_t             *out);
+size_t pw__table__pack_to_buffer
+                     (const Pw__Table   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__Table *
+       pw__table__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__table__free_unpacked
+                     (Pw__Table *message,
+                      ProtobufCAllocator *allocator);
 /* Pw__Document methods */
 void   pw__document__init
                      (Pw__Document         *message);
@@ -1945,6 +1996,9 @@
 typedef void (*Pw__Notice_Closure)
                  (const Pw__Notice *message,
                   void *closure_data);
+typedef void (*Pw__Table_Closure)
+                 (const Pw__Table *message,
+                  void *closure_data);
 typedef void (*Pw__Document_Closure)
                  (const Pw__Document *message,
                   void *closure_data);
@@ -2025,6 +2079,7 @@
 extern const ProtobufCMessageDescriptor pw__beat__descriptor;
 extern const ProtobufCMessageDescriptor pw__watch__descriptor;
 extern const ProtobufCMessageDescriptor pw__notice__descriptor;
+extern const ProtobufCMessageDescriptor pw__table__descriptor;
 extern const ProtobufCMessageDescriptor pw__document__descriptor;
 extern const ProtobufCMessageDescriptor pw__gossip__descriptor;
 extern const ProtobufCMessageDescriptor pw__entry__descriptor;
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -64,6 +64,9 @@
   uint64_t resend_revision[KEYS];
   uint64_t won[NAMES][VERSIONS_MAX]; /* revision that won against a version */
   uint64_t next_id, proposals, elections;
+  int size;           /* of a group whose members are named by address; 0: by
+                         number */
+  uint32_t next_slot; /* address of the next replacement */
   int calm;
   const char *broken;
 } model;
@@ -399,7 +402,7 @@
   pw_cons_member me = {.id = x->d.id, .slot = x->slot};
   const pw_cons_config *now = pwcons_config(l->cons);
   if (!pwmember_has(now, x->d.id)) {
-    if (pwmember_next(l->cons, &me, LEASE, 0, &next))
+    if (pwmember_next(l->cons, &me, LEASE, m->size, &next))
       pwcons_propose_config(l->cons, &next);
   } else if (!x->d.snapshot) {
     disk_found(&x->d, now);
@@ -407,11 +410,30 @@
   }
 }
 
+/* Whether this node has a say in the leader's configuration; without a set
+** size being a member is enough. */
+static int has_its_place(const model *m, const node *l, const node *x) {
+  const pw_cons_config *c = pwcons_config(l->cons);
+  for (int i = 0; i < c->n; i++)
+    if (c->m[i].id == x->d.id)
+      return c->m[i].voter || !m->size;
+  return 0;
+}
+
+static int voters_of(const pw_cons_config *c) {
+  int n = 0;
+  for (int i = 0; i < c->n; i++)
+    n += c->m[i].voter;
+  return n;
+}
+
 static void manage(model *m) {
   pw_cons_config next;
   pw_cons_member nobody = {0};
   node *l = leader(m);
-  if (l && pwmember_next(l->cons, &nobody, LEASE, 0, &next))
+  if (l && m->size && voters_of(pwcons_config(l->cons)) > m->size + 1)
+    violate(m, "more voters than the group's size");
+  if (l && pwmember_next(l->cons, &nobody, LEASE, m->size, &next))
     pwcons_propose_config(l->cons, &next);
 }
 
@@ -422,6 +444,8 @@
   crash(x);
   disk_clear(&x->d);
   x->d.id = id;
+  if (m->size && pwrand_below(&m->rnd, 2)) /* another machine in its place */
+    x->slot = m->next_slot++;
   if (PW_MUTATION == MUT_SAME_IDENTITY) {
     node *l = leader(m);
     if (l) {
@@ -505,7 +529,8 @@
       continue;
     read_under_lease(m, x); /* one that was frozen may be asked first */
     pwcons_tick(x->cons, m->now);
-    if (pwmember_seeks(x->cons, x->d.id, LEASE))
+    int lost = m->size && pwcons_silence(x->cons) > 3 * LEASE;
+    if (lost || pwmember_seeks(x->cons, x->d.id, LEASE))
       join(m, x);
     uint64_t draw = pwrand_below(&m->rnd, 20);
     if (draw == 0)
@@ -535,7 +560,7 @@
     done = l && pwcons_lease(l->cons, m->now);
     for (int i = 0; done && i < m->count; i++)
       done = m->n[i].up && m->n[i].applied + 20 > l->applied &&
-             pwmember_has(pwcons_config(l->cons), m->n[i].d.id);
+             has_its_place(m, l, &m->n[i]);
   }
   node *l = leader(m);
   if (!done)
@@ -570,6 +595,8 @@
   static model m; /* large */
   m = (model){.rnd = {.seed = seed}, .now = 1000000};
   m.count = pwrand_below(&m.rnd, 3) ? 3 : 5;
+  m.size = seed % 2 ? m.count : 0;
+  m.next_slot = NODES + 1;
   pw_cons_config c = {.n = m.count};
   for (int i = 0; i < m.count; i++) {
     m.n[i].slot = (uint32_t)i + 1;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -308,6 +308,11 @@
   return b;
 }
 
+static void count_silent(void *arg, pw_target *t) {
+  (void)t;
+  (*(int *)arg)++;
+}
+
 static void test_fleet(void) {
   pw_fleet *f = pwfleet_new("az", 100, 1000);
   pw_beat b = beat("a", "10.0.0.1:80", 5, 0);
@@ -326,12 +331,22 @@
   b = beat("a", "10.0.0.1:80", 9, 0); /* gone is gone */
   CHECK(pwfleet_beat(f, &b, 0, 1050) == PWFLEET_OLD);
   CHECK(!pwfleet_find(f, "b")->is_gone);
-  /* silence */
-  CHECK(pwfleet_usable(f, "s", 1400) == 1);
-  CHECK(pwfleet_usable(f, "s", 1500) == 0);
+  /* silence, judged where heartbeats are heard */
+  int silent = 0;
+  pwfleet_tick(f, 1400, count_silent, &silent);
+  CHECK(silent == 0 && pwfleet_usable(f, "s", 1400) == 1);
+  pwfleet_tick(f, 1500, count_silent, &silent);
+  CHECK(silent == 1 && pwfleet_usable(f, "s", 1500) == 0);
   pwfleet_answered(pwfleet_find(f, "b"), 10, 1500);
   CHECK(pwfleet_usable(f, "s", 1700) == 1);
-  pwfleet_tick(f, 10000);
+  CHECK(pwfleet_usable(f, "s", 1900) == 0);
+  b = beat("b", "10.0.0.1:80", 2, 0);
+  CHECK(pwfleet_beat(f, &b, 0, 1900) == PWFLEET_BACK);
+  CHECK(pwfleet_usable(f, "s", 1900) == 1);
+  CHECK(pwfleet_told_silent(f, "b", 1, 2000) == PWFLEET_SILENT);
+  CHECK(pwfleet_told_silent(f, "b", 1, 2000) == PWFLEET_OLD);
+  CHECK(pwfleet_usable(f, "s", 2000) == 0);
+  pwfleet_tick(f, 10000, NULL, NULL);
   CHECK(pwfleet_find(f, "a") == NULL && pwfleet_find(f, "b") == NULL);
   pwfleet_free(f);
 }
