--- /dev/null
+++ b/tests/scenarios/26_gateway_dark.lua
@@ -0,0 +1,72 @@
+-- Promise: targets that are silent, leaving or gone get no new work, and what may go
+-- on elsewhere does not wait for them.
+local fleet = require("fleet")
+local gateways = require("gateways")
+local g = gateways.new{control = 3, gateways = 2, engines = 3, portals = 2}
+g:start()
+
+-- A target that leaves: once acknowledged, no gateway sends it anything new.
+local leaving = g["engine-1"]
+leaving:fault("leaving=1")
+fleet.eventually("its leaving is acknowledged", function() return leaving:stats().leaving_acked > 0 end)
+local function quiet(t, path, o)
+  local before
+  fleet.eventually("no new work for " .. t.name, function()
+    before = t:stats().arrivals
+    for i = 1, 12 do
+      o.gateway, o.prefix = g.gateways[i % 2 + 1], nil
+      o.path = path
+      fleet.equal("served elsewhere", g:ask(o).status, 200)
+    end
+    return t:stats().arrivals == before
+  end)
+end
+quiet(leaving, "/chat/x", {events = 3, body = "q"})
+
+-- A target that crashed without a word: its connections are refused at once, its
+-- missing heartbeats are noticed, and nobody's request is lost for it.
+local crashed = g["portal-1"]
+crashed:kill()
+crashed.gone = true
+for i = 1, 20 do
+  fleet.equal("a call that may not be repeated " .. i, g:ask{path = "/once/a", body = "x", gateway = g.gateways[i % 2 + 1]}.status, 200)
+end
+for _, p in ipairs(g.gateways) do
+  fleet.eventually(p.name .. " hears that it is silent", function()
+    return fleet.read(p.log):find("ev=target%-silent target=i%-portal%-1")
+  end)
+end
+
+-- One whose machine stands still in the middle of streams: those that may be resumed
+-- go on at another, whole and in order.
+local frozen = g["engine-2"]
+frozen:fault("gap=100")
+g["engine-3"]:fault("gap=100")
+local calls = {}
+for i = 1, 12 do
+  local c, id = g:call{path = "/again/x", events = 20, body = "q", gateway = g.gateways[i % 2 + 1]}
+  calls[i] = {h = run.http_start(c), id = id}
+end
+fleet.eventually("streams at both", function()
+  return frozen:stats().total > 0 and g["engine-3"]:stats().total > 0
+end)
+run.pause(300)
+frozen:pause()
+local resumed = 0
+for i, c in ipairs(calls) do
+  local r = run.http_wait(c.h)
+  r.id = c.id
+  fleet.expect("a whole stream " .. i .. ": " .. r.body, gateways.is_stream(r, 20))
+end
+for _, p in ipairs(g.gateways) do resumed = resumed + p:counter("retries_total") end
+fleet.expect("some went on elsewhere", resumed > 0)
+frozen:continue()
+
+-- Back again, it gets work.
+frozen:fault("gap=0")
+fleet.eventually("it serves again", function()
+  local before = frozen:stats().total
+  for i = 1, 10 do g:ask{path = "/chat/x", events = 2, body = "q", gateway = g.gateways[i % 2 + 1]} end
+  return frozen:stats().total > before
+end)
+g:stop()
