peatwell trace: one request's story from log lines; one form of lines everywhere

Cause: on-call has only logs and metrics; pwlog wrote syslog lines to standard error, the gateway logfmt to standard output, and nothing put one request's lines together. Change: both write logfmt to standard output from one head; every end of a request names its target, code and cause; a stop that ends requests says so (it said caller-gone); `peatwell trace ID [LOG...]` with what was believed of its targets and gateways around it. 28_explain: every failure of a faulty run has its line; three cases as fixtures.

--- a/packages/cli/peatwell.c
+++ b/packages/cli/peatwell.c
@@ -35,6 +35,8 @@
     {"drain", pwcmd_drain, "TARGET [off]",
      "give a target no new work, or (off) work again", 1},
     {"timeline", pwcmd_timeline, "", "merge the events of all processes", 1},
+    {"trace", pwcmd_trace, "ID [LOG...]",
+     "tell one request's story from log files, or standard input", 0},
     {"report", pwcmd_report, "[FILE.html]", "measure the fleet for a while", 1},
     {"backup", pwcmd_backup, "FILE", "write all resources to a file", 1},
     {"restore", pwcmd_restore, "FILE",
--- a/packages/cli/pwcmd.h
+++ b/packages/cli/pwcmd.h
@@ -37,6 +37,7 @@
 int pwcmd_status(pw_options *o);
 int pwcmd_drain(pw_options *o);
 int pwcmd_timeline(pw_options *o);
+int pwcmd_trace(pw_options *o);
 int pwcmd_report(pw_options *o);
 int pwcmd_backup(pw_options *o);
 int pwcmd_restore(pw_options *o);
--- a/packages/core/pwlog.c
+++ b/packages/core/pwlog.c
@@ -6,10 +6,10 @@
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 #include <unistd.h>
 
 #define LINE_MAX_BYTES 1024
+#define MS_PER_S 1000
 
 /* Set once before threads start; read only afterwards. */
 static struct {
@@ -22,17 +22,22 @@
   who.role = role;
 }
 
-static size_t head(char *line, int prio, const char *event) {
+size_t pwlog_head(char *line, size_t cap, const char *instance,
+                  const char *event) {
   int64_t wall = pwclock_wall_ms();
-  time_t s = (time_t)(wall / 1000);
-  struct tm tm;
-  gmtime_r(&s, &tm);
-  char stamp[32];
-  strftime(stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &tm);
-  int n =
-      snprintf(line, LINE_MAX_BYTES, "<%d>%s.%03dZ %s %s %s", LOG_DAEMON | prio,
-               stamp, (int)(wall % 1000), who.instance, who.role, event);
-  return (size_t)n;
+  int n = snprintf(line, cap, "ts=%lld.%03d inst=%s ev=%s ",
+                   (long long)(wall / MS_PER_S), (int)(wall % MS_PER_S),
+                   instance, event);
+  return n > 0 && (size_t)n < cap ? (size_t)n : 0;
+}
+
+static size_t head(char *line, int prio, const char *event) {
+  static const char *const levels[] = {"emerg",   "alert",  "crit", "err",
+                                       "warning", "notice", "info", "debug"};
+  size_t n = pwlog_head(line, LINE_MAX_BYTES, who.instance, event);
+  int m = snprintf(line + n, LINE_MAX_BYTES - n, "level=%s role=%s",
+                   levels[LOG_PRI(prio)], who.role);
+  return n + (m > 0 ? (size_t)m : 0);
 }
 
 void pwlog(int prio, const char *event, const char *fmt, ...) {
@@ -49,6 +54,6 @@
   if (n > LINE_MAX_BYTES)
     n = LINE_MAX_BYTES;
   line[n++] = '\n';
-  ssize_t done = write(STDERR_FILENO, line, n);
+  ssize_t done = write(STDOUT_FILENO, line, n);
   (void)done;
 }
--- a/packages/core/pwtrace.c
+++ b/packages/core/pwtrace.c
@@ -2,7 +2,7 @@
 #include "pwtrace.h"
 
 #include "pwbuf.h"
-#include "pwclock.h"
+#include "pwlog.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -67,11 +67,7 @@
 }
 
 static size_t head(const pw_trace *t, char *line, const char *event) {
-  int64_t wall = pwclock_wall_ms();
-  int n = snprintf(line, LINE_BYTES, "ts=%lld.%03d inst=%s ev=%s ",
-                   (long long)(wall / MS_PER_S), (int)(wall % MS_PER_S),
-                   t->instance, event);
-  return n > 0 && n < LINE_BYTES ? (size_t)n : 0;
+  return pwlog_head(line, LINE_BYTES, t->instance, event);
 }
 
 static void tell_dropped(pw_trace *t) {
--- a/packages/daemon/pwcontrol.c
+++ b/packages/daemon/pwcontrol.c
@@ -23,6 +23,7 @@
 #define WAIT_MS 10000  /* for a proposal to be decided */
 #define WATCH_MS 25000 /* a watch is answered by then, changed or not */
 #define BODY_MAX (16 * 1024 * 1024)
+#define CONNECTIONS_MAX 3000 /* every target may keep one for its heartbeats */
 #define HAND_OVER_MS 2000
 #define PLAN_MS 5000 /* a plan's change that is not decided by then is lost */
 #define NS_PER_US 1000
@@ -550,7 +551,7 @@
   pw_serve_setup setup = {.addr = set->control_http,
                           .threads = 2,
                           .max_body = BODY_MAX,
-                          .max_connections = 512,
+                          .max_connections = CONNECTIONS_MAX,
                           .idle_timeout = 60,
                           .tls_cert = "",
                           .tls_key = "",
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -68,8 +68,10 @@
 void pwexi_refuse(pw_exchange *x, pw_code code, const char *why,
                   int64_t retry_ms) {
   pw_client *c = take_client(x);
-  pwexi_note(x, PWTRACE_FAIL, "refused", "code=%d why=\"%s\" retry_ms=%lld",
-             (int)code, why, (long long)retry_ms);
+  pwexi_note(x, PWTRACE_FAIL, "refused",
+             "target=%s code=%d name=%s why=\"%s\" retry_ms=%lld",
+             x->t ? x->t->id : "-", (int)code, pwcode_name(code), why,
+             (long long)retry_ms);
   free_exchange(x);
   pwclient_refuse(c, code, why, retry_ms);
 }
@@ -91,18 +93,24 @@
 /* What was passed on cannot be made whole any more. */
 void pwexi_break(pw_exchange *x, const char *why) {
   pw_client *c = take_client(x);
-  pwexi_note(x, PWTRACE_FAIL, "broken-off", "why=\"%s\"", why);
+  pwexi_note(x, PWTRACE_FAIL, "broken-off", "target=%s why=\"%s\" last=%.*s",
+             x->t ? x->t->id : "-", why, (int)x->nlast_event, x->last_event);
   pwcount_add(x->g->p->counters, PWC_GW_BROKEN, 1);
   free_exchange(x);
   pwclient_break(c);
 }
 
 void pwexchange_abandon(pw_exchange *x) {
-  pwexi_note(x, PWTRACE_FAIL, "caller-gone", "sent=%d", x->is_sent);
+  pwexi_note(x, PWTRACE_FAIL, "caller-gone", "target=%s sent=%d",
+             x->t ? x->t->id : "-", x->is_sent);
   pwcount_add(x->g->p->counters, PWC_GW_GONE, 1);
   free_exchange(x);
 }
 
+void pwexchange_stop(pw_exchange *x) {
+  pwexi_break(x, "the planned stop was over");
+}
+
 /* --- time --- */
 
 static int64_t time_left(const pw_exchange *x) {
@@ -322,8 +330,9 @@
 }
 
 void pwexi_retry(pw_exchange *x, const char *why, int may_have_run) {
-  pwexi_note(x, PWTRACE_FAIL, "retried", "target=%s why=\"%s\" ran=%d",
-             x->t ? x->t->id : "-", why, may_have_run);
+  pwexi_note(x, PWTRACE_FAIL, x->has_begun ? "resumed" : "retried",
+             "target=%s why=\"%s\" ran=%d last=%.*s", x->t ? x->t->id : "-",
+             why, may_have_run, (int)x->nlast_event, x->last_event);
   pwexi_let_go(x);
   pwexi_place(x);
 }
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -113,6 +113,9 @@
 /* The caller has gone. */
 void pwexchange_abandon(pw_exchange *x);
 
+/* The planned stop is over: what is not answered yet is broken off. */
+void pwexchange_stop(pw_exchange *x);
+
 /* The caller has taken all that was written. */
 void pwexchange_resume(pw_exchange *x);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -248,8 +248,12 @@
 }
 
 static void end_clients(pw_gate *g) {
-  while (g->clients)
-    pwclient_break(g->clients);
+  while (g->clients) {
+    if (g->clients->exchange)
+      pwexchange_stop(g->clients->exchange);
+    else
+      pwclient_break(g->clients);
+  }
 }
 
 static void free_retries(pw_gate *g) {
--- /dev/null
+++ b/tests/scenarios/28_explain.lua
@@ -0,0 +1,81 @@
+-- Promise: from a failed request's id to its cause, by log lines alone: each failure
+-- of a faulty run has a line that names it, and `peatwell trace` tells the story.
+local fleet = require("fleet")
+local gateways = require("gateways")
+local g = gateways.new{control = 3, gateways = 2, engines = 2, portals = 2, text = "log_bytes_per_s = 200000"}
+g:start()
+
+local function logs()
+  local out = {}
+  for _, list in ipairs{g.gateways, g.control} do
+    for _, p in ipairs(list) do out[#out + 1] = p.log end
+  end
+  return table.concat(out, " ")
+end
+local function trace(id, files)
+  local f = io.popen(run.bin .. "/peatwell trace " .. id .. " " .. (files or logs()) .. " 2>&1")
+  local text = f:read("a")
+  local _, _, code = f:close()
+  return text, code
+end
+local function explains(what, id, pattern)
+  local text
+  fleet.eventually(what .. " is explained", function()
+    text = trace(id)
+    return text:find(pattern)
+  end, 5000)
+  return text
+end
+
+-- An answer cut midway: its target broke off.
+for _, name in ipairs{"engine-1", "engine-2"} do g[name]:fault("cut=1") end
+local r = g:ask{path = "/chat/x", events = 10, body = "q"}
+fleet.expect("cut", not r.whole)
+local cut = explains("the cut", r.id, "broken%-off req=" .. r.id .. " .*target=i%-engine%-%d why=\"the target closed\" last=2")
+fleet.expect("where it was sent", cut:find("placed req=" .. r.id .. " .*target=i%-engine"))
+for _, name in ipairs{"engine-1", "engine-2"} do g[name]:fault("cut=0") end
+
+-- A refusal under load, by the targets themselves.
+for _, name in ipairs{"portal-1", "portal-2"} do g[name]:fault("refuse=10") end
+r = g:ask{path = "/once/a", body = "x"}
+fleet.equal("refused", r.status, 503)
+fleet.expect("when to come back", tonumber(r["Retry-After"]))
+local busy = explains("the refusal", r.id, "refused req=" .. r.id .. " .*code=2001 name=busy")
+fleet.expect("both targets refused: " .. busy, select(2, busy:gsub("retried", "")) == 2)
+for _, name in ipairs{"portal-1", "portal-2"} do g[name]:fault("refuse=0") end
+
+-- A request after its route was taken away: the configuration that came before.
+g:wait_in_force(g:publish(g:site(function(s) table.remove(s.routes, 3) end)))
+r = g:ask{path = "/once/a"}
+fleet.equal("no route", r.status, 404)
+local gone = explains("the missing route", r.id, "refused req=" .. r.id .. " .*code=1012 name=no%-route")
+fleet.expect("the configuration in force: " .. gone, gone:find("configuration version=2"))
+
+-- Every failure of a faulty run.
+local failed = {}
+for i = 1, 60 do
+  local faults = {"cut=1", "reset=1", "error=1", "refuse=1"}
+  g[i % 2 == 0 and "engine-1" or "portal-1"]:fault(faults[i % 4 + 1])
+  local o = i % 2 == 0 and {path = "/chat/x", events = 5, body = "q"} or {path = "/safe/a", method = "GET"}
+  r = g:ask(o)
+  if not r.whole or r.status ~= 200 then failed[#failed + 1] = r.id end
+end
+fleet.expect("some failed", #failed > 0)
+for _, id in ipairs(failed) do
+  explains("request " .. id, id, "\n?[^\n]*%* [^\n]*req=" .. id)
+  local text = trace(id)
+  fleet.expect("a cause: " .. text, text:find("why=") or text:find("status=500"))
+end
+
+local text, code = trace("nobody")
+fleet.equal("an unknown id", code, 1)
+fleet.expect("said so", text:find("no line of request nobody"))
+
+-- The worked cases of docs/OPERATIONS.md.
+for _, name in ipairs{"cut", "refused", "restart"} do
+  local log = "tests/fixtures/trace-" .. name .. ".log"
+  local want = fleet.read("tests/fixtures/trace-" .. name .. ".txt")
+  local id = want:match("req=(%S+)")
+  fleet.equal("the case " .. name, (trace(id, log)), want)
+end
+g:stop()
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -171,7 +171,7 @@
 local asked = 0
 function gateways:call(o)
   asked = asked + 1
-  local id = o.id or string.format("req-%06d", asked)
+  local id = o.id or string.format("req%06d", asked)
   local headers = {Host = "a.example", ["X-Request-Id"] = id, ["X-Deadline-Ms"] = tostring(o.deadline or 10000)}
   if o.key ~= false then headers["Api-Key"] = o.key or "kett-key" end
   if o.events then
