--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -146,6 +146,8 @@
     REAL("gateway", "keep_s", gateway_keep, 0, 86400, 10, "s",
          "how long what a prompt left in a target's memory is worth going back "
          "to"),
+    STR("gateway", "place", gateway_place, "home", "home|load|turn|hash", NULL,
+        "how a target is picked; all but home are naive, to measure against"),
     INT("gateway", "log_bytes_per_s", gateway_log_bytes, 0, 10000000, 16384,
         "bytes/s", "budget of its log lines"),
     STR("control", "http", control_http, NULL, NULL, "control",
@@ -384,6 +386,19 @@
   return 0;
 }
 
+/* "`a`, `b`" of "a|b". */
+static const char *choices_of(const set_row *r) {
+  static const char *const known[][2] = {
+      {"refuse|serve", "`refuse`, `serve`"},
+      {"engine|service", "`engine`, `service`"},
+      {"stays|moves", "`stays`, `moves`"},
+      {"home|load|turn|hash", "`home`, `load`, `turn`, `hash`"}};
+  for (size_t i = 0; i < sizeof known / sizeof known[0]; i++)
+    if (!strcmp(known[i][0], r->choices))
+      return known[i][1];
+  return r->choices;
+}
+
 static void document_row(const set_row *r, pw_buf *out) {
   pwbuf_fmt(out, "| `%s` | %s | ", r->key, r->unit);
   if (r->type == T_BOOL)
@@ -392,10 +407,7 @@
     pwbuf_fmt(out, "%lld to %lld | %lld", (long long)r->min, (long long)r->max,
               (long long)r->fallback);
   else if (r->choices)
-    pwbuf_fmt(out, "%s | %s",
-              r->choices[0] == 'r' ? "`refuse`, `serve`"
-                                   : "`engine`, `service`",
-              r->text);
+    pwbuf_fmt(out, "%s | %s", choices_of(r), r->text);
   else
     pwbuf_fmt(out, "any | %s",
               r->need ? "none: needed" : (r->type == T_LIST ? "[]" : "unset"));
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -201,6 +201,7 @@
   int64_t keep = (int64_t)(g->p->set->gateway_keep * MS_PER_S);
   pw_fleet_ask ask = {
       .service = x->service->name,
+      .how = g->how,
       .is_sticky = is_sticky,
       .key = key,
       .last = is_sticky ? pwwhere_find(g->where, key, now, keep) : 0,
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -54,6 +54,7 @@
   uint64_t random;
   int64_t started_at;
   int64_t stop_at; /* when the planned stop began, ms; 0: it has not */
+  pw_pick_how how; /* targets are picked */
   int is_ready;
   int64_t swept_at, checked_at;
   ev_io front, ready;
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -256,6 +256,14 @@
   }
 }
 
+static pw_pick_how how_of(const char *place) {
+  if (!strcmp(place, "load"))
+    return PWPICK_BY_LOAD;
+  if (!strcmp(place, "turn"))
+    return PWPICK_BY_TURN;
+  return !strcmp(place, "hash") ? PWPICK_BY_HASH : PWPICK_BY_HOME;
+}
+
 static void free_retries(pw_gate *g) {
   while (g->retries) {
     pw_gate_retries *r = g->retries;
@@ -273,6 +281,7 @@
 
 pw_code pwgateway_run(pw_proc *p, pw_buf *err) {
   pw_gate g = {.p = p, .dialect = p->dialect, .started_at = pwclock_ms()};
+  g.how = how_of(p->set->gateway_place);
   pw_code rc = PW_E_SETTINGS;
   g.ev = ev_loop_new(EVFLAG_AUTO | EVFLAG_NOENV);
   if (!g.ev)
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -49,6 +49,7 @@
   char *zone;
   int64_t beat_ms;
   int64_t keep_ms;
+  uint64_t turn;
   pw_target *by_id;
 };
 
@@ -329,6 +330,21 @@
   return n;
 }
 
+static int pick_row(pw_fleet *f, const pw_fleet_ask *ask, const pw_pick *row,
+                    int n) {
+  static const pw_pick_bound boundless = {1e9, 1e9};
+  int best = -1;
+  if (ask->how == PWPICK_BY_TURN)
+    return pwpick_turn(row, n, f->turn++);
+  if (ask->how == PWPICK_BY_HASH && ask->is_sticky)
+    return pwpick_home(row, n, ask->key, boundless);
+  if (ask->how == PWPICK_BY_HOME && ask->is_sticky)
+    best = pwpick_home(row, n, ask->key, ask->bound);
+  if (best < 0)
+    best = pwpick_least(row, n, ask->wait_ms, ask->draw, ask->bound);
+  return best;
+}
+
 pw_fleet_picked pwfleet_pick(pw_fleet *f, const pw_fleet_ask *ask,
                              int64_t now) {
   pw_pick row[PICKS_MAX];
@@ -336,11 +352,7 @@
   pw_fleet_picked out = {0};
   common c = common_of(f, ask->service, now);
   int n = fill_rows(f, ask, &c, row, who);
-  int best = -1;
-  if (ask->is_sticky)
-    best = pwpick_home(row, n, ask->key, ask->bound);
-  if (best < 0)
-    best = pwpick_least(row, n, ask->wait_ms, ask->draw, ask->bound);
+  int best = pick_row(f, ask, row, n);
   if (best < 0)
     return out;
   out.target = pwfleet_hold(who[best]);
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -102,6 +102,7 @@
 /* What a request needs of its target. */
 typedef struct pw_fleet_ask {
   const char *service;
+  pw_pick_how how;
   int is_sticky; /* `key` is the hash of what its prompt shares */
   uint64_t key;
   uint32_t last;  /* short hash of where it was sent last; 0: not known */
--- a/packages/policy/pwpick.h
+++ b/packages/policy/pwpick.h
@@ -24,6 +24,15 @@
   double extra; /* requests more than that */
 } pw_pick_bound;
 
+/* How a target is picked. All but PWPICK_BY_HOME are naive and kept to be
+** measured against. */
+typedef enum pw_pick_how {
+  PWPICK_BY_HOME, /* a prompt's home within the bound; else the shortest wait */
+  PWPICK_BY_LOAD, /* the shortest wait, whatever the prompt */
+  PWPICK_BY_TURN, /* one after the other */
+  PWPICK_BY_HASH  /* a prompt's home, however loaded */
+} pw_pick_how;
+
 /* The load up to which one more request may be sent to a target. */
 double pwpick_limit(const pw_pick *t, int n, pw_pick_bound bound);
 
@@ -41,6 +50,9 @@
 int pwpick_least(const pw_pick *t, int n, double wait_ms, double draw,
                  pw_pick_bound bound);
 
+/* One after the other: the `turn`th of those that may be sent to; -1: none. */
+int pwpick_turn(const pw_pick *t, int n, uint64_t turn);
+
 /* Expected wait in ms for a slot at a target. */
 double pwpick_wait(const pw_pick *t);
 
