Silence of most targets at once is the listener's; a starting gateway's refusals have lines

Change: with more than half of a service's targets silent at once they are used as before; `refused name=not-ready`. Test: test_gateway (test_fleet).

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -288,13 +288,27 @@
   return 0;
 }
 
+/* No configuration is known yet: the caller is told when it will be. */
+static void refuse_unready(pw_client *c) {
+  pw_gate *g = c->g;
+  pw_ask ask;
+  int64_t now = pwclock_ms();
+  int64_t left = g->started_at + START_MS - now;
+  int64_t retry_ms = (left > RETRY_LEAST_MS ? left : RETRY_LEAST_MS) +
+                     (int64_t)(pwgate_draw(g) * RETRY_SPREAD_MS);
+  g->dialect->read_request(&c->request, &ask);
+  pwtrace_line(g->trace, PWTRACE_FAIL, now, "refused",
+               "req=%.*s code=%d name=%s why=\"no configuration yet\" "
+               "retry_ms=%lld",
+               (int)ask.id.n, ask.id.p ? ask.id.p : "", (int)PW_E_NOT_READY,
+               pwcode_name(PW_E_NOT_READY), (long long)retry_ms);
+  pwclient_refuse(c, PW_E_NOT_READY, "", retry_ms);
+}
+
 void pwexchange_begin(pw_client *c) {
   pw_gate *g = c->g;
   if (!g->site) {
-    int64_t left = g->started_at + START_MS - pwclock_ms();
-    pwclient_refuse(c, PW_E_NOT_READY, "",
-                    (left > RETRY_LEAST_MS ? left : RETRY_LEAST_MS) +
-                        (int64_t)(pwgate_draw(g) * RETRY_SPREAD_MS));
+    refuse_unready(c);
     return;
   }
   pw_exchange *x = pw_alloc(sizeof *x);
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -245,31 +245,35 @@
 typedef struct common {
   const char *service;
   int64_t now;
-  int64_t oldest; /* when the first of them joined, ms */
-  double errors;  /* mean share of errors */
+  int64_t oldest;  /* when the first of them joined, ms */
+  double errors;   /* mean share of errors */
+  int most_silent; /* more than half of them: who listens is at fault */
 } common;
 
 static common common_of(const pw_fleet *f, const char *service, int64_t now) {
-  common c = {service, now, now, 0};
-  int n = 0;
+  common c = {.service = service, .now = now, .oldest = now};
+  int n = 0, silent = 0;
   for (pw_target *t = f->by_id; t; t = t->hh.next) {
     if (t->is_gone || strcmp(t->service, service) != 0)
       continue;
     if (t->joined_at < c.oldest)
       c.oldest = t->joined_at;
     c.errors += errors_of(t, now);
+    silent += t->is_silent;
     n++;
   }
   c.errors = n ? c.errors / n : 0;
+  c.most_silent = 2 * silent > n;
   return c;
 }
 
-static int is_alive(const pw_fleet *f, const pw_target *t, int64_t now) {
-  return !t->is_gone && is_heard(f, t, now) && t->set_aside <= now;
+static int is_alive(const pw_fleet *f, const pw_target *t, const common *c) {
+  return !t->is_gone && (c->most_silent || is_heard(f, t, c->now)) &&
+         t->set_aside <= c->now;
 }
 
 static int is_usable(const pw_fleet *f, const pw_target *t, const common *c) {
-  return is_alive(f, t, c->now) && !t->is_leaving &&
+  return is_alive(f, t, c) && !t->is_leaving &&
          errors_of(t, c->now) <= c->errors + ERROR_MARGIN;
 }
 
@@ -320,7 +324,7 @@
                        .work_ms = t->work_ms,
                        .is_usable = is_usable(f, t, c) && !was_tried(ask, t),
                        .is_near = !strcmp(t->zone, f->zone),
-                       .is_alive = is_alive(f, t, c->now),
+                       .is_alive = is_alive(f, t, c),
                        .is_new = is_new(f, t, c)};
     usable += row[n].is_usable;
     who[n++] = t;
