--- a/packages/core/pwlimits.h
+++ b/packages/core/pwlimits.h
@@ -70,6 +70,13 @@
 #define PW_WIRE_HWM 20000
 #define PW_WIRE_KEEPALIVE_S 30
 
+/* A link whose other side acknowledges nothing for so long is given up, and a
+** connection that does not come up is tried again after so long, ms. A link that
+** was cut for longer is then new, and needs not wait for TCP, which tries again
+** after 6 or 12 s. */
+#define PW_WIRE_LOST_MS 1500
+#define PW_WIRE_CONNECT_MS 600
+
 /* Links between entry and agent (ms): a Run goes out only on a link heard
 ** within LINK_FRESH, a silent link with work on it is asked after LINK_ASK and
 ** given up after LINK_LOST; a cold link has LINK_OPEN to answer. */
--- /dev/null
+++ b/tests/test_wire.c
@@ -0,0 +1,94 @@
+/* test_wire.c: messages between processes, and how soon a link that was silently
+** cut is given up. */
+#include "pwlimits.h"
+#include "pwtest.h"
+#include "pwwire.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define FD_MAX 256
+#define TRIES 500
+#define TRY_MS 10
+
+static pw_counters *counters;
+static pw_hlc hlc;
+
+static int free_port(void) {
+  struct sockaddr_in at = {.sin_family = AF_INET,
+                           .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+  socklen_t len = sizeof at;
+  int fd = socket(AF_INET, SOCK_STREAM, 0);
+  CHECK(bind(fd, (struct sockaddr *)&at, sizeof at) == 0);
+  getsockname(fd, (struct sockaddr *)&at, &len);
+  close(fd);
+  return ntohs(at.sin_port);
+}
+
+/* Waits for a message; the condition is that it comes. */
+static Pw__Envelope *receive(pw_sock *s, pw_peer *from) {
+  for (int i = 0; i < TRIES; i++) {
+    Pw__Envelope *e = pwwire_recv(s, from);
+    if (e)
+      return e;
+    poll(NULL, 0, TRY_MS);
+  }
+  return NULL;
+}
+
+/* TCP connections of this process, and those with the time-out that gives up a
+** silent link. */
+static void count_links(int *links, int *bounded) {
+  *links = *bounded = 0;
+  for (int fd = 0; fd < FD_MAX; fd++) {
+    struct sockaddr_in peer;
+    socklen_t len = sizeof peer;
+    if (getpeername(fd, (struct sockaddr *)&peer, &len) != 0 ||
+        peer.sin_family != AF_INET)
+      continue;
+    unsigned ms = 0;
+    len = sizeof ms;
+    getsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, &len);
+    (*links)++;
+    *bounded += ms == PW_WIRE_LOST_MS;
+  }
+}
+
+static void test_links_are_bounded(void) {
+  pw_settings set = {.name = "a", .keys_file = "", .trust_file = ""};
+  pw_buf err = {0};
+  char addr[64];
+  snprintf(addr, sizeof addr, "tcp://127.0.0.1:%d", free_port());
+  pw_wire *w = pwwire_new(&set, counters, &hlc, &err);
+  pw_sock *listener = pwwire_listen(w, addr, &err);
+  pw_sock *dialler = pwwire_dialler(w);
+  pw_peer peer, from;
+  CHECK(listener != NULL && pwwire_dial(dialler, addr, &peer) == 0);
+  Pw__Ping ping = PW__PING__INIT;
+  Pw__Envelope out = PW_ENVELOPE(PING, ping, &ping);
+  CHECK(pwwire_send(dialler, &peer, &out) == 0);
+  Pw__Envelope *in = receive(listener, &from);
+  CHECK(in != NULL && in->body_case == PW__ENVELOPE__BODY_PING);
+  if (in)
+    pw__envelope__free_unpacked(in, NULL);
+  int links, bounded;
+  count_links(&links, &bounded);
+  CHECK(links == 2 && bounded == 2);
+  pwwire_close(dialler);
+  pwwire_close(listener);
+  pwwire_free(w);
+  pwbuf_free(&err);
+  pwcount_free(counters);
+}
+
+int main(void) {
+  counters = pwcount_new();
+  pwhlc_init(&hlc);
+  TESTS_BEGIN("wire");
+  TEST(test_links_are_bounded);
+  TESTS_END();
+}
