packages/daemon is split into entry, agent, control and what they share

Change: moved; the bearer key of a request is read by pwproc, so that control needs nothing of entry. No behaviour changes.

--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 PKGS = libzmq libmicrohttpd neon jansson libsodium libprotobuf-c liburcu-bp libzstd
 INC = $(addprefix -Ipackages/,core policy consensus store wire http net site \
-  membership daemon gateway cli) -Iplatform
+  membership daemon entry agent control gateway cli) -Iplatform
 CPPFLAGS += $(INC) -Itests
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wvla -Werror=implicit-function-declaration
 CFLAGS += -std=gnu11 -g $(OPT) $(WARN) $(SAN) $(shell pkg-config --cflags $(PKGS))
@@ -21,7 +21,8 @@
 LIBS = $(CORE) $(wildcard packages/policy/*.c packages/consensus/*.c \
   packages/store/*.c packages/wire/*.c packages/http/*.c packages/net/*.c \
   packages/site/*.c packages/membership/*.c packages/gateway/*.c platform/*.c)
-DAEMON = $(filter-out %/peatwelld.c,$(wildcard packages/daemon/*.c))
+DAEMON = $(filter-out %/peatwelld.c,$(wildcard packages/daemon/*.c \
+  packages/entry/*.c packages/agent/*.c packages/control/*.c))
 CLI = $(filter-out %/peatwell.c,$(wildcard packages/cli/*.c))
 
 obj = $(patsubst %.cc,$(BUILD)/%.o,$(patsubst %.c,$(BUILD)/%.o,$(1)))
@@ -142,7 +143,7 @@
 # Outside bytes into the parsers, with a fixed seed, bounded.
 FUZZ_SOURCES = tests/fuzz/fuzz_parsers.c packages/wire/peatwell.pb-c.c packages/wire/pwpb.c \
   $(wildcard packages/store/*.c packages/consensus/*.c packages/core/*.c) \
-  $(addprefix packages/policy/,pwcache.c pwchat.c) packages/daemon/pwkvfeed.c packages/http/pwfetch.c
+  $(addprefix packages/policy/,pwcache.c pwchat.c) packages/agent/pwkvfeed.c packages/http/pwfetch.c
 FUZZ_FLAGS = -g -O1 -fsanitize=fuzzer,address,undefined
 fuzz:
 	@mkdir -p $(BUILD)/fuzz/corpus
--- a/packages/daemon/pwapi.c
+++ b/packages/control/pwapi.c
@@ -1,7 +1,6 @@
 /* pwapi.c: the resource API's requests. */
 #include "pwapi.h"
 
-#include "pwask.h"
 #include "pwbuf.h"
 #include "pwview.h"
 
@@ -216,7 +215,7 @@
 
 pw_code pwapi_read(pw_http *h, const char *operators, pw_api_call **out,
                    char *message, size_t cap) {
-  if (!is_operator(operators, pwask_key(h)))
+  if (!is_operator(operators, pwproc_bearer(h)))
     return PW_E_KEY;
   pw_api_call *c = pwapi_new(PW_API_GET);
   pw_code rc = read_call(h, c, message, cap);
--- a/packages/daemon/pwproc.c
+++ b/packages/daemon/pwproc.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 pw_code pwproc_init(pw_proc *p, const pw_settings *set, const char *role,
                     pw_buf *err) {
@@ -89,3 +90,10 @@
               json_pack("{s:{s:i,s:s,s:s}}", "error", "code", (int)code, "name",
                         pwcode_name(code), "message", text));
 }
+
+const char *pwproc_bearer(pw_http *h) {
+  const char *v = pwserve_header(h, "Authorization");
+  if (!v || strncasecmp(v, "Bearer ", 7) != 0)
+    return "";
+  return v + 7;
+}
--- a/packages/daemon/pwproc.h
+++ b/packages/daemon/pwproc.h
@@ -42,6 +42,9 @@
 /* Answers 200 with a JSON value, whose reference it takes over. */
 void pwproc_json(pw_http *h, int status, json_t *value);
 
+/* The bearer key of a request, or "". */
+const char *pwproc_bearer(pw_http *h);
+
 /* Notes a change of being ready; logs it once. */
 void pwproc_set_ready(pw_proc *p, int ready);
 
--- a/packages/daemon/pwask.c
+++ b/packages/entry/pwask.c
@@ -19,13 +19,6 @@
 #define OUTPUT_MAX 1000000
 #define PRIORITY_MAX 9
 
-const char *pwask_key(pw_http *h) {
-  const char *v = pwserve_header(h, "Authorization");
-  if (!v || strncasecmp(v, "Bearer ", 7) != 0)
-    return "";
-  return v + 7;
-}
-
 static int is_token(const char *s, size_t max) {
   size_t n = strlen(s);
   if (n == 0 || n > max)
@@ -272,7 +265,7 @@
 
 pw_code pwask_read(pw_http *h, const pw_view *view, pw_call *c, char *message,
                    size_t cap) {
-  const pw_workspace *w = pwview_workspace(view, pwask_key(h));
+  const pw_workspace *w = pwview_workspace(view, pwproc_bearer(h));
   if (!w)
     return PW_E_KEY;
   c->workspace = *w;
--- a/packages/daemon/pwask.h
+++ b/packages/entry/pwask.h
@@ -9,7 +9,4 @@
 pw_code pwask_read(pw_http *h, const pw_view *view, pw_call *c, char *message,
                    size_t cap);
 
-/* The bearer key of a request, or "". */
-const char *pwask_key(pw_http *h);
-
 #endif
