--- a/Makefile
+++ b/Makefile
@@ -51,12 +51,12 @@
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "  CC $<"
-	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(BUILD)/%.o: %.cc
 	@mkdir -p $(@D)
 	@echo "  CXX $<"
-	@$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c $< -o $@
+	@$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c $< -o $@
 
 $(ALL_LIB): $(call obj,$(LIBS) $(DAEMON) $(CLI))
 	@rm -f $@
