make soak: faults from outside the real programs; a control instance stops in order under calls

Change: when closing, calls are refused at once, the server takes no new connections and those just posted are waited for, 1 s at most. The older soak target (all scenarios again) is `make rounds`.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 
 MAKEFLAGS += --no-builtin-rules
 .SECONDARY:
-.PHONY: all bench-policy bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak capacity install deb sanitized format lint help clean
+.PHONY: all bench-policy bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak rounds capacity install deb sanitized format lint help clean
 
 all: $(BINS)
 
@@ -157,9 +157,16 @@
 
 # Every scenario again and again, for TIMES rounds.
 TIMES ?= 20
-soak: all $(FAKES) $(RUNNER)
+rounds: all $(FAKES) $(RUNNER)
 	@for i in $$(seq $(TIMES)); do tools/run-tests $(BUILD) scenarios || exit 1; done
 
+# Faults from outside the real programs, drawn by a seed, while callers ask.
+SEED ?= 1
+MINUTES ?= 0.5
+PROCESSES ?= 14
+soak: all $(FAKES) $(RUNNER)
+	SEED=$(SEED) MINUTES=$(MINUTES) PROCESSES=$(PROCESSES) $(RUNNER) --bin $(BUILD) tests/soak.lua
+
 # The same tests under AddressSanitizer and UndefinedBehaviorSanitizer.
 SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
   -fno-omit-frame-pointer
--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -13,6 +13,7 @@
 #include "pwsitecall.h"
 #include "pwwatch.h"
 
+#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -25,6 +26,7 @@
 #define BODY_MAX (16 * 1024 * 1024)
 #define CONNECTIONS_MAX 3000 /* every target may keep one for its heartbeats */
 #define HAND_OVER_MS 2000
+#define END_CALLS_MS 1000 /* for answers to reach slow callers */
 #define PLAN_MS 5000 /* a plan's change that is not decided by then is lost */
 #define NS_PER_US 1000
 
@@ -66,6 +68,7 @@
   uint64_t led_revision; /* when leadership began */
   int64_t led_at;
   int64_t stop_at;
+  atomic_int closing; /* calls are refused at once */
 } control;
 
 static const pw_res *resources(const control *c) {
@@ -562,8 +565,8 @@
   return c->http ? 0 : -1;
 }
 
-/* Every call that still waits gets its answer before the server goes. */
-static void end_calls(control *c) {
+/* Every call that waits gets its answer. */
+static void fail_calls(control *c) {
   waiter *w, *tmp;
   HASH_ITER(hh, c->waiters, w, tmp) {
     HASH_DEL(c->waiters, w);
@@ -571,7 +574,6 @@
       pwapi_fail(w->call, PW_E_UNKNOWN, "", "unknown", NULL);
     free(w);
   }
-  atomic_store(&c->p->stopping, 1);
   answer_watchers(c, pwclock_ms());
   pwpublish_end(c->publish);
   pw_api_call *call;
@@ -579,6 +581,20 @@
     pwapi_fail(call, PW_E_NOT_LEADER, "", "not-run", NULL);
 }
 
+/* The HTTP server cannot be stopped while a call waits in it: new ones are
+** refused at once, and those that were just posted are waited for. */
+static void end_calls(control *c) {
+  int64_t until = pwclock_ms() + END_CALLS_MS;
+  atomic_store(&c->p->stopping, 1);
+  atomic_store(&c->closing, 1);
+  pwserve_quiesce(c->http);
+  do {
+    fail_calls(c);
+    poll(NULL, 0, TICK_MS);
+  } while (pwserve_active(c->http) > 0 && pwclock_ms() < until);
+  fail_calls(c);
+}
+
 pw_code pwcontrol_run(pw_proc *p, pw_buf *err) {
   control c = {.p = p};
   pw_code rc = PW_E_SETTINGS;
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -1,8 +1,9 @@
 /* fake_target.c: a target as the platform has them, for scenarios: requests
 ** with a signature, streams of events, heartbeats, and faults on demand.
 **
-** fake-target IP:PORT CONTROL,CONTROL SERVICE ZONE ID
-** GET /fault?NAME=N sets a fault, GET /stats tells what was seen. */
+** fake-target IP:PORT CONTROL,CONTROL SERVICE ZONE ID [ADVERTISED]
+** GET /fault?NAME=N sets a fault, GET /stats tells what was seen, GET /ran?ID how
+** often a request ran. ADVERTISED is the address that heartbeats name. */
 #include "pwbuf.h"
 #include "pwclock.h"
 #include "pwh1.h"
@@ -282,6 +283,18 @@
   free(text);
 }
 
+static void serve_ran(peer *p) {
+  char id[ID_MAX], text[16];
+  size_t at = strlen("/ran?");
+  size_t n = p->m.nurl - at < ID_MAX ? p->m.nurl - at : ID_MAX - 1;
+  memcpy(id, p->m.url + at, n);
+  id[n] = 0;
+  run *r;
+  HASH_FIND_STR(me.runs, id, r);
+  snprintf(text, sizeof text, "%d", r ? r->count : 0);
+  answer(p, 200, "", text);
+}
+
 static void set_fault(peer *p) {
   char url[256];
   size_t n = p->m.nurl < sizeof url - 1 ? p->m.nurl : sizeof url - 1;
@@ -301,6 +314,8 @@
   p->is_busy = 1;
   if (path_is(p, "/stats"))
     serve_stats(p);
+  else if (path_is(p, "/ran?"))
+    serve_ran(p);
   else if (path_is(p, "/fault?"))
     set_fault(p);
   else if (path_is(p, "/health"))
@@ -433,12 +448,13 @@
 
 int main(int argc, char **argv) {
   struct sockaddr_in at;
-  if (argc != 6 || pwtcp_address(argv[1], &at) != 0 ||
+  if (argc < 6 || argc > 7 || pwtcp_address(argv[1], &at) != 0 ||
       read_controls(argv[2]) != 0) {
-    fputs("fake-target IP:PORT CONTROL,... SERVICE ZONE ID\n", stderr);
+    fputs("fake-target IP:PORT CONTROL,... SERVICE ZONE ID [ADVERTISED]\n",
+          stderr);
     return 2;
   }
-  me.address = argv[1];
+  me.address = argv[argc > 6 ? 6 : 1];
   me.service = argv[3];
   me.zone = argv[4];
   me.id = argv[5];
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -61,11 +61,20 @@
   return p
 end
 
-function gateways:add_target(name, service)
+-- A target; with o.relays gateways reach it through a relay. `id` is its start's id.
+function gateways:add_target(name, service, id)
   local control = {}
   for i, c in ipairs(self.control) do control[i] = c.health end
-  local address = "127.0.0.1:" .. run.port()
-  local p = self.f:process(name, {run.bin .. "/fake-target", address, table.concat(control, ","), service, "az-1", "i-" .. name}, address)
+  local port = run.port()
+  local address = "127.0.0.1:" .. port
+  local argv = {run.bin .. "/fake-target", address, table.concat(control, ","), service, "az-1", id or "i-" .. name}
+  local relay, relay_port
+  if self.o.relays then
+    relay, relay_port = run.relay(port)
+    argv[7] = "127.0.0.1:" .. relay_port
+  end
+  local p = self.f:process(name, argv, address)
+  p.relay, p.service = relay, service
   p.live = "/stats"
   self.targets[#self.targets + 1] = p
   self[name] = p
