Control instances renew targets with their id alone; changes are packed once for an audience

Change: renewals are id and number; more than 16 heartbeats go compressed; what an audience is told is made once; with more watchers changes wait a little longer for each other.

--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -25,8 +25,10 @@
 /* And the lists of instances again after so long, ms. */
 #define LIST_MS 2000
 
-/* A single change goes out at once, more within so long together, ms. */
+/* A single change goes out at once, more within so long together: the longer the
+** more there are to tell; ms. */
 #define GATHER_MS 30
+#define GATHER_MS_A_WATCHER 2
 
 #define NEWS_MAX 2048 /* heartbeats that wait to be passed on */
 
@@ -199,7 +201,10 @@
     return;
   pwtable_unpack(beat, &b);
   int64_t heard_at = in->now - beat->age;
-  pw_fleet_news what = pwfleet_beat(in->w->targets, &b, beat->gone, heard_at);
+  pw_fleet_news what =
+      pwtable_is_renewal(beat)
+          ? pwfleet_renew(in->w->targets, b.id, b.seq, heard_at)
+          : pwfleet_beat(in->w->targets, &b, beat->gone, heard_at);
   if (what >= PWFLEET_JOINED)
     note_news(in->w, &b, what, 0, heard_at);
 }
@@ -305,36 +310,74 @@
 
 /* --- time --- */
 
-/* Other control instances hear what was heard here, and its renewals. A gateway
-** hears of changes: of all from the instance that it relies on, of what was
-** heard here and leaves from every one. */
-static int concerns(const news *n, const watcher *to) {
-  if (!to->gossip[0])
+/* Who is told what: other control instances what was heard here, its renewals
+** too. Gateways hear of changes: of all from the instance that they rely on, of
+** what was heard here and leaves from every one. */
+typedef enum audience { TO_CONTROL, TO_RELYING, TO_OTHERS, AUDIENCES } audience;
+
+static audience audience_of(const watcher *one) {
+  if (!one->gossip[0])
+    return TO_CONTROL;
+  return one->is_primary ? TO_RELYING : TO_OTHERS;
+}
+
+static int concerns(const news *n, audience to) {
+  if (to == TO_CONTROL)
     return n->is_own;
-  if (!n->is_change)
-    return 0;
-  return to->is_primary || (n->is_own && (n->gone || n->beat.leaving));
+  if (to == TO_RELYING)
+    return n->is_change;
+  return n->is_change && n->is_own && (n->gone || n->beat.leaving);
 }
 
-static void tell_news(pw_watch *w, watcher *to, int64_t now) {
-  Pw__Notice n = PW__NOTICE__INIT;
-  Pw__Beat *beat = pw_alloc(sizeof *beat * (size_t)(w->nnews + 1));
-  n.beats = pw_alloc(sizeof *n.beats * (size_t)(w->nnews + 1));
+/* What one audience is told, made once for all of it. */
+typedef struct bundle {
+  Pw__Notice notice;
+  Pw__Beat *beat;
+  Pw__Beat **at;
+  size_t n;
+} bundle;
+
+static void make_bundle(const pw_watch *w, audience to, int64_t now,
+                        bundle *out) {
+  *out = (bundle){.notice = PW__NOTICE__INIT};
+  out->beat = pw_alloc(sizeof *out->beat * (size_t)(w->nnews + 1));
+  out->at = pw_alloc(sizeof *out->at * (size_t)(w->nnews + 1));
   for (int i = 0; i < w->nnews; i++) {
     const news *one = &w->news[i];
+    int64_t age = now - one->heard_at;
     if (!concerns(one, to))
       continue;
-    pwtable_pack(&beat[n.n_beats], &one->beat, one->gone, one->silent,
-                 now - one->heard_at);
-    n.beats[n.n_beats] = &beat[n.n_beats];
-    n.n_beats++;
+    Pw__Beat *beat = &out->beat[out->n];
+    if (one->is_change || one->beat.leaving) /* may overtake the change */
+      pwtable_pack(beat, &one->beat, one->gone, one->silent, age);
+    else
+      pwtable_pack_renewal(beat, &one->beat, age);
+    out->at[out->n++] = beat;
   }
-  if (n.n_beats || w->gateways_changed ||
-      to->told_site != pwdoc_version(w->doc) ||
+  pwtable_put(out->at, out->n, &out->notice);
+}
+
+static void free_bundle(bundle *b) {
+  free(b->notice.table.data);
+  free(b->at);
+  free(b->beat);
+}
+
+static void tell_news(pw_watch *w, watcher *to, const bundle *b, int64_t now) {
+  Pw__Notice n = b->notice;
+  if (b->n || w->gateways_changed || to->told_site != pwdoc_version(w->doc) ||
       now - to->told_at >= notice_ms(w))
     tell(w, to, &n, now);
-  free(n.beats);
-  free(beat);
+}
+
+static void tell_all(pw_watch *w, int64_t now) {
+  bundle b[AUDIENCES];
+  for (int i = 0; i < AUDIENCES; i++)
+    make_bundle(w, (audience)i, now, &b[i]);
+  for (watcher *one = w->watchers; one; one = one->next)
+    tell_news(w, one, &b[audience_of(one)], now);
+  for (int i = 0; i < AUDIENCES; i++)
+    free_bundle(&b[i]);
 }
 
 static int site_is_news(const pw_watch *w) {
@@ -347,10 +390,11 @@
 /* The first change goes out at once; those that follow closely wait a little
 ** for each other. */
 static int is_due(const pw_watch *w, int64_t now) {
-  if (now - w->renewed_at >= RENEW_MS)
+  int64_t gather = GATHER_MS_A_WATCHER * (int64_t)w->nwatchers;
+  if (now - w->renewed_at >= (gather > RENEW_MS ? gather : RENEW_MS))
     return 1;
   return (w->urgent_at || w->gateways_changed || site_is_news(w)) &&
-         now - w->renewed_at >= GATHER_MS;
+         now - w->renewed_at >= (gather > GATHER_MS ? gather : GATHER_MS);
 }
 
 void pwwatch_tick(pw_watch *w, int in_touch, int64_t now) {
@@ -360,8 +404,7 @@
   pwfleet_tick(w->targets, now, on_silent, w);
   if (!is_due(w, now))
     return;
-  for (watcher *one = w->watchers; one; one = one->next)
-    tell_news(w, one, now);
+  tell_all(w, now);
   w->nnews = 0;
   w->urgent_at = 0;
   w->gateways_changed = 0;
--- a/packages/daemon/pwtable.c
+++ b/packages/daemon/pwtable.c
@@ -8,6 +8,7 @@
 #include <zstd.h>
 
 #define LEVEL 3
+#define TABLE_FROM 16                /* heartbeats that are worth compressing */
 #define TABLE_MAX (16 * 1024 * 1024) /* bytes of a table */
 
 void pwtable_pack(Pw__Beat *out, const pw_beat *b, int gone, int silent,
@@ -39,6 +40,18 @@
   pw_copy(out->version, sizeof out->version, in->version);
 }
 
+/* Only who and which: the rest is known where it was told before. */
+void pwtable_pack_renewal(Pw__Beat *out, const pw_beat *b, int64_t age) {
+  pw__beat__init(out);
+  out->target = (char *)b->id;
+  out->seq = b->seq;
+  out->age = (uint32_t)(age > 0 ? age : 0);
+}
+
+int pwtable_is_renewal(const Pw__Beat *in) {
+  return !in->address[0] && !in->gone;
+}
+
 static void compress(const Pw__Table *t, Pw__Notice *out) {
   size_t n = pw__table__get_packed_size(t);
   uint8_t *plain = pw_alloc(n);
@@ -51,6 +64,18 @@
   free(plain);
 }
 
+void pwtable_put(Pw__Beat **beats, size_t n, Pw__Notice *out) {
+  Pw__Table t = PW__TABLE__INIT;
+  if (n <= TABLE_FROM) {
+    out->beats = beats;
+    out->n_beats = n;
+    return;
+  }
+  t.beats = beats;
+  t.n_beats = n;
+  compress(&t, out);
+}
+
 void pwtable_write(const pw_fleet *f, int64_t now, Pw__Notice *out) {
   Pw__Table t = PW__TABLE__INIT;
   size_t n = 0;
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -168,6 +168,19 @@
   return is_new ? PWFLEET_JOINED : PWFLEET_RENEWED;
 }
 
+pw_fleet_news pwfleet_renew(pw_fleet *f, const char *id, uint64_t seq,
+                            int64_t heard_at) {
+  pw_target *t = pwfleet_find(f, id);
+  if (!t || t->is_gone || seq <= t->seq)
+    return PWFLEET_OLD;
+  t->seq = seq;
+  if (heard_at > t->heard_at)
+    t->heard_at = heard_at;
+  int was_silent = t->is_silent;
+  t->is_silent = 0;
+  return was_silent ? PWFLEET_BACK : PWFLEET_RENEWED;
+}
+
 pw_fleet_news pwfleet_told_silent(pw_fleet *f, const char *id, int silent,
                                   int64_t now) {
   pw_target *t = pwfleet_find(f, id);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -4,6 +4,7 @@
 #include "pwdoc.h"
 #include "pwfleet.h"
 #include "pwretries.h"
+#include "pwtable.h"
 #include "pwtest.h"
 #include "pwtrace.h"
 
@@ -345,6 +346,10 @@
   b = beat("b", "10.0.0.1:80", 2, 0);
   CHECK(pwfleet_beat(f, &b, 0, 1900) == PWFLEET_BACK);
   CHECK(pwfleet_usable(f, "s", 1900) == 2);
+  CHECK(pwfleet_renew(f, "b", 2, 1950) == PWFLEET_OLD);
+  CHECK(pwfleet_renew(f, "b", 3, 1950) == PWFLEET_RENEWED);
+  CHECK(pwfleet_renew(f, "nobody", 3, 1950) == PWFLEET_OLD);
+  CHECK(!strcmp(pwfleet_find(f, "b")->address, "10.0.0.1:80"));
   CHECK(pwfleet_told_silent(f, "b", 1, 2000) == PWFLEET_SILENT);
   CHECK(pwfleet_told_silent(f, "b", 1, 2000) == PWFLEET_OLD);
   CHECK(pwfleet_usable(f, "s", 2000) == 1);
@@ -488,6 +493,42 @@
   CHECK(n > 0 && n * 4 <= 100);
 }
 
+/* --- heartbeats as they are passed on --- */
+
+static void count_told(void *arg, const Pw__Beat *in) {
+  pw_beat b;
+  pwtable_unpack(in, &b);
+  *(int *)arg += b.slots == 4 && !strcmp(b.service, "s") && b.address[0];
+}
+
+/* Few go as they are, many compressed; all come out again. */
+static void test_tables(void) {
+  for (int n = 1; n < 400; n += 57) {
+    pw_beat b[400];
+    Pw__Beat packed[400], *at[400];
+    Pw__Notice notice = PW__NOTICE__INIT;
+    int told = 0;
+    for (int i = 0; i < n; i++) {
+      char id[16];
+      snprintf(id, sizeof id, "t%d", i);
+      b[i] = beat(id, "10.0.0.1:80", 1, 0);
+      pwtable_pack(&packed[i], &b[i], 0, 0, 5);
+      at[i] = &packed[i];
+    }
+    pwtable_put(at, (size_t)n, &notice);
+    CHECK(n < 17 ? notice.n_beats == (size_t)n : notice.table.len > 0);
+    pwtable_read(&notice, count_told, &told);
+    CHECK(told == n);
+    if (notice.table.data) { /* cut short on its way: nothing is believed */
+      notice.table.len /= 2;
+      told = 0;
+      pwtable_read(&notice, count_told, &told);
+      CHECK(told == 0);
+    }
+    free(notice.table.data);
+  }
+}
+
 /* --- documents --- */
 
 static char *document(pw_random *r, int lines) {
@@ -594,6 +635,7 @@
   TEST(test_pick);
   TEST(test_retries);
   TEST(test_retries_shared);
+  TEST(test_tables);
   TEST(test_documents);
   TEST(test_trace);
   TESTS_END();
