A request ends as is true wherever it ends; pwexchange in three files

Cause: read of the change. When six connections could not be made for a stream that had begun, the refusal was written into the stream; a call that had run at one target and then reached none was refused with 503, "not run"; a call resent over a new connection that did not come up went on to more targets than its route allows; a stream whose caller did not keep up counted as stalled at its target; a stream that reached its time-out counted against a target that was at work. Change: pwexi_give_up: broken off, may have run, or refused; the checks above. Sending and failing have files of their own (pwexsend, pwexfail). Test: 30_gateway_last (failed before).

--- /dev/null
+++ b/packages/gateway/pwexfail.c
@@ -0,0 +1,113 @@
+/* pwexfail.c: what becomes of a request after a failure: it goes on elsewhere where
+** it may and can, else it ends at once. */
+#include "pwexint.h"
+
+/* A refusal by proof goes on elsewhere; so often at most. */
+#define HOPS_MAX 4
+
+/* A connection that could not be made is tried elsewhere, so often. */
+#define CONNECTS_MAX 6
+
+/* Sent at least so long ago, ms: less is usual for a request that waits. */
+#define STALL_MS 600
+
+static int spend_retry(pw_exchange *x, int64_t now) {
+  pw_retries *b = pwgate_retries(x->g, x->service->name);
+  if (pwretries_spend(b, pwlink_gateways(x->g->link), now)) {
+    pwcount_add(x->g->p->counters, PWC_RETRIES, 1);
+    return 1;
+  }
+  pwcount_add(x->g->p->counters, PWC_RETRY_DENIED, 1);
+  return 0;
+}
+
+void pwexi_retry(pw_exchange *x, const char *why, int may_have_run) {
+  pwexi_note(x, PWTRACE_FAIL, x->has_begun ? "resumed" : "retried",
+             "target=%s why=\"%s\" ran=%d last=%.*s", x->t ? x->t->id : "-",
+             why, may_have_run, (int)x->nlast_event, x->last_event);
+  pwexi_let_go(x);
+  pwexi_place(x);
+}
+
+/* Whether a request that may have run may go to another target. */
+int pwexi_may_repeat(pw_exchange *x, int64_t now) {
+  return x->route->kind == PWSITE_SAFE && x->runs < x->route->attempts &&
+         spend_retry(x, now);
+}
+
+/* A failure that proves nothing. */
+void pwexi_unknown(pw_exchange *x, const char *why) {
+  int64_t now = pwclock_ms();
+  if (pwexi_may_repeat(x, now))
+    pwexi_retry(x, why, 1);
+  else
+    pwexi_give_up(x, PW_E_UNKNOWN, why, 0);
+}
+
+/* The target proved that it did not run it. */
+void pwexi_not_run(pw_exchange *x) {
+  int64_t now = pwclock_ms();
+  if (x->status == HTTP_STATUS_MISDIRECTED_REQUEST)
+    pwfleet_forget(x->g->fleet, x->t, now);
+  x->runs--;
+  x->may_have_run = x->runs > 0;
+  pwbuf_free(&x->lines);
+  pwbuf_free(&x->held);
+  if (x->hops++ < HOPS_MAX && pwexi_time_left(x) > 0 && spend_retry(x, now))
+    pwexi_retry(x, "not run there", 0);
+  else
+    pwexi_give_up(x, PW_E_BUSY, "the target refused it",
+                  PWEX_RETRY_NO_TARGET_MS);
+}
+
+/* Nothing left this gateway: another target may have it, unless as many as the
+** route allows may have run it before. */
+static void unreached(pw_exchange *x, int64_t now) {
+  pwfleet_unreached(x->t, now);
+  if (x->runs < x->route->attempts && x->connects++ < CONNECTS_MAX)
+    pwexi_retry(x, "no connection", 0);
+  else
+    pwexi_give_up(x, PW_E_CONNECT, "no target could be reached",
+                  PWEX_RETRY_NO_TARGET_MS);
+}
+
+void pwexchange_failed(pw_exchange *x, pw_tcp_end how, int unused) {
+  int64_t now = pwclock_ms();
+  x->u = NULL;
+  if (!x->is_sent) {
+    unreached(x, now);
+    return;
+  }
+  if (!unused)
+    pwfleet_failed(x->t, now);
+  /* A connection that the target closed while it rested: the same target, over
+  ** a new one, if the request may run again. */
+  if (unused && !x->has_begun && !x->is_fresh_only &&
+      x->route->kind == PWSITE_SAFE && spend_retry(x, now)) {
+    x->is_fresh_only = 1;
+    if (pwexi_send(x) == 0)
+      return;
+  }
+  pwexi_unknown(x, how == PWTCP_EOF ? "the target closed" : "reset");
+}
+
+/* A target that went dark says nothing: who may go on elsewhere does so while
+** there is time, another waits for its time-out. */
+static void check_stall(pw_exchange *x, int64_t now) {
+  if (!x->u || !x->is_sent || x->is_paused || now - x->sent_at < STALL_MS ||
+      !pwfleet_is_dark(x->t, now) || !pwexi_may_repeat(x, now))
+    return;
+  pwfleet_unreached(x->t, now);
+  pw_upconn *u = x->u;
+  x->u = NULL;
+  pwupconn_cancel(u);
+  pwexi_retry(x, "the target went dark", 1);
+}
+
+void pwexchange_check(pw_gate *g, int64_t now) {
+  for (pw_client *c = g->clients, *next; c; c = next) {
+    next = c->next;
+    if (c->exchange)
+      check_stall(c->exchange, now);
+  }
+}
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -1,4 +1,5 @@
-/* pwexint.h: state of one exchange, for pwexchange.c and pwevents.c alone. */
+/* pwexint.h: state of one exchange, for pwexchange.c, pwexsend.c, pwexfail.c and
+** pwevents.c alone. */
 #ifndef PWEXINT_H
 #define PWEXINT_H
 
@@ -9,6 +10,10 @@
 #define PWEX_HELD_MAX (4 * 1024 * 1024) /* bytes of an answer that is held */
 #define PWEX_EVENT_ID 64                /* longest id of an event */
 
+/* When to come back, where nothing better is known, ms. */
+#define PWEX_RETRY_NO_TARGET_MS 700
+#define PWEX_RETRY_LEAST_MS 100
+
 struct pw_exchange {
   pw_gate *g;
   pw_client *client;
@@ -56,19 +61,41 @@
 /* Lets go of the target. */
 void pwexi_let_go(pw_exchange *x);
 
-/* Sends it to a target, or ends it. */
+/* Ms until it must have ended. */
+int64_t pwexi_time_left(const pw_exchange *x);
+
+/* Ends: with a code, or by breaking off what has begun. */
+void pwexi_refuse(pw_exchange *x, pw_code code, const char *why,
+                  int64_t retry_ms);
+void pwexi_break(pw_exchange *x, const char *why);
+
+/* Ends as is true: breaks off what has begun, says that it may have run, or else
+** refuses with a code that promises that it did not. */
+void pwexi_give_up(pw_exchange *x, pw_code code, const char *why,
+                   int64_t retry_ms);
+
+/* --- pwexsend.c --- */
+
+/* Picks a target and sends it there, or ends it. */
 void pwexi_place(pw_exchange *x);
 
+/* Sends it to x->t; -1: no connection can be had. */
+int pwexi_send(pw_exchange *x);
+
+/* --- pwexfail.c --- */
+
 /* Lets go, and places it again. */
 void pwexi_retry(pw_exchange *x, const char *why, int may_have_run);
 
+/* Whether a request that may have run may go to another target: its route says
+** so and the budget pays. */
+int pwexi_may_repeat(pw_exchange *x, int64_t now);
+
 /* A failure after which it may have run: another attempt, or the end. */
 void pwexi_unknown(pw_exchange *x, const char *why);
 
-/* Ends: with a code, or by breaking off what has begun. */
-void pwexi_refuse(pw_exchange *x, pw_code code, const char *why,
-                  int64_t retry_ms);
-void pwexi_break(pw_exchange *x, const char *why);
+/* The target proved that it did not run it: another attempt, or the end. */
+void pwexi_not_run(pw_exchange *x);
 
 /* --- pwevents.c --- */
 
--- /dev/null
+++ b/packages/gateway/pwexsend.c
@@ -0,0 +1,130 @@
+/* pwexsend.c: a request on its way: which target, over which connection. */
+#include "pwexint.h"
+
+/* A connection that rested longer than this carries no request that may not
+** run twice: the target may have closed it, and who read what is not known. */
+#define REST_ONCE_MS 800
+#define REST_ANY_MS 60000
+
+#define MS_PER_S 1000
+
+static void write_head(pw_exchange *x, pw_buf *out) {
+  const pw_h1 *m = &x->client->request;
+  pwbuf_fmt(out, "%s %.*s HTTP/1.1\r\n",
+            http_method_str((enum http_method)m->parser.method), (int)m->nurl,
+            m->url);
+  for (int i = 0; i < m->nheaders; i++) {
+    const pw_h1_header *h = &m->header[i];
+    if (pwh1_is_hop(m, h) || !x->g->dialect->passes(h))
+      continue;
+    pwbuf_add(out, h->name, h->nname);
+    pwbuf_add(out, ": ", 2);
+    pwbuf_add(out, h->value, h->nvalue);
+    pwbuf_add(out, "\r\n", 2);
+  }
+  pw_forward f = {.target = x->t->id,
+                  .workspace = x->workspace ? x->workspace->name : NULL,
+                  .deadline_ms = pwexi_time_left(x),
+                  .urgency = -1,
+                  .last_event = x->ask.last_event,
+                  .fetch_from = x->holder && x->service->moves_kv
+                                    ? x->holder->address
+                                    : NULL};
+  if (x->nlast_event)
+    f.last_event = (pw_span){x->last_event, x->nlast_event};
+  x->g->dialect->write_forward(out, &f);
+  if (m->has_body || x->client->body.len)
+    pwbuf_fmt(out, "Content-Length: %zu\r\n", x->client->body.len);
+  pwbuf_add(out, "\r\n", 2);
+}
+
+int pwexi_send(pw_exchange *x) {
+  pw_buf head = {0};
+  int64_t rest = x->route->kind == PWSITE_SAFE ? REST_ANY_MS : REST_ONCE_MS;
+  if (x->is_fresh_only)
+    rest = 0;
+  write_head(x, &head);
+  x->is_sent = 0;
+  x->sent_at = pwclock_ms();
+  x->u = pwupconn_send(x->g, x->t, x, &head, &x->client->body,
+                       x->client->request.parser.method == HTTP_HEAD, rest);
+  pwbuf_free(&head);
+  return x->u ? 0 : -1;
+}
+
+static uint64_t prompt_key(const pw_ask *ask) {
+  int shared = ask->nparts > 1 ? ask->nparts - 2 : 0;
+  return ask->nparts ? ask->part[shared].id : 0;
+}
+
+/* Fills x->t (held) and x->holder; 0 when there is no target. */
+static int pick(pw_exchange *x) {
+  pw_gate *g = x->g;
+  int64_t now = pwclock_ms();
+  int is_sticky = x->route->is_sticky && x->ask.nparts > 0;
+  uint64_t key = prompt_key(&x->ask);
+  int64_t keep = (int64_t)(g->p->set->gateway_keep * MS_PER_S);
+  pw_fleet_ask ask = {
+      .service = x->service->name,
+      .how = g->how,
+      .is_sticky = is_sticky,
+      .key = key,
+      .last = is_sticky ? pwwhere_find(g->where, key, now, keep) : 0,
+      .wait_ms = (double)pwexi_time_left(x) / 2,
+      .draw = pwgate_draw(g),
+      .bound = {PW_GW_BOUND_SHARE * g->p->set->gateway_load_times,
+                PW_GW_BOUND_EXTRA},
+      .tried = x->tried,
+      .ntried = x->ntried};
+  pw_fleet_picked got = pwfleet_pick(g->fleet, &ask, now);
+  x->t = got.target;
+  x->holder = got.holder;
+  if (!got.target)
+    return 0;
+  if (is_sticky) {
+    pwwhere_note(g->where, key, got.target->short_hash, now);
+    if (!got.is_home)
+      pwgossip_moved(g->gossip, key, got.target->short_hash);
+  }
+  return 1;
+}
+
+static void refuse_for_load(pw_exchange *x) {
+  int64_t now = pwclock_ms();
+  int usable = pwfleet_usable(x->g->fleet, x->service->name, now);
+  if (usable == 0)
+    pwexi_refuse(x, PW_E_NO_TARGET, "no target of the service is known",
+                 PWEX_RETRY_NO_TARGET_MS);
+  else
+    pwexi_refuse(x, PW_E_BUSY, "all targets are full",
+                 PWEX_RETRY_LEAST_MS +
+                     (int64_t)(pwgate_draw(x->g) * PWEX_RETRY_NO_TARGET_MS));
+}
+
+void pwexi_place(pw_exchange *x) {
+  for (;;) {
+    if (pwexi_time_left(x) <= 0 || x->ntried == PWEX_TRIED_MAX)
+      break;
+    if (!pick(x))
+      break;
+    pw_target *t = x->t;
+    x->is_fresh_only = 0;
+    t->inflight++;
+    x->tried[x->ntried++] = pwfleet_hold(t);
+    pwcount_add(x->g->p->counters, PWC_ATTEMPTS, 1);
+    if (pwexi_send(x) == 0) {
+      pwexi_note(x, PWTRACE_WELL, "placed",
+                 "target=%s load=%d+%d n=%d key=%llx fetch=%s", t->id,
+                 t->inflight, t->others, x->ntried,
+                 (unsigned long long)prompt_key(&x->ask),
+                 x->holder ? x->holder->id : "-");
+      x->holder = NULL; /* not held */
+      return;
+    }
+    pwexi_let_go(x); /* no descriptor to be had */
+  }
+  if (x->has_begun || x->may_have_run)
+    pwexi_give_up(x, PW_E_UNKNOWN, "no other target", 0);
+  else
+    refuse_for_load(x);
+}
