--- a/packages/control/pwsitecall.c
+++ b/packages/control/pwsitecall.c
@@ -2,7 +2,9 @@
 #include "pwsitecall.h"
 
 #include "pwlog.h"
+#include "pwtcp.h"
 
+#include <stdio.h>
 #include <string.h>
 
 static pw_code read_document(pw_http *h, const pw_dialect *d, pw_api_call *c,
@@ -19,6 +21,16 @@
   return PW_OK;
 }
 
+static pw_code read_beat(const pw_dialect *d, const char *id, const char *body,
+                         size_t n, pw_api_call *c, char *message, size_t cap) {
+  struct sockaddr_in addr;
+  pw_code rc = d->read_beat(id, body, n, &c->beat, message, cap);
+  if (rc != PW_OK || pwtcp_address(c->beat.address, &addr) == 0)
+    return rc;
+  snprintf(message, cap, "address: IP:PORT is needed");
+  return PW_E_BODY;
+}
+
 pw_code pwsitecall_read(pw_http *h, const pw_dialect *d, pw_api_call **out,
                         char *message, size_t cap) {
   static const pw_api_op ops[] = {[PWCALL_SITE_READ] = PW_API_SITE_READ,
@@ -40,7 +52,7 @@
   if (kind == PWCALL_SITE_WRITE)
     rc = read_document(h, d, c, message, cap);
   else if (kind == PWCALL_BEAT)
-    rc = d->read_beat(id, body, n, &c->beat, message, cap);
+    rc = read_beat(d, id, body, n, c, message, cap);
   if (rc == PW_OK)
     *out = c;
   else
--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -205,6 +205,8 @@
       pwtable_is_renewal(beat)
           ? pwfleet_renew(in->w->targets, b.id, b.seq, heard_at)
           : pwfleet_beat(in->w->targets, &b, beat->gone, heard_at);
+  if (what == PWFLEET_BACK) /* a renewal does not say all that it is */
+    pwfleet_beat_of(pwfleet_find(in->w->targets, b.id), in->now, &b);
   if (what >= PWFLEET_JOINED)
     note_news(in->w, &b, what, 0, heard_at);
 }
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -123,8 +123,7 @@
   pw_copy(t->service, sizeof t->service, b->service);
   pw_copy(t->zone, sizeof t->zone, b->zone);
   pw_copy(t->address, sizeof t->address, b->address);
-  if (pwtcp_address(b->address, &t->addr) != 0)
-    t->is_gone = 1;
+  pwtcp_address(b->address, &t->addr);
   t->slots = b->slots > 0 ? b->slots : SLOTS_DEFAULT;
   t->cold_until = heard_at + b->cold_ms;
 }
@@ -141,6 +140,9 @@
                            int64_t heard_at) {
   pw_target *t = pwfleet_find(f, b->id);
   int is_new = !t;
+  struct sockaddr_in addr;
+  if (!gone && pwtcp_address(b->address, &addr) != 0)
+    return PWFLEET_OLD; /* says nothing that can be used */
   if (is_new)
     t = add(f, b, heard_at);
   if (heard_at > t->heard_at)
--- a/tests/scenarios/26_gateway_dark.lua
+++ b/tests/scenarios/26_gateway_dark.lua
@@ -69,4 +69,28 @@
   for i = 1, 10 do g:ask{path = "/chat/x", events = 2, body = "q", gateway = g.gateways[i % 2 + 1]} end
   return frozen:stats().total > before
 end)
+
+-- The control instance that hears the targets stands still: the others take them for
+-- silent. When it goes on all are back, and known as they were.
+local function told(p, event) -- lines of the event about a target
+  return select(2, fleet.read(p.log):gsub("ev=" .. event .. " [^\n]*target=i%-engine%-2 ", ""))
+end
+local hearing = g.control[1]
+local before = {}
+for i = 2, 3 do before[i] = told(g.control[i], "target%-silent") end
+hearing:pause()
+for i = 2, 3 do
+  fleet.eventually(g.control[i].name .. " misses a target", function()
+    return told(g.control[i], "target%-silent") > before[i]
+  end)
+end
+for i = 2, 3 do before[i] = told(g.control[i], "target%-back") end
+hearing:continue()
+for i = 2, 3 do
+  fleet.eventually(g.control[i].name .. " has it back", function() return told(g.control[i], "target%-back") > before[i] end)
+  fleet.expect("all that it is: " .. fleet.read(g.control[i].log), not fleet.read(g.control[i].log):find("target%-back [^\n]*service= "))
+end
+for i = 1, 12 do
+  fleet.equal("served after that " .. i, g:ask{path = "/chat/x", events = 2, body = "q", gateway = g.gateways[i % 2 + 1]}.status, 200)
+end
 g:stop()
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -353,6 +353,9 @@
   CHECK(pwfleet_told_silent(f, "b", 1, 2000) == PWFLEET_SILENT);
   CHECK(pwfleet_told_silent(f, "b", 1, 2000) == PWFLEET_OLD);
   CHECK(pwfleet_usable(f, "s", 2000) == 1);
+  b = beat("c", "", 9, 0); /* without an address: it stays as it was */
+  CHECK(pwfleet_beat(f, &b, 0, 2000) == PWFLEET_OLD);
+  CHECK(!pwfleet_find(f, "c")->is_gone && pwfleet_find(f, "c")->seq == 1);
   CHECK(pwfleet_told_silent(f, "c", 1, 2000) == PWFLEET_SILENT);
   CHECK(pwfleet_usable(f, "s", 2000) == 2); /* all at once: nobody hears them */
   pwfleet_tick(f, 10000, NULL, NULL);
