--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -22,8 +22,10 @@
 /* A watcher that says nothing for so many of these times is gone. */
 #define LOST_TIMES 5
 
-/* And the lists of instances again after so long, ms. */
-#define LIST_MS 2000
+/* Those that rely on this instance are told of other gateways when there are more
+** or fewer, so long after they were told last, ms. */
+#define LIST_MS 1000
+#define LIST_MS_A_WATCHER 20
 
 /* A single change goes out at once, more within so long together: the longer the
 ** more there are to tell; ms. */
@@ -71,8 +73,8 @@
   int nnews;
   int64_t urgent_at; /* when the oldest change came; 0: there is none */
   int64_t renewed_at;
-  int gateways_changed;
-  int in_touch; /* a leader was heard just now */
+  int64_t changed_at; /* when the set of gateways changed last, ms */
+  int in_touch;       /* a leader was heard just now */
 };
 
 pw_watch *pwwatch_new(pw_proc *p, pw_sock *listener, pw_sock *dialler,
@@ -118,12 +120,18 @@
       n->gateways[n->n_gateways++] = one->gossip;
 }
 
+static int list_is_due(const pw_watch *w, const watcher *to, int64_t now) {
+  int64_t pause = LIST_MS + LIST_MS_A_WATCHER * (int64_t)w->nwatchers;
+  return !to->listed_at ||
+         (to->listed_at <= w->changed_at && now - to->listed_at >= pause);
+}
+
 /* Sends a notice whose heartbeats the caller has filled in. */
 static void tell(pw_watch *w, watcher *to, Pw__Notice *n, int64_t now) {
   n->site = pwdoc_version(w->doc);
   n->in_touch = w->in_touch;
   n->watch_ms = (uint32_t)notice_ms(w);
-  if (w->gateways_changed || now - to->listed_at >= LIST_MS) {
+  if (list_is_due(w, to, now)) {
     add_lists(w, n, to->is_primary && to->gossip[0]);
     to->listed_at = now;
   }
@@ -221,6 +229,12 @@
   return NULL;
 }
 
+/* A watcher came or went. */
+static void note_gateways(pw_watch *w, const watcher *one) {
+  if (one->gossip[0])
+    w->changed_at = pwclock_ms();
+}
+
 static watcher *add_watcher(pw_watch *w, const pw_peer *from,
                             const Pw__Envelope *e) {
   watcher *one = pw_alloc(sizeof *one);
@@ -231,7 +245,7 @@
   w->nwatchers++;
   one->told_site = UINT64_MAX; /* it is told at once */
   pw_copy(one->gossip, sizeof one->gossip, e->watch->gossip);
-  w->gateways_changed |= one->gossip[0] != 0;
+  note_gateways(w, one);
   return one;
 }
 
@@ -269,7 +283,7 @@
     }
     *at = one->next;
     w->nwatchers--;
-    w->gateways_changed |= one->gossip[0] != 0;
+    note_gateways(w, one);
     free(one);
   }
 }
@@ -367,7 +381,7 @@
 
 static void tell_news(pw_watch *w, watcher *to, const bundle *b, int64_t now) {
   Pw__Notice n = b->notice;
-  if (b->n || w->gateways_changed || to->told_site != pwdoc_version(w->doc) ||
+  if (b->n || to->told_site != pwdoc_version(w->doc) ||
       now - to->told_at >= notice_ms(w))
     tell(w, to, &n, now);
 }
@@ -395,7 +409,7 @@
   int64_t gather = GATHER_MS_A_WATCHER * (int64_t)w->nwatchers;
   if (now - w->renewed_at >= (gather > RENEW_MS ? gather : RENEW_MS))
     return 1;
-  return (w->urgent_at || w->gateways_changed || site_is_news(w)) &&
+  return (w->urgent_at || site_is_news(w)) &&
          now - w->renewed_at >= (gather > GATHER_MS ? gather : GATHER_MS);
 }
 
@@ -409,6 +423,5 @@
   tell_all(w, now);
   w->nnews = 0;
   w->urgent_at = 0;
-  w->gateways_changed = 0;
   w->renewed_at = now;
 }
