Who hears a renewal of a target that it does not know asks to be told all

Change: such a renewal has the instance begin its watch anew, which brings the whole table; `target-forgotten` has a line. Test: 26_gateway_dark (with the mend taken out it fails; passes).

--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -50,6 +50,7 @@
   char addr[PW_NAME_MAX];
   pw_peer peer;
   int64_t asked_at;
+  int must_tell_all; /* it knows of targets that this one does not */
 } other;
 
 typedef struct news {
@@ -187,16 +188,21 @@
     note_news(w, b, what, 1, now);
 }
 
-static void on_silent(void *arg, pw_target *t) {
+static void on_silent(void *arg, pw_target *t, int forgotten) {
   pw_watch *w = arg;
   pw_beat b;
   int64_t now = pwclock_ms();
+  if (forgotten) {
+    pwlog(LOG_NOTICE, "target-forgotten", "target=%s", t->id);
+    return;
+  }
   pwfleet_beat_of(t, now, &b);
   note_news(w, &b, PWFLEET_SILENT, 0, now);
 }
 
 typedef struct told {
   pw_watch *w;
+  other *from;
   int64_t now;
 } told;
 
@@ -213,7 +219,10 @@
       pwtable_is_renewal(beat)
           ? pwfleet_renew(in->w->targets, b.id, b.seq, heard_at)
           : pwfleet_beat(in->w->targets, &b, beat->gone, heard_at);
-  if (what == PWFLEET_BACK) /* a renewal does not say all that it is */
+  if (pwtable_is_renewal(beat) && in->from &&
+      !pwfleet_find(in->w->targets, b.id))
+    in->from->must_tell_all = 1; /* forgotten here, as after a long pause */
+  if (what == PWFLEET_BACK)      /* a renewal does not say all that it is */
     pwfleet_beat_of(pwfleet_find(in->w->targets, b.id), in->now, &b);
   if (what >= PWFLEET_JOINED)
     note_news(in->w, &b, what, 0, heard_at);
@@ -264,9 +273,16 @@
     send_document(w, from, m->site);
 }
 
+static other *other_of(pw_watch *w, const pw_peer *peer) {
+  for (int i = 0; i < w->nothers; i++)
+    if (pwwire_same(&w->others[i].peer, peer))
+      return &w->others[i];
+  return NULL;
+}
+
 void pwwatch_message(pw_watch *w, const pw_peer *from, const Pw__Envelope *e,
                      int64_t now) {
-  told in = {w, now};
+  told in = {w, other_of(w, from), now};
   if (e->body_case == PW__ENVELOPE__BODY_WATCH)
     on_watch(w, from, e, now);
   else if (e->body_case == PW__ENVELOPE__BODY_NOTICE)
@@ -311,16 +327,24 @@
   w->nothers = count;
 }
 
+static void send_watch(pw_watch *w, const other *o, int primary) {
+  Pw__Watch m = PW__WATCH__INIT;
+  m.primary = primary;
+  Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
+  pwwire_send(w->dialler, &o->peer, &e);
+}
+
+/* Who begins to rely on another instance is told all by it. */
 static void watch_others(pw_watch *w, int64_t now) {
   for (int i = 0; i < w->nothers; i++) {
     other *o = &w->others[i];
     if (now - o->asked_at < NOTICE_MS)
       continue;
     o->asked_at = now;
-    Pw__Watch m = PW__WATCH__INIT;
-    m.primary = 1;
-    Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
-    pwwire_send(w->dialler, &o->peer, &e);
+    if (o->must_tell_all)
+      send_watch(w, o, 0);
+    o->must_tell_all = 0;
+    send_watch(w, o, 1);
   }
 }
 
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -220,18 +220,22 @@
 }
 
 void pwfleet_tick(pw_fleet *f, int64_t now,
-                  void (*judge)(void *arg, pw_target *t), void *arg) {
+                  void (*judge)(void *arg, pw_target *t, int forgotten),
+                  void *arg) {
   pw_target *t, *tmp;
   HASH_ITER(hh, f->by_id, t, tmp) {
     int64_t silence = now - t->heard_at;
     if (judge && !t->is_gone && !t->is_silent &&
         silence > SILENT_BEATS * f->beat_ms) {
       t->is_silent = 1;
-      judge(arg, t);
+      judge(arg, t, 0);
     }
     if ((t->is_gone || t->is_silent) && silence > FORGET_BEATS * f->beat_ms &&
-        t->inflight == 0)
+        t->inflight == 0) {
+      if (judge)
+        judge(arg, t, 1);
       remove_target(f, t);
+    }
   }
 }
 
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -83,9 +83,11 @@
                                   int64_t now);
 
 /* Lets time pass: targets long silent are forgotten. With `judge` it also finds
-** who has missed its heartbeats, and tells of each. */
+** who has missed its heartbeats, and tells of each, and of those that are about
+** to be forgotten. */
 void pwfleet_tick(pw_fleet *f, int64_t now,
-                  void (*judge)(void *arg, pw_target *t), void *arg);
+                  void (*judge)(void *arg, pw_target *t, int forgotten),
+                  void *arg);
 
 /* A target as its last heartbeat told. */
 void pwfleet_beat_of(const pw_target *t, int64_t now, pw_beat *out);
--- a/tests/scenarios/26_gateway_dark.lua
+++ b/tests/scenarios/26_gateway_dark.lua
@@ -90,6 +90,26 @@
   fleet.eventually(g.control[i].name .. " has it back", function() return told(g.control[i], "target%-back") > before[i] end)
   fleet.expect("all that it is: " .. fleet.read(g.control[i].log), not fleet.read(g.control[i].log):find("target%-back [^\n]*service= "))
 end
+
+-- The same for so long that the others forget the targets altogether.
+hearing:pause()
+for i = 2, 3 do
+  fleet.eventually(g.control[i].name .. " forgets a target", function()
+    return fleet.read(g.control[i].log):find("ev=target%-forgotten [^\n]*target=i%-engine%-2")
+  end)
+end
+hearing:continue()
+for _, p in ipairs(g.gateways) do
+  fleet.eventually(p.name .. " serves again", function()
+    return g:ask{path = "/chat/x", events = 2, body = "q", gateway = p}.status == 200
+  end)
+end
+for i = 2, 3 do
+  fleet.eventually(g.control[i].name .. " knows it again", function()
+    local log = fleet.read(g.control[i].log)
+    return log:find("target%-joined [^\n]*target=i%-engine%-2 ", (log:find("ev=target%-forgotten [^\n]*target=i%-engine%-2")))
+  end)
+end
 for i = 1, 12 do
   fleet.equal("served after that " .. i, g:ask{path = "/chat/x", events = 2, body = "q", gateway = g.gateways[i % 2 + 1]}.status, 200)
 end
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -309,9 +309,9 @@
   return b;
 }
 
-static void count_silent(void *arg, pw_target *t) {
+static void count_silent(void *arg, pw_target *t, int forgotten) {
   (void)t;
-  (*(int *)arg)++;
+  *(int *)arg += !forgotten;
 }
 
 static void test_fleet(void) {
