--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 
 MAKEFLAGS += --no-builtin-rules
 .SECONDARY:
-.PHONY: all bench-policy bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak rounds capacity install deb sanitized format lint help clean
+.PHONY: all bench-policy bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak soak-seeds rounds capacity install deb sanitized format lint help clean
 
 all: $(BINS)
 
@@ -168,6 +168,11 @@
 soak: all $(FAKES) $(RUNNER)
 	SEED=$(SEED) MINUTES=$(MINUTES) PROCESSES=$(PROCESSES) $(RUNNER) --bin $(BUILD) tests/soak.lua
 
+# The seeds that failed once, beside each other.
+soak-seeds: all $(FAKES) $(RUNNER)
+	@sed -n 's/^\([0-9][0-9]*\) .*/\1/p' tests/soak-seeds.txt | xargs -P 4 -I{} \
+	  sh -c 'SEED={} MINUTES=$(MINUTES) PROCESSES=$(PROCESSES) $(RUNNER) --bin $(BUILD) tests/soak.lua'
+
 # The same tests under AddressSanitizer and UndefinedBehaviorSanitizer.
 SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
   -fno-omit-frame-pointer
