A connection at rest is not closed over a request that waits to be read

After a long turn of the loop timers run before what has come is read, so a connection whose rest was over was closed with a request in it. Ruled out: the planned stop (none there), 408 (answers), broken-off (resets; no line). Change: bytes that wait are looked for before a connection at rest is closed, also at a stop. Test: 31_gateway_idle (failed before).

--- a/packages/gateway/pwclient.c
+++ b/packages/gateway/pwclient.c
@@ -281,13 +281,20 @@
 
 /* --- connections that rest or dawdle --- */
 
+/* No request is in progress, and none has come: after the process stood still
+** one may wait to be read. */
+static int is_at_rest(const pw_client *c) {
+  return !c->is_busy && c->request.state == PWH1_HEAD &&
+         c->request.head.len == 0 && !pwtcp_has_unread(c->tcp);
+}
+
 static void sweep_one(pw_client *c, int64_t now) {
   const pw_site_limits *l = c->g->site ? pwsite_limits(c->g->site) : NULL;
   if (c->is_busy)
     return;
   int64_t age = now - c->since;
   if (c->request.state == PWH1_HEAD && c->request.head.len == 0) {
-    if (age > (l ? l->idle_timeout_ms : IDLE_UNKNOWN_MS))
+    if (age > (l ? l->idle_timeout_ms : IDLE_UNKNOWN_MS) && is_at_rest(c))
       close_client(c, 0);
   } else if (c->request.state == PWH1_HEAD) {
     if (l && age > l->header_timeout_ms)
@@ -300,8 +307,7 @@
 void pwclient_close_idle(pw_gate *g) {
   for (pw_client *c = g->clients, *next; c; c = next) {
     next = c->next;
-    if (!c->is_busy && c->request.state == PWH1_HEAD &&
-        c->request.head.len == 0)
+    if (is_at_rest(c))
       close_client(c, 0);
   }
 }
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -252,6 +252,11 @@
   return c->out.len - c->out_at;
 }
 
+int pwtcp_has_unread(const pw_tcp *c) {
+  char one;
+  return !c->closed && recv(c->fd, &one, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void pwtcp_pause(pw_tcp *c, int paused) {
   if (c->closed || c->connecting)
     return;
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -64,6 +64,9 @@
 /* Bytes that the peer has not taken yet. */
 size_t pwtcp_pending(const pw_tcp *c);
 
+/* Whether bytes have come that were not read yet. */
+int pwtcp_has_unread(const pw_tcp *c);
+
 /* Stops and resumes reading; the end of a stopped one is not noticed. */
 void pwtcp_pause(pw_tcp *c, int paused);
 
