Timers count from now, also after the process stood still; no copy from nowhere

Change: timers update the loop's time; the copy is left out when there is none. Tests: 31_gateway_idle and the sanitized run itself.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -119,13 +119,6 @@
     pwexi_give_up(x, PW_E_NO_TARGET, "time is up", PWEX_RETRY_LEAST_MS);
 }
 
-static void start_timer(pw_exchange *x) {
-  int64_t ms = pwexi_time_left(x);
-  ev_timer_init(&x->timer, on_timer, (double)(ms > 0 ? ms : 0) / 1000.0, 0);
-  x->timer.data = x;
-  ev_timer_start(x->g->ev, &x->timer);
-}
-
 /* --- beginning --- */
 
 /* What the configuration says of this request: 0, or it was refused. */
@@ -180,6 +173,7 @@
   g->nexchanges++;
   g->dialect->read_request(&c->request, &x->ask);
   ev_timer_init(&x->timer, on_timer, 0, 0);
+  x->timer.data = x;
   pwcount_add(g->p->counters, PWC_REQUESTS, 1);
   if (admit(x) != 0)
     return;
@@ -188,7 +182,7 @@
   x->deadline_at =
       x->ask.deadline_ms >= 0 ? now + x->ask.deadline_ms : x->timeout_at;
   pwretries_request(pwgate_retries(g, x->service->name), now);
-  start_timer(x);
+  pwgate_timer(g, &x->timer, pwexi_time_left(x));
   pwexi_place(x);
 }
 
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -67,6 +67,10 @@
 /* Frees memory when no call can refer to it any more. */
 void pwgate_later(pw_gate *g, void *p);
 
+/* Starts a timer that was initialised, to end `ms` from now: also right after the
+** process stood still, when the loop's own time is old. */
+void pwgate_timer(pw_gate *g, ev_timer *w, int64_t ms);
+
 /* The retry budget of a service. */
 pw_retries *pwgate_retries(pw_gate *g, const char *service);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -44,6 +44,12 @@
   g->later[g->nlater++] = p;
 }
 
+void pwgate_timer(pw_gate *g, ev_timer *w, int64_t ms) {
+  ev_now_update(g->ev);
+  ev_timer_set(w, (double)(ms > 0 ? ms : 0) / MS_PER_S, 0);
+  ev_timer_start(g->ev, w);
+}
+
 static void free_later(pw_gate *g) {
   for (size_t i = 0; i < g->nlater; i++)
     free(g->later[i]);
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -89,8 +89,10 @@
   p->seq = m->seq;
   p->heard_at = pwclock_ms();
   p->n = m->n_targets < LOADS_MAX ? m->n_targets : LOADS_MAX;
-  memcpy(p->target, m->targets, sizeof p->target[0] * p->n);
-  memcpy(p->load, m->loads, sizeof p->load[0] * p->n);
+  if (p->n) { /* none is a NULL pointer */
+    memcpy(p->target, m->targets, sizeof p->target[0] * p->n);
+    memcpy(p->load, m->loads, sizeof p->load[0] * p->n);
+  }
   for (size_t i = 0; i < m->n_keys && i < m->n_places; i++)
     pwwhere_note(s->g->where, m->keys[i], m->places[i], p->heard_at);
 }
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -202,7 +202,7 @@
   pwh1_init(&u->answer, HTTP_RESPONSE, HEAD_MAX);
   u->answer.arg = u;
   u->answer.on_body = on_body;
-  ev_timer_init(&u->connecting, on_connect_timeout, CONNECT_MS / 1000.0, 0);
+  ev_timer_init(&u->connecting, on_connect_timeout, 0, 0);
   u->connecting.data = u;
   u->tcp = pwtcp_connect(&g->tcp, &t->addr, SILENT_MS, &calls, u);
   if (!u->tcp) {
@@ -210,7 +210,7 @@
     free(u);
     return NULL;
   }
-  ev_timer_start(g->ev, &u->connecting);
+  pwgate_timer(g, &u->connecting, CONNECT_MS);
   t->nconns++;
   pwcount_add(g->p->counters, PWC_GW_CONNECTS, 1);
   return u;
