--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SAN ?=
 OPT ?= -O2
 
-PKGS = libzmq libmicrohttpd neon jansson libsodium libprotobuf-c liburcu-bp libzstd
+PKGS = libzmq gnutls neon jansson libsodium libprotobuf-c liburcu-bp libzstd
 INC = $(addprefix -Ipackages/,core policy consensus store wire http net site \
   membership daemon entry agent control gateway cli) -Iplatform
 CPPFLAGS += $(INC) -Itests
@@ -75,6 +75,7 @@
 	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(ALL_LIB) $(LDLIBS)
 
 $(BUILD)/fake-engine: $(addprefix $(BUILD)/tests/fakes/,models.o cachelog.o)
+$(BUILD)/fake-engine: LDLIBS += -lmicrohttpd
 
 $(RUNNER): $(call obj,$(wildcard tests/runner/*.c)) $(ALL_LIB)
 	@echo "  LD $@"
--- a/packages/gateway/pwevents.c
+++ b/packages/gateway/pwevents.c
@@ -25,21 +25,22 @@
 
 void pwexi_begin_answer(pw_exchange *x) {
   x->has_begun = 1;
-  pwclient_begin(x->client, x->status, x->lines.data ? x->lines.data : "");
+  pwconn_begin(x->client, x->status, x->lines.data ? x->lines.data : "");
   pwbuf_free(&x->lines);
 }
 
 void pwexi_pass(pw_exchange *x, const char *data, size_t n) {
   if (!x->has_begun)
     pwexi_begin_answer(x);
-  pwclient_piece(x->client, data, n);
+  pwconn_piece(x->client, data, n);
   if (x->u && pwtcp_pending(x->client->tcp) > PAUSE_BYTES && !x->is_paused) {
     x->is_paused = 1;
     pwupconn_pause(x->u, 1);
   }
 }
 
-void pwexchange_resume(pw_exchange *x) {
+void pwexchange_resume(void *exchange) {
+  pw_exchange *x = exchange;
   if (!x->is_paused)
     return;
   x->is_paused = 0;
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -36,25 +36,25 @@
 }
 
 /* Takes the exchange off its client, whose answer is to be written next. */
-static pw_client *take_client(pw_exchange *x) {
-  pw_client *c = x->client;
-  c->exchange = NULL;
+static pw_conn *take_client(pw_exchange *x) {
+  pw_conn *c = x->client;
+  c->state = NULL;
   return c;
 }
 
 void pwexi_refuse(pw_exchange *x, pw_code code, const char *why,
                   int64_t retry_ms) {
-  pw_client *c = take_client(x);
+  pw_conn *c = take_client(x);
   pwexi_note(x, PWTRACE_FAIL, "refused",
              "target=%s code=%d name=%s why=\"%s\" retry_ms=%lld",
              x->t ? x->t->id : "-", (int)code, pwcode_name(code), why,
              (long long)retry_ms);
   free_exchange(x);
-  pwclient_refuse(c, code, why, retry_ms);
+  pwconn_refuse(c, code, why, retry_ms);
 }
 
 static void answer(pw_exchange *x) {
-  pw_client *c = take_client(x);
+  pw_conn *c = take_client(x);
   pwexi_note(x, PWTRACE_WELL, "answered", "status=%d bytes=%zu", x->status,
              x->held.len);
   pw_buf lines = x->lines;
@@ -62,19 +62,19 @@
   x->lines = x->held = (pw_buf){0};
   int status = x->status;
   free_exchange(x);
-  pwclient_answer(c, status, lines.data ? lines.data : "", held.data, held.len);
+  pwconn_answer(c, status, lines.data ? lines.data : "", held.data, held.len);
   pwbuf_free(&lines);
   pwbuf_free(&held);
 }
 
 /* What was passed on cannot be made whole any more. */
 void pwexi_break(pw_exchange *x, const char *why) {
-  pw_client *c = take_client(x);
+  pw_conn *c = take_client(x);
   pwexi_note(x, PWTRACE_FAIL, "broken-off", "target=%s why=\"%s\" last=%.*s",
              x->t ? x->t->id : "-", why, (int)x->nlast_event, x->last_event);
   pwcount_add(x->g->p->counters, PWC_GW_BROKEN, 1);
   free_exchange(x);
-  pwclient_break(c);
+  pwconn_break(c);
 }
 
 void pwexi_give_up(pw_exchange *x, pw_code code, const char *why,
@@ -87,7 +87,8 @@
     pwexi_refuse(x, code, why, retry_ms);
 }
 
-void pwexchange_abandon(pw_exchange *x) {
+void pwexchange_abandon(void *exchange) {
+  pw_exchange *x = exchange;
   pwexi_note(x, PWTRACE_FAIL, "caller-gone", "target=%s sent=%d",
              x->t ? x->t->id : "-", x->is_sent);
   pwcount_add(x->g->p->counters, PWC_GW_GONE, 1);
@@ -142,8 +143,8 @@
 }
 
 /* No configuration is known yet: the caller is told when it will be. */
-static void refuse_unready(pw_client *c) {
-  pw_gate *g = c->g;
+static void refuse_unready(pw_conn *c) {
+  pw_gate *g = c->all->arg;
   pw_ask ask;
   int64_t now = pwclock_ms();
   int64_t left = g->started_at + START_MS - now;
@@ -155,11 +156,11 @@
                "retry_ms=%lld",
                (int)ask.id.n, ask.id.p ? ask.id.p : "", (int)PW_E_NOT_READY,
                pwcode_name(PW_E_NOT_READY), (long long)retry_ms);
-  pwclient_refuse(c, PW_E_NOT_READY, "", retry_ms);
+  pwconn_refuse(c, PW_E_NOT_READY, "", retry_ms);
 }
 
-void pwexchange_begin(pw_client *c) {
-  pw_gate *g = c->g;
+void pwexchange_begin(pw_conn *c) {
+  pw_gate *g = c->all->arg;
   if (!g->site) {
     refuse_unready(c);
     return;
@@ -168,7 +169,7 @@
   int64_t now = pwclock_ms();
   x->g = g;
   x->client = c;
-  c->exchange = x;
+  c->state = x;
   x->site = pwsite_hold(g->site);
   g->nexchanges++;
   g->dialect->read_request(&c->request, &x->ask);
@@ -240,10 +241,10 @@
   }
   if (!x->has_begun)
     pwexi_begin_answer(x);
-  pw_client *c = take_client(x);
+  pw_conn *c = take_client(x);
   pwexi_note(x, PWTRACE_WELL, "answered", "status=%d stream=1", x->status);
   free_exchange(x);
-  pwclient_end(c);
+  pwconn_end(c);
 }
 
 void pwexchange_whole(pw_exchange *x) {
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -48,7 +48,7 @@
 void pwexi_not_run(pw_exchange *x) {
   int64_t now = pwclock_ms();
   if (x->status == HTTP_STATUS_MISDIRECTED_REQUEST)
-    pwfleet_forget(x->g->fleet, x->t, now);
+    pwfleet_forget(x->t, now);
   x->runs--;
   x->may_have_run = x->runs > 0;
   pwbuf_free(&x->lines);
@@ -105,9 +105,9 @@
 }
 
 void pwexchange_check(pw_gate *g, int64_t now) {
-  for (pw_client *c = g->clients, *next; c; c = next) {
+  for (pw_conn *c = g->front.first, *next; c; c = next) {
     next = c->next;
-    if (c->exchange)
-      check_stall(c->exchange, now);
+    if (c->state)
+      check_stall(c->state, now);
   }
 }
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -16,7 +16,7 @@
 
 struct pw_exchange {
   pw_gate *g;
-  pw_client *client;
+  pw_conn *client;
   pw_site *site; /* the configuration that it came under */
   const pw_site_route *route;
   const pw_site_service *service;
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -1,11 +1,12 @@
 /* pwgate.h: state of a gateway, for the files of this package alone.
 **
-** One thread and one event loop own all of it. A client's connection
-** (pwclient) carries one exchange (pwexchange) at a time, which goes to
-** targets (pwfleet) over kept connections (pwupconn). */
+** One thread and one event loop own all of it. A caller's connection (pwconn)
+** carries one exchange (pwexchange) at a time, which goes to targets (pwfleet)
+** over kept connections (pwupconn). */
 #ifndef PWGATE_H
 #define PWGATE_H
 
+#include "pwconn.h"
 #include "pwdialect.h"
 #include "pwfleet.h"
 #include "pwproc.h"
@@ -15,27 +16,10 @@
 #include "pwwhere.h"
 
 typedef struct pw_gate pw_gate;
-typedef struct pw_client pw_client;
 typedef struct pw_exchange pw_exchange;
 typedef struct pw_link pw_link;
 typedef struct pw_gossip pw_gossip;
 
-/* A connection of a caller, or of the platform that asks for readiness. */
-struct pw_client {
-  pw_gate *g;
-  pw_tcp *tcp;
-  void (*handle)(pw_client *c); /* a whole request is there */
-  pw_h1 request;
-  pw_buf body;
-  pw_buf ahead; /* bytes that came while a request is in progress */
-  pw_exchange *exchange;
-  int is_busy;   /* a request is in progress */
-  int is_closed; /* its memory goes at the loop's next turn */
-  int close_next;
-  int64_t since; /* when it came to rest, or the head's first byte; ms */
-  pw_client *prev, *next;
-};
-
 struct pw_gate {
   pw_proc *p;
   struct ev_loop *ev;
@@ -48,8 +32,8 @@
   pw_gossip *gossip;
   pw_trace *trace;
   struct pw_gate_retries *retries; /* one of each service */
-  pw_client *clients;
-  int nclients;
+  pw_conns front;                  /* callers */
+  pw_conns ready;                  /* the platform, which asks for readiness */
   int nexchanges;
   uint64_t random;
   int64_t started_at;
@@ -57,7 +41,6 @@
   pw_pick_how how; /* targets are picked */
   int is_ready;
   int64_t swept_at, checked_at;
-  ev_io front, ready;
   ev_timer tick;
   ev_prepare reap;
   void **later; /* memory that goes at the loop's next turn */
@@ -80,49 +63,22 @@
 /* A newer configuration is in force from now on. */
 void pwgate_adopt(pw_gate *g, pw_site *site);
 
-/* --- pwclient.c --- */
-
-/* Takes over an accepted connection. */
-void pwclient_new(pw_gate *g, int fd, void (*handle)(pw_client *c));
-
-/* Answers whole; `lines` are header lines, each with its line end. */
-void pwclient_answer(pw_client *c, int status, const char *lines,
-                     const char *body, size_t n);
-
-/* Answers with a result code as JSON; retry_ms above 0 becomes Retry-After. */
-void pwclient_refuse(pw_client *c, pw_code code, const char *message,
-                     int64_t retry_ms);
-
-/* Begins an answer whose length is not known, gives pieces of it, ends it. */
-void pwclient_begin(pw_client *c, int status, const char *lines);
-void pwclient_piece(pw_client *c, const char *data, size_t n);
-void pwclient_end(pw_client *c);
-
-/* Breaks off: an answer in progress does not look whole. */
-void pwclient_break(pw_client *c);
-
-/* Closes connections at rest: a planned stop. */
-void pwclient_close_idle(pw_gate *g);
-
-/* Closes connections that have rested or dawdled for too long. */
-void pwclient_sweep(pw_gate *g, int64_t now);
-
 /* --- pwexchange.c --- */
 
 /* Begins the exchange of a whole request. */
-void pwexchange_begin(pw_client *c);
+void pwexchange_begin(pw_conn *c);
 
 /* Has requests go on elsewhere whose target went dark. */
 void pwexchange_check(pw_gate *g, int64_t now);
 
 /* The caller has gone. */
-void pwexchange_abandon(pw_exchange *x);
+void pwexchange_abandon(void *exchange);
 
 /* The planned stop is over: what is not answered yet is broken off. */
 void pwexchange_stop(pw_exchange *x);
 
 /* The caller has taken all that was written. */
-void pwexchange_resume(pw_exchange *x);
+void pwexchange_resume(void *exchange);
 
 /* Whether an answer belongs to another, earlier request; fills *told. */
 int pwexchange_is_surplus(const pw_exchange *x, const pw_h1 *m, pw_told *told);
@@ -150,10 +106,7 @@
 void pwupconn_pause(pw_upconn *u, int paused);
 
 /* Closes connections that have rested long, and all to targets that went. */
-void pwupconn_sweep(pw_gate *g, pw_target *t, int64_t now);
-
-/* Connections to this target from this gateway. */
-int pwupconn_count(const pw_target *t);
+void pwupconn_sweep(pw_target *t, int64_t now);
 
 /* --- pwlink.c: control instances --- */
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -93,6 +93,11 @@
   }
   pwsite_drop(g->site);
   g->site = site;
+  const pw_site_limits *l = pwsite_limits(site);
+  g->front.limits = (pw_conn_limits){.header_bytes = (size_t)l->header_bytes,
+                                     .body_bytes = (size_t)l->body_bytes,
+                                     .header_ms = l->header_timeout_ms,
+                                     .idle_ms = l->idle_timeout_ms};
   pwcount_set(g->p->counters, PWC_GW_SITE, (int64_t)version);
   pwtrace_line(g->trace, PWTRACE_STATE, pwclock_ms(), "configuration",
                "version=%llu", (unsigned long long)version);
@@ -118,83 +123,61 @@
                pwfleet_count(g->fleet));
 }
 
-static int path_is(const pw_client *c, const char *path) {
-  return c->request.nurl == strlen(path) &&
-         !memcmp(c->request.url, path, c->request.nurl);
-}
-
-static void answer_metrics(pw_client *c) {
+static void answer_metrics(pw_conn *c) {
   pw_buf b = {0};
-  pw_gate *g = c->g;
-  pwcount_set(g->p->counters, PWC_GW_CLIENTS, g->nclients);
+  pw_gate *g = c->all->arg;
+  pwcount_set(g->p->counters, PWC_GW_CLIENTS, g->front.count);
   pwcount_set(g->p->counters, PWC_ACTIVE, g->nexchanges);
   pwcount_set(g->p->counters, PWC_GW_LEFT_OUT,
               (int64_t)pwtrace_dropped(g->trace));
   pwcount_render(g->p->counters, &b);
-  pwclient_answer(c, 200, "Content-Type: text/plain; version=0.0.4\r\n", b.data,
-                  b.len);
+  pwconn_answer(c, 200, "Content-Type: text/plain; version=0.0.4\r\n", b.data,
+                b.len);
   pwbuf_free(&b);
 }
 
-static void handle_ready(pw_client *c) {
-  pw_gate *g = c->g;
-  if (path_is(c, "/metrics"))
+static void handle_ready(pw_conn *c) {
+  pw_gate *g = c->all->arg;
+  if (pwconn_path_is(c, "/metrics"))
     answer_metrics(c);
-  else if (!path_is(c, g->dialect->ready_path))
-    pwclient_refuse(c, PW_E_PATH, "", 0);
+  else if (!pwconn_path_is(c, g->dialect->ready_path))
+    pwconn_refuse(c, PW_E_PATH, "", 0);
   else if (g->is_ready && !g->stop_at)
-    pwclient_answer(c, 200, "", "ready\n", 6);
+    pwconn_answer(c, 200, "", "ready\n", 6);
   else
-    pwclient_refuse(c, PW_E_NOT_READY, "", 0);
+    pwconn_refuse(c, PW_E_NOT_READY, "", 0);
 }
 
 /* --- listening --- */
 
-static void accept_all(pw_gate *g, int fd, void (*handle)(pw_client *c)) {
-  for (;;) {
-    int one = accept4(fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (one >= 0) {
-      pwclient_new(g, one, handle);
-      continue;
-    }
-    if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
-      pwlog(LOG_WARNING, "accept-failed", "errno=%d", errno);
-    if (errno != EINTR && errno != ECONNABORTED)
-      return;
-  }
-}
-
-static void on_front(struct ev_loop *ev, ev_io *w, int events) {
-  (void)ev;
-  (void)events;
-  accept_all(w->data, w->fd, pwexchange_begin);
-}
+/* Until a configuration says the limits. */
+static const pw_conn_limits unknown_limits = {
+    .header_bytes = 65536, .body_bytes = PW_BODY_MAX, .idle_ms = 15000};
 
-static void on_ready(struct ev_loop *ev, ev_io *w, int events) {
-  (void)ev;
-  (void)events;
-  accept_all(w->data, w->fd, handle_ready);
-}
-
-static int listen_at(pw_gate *g, ev_io *io, const char *key, const char *addr,
-                     void (*on)(struct ev_loop *, ev_io *, int), pw_buf *err) {
+static int listen_at(pw_gate *g, pw_conns *s, const char *key, const char *addr,
+                     pw_buf *err) {
   struct sockaddr_in at;
   int fd = pwtcp_address(addr, &at) == 0 ? pwtcp_listen(&at) : -1;
   if (fd < 0) {
     pwbuf_fmt(err, "gateway.%s: \"%s\": cannot listen there\n", key, addr);
     return -1;
   }
-  ev_io_init(io, on, fd, EV_READ);
-  io->data = g;
-  ev_io_start(g->ev, io);
+  s->tcp = &g->tcp;
+  s->limits = unknown_limits;
+  s->arg = g;
+  pwconns_start(s, fd);
   return 0;
 }
 
-static void stop_listening(pw_gate *g, ev_io *io) {
-  if (!ev_is_active(io))
-    return;
-  ev_io_stop(g->ev, io);
-  close(io->fd);
+static int listen_all(pw_gate *g, pw_buf *err) {
+  const pw_settings *set = g->p->set;
+  g->front.handle = pwexchange_begin;
+  g->front.abandoned = pwexchange_abandon;
+  g->front.resume = pwexchange_resume;
+  g->ready.handle = handle_ready;
+  if (listen_at(g, &g->ready, "ready", set->gateway_ready, err) != 0)
+    return -1;
+  return listen_at(g, &g->front, "http", set->gateway_http, err);
 }
 
 /* --- planned stop --- */
@@ -205,9 +188,9 @@
   int64_t grace = (int64_t)(g->p->set->gateway_grace * MS_PER_S);
   int64_t since = now - g->stop_at;
   int64_t listen = STOP_LISTEN_MS < grace / 2 ? STOP_LISTEN_MS : grace / 2;
-  if (since >= listen && ev_is_active(&g->front)) {
-    stop_listening(g, &g->front);
-    pwclient_close_idle(g);
+  if (since >= listen && g->front.listening.fd >= 0) {
+    pwconns_unlisten(&g->front);
+    pwconns_close_idle(&g->front);
   }
   return since >= grace - STOP_MARGIN_MS ||
          (since >= listen && g->nexchanges == 0);
@@ -218,15 +201,18 @@
   pwproc_set_ready(g->p, 0);
   pwtrace_line(g->trace, PWTRACE_STATE, now, "stopping", "requests=%d",
                g->nexchanges);
-  pwclient_close_idle(g); /* else a request may come when it is too late */
+  g->front.is_stopping = g->ready.is_stopping = 1;
+  pwconns_close_idle(
+      &g->front); /* else a request may come when it is too late */
 }
 
 /* --- the loop --- */
 
 static void sweep(pw_gate *g, int64_t now) {
-  pwclient_sweep(g, now);
+  pwconns_sweep(&g->front, now);
+  pwconns_sweep(&g->ready, now);
   for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
-    pwupconn_sweep(g, t, now);
+    pwupconn_sweep(t, now);
   pwfleet_tick(g->fleet, now, NULL, NULL);
   pwcount_set(g->p->counters, PWC_GW_TARGETS, pwfleet_count(g->fleet));
 }
@@ -253,13 +239,16 @@
     ev_break(ev, EVBREAK_ALL);
 }
 
-static void end_clients(pw_gate *g) {
-  while (g->clients) {
-    if (g->clients->exchange)
-      pwexchange_stop(g->clients->exchange);
+static void end_callers(pw_gate *g) {
+  while (g->front.first) {
+    pw_conn *c = g->front.first;
+    if (c->state)
+      pwexchange_stop(c->state);
     else
-      pwclient_break(g->clients);
+      pwconn_break(c);
   }
+  pwconns_end(&g->front);
+  pwconns_end(&g->ready);
 }
 
 static pw_pick_how how_of(const char *place) {
@@ -281,7 +270,7 @@
 static void end_targets(pw_gate *g) {
   for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next) {
     t->is_gone = 1;
-    pwupconn_sweep(g, t, pwclock_ms());
+    pwupconn_sweep(t, pwclock_ms());
   }
 }
 
@@ -306,18 +295,12 @@
   g.where = pwwhere_new();
   g.gossip = pwgossip_new(&g, err);
   g.link = g.gossip ? pwlink_new(&g, err) : NULL;
-  if (g.link &&
-      listen_at(&g, &g.ready, "ready", p->set->gateway_ready, on_ready, err) ==
-          0 &&
-      listen_at(&g, &g.front, "http", p->set->gateway_http, on_front, err) ==
-          0) {
+  if (g.link && listen_all(&g, err) == 0) {
     rc = PW_OK;
     ev_run(g.ev, 0);
   }
-  end_clients(&g);
+  end_callers(&g);
   end_targets(&g);
-  stop_listening(&g, &g.front);
-  stop_listening(&g, &g.ready);
   ev_timer_stop(g.ev, &g.tick);
   ev_prepare_stop(g.ev, &g.reap);
   pwlink_free(g.link);
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -260,15 +260,10 @@
 
 /* --- upkeep --- */
 
-void pwupconn_sweep(pw_gate *g, pw_target *t, int64_t now) {
-  (void)g;
+void pwupconn_sweep(pw_target *t, int64_t now) {
   for (pw_upconn *u = t->idle, *next; u; u = next) {
     next = u->next;
     if (t->is_gone || now - u->rested_at > longest_rest(u))
       close_conn(u, 0);
   }
 }
-
-int pwupconn_count(const pw_target *t) {
-  return t->nconns;
-}
--- a/packages/http/pwserve.c
+++ b/packages/http/pwserve.c
@@ -1,64 +1,115 @@
-/* pwserve.c: HTTP server side, over libmicrohttpd. */
+/* pwserve.c: a server for handlers that answer from other threads: event loops of
+** connections (pwconn), one thread each. */
 #define _GNU_SOURCE
 #include "pwserve.h"
 
-#include "pwcode.h"
+#include "pwclock.h"
+#include "pwconn.h"
 
-#include <arpa/inet.h>
+#include <assert.h>
+#include <ctype.h>
 #include <fcntl.h>
-#include <microhttpd.h>
-#include <netinet/in.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
+#include <strings.h>
 #include <unistd.h>
 
-#define HEADER_MEMORY (32 * 1024) /* bytes of request line and headers */
+#define HEADER_BYTES (32 * 1024) /* of request line and headers */
 #define STREAM_BLOCK (16 * 1024)
-#define ADDED_MAX 24
+#define PENDING_MAX (128 * 1024) /* bytes that a caller has not taken yet */
+#define SWEEP_S 0.25
+#define MS_PER_S 1000
 
-/* One life of the listener: a new certificate takes a new one. */
-typedef struct listener {
-  struct MHD_Daemon *daemon;
-  char *cert;
-  char *key;
-  struct listener *older; /* do not listen any more, but end what they have */
-} listener;
+/* One thread with its connections. */
+typedef struct loop {
+  pw_server *server;
+  struct ev_loop *ev;
+  pw_tcp_loop tcp;
+  pw_conns conns;
+  pthread_t thread;
+  ev_timer sweep;
+  ev_async called;
+  pthread_mutex_t lock;
+  pw_http *woken;          /* under the lock: requests that are to go on */
+  pw_tls_keys *keys;       /* in use */
+  pw_tls_keys *next_keys;  /* under the lock: to be used from now on; or NULL */
+  int quiesce, end;        /* under the lock */
+  struct pw_http *waiting; /* that nobody has woken yet */
+} loop;
 
 struct pw_server {
-  listener *now;
   pw_serve_setup set;
+  loop *loops;
+  int nloops;
   atomic_int active;
 };
 
-typedef struct added {
-  char *name;
-  char *value;
-} added;
+/* What the handler did with a request, when it returns. */
+typedef enum step { LEFT, WAITS, REPLIED, STREAMS } step;
 
 struct pw_http {
-  pw_server *server;
-  struct MHD_Connection *conn;
-  char *method;
+  loop *l;
+  pw_conn *conn; /* NULL: its caller has gone */
+  atomic_int is_gone;
+  const char *method;
   char *path;
-  pw_buf body;
-  int body_seen;
-  int too_large;
-  int handled;
-  int answered;
+  char *query;
+  char **value; /* of headers and arguments that were asked for, zero-ended */
+  int nvalues;
   void *request;
-  added add[ADDED_MAX];
-  int nadd;
-  enum MHD_Result result;
-};
-
-typedef struct stream {
-  pw_http *h;
+  step step;
+  int status;
+  pw_buf lines, body; /* of the answer */
   pw_stream_read read;
   void *arg;
-} stream;
+  int has_begun;
+  pw_http *next_woken;
+  pw_http *prev, *next; /* of those that wait */
+};
+
+/* --- what was asked --- */
+
+static int digit_of(char c) {
+  if (!isxdigit((unsigned char)c))
+    return -1;
+  return isdigit((unsigned char)c) ? c - '0' : (tolower(c) - 'a') + 10;
+}
+
+/* Bytes of a path or an argument, with %XX read. */
+static char *unescape(const char *p, size_t n) {
+  char *out = pw_alloc(n + 1);
+  size_t at = 0;
+  for (size_t i = 0; i < n; i++) {
+    int high = i + 2 < n && p[i] == '%' ? digit_of(p[i + 1]) : -1;
+    int low = high >= 0 ? digit_of(p[i + 2]) : -1;
+    if (low >= 0) {
+      out[at++] = (char)(16 * high + low);
+      i += 2;
+    } else {
+      out[at++] = p[i];
+    }
+  }
+  return out;
+}
+
+/* Keeps text for as long as the request. */
+static const char *keep(pw_http *h, char *text) {
+  char **grown = realloc(h->value, sizeof *grown * (size_t)(h->nvalues + 1));
+  if (!grown)
+    abort();
+  h->value = grown;
+  h->value[h->nvalues++] = text;
+  return text;
+}
+
+static char *text_of(const char *p, size_t n) {
+  char *out = pw_alloc(n + 1);
+  memcpy(out, p, n);
+  return out;
+}
 
 const char *pwserve_method(const pw_http *h) {
   return h->method;
@@ -69,36 +120,34 @@
 }
 
 const char *pwserve_query(pw_http *h, const char *name) {
-  return MHD_lookup_connection_value(h->conn, MHD_GET_ARGUMENT_KIND, name);
+  size_t n = strlen(name);
+  for (const char *p = h->query; p && *p;) {
+    size_t len = strcspn(p, "&");
+    if (len > n && !strncmp(p, name, n) && p[n] == '=')
+      return keep(h, unescape(p + n + 1, len - n - 1));
+    p += len + (p[len] != 0);
+  }
+  return NULL;
 }
 
 const char *pwserve_header(pw_http *h, const char *name) {
-  return MHD_lookup_connection_value(h->conn, MHD_HEADER_KIND, name);
+  const pw_h1_header *found =
+      h->conn ? pwh1_find(&h->conn->request, name) : NULL;
+  return found ? keep(h, text_of(found->value, found->nvalue)) : NULL;
 }
 
 const char *pwserve_body(const pw_http *h, size_t *n) {
-  *n = h->body.len;
-  return h->body.data ? h->body.data : "";
-}
-
-typedef struct header_visit {
-  void (*f)(void *arg, const char *name, const char *value);
-  void *arg;
-} header_visit;
-
-static enum MHD_Result visit_header(void *cls, enum MHD_ValueKind kind,
-                                    const char *key, const char *value) {
-  const header_visit *v = cls;
-  (void)kind;
-  v->f(v->arg, key, value ? value : "");
-  return MHD_YES;
+  *n = h->conn ? h->conn->body.len : 0;
+  return *n ? h->conn->body.data : "";
 }
 
 void pwserve_headers(pw_http *h,
                      void (*f)(void *arg, const char *name, const char *value),
                      void *arg) {
-  header_visit v = {f, arg};
-  MHD_get_connection_values(h->conn, MHD_HEADER_KIND, visit_header, &v);
+  const pw_h1 *m = &h->conn->request;
+  for (int i = 0; i < m->nheaders; i++)
+    f(arg, keep(h, text_of(m->header[i].name, m->header[i].nname)),
+      keep(h, text_of(m->header[i].value, m->header[i].nvalue)));
 }
 
 void pwserve_set(pw_http *h, void *request) {
@@ -109,289 +158,382 @@
   return h->request;
 }
 
+/* --- what the handler does with it --- */
+
 void pwserve_add(pw_http *h, const char *name, const char *value) {
-  if (h->nadd == ADDED_MAX)
-    return;
-  h->add[h->nadd].name = pw_dup(name);
-  h->add[h->nadd].value = pw_dup(value);
-  h->nadd++;
+  if (strpbrk(value, "\r\n"))
+    return; /* would begin another line */
+  pwbuf_fmt(&h->lines, "%s: %s\r\n", name, value);
 }
 
-static void queue(pw_http *h, int status, const char *type,
-                  struct MHD_Response *r) {
+static void answer_with(pw_http *h, step how, int status, const char *type) {
+  h->step = how;
+  h->status = status;
   if (type && type[0])
-    MHD_add_response_header(r, MHD_HTTP_HEADER_CONTENT_TYPE, type);
-  for (int i = 0; i < h->nadd; i++)
-    MHD_add_response_header(r, h->add[i].name, h->add[i].value);
-  h->result = MHD_queue_response(h->conn, (unsigned)status, r);
-  h->answered = 1;
-  MHD_destroy_response(r);
+    pwserve_add(h, "Content-Type", type);
 }
 
 void pwserve_reply(pw_http *h, int status, const char *type, const void *body,
                    size_t n) {
-  struct MHD_Response *r =
-      MHD_create_response_from_buffer(n, (void *)body, MHD_RESPMEM_MUST_COPY);
-  queue(h, status, type, r);
-}
-
-static ssize_t read_stream(void *cls, uint64_t pos, char *buf, size_t max) {
-  const stream *s = cls;
-  (void)pos;
-  ssize_t n = s->read(s->arg, s->h, buf, max);
-  if (n == -1)
-    return MHD_CONTENT_READER_END_OF_STREAM;
-  if (n < -1)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  return n;
-}
-
-static void free_stream(void *cls) {
-  free(cls);
+  answer_with(h, REPLIED, status, type);
+  pwbuf_add(&h->body, body, n);
 }
 
 void pwserve_stream(pw_http *h, int status, const char *type,
                     pw_stream_read read, void *arg) {
-  stream *s = pw_alloc(sizeof *s);
-  *s = (stream){h, read, arg};
-  struct MHD_Response *r = MHD_create_response_from_callback(
-      MHD_SIZE_UNKNOWN, STREAM_BLOCK, read_stream, s, free_stream);
-  queue(h, status, type, r);
+  answer_with(h, STREAMS, status, type);
+  h->read = read;
+  h->arg = arg;
 }
 
 void pwserve_wait(pw_http *h) {
-  MHD_suspend_connection(h->conn);
+  h->step = WAITS;
 }
 
 void pwserve_wake(pw_http *h) {
-  MHD_resume_connection(h->conn);
+  loop *l = h->l;
+  pthread_mutex_lock(&l->lock);
+  h->next_woken = l->woken;
+  l->woken = h;
+  ev_async_send(l->ev, &l->called);
+  pthread_mutex_unlock(&l->lock);
 }
 
 int pwserve_gone(pw_http *h) {
-  const union MHD_ConnectionInfo *info =
-      MHD_get_connection_info(h->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
-  char byte;
-  return info && recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
-static void refuse_large(pw_http *h) {
-  char body[160];
-  int n = snprintf(body, sizeof body,
-                   "{\"error\": {\"code\": %d, \"name\": \"%s\", "
-                   "\"message\": \"%s\"}}\n",
-                   PW_E_TOO_LARGE, pwcode_name(PW_E_TOO_LARGE),
-                   pwcode_text(PW_E_TOO_LARGE));
-  pwserve_add(h, "Peatwell-Outcome", "not-run");
-  pwserve_add(h, "Peatwell-Code", "1002");
-  pwserve_reply(h, pwcode_http(PW_E_TOO_LARGE), "application/json", body,
-                (size_t)n);
-}
-
-static pw_http *new_request(pw_server *s, struct MHD_Connection *conn,
-                            const char *url, const char *method) {
-  pw_http *h = pw_alloc(sizeof *h);
-  h->server = s;
-  h->conn = conn;
-  h->method = pw_dup(method);
-  h->path = pw_dup(url);
-  h->result = MHD_YES;
-  atomic_fetch_add(&s->active, 1);
-  return h;
-}
-
-static void take_body(pw_http *h, const char *data, size_t n) {
-  if (h->body.len + n > h->server->set.max_body)
-    h->too_large = 1;
-  if (!h->too_large)
-    pwbuf_add(&h->body, data, n);
-}
-
-static enum MHD_Result on_request(void *cls, struct MHD_Connection *conn,
-                                  const char *url, const char *method,
-                                  const char *version, const char *data,
-                                  size_t *size, void **con_cls) {
-  pw_server *s = cls;
-  pw_http *h = *con_cls;
-  (void)version;
-  if (!h) {
-    *con_cls = new_request(s, conn, url, method);
-    return MHD_YES;
-  }
-  if (*size) {
-    take_body(h, data, *size);
-    *size = 0;
-    return MHD_YES;
-  }
-  if (h->too_large) {
-    refuse_large(h);
-    return h->result;
-  }
-  int again = h->handled;
-  h->handled = 1;
-  s->set.handle(s->set.arg, h, again);
-  return h->result;
-}
-
-static void on_done(void *cls, struct MHD_Connection *conn, void **con_cls,
-                    enum MHD_RequestTerminationCode code) {
-  pw_server *s = cls;
-  pw_http *h = *con_cls;
-  (void)conn;
-  if (!h)
-    return;
+  return atomic_load(&h->is_gone);
+}
+
+/* --- the life of a request --- */
+
+static void list_waiting(pw_http *h) {
+  loop *l = h->l;
+  h->prev = NULL;
+  h->next = l->waiting;
+  if (h->next)
+    h->next->prev = h;
+  l->waiting = h;
+}
+
+static void unlist_waiting(pw_http *h) {
+  if (h->prev)
+    h->prev->next = h->next;
+  else
+    h->l->waiting = h->next;
+  if (h->next)
+    h->next->prev = h->prev;
+}
+
+/* The request is over; its connection, if any is left, has its answer. */
+static void finish(pw_http *h, int whole) {
+  pw_server *s = h->l->server;
   if (h->request)
-    s->set.done(s->set.arg, h->request,
-                code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
-  for (int i = 0; i < h->nadd; i++) {
-    free(h->add[i].name);
-    free(h->add[i].value);
-  }
-  pwbuf_free(&h->body);
-  free(h->method);
+    s->set.done(s->set.arg, h->request, whole);
+  for (int i = 0; i < h->nvalues; i++)
+    free(h->value[i]);
+  free(h->value);
   free(h->path);
+  free(h->query);
+  pwbuf_free(&h->lines);
+  pwbuf_free(&h->body);
   free(h);
-  *con_cls = NULL;
   atomic_fetch_sub(&s->active, 1);
 }
 
-static int parse_addr(const char *addr, struct sockaddr_in *out) {
-  char ip[64];
-  unsigned port;
-  if (sscanf(addr, "%63[0-9.]:%u", ip, &port) != 2 || port > 65535)
-    return -1;
-  *out = (struct sockaddr_in){.sin_family = AF_INET,
-                              .sin_port = htons((uint16_t)port)};
-  return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -1;
-}
-
-static char *read_text(const char *path) {
-  FILE *f = path && path[0] ? fopen(path, "re") : NULL;
-  if (!f)
-    return NULL;
-  pw_buf b = {0};
-  char block[4096];
-  size_t n;
-  while ((n = fread(block, 1, sizeof block, f)) > 0)
-    pwbuf_add(&b, block, n);
-  fclose(f);
-  return pwbuf_take(&b);
-}
-
-static struct MHD_Daemon *start_daemon(pw_server *s, const listener *l,
-                                       const struct sockaddr_in *at, int fd) {
-  unsigned flags =
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
-  struct MHD_OptionItem tls[] = {{MHD_OPTION_HTTPS_MEM_CERT, 0, l->cert},
-                                 {MHD_OPTION_HTTPS_MEM_KEY, 0, l->key},
-                                 {MHD_OPTION_END, 0, NULL}};
-  struct MHD_OptionItem none[] = {{MHD_OPTION_END, 0, NULL}};
-  struct MHD_OptionItem where[] = {
-      {MHD_OPTION_SOCK_ADDR, 0, (void *)at},
-      {MHD_OPTION_END, 0, NULL},
-  };
-  if (fd >= 0)
-    where[0] = (struct MHD_OptionItem){MHD_OPTION_LISTEN_SOCKET, fd, NULL};
-  if (l->cert)
-    flags |= MHD_USE_TLS;
-  return MHD_start_daemon(
-      flags, 0, NULL, NULL, on_request, s, MHD_OPTION_THREAD_POOL_SIZE,
-      (unsigned)s->set.threads, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned)(s->set.max_connections < s->set.threads
-                     ? s->set.threads
-                     : s->set.max_connections),
-      MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)s->set.idle_timeout,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HEADER_MEMORY,
-      MHD_OPTION_NOTIFY_COMPLETED, on_done, s, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      1024u, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_ARRAY, where,
-      MHD_OPTION_ARRAY, l->cert ? tls : none, MHD_OPTION_END);
-}
-
-static void end_listener(listener *l) {
-  if (l->daemon)
-    MHD_stop_daemon(l->daemon);
-  free(l->cert);
-  free(l->key);
-  free(l);
-}
-
-/* Reads the certificate and listens, at an address or on a socket that listens
-** already (fd, taken over). NULL with a reason in err. */
-static listener *start_listener(pw_server *s, const struct sockaddr_in *at,
-                                int fd, pw_buf *err) {
-  listener *l = pw_alloc(sizeof *l);
-  int tls = s->set.tls_cert && s->set.tls_cert[0];
-  l->cert = read_text(s->set.tls_cert);
-  l->key = read_text(s->set.tls_key);
-  if (!tls || (l->cert && l->key))
-    l->daemon = start_daemon(s, l, at, fd);
-  if (l->daemon)
-    return l;
-  if (tls)
-    pwbuf_fmt(
-        err, "%s: cannot listen, or %s and %s are no certificate and its key\n",
-        s->set.addr, s->set.tls_cert, s->set.tls_key);
+static const char *lines_of(const pw_http *h) {
+  return h->lines.data ? h->lines.data : "";
+}
+
+/* Takes the request off its connection, whose answer is to be ended next. */
+static pw_conn *take_conn(pw_http *h) {
+  pw_conn *c = h->conn;
+  c->state = NULL;
+  h->conn = NULL;
+  return c;
+}
+
+static void reply(pw_http *h) {
+  pw_conn *c = take_conn(h);
+  pwconn_answer(c, h->status, lines_of(h), h->body.data, h->body.len);
+  finish(h, 1);
+}
+
+/* Reads the stream until it waits, ends, or the caller does not keep up. */
+static void pump(pw_http *h) {
+  char block[STREAM_BLOCK];
+  if (!h->has_begun)
+    pwconn_begin(h->conn, h->status, lines_of(h));
+  h->has_begun = 1;
+  while (pwtcp_pending(h->conn->tcp) <= PENDING_MAX) {
+    ssize_t n = h->read(h->arg, h, block, sizeof block);
+    if (n > 0) {
+      pwconn_piece(h->conn, block, (size_t)n);
+    } else if (n == 0) {
+      assert(h->step == WAITS);
+      list_waiting(h);
+      return;
+    } else {
+      pw_conn *c = take_conn(h);
+      if (n == -1)
+        pwconn_end(c);
+      else
+        pwconn_break(c);
+      finish(h, n == -1);
+      return;
+    }
+  }
+}
+
+static void handle(pw_http *h, int again) {
+  const pw_serve_setup *set = &h->l->server->set;
+  h->step = LEFT;
+  set->handle(set->arg, h, again);
+  if (h->step == WAITS)
+    list_waiting(h);
+  else if (h->step == REPLIED)
+    reply(h);
+  else if (h->step == STREAMS)
+    pump(h);
   else
-    pwbuf_fmt(err, "%s: cannot listen\n", s->set.addr);
-  end_listener(l);
+    assert(!"a handler answers or waits");
+}
+
+/* A request that was left is to go on. */
+static void go_on(pw_http *h) {
+  unlist_waiting(h);
+  if (!h->conn) {
+    finish(h, 0);
+  } else if (h->read) {
+    h->step = STREAMS;
+    pump(h);
+  } else {
+    handle(h, 1);
+  }
+}
+
+static void split_url(pw_http *h, const char *url, size_t n) {
+  const char *mark = memchr(url, '?', n);
+  size_t path = mark ? (size_t)(mark - url) : n;
+  h->path = unescape(url, path);
+  h->query = mark ? text_of(mark + 1, n - path - 1) : NULL;
+}
+
+static void on_request(pw_conn *c) {
+  loop *l = c->all->arg;
+  pw_http *h = pw_alloc(sizeof *h);
+  h->l = l;
+  h->conn = c;
+  h->method = http_method_str((enum http_method)c->request.parser.method);
+  split_url(h, c->request.url, c->request.nurl);
+  c->state = h;
+  atomic_fetch_add(&l->server->active, 1);
+  handle(h, 0);
+}
+
+/* Whoever waits is told when it is woken: another thread refers to it. */
+static void on_abandoned(void *request) {
+  pw_http *h = request;
+  h->conn = NULL;
+  atomic_store(&h->is_gone, 1);
+  if (h->step != WAITS)
+    finish(h, 0);
+}
+
+static void on_resume(void *request) {
+  pw_http *h = request;
+  if (h->step == STREAMS)
+    pump(h);
+}
+
+/* --- a loop --- */
+
+static void take_orders(loop *l) {
+  pthread_mutex_lock(&l->lock);
+  pw_http *woken = l->woken;
+  pw_tls_keys *keys = l->next_keys;
+  int quiesce = l->quiesce, over = l->end;
+  l->woken = NULL;
+  l->next_keys = NULL;
+  pthread_mutex_unlock(&l->lock);
+  if (keys) {
+    pwtls_keys_drop(l->keys);
+    l->conns.keys = l->keys = keys;
+  }
+  while (woken) {
+    pw_http *h = woken;
+    woken = h->next_woken;
+    go_on(h);
+  }
+  if (quiesce && !l->conns.is_stopping) {
+    l->conns.is_stopping = 1;
+    pwconns_unlisten(&l->conns);
+    pwconns_close_idle(&l->conns);
+  }
+  if (over)
+    ev_break(l->ev, EVBREAK_ALL);
+}
+
+static void on_called(struct ev_loop *ev, ev_async *w, int events) {
+  (void)ev;
+  (void)events;
+  take_orders(w->data);
+}
+
+static void on_sweep(struct ev_loop *ev, ev_timer *w, int events) {
+  (void)ev;
+  (void)events;
+  loop *l = w->data;
+  pwconns_sweep(&l->conns, pwclock_ms());
+}
+
+static void *run(void *arg) {
+  loop *l = arg;
+  ev_run(l->ev, 0);
   return NULL;
 }
 
-pw_server *pwserve_start(const pw_serve_setup *setup, pw_buf *err) {
+static void init_loop(pw_server *s, loop *l, pw_tls_keys *keys) {
+  l->server = s;
+  l->ev = ev_loop_new(EVFLAG_AUTO | EVFLAG_NOENV);
+  if (!l->ev)
+    abort();
+  pthread_mutex_init(&l->lock, NULL);
+  pwtcp_loop_init(&l->tcp, l->ev);
+  int max = s->set.max_connections / s->nloops;
+  l->keys = keys;
+  l->conns =
+      (pw_conns){.tcp = &l->tcp,
+                 .limits = {.header_bytes = HEADER_BYTES,
+                            .body_bytes = s->set.max_body,
+                            .idle_ms = (int64_t)s->set.idle_timeout * MS_PER_S},
+                 .max = max > 0 ? max : 1,
+                 .keys = keys,
+                 .arg = l,
+                 .handle = on_request,
+                 .abandoned = on_abandoned,
+                 .resume = on_resume};
+  ev_async_init(&l->called, on_called);
+  ev_timer_init(&l->sweep, on_sweep, SWEEP_S, SWEEP_S);
+  l->called.data = l->sweep.data = l;
+  ev_async_start(l->ev, &l->called);
+  ev_timer_start(l->ev, &l->sweep);
+}
+
+/* Its thread has ended. Those that nobody woke end here. */
+static void free_loop(loop *l) {
+  pwconns_end(&l->conns);
+  take_orders(l);
+  while (l->waiting) {
+    pw_http *h = l->waiting;
+    unlist_waiting(h);
+    finish(h, 0);
+  }
+  ev_async_stop(l->ev, &l->called);
+  ev_timer_stop(l->ev, &l->sweep);
+  pwtcp_loop_free(&l->tcp);
+  ev_loop_destroy(l->ev);
+  pwtls_keys_drop(l->keys);
+  pthread_mutex_destroy(&l->lock);
+}
+
+/* --- the server --- */
+
+static int has_tls(const pw_serve_setup *set) {
+  return set->tls_cert && set->tls_cert[0];
+}
+
+/* Keys for each loop, or none where TLS is not spoken. -1 with a reason. */
+static int read_keys(const pw_server *s, pw_tls_keys **out, pw_buf *err) {
+  for (int i = 0; i < s->nloops; i++) {
+    out[i] =
+        has_tls(&s->set) ? pwtls_keys(s->set.tls_cert, s->set.tls_key) : NULL;
+    if (out[i] || !has_tls(&s->set))
+      continue;
+    while (i-- > 0)
+      pwtls_keys_drop(out[i]);
+    pwbuf_fmt(err, "%s: %s and %s are no certificate and its key\n",
+              s->set.addr, s->set.tls_cert, s->set.tls_key);
+    return -1;
+  }
+  return 0;
+}
+
+/* A descriptor that listens at the address, or -1 with a reason. */
+static int listen_at(const char *addr, pw_buf *err) {
   struct sockaddr_in at;
-  if (parse_addr(setup->addr, &at) != 0) {
-    pwbuf_fmt(err, "%s: IP:PORT is allowed\n", setup->addr);
-    return NULL;
+  if (pwtcp_address(addr, &at) != 0) {
+    pwbuf_fmt(err, "%s: IP:PORT is allowed\n", addr);
+    return -1;
+  }
+  int fd = pwtcp_listen(&at);
+  if (fd < 0)
+    pwbuf_fmt(err, "%s: cannot listen\n", addr);
+  return fd;
+}
+
+/* All loops accept at one socket, by descriptors of their own. */
+static void start_loops(pw_server *s, pw_tls_keys **keys, int fd) {
+  for (int i = 0; i < s->nloops; i++) {
+    init_loop(s, &s->loops[i], keys[i]);
+    int one = i == 0 ? fd : fcntl(fd, F_DUPFD_CLOEXEC, 0);
+    if (one < 0)
+      abort();
+    pwconns_start(&s->loops[i].conns, one);
   }
+  for (int i = 0; i < s->nloops; i++)
+    if (pthread_create(&s->loops[i].thread, NULL, run, &s->loops[i]) != 0)
+      abort();
+}
+
+pw_server *pwserve_start(const pw_serve_setup *setup, pw_buf *err) {
   pw_server *s = pw_alloc(sizeof *s);
   s->set = *setup;
-  s->now = start_listener(s, &at, -1, err);
-  if (s->now)
-    return s;
+  s->nloops = setup->threads;
+  pw_tls_keys **keys = pw_alloc(sizeof *keys * (size_t)s->nloops);
+  int fd = -1;
+  if (read_keys(s, keys, err) != 0)
+    goto failed;
+  fd = listen_at(setup->addr, err);
+  if (fd < 0)
+    goto no_listener;
+  s->loops = pw_alloc(sizeof *s->loops * (size_t)s->nloops);
+  start_loops(s, keys, fd);
+  free(keys);
+  return s;
+no_listener:
+  for (int i = 0; i < s->nloops; i++)
+    pwtls_keys_drop(keys[i]);
+failed:
+  free(keys);
   free(s);
   return NULL;
 }
 
-/* Those that have no connection left. */
-static void end_idle(listener **at) {
-  while (*at) {
-    listener *l = *at;
-    const union MHD_DaemonInfo *info =
-        MHD_get_daemon_info(l->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
-    if (info && info->num_connections > 0) {
-      at = &l->older;
-      continue;
-    }
-    *at = l->older;
-    end_listener(l);
-  }
+/* Has a loop look at what it is told under its lock. */
+static void call(loop *l) {
+  ev_async_send(l->ev, &l->called);
+  pthread_mutex_unlock(&l->lock);
 }
 
 int pwserve_renew(pw_server *s, pw_buf *err) {
-  const union MHD_DaemonInfo *info =
-      MHD_get_daemon_info(s->now->daemon, MHD_DAEMON_INFO_LISTEN_FD);
-  int fd = info ? fcntl(info->listen_fd, F_DUPFD_CLOEXEC, 0) : -1;
-  if (fd < 0) {
-    pwbuf_fmt(err, "%s: cannot listen\n", s->set.addr);
-    return -1;
-  }
-  listener *l = start_listener(s, NULL, fd, err);
-  if (!l) {
-    close(fd);
-    return -1;
+  pw_tls_keys **keys = pw_alloc(sizeof *keys * (size_t)s->nloops);
+  int rc = read_keys(s, keys, err);
+  for (int i = 0; rc == 0 && i < s->nloops; i++) {
+    loop *l = &s->loops[i];
+    pthread_mutex_lock(&l->lock);
+    pwtls_keys_drop(l->next_keys);
+    l->next_keys = keys[i];
+    call(l);
   }
-  MHD_socket old = MHD_quiesce_daemon(s->now->daemon);
-  if (old != MHD_INVALID_SOCKET)
-    close(old);
-  l->older = s->now;
-  s->now = l;
-  end_idle(&l->older);
-  return 0;
+  free(keys);
+  return rc;
 }
 
 void pwserve_quiesce(pw_server *s) {
-  MHD_socket fd = MHD_quiesce_daemon(s->now->daemon);
-  if (fd != MHD_INVALID_SOCKET)
-    shutdown(fd, SHUT_RD);
+  for (int i = 0; i < s->nloops; i++) {
+    pthread_mutex_lock(&s->loops[i].lock);
+    s->loops[i].quiesce = 1;
+    call(&s->loops[i]);
+  }
 }
 
 int pwserve_active(const pw_server *s) {
@@ -401,10 +543,15 @@
 void pwserve_stop(pw_server *s) {
   if (!s)
     return;
-  while (s->now) {
-    listener *l = s->now;
-    s->now = l->older;
-    end_listener(l);
+  for (int i = 0; i < s->nloops; i++) {
+    pthread_mutex_lock(&s->loops[i].lock);
+    s->loops[i].end = 1;
+    call(&s->loops[i]);
   }
+  for (int i = 0; i < s->nloops; i++)
+    pthread_join(s->loops[i].thread, NULL);
+  for (int i = 0; i < s->nloops; i++)
+    free_loop(&s->loops[i]);
+  free(s->loops);
   free(s);
 }
--- a/packages/http/pwserve.h
+++ b/packages/http/pwserve.h
@@ -1,4 +1,4 @@
-/* pwserve.h: HTTP server side, over libmicrohttpd. */
+/* pwserve.h: an HTTP server whose handlers may answer from other threads. */
 #ifndef PWSERVE_H
 #define PWSERVE_H
 
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -213,8 +213,7 @@
   pw_copy(out->zone, sizeof out->zone, t->zone);
 }
 
-void pwfleet_forget(pw_fleet *f, pw_target *t, int64_t now) {
-  (void)f;
+void pwfleet_forget(pw_target *t, int64_t now) {
   t->is_gone = 1;
   t->heard_at = now;
 }
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -72,7 +72,7 @@
                            int64_t heard_at);
 
 /* The id does not answer at its address any more. */
-void pwfleet_forget(pw_fleet *f, pw_target *t, int64_t now);
+void pwfleet_forget(pw_target *t, int64_t now);
 
 /* The same of a target that is known already; PWFLEET_OLD if it is not. */
 pw_fleet_news pwfleet_renew(pw_fleet *f, const char *id, uint64_t seq,
--- /dev/null
+++ b/packages/net/pwconn.c
@@ -0,0 +1,399 @@
+/* pwconn.c: callers' connections: requests in, answers out. */
+#define _GNU_SOURCE
+#include "pwconn.h"
+
+#include "pwclock.h"
+#include "pwlog.h"
+
+#include <errno.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define AHEAD_MAX (256 * 1024) /* bytes read while a request is in progress */
+#define MS_PER_S 1000.0
+
+static void take(pw_conn *c, const char *data, size_t n);
+
+/* --- ends --- */
+
+/* Callers wait in the kernel's queue while as many as are allowed are here. */
+static void resume_accepting(pw_conns *s) {
+  if (s->listening.fd >= 0 && !ev_is_active(&s->listening))
+    ev_io_start(s->tcp->ev, &s->listening);
+}
+
+static void close_conn(pw_conn *c, int reset) {
+  if (c->is_closed)
+    return;
+  c->is_closed = 1;
+  pw_conns *all = c->all;
+  void *request = c->state;
+  c->state = NULL;
+  if (request && all->abandoned)
+    all->abandoned(request);
+  if (reset)
+    pwtcp_close(c->tcp, 1);
+  else
+    pwtcp_close_after_write(c->tcp);
+  if (c->prev)
+    c->prev->next = c->next;
+  else
+    all->first = c->next;
+  if (c->next)
+    c->next->prev = c->prev;
+  all->count--;
+  resume_accepting(all);
+  pwh1_free(&c->request);
+  pwbuf_free(&c->body);
+  pwbuf_free(&c->ahead);
+  c->next = all->dead;
+  all->dead = c;
+}
+
+void pwconn_break(pw_conn *c) {
+  close_conn(c, 1);
+}
+
+/* --- answers --- */
+
+static const char *reason_of(int status) {
+  return http_status_str((enum http_status)status);
+}
+
+static int is_http10(const pw_conn *c) {
+  return c->request.parser.http_major == 1 && c->request.parser.http_minor == 0;
+}
+
+/* Whether the connection ends with this answer. */
+static int ends_with_answer(const pw_conn *c) {
+  return c->close_next || !c->request.keep || c->all->is_stopping;
+}
+
+static void next_request(pw_conn *c) {
+  c->is_busy = 0;
+  c->state = NULL;
+  if (ends_with_answer(c)) {
+    close_conn(c, 0);
+    return;
+  }
+  pwh1_reset(&c->request);
+  c->body.len = 0;
+  c->since = pwclock_ms();
+  if (c->is_taking || c->ahead.len == 0)
+    return;
+  pw_buf ahead = c->ahead;
+  c->ahead = (pw_buf){0};
+  pwtcp_pause(c->tcp, 0);
+  take(c, ahead.data, ahead.len);
+  pwbuf_free(&ahead);
+}
+
+static int is_head_only(const pw_conn *c) {
+  return c->request.state != PWH1_HEAD && c->request.parser.method == HTTP_HEAD;
+}
+
+void pwconn_answer(pw_conn *c, int status, const char *lines, const char *body,
+                   size_t n) {
+  pw_buf head = {0};
+  pwbuf_fmt(&head, "HTTP/1.1 %d %s\r\n%sContent-Length: %zu\r\n%s\r\n", status,
+            reason_of(status), lines, n,
+            ends_with_answer(c) ? "Connection: close\r\n" : "");
+  pwtcp_write2(c->tcp, head.data, head.len, body, is_head_only(c) ? 0 : n);
+  pwbuf_free(&head);
+  next_request(c);
+}
+
+/* `more` are header lines besides. */
+static void refuse(pw_conn *c, pw_code code, const char *message,
+                   const char *more) {
+  char lines[160];
+  const char *text = message[0] ? message : pwcode_text(code);
+  snprintf(lines, sizeof lines,
+           "Content-Type: application/json\r\nPeatwell-Code: %d\r\n%s",
+           (int)code, more);
+  json_t *o = json_pack("{s:{s:i,s:s,s:s}}", "error", "code", (int)code, "name",
+                        pwcode_name(code), "message", text);
+  char *body = json_dumps(o, JSON_COMPACT);
+  json_decref(o);
+  pwconn_answer(c, pwcode_http(code), lines, body ? body : "{}",
+                body ? strlen(body) : 2);
+  free(body);
+}
+
+void pwconn_refuse(pw_conn *c, pw_code code, const char *message,
+                   int64_t retry_ms) {
+  char more[40] = "";
+  if (retry_ms > 0)
+    snprintf(more, sizeof more, "Retry-After: %.3f\r\n",
+             (double)retry_ms / MS_PER_S);
+  refuse(c, code, message, more);
+}
+
+void pwconn_begin(pw_conn *c, int status, const char *lines) {
+  if (is_http10(c))
+    c->close_next = 1;
+  pw_buf head = {0};
+  pwbuf_fmt(&head, "HTTP/1.1 %d %s\r\n%s%s%s\r\n", status, reason_of(status),
+            lines, is_http10(c) ? "" : "Transfer-Encoding: chunked\r\n",
+            ends_with_answer(c) ? "Connection: close\r\n" : "");
+  pwtcp_write(c->tcp, head.data, head.len);
+  pwbuf_free(&head);
+}
+
+void pwconn_piece(pw_conn *c, const char *data, size_t n) {
+  if (n == 0)
+    return;
+  if (is_http10(c)) {
+    pwtcp_write(c->tcp, data, n);
+    return;
+  }
+  pw_buf b = {0};
+  pwbuf_fmt(&b, "%zx\r\n", n);
+  pwbuf_add(&b, data, n);
+  pwbuf_add(&b, "\r\n", 2);
+  pwtcp_write(c->tcp, b.data, b.len);
+  pwbuf_free(&b);
+}
+
+void pwconn_end(pw_conn *c) {
+  if (!is_http10(c))
+    pwtcp_write(c->tcp, "0\r\n\r\n", 5);
+  next_request(c);
+}
+
+/* --- requests --- */
+
+/* A request that did not come whole, or is none: nobody has seen it. */
+static void refuse_and_close(pw_conn *c, pw_code code, const char *message) {
+  c->close_next = 1;
+  refuse(c, code, message, "Peatwell-Outcome: not-run\r\n");
+}
+
+static void on_body(void *arg, const char *data, size_t n) {
+  pw_conn *c = arg;
+  if (c->body.len <= c->all->limits.body_bytes)
+    pwbuf_add(&c->body, data, n);
+}
+
+/* A head has come. Gives 0 when it was refused. */
+static int check_head(pw_conn *c) {
+  const pw_h1 *m = &c->request;
+  uint64_t length =
+      m->parser.flags & F_CONTENTLENGTH ? m->parser.content_length : 0;
+  if (length > c->all->limits.body_bytes) {
+    refuse_and_close(c, PW_E_TOO_LARGE, "the body is over its limit");
+    return 0;
+  }
+  if (m->has_body && pwh1_find(m, "Expect"))
+    pwtcp_write(c->tcp, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+  return 1;
+}
+
+/* Gives 0 when no more is to be read for now. */
+static int check_state(pw_conn *c) {
+  switch (c->request.state) {
+  case PWH1_BAD:
+    refuse_and_close(c, PW_E_REQUEST, "");
+    return 0;
+  case PWH1_TOO_LARGE:
+    refuse_and_close(c, PW_E_HEAD_TOO_LARGE, "");
+    return 0;
+  case PWH1_DONE:
+    if (c->body.len > c->all->limits.body_bytes) {
+      refuse_and_close(c, PW_E_TOO_LARGE, "the body is over its limit");
+      return 0;
+    }
+    c->is_busy = 1;
+    c->all->handle(c);
+    return 0;
+  default:
+    return 1;
+  }
+}
+
+static void keep_ahead(pw_conn *c, const char *data, size_t n) {
+  pwbuf_add(&c->ahead, data, n);
+  if (c->ahead.len > AHEAD_MAX)
+    pwtcp_pause(c->tcp, 1);
+}
+
+/* Takes bytes until a request is whole and was handled; gives how many. */
+static size_t take_some(pw_conn *c, const char *data, size_t n) {
+  pw_h1_state before = c->request.state;
+  if (before == PWH1_HEAD && c->request.head.len == 0) {
+    c->since = pwclock_ms();
+    c->request.head_max = c->all->limits.header_bytes;
+  }
+  size_t used = pwh1_take(&c->request, data, n);
+  pw_h1_state now = c->request.state;
+  int had_head = before == PWH1_HEAD && (now == PWH1_BODY || now == PWH1_DONE);
+  if (had_head && !check_head(c))
+    return n;
+  if (!check_state(c))
+    return used;
+  return used || now != before ? used : n;
+}
+
+/* Takes what has come: requests that are answered at once follow one another here,
+** not each within the one before. What follows one in progress is kept. */
+static void take(pw_conn *c, const char *data, size_t n) {
+  c->is_taking = 1;
+  while (n > 0 && !c->is_busy && !c->is_closed) {
+    size_t used = take_some(c, data, n);
+    data += used;
+    n -= used;
+  }
+  c->is_taking = 0;
+  if (n > 0 && !c->is_closed)
+    keep_ahead(c, data, n);
+}
+
+static void on_data(void *arg, const char *data, size_t n) {
+  pw_conn *c = arg;
+  if (c->is_busy)
+    keep_ahead(c, data, n);
+  else
+    take(c, data, n);
+}
+
+static void on_ended(void *arg, pw_tcp_end how) {
+  (void)how;
+  close_conn(arg, 1);
+}
+
+static void on_drained(void *arg) {
+  pw_conn *c = arg;
+  if (c->state && c->all->resume)
+    c->all->resume(c->state);
+}
+
+static void on_connected(void *arg) {
+  (void)arg;
+}
+
+static const pw_tcp_calls calls = {on_connected, on_data, on_ended, on_drained};
+
+static void add_conn(pw_conns *s, int fd) {
+  pw_conn *c = pw_alloc(sizeof *c);
+  c->all = s;
+  pwh1_init(&c->request, HTTP_REQUEST, s->limits.header_bytes);
+  c->request.arg = c;
+  c->request.on_body = on_body;
+  c->since = pwclock_ms();
+  c->next = s->first;
+  if (c->next)
+    c->next->prev = c;
+  s->first = c;
+  s->count++;
+  c->tcp = pwtcp_accepted(s->tcp, fd, s->keys, &calls, c);
+}
+
+/* --- listening --- */
+
+static int has_room(const pw_conns *s) {
+  return s->max == 0 || s->count < s->max;
+}
+
+static void on_listening(struct ev_loop *ev, ev_io *w, int events) {
+  (void)events;
+  pw_conns *s = w->data;
+  while (has_room(s)) {
+    int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (fd >= 0) {
+      add_conn(s, fd);
+      continue;
+    }
+    if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
+      pwlog(LOG_WARNING, "accept-failed", "errno=%d", errno);
+    if (errno != EINTR && errno != ECONNABORTED)
+      return;
+  }
+  ev_io_stop(ev, w);
+}
+
+static void on_reap(struct ev_loop *ev, ev_prepare *w, int events) {
+  (void)ev;
+  (void)events;
+  pw_conns *s = w->data;
+  while (s->dead) {
+    pw_conn *c = s->dead;
+    s->dead = c->next;
+    free(c);
+  }
+}
+
+void pwconns_start(pw_conns *s, int fd) {
+  ev_prepare_init(&s->reap, on_reap);
+  ev_io_init(&s->listening, on_listening, fd, EV_READ);
+  s->reap.data = s->listening.data = s;
+  ev_prepare_start(s->tcp->ev, &s->reap);
+  ev_io_start(s->tcp->ev, &s->listening);
+}
+
+void pwconns_unlisten(pw_conns *s) {
+  if (!s->reap.data || s->listening.fd < 0)
+    return;
+  ev_io_stop(s->tcp->ev, &s->listening);
+  close(s->listening.fd);
+  s->listening.fd = -1;
+}
+
+void pwconns_end(pw_conns *s) {
+  if (!s->reap.data)
+    return; /* was never started */
+  pwconns_unlisten(s);
+  while (s->first)
+    pwconn_break(s->first);
+  ev_prepare_stop(s->tcp->ev, &s->reap);
+  on_reap(s->tcp->ev, &s->reap, 0);
+}
+
+int pwconn_path_is(const pw_conn *c, const char *path) {
+  return c->request.nurl == strlen(path) &&
+         !memcmp(c->request.url, path, c->request.nurl);
+}
+
+/* --- connections that rest or dawdle --- */
+
+/* No request is in progress, and none has come: after the process stood still
+** one may wait to be read. */
+static int is_at_rest(const pw_conn *c) {
+  return !c->is_busy && c->request.state == PWH1_HEAD &&
+         c->request.head.len == 0 && !pwtcp_has_unread(c->tcp);
+}
+
+static void sweep_one(pw_conn *c, int64_t now) {
+  const pw_conn_limits *l = &c->all->limits;
+  if (c->is_busy)
+    return;
+  int64_t age = now - c->since;
+  int64_t header_ms = l->header_ms ? l->header_ms : l->idle_ms;
+  if (c->request.state == PWH1_HEAD && c->request.head.len == 0) {
+    if (age > l->idle_ms && is_at_rest(c))
+      close_conn(c, 0);
+  } else if (c->request.state == PWH1_HEAD) {
+    if (age > header_ms)
+      refuse_and_close(c, PW_E_SLOW, "");
+  } else if (age > header_ms + l->idle_ms) {
+    refuse_and_close(c, PW_E_SLOW, "");
+  }
+}
+
+void pwconns_close_idle(pw_conns *s) {
+  for (pw_conn *c = s->first, *next; c; c = next) {
+    next = c->next;
+    if (is_at_rest(c))
+      close_conn(c, 0);
+  }
+}
+
+void pwconns_sweep(pw_conns *s, int64_t now) {
+  for (pw_conn *c = s->first, *next; c; c = next) {
+    next = c->next;
+    sweep_one(c, now);
+  }
+}
--- /dev/null
+++ b/packages/net/pwconn.h
@@ -0,0 +1,92 @@
+/* pwconn.h: callers' connections: requests in, answers out. One HTTP engine for all
+** that is served here. The connections of a server and its loop belong to one
+** thread. */
+#ifndef PWCONN_H
+#define PWCONN_H
+
+#include "pwcode.h"
+#include "pwh1.h"
+#include "pwtcp.h"
+
+#include <stdint.h>
+
+typedef struct pw_conn pw_conn;
+
+/* What a caller may send, and how long it may take or rest. */
+typedef struct pw_conn_limits {
+  size_t header_bytes;
+  size_t body_bytes;
+  int64_t header_ms; /* 0: a head may take as long as a connection may rest */
+  int64_t idle_ms;
+} pw_conn_limits;
+
+/* The connections of one listener. The owner fills in the first part. */
+typedef struct pw_conns {
+  pw_tcp_loop *tcp;
+  pw_conn_limits limits;
+  int max;                          /* connections at once; 0: any number */
+  const pw_tls_keys *keys;          /* callers speak TLS; NULL: they do not */
+  void *arg;                        /* the owner's own */
+  void (*handle)(pw_conn *c);       /* a whole request is there */
+  void (*abandoned)(void *request); /* its caller has gone; may be NULL */
+  void (*resume)(void *request);    /* what was written has left; may be NULL */
+
+  pw_conn *first;
+  int count;
+  int is_stopping; /* each answer ends its connection */
+  ev_io listening;
+  ev_prepare reap;
+  pw_conn *dead;
+} pw_conns;
+
+/* One connection. */
+struct pw_conn {
+  pw_conns *all;
+  pw_tcp *tcp;
+  pw_h1 request;
+  pw_buf body;
+  pw_buf ahead;  /* bytes that came while a request is in progress */
+  void *state;   /* the handler's own of this request; NULL: none */
+  int is_busy;   /* a request is in progress */
+  int is_taking; /* bytes of it are being read into requests */
+  int is_closed; /* its memory goes at the loop's next turn */
+  int close_next;
+  int64_t since; /* when it came to rest, or the head's first byte; ms */
+  pw_conn *prev, *next;
+};
+
+/* Accepts on a descriptor that listens, which is taken over. */
+void pwconns_start(pw_conns *s, int fd);
+
+/* Closes the listening descriptor; connections go on. */
+void pwconns_unlisten(pw_conns *s);
+
+/* Closes connections at rest: a planned stop. */
+void pwconns_close_idle(pw_conns *s);
+
+/* Closes connections that have rested or dawdled for too long. */
+void pwconns_sweep(pw_conns *s, int64_t now);
+
+/* Breaks off all that is left, and ends. */
+void pwconns_end(pw_conns *s);
+
+/* Answers whole; `lines` are header lines, each with its line end. */
+void pwconn_answer(pw_conn *c, int status, const char *lines, const char *body,
+                   size_t n);
+
+/* Answers with a result code as JSON; retry_ms above 0 becomes Retry-After. */
+void pwconn_refuse(pw_conn *c, pw_code code, const char *message,
+                   int64_t retry_ms);
+
+/* Begins an answer whose length is not known, gives pieces of it, ends it. */
+void pwconn_begin(pw_conn *c, int status, const char *lines);
+void pwconn_piece(pw_conn *c, const char *data, size_t n);
+void pwconn_end(pw_conn *c);
+
+/* Breaks off: an answer in progress does not look whole. */
+void pwconn_break(pw_conn *c);
+
+/* Whether the request is for this path. */
+int pwconn_path_is(const pw_conn *c, const char *path);
+
+#endif
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -31,6 +31,7 @@
   ev_io rd, wr;
   pw_buf out;
   size_t out_at;
+  pw_tls *tls;  /* NULL: the bytes are the user's own */
   pw_tcp *next; /* of the dead, or of the closing */
 };
 
@@ -44,6 +45,7 @@
     pw_tcp *c = l->dead;
     l->dead = c->next;
     pwbuf_free(&c->out);
+    pwtls_free(c->tls);
     free(c);
   }
 }
@@ -147,6 +149,8 @@
 void pwtcp_close_after_write(pw_tcp *c) {
   if (c->closed || c->closing)
     return;
+  if (c->tls)
+    pwtls_bye(c->tls);
   c->closing = 1;
   c->next = c->l->closing;
   c->l->closing = c;
@@ -157,14 +161,37 @@
 
 /* --- reading and writing --- */
 
+/* Bytes of a peer that speaks TLS: gives what they say. */
+static void read_tls(pw_tcp *c, size_t n) {
+  pwtls_feed(c->tls, c->l->block, n);
+  while (!c->closed && !c->closing) {
+    ssize_t got = pwtls_read(c->tls, c->l->block, BLOCK);
+    if (got > 0) {
+      c->calls->data(c->arg, c->l->block, (size_t)got);
+      continue;
+    }
+    if (got < 0)
+      end(c, got == -1 ? PWTCP_EOF : PWTCP_RESET);
+    return;
+  }
+}
+
+static void take(pw_tcp *c, size_t n) {
+  if (c->closing)
+    return;
+  if (c->tls)
+    read_tls(c, n);
+  else
+    c->calls->data(c->arg, c->l->block, n);
+}
+
 static void on_read(struct ev_loop *ev, ev_io *w, int events) {
   (void)ev;
   (void)events;
   pw_tcp *c = w->data;
   ssize_t n = read(c->fd, c->l->block, BLOCK);
   if (n > 0) {
-    if (!c->closing)
-      c->calls->data(c->arg, c->l->block, (size_t)n);
+    take(c, (size_t)n);
   } else if (n == 0) {
     end(c, PWTCP_EOF);
   } else if (errno != EAGAIN && errno != EINTR) {
@@ -223,10 +250,8 @@
     flush(c);
 }
 
-void pwtcp_write2(pw_tcp *c, const void *a, size_t an, const void *b,
-                  size_t bn) {
-  if (c->closed || c->closing)
-    return;
+static void write_raw(pw_tcp *c, const void *a, size_t an, const void *b,
+                      size_t bn) {
   size_t done = 0;
   if (!c->connecting && pwtcp_pending(c) == 0) {
     struct iovec v[2] = {{(void *)a, an}, {(void *)b, bn}};
@@ -244,6 +269,28 @@
   ev_io_start(c->l->ev, &c->wr);
 }
 
+static void send_tls(void *arg, const void *data, size_t n) {
+  write_raw(arg, data, n, NULL, 0);
+}
+
+/* A session at fault shows as the connection's end. */
+static void write_tls(pw_tcp *c, const void *data, size_t n) {
+  if (pwtls_write(c->tls, data, n) != 0)
+    shutdown(c->fd, SHUT_RDWR);
+}
+
+void pwtcp_write2(pw_tcp *c, const void *a, size_t an, const void *b,
+                  size_t bn) {
+  if (c->closed || c->closing)
+    return;
+  if (!c->tls) {
+    write_raw(c, a, an, b, bn);
+    return;
+  }
+  write_tls(c, a, an);
+  write_tls(c, b, bn);
+}
+
 void pwtcp_write(pw_tcp *c, const void *data, size_t n) {
   pwtcp_write2(c, data, n, NULL, 0);
 }
@@ -283,9 +330,11 @@
   return c;
 }
 
-pw_tcp *pwtcp_accepted(pw_tcp_loop *l, int fd, const pw_tcp_calls *calls,
-                       void *arg) {
+pw_tcp *pwtcp_accepted(pw_tcp_loop *l, int fd, const pw_tls_keys *keys,
+                       const pw_tcp_calls *calls, void *arg) {
   pw_tcp *c = new_conn(l, fd, calls, arg);
+  if (keys)
+    c->tls = pwtls_new(keys, send_tls, c);
   ev_io_start(l->ev, &c->rd);
   return c;
 }
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -8,6 +8,7 @@
 #define PWTCP_H
 
 #include "pwbuf.h"
+#include "pwtls.h"
 
 #include <ev.h>
 #include <netinet/in.h>
@@ -45,9 +46,9 @@
 /* Listens on ip:port; the descriptor, or -1. */
 int pwtcp_listen(const struct sockaddr_in *at);
 
-/* Takes over an accepted descriptor. */
-pw_tcp *pwtcp_accepted(pw_tcp_loop *l, int fd, const pw_tcp_calls *calls,
-                       void *arg);
+/* Takes over an accepted descriptor; with keys its peer speaks TLS. */
+pw_tcp *pwtcp_accepted(pw_tcp_loop *l, int fd, const pw_tls_keys *keys,
+                       const pw_tcp_calls *calls, void *arg);
 
 /* Begins to connect; NULL when no descriptor can be had. `silent_ms`: a peer
 ** that acknowledges nothing for so long is taken for lost. */
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -369,7 +369,7 @@
   p->m.on_body = on_body;
   ev_timer_init(&p->timer, on_timer, 0, 0);
   p->timer.data = p;
-  p->tcp = pwtcp_accepted(&me.tcp, fd, &peer_calls, p);
+  p->tcp = pwtcp_accepted(&me.tcp, fd, NULL, &peer_calls, p);
 }
 
 /* --- heartbeats --- */
