--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -75,6 +75,8 @@
   X(PWC_GW_SITE, "gateway_configuration", "gauge",                             \
     "version of the configuration in force")                                   \
   X(PWC_GW_TARGETS, "gateway_targets", "gauge", "targets known")               \
+  X(PWC_GW_AWAITING, "gateway_awaiting", "gauge",                              \
+    "requests that wait for a first configuration")                            \
   X(PWC_GW_CLIENTS, "gateway_clients", "gauge", "callers' connections open")   \
   X(PWC_GW_LEFT_OUT, "gateway_lines_left_out", "gauge",                        \
     "log lines left out for want of budget")                                   \
--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -146,6 +146,8 @@
     REAL("gateway", "keep_s", gateway_keep, 0, 86400, 10, "s",
          "how long what a prompt left in a target's memory is worth going back "
          "to"),
+    INT("gateway", "await_ms", gateway_await, 0, 60000, 1500, "ms",
+        "a request that comes before a configuration waits so long at most"),
     STR("gateway", "place", gateway_place, "home", "home|load|turn|hash", NULL,
         "how a target is picked; all but home are naive, to measure against"),
     INT("gateway", "log_bytes_per_s", gateway_log_bytes, 0, 10000000, 16384,
--- a/packages/core/pwset.h
+++ b/packages/core/pwset.h
@@ -69,6 +69,7 @@
   double gateway_grace;
   double gateway_load_times;
   double gateway_keep;
+  int64_t gateway_await;
   char *gateway_place;
   int64_t gateway_log_bytes;
 
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -1,11 +1,20 @@
 /* pwexchange.c: the life of one request: it begins, is answered, ends. */
 #include "pwexint.h"
+
+#include <utlist.h>
+
 #define RETRY_SPREAD_MS 300 /* so that not all come back at once */
 
 /* A gateway that was started has its configuration by then: control elects a
 ** leader in one to two leases of 500 ms. */
 #define START_MS 1000
 
+/* Requests that came before a configuration wait for it, but for no more than this
+** part of the time that their caller has, so that it can come back. */
+#define AWAIT_PART 3
+#define AWAITING_MAX 2000
+#define AWAITING_BYTES (16UL * 1024 * 1024) /* of their bodies */
+
 /* --- the end of an exchange --- */
 
 void pwexi_let_go(pw_exchange *x) {
@@ -17,8 +26,19 @@
   x->u = NULL;
 }
 
+static void await_no_more(pw_exchange *x) {
+  pw_gate *g = x->g;
+  if (!x->is_awaiting)
+    return;
+  x->is_awaiting = 0;
+  DL_DELETE(g->awaiting, x);
+  g->nawaiting--;
+  g->awaiting_bytes -= x->client->body.len;
+}
+
 static void free_exchange(pw_exchange *x) {
   pw_gate *g = x->g;
+  await_no_more(x);
   if (x->u) {
     pw_upconn *u = x->u;
     x->u = NULL;
@@ -107,11 +127,24 @@
   return until - pwclock_ms();
 }
 
+/* The caller is told when a configuration will be known. */
+static void refuse_unready(pw_exchange *x) {
+  pw_gate *g = x->g;
+  int64_t left = g->started_at + START_MS - pwclock_ms();
+  int64_t least = left > PWEX_RETRY_LEAST_MS ? left : PWEX_RETRY_LEAST_MS;
+  pwexi_refuse(x, PW_E_NOT_READY, "no configuration yet",
+               least + (int64_t)(pwgate_draw(g) * RETRY_SPREAD_MS));
+}
+
 static void on_timer(struct ev_loop *ev, ev_timer *w, int events) {
   (void)ev;
   (void)events;
   pw_exchange *x = w->data;
   int64_t now = pwclock_ms();
+  if (x->is_awaiting) {
+    refuse_unready(x);
+    return;
+  }
   if (x->t && pwfleet_is_dark(x->t, now))
     pwfleet_failed(x->t, now);
   if (!x->has_begun && x->may_have_run)
@@ -142,49 +175,64 @@
   return 0;
 }
 
-/* No configuration is known yet: the caller is told when it will be. */
-static void refuse_unready(pw_conn *c) {
-  pw_gate *g = c->all->arg;
-  pw_ask ask;
-  int64_t now = pwclock_ms();
-  int64_t left = g->started_at + START_MS - now;
-  int64_t retry_ms = (left > PWEX_RETRY_LEAST_MS ? left : PWEX_RETRY_LEAST_MS) +
-                     (int64_t)(pwgate_draw(g) * RETRY_SPREAD_MS);
-  g->dialect->read_request(&c->request, &ask);
-  pwtrace_line(g->trace, PWTRACE_FAIL, now, "refused",
-               "req=%.*s code=%d name=%s why=\"no configuration yet\" "
-               "retry_ms=%lld",
-               (int)ask.id.n, ask.id.p ? ask.id.p : "", (int)PW_E_NOT_READY,
-               pwcode_name(PW_E_NOT_READY), (long long)retry_ms);
-  pwconn_refuse(c, PW_E_NOT_READY, "", retry_ms);
+static void start(pw_exchange *x) {
+  pw_gate *g = x->g;
+  x->site = pwsite_hold(g->site);
+  if (admit(x) != 0)
+    return;
+  x->timeout_at = x->arrived + x->route->timeout_ms;
+  x->deadline_at =
+      x->ask.deadline_ms >= 0 ? x->arrived + x->ask.deadline_ms : x->timeout_at;
+  pwretries_request(pwgate_retries(g, x->service->name), x->arrived);
+  pwgate_timer(g, &x->timer, pwexi_time_left(x));
+  pwexi_place(x);
 }
 
-void pwexchange_begin(pw_conn *c) {
-  pw_gate *g = c->all->arg;
-  if (!g->site) {
-    refuse_unready(c);
+/* --- requests that came before a configuration --- */
+
+/* It waits: as long as a caller can come back after it in time. */
+static void await(pw_exchange *x) {
+  pw_gate *g = x->g;
+  size_t bytes = x->client->body.len;
+  int64_t wait_ms = g->p->set->gateway_await;
+  if (x->ask.deadline_ms >= 0 && x->ask.deadline_ms / AWAIT_PART < wait_ms)
+    wait_ms = x->ask.deadline_ms / AWAIT_PART;
+  if (g->nawaiting == AWAITING_MAX ||
+      g->awaiting_bytes + bytes > AWAITING_BYTES) {
+    refuse_unready(x);
     return;
   }
+  x->is_awaiting = 1;
+  DL_APPEND(g->awaiting, x);
+  g->nawaiting++;
+  g->awaiting_bytes += bytes;
+  pwgate_timer(g, &x->timer, wait_ms);
+}
+
+void pwexchange_go_on(pw_gate *g) {
+  while (g->awaiting) {
+    pw_exchange *x = g->awaiting;
+    await_no_more(x);
+    start(x);
+  }
+}
+
+void pwexchange_begin(pw_conn *c) {
+  pw_gate *g = c->all->arg;
   pw_exchange *x = pw_alloc(sizeof *x);
-  int64_t now = pwclock_ms();
   x->g = g;
   x->client = c;
   c->state = x;
-  x->site = pwsite_hold(g->site);
+  x->arrived = pwclock_ms();
   g->nexchanges++;
   g->dialect->read_request(&c->request, &x->ask);
   ev_timer_init(&x->timer, on_timer, 0, 0);
   x->timer.data = x;
   pwcount_add(g->p->counters, PWC_REQUESTS, 1);
-  if (admit(x) != 0)
-    return;
-  x->arrived = now;
-  x->timeout_at = now + x->route->timeout_ms;
-  x->deadline_at =
-      x->ask.deadline_ms >= 0 ? now + x->ask.deadline_ms : x->timeout_at;
-  pwretries_request(pwgate_retries(g, x->service->name), now);
-  pwgate_timer(g, &x->timer, pwexi_time_left(x));
-  pwexi_place(x);
+  if (pwgate_may_serve(g))
+    start(x);
+  else
+    await(x);
 }
 
 /* --- answers --- */
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -24,6 +24,8 @@
   pw_ask ask;
   int64_t arrived, deadline_at, timeout_at; /* ms */
   ev_timer timer;
+  int is_awaiting; /* a configuration; what follows from it is not known yet */
+  pw_exchange *prev, *next; /* of those */
 
   /* where it is now */
   pw_target *t;      /* NULL: nowhere */
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -35,6 +35,9 @@
   pw_conns front;                  /* callers */
   pw_conns ready;                  /* the platform, which asks for readiness */
   int nexchanges;
+  pw_exchange *awaiting; /* a configuration, the longest first ... */
+  int nawaiting;
+  size_t awaiting_bytes; /* ... and their bodies */
   uint64_t random;
   int64_t started_at;
   int64_t stop_at; /* when the planned stop began, ms; 0: it has not */
@@ -50,7 +53,7 @@
 /* Frees memory when no call can refer to it any more. */
 void pwgate_later(pw_gate *g, void *p);
 
-/* Starts a timer that was initialised, to end `ms` from now: also right after the
+/* Starts a timer, or starts it anew, to end `ms` from now: also right after the
 ** process stood still, when the loop's own time is old. */
 void pwgate_timer(pw_gate *g, ev_timer *w, int64_t ms);
 
@@ -60,6 +63,9 @@
 /* Uniform in [0, 1). */
 double pwgate_draw(pw_gate *g);
 
+/* Whether requests can be sent anywhere: a configuration and targets are known. */
+int pwgate_may_serve(pw_gate *g);
+
 /* A newer configuration is in force from now on. */
 void pwgate_adopt(pw_gate *g, pw_site *site);
 
@@ -68,6 +74,9 @@
 /* Begins the exchange of a whole request. */
 void pwexchange_begin(pw_conn *c);
 
+/* Begins those that waited for a configuration. */
+void pwexchange_go_on(pw_gate *g);
+
 /* Has requests go on elsewhere whose target went dark. */
 void pwexchange_check(pw_gate *g, int64_t now);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -46,6 +46,7 @@
 
 void pwgate_timer(pw_gate *g, ev_timer *w, int64_t ms) {
   ev_now_update(g->ev);
+  ev_timer_stop(g->ev, w);
   ev_timer_set(w, (double)(ms > 0 ? ms : 0) / MS_PER_S, 0);
   ev_timer_start(g->ev, w);
 }
@@ -112,10 +113,13 @@
   return 0;
 }
 
+int pwgate_may_serve(pw_gate *g) {
+  return g->site && (g->is_ready || knows_targets(g, pwclock_ms()));
+}
+
 /* Once ready, only a planned stop ends it: what is known serves on. */
 static void note_ready(pw_gate *g, int64_t now) {
-  if (g->is_ready || !g->site || !pwlink_is_current(g->link, now) ||
-      !knows_targets(g, now))
+  if (g->is_ready || !pwlink_is_current(g->link, now) || !pwgate_may_serve(g))
     return;
   g->is_ready = 1;
   pwproc_set_ready(g->p, 1);
@@ -128,6 +132,7 @@
   pw_gate *g = c->all->arg;
   pwcount_set(g->p->counters, PWC_GW_CLIENTS, g->front.count);
   pwcount_set(g->p->counters, PWC_ACTIVE, g->nexchanges);
+  pwcount_set(g->p->counters, PWC_GW_AWAITING, g->nawaiting);
   pwcount_set(g->p->counters, PWC_GW_LEFT_OUT,
               (int64_t)pwtrace_dropped(g->trace));
   pwcount_render(g->p->counters, &b);
@@ -232,6 +237,8 @@
     sweep(g, now);
   }
   note_ready(g, now);
+  if (g->awaiting && pwgate_may_serve(g))
+    pwexchange_go_on(g);
   pwtrace_flush(g->trace, now);
   if (atomic_load(&g->p->stopping) && !g->stop_at)
     begin_stop(g, now);
--- /dev/null
+++ b/tests/scenarios/33_gateway_early.lua
@@ -0,0 +1,39 @@
+-- Promise: a request that comes to a gateway before its configuration waits for it and
+-- is answered; one whose caller has not the time is told when to come back, and has
+-- not run.
+local fleet = require("fleet")
+local gateways = require("gateways")
+local g = gateways.new{control = 3, gateways = 1, engines = 1, portals = 2, text = "await_ms = 20000"}
+g:start()
+local gateway = g.gateways[1]
+local EARLY = 40
+
+for _, c in ipairs(g.control) do c:pause() end
+gateway:signal("KILL")
+run.wait(gateway.pid, 20000)
+gateway:start()
+local calls = {}
+for i = 1, EARLY do
+  local path = i % 2 == 0 and "/safe/a" or "/once/a"
+  calls[i] = run.http_start(g:call{path = path, method = "POST", body = "x", deadline = 120000, timeout = 60})
+end
+local function awaiting() return gateway:counter("gateway_awaiting") end
+fleet.eventually("all wait", function() return awaiting() == EARLY end)
+
+-- A third of this caller's time is soon over.
+local hasty = g:ask{path = "/once/a", body = "x", deadline = 300}
+fleet.equal("who has no time is refused", hasty.status, 503)
+fleet.expect("and told when to come back", tonumber(hasty["Retry-After"]) > 0)
+
+-- A caller that leaves waits no longer.
+local leaver = run.raw_open(gateway.http)
+run.raw_send(leaver, "GET /safe/a HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: leaver\r\nApi-Key: kett-key\r\n\r\n")
+fleet.eventually("it waits too", function() return awaiting() == EARLY + 1 end)
+run.raw_close(leaver)
+fleet.eventually("it has left", function() return awaiting() == EARLY end)
+
+for _, c in ipairs(g.control) do c:continue() end
+for i = 1, EARLY do fleet.equal("early request " .. i, run.http_wait(calls[i]).status, 200) end
+fleet.equal("none waits", awaiting(), 0)
+fleet.equal("runs", g:sum("portal", "total"), EARLY)
+g:stop()
