Tables of targets are told in turn, by columns; a gateway waits for its own

A table of 3,002 targets is 48 KB; 60 gateways ask one control instance for it at once, which keeps its link busy for 4 s, while a gateway that had none within 1 s chose another primary, which sent it again: each choice added to the queue. Change: tables are packed field by field (9.5 bytes a target, was 16); control sends them one after another at half of its link (control.link_mbps), other control instances first; a gateway doubles its patience with each primary that has not told it, and takes its wish back when it leaves one. Counters tables_told_total, tables_told_bytes_total. The wire's Table has new fields: control and gateways are upgraded together.

--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -32,6 +32,11 @@
 #define GATHER_MS 30
 #define GATHER_MS_A_WATCHER 2
 
+/* Tables of all targets take this share of the machine's link at most. */
+#define TABLES_SHARE 0.5
+#define BITS_PER_BYTE 8
+#define KBIT_PER_MBIT 1000
+
 #define NEWS_MAX 2048 /* heartbeats that wait to be passed on */
 
 typedef struct watcher {
@@ -40,6 +45,7 @@
   char gossip[PW_NAME_MAX]; /* "": another control instance */
   int is_primary;           /* it relies on this one for all of the targets */
   int is_lost;              /* a message to it was dropped */
+  int wants_all; /* it is to be told all targets, when it is its turn */
   int64_t heard_at, told_at, listed_at;
   uint64_t told_site;
   struct watcher *next;
@@ -74,8 +80,9 @@
   int nnews;
   int64_t urgent_at; /* when the oldest change came; 0: there is none */
   int64_t renewed_at;
-  int64_t changed_at; /* when the set of gateways changed last, ms */
-  int in_touch;       /* a leader was heard just now */
+  int64_t changed_at;   /* when the set of gateways changed last, ms */
+  int64_t link_free_at; /* when the next table may be sent, ms */
+  int in_touch;         /* a leader was heard just now */
 };
 
 pw_watch *pwwatch_new(pw_proc *p, pw_sock *listener, pw_sock *dialler,
@@ -145,15 +152,47 @@
   to->told_site = n->site;
 }
 
+/* How long a table keeps its share of the link busy, ms. */
+static int64_t link_ms(const pw_watch *w, size_t bytes) {
+  double bits_a_ms = TABLES_SHARE * w->p->set->control_link * KBIT_PER_MBIT;
+  if (bits_a_ms <= 0)
+    return 0;
+  return (int64_t)((double)bytes * BITS_PER_BYTE / bits_a_ms);
+}
+
 static void tell_all_targets(pw_watch *w, watcher *to, int64_t now) {
   Pw__Notice n = PW__NOTICE__INIT;
   pwtable_write(w->targets, now, &n);
   n.full = 1;
   to->listed_at = 0;
+  to->wants_all = 0;
   tell(w, to, &n, now);
+  w->link_free_at = now + link_ms(w, n.table.len);
+  pwcount_add(w->p->counters, PWC_TABLES_TOLD, 1);
+  pwcount_add(w->p->counters, PWC_TABLES_BYTES, (int64_t)n.table.len);
   free(n.table.data);
 }
 
+/* The first that waits: control instances before gateways, then in turn. */
+static watcher *first_waiting(const pw_watch *w) {
+  watcher *best = NULL;
+  for (watcher *one = w->watchers; one; one = one->next)
+    if (one->wants_all && (!best || !one->gossip[0] || best->gossip[0]))
+      best = one; /* later ones came earlier */
+  return best;
+}
+
+/* Tables of a large fleet are many times what the link carries in a second: sent
+** all at once they would hold up everything else, so they take their share. */
+static void tell_tables(pw_watch *w, int64_t now) {
+  while (now >= w->link_free_at) {
+    watcher *to = first_waiting(w);
+    if (!to)
+      return;
+    tell_all_targets(w, to, now);
+  }
+}
+
 static void send_document(pw_watch *w, const pw_peer *to, uint64_t have) {
   Pw__Document d;
   pwdoc_pack(w->doc, have, &d);
@@ -268,7 +307,9 @@
   int relies = m->primary && !one->is_primary;
   one->is_primary = m->primary;
   if (relies)
-    tell_all_targets(w, one, now);
+    one->wants_all = 1;
+  else if (!m->primary)
+    one->wants_all = 0;
   if (m->want && pwdoc_version(w->doc) > m->site)
     send_document(w, from, m->site);
 }
@@ -442,6 +483,7 @@
   drop_lost(w, now);
   watch_others(w, now);
   pwfleet_tick(w->targets, now, on_silent, w);
+  tell_tables(w, now);
   if (!is_due(w, now))
     return;
   tell_all(w, now);
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -62,6 +62,10 @@
   X(PWC_DATA_IN, "data_received_bytes_total", "counter",                       \
     "request and answer bytes received")                                       \
   X(PWC_ORDERS, "orders_total", "counter", "orders given to targets")          \
+  X(PWC_TABLES_TOLD, "tables_told_total", "counter",                           \
+    "times that a watcher was told all targets")                               \
+  X(PWC_TABLES_BYTES, "tables_told_bytes_total", "counter",                    \
+    "bytes of these tables")                                                   \
   X(PWC_TABLES, "tables_built_total", "counter", "placement tables built")     \
   X(PWC_LOAD, "load_tokens", "gauge", "tokens in progress at the target")      \
   X(PWC_QUEUE, "queue_requests", "gauge", "requests waiting at the agent")     \
--- a/packages/core/pwset.h
+++ b/packages/core/pwset.h
@@ -78,6 +78,7 @@
   int64_t control_id;
   pw_list control_peers;
   char *control_data_dir;
+  double control_link;
   char *control_operators_file;
   int64_t control_heartbeat;
   int64_t control_retry;
--- a/packages/daemon/pwtable.c
+++ b/packages/daemon/pwtable.c
@@ -8,6 +8,7 @@
 #include <zstd.h>
 
 #define LEVEL 3
+#define AGE_STEP_MS 50               /* ages in tables are as exact as this */
 #define TABLE_FROM 16                /* heartbeats that are worth compressing */
 #define TABLE_MAX (16 * 1024 * 1024) /* bytes of a table */
 
@@ -52,9 +53,84 @@
   return !in->address[0] && !in->gone;
 }
 
+/* --- tables --- */
+
+enum { LEAVING = 1, GONE = 2, SILENT = 4 };
+
+/* Room for n beats; a Table's lists all have one item for each. */
+static void alloc_columns(Pw__Table *t, size_t n) {
+  char ***text[] = {&t->target, &t->service, &t->address, &t->availability_zone,
+                    &t->version};
+  uint32_t **number[] = {&t->slots, &t->flags, &t->cold, &t->age};
+  pw__table__init(t);
+  for (size_t i = 0; i < sizeof text / sizeof text[0]; i++)
+    *text[i] = pw_alloc(sizeof(char *) * (n + 1));
+  for (size_t i = 0; i < sizeof number / sizeof number[0]; i++)
+    *number[i] = pw_alloc(sizeof(uint32_t) * (n + 1));
+  t->seq = pw_alloc(sizeof(uint64_t) * (n + 1));
+  t->n_target = t->n_service = t->n_address = n;
+  t->n_availability_zone = t->n_version = t->n_slots = n;
+  t->n_flags = t->n_cold = t->n_seq = t->n_age = n;
+}
+
+static void free_columns(Pw__Table *t) {
+  free(t->target);
+  free(t->service);
+  free(t->address);
+  free(t->availability_zone);
+  free(t->version);
+  free(t->slots);
+  free(t->flags);
+  free(t->cold);
+  free(t->seq);
+  free(t->age);
+}
+
+static void put_row(Pw__Table *t, size_t i, const Pw__Beat *b) {
+  t->target[i] = b->target;
+  t->service[i] = b->service;
+  t->address[i] = b->address;
+  t->availability_zone[i] = b->availability_zone;
+  t->version[i] = b->version;
+  t->slots[i] = b->slots;
+  t->flags[i] = (b->leaving ? LEAVING : 0U) | (b->gone ? GONE : 0U) |
+                (b->silent ? SILENT : 0U);
+  t->cold[i] = b->cold;
+  t->seq[i] = b->seq;
+  t->age[i] = b->age - b->age % AGE_STEP_MS;
+}
+
+static int is_even(const Pw__Table *t) {
+  const size_t n[] = {
+      t->n_service, t->n_address, t->n_version, t->n_availability_zone,
+      t->n_slots,   t->n_flags,   t->n_cold,    t->n_seq,
+      t->n_age};
+  for (size_t i = 0; i < sizeof n / sizeof n[0]; i++)
+    if (n[i] != t->n_target)
+      return 0;
+  return 1;
+}
+
+/* The beat of a row; its strings stay the table's. */
+static void get_row(const Pw__Table *t, size_t i, Pw__Beat *out) {
+  pw__beat__init(out);
+  out->target = t->target[i];
+  out->service = t->service[i];
+  out->address = t->address[i];
+  out->availability_zone = t->availability_zone[i];
+  out->version = t->version[i];
+  out->slots = t->slots[i];
+  out->leaving = (t->flags[i] & LEAVING) != 0;
+  out->gone = (t->flags[i] & GONE) != 0;
+  out->silent = (t->flags[i] & SILENT) != 0;
+  out->cold = t->cold[i];
+  out->seq = t->seq[i];
+  out->age = t->age[i];
+}
+
 static void compress(const Pw__Table *t, Pw__Notice *out) {
   size_t n = pw__table__get_packed_size(t);
-  uint8_t *plain = pw_alloc(n);
+  uint8_t *plain = pw_alloc(n + 1);
   pw__table__pack(t, plain);
   size_t cap = ZSTD_compressBound(n);
   out->table.data = pw_alloc(cap);
@@ -65,35 +141,35 @@
 }
 
 void pwtable_put(Pw__Beat **beats, size_t n, Pw__Notice *out) {
-  Pw__Table t = PW__TABLE__INIT;
   if (n <= TABLE_FROM) {
     out->beats = beats;
     out->n_beats = n;
     return;
   }
-  t.beats = beats;
-  t.n_beats = n;
+  Pw__Table t;
+  alloc_columns(&t, n);
+  for (size_t i = 0; i < n; i++)
+    put_row(&t, i, beats[i]);
   compress(&t, out);
+  free_columns(&t);
 }
 
 void pwtable_write(const pw_fleet *f, int64_t now, Pw__Notice *out) {
-  Pw__Table t = PW__TABLE__INIT;
-  size_t n = 0;
+  size_t n = 0, i = 0;
   for (pw_target *one = pwfleet_first(f); one; one = one->hh.next)
     n++;
   pw_beat *beat = pw_alloc(sizeof *beat * (n + 1));
-  Pw__Beat *packed = pw_alloc(sizeof *packed * (n + 1));
-  t.beats = pw_alloc(sizeof *t.beats * (n + 1));
-  for (pw_target *one = pwfleet_first(f); one; one = one->hh.next) {
-    size_t i = t.n_beats++;
+  Pw__Table t;
+  alloc_columns(&t, n);
+  for (pw_target *one = pwfleet_first(f); one; one = one->hh.next, i++) {
+    Pw__Beat packed;
     pwfleet_beat_of(one, now, &beat[i]);
-    pwtable_pack(&packed[i], &beat[i], one->is_gone, one->is_silent,
+    pwtable_pack(&packed, &beat[i], one->is_gone, one->is_silent,
                  now - one->heard_at);
-    t.beats[i] = &packed[i];
+    put_row(&t, i, &packed);
   }
   compress(&t, out);
-  free(t.beats);
-  free(packed);
+  free_columns(&t);
   free(beat);
 }
 
@@ -109,11 +185,15 @@
   Pw__Table *t =
       got == n->table_size ? pw__table__unpack(NULL, got, plain) : NULL;
   free(plain);
-  if (!t) {
+  if (!t || !is_even(t)) {
     pwlog(LOG_ERR, "table-unreadable", "bytes=%zu", n->table.len);
+    pw__table__free_unpacked(t, NULL);
     return;
   }
-  for (size_t i = 0; i < t->n_beats; i++)
-    f(arg, t->beats[i]);
+  for (size_t i = 0; i < t->n_target; i++) {
+    Pw__Beat beat;
+    get_row(t, i, &beat);
+    f(arg, &beat);
+  }
   pw__table__free_unpacked(t, NULL);
 }
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -15,10 +15,14 @@
 #define WATCH_MS 500     /* control is told so often that we are there */
 #define ASK_AGAIN_MS 300 /* a document that did not come is asked for again */
 #define FRESH_TIMES 3    /* missed notices after which control is silent */
-#define TELL_ALL_MS 1000 /* a primary has told all of its targets by then */
-#define FORGET_MS 20000  /* a control instance silent for so long is dropped */
-#define ALONE_MS 1500    /* with a configuration, but nobody to confirm it */
-#define POLL_S 0.05      /* in case an edge of the socket was missed */
+/* A primary has told all of its targets by then, or another one is chosen; where
+** many wait for their turn each next one is given twice as long. */
+#define TELL_ALL_MS 1000
+#define TELL_ALL_MAX_MS 16000
+
+#define FORGET_MS 20000 /* a control instance silent for so long is dropped */
+#define ALONE_MS 1500   /* with a configuration, but nobody to confirm it */
+#define POLL_S 0.05     /* in case an edge of the socket was missed */
 
 typedef struct contact {
   char addr[PW_NAME_MAX];
@@ -39,7 +43,8 @@
   contact *contacts;
   contact *primary; /* it tells all that is known of targets */
   int64_t chosen_at, full_at;
-  int64_t site_at; /* when the configuration in force came */
+  int64_t patience_ms; /* for the primary to tell all */
+  int64_t site_at;     /* when the configuration in force came */
   int ngateways;
   ev_io io;
   ev_timer poll;
@@ -114,8 +119,10 @@
   c->site = n->site;
   c->in_touch = n->in_touch;
   c->watch_ms = n->watch_ms ? n->watch_ms : WATCH_MS;
-  if (n->full)
+  if (n->full) {
     l->full_at = now;
+    l->patience_ms = TELL_ALL_MS;
+  }
   told t = {l, n->in_touch, now};
   pwtable_read(n, on_told, &t);
   take_lists(l, c, n, now);
@@ -223,7 +230,7 @@
   const contact *p = l->primary;
   if (!p || !is_fresh(p, now))
     return 1;
-  if (l->full_at < l->chosen_at && now - l->chosen_at > TELL_ALL_MS)
+  if (l->full_at < l->chosen_at && now - l->chosen_at > l->patience_ms)
     return 1;
   return best->in_touch && !p->in_touch;
 }
@@ -238,6 +245,8 @@
   if (!best || !must_choose(l, best, now))
     return;
   contact *old = l->primary;
+  if (old && l->full_at < l->chosen_at && l->patience_ms < TELL_ALL_MAX_MS)
+    l->patience_ms *= 2;
   l->primary = best;
   l->chosen_at = now;
   pwtrace_line(l->g->trace, PWTRACE_STATE, now, "primary", "control=%s",
@@ -302,6 +311,7 @@
   size_t len = sizeof fd;
   l->g = g;
   l->doc = pwdoc_new();
+  l->patience_ms = TELL_ALL_MS;
   l->sock = pwwire_dialler(g->p->wire);
   zmq_getsockopt(pwwire_raw(l->sock), ZMQ_FD, &fd, &len);
   ev_io_init(&l->io, on_io, fd, EV_READ);
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -5024,28 +5024,145 @@
   (ProtobufCMessageInit) pw__notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__table__field_descriptors[1] =
+static const ProtobufCFieldDescriptor pw__table__field_descriptors[10] =
 {
   {
-    "beats",
-    1,
+    "target",
+    2,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Pw__Table, n_beats),
-    offsetof(Pw__Table, beats),
-    &pw__beat__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pw__Table, n_target),
+    offsetof(Pw__Table, target),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pw__Table, n_service),
+    offsetof(Pw__Table, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pw__Table, n_address),
+    offsetof(Pw__Table, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "availability_zone",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pw__Table, n_availability_zone),
+    offsetof(Pw__Table, availability_zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pw__Table, n_version),
+    offsetof(Pw__Table, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Pw__Table, n_slots),
+    offsetof(Pw__Table, slots),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "flags",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Pw__Table, n_flags),
+    offsetof(Pw__Table, flags),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Pw__Table, n_cold),
+    offsetof(Pw__Table, cold),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Pw__Table, n_seq),
+    offsetof(Pw__Table, seq),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Pw__Table, n_age),
+    offsetof(Pw__Table, age),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__table__field_indices_by_name[] = {
-  0,   /* field[0] = beats */
+  2,   /* field[2] = address */
+  9,   /* field[9] = age */
+  3,   /* field[3] = availability_zone */
+  7,   /* field[7] = cold */
+  6,   /* field[6] = flags */
+  8,   /* field[8] = seq */
+  1,   /* field[1] = service */
+  5,   /* field[5] = slots */
+  0,   /* field[0] = target */
+  4,   /* field[4] = version */
 };
 static const ProtobufCIntRange pw__table__number_ranges[1 + 1] =
 {
-  { 1, 0 },
-  { 0, 1 }
+  { 2, 0 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pw__table__descriptor =
 {
@@ -5055,7 +5172,7 @@
   "Pw__Table",
   "pw",
   sizeof(Pw__Table),
-  1,
+  10,
   pw__table__field_descriptors,
   pw__table__field_indices_by_name,
   1,  pw__table__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -764,15 +764,40 @@
     , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0 }
 
 
+/*
+ * Beats, field by field: the same field of many compresses best together. Each
+ * list has one item a beat.
+ */
 struct  Pw__Table
 {
   ProtobufCMessage base;
-  size_t n_beats;
-  Pw__Beat **beats;
+  size_t n_target;
+  char **target;
+  size_t n_service;
+  char **service;
+  size_t n_address;
+  char **address;
+  size_t n_availability_zone;
+  char **availability_zone;
+  size_t n_version;
+  char **version;
+  size_t n_slots;
+  uint32_t *slots;
+  /*
+   * 1 leaving, 2 gone, 4 silent
+   */
+  size_t n_flags;
+  uint32_t *flags;
+  size_t n_cold;
+  uint32_t *cold;
+  size_t n_seq;
+  uint64_t *seq;
+  size_t n_age;
+  uint32_t *age;
 };
 #define PW__TABLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__table__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -76,9 +76,13 @@
   run.wait(self.pid, 5000)
 end
 
--- Planned stop; gives the exit code.
+-- A planned stop; gives the exit code.
 function process:stop(ms)
   self:signal("TERM")
+  return self:ended(ms)
+end
+
+function process:ended(ms)
   local code = run.wait(self.pid, ms or WAIT_MS)
   if code == nil then fail("%s did not stop", self.name) end
   return code
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -12,7 +12,8 @@
   return "[" .. table.concat(out, ", ") .. "]"
 end
 
--- o: control, gateways, engines, portals (counts); text: settings of gateways.
+-- o: control, gateways, engines, portals (counts); text: settings of gateways;
+-- control_text: of control instances.
 function gateways.new(o)
   local f = fleet.new{control = 0, entries = 0, engines = 0}
   local g = setmetatable({f = f, o = o, dir = f.dir, control = {}, gateways = {}, targets = {}, version = 0}, gateways)
@@ -42,9 +43,9 @@
 
 function gateways:write_control(c)
   fleet.write(c.settings, string.format('[instance]\nname = %q\nroles = ["control"]\n[control]\n' ..
-    'http = %q\nwire = "tcp://%s:%d"\nseeds = %s\nseed_port = %d\nfound = %s\ndata_dir = %q\nbeat_ms = %d\n',
+    'http = %q\nwire = "tcp://%s:%d"\nseeds = %s\nseed_port = %d\nfound = %s\ndata_dir = %q\nbeat_ms = %d\n%s\n',
     c.name, c.health, c.ip, self.wire_port, quoted(c.seeds or self.seeds), self.wire_port,
-    tostring(c.found), c.data_dir, BEAT_MS))
+    tostring(c.found), c.data_dir, BEAT_MS, self.o.control_text or ""))
 end
 
 function gateways:add_gateway(i)
@@ -228,9 +229,13 @@
 end
 
 function gateways:stop()
+  local function runs(p) return p.pid and not p.gone end
   for _, list in ipairs{self.gateways, self.control} do
     for _, p in ipairs(list) do
-      if p.pid and not p.gone then fleet.equal(p.name .. " exit code", p:stop(), 0) end
+      if runs(p) then p:signal("TERM") end
+    end
+    for _, p in ipairs(list) do
+      if runs(p) then fleet.equal(p.name .. " exit code", p:ended(), 0) end
     end
   end
   for _, p in ipairs(self.targets) do
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -532,6 +532,57 @@
   }
 }
 
+typedef struct seen {
+  const pw_beat *want;
+  int n, wrong;
+} seen;
+
+static void compare(void *arg, const Pw__Beat *in) {
+  seen *s = arg;
+  pw_beat got;
+  const pw_beat *want = &s->want[s->n++];
+  pwtable_unpack(in, &got);
+  s->wrong += strcmp(got.id, want->id) != 0 ||
+              strcmp(got.service, want->service) != 0 ||
+              strcmp(got.address, want->address) != 0 ||
+              strcmp(got.zone, want->zone) != 0 || got.seq != want->seq ||
+              got.slots != want->slots || got.leaving != want->leaving ||
+              got.cold_ms != want->cold_ms;
+}
+
+/* All that is known of a large fleet's targets comes out as it went in, in few bytes:
+** one control instance tells it to hundreds of gateways at once. */
+static void test_large_table(void) {
+  enum { MANY = 3000, BYTES_A_TARGET = 12 };
+  static pw_beat b[MANY];
+  static Pw__Beat packed[MANY], *at[MANY];
+  static const char *const zone[] = {"north-a", "north-b", "south-a"};
+  pw_random r = {.seed = test_seed(92)};
+  Pw__Notice notice = PW__NOTICE__INIT;
+  for (int i = 0; i < MANY; i++) {
+    b[i] = (pw_beat){.slots = i % 20 ? 64 : 6,
+                     .seq = 8 + pwrand(&r) % 4,
+                     .leaving = i % 100 == 0,
+                     .cold_ms = i % 50 ? 0 : 900};
+    snprintf(b[i].id, sizeof b[i].id, "i-%010llx",
+             (unsigned long long)(pwrand(&r) & 0xffffffffffULL));
+    snprintf(b[i].service, sizeof b[i].service, "%s",
+             i % 20 ? "llm" : "portal");
+    snprintf(b[i].zone, sizeof b[i].zone, "%s", zone[i % 3]);
+    snprintf(b[i].address, sizeof b[i].address, "10.%d.%d.%d:8709", i % 3,
+             i / 600, i / 3 % 200);
+    pwtable_pack(&packed[i], &b[i], 0, 0, (int64_t)(pwrand(&r) % 1200));
+    packed[i].cold = (uint32_t)b[i].cold_ms;
+    at[i] = &packed[i];
+  }
+  pwtable_put(at, MANY, &notice);
+  CHECK(notice.table.len <= BYTES_A_TARGET * MANY);
+  seen s = {b, 0, 0};
+  pwtable_read(&notice, compare, &s);
+  CHECK(s.n == MANY && s.wrong == 0);
+  free(notice.table.data);
+}
+
 /* --- documents --- */
 
 static char *document(pw_random *r, int lines) {
@@ -639,6 +690,7 @@
   TEST(test_retries);
   TEST(test_retries_shared);
   TEST(test_tables);
+  TEST(test_large_table);
   TEST(test_documents);
   TEST(test_trace);
   TESTS_END();
