--- /dev/null
+++ b/packages/control/pwctlcall.c
@@ -0,0 +1,280 @@
+/* pwctlcall.c: calls to a control instance: reads, writes, and who waits for the log. */
+#include "pwctl.h"
+
+#include "pwlog.h"
+#include "pwsitecall.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WAIT_MS 10000  /* for a proposal to be decided */
+#define WATCH_MS 25000 /* a watch is answered by then, changed or not */
+#define NS_PER_US 1000
+
+const pw_res *pwctl_resources(const pw_control *c) {
+  return pwstate_resources(pwgroup_state(c->group));
+}
+
+/* --- what is in force where --- */
+
+/* After a change of leader, children not yet heard again may still hold an
+** older revision until they have cut themselves off. */
+static int is_settled(const pw_control *c, int64_t now) {
+  return c->led_revision == 0 || now - c->led_at > PW_CHILD_KEEP;
+}
+
+static json_t *in_force(pw_control *c, int64_t now) {
+  pw_feed_sum sum;
+  pwfeed_sum(c->feed, pwres_revision(pwctl_resources(c)), &sum);
+  return json_pack("{s:I,s:i,s:i,s:s,s:b}", "revision",
+                   (json_int_t)sum.revision, "processes", (int)sum.count,
+                   "entries", (int)sum.entries, "behind", sum.behind, "settled",
+                   is_settled(c, now));
+}
+
+static json_t *status_json(pw_control *c, int64_t now) {
+  char group[24];
+  snprintf(group, sizeof group, "%016llx",
+           (unsigned long long)pwgroup_number(c->group));
+  return json_pack("{s:I,s:s,s:I,s:s,s:o,s:o,s:o,s:o,s:i}", "revision",
+                   (json_int_t)pwres_revision(pwctl_resources(c)), "group",
+                   group, "term", (json_int_t)pwgroup_term(c->group), "leader",
+                   pwgroup_leader_http(c->group), "in_force", in_force(c, now),
+                   "members", pwgroup_json(c->group), "children",
+                   pwfeed_json(c->feed, now), "rollouts",
+                   pwplanner_json(c->planner, now), "once_claims",
+                   (int)pwonce_count(pwstate_once(pwgroup_state(c->group))));
+}
+
+/* --- reads --- */
+
+static json_t *with_observed(pw_control *c, const pw_resource *one,
+                             int64_t now) {
+  json_t *o = pwapi_resource(one);
+  json_t *force = in_force(c, now);
+  json_int_t revision = json_integer_value(json_object_get(force, "revision"));
+  int everywhere = revision >= (json_int_t)one->revision &&
+                   json_is_true(json_object_get(force, "settled"));
+  json_object_set_new(o, "observed", force);
+  json_object_set_new(o, "status",
+                      json_pack("{s:b}", "in_force_everywhere", everywhere));
+  return o;
+}
+
+static json_t *list_json(const pw_control *c, uint64_t since, int full) {
+  const pw_res *r = pwctl_resources(c);
+  json_t *list = json_array();
+  const pw_resource *one = full ? pwres_first(r) : pwres_after(r, since);
+  for (; one; one = one->next)
+    if (!full || !one->deleted)
+      json_array_append_new(list, pwapi_resource(one));
+  return json_pack("{s:I,s:o}", "revision", (json_int_t)pwres_revision(r),
+                   "resources", list);
+}
+
+static void watch(pw_control *c, pw_api_call *call, int64_t now) {
+  const pw_res *r = pwctl_resources(c);
+  if (call->since < pwres_floor(r)) {
+    pwapi_fail(call, PW_E_COMPACTED, "", "not-run", NULL);
+    return;
+  }
+  if (pwres_revision(r) > call->since) {
+    pwapi_answer(call, 200, list_json(c, call->since, 0));
+    return;
+  }
+  pw_ctl_watcher *w = pw_alloc(sizeof *w);
+  *w = (pw_ctl_watcher){call, now, c->watchers};
+  c->watchers = w;
+}
+
+void pwctl_answer_watchers(pw_control *c, int64_t now) {
+  pw_ctl_watcher **at = &c->watchers;
+  while (*at) {
+    pw_ctl_watcher *w = *at;
+    int changed = pwres_revision(pwctl_resources(c)) > w->call->since;
+    if (!changed && now - w->since < WATCH_MS &&
+        !atomic_load(&c->p->stopping)) {
+      at = &w->next;
+      continue;
+    }
+    *at = w->next;
+    pwapi_answer(w->call, 200, list_json(c, w->call->since, 0));
+    free(w);
+  }
+}
+
+static void read_call(pw_control *c, pw_api_call *call, int64_t now) {
+  if (call->op == PW_API_STATUS) {
+    pwapi_answer(call, 200, status_json(c, now));
+  } else if (call->op == PW_API_LIST && call->has_since) {
+    watch(c, call, now);
+  } else if (call->op == PW_API_LIST) {
+    pwapi_answer(call, 200, list_json(c, 0, 1));
+  } else {
+    const pw_resource *one =
+        pwres_get(pwctl_resources(c), call->kind, call->name);
+    if (one)
+      pwapi_answer(call, 200, with_observed(c, one, now));
+    else
+      pwapi_fail(call, PW_E_NOT_FOUND, "", "not-run", NULL);
+  }
+}
+
+/* --- writes --- */
+
+static pw_ctl_waiter *add_waiter(pw_control *c, uint64_t index, uint64_t term,
+                                 int64_t now) {
+  pw_ctl_waiter *w = pw_alloc(sizeof *w);
+  pw_ctl_waiter *old;
+  w->index = index;
+  w->term = term;
+  w->since = now;
+  HASH_FIND(hh, c->waiters, &index, sizeof index, old);
+  if (old) { /* of an earlier term: it was overwritten */
+    HASH_DEL(c->waiters, old);
+    if (old->call)
+      pwapi_fail(old->call, PW_E_NOT_LEADER, "", "not-run", NULL);
+    free(old);
+  }
+  HASH_ADD(hh, c->waiters, index, sizeof w->index, w);
+  return w;
+}
+
+static void change(pw_control *c, pw_api_call *call, int64_t now) {
+  Pw__Command cmd = PW__COMMAND__INIT;
+  cmd.wall = (uint64_t)pwclock_wall_ms();
+  cmd.body_case = PW__COMMAND__BODY_CHANGE;
+  cmd.change = call->change;
+  uint64_t index, term;
+  pw_code rc = pwgroup_propose(c->group, &cmd, &index, &term);
+  if (rc == PW_OK)
+    add_waiter(c, index, term, now)->call = call;
+  else
+    pwapi_fail(call, rc, "", "not-run", NULL);
+}
+
+void pwctl_call(pw_control *c, pw_api_call *call, int64_t now) {
+  if (call->op >= PW_API_SITE_READ) {
+    pwsitecall_take(call, c->group, c->publish, c->watch, now);
+    return;
+  }
+  if (!pwgroup_lease(c->group, now)) {
+    pw_copy(call->leader, sizeof call->leader,
+            pwgroup_is_leader(c->group) ? "" : pwgroup_leader_http(c->group));
+    pwapi_fail(call, PW_E_NOT_LEADER, "", "not-run", NULL);
+  } else if (call->op == PW_API_CHANGE) {
+    change(c, call, now);
+  } else {
+    read_call(c, call, now);
+  }
+}
+
+static void send_claimed(pw_control *c, const pw_peer *to, Pw__Claimed *cl) {
+  Pw__Envelope e = PW_ENVELOPE(CLAIMED, claimed, cl);
+  pwwire_send(c->listener, to, &e);
+}
+
+void pwctl_ledger(pw_control *c, const pw_peer *from, const Pw__Envelope *e,
+                  int64_t now) {
+  int claims = e->body_case == PW__ENVELOPE__BODY_CLAIM;
+  Pw__Command cmd = PW__COMMAND__INIT;
+  cmd.wall = (uint64_t)pwclock_wall_ms();
+  cmd.body_case = claims ? PW__COMMAND__BODY_CLAIM : PW__COMMAND__BODY_RECORD;
+  if (claims)
+    cmd.claim = e->claim;
+  else
+    cmd.record = e->record;
+  const char *id = claims ? e->claim->id : e->record->id;
+  uint64_t index, term;
+  pw_code rc = pwgroup_propose(c->group, &cmd, &index, &term);
+  if (rc == PW_OK) {
+    pw_ctl_waiter *w = add_waiter(c, index, term, now);
+    w->peer = *from;
+    pw_copy(w->id, sizeof w->id, id);
+    return;
+  }
+  Pw__Claimed cl = PW__CLAIMED__INIT;
+  cl.id = (char *)id;
+  cl.code = PW_E_NOT_LEADER;
+  send_claimed(c, from, &cl);
+}
+
+/* --- who waits --- */
+
+static json_t *outcome_json(const Pw__Outcome *o) {
+  json_t *list = json_array();
+  for (size_t i = 0; i < o->n_resources; i++)
+    json_array_append_new(list, pwapi_packed(o->resources[i]));
+  return json_pack("{s:I,s:o}", "revision", (json_int_t)o->revision,
+                   "resources", list);
+}
+
+static void answer_change(pw_control *c, pw_api_call *call,
+                          const Pw__Outcome *o) {
+  pwcount_observe(c->p->counters, PWH_ACCEPT,
+                  (pwclock_ns() - call->started) / NS_PER_US);
+  if (o->code == PW_OK) {
+    pwcount_add(c->p->counters, PWC_CHANGES, 1);
+    pwapi_answer(call, 200, outcome_json(o));
+    return;
+  }
+  pwcount_add(c->p->counters, PWC_CONFLICTS, o->code == PW_E_CONFLICT);
+  pwapi_fail(call, (pw_code)o->code, o->message, "not-run", outcome_json(o));
+}
+
+static void answer_waiter(pw_control *c, pw_ctl_waiter *w, const Pw__Entry *e,
+                          const Pw__Outcome *o, Pw__Claimed *cl) {
+  int ours = e->term == w->term;
+  if (w->call) {
+    if (ours && o)
+      answer_change(c, w->call, o);
+    else
+      pwapi_fail(w->call, PW_E_NOT_LEADER, "", "not-run", NULL);
+    return;
+  }
+  Pw__Claimed plain = PW__CLAIMED__INIT;
+  plain.id = w->id;
+  plain.code = ours ? PW_OK : PW_E_NOT_LEADER;
+  send_claimed(c, &w->peer, ours && cl ? cl : &plain);
+}
+
+void pwctl_applied(pw_control *c, const Pw__Entry *e, const Pw__Outcome *o,
+                   Pw__Claimed *cl) {
+  pw_ctl_waiter *w;
+  uint64_t index = e->index;
+  HASH_FIND(hh, c->waiters, &index, sizeof index, w);
+  if (!w)
+    return;
+  HASH_DEL(c->waiters, w);
+  answer_waiter(c, w, e, o, cl);
+  free(w);
+}
+
+/* Proposals not decided in time: what became of them is not known. */
+void pwctl_expire(pw_control *c, int64_t now) {
+  pw_ctl_waiter *w, *tmp;
+  HASH_ITER(hh, c->waiters, w, tmp) {
+    if (now - w->since < WAIT_MS)
+      continue;
+    HASH_DEL(c->waiters, w);
+    if (w->call)
+      pwapi_fail(w->call, PW_E_UNKNOWN, "", "unknown", NULL);
+    free(w);
+  }
+}
+
+void pwctl_fail_all(pw_control *c) {
+  pw_ctl_waiter *w, *tmp;
+  HASH_ITER(hh, c->waiters, w, tmp) {
+    HASH_DEL(c->waiters, w);
+    if (w->call)
+      pwapi_fail(w->call, PW_E_UNKNOWN, "", "unknown", NULL);
+    free(w);
+  }
+  pwctl_answer_watchers(c, pwclock_ms());
+  pwpublish_end(c->publish);
+  pw_api_call *call;
+  while ((call = (pw_api_call *)pwmail_take(c->mail)) != NULL)
+    pwapi_fail(call, PW_E_NOT_LEADER, "", "not-run", NULL);
+}
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -256,12 +256,8 @@
   x->lines.len = 0;
   for (int i = 0; i < m->nheaders; i++) {
     const pw_h1_header *h = &m->header[i];
-    if (pwh1_is_hop(m, h))
-      continue;
-    pwbuf_add(&x->lines, h->name, h->nname);
-    pwbuf_add(&x->lines, ": ", 2);
-    pwbuf_add(&x->lines, h->value, h->nvalue);
-    pwbuf_add(&x->lines, "\r\n", 2);
+    if (!pwh1_is_hop(m, h))
+      pwh1_write(&x->lines, h);
   }
 }
 
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -15,12 +15,8 @@
             m->url);
   for (int i = 0; i < m->nheaders; i++) {
     const pw_h1_header *h = &m->header[i];
-    if (pwh1_is_hop(m, h) || !x->g->dialect->passes(h))
-      continue;
-    pwbuf_add(out, h->name, h->nname);
-    pwbuf_add(out, ": ", 2);
-    pwbuf_add(out, h->value, h->nvalue);
-    pwbuf_add(out, "\r\n", 2);
+    if (!pwh1_is_hop(m, h) && x->g->dialect->passes(h))
+      pwh1_write(out, h);
   }
   pw_forward f = {.target = x->t->id,
                   .workspace = x->workspace ? x->workspace->name : NULL,
--- a/packages/net/pwh1.c
+++ b/packages/net/pwh1.c
@@ -162,6 +162,13 @@
   return NULL;
 }
 
+void pwh1_write(pw_buf *out, const pw_h1_header *h) {
+  pwbuf_add(out, h->name, h->nname);
+  pwbuf_add(out, ": ", 2);
+  pwbuf_add(out, h->value, h->nvalue);
+  pwbuf_add(out, "\r\n", 2);
+}
+
 /* Whether Connection names this header. */
 static int is_named(const pw_h1 *m, const pw_h1_header *h) {
   const pw_h1_header *c = pwh1_find(m, "Connection");
--- a/packages/net/pwh1.h
+++ b/packages/net/pwh1.h
@@ -63,6 +63,9 @@
 /* Whether a header has this name. */
 int pwh1_is(const pw_h1_header *h, const char *name);
 
+/* Appends a header as a line. */
+void pwh1_write(pw_buf *out, const pw_h1_header *h);
+
 /* Whether a header concerns one connection only. */
 int pwh1_is_hop(const pw_h1 *m, const pw_h1_header *h);
 
--- a/packages/policy/pwpick.c
+++ b/packages/policy/pwpick.c
@@ -22,12 +22,14 @@
   return XXH3_64bits(both, sizeof both);
 }
 
-int pwpick_home(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound) {
-  double limit = pwpick_limit(t, n, bound);
+/* The first in the key's order among those that fit; -1: none does. */
+static int first_in_order(const pw_pick *t, int n, uint64_t key,
+                          int (*fits)(const pw_pick *t, double limit),
+                          double limit) {
   uint64_t best_score = 0;
   int best = -1;
   for (int i = 0; i < n; i++) {
-    if (!t[i].is_usable || t[i].load >= t[i].slots || t[i].load + 1 > limit)
+    if (!fits(&t[i], limit))
       continue;
     uint64_t s = score(key, t[i].id);
     if (best < 0 || s > best_score) {
@@ -38,19 +40,21 @@
   return best;
 }
 
+static int has_room(const pw_pick *t, double limit) {
+  return t->is_usable && t->load < t->slots && t->load + 1 <= limit;
+}
+
+static int holds_prompts(const pw_pick *t, double limit) {
+  (void)limit;
+  return t->is_alive && !t->is_new;
+}
+
+int pwpick_home(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound) {
+  return first_in_order(t, n, key, has_room, pwpick_limit(t, n, bound));
+}
+
 int pwpick_holder(const pw_pick *t, int n, uint64_t key) {
-  uint64_t best_score = 0;
-  int best = -1;
-  for (int i = 0; i < n; i++) {
-    if (!t[i].is_alive || t[i].is_new)
-      continue;
-    uint64_t s = score(key, t[i].id);
-    if (best < 0 || s > best_score) {
-      best = i;
-      best_score = s;
-    }
-  }
-  return best;
+  return first_in_order(t, n, key, holds_prompts, 0);
 }
 
 double pwpick_wait(const pw_pick *t) {
--- /dev/null
+++ b/tests/test_h1.c
@@ -0,0 +1,152 @@
+/* test_h1.c: HTTP/1 messages, and what the platform says in them. */
+#include "platform.h"
+#include "pwtest.h"
+
+#include <string.h>
+
+static void gather(void *arg, const char *data, size_t n) {
+  pwbuf_add(arg, data, n);
+}
+
+/* Feeds text in pieces of `step`; gives the bytes used. */
+static size_t feed(pw_h1 *m, const char *text, size_t step) {
+  size_t at = 0, n = strlen(text);
+  while (at < n && m->state != PWH1_DONE && m->state != PWH1_BAD &&
+         m->state != PWH1_TOO_LARGE) {
+    size_t piece = n - at < step ? n - at : step;
+    size_t used = pwh1_take(m, text + at, piece);
+    if (used == 0)
+      break;
+    at += used;
+  }
+  return at;
+}
+
+static void test_h1(void) {
+  static const char two[] =
+      "\r\nPOST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3"
+      "\r\nConnection: x-own, keep-alive\r\nX-Own: 1\r\n"
+      "\r\nabcGET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (size_t step = 1; step < sizeof two; step++) {
+    pw_h1 m;
+    pw_buf body = {0};
+    pwh1_init(&m, HTTP_REQUEST, 1000);
+    m.arg = &body;
+    m.on_body = gather;
+    size_t used = feed(&m, two, step);
+    CHECK(m.state == PWH1_DONE && m.nurl == 2 && !memcmp(m.url, "/a", 2));
+    CHECK(body.len == 3 && !memcmp(body.data, "abc", 3));
+    CHECK(pwh1_is_hop(&m, pwh1_find(&m, "x-own")));
+    CHECK(!pwh1_is_hop(&m, pwh1_find(&m, "host")));
+    pwh1_reset(&m);
+    feed(&m, two + used, step);
+    CHECK(m.state == PWH1_DONE && !memcmp(m.url, "/b", 2));
+    pwh1_free(&m);
+    pwbuf_free(&body);
+  }
+}
+
+static pw_h1_state state_of(const char *text, enum http_parser_type type) {
+  pw_h1 m;
+  pwh1_init(&m, type, 200);
+  feed(&m, text, 7);
+  pw_h1_state s = m.state;
+  pwh1_free(&m);
+  return s;
+}
+
+/* What could hide one request in another is refused. */
+static void test_smuggling(void) {
+  static const char *const bad[] = {
+      ("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n"
+       "\r\n0\r\n\r\n"),
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nContent-Length: +3\r\n\r\nabc",
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      "POST / HTTP/1.1\r\nBad Name: 1\r\n\r\n",
+      "nonsense\r\n\r\n"};
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    CHECK(state_of(bad[i], HTTP_REQUEST) == PWH1_BAD);
+  char large[400];
+  memset(large, 'x', sizeof large);
+  memcpy(large, "GET /", 5);
+  large[sizeof large - 1] = 0;
+  CHECK(state_of(large, HTTP_REQUEST) == PWH1_TOO_LARGE);
+}
+
+static void test_h1_answers(void) {
+  pw_h1 m;
+  pw_buf body = {0};
+  pwh1_init(&m, HTTP_RESPONSE, 1000);
+  m.arg = &body;
+  m.on_body = gather;
+  feed(&m, "HTTP/1.1 200 OK\r\n\r\nabc", 5);
+  CHECK(m.state == PWH1_BODY && m.to_eof);
+  pwh1_eof(&m);
+  CHECK(m.state == PWH1_DONE && body.len == 3);
+  pwh1_reset(&m);
+  feed(&m, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc", 5);
+  pwh1_eof(&m);
+  CHECK(m.state == PWH1_BAD);
+  pwh1_reset(&m);
+  feed(&m, "HTTP/1.1 204 No Content\r\n\r\n", 5);
+  CHECK(m.state == PWH1_DONE);
+  pwh1_free(&m);
+  pwbuf_free(&body);
+}
+
+static void test_heads(void) {
+  pw_h1 m;
+  pw_ask ask;
+  pw_told told;
+  pwh1_init(&m, HTTP_REQUEST, 1000);
+  feed(
+      &m,
+      "POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9c\r\nX-Deadline-Ms: 1500"
+      "\r\nX-Token-Count: 1460,80\r\nX-Prompt-Prefix: 5c1e07a2:800,91bd:410\r\n"
+      "Api-Key: k\r\nX-Tenant: forged\r\n\r\n",
+      1000);
+  plat_read_request(&m, &ask);
+  CHECK(ask.id.n == 2 && ask.deadline_ms == 1500 && ask.key.n == 1);
+  CHECK(ask.prompt_tokens == 1460 && ask.output_tokens == 80);
+  CHECK(ask.nparts == 2 && ask.part[0].id == 0x5c1e07a2);
+  CHECK(ask.part[1].tokens == 410);
+  CHECK(!plat_passes(pwh1_find(&m, "X-Tenant")));
+  CHECK(plat_passes(pwh1_find(&m, "X-Token-Count")));
+  pw_h1 a;
+  pwh1_init(&a, HTTP_RESPONSE, 1000);
+  feed(&a,
+       "HTTP/1.1 503 X\r\nX-Request-Id: 9c\r\nX-Not-Executed: full\r\n"
+       "X-Replica-Load: 3,1,8\r\nContent-Length: 0\r\n\r\n",
+       1000);
+  plat_read_answer(&a, &ask, &told);
+  CHECK(told.is_mine && told.not_run && !told.is_whole && told.running == 3);
+  pwh1_reset(&a);
+  feed(&a, "HTTP/1.1 200 X\r\nX-Request-Id: 9d\r\nContent-Length: 0\r\n\r\n",
+       1000);
+  plat_read_answer(&a, &ask, &told);
+  CHECK(!told.is_mine);
+  pwh1_free(&a);
+  pwh1_free(&m);
+}
+
+static void test_calls(void) {
+  char id[PW_NAME_MAX];
+  CHECK(plat_read_call("GET", "/config", id) == PWCALL_SITE_READ);
+  CHECK(plat_read_call("PUT", "/replicas/i-1", id) == PWCALL_BEAT);
+  CHECK(!strcmp(id, "i-1"));
+  CHECK(plat_read_call("DELETE", "/replicas/i-1", id) == PWCALL_LEAVE);
+  CHECK(plat_read_call("POST", "/config", id) == PWCALL_BAD_METHOD);
+  CHECK(plat_read_call("PUT", "/replicas/", id) == PWCALL_OTHER);
+  CHECK(plat_read_call("GET", "/v1/status", id) == PWCALL_OTHER);
+}
+
+int main(void) {
+  TESTS_BEGIN("h1");
+  TEST(test_h1);
+  TEST(test_smuggling);
+  TEST(test_h1_answers);
+  TEST(test_heads);
+  TEST(test_calls);
+  TESTS_END();
+}
--- /dev/null
+++ b/tests/test_site.c
@@ -0,0 +1,249 @@
+/* test_site.c: configuration documents of gateways. */
+#include "platform.h"
+#include "pwtest.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define SITE                                                                   \
+  "{\"version\":7,\"routes\":["                                                \
+  "{\"name\":\"r1\",\"host\":\"a.example\",\"pathPrefix\":\"/x/\",\"kind\":"   \
+  "\"safe\",\"timeoutMs\":1000,\"goalMs\":100,\"priority\":1,\"backends\":[{"  \
+  "\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}],"     \
+  "\"attempts\":2,\"public\":false},"                                          \
+  "{\"name\":\"r2\",\"host\":\"a.example\",\"pathPrefix\":\"/x/y/\",\"kind\":" \
+  "\"stream\",\"timeoutMs\":2000,\"goalMs\":100,\"priority\":0,\"service\":"   \
+  "\"s2\",\"attempts\":2,\"resumable\":true,\"sticky\":true}],"                \
+  "\"services\":[{\"name\":\"s1\",\"healthPath\":\"/h\",\"maxConns\":9},"      \
+  "{\"name\":\"s2\",\"healthPath\":\"/h\",\"maxConns\":9,\"engine\":{"         \
+  "\"slots\":64,\"kvTokens\":444000}}],"                                       \
+  "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\",\"k2\"],\"priority\":1}," \
+  "{\"name\":\"t2\",\"apiKeys\":[\"k3\"]}],"                                   \
+  "\"limits\":{\"maxHeaderBytes\":100,\"maxBodyBytes\":200,"                   \
+  "\"headerTimeoutMs\":300,\"idleTimeoutMs\":400}}"
+
+static pw_code read_site(const char *text, pw_site **out) {
+  char why[200];
+  *out = NULL;
+  return plat_read_site(text, strlen(text), out, why, sizeof why);
+}
+
+static const pw_site_route *route(const pw_site *s, const char *host,
+                                  const char *path) {
+  return pwsite_route(s, host, strlen(host), path, strlen(path));
+}
+
+static void test_site(void) {
+  pw_site *s;
+  CHECK(read_site(SITE, &s) == PW_OK);
+  CHECK(pwsite_version(s) == 7);
+  CHECK(!strcmp(route(s, "a.example", "/x/1")->name, "r1"));
+  CHECK(!strcmp(route(s, "A.EXAMPLE:80", "/x/y/1?/x/y/z/")->name, "r2"));
+  CHECK(!strcmp(route(s, "a.example", "/x/?/x/y/")->name, "r1"));
+  CHECK(route(s, "a.example", "/x") == NULL);
+  CHECK(route(s, "a.example", "") == NULL);
+  CHECK(route(s, "b.example", "/x/1") == NULL);
+  CHECK(route(s, "a.example", "/x/y/")->kind == PWSITE_SAFE);
+  CHECK(!strcmp(pwsite_workspace(s, "k2", 2)->name, "t1"));
+  CHECK(pwsite_workspace(s, "k", 1) == NULL);
+  CHECK(pwsite_workspace(s, "", 0) == NULL);
+  const pw_site_route *r = route(s, "a.example", "/x/1");
+  CHECK(!strcmp(pwsite_backend(s, r, 0.89)->name, "s1"));
+  CHECK(!strcmp(pwsite_backend(s, r, 0.91)->name, "s2"));
+  CHECK(!strcmp(pwsite_backend(s, r, 0.9999999)->name, "s2"));
+  CHECK(pwsite_backend(s, r, 0.91)->is_engine);
+  pwsite_drop(s);
+}
+
+/* Replaces the first occurrence. */
+static char *edited(const char *text, const char *from, const char *to) {
+  pw_buf b = {0};
+  const char *at = strstr(text, from);
+  CHECK(at != NULL);
+  if (!at)
+    return pw_dup(text);
+  pwbuf_add(&b, text, (size_t)(at - text));
+  pwbuf_str(&b, to);
+  pwbuf_str(&b, at + strlen(from));
+  return pwbuf_take(&b);
+}
+
+static void test_bad_sites(void) {
+  static const char *const edits[][2] = {
+      {"\"service\":\"s2\",\"attempts\"", "\"service\":\"s9\",\"attempts\""},
+      {"/x/y/", "/x/"},
+      {"/x/y/", "/x/y"},
+      {"\"timeoutMs\":2000", "\"timeoutMs\":0"},
+      {"\"weight\":90},{\"service\":\"s2\",\"weight\":10",
+       "\"weight\":0},{\"service\":\"s2\",\"weight\":0"},
+      {"\"weight\":90", "\"weight\":-1"},
+      {"\"k3\"", "\"k1\""},
+      {"\"version\":7", "\"version\":\"7\""},
+      {"\"version\":7", "\"version\":0"},
+      {"\"kind\":\"safe\"", "\"kind\":\"odd\""},
+      {"\"name\":\"s2\"", "\"name\":\"s1\""},
+      {"\"routes\":[", "\"routes\":7,\"other\":["},
+      {"{\"version\"", "[{\"version\""}};
+  pw_site *s;
+  for (size_t i = 0; i < sizeof edits / sizeof edits[0]; i++) {
+    char *text = edited(SITE, edits[i][0], edits[i][1]);
+    CHECK(read_site(text, &s) != PW_OK && s == NULL);
+    free(text);
+  }
+  for (size_t n = 0; n < strlen(SITE); n++) { /* cut short anywhere */
+    char *text = pw_memdup(SITE, n);
+    CHECK(read_site(text, &s) == PW_E_BODY);
+    free(text);
+  }
+}
+
+/* A document of n routes, of which one has this time-out and one more is there. */
+static char *long_site(int version, int n, int timeout) {
+  pw_buf b = {0};
+  pwbuf_fmt(&b, "{\"version\":%d,\"routes\":[", version);
+  for (int i = 0; i < n; i++)
+    pwbuf_fmt(&b,
+              "%s{\"name\":\"r%d\",\"host\":\"a.example\",\"pathPrefix\":"
+              "\"/p%d/\",\"kind\":\"stream\",\"timeoutMs\":%d,\"service\":"
+              "\"s%d\"}",
+              i ? ", " : "", i, i, i == n / 2 ? timeout : 1000 + i, 1 + i % 2);
+  pwbuf_fmt(&b, "],\"services\":[{\"name\":\"s1\"},{\"name\":\"s2\"}]}");
+  return pwbuf_take(&b);
+}
+
+/* Reads in steps of so many routes; gives how many steps it took. */
+static int read_steps(const char *text, int routes, const pw_site *before,
+                      pw_site **out) {
+  char why[100];
+  int steps = 0;
+  pw_reading *r = plat_begin_site(text, strlen(text), before);
+  pw_code rc = PW_OK;
+  *out = NULL;
+  while (rc == PW_OK && !*out) {
+    rc = plat_step_site(r, routes, out, why, sizeof why);
+    steps++;
+  }
+  plat_end_site(r);
+  return steps;
+}
+
+/* A long document takes many short steps, a change to it one; what comes out is the
+** same as when it is read whole. */
+static void test_reading(void) {
+  enum { ROUTES = 450, A_STEP = 24 };
+  char *first = long_site(1, ROUTES, 7), *second = long_site(2, ROUTES + 1, 8);
+  pw_site *one, *two, *whole;
+  CHECK(read_steps(first, A_STEP, NULL, &one) == ROUTES / A_STEP + 1);
+  CHECK(read_steps(second, A_STEP, one, &two) == 1);
+  CHECK(read_site(second, &whole) == PW_OK);
+  pwsite_drop(one); /* what was taken over from it stays */
+  for (int i = 0; i <= ROUTES; i++) {
+    char path[16];
+    snprintf(path, sizeof path, "/p%d/", i);
+    const pw_site_route *a = route(two, "a.example", path);
+    const pw_site_route *b = route(whole, "a.example", path);
+    CHECK(a && b && !strcmp(a->name, b->name) && !strcmp(a->place, b->place));
+    CHECK(a->timeout_ms == b->timeout_ms && a->nbackends == b->nbackends);
+    CHECK(!strcmp(pwsite_backend(two, a, 0)->name,
+                  pwsite_backend(whole, b, 0)->name));
+  }
+  /* Services in another order: no route is as it was. */
+  char *moved = edited(second, "{\"name\":\"s1\"},{\"name\":\"s2\"}",
+                       "{\"name\":\"s2\"},{\"name\":\"s1\"}");
+  CHECK(read_steps(moved, A_STEP, two, &one) > 1);
+  const pw_site_route *r = route(one, "a.example", "/p0/");
+  CHECK(r && !strcmp(pwsite_backend(one, r, 0)->name, "s1"));
+  pwsite_drop(one);
+  pwsite_drop(two);
+  pwsite_drop(whole);
+  free(first);
+  free(second);
+  free(moved);
+}
+
+/* What is JSON at all is so by jansson, that reads the whole at once. */
+static void test_reading_naive(void) {
+  pw_random r = {.seed = test_seed(15)};
+  size_t n = strlen(SITE);
+  int good = 0;
+  for (int round = 0; round < 20000; round++) {
+    char *text = pw_memdup(SITE, n);
+    json_error_t e;
+    pw_site *s;
+    for (int edits = 1 + (int)(pwrand(&r) % 2); edits > 0; edits--)
+      text[pwrand(&r) % n] = "{}[]:,\"\\ 0a\n"[pwrand(&r) % 12];
+    json_t *naive = json_loadb(text, n, JSON_REJECT_DUPLICATES, &e);
+    int is_json = json_is_object(naive);
+    pw_code rc = read_site(text, &s);
+    CHECK(is_json || (rc != PW_OK && s == NULL));
+    CHECK(!is_json || rc != PW_E_BODY);
+    good += rc == PW_OK;
+    pwsite_drop(s);
+    json_decref(naive);
+    free(text);
+  }
+  CHECK(good > 100);
+}
+
+/* The longest prefix by the definition: every route is looked at. */
+static int naive_route(char prefix[][24], int n, const char *path) {
+  int best = -1;
+  for (int i = 0; i < n; i++)
+    if (!strncmp(path, prefix[i], strlen(prefix[i])) &&
+        (best < 0 || strlen(prefix[i]) > strlen(prefix[best])))
+      best = i;
+  return best;
+}
+
+static void random_path(pw_random *r, char *out, int slash) {
+  int n = (int)pwrand_below(r, 5);
+  *out++ = '/';
+  for (int i = 0; i < n; i++) {
+    *out++ = (char)('a' + pwrand_below(r, 2));
+    if (pwrand_below(r, 2) || (slash && i == n - 1))
+      *out++ = '/';
+  }
+  *out = 0;
+}
+
+static void test_routes_naive(void) {
+  pw_random r = {.seed = test_seed(11)};
+  char prefix[12][24], path[24];
+  pw_buf text = {0};
+  int n = 0;
+  for (int i = 0; i < 12; i++) {
+    random_path(&r, prefix[n], 1);
+    int twice = 0;
+    for (int k = 0; k < n; k++)
+      twice |= !strcmp(prefix[k], prefix[n]);
+    n += !twice;
+  }
+  pwbuf_str(&text,
+            "{\"version\":1,\"services\":[{\"name\":\"s\"}],\"routes\":[");
+  for (int i = 0; i < n; i++)
+    pwbuf_fmt(&text,
+              "%s{\"name\":\"%d\",\"host\":\"h\",\"pathPrefix\":\"%s\","
+              "\"kind\":\"safe\",\"timeoutMs\":1,\"service\":\"s\"}",
+              i ? "," : "", i, prefix[i]);
+  pwbuf_str(&text, "]}");
+  pw_site *s;
+  CHECK(read_site(text.data, &s) == PW_OK);
+  for (int i = 0; s && i < 5000; i++) {
+    random_path(&r, path, 0);
+    int want = naive_route(prefix, n, path);
+    const pw_site_route *got = route(s, "h", path);
+    CHECK((got ? atoi(got->name) : -1) == want);
+  }
+  pwsite_drop(s);
+  pwbuf_free(&text);
+}
+
+int main(void) {
+  TESTS_BEGIN("site");
+  TEST(test_site);
+  TEST(test_bad_sites);
+  TEST(test_reading);
+  TEST(test_reading_naive);
+  TEST(test_routes_naive);
+  TESTS_END();
+}
