--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -304,12 +304,13 @@
   c.watch = pwwatch_new(p, c.listener, c.dialler, doc);
   c.publish = pwpublish_new(c.group, doc);
   rc = PW_E_SETTINGS;
-  if (start_http(&c, err) == 0)
+  if (pwproc_serve_metrics(p, &c.metrics, err) == 0 && start_http(&c, err) == 0)
     rc = loop(&c);
   if (c.http)
     end_calls(&c);
 out:
   pwserve_stop(c.http);
+  pwserve_stop(c.metrics);
   pwplanner_free(c.planner);
   pwpublish_free(c.publish);
   pwwatch_free(c.watch);
--- a/packages/control/pwctl.h
+++ b/packages/control/pwctl.h
@@ -35,7 +35,7 @@
   pw_sock *listener;
   pw_sock *dialler;
   pw_mail *mail;
-  pw_server *http;
+  pw_server *http, *metrics;
   pw_group *group;
   pw_feed *feed;
   pw_news *news;
--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -56,6 +56,9 @@
     STR("instance", "availability_zone", availability_zone, "", NULL, NULL,
         "availability zone it runs in"),
     STR("instance", "region", region, "", NULL, NULL, "region it runs in"),
+    STR("instance", "metrics", metrics, "", NULL, NULL,
+        "IP:PORT where gateways and control instances tell /metrics and "
+        "/v1/events besides; unset: only where they serve"),
     FILEKEY("instance", "keys_file", keys_file,
             "CURVE key pair from `peatwell keygen`; unset: no encryption"),
     STR("instance", "trust_file", trust_file, "", NULL, NULL,
--- a/packages/core/pwset.h
+++ b/packages/core/pwset.h
@@ -22,6 +22,7 @@
   pw_list roles;
   char *availability_zone;
   char *region;
+  char *metrics;
   char *keys_file;  /* CURVE key pair of this instance */
   char *trust_file; /* public keys of the processes it talks to */
   int64_t stop_limit;
--- a/packages/daemon/pwproc.c
+++ b/packages/daemon/pwproc.c
@@ -8,6 +8,11 @@
 #include <string.h>
 #include <strings.h>
 
+/* Of the listener for metrics alone. */
+#define METRICS_CONNECTIONS 64
+#define METRICS_IDLE_S 60
+#define METRICS_BODY 4096 /* bytes */
+
 pw_code pwproc_init(pw_proc *p, const pw_settings *set, const char *role,
                     pw_buf *err) {
   p->set = set;
@@ -67,6 +72,27 @@
   return 1;
 }
 
+static void on_metrics(void *arg, pw_http *h, int again) {
+  (void)again; /* none waits */
+  if (!pwproc_handle(arg, h))
+    pwproc_refuse(h, PW_E_PATH, "", "not-run", 0);
+}
+
+int pwproc_serve_metrics(pw_proc *p, pw_server **out, pw_buf *err) {
+  pw_serve_setup setup = {.addr = p->set->metrics,
+                          .threads = 1,
+                          .max_body = METRICS_BODY,
+                          .max_connections = METRICS_CONNECTIONS,
+                          .idle_timeout = METRICS_IDLE_S,
+                          .arg = p,
+                          .handle = on_metrics};
+  *out = NULL;
+  if (!p->set->metrics[0])
+    return 0;
+  *out = pwserve_start(&setup, err);
+  return *out ? 0 : -1;
+}
+
 void pwproc_json(pw_http *h, int status, json_t *value) {
   char *text = json_dumps(value, JSON_COMPACT | JSON_SORT_KEYS);
   json_decref(value);
--- a/packages/daemon/pwproc.h
+++ b/packages/daemon/pwproc.h
@@ -34,6 +34,10 @@
 ** path is none of these. */
 int pwproc_handle(pw_proc *p, pw_http *h);
 
+/* Serves the same at instance.metrics, if that is set, until pwserve_stop; *out is
+** NULL when it is not. 0, or -1 with a reason in err. */
+int pwproc_serve_metrics(pw_proc *p, pw_server **out, pw_buf *err);
+
 /* Answers with a code's JSON error body. outcome is "not-run", "unknown" or
 ** "done"; retry_ms, when not 0, becomes Retry-After. */
 void pwproc_refuse(pw_http *h, pw_code code, const char *message,
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -36,6 +36,7 @@
   struct pw_gate_retries *retries; /* one of each service */
   pw_conns front;                  /* callers */
   pw_conns ready;                  /* the platform, which asks for readiness */
+  pw_conns metrics;                /* and at an address of its own */
   int nexchanges;
   pw_exchange *awaiting; /* a configuration, the longest first ... */
   int nawaiting;
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -183,7 +183,10 @@
   g->front.handle = pwexchange_begin;
   g->front.abandoned = pwexchange_abandon;
   g->front.resume = pwexchange_resume;
-  g->ready.handle = handle_ready;
+  g->ready.handle = g->metrics.handle = handle_ready;
+  if (set->metrics[0] &&
+      listen_at(g, &g->metrics, "metrics", set->metrics, err) != 0)
+    return -1;
   if (listen_at(g, &g->ready, "ready", set->gateway_ready, err) != 0)
     return -1;
   return listen_at(g, &g->front, "http", set->gateway_http, err);
@@ -220,6 +223,8 @@
 static void sweep(pw_gate *g, int64_t now) {
   pwconns_sweep(&g->front, now);
   pwconns_sweep(&g->ready, now);
+  if (g->metrics.first)
+    pwconns_sweep(&g->metrics, now);
   for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
     pwupconn_sweep(t, now);
   pwfleet_tick(g->fleet, now, NULL, NULL);
@@ -271,6 +276,7 @@
   }
   pwconns_end(&g->front);
   pwconns_end(&g->ready);
+  pwconns_end(&g->metrics);
 }
 
 static pw_pick_how how_of(const char *place) {
