--- a/tests/scenarios/28_explain.lua
+++ b/tests/scenarios/28_explain.lua
@@ -35,6 +35,14 @@
 fleet.expect("where it was sent", cut:find("placed req=" .. r.id .. " .*target=i%-engine"))
 for _, name in ipairs{"engine-1", "engine-2"} do g[name]:fault("cut=0") end
 
+-- Where the time went, by route and stage, also at the address for metrics alone.
+local stages = run.http{url = "http://" .. g.gateways[1].metrics, path = "/metrics", timeout = 5}.body
+for _, stage in ipairs{"queue", "first"} do
+  local series = '\npeatwell_gateway_stage_seconds_count{route="chat",stage="' .. stage .. '"} 1\n'
+  fleet.expect("the stage " .. stage, stages:find(series, 1, true))
+end
+fleet.expect("nothing else is there", run.http{url = "http://" .. g.gateways[1].metrics, path = "/", timeout = 5}.status == 404)
+
 -- A refusal under load, by the targets themselves.
 for _, name in ipairs{"portal-1", "portal-2"} do g[name]:fault("refuse=10") end
 r = g:ask{path = "/once/a", body = "x"}
