--- a/packages/control/pwapi.c
+++ b/packages/control/pwapi.c
@@ -246,6 +246,11 @@
   pwmail_post(mail, &c->item);
 }
 
+void pwapi_leave(pw_api_call *c, pw_mail *mail) {
+  c->refs = 1;
+  pwmail_leave(mail, &c->item);
+}
+
 void pwapi_respond(pw_api_call *c) {
   pthread_mutex_lock(&c->lock);
   pw_http *h = c->h;
--- a/packages/control/pwapi.h
+++ b/packages/control/pwapi.h
@@ -59,6 +59,10 @@
 /* HTTP thread: posts the call and waits; answers when it is called again. */
 void pwapi_begin(pw_api_call *c, pw_http *h, pw_mail *mail);
 void pwapi_respond(pw_api_call *c);
+
+/* HTTP thread: leaves a call that nobody waits for to the control thread. */
+void pwapi_leave(pw_api_call *c, pw_mail *mail);
+
 void pwapi_over(pw_api_call *c);
 
 /* Control thread: answers, with JSON (reference taken over) or a code, and
--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -14,6 +14,7 @@
 #include <zmq.h>
 
 #define TICK_MS 10
+#define ALIVE_MS 200 /* a loop that came round by then is going on */
 #define BODY_MAX (16 * 1024 * 1024)
 #define CONNECTIONS_MAX 3000 /* every target may keep one for its heartbeats */
 #define HAND_OVER_MS 2000
@@ -198,6 +199,7 @@
   while (rc == PW_OK && !may_end(c, pwclock_ms())) {
     zmq_poll(items, 3, TICK_MS);
     int64_t now = pwclock_ms();
+    atomic_store(&c->turned_at, now);
     on_messages(c, c->listener, now);
     on_messages(c, c->dialler, now);
     rc = pwgroup_work(c->group, now); /* reads see what is committed by now */
@@ -217,6 +219,19 @@
   return rc;
 }
 
+/* A target goes on as before: it is answered at once, and looked at with others at the
+** loop's next turn. While the loop stands still (a disk that hangs) it waits like any
+** call, and turns to another instance in time. */
+static int is_in_no_hurry(const pw_control *c, const pw_api_call *call) {
+  return call->op == PW_API_BEAT && !call->beat.leaving &&
+         pwclock_ms() - atomic_load(&c->turned_at) <= ALIVE_MS;
+}
+
+static void take_later(pw_control *c, pw_http *h, pw_api_call *call) {
+  pwserve_reply(h, 200, "application/json", "{}", 2);
+  pwapi_leave(call, c->mail);
+}
+
 static void on_http(void *arg, pw_http *h, int again) {
   pw_control *c = arg;
   if (again) {
@@ -231,7 +246,9 @@
       pwsitecall_read(h, c->p->dialect, &call, message, sizeof message);
   if (rc == PW_E_PATH)
     rc = pwapi_read(h, c->operators, &call, message, sizeof message);
-  if (rc == PW_OK)
+  if (rc == PW_OK && is_in_no_hurry(c, call))
+    take_later(c, h, call);
+  else if (rc == PW_OK)
     pwapi_begin(call, h, c->mail);
   else
     pwproc_refuse(h, rc, message, "not-run", 0);
--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -34,6 +34,7 @@
 
 /* Tables of all targets take this share of the machine's link at most. */
 #define TABLES_SHARE 0.5
+#define TABLE_MS 300 /* a table is told so long before it is made anew */
 #define BITS_PER_BYTE 8
 #define KBIT_PER_MBIT 1000
 
@@ -45,7 +46,8 @@
   char gossip[PW_NAME_MAX]; /* "": another control instance */
   int is_primary;           /* it relies on this one for all of the targets */
   int is_lost;              /* a message to it was dropped */
-  int wants_all; /* it is to be told all targets, when it is its turn */
+  int64_t
+      asked_at; /* it is to be told all targets, and asked then; 0: it is not */
   int64_t heard_at, told_at, listed_at;
   uint64_t told_site;
   struct watcher *next;
@@ -82,7 +84,9 @@
   int64_t renewed_at;
   int64_t changed_at;   /* when the set of gateways changed last, ms */
   int64_t link_free_at; /* when the next table may be sent, ms */
-  int in_touch;         /* a leader was heard just now */
+  Pw__Notice table;     /* of all targets, as told last */
+  int64_t table_at;
+  int in_touch; /* a leader was heard just now */
 };
 
 pw_watch *pwwatch_new(pw_proc *p, pw_sock *listener, pw_sock *dialler,
@@ -105,6 +109,7 @@
     free(one);
   }
   pwfleet_free(w->targets);
+  free(w->table.table.data);
   free(w);
 }
 
@@ -160,24 +165,36 @@
   return (int64_t)((double)bytes * BITS_PER_BYTE / bits_a_ms);
 }
 
+/* Many who wait are told the same table: one that was made after they had asked. What
+** has changed since then they were told besides, and what is older changes nothing. */
+static void refresh_table(pw_watch *w, int64_t asked_at, int64_t now) {
+  if (w->table_at > asked_at && now - w->table_at < TABLE_MS)
+    return;
+  free(w->table.table.data);
+  w->table = (Pw__Notice)PW__NOTICE__INIT;
+  pwtable_write(w->targets, now, &w->table);
+  w->table_at = now;
+}
+
 static void tell_all_targets(pw_watch *w, watcher *to, int64_t now) {
   Pw__Notice n = PW__NOTICE__INIT;
-  pwtable_write(w->targets, now, &n);
+  refresh_table(w, to->asked_at, now);
+  n.table = w->table.table;
+  n.table_size = w->table.table_size;
   n.full = 1;
   to->listed_at = 0;
-  to->wants_all = 0;
+  to->asked_at = 0;
   tell(w, to, &n, now);
   w->link_free_at = now + link_ms(w, n.table.len);
   pwcount_add(w->p->counters, PWC_TABLES_TOLD, 1);
   pwcount_add(w->p->counters, PWC_TABLES_BYTES, (int64_t)n.table.len);
-  free(n.table.data);
 }
 
 /* The first that waits: control instances before gateways, then in turn. */
 static watcher *first_waiting(const pw_watch *w) {
   watcher *best = NULL;
   for (watcher *one = w->watchers; one; one = one->next)
-    if (one->wants_all && (!best || !one->gossip[0] || best->gossip[0]))
+    if (one->asked_at && (!best || !one->gossip[0] || best->gossip[0]))
       best = one; /* later ones came earlier */
   return best;
 }
@@ -307,9 +324,9 @@
   int relies = m->primary && !one->is_primary;
   one->is_primary = m->primary;
   if (relies)
-    one->wants_all = 1;
+    one->asked_at = now;
   else if (!m->primary)
-    one->wants_all = 0;
+    one->asked_at = 0;
   if (m->want && pwdoc_version(w->doc) > m->site)
     send_document(w, from, m->site);
 }
--- a/packages/core/pwmail.h
+++ b/packages/core/pwmail.h
@@ -15,6 +15,10 @@
 /* Posts an item; never blocks. */
 void pwmail_post(pw_mail *m, pw_mail_item *item);
 
+/* The same for what is in no hurry: the owner is not woken, and finds it when it next
+** looks. */
+void pwmail_leave(pw_mail *m, pw_mail_item *item);
+
 /* Takes the oldest item, or NULL. Only one thread may take. */
 pw_mail_item *pwmail_take(pw_mail *m);
 
