--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -6,7 +6,7 @@
 #define RETRY_SPREAD_MS 300 /* so that not all come back at once */
 
 /* A gateway that was started has its configuration by then: control elects a
-** leader in one to two leases of 500 ms. */
+** leader in one to one and a half leases of 500 ms. */
 #define START_MS 1000
 
 /* Requests that came before a configuration wait for it, but for no more than this
