--- a/tests/soak.lua
+++ b/tests/soak.lua
@@ -175,9 +175,14 @@
   end,
   function() -- a target leaves, and another start of it joins
     local p = one_of(living(g.targets))
+    if p.standing then return end
     local before = p:stats().leaving_acked
     p:fault("leaving=1")
     return "leave " .. p.name, function()
+      if p.standing then -- paused meanwhile: what it does shows when it goes on
+        p:continue()
+        p.standing = nil
+      end
       if p:stats().leaving_acked > before then
         run.pause(DRAIN_MS)
         local arrivals = p:stats().arrivals
