--- a/packages/site/pwsite.c
+++ b/packages/site/pwsite.c
@@ -252,7 +252,7 @@
 }
 
 static size_t host_length(const char *host, size_t n) {
-  const char *colon = memchr(host, ':', n);
+  const char *colon = n ? memchr(host, ':', n) : NULL;
   return colon ? (size_t)(colon - host) : n;
 }
 
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -43,6 +43,7 @@
   CHECK(route(s, "a.example", "/x") == NULL);
   CHECK(route(s, "a.example", "") == NULL);
   CHECK(route(s, "b.example", "/x/1") == NULL);
+  CHECK(pwsite_route(s, NULL, 0, "/x/1", 4) == NULL); /* no host was named */
   CHECK(route(s, "a.example", "/x/y/")->kind == PWSITE_SAFE);
   CHECK(!strcmp(pwsite_workspace(s, "k2", 2)->name, "t1"));
   CHECK(pwsite_workspace(s, "k", 1) == NULL);
