A slow caller of an entry holds less in the kernel; one buffer for pieces of streams

The new server let the kernel's buffer grow to megabytes for a caller that does not read, and each piece was an allocation of its own, which the sanitizer keeps. Ruled out: the server's own pending bytes; plain builds held 370 to 580 KB throughout. Change: callers' connections of pwserve have a send buffer of 32 KB, 32 KB pend at most, and pieces are put together in one buffer of the listener.

--- a/packages/http/pwserve.c
+++ b/packages/http/pwserve.c
@@ -19,7 +19,8 @@
 
 #define HEADER_BYTES (32 * 1024) /* of request line and headers */
 #define STREAM_BLOCK (16 * 1024)
-#define PENDING_MAX (128 * 1024) /* bytes that a caller has not taken yet */
+#define SEND_BYTES (32 * 1024)  /* a slow caller holds no more in the kernel */
+#define PENDING_MAX (32 * 1024) /* bytes that a caller has not taken yet */
 #define SWEEP_S 0.25
 #define MS_PER_S 1000
 
@@ -406,6 +407,7 @@
                             .body_bytes = s->set.max_body,
                             .idle_ms = (int64_t)s->set.idle_timeout * MS_PER_S},
                  .max = max > 0 ? max : 1,
+                 .send_bytes = SEND_BYTES,
                  .keys = keys,
                  .arg = l,
                  .handle = on_request,
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -151,12 +151,12 @@
     pwtcp_write(c->tcp, data, n);
     return;
   }
-  pw_buf b = {0};
-  pwbuf_fmt(&b, "%zx\r\n", n);
-  pwbuf_add(&b, data, n);
-  pwbuf_add(&b, "\r\n", 2);
-  pwtcp_write(c->tcp, b.data, b.len);
-  pwbuf_free(&b);
+  pw_buf *b = &c->all->chunk;
+  b->len = 0;
+  pwbuf_fmt(b, "%zx\r\n", n);
+  pwbuf_add(b, data, n);
+  pwbuf_add(b, "\r\n", 2);
+  pwtcp_write(c->tcp, b->data, b->len);
 }
 
 void pwconn_end(pw_conn *c) {
@@ -289,6 +289,8 @@
     c->next->prev = c;
   s->first = c;
   s->count++;
+  if (s->send_bytes)
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &s->send_bytes, sizeof s->send_bytes);
   c->tcp = pwtcp_accepted(s->tcp, fd, s->keys, &calls, c);
 }
 
@@ -350,6 +352,7 @@
     pwconn_break(s->first);
   ev_prepare_stop(s->tcp->ev, &s->reap);
   on_reap(s->tcp->ev, &s->reap, 0);
+  pwbuf_free(&s->chunk);
 }
 
 int pwconn_path_is(const pw_conn *c, const char *path) {
