--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -46,8 +46,7 @@
   char gossip[PW_NAME_MAX]; /* "": another control instance */
   int is_primary;           /* it relies on this one for all of the targets */
   int is_lost;              /* a message to it was dropped */
-  int64_t
-      asked_at; /* it is to be told all targets, and asked then; 0: it is not */
+  int64_t asked_at; /* when it asked for all targets; 0: it need not be told */
   int64_t heard_at, told_at, listed_at;
   uint64_t told_site;
   struct watcher *next;
--- a/packages/http/pwserve.c
+++ b/packages/http/pwserve.c
@@ -106,12 +106,6 @@
   return text;
 }
 
-static char *text_of(const char *p, size_t n) {
-  char *out = pw_alloc(n + 1);
-  memcpy(out, p, n);
-  return out;
-}
-
 const char *pwserve_method(const pw_http *h) {
   return h->method;
 }
@@ -134,7 +128,7 @@
 const char *pwserve_header(pw_http *h, const char *name) {
   const pw_h1_header *found =
       h->conn ? pwh1_find(&h->conn->request, name) : NULL;
-  return found ? keep(h, text_of(found->value, found->nvalue)) : NULL;
+  return found ? keep(h, pw_memdup(found->value, found->nvalue)) : NULL;
 }
 
 const char *pwserve_body(const pw_http *h, size_t *n) {
@@ -147,8 +141,8 @@
                      void *arg) {
   const pw_h1 *m = &h->conn->request;
   for (int i = 0; i < m->nheaders; i++)
-    f(arg, keep(h, text_of(m->header[i].name, m->header[i].nname)),
-      keep(h, text_of(m->header[i].value, m->header[i].nvalue)));
+    f(arg, keep(h, pw_memdup(m->header[i].name, m->header[i].nname)),
+      keep(h, pw_memdup(m->header[i].value, m->header[i].nvalue)));
 }
 
 void pwserve_set(pw_http *h, void *request) {
@@ -315,7 +309,7 @@
   const char *mark = memchr(url, '?', n);
   size_t path = mark ? (size_t)(mark - url) : n;
   h->path = unescape(url, path);
-  h->query = mark ? text_of(mark + 1, n - path - 1) : NULL;
+  h->query = mark ? pw_memdup(mark + 1, n - path - 1) : NULL;
 }
 
 static void on_request(pw_conn *c) {
