Requests wait at the gateway for a place at an engine, or are refused at once

A full home only moved a request on to the next target, and when all were full pwpick_least gave a target whose wait was under half of the caller's time: seconds of work stood in engines' queues, prompts were moved and read again meanwhile (5.95 M tokens), callers left. Change: an engine is sent no more than it has slots. Who finds no place waits at the gateway (pwwaiting, over pwqueue): most urgent first, fair by workspace, one place in eight to the class longest not served; an eighth of its goal at most, and not at all if what is ahead would take longer at the rate at which places were got lately. A refusal names urgency, what was ahead and the rate, and says when to come back: after the backlog, spread over a third of the time left.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -21,6 +21,7 @@
   if (!x->t)
     return;
   x->t->inflight--;
+  x->kept->is_freed = 1;
   pwfleet_drop(x->t);
   x->t = NULL;
   x->u = NULL;
@@ -39,6 +40,7 @@
 static void free_exchange(pw_exchange *x) {
   pw_gate *g = x->g;
   await_no_more(x);
+  pwexi_wait_no_more(x);
   if (x->u) {
     pw_upconn *u = x->u;
     x->u = NULL;
@@ -148,6 +150,10 @@
     refuse_unready(x);
     return;
   }
+  if (x->is_waiting) {
+    pwexi_waited_long(x);
+    return;
+  }
   if (x->t && pwfleet_is_dark(x->t, now))
     pwfleet_failed(x->t, now);
   if (!x->has_begun && x->may_have_run)
@@ -186,7 +192,8 @@
   x->timeout_at = x->arrived + x->route->timeout_ms;
   x->deadline_at =
       x->ask.deadline_ms >= 0 ? x->arrived + x->ask.deadline_ms : x->timeout_at;
-  pwretries_request(pwgate_retries(g, x->service->name), x->arrived);
+  x->kept = pwgate_service(g, x->service->name);
+  pwretries_request(&x->kept->retries, x->arrived);
   pwgate_timer(g, &x->timer, pwexi_time_left(x));
   pwexi_place(x);
 }
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -12,7 +12,7 @@
 #define STALL_MS 600
 
 static int spend_retry(pw_exchange *x, int64_t now) {
-  pw_retries *b = pwgate_retries(x->g, x->service->name);
+  pw_retries *b = &x->kept->retries;
   if (pwretries_spend(b, pwlink_gateways(x->g->link), now)) {
     pwcount_add(x->g->p->counters, PWC_RETRIES, 1);
     return 1;
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -21,12 +21,16 @@
   const pw_site_route *route;
   const pw_site_service *service;
   const pw_site_workspace *workspace; /* or NULL */
+  pw_gate_service *kept;              /* of its service */
   pw_ask ask;
   int64_t arrived, deadline_at, timeout_at; /* ms */
   ev_timer timer;
   int is_awaiting; /* a configuration; what follows from it is not known yet */
   pw_exchange *prev, *next; /* of those */
 
+  int is_waiting; /* for a place at a target */
+  int64_t waits_since;
+
   /* where it is now */
   pw_target *t;      /* NULL: nowhere */
   pw_target *holder; /* another that has its prompt, not held; or NULL */
@@ -86,9 +90,26 @@
 /* Picks a target and sends it there, or ends it. */
 void pwexi_place(pw_exchange *x);
 
+/* The same for one that has waited for a place: 0 when there still is none. */
+int pwexi_place_waiting(pw_exchange *x);
+
 /* Sends it to x->t; -1: no connection can be had. */
 int pwexi_send(pw_exchange *x);
 
+/* --- pwexwait.c --- */
+
+/* Whether it may wait for a place: it has been nowhere yet. */
+int pwexi_may_wait(const pw_exchange *x);
+
+/* No target has a place for it: it waits, or is refused at once. */
+void pwexi_wait(pw_exchange *x);
+
+/* It is out of the queue, for whatever reason. */
+void pwexi_wait_no_more(pw_exchange *x);
+
+/* No place came free in time. */
+void pwexi_waited_long(pw_exchange *x);
+
 /* --- pwexfail.c --- */
 
 /* Lets go, and places it again. */
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -53,6 +53,15 @@
   return ask->nparts ? ask->part[shared].id : 0;
 }
 
+/* How long a request may wait in its target's own queue. One that can wait here
+** keeps its choice until a place is free: an engine has no queue for it, and where
+** work is short, so that news of free places come late, half of its goal. */
+static double wait_at_target(const pw_exchange *x) {
+  if (!pwexi_may_wait(x) || x->route->goal_ms <= 0)
+    return (double)pwexi_time_left(x) / 2;
+  return x->service->is_engine ? 0 : (double)x->route->goal_ms / 2;
+}
+
 /* Fills x->t (held) and x->holder; 0 when there is no target. */
 static int pick(pw_exchange *x) {
   pw_gate *g = x->g;
@@ -66,7 +75,7 @@
       .is_sticky = is_sticky,
       .key = key,
       .last = is_sticky ? pwwhere_find(g->where, key, now, keep) : 0,
-      .wait_ms = (double)pwexi_time_left(x) / 2,
+      .wait_ms = wait_at_target(x),
       .draw = pwgate_draw(g),
       .bound = {PW_GW_BOUND_SHARE * g->p->set->gateway_load_times,
                 PW_GW_BOUND_EXTRA},
@@ -97,32 +106,50 @@
                      (int64_t)(pwgate_draw(x->g) * PWEX_RETRY_NO_TARGET_MS));
 }
 
-void pwexi_place(pw_exchange *x) {
-  for (;;) {
-    if (pwexi_time_left(x) <= 0 || x->ntried == PWEX_TRIED_MAX)
-      break;
-    if (!pick(x))
-      break;
-    pw_target *t = x->t;
+static void note_placed(pw_exchange *x) {
+  const pw_target *t = x->t;
+  if (x->ntried == 1) {
+    pwexi_observe(x, PWSTAGE_QUEUE, x->sent_at - x->arrived);
+    pwwaiting_placed(&x->kept->waiting, x->sent_at);
+  }
+  pwexi_note(x, PWTRACE_WELL, "placed",
+             "target=%s load=%d+%d n=%d key=%llx fetch=%s", t->id, t->inflight,
+             t->others, x->ntried, (unsigned long long)prompt_key(&x->ask),
+             x->holder ? x->holder->id : "-");
+  x->holder = NULL; /* not held */
+}
+
+/* Sends it to a target that has a place; 0: there is none. */
+static int place_now(pw_exchange *x) {
+  while (pwexi_time_left(x) > 0 && x->ntried < PWEX_TRIED_MAX && pick(x)) {
     x->is_fresh_only = 0;
-    t->inflight++;
-    x->tried[x->ntried++] = pwfleet_hold(t);
+    x->t->inflight++;
+    x->tried[x->ntried++] = pwfleet_hold(x->t);
     pwcount_add(x->g->p->counters, PWC_ATTEMPTS, 1);
     if (pwexi_send(x) == 0) {
-      if (x->ntried == 1)
-        pwexi_observe(x, PWSTAGE_QUEUE, x->sent_at - x->arrived);
-      pwexi_note(x, PWTRACE_WELL, "placed",
-                 "target=%s load=%d+%d n=%d key=%llx fetch=%s", t->id,
-                 t->inflight, t->others, x->ntried,
-                 (unsigned long long)prompt_key(&x->ask),
-                 x->holder ? x->holder->id : "-");
-      x->holder = NULL; /* not held */
-      return;
+      note_placed(x);
+      return 1;
     }
     pwexi_let_go(x); /* no descriptor to be had */
   }
+  return 0;
+}
+
+int pwexi_place_waiting(pw_exchange *x) {
+  return place_now(x);
+}
+
+void pwexi_place(pw_exchange *x) {
+  int may_wait = pwexi_may_wait(x);
+  int is_behind =
+      may_wait && pwwaiting_precedes(&x->kept->waiting, x->route->priority);
+  if (!is_behind && place_now(x))
+    return;
   if (x->has_begun || x->may_have_run)
     pwexi_give_up(x, PW_E_UNKNOWN, "no other target", 0);
+  else if (may_wait &&
+           pwfleet_usable(x->g->fleet, x->service->name, pwclock_ms()) > 0)
+    pwexi_wait(x);
   else
     refuse_for_load(x);
 }
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -14,6 +14,7 @@
 #include "pwstage.h"
 #include "pwtcp.h"
 #include "pwtrace.h"
+#include "pwwaiting.h"
 #include "pwwhere.h"
 
 typedef struct pw_gate pw_gate;
@@ -21,6 +22,15 @@
 typedef struct pw_link pw_link;
 typedef struct pw_gossip pw_gossip;
 
+/* What a gateway keeps of one service. */
+typedef struct pw_gate_service {
+  char name[PW_NAME_MAX];
+  pw_retries retries;
+  pw_waiting waiting;
+  int is_freed; /* a place may have come free since those that wait were tried */
+  struct pw_gate_service *next;
+} pw_gate_service;
+
 struct pw_gate {
   pw_proc *p;
   struct ev_loop *ev;
@@ -33,13 +43,14 @@
   pw_gossip *gossip;
   pw_trace *trace;
   pw_stages *stages;
-  struct pw_gate_retries *retries; /* one of each service */
-  pw_conns front;                  /* callers */
-  pw_conns ready;                  /* the platform, which asks for readiness */
-  pw_conns metrics;                /* and at an address of its own */
+  pw_gate_service *services;
+  pw_conns front;   /* callers */
+  pw_conns ready;   /* the platform, which asks for readiness */
+  pw_conns metrics; /* and at an address of its own */
   int nexchanges;
   pw_exchange *awaiting; /* a configuration, the longest first ... */
   int nawaiting;
+  int nwaiting;          /* for a place at a target */
   size_t awaiting_bytes; /* ... and their bodies */
   uint64_t random;
   int64_t started_at;
@@ -60,8 +71,8 @@
 ** process stood still, when the loop's own time is old. */
 void pwgate_timer(pw_gate *g, ev_timer *w, int64_t ms);
 
-/* The retry budget of a service. */
-pw_retries *pwgate_retries(pw_gate *g, const char *service);
+/* What is kept of a service. */
+pw_gate_service *pwgate_service(pw_gate *g, const char *name);
 
 /* Uniform in [0, 1). */
 double pwgate_draw(pw_gate *g);
@@ -105,6 +116,12 @@
 ** nothing over it since. */
 void pwexchange_failed(pw_exchange *x, pw_tcp_end how, int unused);
 
+/* --- pwexwait.c --- */
+
+/* Gives places that came free to those that wait for one. `all`: also where none
+** was seen to come free. */
+void pwexchange_give_places(pw_gate *g, int all);
+
 /* --- pwupconn.c --- */
 
 /* Sends head and body to the target of an exchange, over a kept connection
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -28,13 +28,6 @@
 #define STOP_LISTEN_MS 2500
 #define STOP_MARGIN_MS 400
 
-/* The retry budget of one service. */
-typedef struct pw_gate_retries {
-  char service[PW_NAME_MAX];
-  pw_retries budget;
-  struct pw_gate_retries *next;
-} pw_gate_retries;
-
 /* --- small parts that all files of the gateway use --- */
 
 void pwgate_later(pw_gate *g, void *p) {
@@ -63,7 +56,9 @@
 static void on_reap(struct ev_loop *ev, ev_prepare *w, int events) {
   (void)ev;
   (void)events;
-  free_later(w->data);
+  pw_gate *g = w->data;
+  pwexchange_give_places(g, 0);
+  free_later(g);
 }
 
 /* xorshift64*; nothing secret hangs on it. */
@@ -75,18 +70,20 @@
          9007199254740992.0;
 }
 
-pw_retries *pwgate_retries(pw_gate *g, const char *service) {
-  for (pw_gate_retries *r = g->retries; r; r = r->next)
-    if (!strcmp(r->service, service))
-      return &r->budget;
+pw_gate_service *pwgate_service(pw_gate *g, const char *name) {
+  for (pw_gate_service *s = g->services; s; s = s->next)
+    if (!strcmp(s->name, name))
+      return s;
   const pw_settings *set = g->p->set;
-  pw_gate_retries *r = pw_alloc(sizeof *r);
-  pw_copy(r->service, sizeof r->service, service);
-  pwretries_init(&r->budget, set->gateway_retry_ratio, set->gateway_retry_slack,
+  pw_gate_service *s = pw_alloc(sizeof *s);
+  pw_copy(s->name, sizeof s->name, name);
+  pwretries_init(&s->retries, set->gateway_retry_ratio,
+                 set->gateway_retry_slack,
                  (int64_t)(set->gateway_retry_window * MS_PER_S));
-  r->next = g->retries;
-  g->retries = r;
-  return &r->budget;
+  pwwaiting_init(&s->waiting, pwclock_ms());
+  s->next = g->services;
+  g->services = s;
+  return s;
 }
 
 void pwgate_adopt(pw_gate *g, pw_site *site) {
@@ -136,6 +133,7 @@
   pwcount_set(g->p->counters, PWC_GW_CLIENTS, g->front.count);
   pwcount_set(g->p->counters, PWC_ACTIVE, g->nexchanges);
   pwcount_set(g->p->counters, PWC_GW_AWAITING, g->nawaiting);
+  pwcount_set(g->p->counters, PWC_GW_WAITING, g->nwaiting);
   pwcount_set(g->p->counters, PWC_GW_LEFT_OUT,
               (int64_t)pwtrace_dropped(g->trace));
   pwcount_render(g->p->counters, &b);
@@ -259,6 +257,7 @@
   note_ready(g, now);
   if (g->awaiting && pwgate_may_serve(g))
     pwexchange_go_on(g);
+  pwexchange_give_places(g, 1);
   pwtrace_flush(g->trace, now);
   if (atomic_load(&g->p->stopping) && !g->stop_at)
     begin_stop(g, now);
@@ -287,11 +286,12 @@
   return !strcmp(place, "hash") ? PWPICK_BY_HASH : PWPICK_BY_HOME;
 }
 
-static void free_retries(pw_gate *g) {
-  while (g->retries) {
-    pw_gate_retries *r = g->retries;
-    g->retries = r->next;
-    free(r);
+static void free_services(pw_gate *g) {
+  while (g->services) {
+    pw_gate_service *s = g->services;
+    g->services = s->next;
+    pwwaiting_free(&s->waiting);
+    free(s);
   }
 }
 
@@ -339,7 +339,7 @@
   pwtcp_loop_free(&g.tcp);
   pwfleet_free(g.fleet);
   pwwhere_free(g.where);
-  free_retries(&g);
+  free_services(&g);
   pwsite_drop(g.site);
   pwtrace_free(g.trace);
   pwstage_free(g.stages);
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -108,6 +108,7 @@
   return run.json(self:get("/stats").body)
 end
 
+function process:ran(id) return tonumber(self:get("/ran?" .. id).body) end
 function process:fault(what) self:get("/fault?" .. what) end
 
 -- Builds a fleet. o: control, entries, engines, services (counts), and texts
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -102,12 +102,14 @@
 function gateways.site_text(s)
   local routes, services, tenants = {}, {}, {}
   for i, r in ipairs(s.routes) do
-    routes[i] = string.format('{"name":%q,"host":"a.example","pathPrefix":%q,"kind":%q,"timeoutMs":%d,"goalMs":300,' ..
-      '"priority":1,"service":%q,"attempts":%d,"public":%s,"sticky":false,"resumable":%s,"gapTargetMs":300}', r.name, r.prefix,
-      r.kind, r.timeout, r.service, r.attempts, tostring(r.public or false), tostring(r.resumable or false))
+    routes[i] = string.format('{"name":%q,"host":"a.example","pathPrefix":%q,"kind":%q,"timeoutMs":%d,"goalMs":%d,' ..
+      '"priority":%d,"service":%q,"attempts":%d,"public":%s,"sticky":false,"resumable":%s,"gapTargetMs":300}', r.name, r.prefix,
+      r.kind, r.timeout, s.goal or 300, r.priority or 1, r.service, r.attempts, tostring(r.public or false), tostring(r.resumable or false))
   end
   for i, name in ipairs(s.services) do
-    services[i] = string.format('{"name":%q,"healthPath":"/health","maxConns":100,"protocol":"h1","tls":false}', name)
+    local engine = s.engine and name == "llm" and
+      string.format(',"engine":{"slots":%d,"kvTokens":100000,"models":[{"name":"m"}]}', s.engine) or ""
+    services[i] = string.format('{"name":%q,"healthPath":"/health","maxConns":100,"protocol":"h1","tls":false%s}', name, engine)
   end
   for name, keys in pairs(s.keys) do
     tenants[#tenants + 1] = string.format('{"name":%q,"apiKeys":%s,"priority":1}', name, quoted(keys))
--- /dev/null
+++ b/tests/test_waiting.c
@@ -0,0 +1,176 @@
+/* test_waiting.c: who waits at a gateway for a place at a target, who is refused. */
+#include "pwtest.h"
+
+#include "pwbuf.h"
+#include "pwwaiting.h"
+
+#define GOAL_MS 400
+#define TIME_MS 8000
+
+static pw_waiting_ask ask_of(const char *workspace, int urgency, void *job) {
+  return (pw_waiting_ask){.workspace = workspace,
+                          .urgency = urgency,
+                          .goal_ms = GOAL_MS,
+                          .time_left_ms = TIME_MS,
+                          .job = job};
+}
+
+/* So many places a second are got, for a second that ends at *now. */
+static void get_places(pw_waiting *w, int rate, int64_t *now) {
+  for (int i = 0; i < rate * 4; i++)
+    pwwaiting_placed(w, *now + (int64_t)i * 1000 / rate);
+  *now += 4000;
+}
+
+static void *take_next(pw_waiting *w) {
+  pwwaiting_rewind(w);
+  void *job = pwwaiting_next(w);
+  if (job)
+    pwwaiting_took(w, job);
+  return job;
+}
+
+/* Who would wait longer than pays is refused at once, and told to come back when
+** what waits has gone, in the time that it has. */
+static void test_refused_at_once(void) {
+  pw_waiting w;
+  int64_t now = 0;
+  static int jobs[100];
+  int waiting = 0;
+  pw_waiting_answer a = {0};
+  pwwaiting_init(&w, now);
+  get_places(&w, 100, &now);
+  for (int i = 0; i < 100; i++) {
+    pw_waiting_ask ask = ask_of("a", 0, &jobs[i]);
+    a = pwwaiting_ask(&w, &ask, now);
+    CHECK(a.patience_ms <= GOAL_MS / 4);
+    CHECK(!a.may_wait || a.wait_ms <= (double)a.patience_ms);
+    waiting += a.may_wait;
+  }
+  CHECK(waiting >= 3 && waiting <= 8); /* 100 a second, for 50 ms */
+  CHECK(!a.may_wait);
+  CHECK(pwqueue_count(w.queue) == waiting);
+  for (double draw = 0; draw < 1; draw += 0.1) {
+    int64_t retry = pwwaiting_retry(&a, TIME_MS, draw);
+    CHECK((double)retry >= a.wait_ms && retry <= TIME_MS / 3);
+  }
+  pwwaiting_free(&w);
+}
+
+/* A place that comes free goes to the most urgent; one that comes later goes before
+** the less urgent that wait. */
+static void test_urgent_first(void) {
+  pw_waiting w;
+  int64_t now = 0;
+  int low, middle, high;
+  pw_waiting_ask ask = ask_of("a", 2, &low);
+  pwwaiting_init(&w, now);
+  get_places(&w, 200, &now);
+  CHECK(!pwwaiting_precedes(&w, 2));
+  CHECK(pwwaiting_ask(&w, &ask, now).may_wait);
+  CHECK(pwwaiting_precedes(&w, 2) && !pwwaiting_precedes(&w, 1));
+  ask = ask_of("b", 1, &middle);
+  CHECK(pwwaiting_ask(&w, &ask, now).may_wait);
+  ask = ask_of("c", 0, &high);
+  CHECK(pwwaiting_ask(&w, &ask, now).may_wait);
+  pwwaiting_rewind(&w);
+  CHECK(pwwaiting_next(&w) == &high);
+  CHECK(pwwaiting_next(&w) == &middle);
+  CHECK(pwwaiting_next(&w) == &low);
+  CHECK(pwwaiting_next(&w) == NULL);
+  pwwaiting_left(&w, &middle);
+  CHECK(take_next(&w) == &high);
+  CHECK(take_next(&w) == &low);
+  CHECK(take_next(&w) == NULL);
+  pwwaiting_free(&w);
+}
+
+/* While the most urgent ask for more than there is, each class still gets a place now
+** and then: none is starved, and none is served better than one more urgent. */
+static void test_none_starves(void) {
+  enum { CLASSES = 3, STEPS = 20000 };
+  pw_random r = {test_seed(7), 0};
+  pw_waiting w;
+  static int jobs[STEPS];
+  static int urgency_of[STEPS];
+  int asked[CLASSES] = {0}, got[CLASSES] = {0};
+  int64_t now = 0;
+  pwwaiting_init(&w, now);
+  get_places(&w, 500, &now);
+  for (int i = 0; i < STEPS; i++) { /* 1000 a second ask, 500 get a place */
+    int urgency = pwrand_below(&r, 10) < 8 ? 0 : 1 + (int)pwrand_below(&r, 2);
+    pw_waiting_ask ask = ask_of("a", urgency, &jobs[i]);
+    urgency_of[i] = urgency;
+    asked[urgency]++;
+    pw_waiting_answer a = pwwaiting_ask(&w, &ask, now);
+    now += i % 2;
+    if (a.pushed_out)
+      pwwaiting_left(&w, a.pushed_out);
+    if (i % 2 == 0)
+      continue;
+    int *job = take_next(&w);
+    if (job)
+      got[urgency_of[job - jobs]]++;
+    pwwaiting_placed(&w, now);
+  }
+  for (int c = 0; c < CLASSES; c++)
+    printf("class %d: %d asked, %d got a place\n", c, asked[c], got[c]);
+  CHECK(got[1] * 20 > asked[1] && got[2] * 20 > asked[2]);
+  CHECK((double)got[0] / asked[0] > (double)got[1] / asked[1]);
+  pwwaiting_free(&w);
+}
+
+/* A workspace that asks for a hundred times as much as another takes nothing from
+** it. */
+static void test_surge(void) {
+  enum { STEPS = 10000 };
+  pw_waiting w;
+  static int jobs[STEPS];
+  int64_t now = 0;
+  int quiet_asked = 0, quiet_got = 0;
+  pwwaiting_init(&w, now);
+  get_places(&w, 500, &now);
+  for (int i = 0; i < STEPS; i++) {
+    int quiet = i % 100 == 0;
+    pw_waiting_ask ask = ask_of(quiet ? "quiet" : "surge", 1, &jobs[i]);
+    quiet_asked += quiet;
+    pwwaiting_ask(&w, &ask, now);
+    if (i % 4)
+      continue;
+    now += 2;
+    int *job = take_next(&w);
+    quiet_got += job && (job - jobs) % 100 == 0;
+    pwwaiting_placed(&w, now);
+  }
+  CHECK(quiet_got >= quiet_asked * 95 / 100);
+  pwwaiting_free(&w);
+}
+
+/* Without a goal patience is a part of the caller's time; never more than all. */
+static void test_patience(void) {
+  pw_waiting w;
+  int64_t now = 0;
+  int one, two;
+  pw_waiting_ask ask = ask_of("a", 0, &one);
+  ask.goal_ms = 0;
+  pwwaiting_init(&w, now);
+  get_places(&w, 100, &now);
+  pw_waiting_answer a = pwwaiting_ask(&w, &ask, now);
+  CHECK(a.may_wait && a.patience_ms > 0 && a.patience_ms < TIME_MS / 2);
+  ask = ask_of("a", 0, &two);
+  ask.time_left_ms = 30;
+  a = pwwaiting_ask(&w, &ask, now);
+  CHECK(a.patience_ms <= 30);
+  CHECK(pwwaiting_retry(&a, 0, 0.5) > 0);
+  pwwaiting_free(&w);
+}
+
+int main(void) {
+  TESTS_BEGIN("waiting");
+  TEST(test_refused_at_once);
+  TEST(test_urgent_first);
+  TEST(test_none_starves);
+  TEST(test_surge);
+  TEST(test_patience);
+  TESTS_END();
+}
