A gateway out of descriptors serves on: callers' connections at rest give way

Every refused caller comes back over a new connection and leaves the old one at rest for four fifths of the idle time-out; accept failed with EMFILE, and since the listener stayed watched, the loop spun on it. Ruled out: processor (0.060 of 0.19 cores), targets' connections (300 each). Change: a refusal for want of places ends its connection; a gateway keeps callers to 0.6 of its descriptors (getrlimit), the longest at rest are closed first, and on EMFILE at once; where none rests the listener waits for an end. Nothing in progress is cut.

--- a/packages/gateway/pwexwait.c
+++ b/packages/gateway/pwexwait.c
@@ -19,6 +19,7 @@
            "all places are taken: urgency %d, %.0f ahead, %.0f places a second",
            x->route->priority, a->ahead, x->kept->waiting.rate);
   pwcount_add(x->g->p->counters, PWC_GW_FULL, 1);
+  x->client->close_next = 1; /* its caller comes back over a new connection */
   pwexi_refuse(x, PW_E_BUSY, why,
                pwwaiting_retry(a, pwexi_time_left(x), pwgate_draw(x->g)));
 }
@@ -57,8 +58,7 @@
 }
 
 void pwexi_waited_long(pw_exchange *x) {
-  pw_waiting_answer a = {.wait_ms =
-                             (double)(pwclock_ms() - x->waits_since)};
+  pw_waiting_answer a = {.wait_ms = (double)(pwclock_ms() - x->waits_since)};
   pwexi_wait_no_more(x);
   refuse_full(x, &a);
 }
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -7,10 +7,12 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -22,6 +24,9 @@
 #define CHECK_MS 100
 #define MS_PER_S 1000
 
+/* The part of its descriptors that a gateway has for callers. */
+#define CALLERS_SHARE 0.6
+
 /* A planned stop, as shares of its grace: callers may still come by then (the
 ** balancer asks for readiness twice before it turns away); requests that are
 ** not answered by then are broken off. */
@@ -176,8 +181,18 @@
   return 0;
 }
 
+/* How many callers may be connected: as many as there are descriptors, but for those
+** that its connections to targets need. */
+static int callers_max(void) {
+  struct rlimit limit;
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= INT_MAX)
+    return 0;
+  return (int)(CALLERS_SHARE * (double)limit.rlim_cur);
+}
+
 static int listen_all(pw_gate *g, pw_buf *err) {
   const pw_settings *set = g->p->set;
+  g->front.max = callers_max();
   g->front.handle = pwexchange_begin;
   g->front.abandoned = pwexchange_abandon;
   g->front.resume = pwexchange_resume;
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -296,10 +296,42 @@
 
 /* --- listening --- */
 
-static int has_room(const pw_conns *s) {
+/* No request is in progress, and none has come: after the process stood still
+** one may wait to be read. */
+static int is_at_rest(const pw_conn *c) {
+  return !c->is_busy && c->request.state == PWH1_HEAD &&
+         c->request.head.len == 0 && !pwtcp_has_unread(c->tcp);
+}
+
+/* Closes those that have rested for more than half as long as the longest. */
+static void close_longest_idle(pw_conns *s) {
+  int64_t now = pwclock_ms();
+  int64_t longest = -1;
+  for (pw_conn *c = s->first; c; c = c->next)
+    if (now - c->since > longest && is_at_rest(c))
+      longest = now - c->since;
+  for (pw_conn *c = s->first, *next; longest >= 0 && c; c = next) {
+    next = c->next;
+    if (2 * (now - c->since) >= longest && is_at_rest(c))
+      close_conn(c, 0);
+  }
+}
+
+static int has_room(pw_conns *s) {
+  if (s->max && s->count >= s->max)
+    close_longest_idle(s);
   return s->max == 0 || s->count < s->max;
 }
 
+/* No descriptor is left: connections at rest give theirs. Where none rests, callers
+** wait in the kernel's queue until a connection ends. */
+static void make_room(pw_conns *s) {
+  int before = s->count;
+  close_longest_idle(s);
+  if (s->count == before && s->count > 0)
+    ev_io_stop(s->tcp->ev, &s->listening);
+}
+
 static void on_listening(struct ev_loop *ev, ev_io *w, int events) {
   (void)events;
   pw_conns *s = w->data;
@@ -310,7 +342,12 @@
       continue;
     }
     if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
-      pwlog(LOG_WARNING, "accept-failed", "errno=%d", errno);
+      pwlog(LOG_WARNING, "accept-failed", "errno=%d connections=%d", errno,
+            s->count);
+    if (errno == EMFILE || errno == ENFILE) {
+      make_room(s);
+      return;
+    }
     if (errno != EINTR && errno != ECONNABORTED)
       return;
   }
@@ -362,13 +399,6 @@
 
 /* --- connections that rest or dawdle --- */
 
-/* No request is in progress, and none has come: after the process stood still
-** one may wait to be read. */
-static int is_at_rest(const pw_conn *c) {
-  return !c->is_busy && c->request.state == PWH1_HEAD &&
-         c->request.head.len == 0 && !pwtcp_has_unread(c->tcp);
-}
-
 static void sweep_one(pw_conn *c, int64_t now) {
   const pw_conn_limits *l = &c->all->limits;
   if (c->is_busy)
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -24,7 +24,7 @@
 typedef struct pw_conns {
   pw_tcp_loop *tcp;
   pw_conn_limits limits;
-  int max;        /* connections at once; 0: any number */
+  int max; /* connections at once; 0: any number. Those that rest give way */
   int send_bytes; /* that the kernel holds for a caller; 0: as it likes */
   const pw_tls_keys *keys;          /* callers speak TLS; NULL: they do not */
   void *arg;                        /* the owner's own */
--- a/tests/runner/process.c
+++ b/tests/runner/process.c
@@ -45,7 +45,8 @@
 }
 
 /* Child: output to the log file, limits set, then the program. */
-static void become(char **argv, const char *log, rlim_t file_limit) {
+static void become(char **argv, const char *log, rlim_t file_limit,
+                   rlim_t descriptors) {
   int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
   if (fd >= 0) {
     dup2(fd, 1);
@@ -55,13 +56,17 @@
     struct rlimit r = {file_limit, file_limit};
     setrlimit(RLIMIT_FSIZE, &r);
   }
+  if (descriptors) {
+    struct rlimit r = {descriptors, descriptors};
+    setrlimit(RLIMIT_NOFILE, &r);
+  }
   for (int i = 3; i < 1024; i++)
     close(i);
   execv(argv[0], argv);
   _exit(127);
 }
 
-/* spawn{argv..., log=FILE, file_limit=BYTES} -> pid */
+/* spawn{argv..., log=FILE, file_limit=BYTES, descriptors=N} -> pid */
 static int spawn(lua_State *L) {
   char *argv[ARGS_MAX + 1] = {0};
   int n = (int)luaL_len(L, 1);
@@ -73,11 +78,13 @@
   const char *log = luaL_checkstring(L, -1);
   lua_getfield(L, 1, "file_limit");
   rlim_t limit = (rlim_t)luaL_optinteger(L, -1, 0);
+  lua_getfield(L, 1, "descriptors");
+  rlim_t descriptors = (rlim_t)luaL_optinteger(L, -1, 0);
   if (nstarted == PROCESSES_MAX)
     return luaL_error(L, "too many processes");
   pid_t pid = fork();
   if (pid == 0)
-    become(argv, log, limit);
+    become(argv, log, limit, descriptors);
   started[nstarted++] = pid;
   lua_pushinteger(L, pid);
   return 1;
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -57,7 +57,7 @@
 process.__index = process
 
 function process:start()
-  local args = {log = self.log, file_limit = self.file_limit}
+  local args = {log = self.log, file_limit = self.file_limit, descriptors = self.descriptors}
   for i, a in ipairs(self.argv) do args[i] = a end
   self.pid = run.spawn(args)
   if self.health then
