What is kept for the more urgent follows how many of them find no place

Change: a request leaves a share of each engine's slots to more urgent ones; the share of each urgency grows while more than 2 in 100 of its requests find no place at once, shrinks else, a tenth at most. The first of a class may always wait, and in its turn (one place in eight) it may have a place that is kept.

--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -62,6 +62,13 @@
   return x->service->is_engine ? 0 : (double)x->route->goal_ms / 2;
 }
 
+/* The share of each engine's slots that is kept for more urgent requests. */
+static double reserve_of(const pw_exchange *x) {
+  if (!pwexi_may_wait(x) || !x->service->is_engine || x->is_in_turn)
+    return 0;
+  return pwwaiting_reserve(&x->kept->waiting, x->route->priority);
+}
+
 /* Fills x->t (held) and x->holder; 0 when there is no target. */
 static int pick(pw_exchange *x) {
   pw_gate *g = x->g;
@@ -75,6 +82,7 @@
       .is_sticky = is_sticky,
       .key = key,
       .last = is_sticky ? pwwhere_find(g->where, key, now, keep) : 0,
+      .reserve = reserve_of(x),
       .wait_ms = wait_at_target(x),
       .draw = pwgate_draw(g),
       .bound = {PW_GW_BOUND_SHARE * g->p->set->gateway_load_times,
@@ -143,7 +151,10 @@
   int may_wait = pwexi_may_wait(x);
   int is_behind =
       may_wait && pwwaiting_precedes(&x->kept->waiting, x->route->priority);
-  if (!is_behind && place_now(x))
+  int is_placed = !is_behind && place_now(x);
+  if (may_wait)
+    pwwaiting_found(&x->kept->waiting, x->route->priority, is_placed);
+  if (is_placed)
     return;
   if (x->has_begun || x->may_have_run)
     pwexi_give_up(x, PW_E_UNKNOWN, "no other target", 0);
--- a/packages/gateway/pwexwait.c
+++ b/packages/gateway/pwexwait.c
@@ -66,8 +66,11 @@
 /* The first that finds a place goes to its target; 0: nobody does. */
 static int give_place(pw_gate *g, pw_gate_service *s) {
   pw_exchange *x;
+  int in_turn;
   pwwaiting_rewind(&s->waiting);
-  for (int n = 0; n < LOOK_MAX && (x = pwwaiting_next(&s->waiting)); n++) {
+  for (int n = 0;
+       n < LOOK_MAX && (x = pwwaiting_next(&s->waiting, &in_turn)); n++) {
+    x->is_in_turn = in_turn;
     if (!pwexi_place_waiting(x))
       continue;
     pwwaiting_took(&s->waiting, x);
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -338,7 +338,7 @@
       continue;
     row[n] = (pw_pick){.id = t->hash,
                        .load = t->inflight + t->others,
-                       .slots = t->slots,
+                       .slots = floor(t->slots * (1 - ask->reserve)),
                        .work_ms = t->work_ms,
                        .is_usable = is_usable(f, t, c) && !was_tried(ask, t),
                        .is_near = !strcmp(t->zone, f->zone),
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -112,6 +112,7 @@
   int is_sticky; /* `key` is the hash of what its prompt shares */
   uint64_t key;
   uint32_t last;  /* short hash of where it was sent last; 0: not known */
+  double reserve; /* share of each target's slots that is kept for others */
   double wait_ms; /* longest wait for a slot that pays */
   double draw;    /* uniform in [0, 1) */
   pw_pick_bound bound;
--- a/packages/policy/pwqueue.c
+++ b/packages/policy/pwqueue.c
@@ -184,6 +184,10 @@
     f->at = 0;
 }
 
+int pwqueue_yields(const pw_queue *q) {
+  return q->yields;
+}
+
 int pwqueue_next(pw_queue *q, pw_item *out) {
   if (q->yields) {
     q->yields = 0;
--- a/packages/policy/pwqueue.h
+++ b/packages/policy/pwqueue.h
@@ -52,6 +52,9 @@
 void pwqueue_rewind(pw_queue *q);
 int pwqueue_next(pw_queue *q, pw_item *out);
 
+/* Whether pwqueue_next gives one that pwqueue_yield calls for. */
+int pwqueue_yields(const pw_queue *q);
+
 /* Takes a job that pwqueue_next gave, as served. */
 void pwqueue_serve(pw_queue *q, const void *job);
 
--- a/packages/policy/pwwaiting.c
+++ b/packages/policy/pwwaiting.c
@@ -22,6 +22,12 @@
 ** more urgent ones, but is not starved. */
 #define YIELD_EVERY 8
 
+/* The part of the requests of one urgency that may find no place at once before more
+** is kept for it; how much more for each that does not; and the most. */
+#define MISSED_SHARE 0.02
+#define RESERVE_STEP 0.004
+#define RESERVE_MOST 0.1
+
 /* The rate is measured over so long, ms, and smoothed with this weight of the
 ** newest measurement. */
 #define RATE_MS 200
@@ -58,12 +64,11 @@
 }
 
 /* What goes before a newcomer: those as urgent or more, as far as their workspaces'
-** shares reach; but one place in YIELD_EVERY is its class's own. */
+** shares reach. The first of its class may always wait: one place in YIELD_EVERY goes to
+** a class that was passed over. */
 static double wait_of(const pw_waiting *w, double ahead, double own) {
   double rate = w->rate > RATE_LEAST ? w->rate : RATE_LEAST;
-  double in_turn = ahead + 1;
-  double yielded = (own + 1) * YIELD_EVERY;
-  return (in_turn < yielded ? in_turn : yielded) / rate * MS_PER_S;
+  return own > 0 ? (ahead + 1) / rate * MS_PER_S : 0;
 }
 
 pw_waiting_answer pwwaiting_ask(pw_waiting *w, const pw_waiting_ask *ask,
@@ -99,11 +104,25 @@
   pwqueue_rewind(w->queue);
 }
 
-void *pwwaiting_next(pw_waiting *w) {
+void *pwwaiting_next(pw_waiting *w, int *in_turn) {
   pw_item one;
+  *in_turn = pwqueue_yields(w->queue);
   return pwqueue_next(w->queue, &one) ? one.job : NULL;
 }
 
+void pwwaiting_found(pw_waiting *w, int urgency, int at_once) {
+  double *r = &w->reserve[URGENCY_MAX - priority_of(urgency)];
+  *r += at_once ? -RESERVE_STEP * MISSED_SHARE : RESERVE_STEP;
+  *r = *r < 0 ? 0 : *r > RESERVE_MOST ? RESERVE_MOST : *r;
+}
+
+double pwwaiting_reserve(const pw_waiting *w, int urgency) {
+  double sum = 0;
+  for (int i = 0; i < urgency && i < PWQUEUE_LEVELS; i++)
+    sum += w->reserve[i];
+  return sum;
+}
+
 void pwwaiting_took(pw_waiting *w, void *job) {
   pwqueue_serve(w->queue, job);
 }
--- a/packages/policy/pwwaiting.h
+++ b/packages/policy/pwwaiting.h
@@ -19,6 +19,8 @@
   double rate; /* requests a second that got a place lately */
   double got;  /* places since rate_at */
   int64_t rate_at;
+  double reserve[PWQUEUE_LEVELS]; /* share of slots that each urgency has before
+                                  ** less urgent ones */
 } pw_waiting;
 
 /* A request that found no place. */
@@ -45,13 +47,22 @@
 pw_waiting_answer pwwaiting_ask(pw_waiting *w, const pw_waiting_ask *ask,
                                 int64_t now);
 
+/* Whether a request that came found a place at once: more is kept for its urgency when
+** too many do not. */
+void pwwaiting_found(pw_waiting *w, int urgency, int at_once);
+
+/* The share of a target's slots that a request of this urgency leaves to more urgent
+** ones. */
+double pwwaiting_reserve(const pw_waiting *w, int urgency);
+
 /* Whether somebody waits who goes before a newcomer of this urgency. */
 int pwwaiting_precedes(pw_waiting *w, int urgency);
 
 /* After pwwaiting_rewind, pwwaiting_next gives one after the other that waits, in
-** their order, without taking any; NULL: no more. */
+** their order, without taking any; NULL: no more. With *in_turn it may have a place
+** that is kept for more urgent ones: its class was passed over for long. */
 void pwwaiting_rewind(pw_waiting *w);
-void *pwwaiting_next(pw_waiting *w);
+void *pwwaiting_next(pw_waiting *w, int *in_turn);
 
 /* One that pwwaiting_next gave has got a place. */
 void pwwaiting_took(pw_waiting *w, void *job);
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -23,8 +23,9 @@
 }
 
 static void *take_next(pw_waiting *w) {
+  int in_turn;
   pwwaiting_rewind(w);
-  void *job = pwwaiting_next(w);
+  void *job = pwwaiting_next(w, &in_turn);
   if (job)
     pwwaiting_took(w, job);
   return job;
@@ -62,7 +63,7 @@
 static void test_urgent_first(void) {
   pw_waiting w;
   int64_t now = 0;
-  int low, middle, high;
+  int low, middle, high, in_turn;
   pw_waiting_ask ask = ask_of("a", 2, &low);
   pwwaiting_init(&w, now);
   get_places(&w, 200, &now);
@@ -74,10 +75,10 @@
   ask = ask_of("c", 0, &high);
   CHECK(pwwaiting_ask(&w, &ask, now).may_wait);
   pwwaiting_rewind(&w);
-  CHECK(pwwaiting_next(&w) == &high);
-  CHECK(pwwaiting_next(&w) == &middle);
-  CHECK(pwwaiting_next(&w) == &low);
-  CHECK(pwwaiting_next(&w) == NULL);
+  CHECK(pwwaiting_next(&w, &in_turn) == &high && !in_turn);
+  CHECK(pwwaiting_next(&w, &in_turn) == &middle && !in_turn);
+  CHECK(pwwaiting_next(&w, &in_turn) == &low && !in_turn);
+  CHECK(pwwaiting_next(&w, &in_turn) == NULL);
   pwwaiting_left(&w, &middle);
   CHECK(take_next(&w) == &high);
   CHECK(take_next(&w) == &low);
@@ -120,6 +121,30 @@
   pwwaiting_free(&w);
 }
 
+/* What is kept for an urgency follows how many of it find no place at once: none while
+** all do, more while too many do not, never more than a tenth, and only less urgent ones
+** leave it. */
+static void test_reserve(void) {
+  pw_waiting w;
+  pwwaiting_init(&w, 0);
+  for (int i = 0; i < 1000; i++)
+    pwwaiting_found(&w, 0, 1);
+  CHECK(pwwaiting_reserve(&w, 2) == 0);
+  for (int i = 0; i < 1000; i++)
+    pwwaiting_found(&w, 0, i % 20 != 0); /* one in twenty does not */
+  double kept = pwwaiting_reserve(&w, 1);
+  CHECK(kept > 0 && kept <= 0.1);
+  CHECK(pwwaiting_reserve(&w, 0) == 0 && pwwaiting_reserve(&w, 2) == kept);
+  for (int i = 0; i < 1000; i++)
+    pwwaiting_found(&w, 1, 0);
+  CHECK(pwwaiting_reserve(&w, 1) == kept);
+  CHECK(pwwaiting_reserve(&w, 2) > kept && pwwaiting_reserve(&w, 2) <= 0.2);
+  for (int i = 0; i < 10000; i++)
+    pwwaiting_found(&w, 0, 1);
+  CHECK(pwwaiting_reserve(&w, 1) == 0);
+  pwwaiting_free(&w);
+}
+
 /* A workspace that asks for a hundred times as much as another takes nothing from
 ** it. */
 static void test_surge(void) {
@@ -170,6 +195,7 @@
   TEST(test_refused_at_once);
   TEST(test_urgent_first);
   TEST(test_none_starves);
+  TEST(test_reserve);
   TEST(test_surge);
   TEST(test_patience);
   TESTS_END();
