A prompt stays at three targets while the others are nearly full

Change: pwpick_home looks at the first three of the key's order, and at others only while less than 0.75 of their slots are taken; a request waits for those three within its patience, as for any place, and does not go to the least loaded.

--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -81,6 +81,7 @@
       .how = g->how,
       .is_sticky = is_sticky,
       .key = key,
+      .may_wait = pwexi_may_wait(x) && x->service->is_engine,
       .last = is_sticky ? pwwhere_find(g->where, key, now, keep) : 0,
       .reserve = reserve_of(x),
       .wait_ms = wait_at_target(x),
--- a/packages/gateway/pwexwait.c
+++ b/packages/gateway/pwexwait.c
@@ -68,8 +68,8 @@
   pw_exchange *x;
   int in_turn;
   pwwaiting_rewind(&s->waiting);
-  for (int n = 0;
-       n < LOOK_MAX && (x = pwwaiting_next(&s->waiting, &in_turn)); n++) {
+  for (int n = 0; n < LOOK_MAX && (x = pwwaiting_next(&s->waiting, &in_turn));
+       n++) {
     x->is_in_turn = in_turn;
     if (!pwexi_place_waiting(x))
       continue;
--- a/packages/policy/pwpick.c
+++ b/packages/policy/pwpick.c
@@ -5,6 +5,11 @@
 
 #define NEAR_MS 1.0 /* what staying in the availability zone may cost in wait */
 
+/* A prompt lies at so many targets, the first in its order; others count while less
+** than this share of their slots is taken. */
+#define COPIES 3
+#define SPARE_SHARE 0.75
+
 double pwpick_limit(const pw_pick *t, int n, pw_pick_bound bound) {
   double sum = 0;
   int count = 0;
@@ -49,8 +54,25 @@
   return t->is_alive && !t->is_new;
 }
 
+static int has_slots_to_spare(const pw_pick *t, double limit) {
+  return has_room(t, limit) && t->load < SPARE_SHARE * t->slots;
+}
+
+/* How many usable ones come before it in the key's order. */
+static int place_of(const pw_pick *t, int n, uint64_t key, int which) {
+  uint64_t mine = score(key, t[which].id);
+  int before = 0;
+  for (int i = 0; i < n; i++)
+    before += t[i].is_usable && score(key, t[i].id) > mine;
+  return before;
+}
+
 int pwpick_home(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound) {
-  return first_in_order(t, n, key, has_room, pwpick_limit(t, n, bound));
+  double limit = pwpick_limit(t, n, bound);
+  int best = first_in_order(t, n, key, has_room, limit);
+  if (best < 0 || place_of(t, n, key, best) < COPIES)
+    return best;
+  return first_in_order(t, n, key, has_slots_to_spare, limit);
 }
 
 int pwpick_holder(const pw_pick *t, int n, uint64_t key) {
--- a/packages/policy/pwpick.h
+++ b/packages/policy/pwpick.h
@@ -37,7 +37,9 @@
 double pwpick_limit(const pw_pick *t, int n, pw_pick_bound bound);
 
 /* By rendezvous hashing of `key`: the first in the key's order that is under
-** the bound and has a free slot; -1 when there is none. */
+** the bound and has a free slot; -1 when there is none. Past the first few in that
+** order only those with slots to spare count, so that a prompt comes to lie in few
+** places, and in more where one after the other is full. */
 int pwpick_home(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound);
 
 /* The target that most likely holds what requests of `key` share: the first in
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -172,6 +172,39 @@
   }
 }
 
+/* While targets are nearly full a prompt stays where it lies: one of which a single
+** slot comes free at a time, at any target, is not spread over all of them. Where others
+** have slots to spare it goes on to those. */
+static void test_pick_stays(void) {
+  enum { TARGETS = 18, SLOTS = 48, ROUNDS = 3000 };
+  pw_random r = {.seed = test_seed(14)};
+  pw_pick_bound bound = {1.6, 2};
+  pw_pick t[TARGETS];
+  uint64_t key = pwrand(&r);
+  int used[TARGETS] = {0}, places = 0, placed = 0;
+  for (int i = 0; i < TARGETS; i++)
+    t[i] = (pw_pick){
+        .id = pwrand(&r), .load = SLOTS, .slots = SLOTS, .is_usable = 1};
+  for (int round = 0; round < ROUNDS; round++) {
+    int freed = (int)pwrand_below(&r, TARGETS);
+    t[freed].load = SLOTS - 1;
+    int home = pwpick_home(t, TARGETS, key, bound);
+    CHECK(home < 0 || home == freed);
+    if (home >= 0) {
+      places += !used[home]++;
+      placed++;
+    }
+    t[freed].load = SLOTS;
+  }
+  printf("%d targets hold the prompt, %d of %d placed\n", places, placed,
+         ROUNDS);
+  CHECK(places <= 3 && placed > ROUNDS / 10);
+  for (int i = 0; i < TARGETS; i++)
+    t[i].load = used[i] ? SLOTS : SLOTS / 2.0;
+  int other = pwpick_home(t, TARGETS, key, bound);
+  CHECK(other >= 0 && !used[other]);
+}
+
 /* --- the retry budget --- */
 
 /* No window of the budget's length holds more than the ratio and the slack. */
@@ -393,6 +426,7 @@
   TEST(test_errors);
   TEST(test_last_resort);
   TEST(test_pick);
+  TEST(test_pick_stays);
   TEST(test_retries);
   TEST(test_retries_shared);
   TEST(test_tables);
