Of one urgency, callers who come back go after those who ask for the first time

The two are not told apart by anything that callers say. Change: the time that callers of a route usually give a request is learned (pwusual: frequent items by few counters); who gives less by more than a quarter of the goal has tried before, goes after newcomers of its urgency and leaves them what is kept for that urgency. Places are fewer than callers; worth is lost whichever of two it is, and less if it is who is late.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -3,6 +3,10 @@
 
 #include <utlist.h>
 
+/* A caller that asked for the first time longer ago than this part of its goal cannot be
+** answered within it when places are short. */
+#define LATE_PART 4
+
 #define RETRY_SPREAD_MS 300 /* so that not all come back at once */
 
 /* A gateway that was started has its configuration by then: control elects a
@@ -184,6 +188,16 @@
   return 0;
 }
 
+/* Whether its caller must have asked a while ago, by the time that it has left. */
+static int has_tried_before(pw_exchange *x) {
+  pw_gate_route *r = pwgate_route(x->g, x->route->name);
+  int64_t ms = x->ask.deadline_ms;
+  if (!r || ms < 0)
+    return 0;
+  pwusual_note(&r->usual, ms);
+  return ms + x->route->goal_ms / LATE_PART < pwusual_ms(&r->usual);
+}
+
 static void start(pw_exchange *x) {
   pw_gate *g = x->g;
   x->site = pwsite_hold(g->site);
@@ -193,6 +207,7 @@
   x->deadline_at =
       x->ask.deadline_ms >= 0 ? x->arrived + x->ask.deadline_ms : x->timeout_at;
   x->kept = pwgate_service(g, x->service->name);
+  x->is_late = has_tried_before(x);
   pwretries_request(&x->kept->retries, x->arrived);
   pwgate_timer(g, &x->timer, pwexi_time_left(x));
   pwexi_place(x);
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -30,6 +30,7 @@
 
   int is_waiting; /* for a place at a target */
   int64_t waits_since;
+  int is_late;    /* its caller has tried before: the goal is past */
   int is_in_turn; /* it may have a place that is kept for more urgent ones */
 
   /* where it is now */
--- a/packages/gateway/pwexwait.c
+++ b/packages/gateway/pwexwait.c
@@ -29,6 +29,7 @@
   int64_t now = pwclock_ms();
   pw_waiting_ask ask = {.workspace = x->workspace ? x->workspace->name : "",
                         .urgency = x->route->priority,
+                        .is_late = x->is_late,
                         .goal_ms = x->route->goal_ms,
                         .time_left_ms = pwexi_time_left(x),
                         .job = x};
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -14,6 +14,7 @@
 #include "pwstage.h"
 #include "pwtcp.h"
 #include "pwtrace.h"
+#include "pwusual.h"
 #include "pwwaiting.h"
 #include "pwwhere.h"
 
@@ -31,6 +32,13 @@
   struct pw_gate_service *next;
 } pw_gate_service;
 
+/* And of one route. */
+typedef struct pw_gate_route {
+  char name[PW_NAME_MAX];
+  pw_usual usual; /* time that its callers give a request */
+  UT_hash_handle hh;
+} pw_gate_route;
+
 struct pw_gate {
   pw_proc *p;
   struct ev_loop *ev;
@@ -44,6 +52,7 @@
   pw_trace *trace;
   pw_stages *stages;
   pw_gate_service *services;
+  pw_gate_route *routes;
   pw_conns front;   /* callers */
   pw_conns ready;   /* the platform, which asks for readiness */
   pw_conns metrics; /* and at an address of its own */
@@ -71,8 +80,16 @@
 ** process stood still, when the loop's own time is old. */
 void pwgate_timer(pw_gate *g, ev_timer *w, int64_t ms);
 
-/* What is kept of a service. */
+/* --- pwkept.c --- */
+
+/* What is kept of a service, and of a route; NULL: too many are. */
 pw_gate_service *pwgate_service(pw_gate *g, const char *name);
+pw_gate_route *pwgate_route(pw_gate *g, const char *name);
+
+/* Frees all that is kept. */
+void pwgate_forget(pw_gate *g);
+
+/* --- pwgateway.c --- */
 
 /* Uniform in [0, 1). */
 double pwgate_draw(pw_gate *g);
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -75,22 +75,6 @@
          9007199254740992.0;
 }
 
-pw_gate_service *pwgate_service(pw_gate *g, const char *name) {
-  for (pw_gate_service *s = g->services; s; s = s->next)
-    if (!strcmp(s->name, name))
-      return s;
-  const pw_settings *set = g->p->set;
-  pw_gate_service *s = pw_alloc(sizeof *s);
-  pw_copy(s->name, sizeof s->name, name);
-  pwretries_init(&s->retries, set->gateway_retry_ratio,
-                 set->gateway_retry_slack,
-                 (int64_t)(set->gateway_retry_window * MS_PER_S));
-  pwwaiting_init(&s->waiting, pwclock_ms());
-  s->next = g->services;
-  g->services = s;
-  return s;
-}
-
 void pwgate_adopt(pw_gate *g, pw_site *site) {
   uint64_t version = pwsite_version(site);
   if (g->site && version <= pwsite_version(g->site)) {
@@ -301,15 +285,6 @@
   return !strcmp(place, "hash") ? PWPICK_BY_HASH : PWPICK_BY_HOME;
 }
 
-static void free_services(pw_gate *g) {
-  while (g->services) {
-    pw_gate_service *s = g->services;
-    g->services = s->next;
-    pwwaiting_free(&s->waiting);
-    free(s);
-  }
-}
-
 static void end_targets(pw_gate *g) {
   for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next) {
     t->is_gone = 1;
@@ -354,7 +329,7 @@
   pwtcp_loop_free(&g.tcp);
   pwfleet_free(g.fleet);
   pwwhere_free(g.where);
-  free_services(&g);
+  pwgate_forget(&g);
   pwsite_drop(g.site);
   pwtrace_free(g.trace);
   pwstage_free(g.stages);
--- /dev/null
+++ b/packages/gateway/pwkept.c
@@ -0,0 +1,51 @@
+/* pwkept.c: what a gateway keeps of each service and route, whatever configurations
+** come. */
+#include "pwgate.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define MS_PER_S 1000
+#define ROUTES_MAX 1000 /* that are kept; of others nothing is learned */
+
+pw_gate_service *pwgate_service(pw_gate *g, const char *name) {
+  for (pw_gate_service *s = g->services; s; s = s->next)
+    if (!strcmp(s->name, name))
+      return s;
+  const pw_settings *set = g->p->set;
+  pw_gate_service *s = pw_alloc(sizeof *s);
+  pw_copy(s->name, sizeof s->name, name);
+  pwretries_init(&s->retries, set->gateway_retry_ratio,
+                 set->gateway_retry_slack,
+                 (int64_t)(set->gateway_retry_window * MS_PER_S));
+  pwwaiting_init(&s->waiting, pwclock_ms());
+  s->next = g->services;
+  g->services = s;
+  return s;
+}
+
+pw_gate_route *pwgate_route(pw_gate *g, const char *name) {
+  pw_gate_route *r;
+  HASH_FIND_STR(g->routes, name, r);
+  if (r || HASH_COUNT(g->routes) >= ROUTES_MAX)
+    return r;
+  r = pw_alloc(sizeof *r);
+  pw_copy(r->name, sizeof r->name, name);
+  HASH_ADD_STR(g->routes, name, r);
+  return r;
+}
+
+void pwgate_forget(pw_gate *g) {
+  pw_gate_route *r, *tmp;
+  HASH_ITER(hh, g->routes, r, tmp) {
+    HASH_DEL(g->routes, r);
+    free(r);
+  }
+  while (g->services) {
+    pw_gate_service *s = g->services;
+    g->services = s->next;
+    pwwaiting_free(&s->waiting);
+    free(s);
+  }
+}
+
--- a/packages/policy/pwqueue.h
+++ b/packages/policy/pwqueue.h
@@ -11,12 +11,12 @@
 
 #include <stdint.h>
 
-#define PWQUEUE_LEVELS 10 /* priorities 0 to 9 */
+#define PWQUEUE_LEVELS 20 /* priorities 0 to 19 */
 
 typedef struct pw_item {
   char workspace[PW_NAME_MAX];
   double weight; /* >= 1 */
-  int priority;  /* 0 to 9 */
+  int priority;  /* 0 to PWQUEUE_LEVELS - 1 */
   double cost;   /* tokens */
   int64_t deadline;
   int64_t since; /* when it was queued, ms */
--- a/packages/policy/pwwaiting.c
+++ b/packages/policy/pwwaiting.c
@@ -4,7 +4,6 @@
 #include "pwbuf.h"
 
 #define MS_PER_S 1000.0
-#define URGENCY_MAX 9
 
 /* The part of its goal that a request may wait: the rest is for its target. A caller
 ** that is refused after a longer wait has lost time for nothing: measured at six
@@ -43,8 +42,14 @@
   pwqueue_free(w->queue);
 }
 
-static int priority_of(int urgency) {
-  return URGENCY_MAX - (urgency < URGENCY_MAX ? urgency : URGENCY_MAX);
+static int clip(int urgency) {
+  return urgency < PWWAITING_URGENCIES ? urgency : PWWAITING_URGENCIES - 1;
+}
+
+/* By urgency; of one urgency those that can be in their goal go before those that are
+** late: an answer in time is worth more than three late ones. */
+static int priority_of(int urgency, int is_late) {
+  return 2 * (PWWAITING_URGENCIES - 1 - clip(urgency)) + !is_late;
 }
 
 static int64_t patience_of(const pw_waiting_ask *ask) {
@@ -74,7 +79,7 @@
 pw_waiting_answer pwwaiting_ask(pw_waiting *w, const pw_waiting_ask *ask,
                                 int64_t now) {
   pw_waiting_answer out = {.patience_ms = patience_of(ask)};
-  int priority = priority_of(ask->urgency);
+  int priority = priority_of(ask->urgency, ask->is_late);
   learn(w, now);
   out.ahead = pwqueue_ahead(w->queue, ask->workspace, 1, priority);
   out.wait_ms = wait_of(w, out.ahead, pwqueue_of(w->queue, priority));
@@ -94,10 +99,10 @@
   return out;
 }
 
-int pwwaiting_precedes(pw_waiting *w, int urgency) {
+int pwwaiting_precedes(pw_waiting *w, int urgency, int is_late) {
   pw_item first;
   return pwqueue_peek(w->queue, &first) &&
-         first.priority >= priority_of(urgency);
+         first.priority >= priority_of(urgency, is_late);
 }
 
 void pwwaiting_rewind(pw_waiting *w) {
@@ -111,14 +116,14 @@
 }
 
 void pwwaiting_found(pw_waiting *w, int urgency, int at_once) {
-  double *r = &w->reserve[URGENCY_MAX - priority_of(urgency)];
+  double *r = &w->reserve[clip(urgency)];
   *r += at_once ? -RESERVE_STEP * MISSED_SHARE : RESERVE_STEP;
   *r = *r < 0 ? 0 : *r > RESERVE_MOST ? RESERVE_MOST : *r;
 }
 
-double pwwaiting_reserve(const pw_waiting *w, int urgency) {
+double pwwaiting_reserve(const pw_waiting *w, int urgency, int is_late) {
   double sum = 0;
-  for (int i = 0; i < urgency && i < PWQUEUE_LEVELS; i++)
+  for (int i = 0; i < clip(urgency) + (is_late != 0); i++)
     sum += w->reserve[i];
   return sum;
 }
--- a/packages/policy/pwwaiting.h
+++ b/packages/policy/pwwaiting.h
@@ -14,19 +14,23 @@
 /* Requests of one service that wait at most, whatever the rate. */
 #define PWWAITING_MAX 2000
 
+/* Urgencies that are told apart; what is less urgent counts as the last. */
+#define PWWAITING_URGENCIES 10
+
 typedef struct pw_waiting {
   pw_queue *queue;
   double rate; /* requests a second that got a place lately */
   double got;  /* places since rate_at */
   int64_t rate_at;
-  double reserve[PWQUEUE_LEVELS]; /* share of slots that each urgency has before
-                                  ** less urgent ones */
+  double reserve[PWWAITING_URGENCIES]; /* share of slots that each urgency has
+                                       ** before less urgent ones */
 } pw_waiting;
 
 /* A request that found no place. */
 typedef struct pw_waiting_ask {
   const char *workspace;
   int urgency;          /* the operator's: 0 first */
+  int is_late;          /* its goal cannot be met any more */
   int64_t goal_ms;      /* within which its answer is worth most; 0: not told */
   int64_t time_left_ms; /* that its caller has */
   void *job;
@@ -52,11 +56,11 @@
 void pwwaiting_found(pw_waiting *w, int urgency, int at_once);
 
 /* The share of a target's slots that a request of this urgency leaves to more urgent
-** ones. */
-double pwwaiting_reserve(const pw_waiting *w, int urgency);
+** ones; one that is late leaves it to those of its own urgency, too. */
+double pwwaiting_reserve(const pw_waiting *w, int urgency, int is_late);
 
-/* Whether somebody waits who goes before a newcomer of this urgency. */
-int pwwaiting_precedes(pw_waiting *w, int urgency);
+/* Whether somebody waits who goes before a newcomer. */
+int pwwaiting_precedes(pw_waiting *w, int urgency, int is_late);
 
 /* After pwwaiting_rewind, pwwaiting_next gives one after the other that waits, in
 ** their order, without taking any; NULL: no more. With *in_turn it may have a place
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -2,6 +2,7 @@
 #include "pwtest.h"
 
 #include "pwbuf.h"
+#include "pwusual.h"
 #include "pwwaiting.h"
 
 #define GOAL_MS 400
@@ -67,9 +68,9 @@
   pw_waiting_ask ask = ask_of("a", 2, &low);
   pwwaiting_init(&w, now);
   get_places(&w, 200, &now);
-  CHECK(!pwwaiting_precedes(&w, 2));
+  CHECK(!pwwaiting_precedes(&w, 2, 0));
   CHECK(pwwaiting_ask(&w, &ask, now).may_wait);
-  CHECK(pwwaiting_precedes(&w, 2) && !pwwaiting_precedes(&w, 1));
+  CHECK(pwwaiting_precedes(&w, 2, 0) && !pwwaiting_precedes(&w, 1, 0));
   ask = ask_of("b", 1, &middle);
   CHECK(pwwaiting_ask(&w, &ask, now).may_wait);
   ask = ask_of("c", 0, &high);
@@ -129,19 +130,21 @@
   pwwaiting_init(&w, 0);
   for (int i = 0; i < 1000; i++)
     pwwaiting_found(&w, 0, 1);
-  CHECK(pwwaiting_reserve(&w, 2) == 0);
+  CHECK(pwwaiting_reserve(&w, 2, 0) == 0);
   for (int i = 0; i < 1000; i++)
     pwwaiting_found(&w, 0, i % 20 != 0); /* one in twenty does not */
-  double kept = pwwaiting_reserve(&w, 1);
+  double kept = pwwaiting_reserve(&w, 1, 0);
   CHECK(kept > 0 && kept <= 0.1);
-  CHECK(pwwaiting_reserve(&w, 0) == 0 && pwwaiting_reserve(&w, 2) == kept);
+  CHECK(pwwaiting_reserve(&w, 0, 0) == 0 &&
+        pwwaiting_reserve(&w, 2, 0) == kept);
   for (int i = 0; i < 1000; i++)
     pwwaiting_found(&w, 1, 0);
-  CHECK(pwwaiting_reserve(&w, 1) == kept);
-  CHECK(pwwaiting_reserve(&w, 2) > kept && pwwaiting_reserve(&w, 2) <= 0.2);
+  CHECK(pwwaiting_reserve(&w, 1, 0) == kept);
+  CHECK(pwwaiting_reserve(&w, 2, 0) > kept &&
+        pwwaiting_reserve(&w, 2, 0) <= 0.2);
   for (int i = 0; i < 10000; i++)
     pwwaiting_found(&w, 0, 1);
-  CHECK(pwwaiting_reserve(&w, 1) == 0);
+  CHECK(pwwaiting_reserve(&w, 1, 0) == 0);
   pwwaiting_free(&w);
 }
 
@@ -171,6 +174,56 @@
   pwwaiting_free(&w);
 }
 
+/* The usual time is what most say for the first time, though as many come back with
+** whatever they have left, and some have longer. */
+static void test_usual(void) {
+  pw_random r = {test_seed(8), 0};
+  pw_usual u = {0};
+  CHECK(pwusual_ms(&u) == 0);
+  for (int i = 0; i < 20000; i++) {
+    double kind = pwrand_unit(&r);
+    int64_t ms = 9990 + (int64_t)pwrand_below(&r, 11);
+    if (kind < 0.6)
+      ms = 4000 + (int64_t)pwrand_below(&r, 5500);
+    else if (kind < 0.64)
+      ms = 30000;
+    pwusual_note(&u, ms);
+    if (i > 200)
+      CHECK(pwusual_ms(&u) >= 9600 && pwusual_ms(&u) <= 10000);
+  }
+  for (int i = 0; i < 2000; i++) /* the callers change their minds */
+    pwusual_note(&u, 600);
+  CHECK(pwusual_ms(&u) >= 570 && pwusual_ms(&u) <= 600);
+  pwusual_note(&u, 0);
+  pwusual_note(&u, -5);
+}
+
+/* Of one urgency those that can be in their goal go before those that cannot. */
+static void test_late_after(void) {
+  pw_waiting w;
+  int64_t now = 0;
+  int late, in_time, less_urgent, in_turn;
+  pw_waiting_ask ask = ask_of("a", 1, &late);
+  pwwaiting_init(&w, now);
+  get_places(&w, 200, &now);
+  ask.is_late = 1;
+  CHECK(pwwaiting_ask(&w, &ask, now).may_wait);
+  CHECK(!pwwaiting_precedes(&w, 1, 0) && pwwaiting_precedes(&w, 1, 1));
+  ask = ask_of("b", 2, &less_urgent);
+  CHECK(pwwaiting_ask(&w, &ask, now).may_wait);
+  ask = ask_of("b", 1, &in_time);
+  CHECK(pwwaiting_ask(&w, &ask, now).may_wait);
+  pwwaiting_rewind(&w);
+  CHECK(pwwaiting_next(&w, &in_turn) == &in_time);
+  CHECK(pwwaiting_next(&w, &in_turn) == &late);
+  CHECK(pwwaiting_next(&w, &in_turn) == &less_urgent);
+  for (int i = 0; i < 100; i++)
+    pwwaiting_found(&w, 1, 0);
+  CHECK(pwwaiting_reserve(&w, 1, 0) == 0 && pwwaiting_reserve(&w, 1, 1) > 0);
+  CHECK(pwwaiting_reserve(&w, 2, 0) == pwwaiting_reserve(&w, 1, 1));
+  pwwaiting_free(&w);
+}
+
 /* Without a goal patience is a part of the caller's time; never more than all. */
 static void test_patience(void) {
   pw_waiting w;
@@ -198,5 +251,7 @@
   TEST(test_reserve);
   TEST(test_surge);
   TEST(test_patience);
+  TEST(test_usual);
+  TEST(test_late_after);
   TESTS_END();
 }
