Plain services: stale loads count less, connections to a target are shared out

No gateway kept to a part of the 240 connections that a target takes. Ruled out: slots (24 busy of 24 on the average never); the choice by slots x time alone (it is what herds). A gateway has its part of a target's connections, 2 at least; an old one at rest ends instead of staying beside a new one.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -303,7 +303,7 @@
 }
 
 static void whole_stream(pw_exchange *x) {
-  pwfleet_answered(x->t, -1, pwclock_ms());
+  pwfleet_answered(x->t, 0, pwclock_ms());
   if (x->held.len) { /* bytes after the last whole event */
     pwexi_pass(x, x->held.data, x->held.len);
     x->held.len = 0;
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -8,6 +8,9 @@
 
 #define MS_PER_S 1000
 
+/* Connections to a target that a gateway may have, however many gateways there are. */
+#define CONNECTIONS_LEAST 2
+
 static void write_head(pw_exchange *x, pw_buf *out) {
   const pw_h1 *m = &x->client->request;
   pwbuf_fmt(out, "%s %.*s HTTP/1.1\r\n",
@@ -69,6 +72,14 @@
   return pwwaiting_reserve(&x->kept->waiting, x->route->priority, x->is_late);
 }
 
+/* The connections that this gateway may have to one target: its part of those that a
+** target takes. */
+static int connections_of(const pw_exchange *x) {
+  int all = x->service->max_conns;
+  int mine = all / pwlink_gateways(x->g->link);
+  return all > 0 && mine < CONNECTIONS_LEAST ? CONNECTIONS_LEAST : mine;
+}
+
 /* Fills x->t (held) and x->holder; 0 when there is no target. */
 static int pick(pw_exchange *x) {
   pw_gate *g = x->g;
@@ -88,6 +99,7 @@
       .draw = pwgate_draw(g),
       .bound = {PW_GW_BOUND_SHARE * g->p->set->gateway_load_times,
                 PW_GW_BOUND_EXTRA},
+      .conns = connections_of(x),
       .tried = x->tried,
       .ntried = x->ntried};
   pw_fleet_picked got = pwfleet_pick(g->fleet, &ask, now);
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -156,8 +156,13 @@
   s->moved_to[s->nmoved++] = target;
 }
 
+static int64_t every_ms(const pw_gossip *s) {
+  int64_t every = TELL_MS_A_PEER * (int64_t)s->npeers;
+  return every > TELL_MS ? every : TELL_MS;
+}
+
 static void add_up(pw_gossip *s, int64_t now) {
-  pwfleet_clear_others(s->g->fleet);
+  pwfleet_clear_others(s->g->fleet, every_ms(s));
   for (size_t i = 0; i < s->npeers; i++) {
     const peer *p = &s->peers[i];
     if (now - p->heard_at > STALE_MS)
@@ -168,8 +173,7 @@
 }
 
 void pwgossip_tick(pw_gossip *s, int64_t now) {
-  int64_t every = TELL_MS_A_PEER * (int64_t)s->npeers;
-  if (now - s->told_at < (every > TELL_MS ? every : TELL_MS))
+  if (now - s->told_at < every_ms(s))
     return;
   s->told_at = now;
   tell(s);
--- a/packages/gateway/pwkept.c
+++ b/packages/gateway/pwkept.c
@@ -48,4 +48,3 @@
     free(s);
   }
 }
-
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -225,8 +225,10 @@
   if (!u)
     return NULL;
   int64_t rested = now - u->rested_at;
-  if (rested > rest_ms || rested > longest_rest(u))
+  if (rested > rest_ms || rested > longest_rest(u)) {
+    close_conn(u, 0); /* the newest at rest: the others are older */
     return NULL;
+  }
   t->idle = u->next;
   u->next = NULL;
   u->has_rested = 1;
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -50,6 +50,7 @@
   int64_t beat_ms;
   int64_t keep_ms;
   uint64_t turn;
+  int64_t others_age_ms;
   pw_target *by_id;
 };
 
@@ -238,7 +239,8 @@
   }
 }
 
-void pwfleet_clear_others(pw_fleet *f) {
+void pwfleet_clear_others(pw_fleet *f, int64_t age_ms) {
+  f->others_age_ms = age_ms;
   for (pw_target *t = f->by_id; t; t = t->hh.next)
     t->others = 0;
 }
@@ -265,6 +267,7 @@
   int64_t now;
   int64_t oldest;  /* when the first of them joined, ms */
   double errors;   /* mean share of errors */
+  double others;   /* mean of what other gateways have there */
   int most_silent; /* more than half of them: who listens is at fault */
 } common;
 
@@ -277,10 +280,12 @@
     if (t->joined_at < c.oldest)
       c.oldest = t->joined_at;
     c.errors += errors_of(t, now);
+    c.others += t->others;
     silent += t->is_silent;
     n++;
   }
   c.errors = n ? c.errors / n : 0;
+  c.others = n ? c.others / n : 0;
   c.most_silent = 2 * silent > n;
   return c;
 }
@@ -329,6 +334,21 @@
   return -1;
 }
 
+/* Requests at a target. Where requests are short, how the other gateways' differ from
+** their mean is out of date: all gateways would send to who had the fewest when they were
+** told last. */
+static double load_of(const pw_fleet *f, const pw_target *t, const common *c,
+                      const pw_fleet_ask *ask) {
+  if (ask->is_sticky)
+    return t->inflight + t->others;
+  double is_still_so = exp(-(double)f->others_age_ms / t->work_ms);
+  return t->inflight + round(c->others + is_still_so * (t->others - c->others));
+}
+
+static int has_connection(const pw_target *t, const pw_fleet_ask *ask) {
+  return ask->conns == 0 || t->idle || t->nconns < ask->conns;
+}
+
 /* The targets of the service as rows; gives how many. */
 static int fill_rows(pw_fleet *f, const pw_fleet_ask *ask, const common *c,
                      pw_pick *row, pw_target **who) {
@@ -337,10 +357,11 @@
     if (t->is_gone || strcmp(t->service, ask->service) != 0)
       continue;
     row[n] = (pw_pick){.id = t->hash,
-                       .load = t->inflight + t->others,
+                       .load = load_of(f, t, c, ask),
                        .slots = floor(t->slots * (1 - ask->reserve)),
                        .work_ms = t->work_ms,
-                       .is_usable = is_usable(f, t, c) && !was_tried(ask, t),
+                       .is_usable = is_usable(f, t, c) && !was_tried(ask, t) &&
+                                    has_connection(t, ask),
                        .is_near = !strcmp(t->zone, f->zone),
                        .is_alive = is_alive(f, t, c),
                        .is_new = is_new(f, t, c)};
@@ -348,7 +369,8 @@
     who[n++] = t;
   }
   for (int i = 0; usable == 0 && i < n; i++)
-    row[i].is_usable = is_last_resort(who[i]) && !was_tried(ask, who[i]);
+    row[i].is_usable = is_last_resort(who[i]) && !was_tried(ask, who[i]) &&
+                       has_connection(who[i], ask);
   return n;
 }
 
@@ -401,7 +423,7 @@
   t->set_aside = 0;
   t->answered_at = t->seen_at = now;
   note_error(t, 0, now);
-  if (work_ms >= 0)
+  if (work_ms > 0)
     t->work_ms += WORK_SHARE * (work_ms - t->work_ms);
 }
 
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -98,8 +98,9 @@
 /* How many are known that have not ended. */
 int pwfleet_count(const pw_fleet *f);
 
-/* The other gateways have `others` requests at the target of this short hash. */
-void pwfleet_clear_others(pw_fleet *f);
+/* The other gateways have `others` requests at the target of this short hash. What
+** they say is `age_ms` old, about, until it is said anew. */
+void pwfleet_clear_others(pw_fleet *f, int64_t age_ms);
 void pwfleet_add_others(pw_fleet *f, uint32_t short_hash, int others);
 
 /* Targets of a service that may be sent to, and all that are known of it. */
@@ -117,6 +118,7 @@
   double wait_ms; /* longest wait for a slot that pays */
   double draw;    /* uniform in [0, 1) */
   pw_pick_bound bound;
+  int conns;               /* to one target at most, those in use included */
   pw_target *const *tried; /* not these again */
   int ntried;
 } pw_fleet_ask;
@@ -130,7 +132,8 @@
 
 pw_fleet_picked pwfleet_pick(pw_fleet *f, const pw_fleet_ask *ask, int64_t now);
 
-/* A request at the target ended: it answered, or failed in some way. */
+/* A request at the target ended: it answered, after work_ms (0: not measured), or failed
+** in some way. */
 void pwfleet_answered(pw_target *t, double work_ms, int64_t now);
 void pwfleet_failed(pw_target *t, int64_t now);
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -134,6 +134,70 @@
   pwfleet_free(f);
 }
 
+/* What other gateways told a while ago says nothing of requests that take a moment: not
+** all go to the target that had the fewest then. Of long ones it does. */
+static void test_stale_loads(void) {
+  enum { TARGETS = 4, PICKS = 400 };
+  pw_random r = {.seed = test_seed(15)};
+  for (int is_sticky = 0; is_sticky < 2; is_sticky++) {
+    pw_fleet *f = pwfleet_new("az", 100000, 1000);
+    for (int i = 0; i < TARGETS; i++) {
+      char id[8], address[32];
+      snprintf(id, sizeof id, "t%d", i);
+      snprintf(address, sizeof address, "10.0.0.%d:80", i + 1);
+      pw_beat b = beat(id, address, 1, 0);
+      pwfleet_beat(f, &b, 0, 0);
+    }
+    pwfleet_clear_others(f, 240);
+    for (int i = 1; i < TARGETS; i++) {
+      char id[8];
+      snprintf(id, sizeof id, "t%d", i);
+      pwfleet_add_others(f, pwfleet_find(f, id)->short_hash, 3);
+    }
+    pw_target *fewest = pwfleet_find(f, "t0");
+    int to_fewest = 0;
+    for (int i = 0; i < PICKS; i++) {
+      pw_fleet_ask ask = {.service = "s",
+                          .wait_ms = 1000,
+                          .is_sticky = is_sticky,
+                          .key = pwrand(&r),
+                          .how = PWPICK_BY_LOAD,
+                          .draw = pwrand_unit(&r),
+                          .bound = {2, 2}};
+      pw_fleet_picked got = pwfleet_pick(f, &ask, 20);
+      to_fewest += got.target == fewest;
+      pwfleet_drop(got.target);
+    }
+    printf("sticky %d: %d of %d to the one with the fewest\n", is_sticky,
+           to_fewest, PICKS);
+    CHECK(is_sticky ? to_fewest == PICKS : to_fewest < PICKS / 2);
+    pwfleet_free(f);
+  }
+}
+
+/* A target takes so many connections from all gateways: past its part a gateway sends
+** nothing there. */
+static void test_connections(void) {
+  pw_fleet *f = pwfleet_new("az", 100000, 1000);
+  pw_beat b = beat("a", "10.0.0.1:80", 1, 0);
+  pwfleet_beat(f, &b, 0, 0);
+  pw_target *t = pwfleet_find(f, "a");
+  pw_fleet_ask ask = {
+      .service = "s", .wait_ms = 100, .bound = {2, 2}, .conns = 3};
+  t->nconns = 2;
+  pw_fleet_picked got = pwfleet_pick(f, &ask, 20);
+  CHECK(got.target == t);
+  pwfleet_drop(got.target);
+  t->nconns = 3;
+  CHECK(pwfleet_pick(f, &ask, 20).target == NULL);
+  ask.conns = 0;
+  got = pwfleet_pick(f, &ask, 20);
+  CHECK(got.target == t);
+  pwfleet_drop(got.target);
+  t->nconns = 0;
+  pwfleet_free(f);
+}
+
 /* --- picks --- */
 
 static void test_pick(void) {
@@ -425,6 +489,8 @@
   TEST(test_set_aside);
   TEST(test_errors);
   TEST(test_last_resort);
+  TEST(test_stale_loads);
+  TEST(test_connections);
   TEST(test_pick);
   TEST(test_pick_stays);
   TEST(test_retries);
