--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,7 @@
 
 MAKEFLAGS += --no-builtin-rules
 .SECONDARY:
-.PHONY: all bench-policy bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak soak-seeds rounds capacity install deb sanitized format lint help clean
+.PHONY: all bench-policy bench-overload bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak soak-seeds rounds capacity install deb sanitized format lint help clean
 
 all: $(BINS)
 
@@ -95,6 +95,10 @@
 bench-policy: $(BUILD)/bench_policy
 	$(BUILD)/bench_policy all docs/results.svg
 
+# Load curves of gateways before model engines; the same result each run.
+bench-overload: $(BUILD)/bench_overload
+	$(BUILD)/bench_overload docs/overload.svg
+
 # The path against a direct call to the stand-in engine.
 bench-path: all $(FAKES) $(RUNNER) $(BUILD)/bench_path
 	$(RUNNER) --bin $(BUILD) bench/path.lua
--- /dev/null
+++ b/bench/bench_overload.c
@@ -0,0 +1,578 @@
+/* bench_overload.c: load curves of several gateways before model engines, with the very
+** decisions of gateways (pwpick, pwwaiting) and with simpler ones.
+**
+** The engines are a model: a batch of slots whose tokens come slower the more run, a
+** prompt that is read in chunks between them, parts of prompts kept, the oldest given up
+** first. Gateways tell each other their loads every TELL_MS. Callers come back once.
+** The same output for the same seed; no clock is read. */
+#include "pwbuf.h"
+#include "pwpick.h"
+#include "pwwaiting.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#define TARGETS 18
+#define SLOTS 48
+#define QUEUE 144 /* that an engine takes beyond its slots */
+#define GATEWAYS 4
+#define TELL_MS 100
+#define WORKSPACES 10
+#define PROMPTS 100 /* shared parts of each kind */
+#define KINDS 3
+
+/* The engine: ms a token, more for each that runs; tokens of a prompt read in a ms, and
+** in one chunk; tokens of prompts that are kept. */
+#define STEP_MS 3.2
+#define STEP_SLOT_MS 0.05
+#define READ_PER_MS 112.0
+#define CHUNK 2048.0
+#define FIRST_MS 47
+#define KEPT_TOKENS 400000
+#define MOVE_MS 4 /* to take a prompt over from another engine */
+
+/* The day: calm, the burst, calm; ms. What is counted begins when the burst has
+** settled. */
+#define BURST_FROM 3000
+#define BURST_MS 14000
+#define COUNT_FROM 5000
+#define DAY_MS 24000
+#define JOBS_MAX 400000
+
+typedef struct kind {
+  const char *name;
+  double per_s, worth, late_worth;
+  int urgency, goal_ms, deadline_ms;
+  double shared, own, out; /* tokens */
+} kind;
+
+static const kind kinds[KINDS] = {
+    {"chat", 59, 2.1, 0.62, 0, 300, 10000, 700, 130, 290},
+    {"review", 42, 4.3, 1.3, 1, 600, 12000, 10500, 1300, 380},
+    {"check", 72, 0.41, 0.12, 2, 400, 2500, 2000, 360, 22},
+};
+
+typedef enum policy {
+  CHOSEN,     /* places, waiting, reserve, spread: as gateways do */
+  AT_TARGETS, /* a prompt's home while it has a slot, else the shortest queue */
+  LIMIT,      /* a free slot anywhere, else refused; nobody waits, none is preferred */
+  RANDOM,     /* the same, and refused at random the fuller the engines are */
+  ALL_KNOWING, /* as chosen, by one gateway that sees every load as it is */
+  POLICIES
+} policy;
+
+static const char *const policy_names[POLICIES] = {
+    "chosen", "queues at targets", "fixed limit", "random early refusal",
+    "all-knowing"};
+
+typedef enum job_state { IDLE, WAITS, QUEUED, RUNS, DONE } job_state;
+
+typedef struct job {
+  int kind, prompt, workspace, gateway, target;
+  job_state state;
+  int first_asked, asked, come_back_at, left_at; /* ms */
+  int tries;
+  double to_read, to_make;
+  int first_at; /* ms of its first piece; -1: none yet */
+} job;
+
+typedef struct engine {
+  job *running[SLOTS], *queue[QUEUE];
+  int nrunning, nqueue;
+  int used[KINDS][PROMPTS]; /* ms of its last use here; -1: not kept */
+} engine;
+
+typedef struct gateway {
+  pw_waiting waiting;
+  int inflight[TARGETS], others[TARGETS];
+} gateway;
+
+typedef struct figures {
+  double asked, in_goal, late, refused, failed, credit, owed, moved, read_again;
+  double kind_credit[KINDS], kind_owed[KINDS];
+  double back, twice; /* came back; refused again */
+} figures;
+
+typedef struct world {
+  policy how;
+  double load;
+  uint64_t seed, draws;
+  int now, ngateways;
+  engine engine[TARGETS];
+  gateway gateway[GATEWAYS];
+  job *job;
+  int njobs;
+  figures f;
+} world;
+
+static double draw(world *w) {
+  uint64_t in[2] = {w->seed, ++w->draws};
+  return (double)(XXH3_64bits(in, sizeof in) >> 11) / 9007199254740992.0;
+}
+
+/* --- what becomes of requests --- */
+
+static int counts(const job *j) {
+  return j->first_asked >= COUNT_FROM &&
+         j->first_asked < BURST_FROM + BURST_MS;
+}
+
+static void end_job(world *w, job *j, double credit) {
+  const kind *k = &kinds[j->kind];
+  j->state = DONE;
+  if (!counts(j))
+    return;
+  w->f.credit += credit;
+  w->f.kind_credit[j->kind] += credit / k->worth;
+}
+
+static void answered(world *w, job *j) {
+  const kind *k = &kinds[j->kind];
+  int in_goal = j->first_at - j->first_asked <= k->goal_ms;
+  if (counts(j)) {
+    w->f.in_goal += in_goal;
+    w->f.late += !in_goal;
+  }
+  end_job(w, j, in_goal ? k->worth : k->late_worth);
+}
+
+static void refused(world *w, job *j, int retry_ms) {
+  const kind *k = &kinds[j->kind];
+  int left = j->first_asked + k->deadline_ms - w->now;
+  if (j->tries < 2 && retry_ms < left) {
+    j->state = IDLE;
+    j->come_back_at = w->now + retry_ms;
+    return;
+  }
+  if (counts(j)) {
+    w->f.refused++;
+    w->f.twice += j->tries == 2;
+  }
+  end_job(w, j, 0);
+}
+
+static void failed(world *w, job *j) {
+  if (counts(j))
+    w->f.failed++;
+  end_job(w, j, 0);
+}
+
+/* --- engines --- */
+
+static int keeps(const engine *e, int kind_of, int prompt) {
+  return e->used[kind_of][prompt] >= 0;
+}
+
+static void make_room(engine *e) {
+  for (;;) {
+    double sum = 0;
+    int at_kind = 0, at_prompt = -1;
+    for (int k = 0; k < KINDS; k++)
+      for (int p = 0; p < PROMPTS; p++) {
+        if (!keeps(e, k, p))
+          continue;
+        sum += kinds[k].shared;
+        if (at_prompt < 0 || e->used[k][p] < e->used[at_kind][at_prompt]) {
+          at_kind = k;
+          at_prompt = p;
+        }
+      }
+    if (sum <= KEPT_TOKENS)
+      return;
+    e->used[at_kind][at_prompt] = -1;
+  }
+}
+
+static int is_kept_elsewhere(const world *w, const job *j) {
+  for (int i = 0; i < TARGETS; i++)
+    if (i != j->target && keeps(&w->engine[i], j->kind, j->prompt))
+      return 1;
+  return 0;
+}
+
+static void start_run(world *w, engine *e, job *j) {
+  const kind *k = &kinds[j->kind];
+  j->state = RUNS;
+  j->to_read = k->own + FIRST_MS * READ_PER_MS / 10;
+  if (!keeps(e, j->kind, j->prompt)) {
+    int moves = is_kept_elsewhere(w, j);
+    j->to_read += moves ? MOVE_MS * READ_PER_MS : k->shared;
+    w->f.moved += moves * k->shared / 1000;
+    w->f.read_again += !moves * k->shared / 1000;
+  }
+  int fresh = !keeps(e, j->kind, j->prompt);
+  e->used[j->kind][j->prompt] = w->now;
+  if (fresh)
+    make_room(e);
+  e->running[e->nrunning++] = j;
+}
+
+static void leave_target(world *w, job *j) {
+  w->gateway[j->gateway].inflight[j->target]--;
+}
+
+static void drop_queued(world *w, engine *e) {
+  int n = 0;
+  for (int i = 0; i < e->nqueue; i++) {
+    job *j = e->queue[i];
+    if (w->now < j->left_at) {
+      e->queue[n++] = j;
+      continue;
+    }
+    leave_target(w, j);
+    failed(w, j);
+  }
+  e->nqueue = n;
+}
+
+static void fill_slots(world *w, engine *e) {
+  int taken = 0;
+  while (e->nrunning < SLOTS && taken < e->nqueue)
+    start_run(w, e, e->queue[taken++]);
+  e->nqueue -= taken;
+  memmove(e->queue, e->queue + taken, sizeof(job *) * (size_t)e->nqueue);
+}
+
+/* One ms: the first that still reads does so in chunks, the others make tokens. */
+static void run_ms(world *w, engine *e) {
+  double step = STEP_MS + STEP_SLOT_MS * e->nrunning;
+  double chunk_ms = CHUNK / READ_PER_MS;
+  job *reader = NULL;
+  for (int i = 0; !reader && i < e->nrunning; i++)
+    if (e->running[i]->to_read > 0)
+      reader = e->running[i];
+  double turn = reader ? step + chunk_ms : step;
+  if (reader)
+    reader->to_read -= CHUNK / turn;
+  int n = 0;
+  for (int i = 0; i < e->nrunning; i++) {
+    job *j = e->running[i];
+    if (j->to_read <= 0) {
+      if (j->first_at < 0)
+        j->first_at = w->now;
+      j->to_make -= 1 / turn;
+    }
+    if (j->to_make > 0 && w->now < j->left_at) {
+      e->running[n++] = j;
+      continue;
+    }
+    leave_target(w, j);
+    if (j->to_make <= 0)
+      answered(w, j);
+    else
+      failed(w, j);
+  }
+  e->nrunning = n;
+}
+
+/* --- decisions --- */
+
+static uint64_t key_of(const job *j) {
+  uint64_t both[2] = {(uint64_t)j->kind + 1, (uint64_t)j->prompt};
+  return XXH3_64bits(both, sizeof both);
+}
+
+static void fill_rows(const gateway *g, double reserve, pw_pick *row) {
+  for (int i = 0; i < TARGETS; i++)
+    row[i] = (pw_pick){.id = (uint64_t)i * 2654435761u + 17,
+                       .load = g->inflight[i] + g->others[i],
+                       .slots = floor(SLOTS * (1 - reserve)),
+                       .work_ms = 50,
+                       .is_usable = 1,
+                       .is_alive = 1};
+}
+
+static int chooses_places(const world *w) {
+  return w->how == CHOSEN || w->how == ALL_KNOWING;
+}
+
+/* The target for a request, or -1. */
+static int pick(world *w, const gateway *g, const job *j, double reserve) {
+  static const pw_pick_bound bound = {1.6, 2};
+  static const pw_pick_bound boundless = {1e9, 1e9};
+  pw_pick row[TARGETS];
+  fill_rows(g, reserve, row);
+  if (chooses_places(w))
+    return pwpick_home(row, TARGETS, key_of(j), bound);
+  double wait_ms = w->how == AT_TARGETS ? 1e9 : 0;
+  int best = w->how == AT_TARGETS
+                 ? pwpick_home(row, TARGETS, key_of(j), bound)
+                 : -1;
+  return best >= 0 ? best
+                   : pwpick_least(row, TARGETS, wait_ms, draw(w), boundless);
+}
+
+static void send(world *w, gateway *g, job *j, int target) {
+  engine *e = &w->engine[target];
+  j->target = target;
+  if (e->nqueue == QUEUE) {
+    refused(w, j, 700);
+    return;
+  }
+  g->inflight[target]++;
+  j->state = QUEUED;
+  e->queue[e->nqueue++] = j;
+  pwwaiting_placed(&g->waiting, w->now);
+}
+
+static int is_late(const world *w, const job *j) {
+  return j->tries > 1 || w->now - j->first_asked > kinds[j->kind].goal_ms;
+}
+
+static int try_place(world *w, gateway *g, job *j, int in_turn) {
+  int urgency = kinds[j->kind].urgency;
+  double reserve = chooses_places(w) && !in_turn
+                       ? pwwaiting_reserve(&g->waiting, urgency, is_late(w, j))
+                       : 0;
+  int target = pick(w, g, j, reserve);
+  if (target < 0)
+    return 0;
+  send(w, g, j, target);
+  return 1;
+}
+
+static void wait_or_refuse(world *w, gateway *g, job *j) {
+  const kind *k = &kinds[j->kind];
+  char workspace[16];
+  int left = j->left_at - w->now;
+  snprintf(workspace, sizeof workspace, "w%d", j->workspace);
+  pw_waiting_ask ask = {.workspace = workspace,
+                        .urgency = k->urgency,
+                        .is_late = is_late(w, j),
+                        .goal_ms = k->goal_ms,
+                        .time_left_ms = left,
+                        .job = j};
+  pw_waiting_answer a = pwwaiting_ask(&g->waiting, &ask, w->now);
+  if (a.pushed_out)
+    refused(w, a.pushed_out, (int)pwwaiting_retry(&a, left, draw(w)));
+  if (a.may_wait) {
+    j->state = WAITS;
+    j->come_back_at = w->now + (int)a.patience_ms; /* until then */
+  } else {
+    refused(w, j, (int)pwwaiting_retry(&a, left, draw(w)));
+  }
+}
+
+static double fullness(const gateway *g) {
+  double sum = 0;
+  for (int i = 0; i < TARGETS; i++)
+    sum += g->inflight[i] + g->others[i];
+  return sum / (TARGETS * SLOTS);
+}
+
+static void ask(world *w, job *j) {
+  gateway *g = &w->gateway[j->gateway];
+  int urgency = kinds[j->kind].urgency;
+  j->tries++;
+  j->asked = w->now;
+  if (w->how == RANDOM && draw(w) < 2 * (fullness(g) - 0.5)) {
+    refused(w, j, 100 + (int)(700 * draw(w)));
+    return;
+  }
+  int is_behind = chooses_places(w) &&
+                  pwwaiting_precedes(&g->waiting, urgency, is_late(w, j));
+  int placed = !is_behind && try_place(w, g, j, 0);
+  if (chooses_places(w) && !is_late(w, j))
+    pwwaiting_found(&g->waiting, urgency, placed);
+  if (placed)
+    return;
+  if (chooses_places(w))
+    wait_or_refuse(w, g, j);
+  else
+    refused(w, j, 100 + (int)(700 * draw(w)));
+}
+
+static int give_place(world *w, gateway *g) {
+  job *j;
+  int in_turn;
+  pwwaiting_rewind(&g->waiting);
+  for (int n = 0; n < 4 && (j = pwwaiting_next(&g->waiting, &in_turn)); n++) {
+    if (!try_place(w, g, j, in_turn))
+      continue;
+    pwwaiting_took(&g->waiting, j);
+    return 1;
+  }
+  return 0;
+}
+
+/* --- time --- */
+
+static double load_at(const world *w) {
+  int in_burst = w->now >= BURST_FROM && w->now < BURST_FROM + BURST_MS;
+  return in_burst ? w->load : 1;
+}
+
+static void new_job(world *w, int kind_of) {
+  const kind *k = &kinds[kind_of];
+  if (w->njobs == JOBS_MAX)
+    abort();
+  job *j = &w->job[w->njobs++];
+  double size = exp(0.6 * (draw(w) + draw(w) + draw(w) - 1.5));
+  *j = (job){.kind = kind_of,
+             .prompt = (int)(draw(w) * PROMPTS),
+             .workspace = (int)(draw(w) * draw(w) * WORKSPACES),
+             .gateway = (int)(draw(w) * w->ngateways),
+             .first_asked = w->now,
+             .left_at = w->now + k->deadline_ms,
+             .to_make = k->out * size,
+             .first_at = -1};
+  if (counts(j)) {
+    w->f.asked++;
+    w->f.owed += k->worth;
+    w->f.kind_owed[kind_of]++;
+  }
+  ask(w, j);
+}
+
+static void arrivals(world *w) {
+  for (int k = 0; k < KINDS; k++) {
+    double due = kinds[k].per_s * load_at(w) / 1000;
+    while (due > 0) {
+      if (draw(w) < due)
+        new_job(w, k);
+      due -= 1;
+    }
+  }
+}
+
+/* Callers who come back, and those that waited long enough. */
+static void due_jobs(world *w) {
+  int oldest = w->now - 12000;
+  for (int i = w->njobs - 1; i >= 0 && w->job[i].first_asked >= oldest; i--) {
+    job *j = &w->job[i];
+    if (j->come_back_at > w->now || (j->state != IDLE && j->state != WAITS))
+      continue;
+    if (j->state == IDLE) {
+      w->f.back += counts(j);
+      ask(w, j);
+      continue;
+    }
+    pwwaiting_left(&w->gateway[j->gateway].waiting, j);
+    refused(w, j, (int)(draw(w) * (j->left_at - w->now) / 3));
+  }
+}
+
+static void tell_loads(world *w) {
+  int every = w->how == ALL_KNOWING ? 1 : TELL_MS;
+  if (w->now % every)
+    return;
+  for (int i = 0; i < TARGETS; i++) {
+    int sum = 0;
+    for (int g = 0; g < w->ngateways; g++)
+      sum += w->gateway[g].inflight[i];
+    for (int g = 0; g < w->ngateways; g++)
+      w->gateway[g].others[i] = sum - w->gateway[g].inflight[i];
+  }
+}
+
+static void play_ms(world *w) {
+  tell_loads(w);
+  arrivals(w);
+  due_jobs(w);
+  for (int i = 0; i < TARGETS; i++) {
+    drop_queued(w, &w->engine[i]);
+    fill_slots(w, &w->engine[i]);
+    run_ms(w, &w->engine[i]);
+  }
+  for (int g = 0; chooses_places(w) && g < w->ngateways; g++)
+    while (give_place(w, &w->gateway[g]))
+      ;
+}
+
+static figures play(policy how, double load, uint64_t seed) {
+  world *w = pw_alloc(sizeof *w);
+  w->job = pw_alloc(sizeof *w->job * JOBS_MAX);
+  w->how = how;
+  w->load = load;
+  w->seed = seed;
+  w->ngateways = how == ALL_KNOWING ? 1 : GATEWAYS;
+  memset(&w->engine, 0, sizeof w->engine);
+  for (int i = 0; i < TARGETS; i++)
+    memset(w->engine[i].used, 0xff, sizeof w->engine[i].used);
+  for (int g = 0; g < GATEWAYS; g++)
+    pwwaiting_init(&w->gateway[g].waiting, 0);
+  for (w->now = 0; w->now < DAY_MS; w->now++)
+    play_ms(w);
+  figures f = w->f;
+  for (int g = 0; g < GATEWAYS; g++)
+    pwwaiting_free(&w->gateway[g].waiting);
+  free(w->job);
+  free(w);
+  return f;
+}
+
+/* --- output --- */
+
+#define LOADS 7
+#define SEEDS 3
+static const double loads[LOADS] = {1, 2, 3, 4, 6, 8, 10};
+
+static void add(figures *to, const figures *f) {
+  double *a = (double *)to;
+  const double *b = (const double *)f;
+  for (size_t i = 0; i < sizeof *to / sizeof *a; i++)
+    a[i] += b[i] / SEEDS;
+}
+
+static void print_row(policy how, double load, const figures *f) {
+  double s = (BURST_FROM + BURST_MS - COUNT_FROM) / 1000.0;
+  printf("| %s | %.0f | %.0f | %.0f | %.0f | %.0f | %.0f | %.2f |",
+         policy_names[how], load, f->asked / s, f->in_goal / s, f->late / s,
+         f->refused / s, f->failed / s, f->credit / f->owed);
+  for (int k = 0; k < KINDS; k++)
+    printf(" %.2f", f->kind_credit[k] / f->kind_owed[k]);
+  printf(" | %.0f | %.0f |\n", f->moved, f->read_again);
+}
+
+static void plot(const char *path, double credit[POLICIES][LOADS]) {
+  static const char *const colours[POLICIES] = {"#1b6", "#c33", "#c90", "#999",
+                                                "#36c"};
+  FILE *f = fopen(path, "w");
+  if (!f) {
+    fprintf(stderr, "%s: cannot be written\n", path);
+    exit(1);
+  }
+  fprintf(f, "<svg xmlns='http://www.w3.org/2000/svg' width='640' height='340' "
+             "font-family='sans-serif' font-size='12'>\n"
+             "<text x='20' y='20'>credit earned a second, by times the usual "
+             "load</text>\n");
+  for (int p = 0; p < POLICIES; p++) {
+    fprintf(f, "<polyline fill='none' stroke='%s' stroke-width='2' points='",
+            colours[p]);
+    for (int i = 0; i < LOADS; i++)
+      fprintf(f, "%.0f,%.0f ", 40 + loads[i] * 42, 310 - credit[p][i] / 4);
+    fprintf(f, "'/>\n<text x='480' y='%d' fill='%s'>%s</text>\n", 60 + 20 * p,
+            colours[p], policy_names[p]);
+  }
+  for (int i = 0; i < LOADS; i++)
+    fprintf(f, "<text x='%.0f' y='330'>%.0f</text>\n", 36 + loads[i] * 42,
+            loads[i]);
+  fprintf(f, "</svg>\n");
+  fclose(f);
+}
+
+int main(int argc, char **argv) {
+  double credit[POLICIES][LOADS];
+  uint64_t seed = 1;
+  printf("seeds %llu to %llu\n\n", (unsigned long long)seed,
+         (unsigned long long)seed + SEEDS - 1);
+  printf("| policy | load | asked/s | in goal/s | late/s | refused/s | failed/s "
+         "| credit | by kind | moved, k tokens | read again, k tokens |\n"
+         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+  for (int p = 0; p < POLICIES; p++)
+    for (int i = 0; i < LOADS; i++) {
+      figures mean = {0};
+      for (uint64_t s = seed; s < seed + SEEDS; s++) {
+        figures f = play((policy)p, loads[i], s);
+        add(&mean, &f);
+      }
+      print_row((policy)p, loads[i], &mean);
+      credit[p][i] = mean.credit * 1000 / (BURST_FROM + BURST_MS - COUNT_FROM);
+    }
+  if (argc > 1)
+    plot(argv[1], credit);
+  return 0;
+}
