A target is found again after a late heartbeat named its address

Cause: the users' news: a heartbeat that a cut delayed may come after its sender crashed and a new incarnation registered at the same address. Where the crashed one is not known (control started anew, or was cut off from it) it was taken for the newest start there, and the one that stands there was gone for good, as "gone is gone": no request reached it any more. Ruled out: where the crashed one is known, it stays gone (test_fleet holds that). Change: a target that is gone only because another named its address is displaced; it is back when it goes on saying so for half a heartbeat at least (some that were held up come all at once), by heartbeats or renewals; gateways believe control at once. Of two in one table the one heard later stands there. Control does not tell that a displaced one is gone.

--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -58,8 +58,8 @@
 typedef enum policy {
   CHOSEN,     /* places, waiting, reserve, spread: as gateways do */
   AT_TARGETS, /* a prompt's home while it has a slot, else the shortest queue */
-  LIMIT,      /* a free slot anywhere, else refused; nobody waits, none is preferred */
-  RANDOM,     /* the same, and refused at random the fuller the engines are */
+  LIMIT, /* a free slot anywhere, else refused; nobody waits, none is preferred */
+  RANDOM,      /* the same, and refused at random the fuller the engines are */
   ALL_KNOWING, /* as chosen, by one gateway that sees every load as it is */
   POLICIES
 } policy;
@@ -116,8 +116,7 @@
 /* --- what becomes of requests --- */
 
 static int counts(const job *j) {
-  return j->first_asked >= COUNT_FROM &&
-         j->first_asked < BURST_FROM + BURST_MS;
+  return j->first_asked >= COUNT_FROM && j->first_asked < BURST_FROM + BURST_MS;
 }
 
 static void end_job(world *w, job *j, double credit) {
@@ -298,9 +297,8 @@
   if (chooses_places(w))
     return pwpick_home(row, TARGETS, key_of(j), bound);
   double wait_ms = w->how == AT_TARGETS ? 1e9 : 0;
-  int best = w->how == AT_TARGETS
-                 ? pwpick_home(row, TARGETS, key_of(j), bound)
-                 : -1;
+  int best =
+      w->how == AT_TARGETS ? pwpick_home(row, TARGETS, key_of(j), bound) : -1;
   return best >= 0 ? best
                    : pwpick_least(row, TARGETS, wait_ms, draw(w), boundless);
 }
@@ -559,9 +557,10 @@
   uint64_t seed = 1;
   printf("seeds %llu to %llu\n\n", (unsigned long long)seed,
          (unsigned long long)seed + SEEDS - 1);
-  printf("| policy | load | asked/s | in goal/s | late/s | refused/s | failed/s "
-         "| credit | by kind | moved, k tokens | read again, k tokens |\n"
-         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
+  printf(
+      "| policy | load | asked/s | in goal/s | late/s | refused/s | failed/s "
+      "| credit | by kind | moved, k tokens | read again, k tokens |\n"
+      "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n");
   for (int p = 0; p < POLICIES; p++)
     for (int i = 0; i < LOADS; i++) {
       figures mean = {0};
--- a/packages/daemon/pwtable.c
+++ b/packages/daemon/pwtable.c
@@ -164,8 +164,8 @@
   for (pw_target *one = pwfleet_first(f); one; one = one->hh.next, i++) {
     Pw__Beat packed;
     pwfleet_beat_of(one, now, &beat[i]);
-    pwtable_pack(&packed, &beat[i], one->is_gone, one->is_silent,
-                 now - one->heard_at);
+    pwtable_pack(&packed, &beat[i], one->is_gone && !one->is_displaced,
+                 one->is_silent, now - one->heard_at);
     put_row(&t, i, &packed);
   }
   compress(&t, out);
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -311,6 +311,7 @@
   g.stages = pwstage_new();
   g.fleet = pwfleet_new(p->set->availability_zone, p->set->gateway_beat,
                         (int64_t)(p->set->gateway_keep * MS_PER_S));
+  pwfleet_believe(g.fleet);
   g.where = pwwhere_new();
   g.gossip = pwgossip_new(&g, err);
   g.link = g.gossip ? pwlink_new(&g, err) : NULL;
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -51,6 +51,7 @@
   int64_t keep_ms;
   uint64_t turn;
   int64_t others_age_ms;
+  int is_told; /* by control instances, which have judged what they hear */
   pw_target *by_id;
 };
 
@@ -62,6 +63,10 @@
   return f;
 }
 
+void pwfleet_believe(pw_fleet *f) {
+  f->is_told = 1;
+}
+
 pw_target *pwfleet_hold(pw_target *t) {
   t->refs++;
   return t;
@@ -129,12 +134,33 @@
   t->cold_until = heard_at + b->cold_ms;
 }
 
-/* An address is one target's: who had it before has ended. */
-static void take_address(pw_fleet *f, const pw_target *owner) {
+static void displace(pw_target *t) {
+  t->is_gone = t->is_displaced = 1;
+  t->claimed_at = 0;
+}
+
+/* An address is one target's: who was heard there before has ended. */
+static void take_address(pw_fleet *f, pw_target *owner) {
   for (pw_target *t = f->by_id; t; t = t->hh.next)
-    if (t != owner && !t->is_gone && !strcmp(t->address, owner->address) &&
-        t->heard_at <= owner->heard_at)
-      t->is_gone = 1;
+    if (t != owner && !t->is_gone && !strcmp(t->address, owner->address))
+      displace(t->heard_at <= owner->heard_at ? t : owner);
+}
+
+/* Whether a displaced target is there all the same: what displaced it was a heartbeat of
+** an earlier start at its address that came late. It goes on saying so, while of one that
+** has crashed some more may come, all at once. */
+static int is_there_yet(const pw_fleet *f, pw_target *t, uint64_t seq,
+                        int64_t heard_at) {
+  if (!t->is_displaced || seq <= t->seq)
+    return 0;
+  t->seq = seq;
+  if (f->is_told)
+    return 1;
+  if (t->claimed_at && heard_at - t->claimed_at >= f->beat_ms / 2)
+    return 1;
+  if (!t->claimed_at)
+    t->claimed_at = heard_at;
+  return 0;
 }
 
 pw_fleet_news pwfleet_beat(pw_fleet *f, const pw_beat *b, int gone,
@@ -148,19 +174,22 @@
     t = add(f, b, heard_at);
   if (heard_at > t->heard_at)
     t->heard_at = heard_at;
-  if (t->is_gone)
-    return PWFLEET_OLD;
   if (gone) {
+    int was_known = t->is_gone && !t->is_displaced;
     t->is_gone = 1;
-    return PWFLEET_GONE;
+    t->is_displaced = 0;
+    return was_known ? PWFLEET_OLD : PWFLEET_GONE;
   }
-  if (!is_new && b->seq <= t->seq)
+  int is_back = t->is_gone && is_there_yet(f, t, b->seq, heard_at);
+  if (t->is_gone && !is_back)
+    return PWFLEET_OLD;
+  if (!is_new && !is_back && b->seq <= t->seq)
     return PWFLEET_OLD;
   t->seq = b->seq;
-  int was_silent = t->is_silent;
-  t->is_silent = 0;
+  int was_silent = t->is_silent || is_back;
+  t->is_silent = t->is_gone = t->is_displaced = 0;
   write_down(t, b, heard_at);
-  if (is_new)
+  if (is_new || is_back)
     take_address(f, t);
   int was_leaving = t->is_leaving;
   t->is_leaving = b->leaving;
@@ -174,13 +203,16 @@
 pw_fleet_news pwfleet_renew(pw_fleet *f, const char *id, uint64_t seq,
                             int64_t heard_at) {
   pw_target *t = pwfleet_find(f, id);
-  if (!t || t->is_gone || seq <= t->seq)
+  int is_back = t && is_there_yet(f, t, seq, heard_at);
+  if (!t || (t->is_gone && !is_back) || (!is_back && seq <= t->seq))
     return PWFLEET_OLD;
   t->seq = seq;
   if (heard_at > t->heard_at)
     t->heard_at = heard_at;
-  int was_silent = t->is_silent;
-  t->is_silent = 0;
+  int was_silent = t->is_silent || is_back;
+  t->is_silent = t->is_gone = t->is_displaced = 0;
+  if (is_back)
+    take_address(f, t);
   return was_silent ? PWFLEET_BACK : PWFLEET_RENEWED;
 }
 
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -23,7 +23,9 @@
   int slots;
   int is_leaving;
   int is_gone;
-  int is_silent; /* it has missed its heartbeats */
+  int is_displaced;   /* it is gone only because another named its address */
+  int64_t claimed_at; /* when it named the address since then; 0: it has not */
+  int is_silent;      /* it has missed its heartbeats */
   uint64_t seq;
   int64_t heard_at;   /* its newest heartbeat, ms */
   int64_t joined_at;  /* when it started, about, ms */
@@ -53,6 +55,10 @@
 pw_fleet *pwfleet_new(const char *zone, int64_t beat_ms, int64_t keep_ms);
 void pwfleet_free(pw_fleet *f);
 
+/* What comes is told by control instances, which have judged what they hear: it is
+** believed at once. */
+void pwfleet_believe(pw_fleet *f);
+
 /* What a heartbeat changed. */
 typedef enum pw_fleet_news {
   PWFLEET_OLD, /* nothing: known already */
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -134,6 +134,58 @@
   pwfleet_free(f);
 }
 
+/* A heartbeat that was under way for long, of a target that has crashed meanwhile, comes
+** where that target is not known: the one that stands at its address now is found again
+** by its own next heartbeats, and one such heartbeat alone brings nothing back. */
+static void test_late_heartbeat(void) {
+  pw_fleet *f = pwfleet_new("az", 1000, 1000);
+  pw_beat b = beat("new", "10.0.0.1:80", 1, 0);
+  CHECK(pwfleet_beat(f, &b, 0, 1000) == PWFLEET_JOINED);
+  b = beat("crashed", "10.0.0.1:80", 40, 0);
+  CHECK(pwfleet_beat(f, &b, 0, 1100) == PWFLEET_JOINED);
+  b = beat("new", "10.0.0.1:80", 2, 0);
+  pwfleet_beat(f, &b, 0, 2000);
+  b = beat("new", "10.0.0.1:80", 3, 0);
+  pwfleet_beat(f, &b, 0, 2010); /* at once after it: that says no more */
+  CHECK(pwfleet_find(f, "new")->is_gone);
+  b = beat("new", "10.0.0.1:80", 4, 0);
+  CHECK(pwfleet_beat(f, &b, 0, 3000) == PWFLEET_BACK);
+  CHECK(!pwfleet_find(f, "new")->is_gone);
+  CHECK(pwfleet_find(f, "crashed")->is_gone);
+  CHECK(pwfleet_usable(f, "s", 3000) == 1);
+  b = beat("crashed", "10.0.0.1:80", 41, 0); /* one more that was held up */
+  CHECK(pwfleet_beat(f, &b, 0, 3100) == PWFLEET_OLD);
+  CHECK(!pwfleet_find(f, "new")->is_gone);
+  /* the same by renewals, as control instances tell each other */
+  b = beat("late", "10.0.0.1:80", 9, 0);
+  CHECK(pwfleet_beat(f, &b, 0, 3200) == PWFLEET_JOINED);
+  CHECK(pwfleet_renew(f, "new", 5, 4000) == PWFLEET_OLD);
+  CHECK(pwfleet_renew(f, "new", 6, 5000) == PWFLEET_BACK);
+  CHECK(pwfleet_find(f, "late")->is_gone && pwfleet_usable(f, "s", 5000) == 1);
+  /* a gateway believes what control has judged */
+  pw_fleet *told = pwfleet_new("az", 1000, 1000);
+  pwfleet_believe(told);
+  b = beat("new", "10.0.0.1:80", 1, 0);
+  pwfleet_beat(told, &b, 0, 1000);
+  b = beat("crashed", "10.0.0.1:80", 40, 0);
+  pwfleet_beat(told, &b, 0, 1100);
+  b = beat("new", "10.0.0.1:80", 4, 0);
+  CHECK(pwfleet_beat(told, &b, 0, 3000) == PWFLEET_BACK);
+  CHECK(pwfleet_usable(told, "s", 3000) == 1);
+  pwfleet_free(told);
+  /* told of by a table: the one that was heard later stands there */
+  b = beat("older", "10.0.0.1:80", 7, 0);
+  pwfleet_beat(f, &b, 0, 500);
+  CHECK(pwfleet_find(f, "older")->is_gone && pwfleet_usable(f, "s", 5000) == 1);
+  /* who has said goodbye stays gone */
+  pwfleet_beat(f, &b, 1, 3200);
+  for (int i = 0; i < 5; i++) {
+    b = beat("older", "10.0.0.1:80", 10 + (uint64_t)i, 0);
+    CHECK(pwfleet_beat(f, &b, 0, 4000 + 1000 * i) == PWFLEET_OLD);
+  }
+  pwfleet_free(f);
+}
+
 /* What other gateways told a while ago says nothing of requests that take a moment: not
 ** all go to the target that had the fewest then. Of long ones it does. */
 static void test_stale_loads(void) {
@@ -489,6 +541,7 @@
   TEST(test_set_aside);
   TEST(test_errors);
   TEST(test_last_resort);
+  TEST(test_late_heartbeat);
   TEST(test_stale_loads);
   TEST(test_connections);
   TEST(test_pick);
