--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -111,7 +111,7 @@
 typedef struct engine {
   event_log *events; /* P_EVENTS */
   uint64_t id;
-  uint32_t zone;
+  uint32_t availability_zone;
   int up;
   int64_t back_at;
   cached *cache;
@@ -401,7 +401,7 @@
     *out =
         (pw_route_target){.id = id,
                           .usable = e->up,
-                          .zone = e->zone,
+                          .availability_zone = e->availability_zone,
                           .load = pwreport_low(&e->report[w->entry], w->now) +
                                   e->pending[w->entry],
                           .limit = w->limit};
@@ -491,12 +491,12 @@
 static void place_peatwell(world *w, job *j) {
   char name[24];
   chat_name(j->chat, name);
-  j->walk =
-      (pw_route_walk){.key = pwplace_key("m", name),
-                      .draw = random_bits(w),
-                      .zone = 1 + (uint32_t)(j->entry % w->w.zones),
-                      .cost = PWBOUND_PROMPT_WEIGHT * j->prompt + j->output,
-                      .returning = w->chats[j->chat].turns > 0};
+  j->walk = (pw_route_walk){
+      .key = pwplace_key("m", name),
+      .draw = random_bits(w),
+      .availability_zone = 1 + (uint32_t)(j->entry % w->w.zones),
+      .cost = PWBOUND_PROMPT_WEIGHT * j->prompt + j->output,
+      .returning = w->chats[j->chat].turns > 0};
   pw_route_pool pool = {w->place, w->ids, w->n, w, get_route};
   w->entry = j->entry;
   for (int hops = 0; hops <= PW_HOPS_MAX; hops++) {
@@ -768,7 +768,7 @@
   for (int i = 0; i < w->n; i++) {
     engine *e = &w->e[i];
     e->id = ((uint64_t)i << 32) | (0x1234567 + (uint32_t)i * 7919U);
-    e->zone = 1 + (uint32_t)(i % w->w.zones);
+    e->availability_zone = 1 + (uint32_t)(i % w->w.zones);
     e->up = 1;
     pwcache_init(&e->known);
     pwmove_init(&e->move, w->p == P_MOVES || w->p == P_EVENTS);
--- a/packages/consensus/pwmember.c
+++ b/packages/consensus/pwmember.c
@@ -5,7 +5,7 @@
 #define PW_MUTATION 0
 #endif
 enum {
-  MUT_KEEP_SILENT = 18, /* a lost machine keeps its place */
+  MUT_KEEP_SILENT = 18, /* a lost instance keeps its place */
   MUT_CROWD = 19        /* learners vote whatever the group's size */
 };
 
--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -32,7 +32,7 @@
 #define GATHER_MS 30
 #define GATHER_MS_A_WATCHER 2
 
-/* Tables of all targets take this share of the machine's link at most. */
+/* Tables of all targets take this share of the instance's link at most. */
 #define TABLES_SHARE 0.5
 #define TABLE_MS 300 /* a table is told so long before it is made anew */
 #define BITS_PER_BYTE 8
--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -167,7 +167,7 @@
     STR("control", "data_dir", control_data_dir, NULL, NULL, "control",
         "folder of the log and snapshots"),
     REAL("control", "link_mbps", control_link, 0, 1000000, 0, "Mbit/s",
-         "link of the machine; tables of all targets take half of it at most; "
+         "link of the instance; tables of all targets take half of it at most; "
          "0: they take what they need"),
     FILEKEY("control", "operators_file", control_operators_file,
             "hashes of operators' bearer keys; unset: no key is asked for"),
--- a/packages/daemon/pwfeed.c
+++ b/packages/daemon/pwfeed.c
@@ -144,7 +144,8 @@
   }
   c->peer = *from;
   pw_copy(c->role, sizeof c->role, h->role);
-  pw_copy(c->zone, sizeof c->zone, h->availability_zone);
+  pw_copy(c->availability_zone, sizeof c->availability_zone,
+          h->availability_zone);
   pw_copy(c->http, sizeof c->http, h->http);
   pw_copy(c->behind, sizeof c->behind, h->behind);
   pw_copy(c->target, sizeof c->target, h->load ? h->load->target : "");
@@ -191,12 +192,13 @@
   json_t *list = json_array();
   for (const pw_child *c = f->children; c; c = c->next)
     json_array_append_new(
-        list, json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:I,s:b}", "name",
-                        c->name, "role", c->role, "availability_zone", c->zone,
-                        "http", c->http, "revision", (json_int_t)c->revision,
-                        "below_revision", (json_int_t)c->below_revision,
-                        "below", (int)c->below, "silent_ms",
-                        (json_int_t)(now - c->heard), "stopping", c->stopping));
+        list,
+        json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:i,s:I,s:b}", "name", c->name,
+                  "role", c->role, "availability_zone", c->availability_zone,
+                  "http", c->http, "revision", (json_int_t)c->revision,
+                  "below_revision", (json_int_t)c->below_revision, "below",
+                  (int)c->below, "silent_ms", (json_int_t)(now - c->heard),
+                  "stopping", c->stopping));
   return list;
 }
 
--- a/packages/daemon/pwfeed.h
+++ b/packages/daemon/pwfeed.h
@@ -14,7 +14,7 @@
   pw_peer peer;
   char name[PW_NAME_MAX];
   char role[16];
-  char zone[PW_NAME_MAX];
+  char availability_zone[PW_NAME_MAX];
   char http[PW_NAME_MAX];
   char target[PW_NAME_MAX]; /* that an agent stands before */
   char behind[PW_NAME_MAX]; /* who below it has the lowest revision */
--- a/packages/daemon/pwtable.c
+++ b/packages/daemon/pwtable.c
@@ -18,7 +18,7 @@
   out->target = (char *)b->id;
   out->service = (char *)b->service;
   out->address = (char *)b->address;
-  out->availability_zone = (char *)b->zone;
+  out->availability_zone = (char *)b->availability_zone;
   out->version = (char *)b->version;
   out->slots = (uint32_t)b->slots;
   out->leaving = b->leaving;
@@ -37,7 +37,8 @@
   pw_copy(out->id, sizeof out->id, in->target);
   pw_copy(out->service, sizeof out->service, in->service);
   pw_copy(out->address, sizeof out->address, in->address);
-  pw_copy(out->zone, sizeof out->zone, in->availability_zone);
+  pw_copy(out->availability_zone, sizeof out->availability_zone,
+          in->availability_zone);
   pw_copy(out->version, sizeof out->version, in->version);
 }
 
--- a/packages/entry/pwflight.c
+++ b/packages/entry/pwflight.c
@@ -101,7 +101,7 @@
   f->since = now;
   f->checked = now;
   f->walk.key = pwplace_key(c->model, c->chat[0] ? c->chat : c->request);
-  f->walk.zone = pwtargets_zone(fs->p->set->availability_zone);
+  f->walk.availability_zone = pwtargets_zone(fs->p->set->availability_zone);
   f->walk.cost = PWBOUND_PROMPT_WEIGHT * c->prompt_tokens + c->output_tokens;
   f->walk.returning = c->returning && !c->is_service && c->chat[0] &&
                       c->prompt_tokens >= policy->min_prefix_tokens;
--- a/packages/entry/pwtargets.c
+++ b/packages/entry/pwtargets.c
@@ -146,7 +146,8 @@
   }
   const json_t *weight = json_object_get(spec, "weight");
   one->weight = weight ? (uint32_t)json_number_value(weight) : 1;
-  one->zone = pwtargets_zone(pwjson_text(spec, "availability_zone"));
+  one->availability_zone =
+      pwtargets_zone(pwjson_text(spec, "availability_zone"));
   int drain = json_is_true(json_object_get(spec, "drain"));
   if (one->drain && !drain)
     one->leaving = 0; /* as reported before; its agent knows better */
@@ -454,7 +455,7 @@
                            .aside = is_aside(one, draw, t->pick.now),
                            .joining = pwbreak_is_joining(&one->breaker) &&
                                       !is_silent(one, t->pick.now),
-                           .zone = one->zone,
+                           .availability_zone = one->availability_zone,
                            .load = pwreport_low(&one->report, t->pick.now) +
                                    one->pending,
                            .limit = t->pick.limit};
--- a/packages/entry/pwtargets.h
+++ b/packages/entry/pwtargets.h
@@ -20,7 +20,7 @@
   uint64_t id;
   char name[PW_NAME_MAX];
   char agent[96];
-  uint32_t zone;
+  uint32_t availability_zone;
   uint32_t weight;
   int drain;  /* by the resource */
   int marked; /* still in the resources, while they are read */
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -184,7 +184,7 @@
     pwexi_refuse(x, PW_E_KEY, "", 0);
     return -1;
   }
-  x->service = pwsite_backend(x->site, x->route, pwgate_draw(g));
+  x->service = pwsite_draw_service(x->site, x->route, pwgate_draw(g));
   return 0;
 }
 
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -46,7 +46,7 @@
 #define GENERATION_BEATS 4
 
 struct pw_fleet {
-  char *zone;
+  char *availability_zone;
   int64_t beat_ms;
   int64_t keep_ms;
   uint64_t turn;
@@ -55,9 +55,10 @@
   pw_target *by_id;
 };
 
-pw_fleet *pwfleet_new(const char *zone, int64_t beat_ms, int64_t keep_ms) {
+pw_fleet *pwfleet_new(const char *availability_zone, int64_t beat_ms,
+                      int64_t keep_ms) {
   pw_fleet *f = pw_alloc(sizeof *f);
-  f->zone = pw_dup(zone);
+  f->availability_zone = pw_dup(availability_zone);
   f->beat_ms = beat_ms;
   f->keep_ms = keep_ms;
   return f;
@@ -89,7 +90,7 @@
   HASH_ITER(hh, f->by_id, t, tmp) {
     remove_target(f, t);
   }
-  free(f->zone);
+  free(f->availability_zone);
   free(f);
 }
 
@@ -127,7 +128,8 @@
 
 static void write_down(pw_target *t, const pw_beat *b, int64_t heard_at) {
   pw_copy(t->service, sizeof t->service, b->service);
-  pw_copy(t->zone, sizeof t->zone, b->zone);
+  pw_copy(t->availability_zone, sizeof t->availability_zone,
+          b->availability_zone);
   pw_copy(t->address, sizeof t->address, b->address);
   pwtcp_address(b->address, &t->addr);
   t->slots = b->slots > 0 ? b->slots : SLOTS_DEFAULT;
@@ -243,7 +245,8 @@
   pw_copy(out->id, sizeof out->id, t->id);
   pw_copy(out->service, sizeof out->service, t->service);
   pw_copy(out->address, sizeof out->address, t->address);
-  pw_copy(out->zone, sizeof out->zone, t->zone);
+  pw_copy(out->availability_zone, sizeof out->availability_zone,
+          t->availability_zone);
 }
 
 void pwfleet_forget(pw_target *t, int64_t now) {
@@ -394,7 +397,8 @@
                        .work_ms = t->work_ms,
                        .is_usable = is_usable(f, t, c) && !was_tried(ask, t) &&
                                     has_connection(t, ask),
-                       .is_near = !strcmp(t->zone, f->zone),
+                       .is_near =
+                           !strcmp(t->availability_zone, f->availability_zone),
                        .is_alive = is_alive(f, t, c),
                        .is_new = is_new(f, t, c)};
     usable += row[n].is_usable;
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -15,7 +15,7 @@
 typedef struct pw_target {
   char id[PW_NAME_MAX];
   char service[PW_NAME_MAX];
-  char zone[PW_NAME_MAX];
+  char availability_zone[PW_NAME_MAX];
   char address[PW_NAME_MAX];
   struct sockaddr_in addr;
   uint64_t hash;
@@ -52,7 +52,8 @@
 
 /* `beat_ms`: how often a target says that it is there; `keep_ms`: how long what
 ** a prompt has left in a target's memory is worth going back to. */
-pw_fleet *pwfleet_new(const char *zone, int64_t beat_ms, int64_t keep_ms);
+pw_fleet *pwfleet_new(const char *availability_zone, int64_t beat_ms,
+                      int64_t keep_ms);
 void pwfleet_free(pw_fleet *f);
 
 /* What comes is told by control instances, which have judged what they hear: it is
--- a/packages/policy/pwroute.c
+++ b/packages/policy/pwroute.c
@@ -72,7 +72,8 @@
 }
 
 static double apparent(const pw_route_target *t, const pw_route_walk *w) {
-  return t->zone == w->zone ? t->load * ZONE_GAIN : t->load;
+  return t->availability_zone == w->availability_zone ? t->load * ZONE_GAIN
+                                                      : t->load;
 }
 
 /* The least loaded of a few drawn that fit, or 0. */
--- a/packages/policy/pwroute.h
+++ b/packages/policy/pwroute.h
@@ -10,13 +10,14 @@
 /* What the entry believes of one target. */
 typedef struct pw_route_target {
   uint64_t id;
-  int usable;    /* may take work */
-  int aside;     /* only when nobody else is left: breaker open, or silent */
-  int joining;   /* aside for nothing but its slow start: a prefix cached there
+  int usable;  /* may take work */
+  int aside;   /* only when nobody else is left: breaker open, or silent */
+  int joining; /* aside for nothing but its slow start: a prefix cached there
                     may be asked for all the same */
-  uint32_t zone; /* availability zone, as a number of the caller's choosing */
-  double load;   /* tokens in progress, as last reported plus own since */
-  double limit;  /* load it may carry, as far as the entry knows */
+  uint32_t
+      availability_zone; /* availability zone, as a number of the caller's choosing */
+  double load;  /* tokens in progress, as last reported plus own since */
+  double limit; /* load it may carry, as far as the entry knows */
 } pw_route_target;
 
 /* Targets of one pool. Only those looked at are asked for, so that a pick's
@@ -29,12 +30,12 @@
   int (*get)(void *arg, uint64_t id, pw_route_target *out); /* 0: gone */
 } pw_route_pool;
 
-/* One request's way so far. Starts zeroed but for key, draw, zone, cost,
+/* One request's way so far. Starts zeroed but for key, draw, availability_zone, cost,
 ** returning. */
 typedef struct pw_route_walk {
   uint64_t key;
   uint64_t draw; /* random bits, fixed for the request */
-  uint32_t zone;
+  uint32_t availability_zone;
   double cost;
   int returning;    /* a cached prefix is worth a hop */
   uint64_t pointer; /* target said to hold the prefix; 0: none */
--- a/packages/site/pwdialect.h
+++ b/packages/site/pwdialect.h
@@ -59,9 +59,9 @@
 typedef struct pw_beat {
   char id[PW_NAME_MAX];
   char service[PW_NAME_MAX];
-  char address[PW_NAME_MAX]; /* IP:PORT */
-  char zone[PW_NAME_MAX];    /* availability zone */
-  char version[PW_NAME_MAX]; /* of its software */
+  char address[PW_NAME_MAX];           /* IP:PORT */
+  char availability_zone[PW_NAME_MAX]; /* availability zone */
+  char version[PW_NAME_MAX];           /* of its software */
   int slots;
   int leaving;
   int64_t cold_ms; /* how much longer it is slow from its start */
--- a/packages/site/pwsite.c
+++ b/packages/site/pwsite.c
@@ -75,15 +75,15 @@
     return "the time-out must be above 0";
   if (r->attempts < 1)
     return "attempts must be above 0";
-  if (r->nbackends == 0)
+  if (r->nweighted == 0)
     return "a service is needed";
   if (!isfinite(r->weight) || r->weight <= 0)
     return "the weights must sum to more than 0";
-  for (int i = 0; i < r->nbackends; i++)
-    if (r->backend[i].service < 0 || r->backend[i].service >= p->nservices)
+  for (int i = 0; i < r->nweighted; i++)
+    if (r->weighted[i].service < 0 || r->weighted[i].service >= p->nservices)
       return "it names an unknown service";
-  for (int i = 0; i < r->nbackends; i++)
-    if (!(r->backend[i].weight >= 0))
+  for (int i = 0; i < r->nweighted; i++)
+    if (!(r->weighted[i].weight >= 0))
       return "a weight is below 0";
   return NULL;
 }
@@ -313,17 +313,17 @@
   return -1;
 }
 
-const pw_site_service *pwsite_backend(const pw_site *s, const pw_site_route *r,
-                                      double draw) {
+const pw_site_service *
+pwsite_draw_service(const pw_site *s, const pw_site_route *r, double draw) {
   double at = draw * r->weight;
   int last = 0;
-  for (int i = 0; i < r->nbackends; i++) {
-    if (r->backend[i].weight <= 0)
+  for (int i = 0; i < r->nweighted; i++) {
+    if (r->weighted[i].weight <= 0)
       continue;
     last = i;
-    if (at < r->backend[i].weight)
+    if (at < r->weighted[i].weight)
       break;
-    at -= r->backend[i].weight;
+    at -= r->weighted[i].weight;
   }
-  return pwsite_service(s, r->backend[last].service);
+  return pwsite_service(s, r->weighted[last].service);
 }
--- a/packages/site/pwsite.h
+++ b/packages/site/pwsite.h
@@ -28,12 +28,12 @@
   int events_a_piece; /* tokens that one event of a stream holds */
 } pw_site_service;
 
-typedef struct pw_site_backend {
+typedef struct pw_site_weighted {
   int service; /* index in services */
   double weight;
-} pw_site_backend;
+} pw_site_weighted;
 
-#define PWSITE_BACKENDS 8 /* of one route */
+#define PWSITE_WEIGHTED 8 /* of one route */
 
 /* Which text something was read from: a hash of it. All 0: not known. */
 typedef struct pw_site_source {
@@ -54,9 +54,9 @@
   int64_t timeout_ms;
   int64_t goal_ms;  /* until the first piece, for full worth */
   int64_t pause_ms; /* between pieces, for full worth */
-  pw_site_backend backend[PWSITE_BACKENDS];
-  int nbackends;
-  double weight; /* of all backends */
+  pw_site_weighted weighted[PWSITE_WEIGHTED];
+  int nweighted;
+  double weight; /* of all of them */
 } pw_site_route;
 
 typedef struct pw_site_workspace {
@@ -135,7 +135,7 @@
 int pwsite_service_index(const pw_site *s, const char *name);
 
 /* The service that serves one request; `draw` is uniform in [0, 1). */
-const pw_site_service *pwsite_backend(const pw_site *s, const pw_site_route *r,
-                                      double draw);
+const pw_site_service *pwsite_draw_service(const pw_site *s,
+                                           const pw_site_route *r, double draw);
 
 #endif
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -65,7 +65,7 @@
 static struct {
   struct ev_loop *ev;
   pw_tcp_loop tcp;
-  const char *address, *service, *zone, *id;
+  const char *address, *service, *availability_zone, *id;
   struct sockaddr_in control[CONTROLS_MAX];
   int ncontrol, at_control;
   faults f;
@@ -417,7 +417,7 @@
                    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
                    "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
                    "\"coldLeftMs\":0,\"seq\":%llu}",
-                   me.service, me.address, me.zone, SLOTS,
+                   me.service, me.address, me.availability_zone, SLOTS,
                    me.f.leaving ? "draining" : "ready",
                    (unsigned long long)++me.seq);
   int m =
@@ -456,7 +456,7 @@
   }
   me.address = argv[argc > 6 ? 6 : 1];
   me.service = argv[3];
-  me.zone = argv[4];
+  me.availability_zone = argv[4];
   me.id = argv[5];
   signal(SIGPIPE, SIG_IGN);
   me.ev = ev_loop_new(0);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -408,9 +408,9 @@
   s->wrong += strcmp(got.id, want->id) != 0 ||
               strcmp(got.service, want->service) != 0 ||
               strcmp(got.address, want->address) != 0 ||
-              strcmp(got.zone, want->zone) != 0 || got.seq != want->seq ||
-              got.slots != want->slots || got.leaving != want->leaving ||
-              got.cold_ms != want->cold_ms;
+              strcmp(got.availability_zone, want->availability_zone) != 0 ||
+              got.seq != want->seq || got.slots != want->slots ||
+              got.leaving != want->leaving || got.cold_ms != want->cold_ms;
 }
 
 /* All that is known of a large fleet's targets comes out as it went in, in few bytes:
@@ -431,7 +431,8 @@
              (unsigned long long)(pwrand(&r) & 0xffffffffffULL));
     snprintf(b[i].service, sizeof b[i].service, "%s",
              i % 20 ? "llm" : "portal");
-    snprintf(b[i].zone, sizeof b[i].zone, "%s", zone[i % 3]);
+    snprintf(b[i].availability_zone, sizeof b[i].availability_zone, "%s",
+             zone[i % 3]);
     snprintf(b[i].address, sizeof b[i].address, "10.%d.%d.%d:8709", i % 3,
              i / 600, i / 3 % 200);
     pwtable_pack(&packed[i], &b[i], 0, 0, (int64_t)(pwrand(&r) % 1200));
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -49,10 +49,10 @@
   CHECK(pwsite_workspace(s, "k", 1) == NULL);
   CHECK(pwsite_workspace(s, "", 0) == NULL);
   const pw_site_route *r = route(s, "a.example", "/x/1");
-  CHECK(!strcmp(pwsite_backend(s, r, 0.89)->name, "s1"));
-  CHECK(!strcmp(pwsite_backend(s, r, 0.91)->name, "s2"));
-  CHECK(!strcmp(pwsite_backend(s, r, 0.9999999)->name, "s2"));
-  CHECK(pwsite_backend(s, r, 0.91)->is_engine);
+  CHECK(!strcmp(pwsite_draw_service(s, r, 0.89)->name, "s1"));
+  CHECK(!strcmp(pwsite_draw_service(s, r, 0.91)->name, "s2"));
+  CHECK(!strcmp(pwsite_draw_service(s, r, 0.9999999)->name, "s2"));
+  CHECK(pwsite_draw_service(s, r, 0.91)->is_engine);
   pwsite_drop(s);
 }
 
@@ -144,16 +144,16 @@
     const pw_site_route *a = route(two, "a.example", path);
     const pw_site_route *b = route(whole, "a.example", path);
     CHECK(a && b && !strcmp(a->name, b->name) && !strcmp(a->place, b->place));
-    CHECK(a->timeout_ms == b->timeout_ms && a->nbackends == b->nbackends);
-    CHECK(!strcmp(pwsite_backend(two, a, 0)->name,
-                  pwsite_backend(whole, b, 0)->name));
+    CHECK(a->timeout_ms == b->timeout_ms && a->nweighted == b->nweighted);
+    CHECK(!strcmp(pwsite_draw_service(two, a, 0)->name,
+                  pwsite_draw_service(whole, b, 0)->name));
   }
   /* Services in another order: no route is as it was. */
   char *moved = edited(second, "{\"name\":\"s1\"},{\"name\":\"s2\"}",
                        "{\"name\":\"s2\"},{\"name\":\"s1\"}");
   CHECK(read_steps(moved, A_STEP, two, &one) > 1);
   const pw_site_route *r = route(one, "a.example", "/p0/");
-  CHECK(r && !strcmp(pwsite_backend(one, r, 0)->name, "s1"));
+  CHECK(r && !strcmp(pwsite_draw_service(one, r, 0)->name, "s1"));
   pwsite_drop(one);
   pwsite_drop(two);
   pwsite_drop(whole);
