pwfleet.c in two: heartbeats, and what is picked

Change: pwfleet.c keeps the table by heartbeats, pwfleetpick.c weighs targets and what was seen of them; pwfleetint.h is theirs alone.

--- /dev/null
+++ b/packages/membership/pwfleetpick.c
@@ -0,0 +1,241 @@
+/* pwfleetpick.c: which of the known targets a request goes to, and what was seen of
+** each that speaks for or against it. */
+#include "pwfleetint.h"
+
+#include <math.h>
+#include <string.h>
+
+#define PICKS_MAX 1024 /* targets of one service that are weighed */
+
+/* One that answered this gateway within so many heartbeats is there, whatever
+** control hears of it. */
+#define ALIVE_BEATS 3
+
+/* Set aside after a failure: at first, and at most; ms. */
+#define ASIDE_MS 400
+#define ASIDE_MAX_MS 6400
+#define ASIDE_AFTER 2 /* failures in a row */
+
+/* A target that sends nothing to this gateway for so long, ms, while requests
+** wait for it: several times what a busy one's events are apart. */
+#define DARK_MS 500
+
+/* Errors: weight of the newest answer; the time in which a share fades by half
+** without answers, ms; and how far above the mean of its service a target's share
+** may be before others are preferred. */
+#define ERROR_SHARE 0.1
+#define ERROR_HALF_MS 1500.0
+#define ERROR_MARGIN 0.2
+
+#define WORK_SHARE 0.1 /* weight of the newest measurement */
+
+/* A target is new for so many times as long as prompts are worth going back to:
+** by then those that are its own have been used there. */
+#define NEW_TIMES 2
+#define GENERATION_BEATS 4
+
+/* --- picking --- */
+
+static int is_heard(const pw_fleet *f, const pw_target *t, int64_t now) {
+  return !t->is_silent || now - t->answered_at <= ALIVE_BEATS * f->beat_ms;
+}
+
+static double errors_of(const pw_target *t, int64_t now) {
+  return t->errors * exp2(-(double)(now - t->errors_at) / ERROR_HALF_MS);
+}
+
+/* What targets of a service have in common at one moment. */
+typedef struct common {
+  const char *service;
+  int64_t now;
+  int64_t oldest;  /* when the first of them joined, ms */
+  double errors;   /* mean share of errors */
+  double others;   /* mean of what other gateways have there */
+  int most_silent; /* more than half of them: who listens is at fault */
+} common;
+
+static common common_of(const pw_fleet *f, const char *service, int64_t now) {
+  common c = {.service = service, .now = now, .oldest = now};
+  int n = 0, silent = 0;
+  for (pw_target *t = f->by_id; t; t = t->hh.next) {
+    if (t->is_gone || strcmp(t->service, service) != 0)
+      continue;
+    if (t->joined_at < c.oldest)
+      c.oldest = t->joined_at;
+    c.errors += errors_of(t, now);
+    c.others += t->others;
+    silent += t->is_silent;
+    n++;
+  }
+  c.errors = n ? c.errors / n : 0;
+  c.others = n ? c.others / n : 0;
+  c.most_silent = 2 * silent > n;
+  return c;
+}
+
+static int is_alive(const pw_fleet *f, const pw_target *t, const common *c) {
+  return !t->is_gone && (c->most_silent || is_heard(f, t, c->now)) &&
+         t->set_aside <= c->now;
+}
+
+static int is_usable(const pw_fleet *f, const pw_target *t, const common *c) {
+  return is_alive(f, t, c) && !t->is_leaving &&
+         errors_of(t, c->now) <= c->errors + ERROR_MARGIN;
+}
+
+/* Where none is usable: whatever has not ended and is not leaving. */
+static int is_last_resort(const pw_target *t) {
+  return !t->is_gone && !t->is_leaving;
+}
+
+int pwfleet_usable(pw_fleet *f, const char *service, int64_t now) {
+  common c = common_of(f, service, now);
+  int n = 0;
+  for (pw_target *t = f->by_id; t; t = t->hh.next)
+    n += !strcmp(t->service, service) && is_usable(f, t, &c);
+  return n;
+}
+
+static int was_tried(const pw_fleet_ask *ask, const pw_target *t) {
+  for (int i = 0; i < ask->ntried; i++)
+    if (ask->tried[i] == t)
+      return 1;
+  return 0;
+}
+
+/* Targets that started together are not new to each other. */
+static int is_new(const pw_fleet *f, const pw_target *t, const common *c) {
+  return c->now - t->joined_at < NEW_TIMES * f->keep_ms &&
+         t->joined_at - c->oldest > GENERATION_BEATS * f->beat_ms;
+}
+
+static int find_row(pw_target *const *who, const pw_pick *row, int n,
+                    uint32_t short_hash) {
+  for (int i = 0; short_hash && i < n; i++)
+    if (who[i]->short_hash == short_hash && row[i].is_alive)
+      return i;
+  return -1;
+}
+
+/* Requests at a target. Where requests are short, how the other gateways' differ from
+** their mean is out of date: all gateways would send to who had the fewest when they were
+** told last. */
+static double load_of(const pw_fleet *f, const pw_target *t, const common *c,
+                      const pw_fleet_ask *ask) {
+  if (ask->is_sticky)
+    return t->inflight + t->others;
+  double is_still_so = exp(-(double)f->others_age_ms / t->work_ms);
+  return t->inflight + round(c->others + is_still_so * (t->others - c->others));
+}
+
+static int has_connection(const pw_target *t, const pw_fleet_ask *ask) {
+  return ask->conns == 0 || t->idle || t->nconns < ask->conns;
+}
+
+/* The targets of the service as rows; gives how many. */
+static int fill_rows(pw_fleet *f, const pw_fleet_ask *ask, const common *c,
+                     pw_pick *row, pw_target **who) {
+  int n = 0, usable = 0;
+  for (pw_target *t = f->by_id; t && n < PICKS_MAX; t = t->hh.next) {
+    if (t->is_gone || strcmp(t->service, ask->service) != 0)
+      continue;
+    row[n] = (pw_pick){.id = t->hash,
+                       .load = load_of(f, t, c, ask),
+                       .slots = floor(t->slots * (1 - ask->reserve)),
+                       .work_ms = t->work_ms,
+                       .is_usable = is_usable(f, t, c) && !was_tried(ask, t) &&
+                                    has_connection(t, ask),
+                       .is_near =
+                           !strcmp(t->availability_zone, f->availability_zone),
+                       .is_alive = is_alive(f, t, c),
+                       .is_new = is_new(f, t, c)};
+    usable += row[n].is_usable;
+    who[n++] = t;
+  }
+  for (int i = 0; usable == 0 && i < n; i++)
+    row[i].is_usable = is_last_resort(who[i]) && !was_tried(ask, who[i]) &&
+                       has_connection(who[i], ask);
+  return n;
+}
+
+static int pick_row(pw_fleet *f, const pw_fleet_ask *ask, const pw_pick *row,
+                    int n) {
+  static const pw_pick_bound boundless = {1e9, 1e9};
+  int best = -1;
+  if (ask->how == PWPICK_BY_TURN)
+    return pwpick_turn(row, n, f->turn++);
+  if (ask->how == PWPICK_BY_HASH && ask->is_sticky)
+    return pwpick_home(row, n, ask->key, boundless);
+  if (ask->how == PWPICK_BY_HOME && ask->is_sticky)
+    best = pwpick_home(row, n, ask->key, ask->bound);
+  if (best < 0 && !(ask->is_sticky && ask->may_wait))
+    best = pwpick_least(row, n, ask->wait_ms, ask->draw, ask->bound);
+  return best;
+}
+
+pw_fleet_picked pwfleet_pick(pw_fleet *f, const pw_fleet_ask *ask,
+                             int64_t now) {
+  pw_pick row[PICKS_MAX];
+  pw_target *who[PICKS_MAX];
+  pw_fleet_picked out = {0};
+  common c = common_of(f, ask->service, now);
+  int n = fill_rows(f, ask, &c, row, who);
+  int best = pick_row(f, ask, row, n);
+  if (best < 0)
+    return out;
+  out.target = pwfleet_hold(who[best]);
+  if (!ask->is_sticky)
+    return out;
+  int home = pwpick_holder(row, n, ask->key);
+  int last = find_row(who, row, n, ask->last);
+  int holder = last >= 0 && last != best ? last : home;
+  out.is_home = home == best;
+  out.holder = holder >= 0 && holder != best ? who[holder] : NULL;
+  return out;
+}
+
+/* --- evidence --- */
+
+static void note_error(pw_target *t, double is_error, int64_t now) {
+  double before = errors_of(t, now);
+  t->errors = before + ERROR_SHARE * (is_error - before);
+  t->errors_at = now;
+}
+
+void pwfleet_answered(pw_target *t, double work_ms, int64_t now) {
+  t->failures = 0;
+  t->set_aside = 0;
+  t->answered_at = t->seen_at = now;
+  note_error(t, 0, now);
+  if (work_ms > 0)
+    t->work_ms += WORK_SHARE * (work_ms - t->work_ms);
+}
+
+void pwfleet_erred(pw_target *t, int64_t now) {
+  t->failures = 0;
+  t->answered_at = t->seen_at = now;
+  note_error(t, 1, now);
+}
+
+int pwfleet_is_dark(const pw_target *t, int64_t now) {
+  return now - t->seen_at > DARK_MS;
+}
+
+static void set_aside(pw_target *t, int doublings, int64_t now) {
+  int64_t ms = ASIDE_MS << (doublings < 4 ? doublings : 4);
+  t->set_aside = now + (ms < ASIDE_MAX_MS ? ms : ASIDE_MAX_MS);
+}
+
+void pwfleet_failed(pw_target *t, int64_t now) {
+  t->failures++;
+  if (t->failures >= ASIDE_AFTER)
+    set_aside(t, t->failures - ASIDE_AFTER, now);
+}
+
+/* One lost packet keeps a connection from coming up in time: that alone says
+** nothing of a target that has just sent something. */
+void pwfleet_unreached(pw_target *t, int64_t now) {
+  t->failures++;
+  if (t->failures >= ASIDE_AFTER || pwfleet_is_dark(t, now))
+    set_aside(t, t->failures - 1, now);
+}
