What a workspace sends beyond its usual goes after all others

Turns between workspaces hold for who waits; most find a place at once or none, and urgent requests of the one took what less urgent ones of others needed. Change: pwsurge learns a workspace's usual part of a service's requests over minutes; what it sends in a second beyond twice that part of what the others send gets an urgency after all others, by its own among themselves. A rush of all is no surge; the surplus does not become usual. A priority below 0 in a configuration counts as 0.

--- a/bench/bench_overload.c
+++ b/bench/bench_overload.c
@@ -316,14 +316,14 @@
   pwwaiting_placed(&g->waiting, w->now);
 }
 
-static int is_late(const world *w, const job *j) {
+static int is_last(const world *w, const job *j) {
   return j->tries > 1 || w->now - j->first_asked > kinds[j->kind].goal_ms;
 }
 
 static int try_place(world *w, gateway *g, job *j, int in_turn) {
   int urgency = kinds[j->kind].urgency;
   double reserve = chooses_places(w) && !in_turn
-                       ? pwwaiting_reserve(&g->waiting, urgency, is_late(w, j))
+                       ? pwwaiting_reserve(&g->waiting, urgency, is_last(w, j))
                        : 0;
   int target = pick(w, g, j, reserve);
   if (target < 0)
@@ -339,7 +339,7 @@
   snprintf(workspace, sizeof workspace, "w%d", j->workspace);
   pw_waiting_ask ask = {.workspace = workspace,
                         .urgency = k->urgency,
-                        .is_late = is_late(w, j),
+                        .is_last = is_last(w, j),
                         .goal_ms = k->goal_ms,
                         .time_left_ms = left,
                         .job = j};
@@ -371,9 +371,9 @@
     return;
   }
   int is_behind = chooses_places(w) &&
-                  pwwaiting_precedes(&g->waiting, urgency, is_late(w, j));
+                  pwwaiting_precedes(&g->waiting, urgency, is_last(w, j));
   int placed = !is_behind && try_place(w, g, j, 0);
-  if (chooses_places(w) && !is_late(w, j))
+  if (chooses_places(w) && !is_last(w, j))
     pwwaiting_found(&g->waiting, urgency, placed);
   if (placed)
     return;
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -188,7 +188,8 @@
   return 0;
 }
 
-/* Whether its caller must have asked a while ago, by the time that it has left. */
+/* Whether its caller must have asked a while ago, by the time that it has left: an answer
+** in its goal is worth more than three late ones. */
 static int has_tried_before(pw_exchange *x) {
   pw_gate_route *r = pwgate_route(x->g, x->route->name);
   int64_t ms = x->ask.deadline_ms;
@@ -198,6 +199,16 @@
   return ms + x->route->goal_ms / LATE_PART < pwusual_ms(&r->usual);
 }
 
+/* What a workspace sends beyond its usual has what all others leave, by its own urgency. */
+static int urgency_of(pw_exchange *x) {
+  const char *workspace = x->workspace ? x->workspace->name : "";
+  double surplus = pwsurge_note(x->kept->surge, workspace, x->arrived);
+  int urgency = x->route->priority > 0 ? x->route->priority : 0;
+  if (urgency >= PWWAITING_SURPLUS)
+    urgency = PWWAITING_SURPLUS - 1;
+  return pwgate_draw(x->g) < surplus ? PWWAITING_SURPLUS + urgency : urgency;
+}
+
 static void start(pw_exchange *x) {
   pw_gate *g = x->g;
   x->site = pwsite_hold(g->site);
@@ -207,7 +218,8 @@
   x->deadline_at =
       x->ask.deadline_ms >= 0 ? x->arrived + x->ask.deadline_ms : x->timeout_at;
   x->kept = pwgate_service(g, x->service->name);
-  x->is_late = has_tried_before(x);
+  x->urgency = urgency_of(x);
+  x->is_last = has_tried_before(x);
   pwretries_request(&x->kept->retries, x->arrived);
   pwgate_timer(g, &x->timer, pwexi_time_left(x));
   pwexi_place(x);
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -30,7 +30,8 @@
 
   int is_waiting; /* for a place at a target */
   int64_t waits_since;
-  int is_late;    /* its caller has tried before: the goal is past */
+  int urgency;    /* 0 first: its route's priority, or after all others */
+  int is_last;    /* it goes after others of its urgency */
   int is_in_turn; /* it may have a place that is kept for more urgent ones */
 
   /* where it is now */
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -69,7 +69,7 @@
 static double reserve_of(const pw_exchange *x) {
   if (!pwexi_may_wait(x) || !x->service->is_engine || x->is_in_turn)
     return 0;
-  return pwwaiting_reserve(&x->kept->waiting, x->route->priority, x->is_late);
+  return pwwaiting_reserve(&x->kept->waiting, x->urgency, x->is_last);
 }
 
 /* The connections that this gateway may have to one target: its part of those that a
@@ -163,11 +163,10 @@
 void pwexi_place(pw_exchange *x) {
   int may_wait = pwexi_may_wait(x);
   int is_behind =
-      may_wait &&
-      pwwaiting_precedes(&x->kept->waiting, x->route->priority, x->is_late);
+      may_wait && pwwaiting_precedes(&x->kept->waiting, x->urgency, x->is_last);
   int is_placed = !is_behind && place_now(x);
-  if (may_wait && !x->is_late)
-    pwwaiting_found(&x->kept->waiting, x->route->priority, is_placed);
+  if (may_wait && !x->is_last)
+    pwwaiting_found(&x->kept->waiting, x->urgency, is_placed);
   if (is_placed)
     return;
   if (x->has_begun || x->may_have_run)
--- a/packages/gateway/pwexwait.c
+++ b/packages/gateway/pwexwait.c
@@ -17,7 +17,7 @@
   char why[120];
   snprintf(why, sizeof why,
            "all places are taken: urgency %d, %.0f ahead, %.0f places a second",
-           x->route->priority, a->ahead, x->kept->waiting.rate);
+           x->urgency, a->ahead, x->kept->waiting.rate);
   pwcount_add(x->g->p->counters, PWC_GW_FULL, 1);
   x->client->close_next = 1; /* its caller comes back over a new connection */
   pwexi_refuse(x, PW_E_BUSY, why,
@@ -28,8 +28,8 @@
   pw_gate *g = x->g;
   int64_t now = pwclock_ms();
   pw_waiting_ask ask = {.workspace = x->workspace ? x->workspace->name : "",
-                        .urgency = x->route->priority,
-                        .is_late = x->is_late,
+                        .urgency = x->urgency,
+                        .is_last = x->is_last,
                         .goal_ms = x->route->goal_ms,
                         .time_left_ms = pwexi_time_left(x),
                         .job = x};
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -12,6 +12,7 @@
 #include "pwproc.h"
 #include "pwretries.h"
 #include "pwstage.h"
+#include "pwsurge.h"
 #include "pwtcp.h"
 #include "pwtrace.h"
 #include "pwusual.h"
@@ -28,6 +29,7 @@
   char name[PW_NAME_MAX];
   pw_retries retries;
   pw_waiting waiting;
+  pw_surge *surge; /* of workspaces */
   int is_freed; /* a place may have come free since those that wait were tried */
   struct pw_gate_service *next;
 } pw_gate_service;
--- a/packages/gateway/pwkept.c
+++ b/packages/gateway/pwkept.c
@@ -19,6 +19,7 @@
                  set->gateway_retry_slack,
                  (int64_t)(set->gateway_retry_window * MS_PER_S));
   pwwaiting_init(&s->waiting, pwclock_ms());
+  s->surge = pwsurge_new(pwclock_ms());
   s->next = g->services;
   g->services = s;
   return s;
@@ -45,6 +46,7 @@
     pw_gate_service *s = g->services;
     g->services = s->next;
     pwwaiting_free(&s->waiting);
+    pwsurge_free(s->surge);
     free(s);
   }
 }
--- a/packages/policy/pwqueue.h
+++ b/packages/policy/pwqueue.h
@@ -11,7 +11,7 @@
 
 #include <stdint.h>
 
-#define PWQUEUE_LEVELS 20 /* priorities 0 to 19 */
+#define PWQUEUE_LEVELS 40 /* priorities 0 to 39 */
 
 typedef struct pw_item {
   char workspace[PW_NAME_MAX];
--- a/packages/policy/pwwaiting.c
+++ b/packages/policy/pwwaiting.c
@@ -3,6 +3,8 @@
 
 #include "pwbuf.h"
 
+#include <assert.h>
+
 #define MS_PER_S 1000.0
 
 /* The part of its goal that a request may wait: the rest is for its target. A caller
@@ -42,14 +44,10 @@
   pwqueue_free(w->queue);
 }
 
-static int clip(int urgency) {
-  return urgency < PWWAITING_URGENCIES ? urgency : PWWAITING_URGENCIES - 1;
-}
-
-/* By urgency; of one urgency those that can be in their goal go before those that are
-** late: an answer in time is worth more than three late ones. */
-static int priority_of(int urgency, int is_late) {
-  return 2 * (PWWAITING_URGENCIES - 1 - clip(urgency)) + !is_late;
+/* By urgency; of one urgency those that go last after the others. */
+static int priority_of(int urgency, int is_last) {
+  assert(urgency >= 0 && urgency < PWWAITING_URGENCIES);
+  return 2 * (PWWAITING_URGENCIES - 1 - urgency) + !is_last;
 }
 
 static int64_t patience_of(const pw_waiting_ask *ask) {
@@ -79,7 +77,7 @@
 pw_waiting_answer pwwaiting_ask(pw_waiting *w, const pw_waiting_ask *ask,
                                 int64_t now) {
   pw_waiting_answer out = {.patience_ms = patience_of(ask)};
-  int priority = priority_of(ask->urgency, ask->is_late);
+  int priority = priority_of(ask->urgency, ask->is_last);
   learn(w, now);
   out.ahead = pwqueue_ahead(w->queue, ask->workspace, 1, priority);
   out.wait_ms = wait_of(w, out.ahead, pwqueue_of(w->queue, priority));
@@ -99,10 +97,10 @@
   return out;
 }
 
-int pwwaiting_precedes(pw_waiting *w, int urgency, int is_late) {
+int pwwaiting_precedes(pw_waiting *w, int urgency, int is_last) {
   pw_item first;
   return pwqueue_peek(w->queue, &first) &&
-         first.priority >= priority_of(urgency, is_late);
+         first.priority >= priority_of(urgency, is_last);
 }
 
 void pwwaiting_rewind(pw_waiting *w) {
@@ -116,14 +114,14 @@
 }
 
 void pwwaiting_found(pw_waiting *w, int urgency, int at_once) {
-  double *r = &w->reserve[clip(urgency)];
+  double *r = &w->reserve[urgency];
   *r += at_once ? -RESERVE_STEP * MISSED_SHARE : RESERVE_STEP;
   *r = *r < 0 ? 0 : *r > RESERVE_MOST ? RESERVE_MOST : *r;
 }
 
-double pwwaiting_reserve(const pw_waiting *w, int urgency, int is_late) {
+double pwwaiting_reserve(const pw_waiting *w, int urgency, int is_last) {
   double sum = 0;
-  for (int i = 0; i < clip(urgency) + (is_late != 0); i++)
+  for (int i = 0; i < urgency + (is_last != 0); i++)
     sum += w->reserve[i];
   return sum;
 }
--- a/packages/policy/pwwaiting.h
+++ b/packages/policy/pwwaiting.h
@@ -14,8 +14,10 @@
 /* Requests of one service that wait at most, whatever the rate. */
 #define PWWAITING_MAX 2000
 
-/* Urgencies that are told apart; what is less urgent counts as the last. */
-#define PWWAITING_URGENCIES 10
+/* Urgencies that are told apart: the operator's, below PWWAITING_SURPLUS; and the same
+** again, after all of those, for what a workspace sends beyond its usual. */
+#define PWWAITING_SURPLUS 10
+#define PWWAITING_URGENCIES (2 * PWWAITING_SURPLUS)
 
 typedef struct pw_waiting {
   pw_queue *queue;
@@ -29,8 +31,8 @@
 /* A request that found no place. */
 typedef struct pw_waiting_ask {
   const char *workspace;
-  int urgency;          /* the operator's: 0 first */
-  int is_late;          /* its goal cannot be met any more */
+  int urgency;          /* 0 first, below PWWAITING_URGENCIES */
+  int is_last;          /* it goes after others of its urgency */
   int64_t goal_ms;      /* within which its answer is worth most; 0: not told */
   int64_t time_left_ms; /* that its caller has */
   void *job;
@@ -56,11 +58,11 @@
 void pwwaiting_found(pw_waiting *w, int urgency, int at_once);
 
 /* The share of a target's slots that a request of this urgency leaves to more urgent
-** ones; one that is late leaves it to those of its own urgency, too. */
-double pwwaiting_reserve(const pw_waiting *w, int urgency, int is_late);
+** ones; one that goes last leaves it to others of its own urgency, too. */
+double pwwaiting_reserve(const pw_waiting *w, int urgency, int is_last);
 
 /* Whether somebody waits who goes before a newcomer. */
-int pwwaiting_precedes(pw_waiting *w, int urgency, int is_late);
+int pwwaiting_precedes(pw_waiting *w, int urgency, int is_last);
 
 /* After pwwaiting_rewind, pwwaiting_next gives one after the other that waits, in
 ** their order, without taking any; NULL: no more. With *in_turn it may have a place
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -2,6 +2,7 @@
 #include "pwtest.h"
 
 #include "pwbuf.h"
+#include "pwsurge.h"
 #include "pwusual.h"
 #include "pwwaiting.h"
 
@@ -52,7 +53,8 @@
   CHECK(waiting >= 3 && waiting <= 8); /* 100 a second, for 50 ms */
   CHECK(!a.may_wait);
   CHECK(pwqueue_count(w.queue) == waiting);
-  for (double draw = 0; draw < 1; draw += 0.1) {
+  for (int i = 0; i < 10; i++) {
+    double draw = i / 10.0;
     int64_t retry = pwwaiting_retry(&a, TIME_MS, draw);
     CHECK((double)retry >= a.wait_ms && retry <= TIME_MS / 3);
   }
@@ -206,7 +208,7 @@
   pw_waiting_ask ask = ask_of("a", 1, &late);
   pwwaiting_init(&w, now);
   get_places(&w, 200, &now);
-  ask.is_late = 1;
+  ask.is_last = 1;
   CHECK(pwwaiting_ask(&w, &ask, now).may_wait);
   CHECK(!pwwaiting_precedes(&w, 1, 0) && pwwaiting_precedes(&w, 1, 1));
   ask = ask_of("b", 2, &less_urgent);
@@ -224,6 +226,47 @@
   pwwaiting_free(&w);
 }
 
+/* A workspace that sends many times its usual surges, down to about twice its usual
+** part; one that is large does not, nor does any in a rush of all. */
+static void test_surge_known(void) {
+  enum { NAMES = 6, CALM = 800, RUSH = 10000 }; /* 8 s are known of it */
+  static const char *const names[NAMES] = {"large", "b", "c", "d", "e", "f"};
+  static const double usual[NAMES] = {0.5, 0.1, 0.1, 0.1, 0.1, 0.1};
+  pw_random r = {test_seed(9), 0};
+  pw_surge *s = pwsurge_new(0);
+  double most_calm = 0, most_rush = 0, surplus_b = 0, surplus_others = 0;
+  int asked_b = 0;
+  int64_t now = 0;
+  for (int step = 0; step < CALM + 3 * RUSH; step++) {
+    int surging = step >= CALM + RUSH && step < CALM + 2 * RUSH;
+    int rush = step >= CALM;
+    if (step % (rush ? 10 : 1) == 0) /* 100 a second, 1000 in the rush */
+      now += 10;
+    double at = pwrand_unit(&r) * (surging ? 3.9 : 1); /* b: 30 times as much */
+    int who = 1;
+    for (int i = 0; i < NAMES && at < 1; i++) {
+      at -= usual[i];
+      who = i;
+      if (at < 0)
+        break;
+    }
+    double surplus = pwsurge_note(s, names[who], now);
+    if (!rush && surplus > most_calm)
+      most_calm = surplus;
+    if (rush && !surging && step < CALM + RUSH && surplus > most_rush)
+      most_rush = surplus;
+    if (surging && step > CALM + RUSH + 2000) {
+      asked_b += who == 1;
+      *(who == 1 ? &surplus_b : &surplus_others) += surplus;
+    }
+  }
+  printf("surplus: calm %.2f, rush of all %.2f at most; surging %.2f\n",
+         most_calm, most_rush, surplus_b / asked_b);
+  CHECK(most_calm == 0 && most_rush < 0.2);
+  CHECK(surplus_b / asked_b > 0.7 && surplus_others == 0);
+  pwsurge_free(s);
+}
+
 /* Without a goal patience is a part of the caller's time; never more than all. */
 static void test_patience(void) {
   pw_waiting w;
@@ -251,6 +294,7 @@
   TEST(test_reserve);
   TEST(test_surge);
   TEST(test_patience);
+  TEST(test_surge_known);
   TEST(test_usual);
   TEST(test_late_after);
   TESTS_END();
