--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -81,8 +81,6 @@
   X(PWC_GW_TARGETS, "gateway_targets", "gauge", "targets known")               \
   X(PWC_GW_AWAITING, "gateway_awaiting", "gauge",                              \
     "requests that wait for a first configuration")                            \
-  X(PWC_GW_WAITING, "gateway_waiting", "gauge",                                \
-    "requests that wait for a place at a target")                              \
   X(PWC_GW_FULL, "gateway_full_total", "counter",                              \
     "requests refused because all places were taken")                          \
   X(PWC_GW_CLIENTS, "gateway_clients", "gauge", "callers' connections open")   \
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -25,7 +25,6 @@
   if (!x->t)
     return;
   x->t->inflight--;
-  x->kept->is_freed = 1;
   pwfleet_drop(x->t);
   x->t = NULL;
   x->u = NULL;
@@ -44,7 +43,6 @@
 static void free_exchange(pw_exchange *x) {
   pw_gate *g = x->g;
   await_no_more(x);
-  pwexi_wait_no_more(x);
   if (x->u) {
     pw_upconn *u = x->u;
     x->u = NULL;
@@ -154,10 +152,6 @@
     refuse_unready(x);
     return;
   }
-  if (x->is_waiting) {
-    pwexi_waited_long(x);
-    return;
-  }
   if (x->t && pwfleet_is_dark(x->t, now))
     pwfleet_failed(x->t, now);
   if (!x->has_begun && x->may_have_run)
@@ -204,9 +198,9 @@
   const char *workspace = x->workspace ? x->workspace->name : "";
   double surplus = pwsurge_note(x->kept->surge, workspace, x->arrived);
   int urgency = x->route->priority > 0 ? x->route->priority : 0;
-  if (urgency >= PWWAITING_SURPLUS)
-    urgency = PWWAITING_SURPLUS - 1;
-  return pwgate_draw(x->g) < surplus ? PWWAITING_SURPLUS + urgency : urgency;
+  if (urgency >= PWPLACES_SURPLUS)
+    urgency = PWPLACES_SURPLUS - 1;
+  return pwgate_draw(x->g) < surplus ? PWPLACES_SURPLUS + urgency : urgency;
 }
 
 static void start(pw_exchange *x) {
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -28,11 +28,8 @@
   int is_awaiting; /* a configuration; what follows from it is not known yet */
   pw_exchange *prev, *next; /* of those */
 
-  int is_waiting; /* for a place at a target */
-  int64_t waits_since;
-  int urgency;    /* 0 first: its route's priority, or after all others */
-  int is_last;    /* it goes after others of its urgency */
-  int is_in_turn; /* it may have a place that is kept for more urgent ones */
+  int urgency; /* 0 first: its route's priority, or after all others */
+  int is_last; /* it goes after others of its urgency */
 
   /* where it is now */
   pw_target *t;      /* NULL: nowhere */
@@ -93,26 +90,9 @@
 /* Picks a target and sends it there, or ends it. */
 void pwexi_place(pw_exchange *x);
 
-/* The same for one that has waited for a place: 0 when there still is none. */
-int pwexi_place_waiting(pw_exchange *x);
-
 /* Sends it to x->t; -1: no connection can be had. */
 int pwexi_send(pw_exchange *x);
 
-/* --- pwexwait.c --- */
-
-/* Whether it may wait for a place: it has been nowhere yet. */
-int pwexi_may_wait(const pw_exchange *x);
-
-/* No target has a place for it: it waits, or is refused at once. */
-void pwexi_wait(pw_exchange *x);
-
-/* It is out of the queue, for whatever reason. */
-void pwexi_wait_no_more(pw_exchange *x);
-
-/* No place came free in time. */
-void pwexi_waited_long(pw_exchange *x);
-
 /* --- pwexfail.c --- */
 
 /* Lets go, and places it again. */
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -1,6 +1,8 @@
 /* pwexsend.c: a request on its way: which target, over which connection. */
 #include "pwexint.h"
 
+#include <stdio.h>
+
 /* A connection that rested longer than this carries no request that may not
 ** run twice: the target may have closed it, and who read what is not known. */
 #define REST_ONCE_MS 800
@@ -56,20 +58,25 @@
   return ask->nparts ? ask->part[shared].id : 0;
 }
 
-/* How long a request may wait in its target's own queue. One that can wait here
-** keeps its choice until a place is free: an engine has no queue for it, and where
-** work is short, so that news of free places come late, half of its goal. */
+/* Whether it has been nowhere yet: then it may still be refused at once. */
+static int is_new(const pw_exchange *x) {
+  return !x->has_begun && !x->may_have_run && x->ntried == 0;
+}
+
+/* How long a request may wait in its target's own queue: in an engine's, which knows no
+** urgency, not at all; where work is short, so that news of free slots come late, half of
+** its goal. One that has been somewhere goes on where it can. */
 static double wait_at_target(const pw_exchange *x) {
-  if (!pwexi_may_wait(x) || x->route->goal_ms <= 0)
+  if (!is_new(x) || x->route->goal_ms <= 0)
     return (double)pwexi_time_left(x) / 2;
   return x->service->is_engine ? 0 : (double)x->route->goal_ms / 2;
 }
 
 /* The share of each engine's slots that is kept for more urgent requests. */
 static double reserve_of(const pw_exchange *x) {
-  if (!pwexi_may_wait(x) || !x->service->is_engine || x->is_in_turn)
+  if (!is_new(x) || !x->service->is_engine)
     return 0;
-  return pwwaiting_reserve(&x->kept->waiting, x->urgency, x->is_last);
+  return pwplaces_reserve(&x->kept->places, x->urgency, x->is_last);
 }
 
 /* The connections that this gateway may have to one target: its part of those that a
@@ -92,7 +99,7 @@
       .how = g->how,
       .is_sticky = is_sticky,
       .key = key,
-      .may_wait = pwexi_may_wait(x) && x->service->is_engine,
+      .stays = is_new(x) && x->service->is_engine,
       .last = is_sticky ? pwwhere_find(g->where, key, now, keep) : 0,
       .reserve = reserve_of(x),
       .wait_ms = wait_at_target(x),
@@ -115,24 +122,23 @@
   return 1;
 }
 
-static void refuse_for_load(pw_exchange *x) {
-  int64_t now = pwclock_ms();
-  int usable = pwfleet_usable(x->g->fleet, x->service->name, now);
-  if (usable == 0)
-    pwexi_refuse(x, PW_E_NO_TARGET, "no target of the service is known",
-                 PWEX_RETRY_NO_TARGET_MS);
-  else
-    pwexi_refuse(x, PW_E_BUSY, "all targets are full",
-                 PWEX_RETRY_LEAST_MS +
-                     (int64_t)(pwgate_draw(x->g) * PWEX_RETRY_NO_TARGET_MS));
+/* All targets have as much as they may have. */
+static void refuse_full(pw_exchange *x) {
+  char why[100];
+  snprintf(why, sizeof why,
+           "all places are taken: urgency %d%s, %.0f in 100 get one",
+           x->urgency, x->is_last ? " after others" : "",
+           100 * pwplaces_share(&x->kept->places));
+  pwcount_add(x->g->p->counters, PWC_GW_FULL, 1);
+  x->client->close_next = 1; /* its caller comes back over a new connection */
+  pwexi_refuse(x, PW_E_BUSY, why,
+               pwplaces_retry(pwexi_time_left(x), pwgate_draw(x->g)));
 }
 
 static void note_placed(pw_exchange *x) {
   const pw_target *t = x->t;
-  if (x->ntried == 1) {
+  if (x->ntried == 1)
     pwexi_observe(x, PWSTAGE_QUEUE, x->sent_at - x->arrived);
-    pwwaiting_placed(&x->kept->waiting, x->sent_at);
-  }
   pwexi_note(x, PWTRACE_WELL, "placed",
              "target=%s load=%d+%d n=%d key=%llx fetch=%s", t->id, t->inflight,
              t->others, x->ntried, (unsigned long long)prompt_key(&x->ask),
@@ -156,24 +162,19 @@
   return 0;
 }
 
-int pwexi_place_waiting(pw_exchange *x) {
-  return place_now(x);
-}
-
 void pwexi_place(pw_exchange *x) {
-  int may_wait = pwexi_may_wait(x);
-  int is_behind =
-      may_wait && pwwaiting_precedes(&x->kept->waiting, x->urgency, x->is_last);
-  int is_placed = !is_behind && place_now(x);
-  if (may_wait && !x->is_last)
-    pwwaiting_found(&x->kept->waiting, x->urgency, is_placed);
+  int64_t now = pwclock_ms();
+  int was_new = is_new(x);
+  int is_placed = place_now(x);
+  if (was_new)
+    pwplaces_asked(&x->kept->places, x->urgency, x->is_last, is_placed, now);
   if (is_placed)
     return;
   if (x->has_begun || x->may_have_run)
     pwexi_give_up(x, PW_E_UNKNOWN, "no other target", 0);
-  else if (may_wait &&
-           pwfleet_usable(x->g->fleet, x->service->name, pwclock_ms()) > 0)
-    pwexi_wait(x);
+  else if (pwfleet_usable(x->g->fleet, x->service->name, now) == 0)
+    pwexi_refuse(x, PW_E_NO_TARGET, "no target of the service is known",
+                 PWEX_RETRY_NO_TARGET_MS);
   else
-    refuse_for_load(x);
+    refuse_full(x);
 }
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -9,6 +9,7 @@
 #include "pwconn.h"
 #include "pwdialect.h"
 #include "pwfleet.h"
+#include "pwplaces.h"
 #include "pwproc.h"
 #include "pwretries.h"
 #include "pwstage.h"
@@ -16,7 +17,6 @@
 #include "pwtcp.h"
 #include "pwtrace.h"
 #include "pwusual.h"
-#include "pwwaiting.h"
 #include "pwwhere.h"
 
 typedef struct pw_gate pw_gate;
@@ -28,9 +28,8 @@
 typedef struct pw_gate_service {
   char name[PW_NAME_MAX];
   pw_retries retries;
-  pw_waiting waiting;
+  pw_places places;
   pw_surge *surge; /* of workspaces */
-  int is_freed; /* a place may have come free since those that wait were tried */
   struct pw_gate_service *next;
 } pw_gate_service;
 
@@ -61,7 +60,6 @@
   int nexchanges;
   pw_exchange *awaiting; /* a configuration, the longest first ... */
   int nawaiting;
-  int nwaiting;          /* for a place at a target */
   size_t awaiting_bytes; /* ... and their bodies */
   uint64_t random;
   int64_t started_at;
@@ -135,12 +133,6 @@
 ** nothing over it since. */
 void pwexchange_failed(pw_exchange *x, pw_tcp_end how, int unused);
 
-/* --- pwexwait.c --- */
-
-/* Gives places that came free to those that wait for one. `all`: also where none
-** was seen to come free. */
-void pwexchange_give_places(pw_gate *g, int all);
-
 /* --- pwupconn.c --- */
 
 /* Sends head and body to the target of an exchange, over a kept connection
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -61,9 +61,7 @@
 static void on_reap(struct ev_loop *ev, ev_prepare *w, int events) {
   (void)ev;
   (void)events;
-  pw_gate *g = w->data;
-  pwexchange_give_places(g, 0);
-  free_later(g);
+  free_later(w->data);
 }
 
 /* xorshift64*; nothing secret hangs on it. */
@@ -122,7 +120,6 @@
   pwcount_set(g->p->counters, PWC_GW_CLIENTS, g->front.count);
   pwcount_set(g->p->counters, PWC_ACTIVE, g->nexchanges);
   pwcount_set(g->p->counters, PWC_GW_AWAITING, g->nawaiting);
-  pwcount_set(g->p->counters, PWC_GW_WAITING, g->nwaiting);
   pwcount_set(g->p->counters, PWC_GW_LEFT_OUT,
               (int64_t)pwtrace_dropped(g->trace));
   pwcount_render(g->p->counters, &b);
@@ -256,7 +253,6 @@
   note_ready(g, now);
   if (g->awaiting && pwgate_may_serve(g))
     pwexchange_go_on(g);
-  pwexchange_give_places(g, 1);
   pwtrace_flush(g->trace, now);
   if (atomic_load(&g->p->stopping) && !g->stop_at)
     begin_stop(g, now);
--- a/packages/gateway/pwkept.c
+++ b/packages/gateway/pwkept.c
@@ -18,7 +18,7 @@
   pwretries_init(&s->retries, set->gateway_retry_ratio,
                  set->gateway_retry_slack,
                  (int64_t)(set->gateway_retry_window * MS_PER_S));
-  pwwaiting_init(&s->waiting, pwclock_ms());
+  pwplaces_init(&s->places, pwclock_ms());
   s->surge = pwsurge_new(pwclock_ms());
   s->next = g->services;
   g->services = s;
@@ -45,7 +45,6 @@
   while (g->services) {
     pw_gate_service *s = g->services;
     g->services = s->next;
-    pwwaiting_free(&s->waiting);
     pwsurge_free(s->surge);
     free(s);
   }
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -119,7 +119,7 @@
   pw_pick_how how;
   int is_sticky; /* `key` is the hash of what its prompt shares */
   uint64_t key;
-  int may_wait;   /* here, until there is room where its prompt lies */
+  int stays;      /* it goes nowhere but where its prompt may lie */
   uint32_t last;  /* short hash of where it was sent last; 0: not known */
   double reserve; /* share of each target's slots that is kept for others */
   double wait_ms; /* longest wait for a slot that pays */
--- a/packages/policy/pwqueue.h
+++ b/packages/policy/pwqueue.h
@@ -11,12 +11,10 @@
 
 #include <stdint.h>
 
-#define PWQUEUE_LEVELS 40 /* priorities 0 to 39 */
-
 typedef struct pw_item {
   char workspace[PW_NAME_MAX];
   double weight; /* >= 1 */
-  int priority;  /* 0 to PWQUEUE_LEVELS - 1 */
+  int priority;  /* 0 to 9 */
   double cost;   /* tokens */
   int64_t deadline;
   int64_t since; /* when it was queued, ms */
@@ -29,10 +27,6 @@
 void pwqueue_free(pw_queue *q);
 int pwqueue_count(const pw_queue *q);
 
-/* One item in `every` is of the priority that was not served for longest, so that
-** none is starved; 0, as it begins: never. */
-void pwqueue_yield(pw_queue *q, int every);
-
 /* Tokens waiting in all. */
 double pwqueue_tokens(const pw_queue *q);
 
@@ -46,27 +40,12 @@
 /* Takes the item that pwqueue_peek gave. */
 void pwqueue_pop(pw_queue *q);
 
-/* After pwqueue_rewind, pwqueue_next gives item after item in the order in which they
-** would be served (one may come twice), without taking any; 0 after the last. Between
-** the two nothing else may change the queue. */
-void pwqueue_rewind(pw_queue *q);
-int pwqueue_next(pw_queue *q, pw_item *out);
-
-/* Whether pwqueue_next gives one that pwqueue_yield calls for. */
-int pwqueue_yields(const pw_queue *q);
-
-/* Takes a job that pwqueue_next gave, as served. */
-void pwqueue_serve(pw_queue *q, const void *job);
-
 /* Takes a job out, wherever it is; 0 when it is not there. */
 int pwqueue_remove(pw_queue *q, const void *job);
 
 /* Takes out one job whose deadline is at or before `now`; NULL if none. */
 void *pwqueue_expired(pw_queue *q, int64_t now);
 
-/* Tokens waiting of one priority. */
-double pwqueue_of(const pw_queue *q, int priority);
-
 /* Tokens that go before a new item of this workspace, weight and priority. */
 double pwqueue_ahead(const pw_queue *q, const char *workspace, double weight,
                      int priority);
