--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -104,14 +104,20 @@
       &m,
       "POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: 9c\r\nX-Deadline-Ms: 1500"
       "\r\nX-Token-Count: 1460,80\r\nX-Prompt-Prefix: 5c1e07a2:800,91bd:410\r\n"
-      "Api-Key: k\r\nX-Tenant: forged\r\n\r\n",
+      "Api-Key: k\r\nX-Tenant: forged\r\nX-Hold: 1\r\nX-Pin-Ms: 9\r\n"
+      "X-Kv-Backup: 10.0.0.1:1\r\nKv-From: 10.0.0.1:1/a\r\n"
+      "Kv-Fetch: 10.0.0.1:1\r\nX-Urgency-Class: 0\r\n\r\n",
       1000);
   plat_read_request(&m, &ask);
   CHECK(ask.id.n == 2 && ask.deadline_ms == 1500 && ask.key.n == 1);
   CHECK(ask.prompt_tokens == 1460 && ask.output_tokens == 80);
   CHECK(ask.nparts == 2 && ask.part[0].id == 0x5c1e07a2);
   CHECK(ask.part[1].tokens == 410);
-  CHECK(!plat_passes(pwh1_find(&m, "X-Tenant")));
+  static const char *const ours[] = {"X-Tenant",       "X-Hold",  "X-Pin-Ms",
+                                     "X-Kv-Backup",    "Kv-From", "Kv-Fetch",
+                                     "X-Urgency-Class"};
+  for (size_t i = 0; i < sizeof ours / sizeof ours[0]; i++)
+    CHECK(!plat_passes(pwh1_find(&m, ours[i])));
   CHECK(plat_passes(pwh1_find(&m, "X-Token-Count")));
   pw_h1 a;
   pwh1_init(&a, HTTP_RESPONSE, 1000);
