gateway.place = load and turn serve requests with a home again

Cause: the last reading: since a prompt stays at three targets, a request with a home that another way of picking had no home for found no target at all. Measured: test_stale_loads fails before (one check) and passes.

--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -168,7 +168,8 @@
     return pwpick_home(row, n, ask->key, boundless);
   if (ask->how == PWPICK_BY_HOME && ask->is_sticky)
     best = pwpick_home(row, n, ask->key, ask->bound);
-  if (best < 0 && !(ask->is_sticky && ask->stays))
+  int stays = ask->how == PWPICK_BY_HOME && ask->is_sticky && ask->stays;
+  if (best < 0 && !stays)
     best = pwpick_least(row, n, ask->wait_ms, ask->draw, ask->bound);
   return best;
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -212,6 +212,7 @@
       pw_fleet_ask ask = {.service = "s",
                           .wait_ms = 1000,
                           .is_sticky = is_sticky,
+                          .stays = 1, /* of no matter here */
                           .key = pwrand(&r),
                           .how = PWPICK_BY_LOAD,
                           .draw = pwrand_unit(&r),
