--- a/packages/policy/pwplaces.c
+++ b/packages/policy/pwplaces.c
@@ -13,7 +13,7 @@
 
 /* An urgency that gets less than this part of what all get has places that are kept for
 ** others, too: it is served less, but not starved. */
-#define LEAST_PART (1.0 / 3)
+#define LEAST_PART 0.5
 
 /* Who asked and got a place is counted over about so long, ms. */
 #define LATELY_MS 3000.0
