--- a/tests/test_places.c
+++ b/tests/test_places.c
@@ -46,7 +46,7 @@
 
 /* Places that come free one at a time, at a target whose others stay taken, while more
 ** ask than there is: each urgency is served less than one more urgent, and none less
-** than about a third of what all get; also not when one alone would take all. */
+** than about half of what all get; also not when one alone would take all. */
 static void play_shares(double urgent_share, uint64_t seed) {
   enum { CLASSES = 3, STEPS = 60000, SLOTS = 48 };
   pw_random r = {seed, 0};
@@ -69,7 +69,7 @@
   for (int c = 0; c < CLASSES; c++) {
     printf("urgent %.1f, class %d: %.2f of those who asked\n", urgent_share, c,
            got[c] / asked[c]);
-    CHECK(got[c] / asked[c] > 0.8 * all / 3);
+    CHECK(got[c] / asked[c] > 0.8 * all / 2);
     CHECK(c == 0 || got[c] / asked[c] <= got[c - 1] / asked[c - 1] + 0.02);
   }
 }
