--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -79,6 +79,9 @@
     pw_feed_state st;
     switch (e->body_case) {
     case PW__ENVELOPE__BODY_CONS:
+      pwbusy_message(&c->busy, e->cons, now);
+      pwgroup_message(c->group, e, now);
+      break;
     case PW__ENVELOPE__BODY_JOIN:
       pwgroup_message(c->group, e, now);
       break;
@@ -164,6 +167,7 @@
   pwgroup_tick(c->group, now);
   pwfeed_expire(c->feed, on_child_left, c, now);
   pwctl_expire(c, now);
+  pwbusy_tick(&c->busy, c->p, now);
   pwpublish_tick(c->publish, now);
   tell_watchers(c, now);
   plan(c, now);
@@ -232,10 +236,15 @@
   pwapi_leave(call, c->mail);
 }
 
+static void respond(pw_control *c, pw_api_call *call) {
+  pwcount_add(c->p->counters, PWC_CALL_OUT, (int64_t)call->text.len);
+  pwapi_respond(call);
+}
+
 static void on_http(void *arg, pw_http *h, int again) {
   pw_control *c = arg;
   if (again) {
-    pwapi_respond(pwserve_get(h));
+    respond(c, pwserve_get(h));
     return;
   }
   if (pwproc_handle(c->p, h))
--- a/packages/control/pwctl.h
+++ b/packages/control/pwctl.h
@@ -3,6 +3,7 @@
 #define PWCTL_H
 
 #include "pwapi.h"
+#include "pwbusy.h"
 #include "pwfeed.h"
 #include "pwgroup.h"
 #include "pwnews.h"
@@ -42,6 +43,7 @@
   pw_planner *planner;
   pw_watch *watch;
   pw_publish *publish;
+  pw_busy busy;
   uint64_t planned; /* index of the planner's change; 0: none is under way */
   int64_t planned_at;
   pw_ctl_waiter *waiters;
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -57,6 +57,14 @@
   X(PWC_FEED_OUT, "feed_sent_bytes_total", "counter", "feed bytes sent")       \
   X(PWC_REPORT_OUT, "report_sent_bytes_total", "counter",                      \
     "load report bytes sent")                                                  \
+  X(PWC_GROUP_OUT, "group_sent_bytes_total", "counter",                        \
+    "bytes of consensus sent to other control instances")                      \
+  X(PWC_NOTICE_OUT, "notice_sent_bytes_total", "counter",                      \
+    "bytes that tell watchers of targets, gateways and versions")              \
+  X(PWC_DOCUMENT_OUT, "document_sent_bytes_total", "counter",                  \
+    "bytes of configuration documents sent to gateways")                       \
+  X(PWC_CALL_OUT, "call_sent_bytes_total", "counter",                          \
+    "bytes of configurations read by operators")                               \
   X(PWC_DATA_OUT, "data_sent_bytes_total", "counter",                          \
     "request and answer bytes sent between processes")                         \
   X(PWC_DATA_IN, "data_received_bytes_total", "counter",                       \
@@ -66,6 +74,8 @@
     "times that a watcher was told all targets")                               \
   X(PWC_TABLES_BYTES, "tables_told_bytes_total", "counter",                    \
     "bytes of these tables")                                                   \
+  X(PWC_DOCUMENTS, "documents_sent_total", "counter",                          \
+    "configuration documents sent to gateways")                                \
   X(PWC_TABLES, "tables_built_total", "counter", "placement tables built")     \
   X(PWC_LOAD, "load_tokens", "gauge", "tokens in progress at the target")      \
   X(PWC_QUEUE, "queue_requests", "gauge", "requests waiting at the agent")     \
--- a/packages/wire/pwwire.c
+++ b/packages/wire/pwwire.c
@@ -176,14 +176,33 @@
   }
 }
 
+/* The counter of a kind of control message besides the sum of all. */
+static pw_counter class_of(const Pw__Envelope *e) {
+  switch (e->body_case) {
+  case PW__ENVELOPE__BODY_WELCOME:
+  case PW__ENVELOPE__BODY_HELLO:
+    return PWC_FEED_OUT;
+  case PW__ENVELOPE__BODY_LOADS:
+  case PW__ENVELOPE__BODY_PING:
+    return PWC_REPORT_OUT;
+  case PW__ENVELOPE__BODY_CONS:
+  case PW__ENVELOPE__BODY_JOIN:
+    return PWC_GROUP_OUT;
+  case PW__ENVELOPE__BODY_NOTICE:
+    return PWC_NOTICE_OUT;
+  case PW__ENVELOPE__BODY_DOCUMENT:
+    return PWC_DOCUMENT_OUT;
+  default:
+    return PWC_COUNT;
+  }
+}
+
 static void count_sent(pw_wire *w, const Pw__Envelope *e, size_t n) {
+  pw_counter class = class_of(e);
   pwcount_add(w->counters, is_data(e) ? PWC_DATA_OUT : PWC_CTL_OUT, (int64_t)n);
-  if (e->body_case == PW__ENVELOPE__BODY_WELCOME ||
-      e->body_case == PW__ENVELOPE__BODY_HELLO)
-    pwcount_add(w->counters, PWC_FEED_OUT, (int64_t)n);
-  if (e->body_case == PW__ENVELOPE__BODY_LOADS ||
-      e->body_case == PW__ENVELOPE__BODY_PING)
-    pwcount_add(w->counters, PWC_REPORT_OUT, (int64_t)n);
+  if (class != PWC_COUNT)
+    pwcount_add(w->counters, class, (int64_t)n);
+  pwcount_add(w->counters, PWC_DOCUMENTS, class == PWC_DOCUMENT_OUT);
 }
 
 int pwwire_send(pw_sock *s, const pw_peer *to, Pw__Envelope *e) {
