Gateways go back to the control instance that is first in their order

Cause: right after an election the control instance that hears of the leader first is the only one in touch; each gateway moved to it at once and stayed, since it was left only when silent or out of touch. All 103 relied on one: its link carried all tables and documents. Change: a primary that is out of touch is left after a second; a gateway goes back to the first of its own order when that one has been well for 2 to 6 s, each at its own time. Ruled out: the order itself (rendezvous hashing by the gateway's address spreads evenly).

What is left: reads of the configuration (448 to 672 KB a second at the leader), copies sent by control alone. Test: test_goes_back, fails before.

--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -24,6 +24,15 @@
 #define TELL_ALL_MS 1000
 #define TELL_ALL_MAX_MS 16000
 
+/* A primary that is out of touch with a leader is left after so long, ms: twice the pause
+** between the notices of 50 watchers' control instance. */
+#define APART_MS 1000
+
+/* A gateway goes back to the first control instance of its order when that one has been
+** well for so long, and up to as long again, each at its own time, ms. */
+#define GO_BACK_MS 2000
+#define GO_BACK_SPREAD_MS 4000
+
 #define FORGET_MS 20000 /* a control instance silent for so long is dropped */
 #define ALONE_MS 1500   /* with a configuration, but nobody to confirm it */
 #define POLL_S 0.05     /* in case an edge of the socket was missed */
@@ -47,6 +56,8 @@
   contact *contacts;
   contact *primary; /* it tells all that is known of targets */
   int64_t chosen_at, full_at;
+  int64_t apart_at;    /* when it was last in touch, or others were not */
+  int64_t second_at;   /* when no better one was known last */
   int64_t patience_ms; /* for the primary to tell all */
   int64_t site_at;     /* when the newest configuration came */
   int64_t behind_at;   /* when a newer one was told of first; 0: none was */
@@ -303,14 +314,31 @@
 }
 
 /* Whether another one must be chosen: the primary is silent, or has not told
-** its targets, or is out of touch with a leader while `best` is in touch. */
-static int must_choose(const pw_link *l, const contact *best, int64_t now) {
+** its targets, or has long been out of touch with a leader while `best` is in touch.
+** Right after an election some hear of the leader a moment before others: were each
+** gateway to move at once, all would rely on the first. */
+static int must_choose(pw_link *l, const contact *best, int64_t now) {
   const contact *p = l->primary;
   if (!p || !is_fresh(p, now))
     return 1;
   if (l->full_at < l->chosen_at && now - l->chosen_at > l->patience_ms)
     return 1;
-  return best->in_touch && !p->in_touch;
+  if (p->in_touch || !best->in_touch)
+    l->apart_at = now;
+  return now - l->apart_at > APART_MS;
+}
+
+/* Whether it is time to go back to the first in this gateway's order, which is well again:
+** gateways that have all fled to one control instance would else stay there for good,
+** and its link alone carries tables and documents for all of them. */
+static int may_go_back(pw_link *l, const contact *best, int64_t now) {
+  const contact *p = l->primary;
+  if (!p || !best->in_touch || !p->in_touch || rank(l, best) < rank(l, p)) {
+    l->second_at = now;
+    return 0;
+  }
+  int64_t pause = GO_BACK_MS + (int64_t)(rank(l, best) % GO_BACK_SPREAD_MS);
+  return now - l->second_at > pause;
 }
 
 /* The first in this gateway's order that is heard, before all one in touch with
@@ -320,13 +348,13 @@
   for (contact *c = l->contacts; c; c = c->next)
     if (is_fresh(c, now) && c != l->primary && is_better(l, c, best))
       best = c;
-  if (!best || !must_choose(l, best, now))
+  if (!best || !(must_choose(l, best, now) | may_go_back(l, best, now)))
     return;
   contact *old = l->primary;
   if (old && l->full_at < l->chosen_at && l->patience_ms < TELL_ALL_MAX_MS)
     l->patience_ms *= 2;
   l->primary = best;
-  l->chosen_at = now;
+  l->chosen_at = l->apart_at = l->second_at = now;
   pwtrace_line(l->g->trace, PWTRACE_STATE, now, "primary", "control=%s",
                best->addr);
   if (old)
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -14,6 +14,8 @@
 #define CONTROLS 5
 #define TRIES 1000
 #define TRY_MS 5
+#define WATCH_MS 100000 /* nobody is silent for that long here */
+#define LONG_MS 8000    /* gateways go back to their first by then */
 
 /* What answers as a control instance. */
 typedef struct control {
@@ -28,6 +30,8 @@
   pw_gate g;
   pw_wire *far; /* of the control instances */
   control c[CONTROLS];
+  int64_t
+      ahead; /* of the clock, ms: the gateway's ticks are told a later time */
 } bed;
 
 static int free_port(void) {
@@ -100,7 +104,7 @@
 }
 
 static void turn(bed *b) {
-  pwlink_tick(b->g.link, pwclock_ms());
+  pwlink_tick(b->g.link, pwclock_ms() + b->ahead);
   ev_run(b->g.ev, EVRUN_NOWAIT);
   for (int i = 0; i < CONTROLS; i++)
     hear(&b->c[i]);
@@ -121,7 +125,7 @@
   return n == CONTROLS;
 }
 
-static const control *primary(const bed *b) {
+static control *primary(bed *b) {
   for (int i = 0; i < CONTROLS; i++)
     if (b->c[i].is_primary)
       return &b->c[i];
@@ -135,16 +139,20 @@
     CHECK(condition);                                                          \
   } while (0)
 
-static void tell(control *c, uint64_t site, int full) {
+static void tell_touch(control *c, uint64_t site, int full, int in_touch) {
   Pw__Notice n = PW__NOTICE__INIT;
   n.site = site;
-  n.in_touch = 1;
+  n.in_touch = in_touch;
   n.full = full;
-  n.watch_ms = 1000;
+  n.watch_ms = WATCH_MS;
   Pw__Envelope e = PW_ENVELOPE(NOTICE, notice, &n);
   pwwire_send(c->sock, &c->gateway, &e);
 }
 
+static void tell(control *c, uint64_t site, int full) {
+  tell_touch(c, site, full, 1);
+}
+
 /* All tell of version 7 at once: the primary is asked, once, and nobody else. */
 static void test_asks_one(void) {
   bed b;
@@ -179,9 +187,37 @@
   end(&b);
 }
 
+/* The primary is out of touch for long while another one is in touch, which all gateways
+** then rely on; when all are well, each goes back to the first of its own order. */
+static void test_goes_back(void) {
+  bed b;
+  begin(&b);
+  UNTIL(&b, watched_by_all(&b));
+  for (int i = 0; i < CONTROLS; i++)
+    tell(&b.c[i], 0, 1);
+  UNTIL(&b, primary(&b) != NULL);
+  control *first = primary(&b);
+  control *second = first == b.c ? &b.c[1] : b.c;
+  for (int i = 0; i < CONTROLS; i++)
+    tell_touch(&b.c[i], 1, 0, &b.c[i] == second);
+  UNTIL(&b, wanted(&b) > 0);
+  for (int i = 0; i < CONTROLS; i++)
+    CHECK(b.c[i].is_primary == (&b.c[i] == first));
+  b.ahead += LONG_MS;
+  UNTIL(&b, primary(&b) == second);
+  for (int i = 0; i < CONTROLS; i++)
+    tell(&b.c[i], 1, 1);
+  UNTIL(&b, wanted(&b) > 1);
+  CHECK(primary(&b) == second);
+  b.ahead += LONG_MS;
+  UNTIL(&b, primary(&b) == first);
+  end(&b);
+}
+
 int main(void) {
   TESTS_BEGIN("link");
   TEST(test_asks_one);
   TEST(test_asks_another);
+  TEST(test_goes_back);
   TESTS_END();
 }
