Gateways hand configurations on to each other; bulk leaves at half of the link; a version is packed once

Cause: control alone sent each gateway its copy of a long configuration, as fast as it was asked, and compressed it anew for each. Votes, leases and answers to heartbeats stood behind it in the link's queue, and the loop came round after up to 2.1 s. Change: control names a gateway that holds the version to the next that waits (pwspread, pure); the holder hands it on (pwrelay, gateway.relay); documents and tables share one pace (pwpace); packed documents are kept (pwdoc). pwlink.c is split: pwfollow.c has the configuration's way. Ruled out: a tree fixed in advance (a dead gateway holds up all below), gossip (no bound).

--- /dev/null
+++ b/packages/control/pwhand.c
@@ -0,0 +1,126 @@
+/* pwhand.c: the configuration's way from a control instance to the gateways that want it. */
+#include "pwhand.h"
+
+#include "pwbuf.h"
+#include "pwspread.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* A gateway. */
+typedef struct receiver {
+  pw_spread_place place; /* the first: all[] points to it */
+  pw_peer peer;
+  uint64_t incarnation;
+  char relay[PW_NAME_MAX]; /* where it hands documents on; "": nowhere */
+} receiver;
+
+struct pw_hand {
+  pw_proc *p;
+  pw_sock *listener;
+  const pw_doc *doc;
+  pw_spread_place **all; /* each is a receiver's */
+  size_t n, cap;
+  uint64_t last_id;
+};
+
+pw_hand *pwhand_new(pw_proc *p, pw_sock *listener, const pw_doc *doc) {
+  pw_hand *h = pw_alloc(sizeof *h);
+  h->p = p;
+  h->listener = listener;
+  h->doc = doc;
+  return h;
+}
+
+void pwhand_free(pw_hand *h) {
+  if (!h)
+    return;
+  for (size_t i = 0; i < h->n; i++)
+    free(h->all[i]);
+  free(h->all);
+  free(h);
+}
+
+static receiver *receiver_at(const pw_hand *h, size_t i) {
+  return (receiver *)h->all[i];
+}
+
+static size_t find(const pw_hand *h, const pw_peer *from,
+                   uint64_t incarnation) {
+  size_t i = 0;
+  while (i < h->n && (receiver_at(h, i)->incarnation != incarnation ||
+                      !pwwire_same(&receiver_at(h, i)->peer, from)))
+    i++;
+  return i;
+}
+
+static receiver *add(pw_hand *h, const pw_peer *from, uint64_t incarnation) {
+  receiver *one = pw_alloc(sizeof *one);
+  one->peer = *from;
+  one->incarnation = incarnation;
+  one->place.id = ++h->last_id;
+  if (h->n == h->cap) {
+    h->cap = h->cap ? h->cap * 2 : 16;
+    pw_spread_place **grown = pw_alloc(sizeof *grown * h->cap);
+    if (h->n)
+      memcpy(grown, h->all, sizeof *grown * h->n);
+    free(h->all);
+    h->all = grown;
+  }
+  h->all[h->n++] = &one->place;
+  return one;
+}
+
+void pwhand_watch(pw_hand *h, const pw_peer *from, uint64_t incarnation,
+                  const Pw__Watch *m, int64_t now) {
+  size_t i = find(h, from, incarnation);
+  receiver *one = i < h->n ? receiver_at(h, i) : add(h, from, incarnation);
+  uint64_t newest = pwdoc_version(h->doc);
+  pw_copy(one->relay, sizeof one->relay, m->relay);
+  one->place.can_hand = m->relay[0] != 0;
+  pwspread_holds(&one->place, m->site, newest, h->all, h->n);
+  if (m->want && m->site < newest)
+    pwspread_want(&one->place, now);
+}
+
+void pwhand_drop(pw_hand *h, const pw_peer *from, uint64_t incarnation) {
+  size_t i = find(h, from, incarnation);
+  if (i == h->n)
+    return;
+  free(h->all[i]);
+  h->all[i] = h->all[--h->n];
+}
+
+static void send(pw_hand *h, const receiver *to, Pw__Document *d) {
+  Pw__Envelope e = PW_ENVELOPE(DOCUMENT, document, d);
+  pwwire_send(h->listener, &to->peer, &e);
+}
+
+static void send_holder(pw_hand *h, const receiver *to,
+                        const receiver *holder) {
+  Pw__Document d = PW__DOCUMENT__INIT;
+  d.version = pwdoc_version(h->doc);
+  d.ask = (char *)holder->relay;
+  send(h, to, &d);
+}
+
+void pwhand_serve(pw_hand *h, pw_pace *link, int64_t now) {
+  uint64_t newest = pwdoc_version(h->doc);
+  pw_spread_place *to;
+  while ((to = pwspread_first(h->all, h->n)) != NULL) {
+    Pw__Document d = *pwdoc_packed(h->doc, to->holds);
+    int own;
+    pw_spread_place *holder =
+        pwspread_giver(to, h->all, h->n, newest, d.data.len,
+                       pwpace_has_room(link, now), now, &own);
+    if (!holder && !own)
+      return;
+    pwspread_serve(to, holder, now);
+    if (holder) {
+      send_holder(h, (receiver *)to, (receiver *)holder);
+      continue;
+    }
+    send(h, (receiver *)to, &d);
+    pwpace_take(link, d.data.len, now);
+  }
+}
--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -3,8 +3,10 @@
 
 #include "pwbuf.h"
 #include "pwcons.h"
+#include "pwhand.h"
 #include "pwlimits.h"
 #include "pwlog.h"
+#include "pwpace.h"
 #include "pwtable.h"
 
 #include <stdlib.h>
@@ -32,11 +34,7 @@
 #define GATHER_MS 30
 #define GATHER_MS_A_WATCHER 2
 
-/* Tables of all targets take this share of the instance's link at most. */
-#define TABLES_SHARE 0.5
 #define TABLE_MS 300 /* a table is told so long before it is made anew */
-#define BITS_PER_BYTE 8
-#define KBIT_PER_MBIT 1000
 
 #define NEWS_MAX 2048 /* heartbeats that wait to be passed on */
 
@@ -81,9 +79,10 @@
   int nnews;
   int64_t urgent_at; /* when the oldest change came; 0: there is none */
   int64_t renewed_at;
-  int64_t changed_at;   /* when the set of gateways changed last, ms */
-  int64_t link_free_at; /* when the next table may be sent, ms */
-  Pw__Notice table;     /* of all targets, as told last */
+  int64_t changed_at; /* when the set of gateways changed last, ms */
+  pw_hand *hand;
+  pw_pace bulk;     /* tables and documents */
+  Pw__Notice table; /* of all targets, as told last */
   int64_t table_at;
   int in_touch; /* a leader was heard just now */
 };
@@ -95,6 +94,8 @@
   w->listener = listener;
   w->dialler = dialler;
   w->doc = doc;
+  w->hand = pwhand_new(p, listener, doc);
+  w->bulk = pwpace_of(p->set->control_link);
   w->targets = pwfleet_new(p->set->availability_zone, p->set->control_beat, 0);
   return w;
 }
@@ -107,6 +108,7 @@
     w->watchers = one->next;
     free(one);
   }
+  pwhand_free(w->hand);
   pwfleet_free(w->targets);
   free(w->table.table.data);
   free(w);
@@ -156,14 +158,6 @@
   to->told_site = n->site;
 }
 
-/* How long a table keeps its share of the link busy, ms. */
-static int64_t link_ms(const pw_watch *w, size_t bytes) {
-  double bits_a_ms = TABLES_SHARE * w->p->set->control_link * KBIT_PER_MBIT;
-  if (bits_a_ms <= 0)
-    return 0;
-  return (int64_t)((double)bytes * BITS_PER_BYTE / bits_a_ms);
-}
-
 /* Many who wait are told the same table: one that was made after they had asked. What
 ** has changed since then they were told besides, and what is older changes nothing. */
 static void refresh_table(pw_watch *w, int64_t asked_at, int64_t now) {
@@ -184,7 +178,7 @@
   to->listed_at = 0;
   to->asked_at = 0;
   tell(w, to, &n, now);
-  w->link_free_at = now + link_ms(w, n.table.len);
+  pwpace_take(&w->bulk, n.table.len, now);
   pwcount_add(w->p->counters, PWC_TABLES_TOLD, 1);
   pwcount_add(w->p->counters, PWC_TABLES_BYTES, (int64_t)n.table.len);
 }
@@ -201,7 +195,7 @@
 /* Tables of a large fleet are many times what the link carries in a second: sent
 ** all at once they would hold up everything else, so they take their share. */
 static void tell_tables(pw_watch *w, int64_t now) {
-  while (now >= w->link_free_at) {
+  while (pwpace_has_room(&w->bulk, now)) {
     watcher *to = first_waiting(w);
     if (!to)
       return;
@@ -209,14 +203,6 @@
   }
 }
 
-static void send_document(pw_watch *w, const pw_peer *to, uint64_t have) {
-  Pw__Document d;
-  pwdoc_pack(w->doc, have, &d);
-  Pw__Envelope e = PW_ENVELOPE(DOCUMENT, document, &d);
-  pwwire_send(w->listener, to, &e);
-  free(d.data.data);
-}
-
 /* --- news --- */
 
 static void note_news(pw_watch *w, const pw_beat *b, pw_fleet_news what,
@@ -326,8 +312,8 @@
     one->asked_at = now;
   else if (!m->primary)
     one->asked_at = 0;
-  if (m->want && pwdoc_version(w->doc) > m->site)
-    send_document(w, from, m->site);
+  if (one->gossip[0])
+    pwhand_watch(w->hand, from, e->incarnation, m, now);
 }
 
 static other *other_of(pw_watch *w, const pw_peer *peer) {
@@ -357,6 +343,7 @@
     *at = one->next;
     w->nwatchers--;
     note_gateways(w, one);
+    pwhand_drop(w->hand, &one->peer, one->incarnation);
     free(one);
   }
 }
@@ -499,6 +486,7 @@
   drop_lost(w, now);
   watch_others(w, now);
   pwfleet_tick(w->targets, now, on_silent, w);
+  pwhand_serve(w->hand, &w->bulk, now);
   tell_tables(w, now);
   if (!is_due(w, now))
     return;
--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -130,6 +130,9 @@
         "IP:PORT where it says whether it is ready, and of /metrics"),
     STR("gateway", "gossip", gateway_gossip, NULL, NULL, "gateway",
         "IP:PORT (UDP) where gateways tell each other their loads"),
+    STR("gateway", "relay", gateway_relay, "", NULL, NULL,
+        "tcp://IP:PORT where other gateways take configurations from this one; "
+        "unset: control alone sends them"),
     LIST("gateway", "control", gateway_control, "gateway",
          "IP:PORT of the HTTP of control instances to begin with"),
     INT("gateway", "control_port", gateway_control_port, 1, 65535, 7340, "port",
--- a/packages/core/pwset.h
+++ b/packages/core/pwset.h
@@ -61,6 +61,7 @@
   char *gateway_http;
   char *gateway_ready;
   char *gateway_gossip;
+  char *gateway_relay;
   pw_list gateway_control;
   int64_t gateway_control_port;
   int64_t gateway_beat;
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -1,9 +1,7 @@
 /* pwlink.c: a gateway's links to control instances: configuration, targets,
 ** other gateways. It is in touch with all of them; whoever has news tells it. */
-#include "pwgate.h"
+#include "pwlinkint.h"
 
-#include "pwdoc.h"
-#include "pwlog.h"
 #include "pwtable.h"
 
 #include <stdio.h>
@@ -12,12 +10,7 @@
 #include <xxhash.h>
 #include <zmq.h>
 
-#define WATCH_MS 500     /* control is told so often that we are there */
-#define ASK_AGAIN_MS 300 /* a document that did not come is asked for again */
-
-/* A newer document is asked of the primary; of another one when the primary has not told
-** of it by then, and of the next after as long again, ms. */
-#define ASK_OTHER_MS 1000
+#define WATCH_MS 500  /* control is told so often that we are there */
 #define FRESH_TIMES 3 /* missed notices after which control is silent */
 /* A primary has told all of its targets by then, or another one is chosen; where
 ** many wait for their turn each next one is given twice as long. */
@@ -37,40 +30,6 @@
 #define ALONE_MS 1500   /* with a configuration, but nobody to confirm it */
 #define POLL_S 0.05     /* in case an edge of the socket was missed */
 
-typedef struct contact {
-  char addr[PW_NAME_MAX];
-  pw_peer peer;
-  int is_seed;
-  uint64_t site; /* version it has told */
-  int in_touch;
-  int64_t heard_at; /* 0: never */
-  int64_t watch_ms; /* how often it wants to hear of us */
-  int64_t asked_at, dialled_at;
-  struct contact *next;
-} contact;
-
-struct pw_link {
-  pw_gate *g;
-  pw_sock *sock;
-  pw_doc *doc;
-  contact *contacts;
-  contact *primary; /* it tells all that is known of targets */
-  int64_t chosen_at, full_at;
-  int64_t apart_at;    /* when it was last in touch, or others were not */
-  int64_t second_at;   /* when no better one was known last */
-  int64_t patience_ms; /* for the primary to tell all */
-  int64_t site_at;     /* when the newest configuration came */
-  int64_t behind_at;   /* when a newer one was told of first; 0: none was */
-  int64_t wanted_at;   /* when it was asked for last */
-  pw_reading *reading; /* of it, or of one before; NULL: it has been read */
-  pw_site *before;     /* what it is read with, held */
-  uint64_t read_version;
-  size_t read_bytes;
-  int ngateways;
-  ev_io io;
-  ev_timer poll;
-};
-
 static contact *contact_of(pw_link *l, const char *addr, int64_t now) {
   for (contact *c = l->contacts; c; c = c->next)
     if (!strcmp(c->addr, addr))
@@ -85,76 +44,29 @@
   return c;
 }
 
-static void send_watch(pw_link *l, contact *c, int want, int64_t now) {
+void pwlink_send_watch(pw_link *l, contact *c, int want, int64_t now) {
   Pw__Watch m = PW__WATCH__INIT;
   m.site = pwdoc_version(l->doc);
   m.want = want;
   m.gossip = l->g->p->set->gateway_gossip;
   m.primary = c == l->primary;
+  m.relay = l->g->p->set->gateway_relay;
   Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
   pwwire_send(l->sock, &c->peer, &e);
   c->asked_at = now;
 }
 
-static int is_fresh(const contact *c, int64_t now) {
+int pwlink_is_fresh(const contact *c, int64_t now) {
   return c->heard_at && now - c->heard_at <= FRESH_TIMES * c->watch_ms;
 }
 
 /* Each gateway has an order of its own, so that they spread. */
-static uint64_t rank(const pw_link *l, const contact *c) {
+uint64_t pwlink_rank(const pw_link *l, const contact *c) {
   const char *self = l->g->p->set->gateway_gossip;
   return XXH3_64bits_withSeed(c->addr, strlen(c->addr),
                               XXH3_64bits(self, strlen(self)));
 }
 
-/* --- the newest configuration --- */
-
-static int has_newer(const pw_link *l, const contact *c, int64_t now) {
-  return c->site > pwdoc_version(l->doc) && is_fresh(c, now);
-}
-
-/* The control instance of that place in this gateway's order among those that have a
-** newer configuration; the primary comes first. NULL: there are not so many. */
-static contact *nth_newer(const pw_link *l, int n, int64_t now) {
-  contact *last = NULL;
-  if (l->primary && has_newer(l, l->primary, now) && n-- == 0)
-    return l->primary;
-  do {
-    contact *best = NULL;
-    for (contact *c = l->contacts; c; c = c->next)
-      if (c != l->primary && has_newer(l, c, now) &&
-          (!last || rank(l, c) < rank(l, last)) &&
-          (!best || rank(l, c) > rank(l, best)))
-        best = c;
-    last = best;
-  } while (last && n-- > 0);
-  return last;
-}
-
-/* Asks one control instance for the newest configuration. All have it: were each
-** asked, 103 gateways got 515 copies of 35 KB, which kept the links of five control
-** instances busy for 5 s; votes and leases waited behind them (counted by
-** document_sent_bytes_total). */
-static void ask_for_site(pw_link *l, int64_t now) {
-  int behind = 0;
-  for (const contact *c = l->contacts; c; c = c->next)
-    behind += has_newer(l, c, now);
-  if (!behind) {
-    l->behind_at = 0;
-    return;
-  }
-  if (!l->behind_at)
-    l->behind_at = now;
-  if (now - l->wanted_at < ASK_AGAIN_MS)
-    return;
-  int turn = (int)((now - l->behind_at) / ASK_OTHER_MS);
-  int told = l->primary && has_newer(l, l->primary, now);
-  if (l->primary && !told && is_fresh(l->primary, now) && turn-- == 0)
-    return;
-  l->wanted_at = now;
-  send_watch(l, nth_newer(l, turn % behind, now), 1, now);
-}
-
 /* --- what control tells --- */
 
 typedef struct told {
@@ -204,54 +116,7 @@
   told t = {l, n->in_touch, now};
   pwtable_read(n, on_told, &t);
   take_lists(l, c, n, now);
-  ask_for_site(l, now);
-}
-
-static void end_reading(pw_link *l) {
-  l->g->dialect->end_site(l->reading);
-  l->reading = NULL;
-  pwsite_drop(l->before);
-  l->before = NULL;
-}
-
-/* Reads on in the document that came: a step a turn of the loop, so that streams go
-** on meanwhile. One that came while another was read is next. */
-static void read_site(pw_link *l) {
-  pw_gate *g = l->g;
-  pw_site *site;
-  char why[160] = "";
-  if (!l->reading) {
-    size_t n;
-    const char *text = pwdoc_text(l->doc, &n);
-    l->before = g->site ? pwsite_hold(g->site) : NULL;
-    l->read_version = pwdoc_version(l->doc);
-    l->read_bytes = n;
-    l->reading = g->dialect->begin_site(text, n, l->before);
-  }
-  int routes = pwsite_routes_a_step(l->read_bytes, !g->site);
-  pw_code rc =
-      g->dialect->step_site(l->reading, routes, &site, why, sizeof why);
-  if (rc == PW_OK && !site)
-    return;
-  end_reading(l);
-  if (rc == PW_OK)
-    pwgate_adopt(g, site);
-  else
-    pwlog(LOG_ERR, "configuration-unreadable", "code=%d why=\"%s\"", (int)rc,
-          why);
-}
-
-static void on_document(pw_link *l, const Pw__Document *d, int64_t now) {
-  uint64_t before = pwdoc_version(l->doc);
-  pw_code rc = pwdoc_take(l->doc, d);
-  if (rc == PW_E_STALE) { /* its base is not kept here: the whole, please */
-    l->wanted_at = 0;
-    pwdoc_clear(l->doc);
-  }
-  if (rc != PW_OK || pwdoc_version(l->doc) == before)
-    return;
-  l->site_at = now;
-  read_site(l);
+  pwfollow_ask(l, now);
 }
 
 static contact *contact_by_peer(pw_link *l, const pw_peer *from) {
@@ -271,8 +136,8 @@
       c->heard_at = now;
     if (c && e->body_case == PW__ENVELOPE__BODY_NOTICE)
       on_notice(l, c, e->notice, now);
-    else if (c && e->body_case == PW__ENVELOPE__BODY_DOCUMENT)
-      on_document(l, e->document, now);
+    else if (e->body_case == PW__ENVELOPE__BODY_DOCUMENT)
+      pwfollow_document(l, e->document, now);
     pw__envelope__free_unpacked(e, NULL);
   }
 }
@@ -302,6 +167,8 @@
     *at = c->next;
     if (c == l->primary)
       l->primary = NULL;
+    if (c == l->wanted_of)
+      l->wanted_of = NULL;
     pwwire_hang_up(l->sock, c->addr);
     free(c);
   }
@@ -310,7 +177,7 @@
 static int is_better(const pw_link *l, const contact *a, const contact *b) {
   if (!b || a->in_touch != b->in_touch)
     return !b || a->in_touch;
-  return rank(l, a) > rank(l, b);
+  return pwlink_rank(l, a) > pwlink_rank(l, b);
 }
 
 /* Whether another one must be chosen: the primary is silent, or has not told
@@ -319,7 +186,7 @@
 ** gateway to move at once, all would rely on the first. */
 static int must_choose(pw_link *l, const contact *best, int64_t now) {
   const contact *p = l->primary;
-  if (!p || !is_fresh(p, now))
+  if (!p || !pwlink_is_fresh(p, now))
     return 1;
   if (l->full_at < l->chosen_at && now - l->chosen_at > l->patience_ms)
     return 1;
@@ -333,11 +200,13 @@
 ** and its link alone carries tables and documents for all of them. */
 static int may_go_back(pw_link *l, const contact *best, int64_t now) {
   const contact *p = l->primary;
-  if (!p || !best->in_touch || !p->in_touch || rank(l, best) < rank(l, p)) {
+  if (!p || !best->in_touch || !p->in_touch ||
+      pwlink_rank(l, best) < pwlink_rank(l, p)) {
     l->second_at = now;
     return 0;
   }
-  int64_t pause = GO_BACK_MS + (int64_t)(rank(l, best) % GO_BACK_SPREAD_MS);
+  int64_t pause =
+      GO_BACK_MS + (int64_t)(pwlink_rank(l, best) % GO_BACK_SPREAD_MS);
   return now - l->second_at > pause;
 }
 
@@ -346,7 +215,7 @@
 static void choose_primary(pw_link *l, int64_t now) {
   contact *best = NULL;
   for (contact *c = l->contacts; c; c = c->next)
-    if (is_fresh(c, now) && c != l->primary && is_better(l, c, best))
+    if (pwlink_is_fresh(c, now) && c != l->primary && is_better(l, c, best))
       best = c;
   if (!best || !(must_choose(l, best, now) | may_go_back(l, best, now)))
     return;
@@ -358,18 +227,18 @@
   pwtrace_line(l->g->trace, PWTRACE_STATE, now, "primary", "control=%s",
                best->addr);
   if (old)
-    send_watch(l, old, 0, now);
-  send_watch(l, best, 0, now);
+    pwlink_send_watch(l, old, 0, now);
+  pwlink_send_watch(l, best, 0, now);
 }
 
 void pwlink_tick(pw_link *l, int64_t now) {
   if (l->reading || l->read_version < pwdoc_version(l->doc))
-    read_site(l);
+    pwfollow_read(l);
   choose_primary(l, now);
-  ask_for_site(l, now);
+  pwfollow_ask(l, now);
   for (contact *c = l->contacts; c; c = c->next)
     if (now - c->asked_at >= c->watch_ms)
-      send_watch(l, c, 0, now);
+      pwlink_send_watch(l, c, 0, now);
   drop_silent(l, now);
 }
 
@@ -379,7 +248,7 @@
   if (!held || l->reading)
     return 0;
   for (const contact *c = l->contacts; c; c = c->next) {
-    if (!is_fresh(c, now))
+    if (!pwlink_is_fresh(c, now))
       continue;
     newer |= c->site > held;
     confirmed |= c->in_touch && c->site <= held;
@@ -425,7 +294,8 @@
   l->io.data = l->poll.data = l;
   ev_io_start(g->ev, &l->io);
   ev_timer_start(g->ev, &l->poll);
-  if (dial_seeds(l, err) == 0)
+  l->relay = pwrelay_new(g, l->doc, err);
+  if (l->relay && dial_seeds(l, err) == 0)
     return l;
   pwlink_free(l);
   return NULL;
@@ -441,7 +311,8 @@
     l->contacts = c->next;
     free(c);
   }
-  end_reading(l);
+  pwfollow_end(l);
+  pwrelay_free(l->relay);
   pwwire_close(l->sock);
   pwdoc_free(l->doc);
   free(l);
--- a/packages/store/pwdoc.c
+++ b/packages/store/pwdoc.c
@@ -19,24 +19,44 @@
   size_t n;
 } kept;
 
+/* The newest version as it was packed, against each base that was asked for: packing
+** takes some ms, and a hundred receivers of the same base ask in the same moment. */
+typedef struct packs {
+  Pw__Document d[KEPT];
+  int used[KEPT];
+  int turn;
+} packs;
+
 struct pw_doc {
   kept k[KEPT]; /* the newest first */
+  packs *packs;
 };
 
 pw_doc *pwdoc_new(void) {
-  return pw_alloc(sizeof(pw_doc));
+  pw_doc *d = pw_alloc(sizeof *d);
+  d->packs = pw_alloc(sizeof *d->packs);
+  return d;
+}
+
+static void clear_packs(packs *p) {
+  for (int i = 0; i < KEPT; i++)
+    if (p->used[i])
+      free(p->d[i].data.data);
+  memset(p, 0, sizeof *p);
 }
 
 void pwdoc_clear(pw_doc *d) {
   for (int i = 0; i < KEPT; i++)
     free(d->k[i].text);
-  memset(d, 0, sizeof *d);
+  memset(d->k, 0, sizeof d->k);
+  clear_packs(d->packs);
 }
 
 void pwdoc_free(pw_doc *d) {
   if (!d)
     return;
   pwdoc_clear(d);
+  free(d->packs);
   free(d);
 }
 
@@ -58,6 +78,7 @@
 
 /* Takes over text. Older ones go when they are too many or too large. */
 static void push(pw_doc *d, uint64_t version, char *text, size_t n) {
+  clear_packs(d->packs);
   free(d->k[KEPT - 1].text);
   memmove(&d->k[1], &d->k[0], sizeof d->k[0] * (KEPT - 1));
   d->k[0] = (kept){version, text, n};
@@ -96,11 +117,26 @@
   ZSTD_freeCCtx(c);
 }
 
-void pwdoc_pack(const pw_doc *d, uint64_t have, Pw__Document *out) {
+/* Room for one more; the oldest makes it. */
+static Pw__Document *new_pack(packs *p) {
+  int i = p->turn++ % KEPT;
+  if (p->used[i])
+    free(p->d[i].data.data);
+  p->used[i] = 1;
+  pw__document__init(&p->d[i]);
+  return &p->d[i];
+}
+
+const Pw__Document *pwdoc_packed(const pw_doc *d, uint64_t have) {
   const kept *base = have < d->k[0].version ? find(d, have) : NULL;
-  pw__document__init(out);
+  uint64_t since = base ? base->version : 0;
+  for (int i = 0; i < KEPT; i++)
+    if (d->packs->used[i] && d->packs->d[i].since == since)
+      return &d->packs->d[i];
+  Pw__Document *out = new_pack(d->packs);
   out->version = d->k[0].version;
   compress(base, d->k[0].text ? d->k[0].text : "", d->k[0].n, out);
+  return out;
 }
 
 void pwdoc_pack_next(const pw_doc *d, uint64_t version, const char *text,
@@ -135,5 +171,11 @@
   if (!text)
     return PW_E_CORRUPT;
   push(d, in->version, text, in->size);
+  Pw__Document *out = new_pack(d->packs); /* handed on as it came */
+  out->version = in->version;
+  out->since = in->since;
+  out->size = in->size;
+  out->data.len = in->data.len;
+  out->data.data = pw_memdup(in->data.data, in->data.len);
   return PW_OK;
 }
--- a/packages/store/pwdoc.h
+++ b/packages/store/pwdoc.h
@@ -24,11 +24,11 @@
 const char *pwdoc_text(const pw_doc *d, size_t *n);
 
 /* What a receiver that holds version `have` needs to get to the newest: the
-** difference if that one is kept here, else the whole. out->data is the
-** caller's to free. */
-void pwdoc_pack(const pw_doc *d, uint64_t have, Pw__Document *out);
+** difference if that one is kept here, else the whole. Good until the document changes. */
+const Pw__Document *pwdoc_packed(const pw_doc *d, uint64_t have);
 
-/* Packs a text as the version that would follow the newest held. */
+/* Packs a text as the version that would follow the newest held; out->data is the
+** caller's to free. */
 void pwdoc_pack_next(const pw_doc *d, uint64_t version, const char *text,
                      size_t n, Pw__Document *out);
 
--- a/packages/store/pwstate.c
+++ b/packages/store/pwstate.c
@@ -317,9 +317,8 @@
   pack_resources(s, &out);
   pack_outcomes(s, &out);
   pwonce_pack(s->once, &out);
-  Pw__Document doc;
-  pwdoc_pack(s->doc, 0, &doc);
-  out.document = pwdoc_version(s->doc) ? &doc : NULL;
+  if (pwdoc_version(s->doc))
+    out.document = (Pw__Document *)pwdoc_packed(s->doc, 0); /* borrowed */
   *n = pw__state__get_packed_size(&out);
   uint8_t *bytes = pw_alloc(*n);
   pw__state__pack(&out, bytes);
@@ -329,7 +328,6 @@
   free(out.claims); /* borrowed, as the outcomes */
   free(out.outcomes);
   free(out.past.data);
-  free(doc.data.data);
   return bytes;
 }
 
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -1942,7 +1942,97 @@
   assert(message->base.descriptor == &pw__snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pw__envelope__field_descriptors[24] =
+void   pw__confirm__init
+                     (Pw__Confirm         *message)
+{
+  static const Pw__Confirm init_value = PW__CONFIRM__INIT;
+  *message = init_value;
+}
+size_t pw__confirm__get_packed_size
+                     (const Pw__Confirm *message)
+{
+  assert(message->base.descriptor == &pw__confirm__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__confirm__pack
+                     (const Pw__Confirm *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__confirm__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__confirm__pack_to_buffer
+                     (const Pw__Confirm *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__confirm__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__Confirm *
+       pw__confirm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__Confirm *)
+     protobuf_c_message_unpack (&pw__confirm__descriptor,
+                                allocator, len, data);
+}
+void   pw__confirm__free_unpacked
+                     (Pw__Confirm *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__confirm__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pw__confirmed__init
+                     (Pw__Confirmed         *message)
+{
+  static const Pw__Confirmed init_value = PW__CONFIRMED__INIT;
+  *message = init_value;
+}
+size_t pw__confirmed__get_packed_size
+                     (const Pw__Confirmed *message)
+{
+  assert(message->base.descriptor == &pw__confirmed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__confirmed__pack
+                     (const Pw__Confirmed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__confirmed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__confirmed__pack_to_buffer
+                     (const Pw__Confirmed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__confirmed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__Confirmed *
+       pw__confirmed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__Confirmed *)
+     protobuf_c_message_unpack (&pw__confirmed__descriptor,
+                                allocator, len, data);
+}
+void   pw__confirmed__free_unpacked
+                     (Pw__Confirmed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__confirmed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor pw__envelope__field_descriptors[26] =
 {
   {
     "from",
@@ -2232,12 +2322,38 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "confirm",
+    30,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Envelope, body_case),
+    offsetof(Pw__Envelope, confirm),
+    &pw__confirm__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirmed",
+    31,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Envelope, body_case),
+    offsetof(Pw__Envelope, confirmed),
+    &pw__confirmed__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__envelope__field_indices_by_name[] = {
   12,   /* field[12] = cancel */
   9,   /* field[9] = chunk */
   14,   /* field[14] = claim */
   15,   /* field[15] = claimed */
+  24,   /* field[24] = confirm */
+  25,   /* field[25] = confirmed */
   17,   /* field[17] = cons */
   11,   /* field[11] = credit */
   23,   /* field[23] = document */
@@ -2263,7 +2379,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 24 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor pw__envelope__descriptor =
 {
@@ -2273,7 +2389,7 @@
   "Pw__Envelope",
   "pw",
   sizeof(Pw__Envelope),
-  24,
+  26,
   pw__envelope__field_descriptors,
   pw__envelope__field_indices_by_name,
   2,  pw__envelope__number_ranges,
@@ -4805,7 +4921,7 @@
   (ProtobufCMessageInit) pw__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__watch__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pw__watch__field_descriptors[5] =
 {
   {
     "site",
@@ -4855,17 +4971,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "relay",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Watch, relay),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__watch__field_indices_by_name[] = {
   2,   /* field[2] = gossip */
   3,   /* field[3] = primary */
+  4,   /* field[4] = relay */
   0,   /* field[0] = site */
   1,   /* field[1] = want */
 };
 static const ProtobufCIntRange pw__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pw__watch__descriptor =
 {
@@ -4875,7 +5004,7 @@
   "Pw__Watch",
   "pw",
   sizeof(Pw__Watch),
-  4,
+  5,
   pw__watch__field_descriptors,
   pw__watch__field_indices_by_name,
   1,  pw__watch__number_ranges,
@@ -5179,7 +5308,7 @@
   (ProtobufCMessageInit) pw__table__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__document__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pw__document__field_descriptors[5] =
 {
   {
     "version",
@@ -5229,8 +5358,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ask",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Document, ask),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__document__field_indices_by_name[] = {
+  4,   /* field[4] = ask */
   3,   /* field[3] = data */
   1,   /* field[1] = since */
   2,   /* field[2] = size */
@@ -5239,7 +5381,7 @@
 static const ProtobufCIntRange pw__document__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pw__document__descriptor =
 {
@@ -5249,7 +5391,7 @@
   "Pw__Document",
   "pw",
   sizeof(Pw__Document),
-  4,
+  5,
   pw__document__field_descriptors,
   pw__document__field_indices_by_name,
   1,  pw__document__number_ranges,
@@ -6710,3 +6852,105 @@
   (ProtobufCMessageInit) pw__snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pw__confirm__field_descriptors[1] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Confirm, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__confirm__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+};
+static const ProtobufCIntRange pw__confirm__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor pw__confirm__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Confirm",
+  "Confirm",
+  "Pw__Confirm",
+  "pw",
+  sizeof(Pw__Confirm),
+  1,
+  pw__confirm__field_descriptors,
+  pw__confirm__field_indices_by_name,
+  1,  pw__confirm__number_ranges,
+  (ProtobufCMessageInit) pw__confirm__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__confirmed__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Confirmed, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leads",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Confirmed, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "index",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Confirmed, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__confirmed__field_indices_by_name[] = {
+  2,   /* field[2] = index */
+  1,   /* field[1] = leads */
+  0,   /* field[0] = number */
+};
+static const ProtobufCIntRange pw__confirmed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pw__confirmed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Confirmed",
+  "Confirmed",
+  "Pw__Confirmed",
+  "pw",
+  sizeof(Pw__Confirmed),
+  3,
+  pw__confirmed__field_descriptors,
+  pw__confirmed__field_indices_by_name,
+  1,  pw__confirmed__number_ranges,
+  (ProtobufCMessageInit) pw__confirmed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -58,6 +58,8 @@
 typedef struct Pw__State Pw__State;
 typedef struct Pw__Batch Pw__Batch;
 typedef struct Pw__Snapshot Pw__Snapshot;
+typedef struct Pw__Confirm Pw__Confirm;
+typedef struct Pw__Confirmed Pw__Confirmed;
 
 
 /* --- enums --- */
@@ -86,7 +88,9 @@
   PW__ENVELOPE__BODY_JOIN = 26,
   PW__ENVELOPE__BODY_WATCH = 27,
   PW__ENVELOPE__BODY_NOTICE = 28,
-  PW__ENVELOPE__BODY_DOCUMENT = 29
+  PW__ENVELOPE__BODY_DOCUMENT = 29,
+  PW__ENVELOPE__BODY_CONFIRM = 30,
+  PW__ENVELOPE__BODY_CONFIRMED = 31
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PW__ENVELOPE__BODY__CASE)
 } Pw__Envelope__BodyCase;
 
@@ -123,6 +127,8 @@
     Pw__Watch *watch;
     Pw__Notice *notice;
     Pw__Document *document;
+    Pw__Confirm *confirm;
+    Pw__Confirmed *confirmed;
   };
 };
 #define PW__ENVELOPE__INIT \
@@ -710,10 +716,17 @@
    * tell me all that is known of targets; others tell
    */
   protobuf_c_boolean primary;
+  /*
+   * only of what they hear themselves that leaves
+   */
+  /*
+   * where the sender hands configurations on; "": nowhere
+   */
+  char *relay;
 };
 #define PW__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__watch__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -802,7 +815,7 @@
 
 /*
  * A configuration document, compressed; `since` is the version that the
- * receiver must hold to read it, 0: none.
+ * receiver must hold to read it, 0: none. Or, without data, who has it.
  */
 struct  Pw__Document
 {
@@ -811,10 +824,14 @@
   uint64_t since;
   uint32_t size;
   ProtobufCBinaryData data;
+  /*
+   * wire address of a gateway that hands this version on
+   */
+  char *ask;
 };
 #define PW__DOCUMENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__document__descriptor) \
-    , 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -1124,6 +1141,41 @@
     , 0, 0, NULL, {0,NULL}, 0 }
 
 
+/*
+ * A control instance that does not lead asks the leader up to where it must have
+ * applied the log to answer a read now.
+ */
+struct  Pw__Confirm
+{
+  ProtobufCMessage base;
+  /*
+   * of the question, counted by who asks
+   */
+  uint64_t number;
+};
+#define PW__CONFIRM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__confirm__descriptor) \
+    , 0 }
+
+
+struct  Pw__Confirmed
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  /*
+   * under a lease, when it answered
+   */
+  protobuf_c_boolean leads;
+  /*
+   * what was committed then
+   */
+  uint64_t index;
+};
+#define PW__CONFIRMED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__confirmed__descriptor) \
+    , 0, 0, 0 }
+
+
 /* Pw__Envelope methods */
 void   pw__envelope__init
                      (Pw__Envelope         *message);
@@ -1941,6 +1993,44 @@
 void   pw__snapshot__free_unpacked
                      (Pw__Snapshot *message,
                       ProtobufCAllocator *allocator);
+/* Pw__Confirm methods */
+void   pw__confirm__init
+                     (Pw__Confirm         *message);
+size_t pw__confirm__get_packed_size
+                     (const Pw__Confirm   *message);
+size_t pw__confirm__pack
+                     (const Pw__Confirm   *message,
+                      uint8_t             *out);
+size_t pw__confirm__pack_to_buffer
+                     (const Pw__Confirm   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__Confirm *
+       pw__confirm__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__confirm__free_unpacked
+                     (Pw__Confirm *message,
+                      ProtobufCAllocator *allocator);
+/* Pw__Confirmed methods */
+void   pw__confirmed__init
+                     (Pw__Confirmed         *message);
+size_t pw__confirmed__get_packed_size
+                     (const Pw__Confirmed   *message);
+size_t pw__confirmed__pack
+                     (const Pw__Confirmed   *message,
+                      uint8_t             *out);
+size_t pw__confirmed__pack_to_buffer
+                     (const Pw__Confirmed   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__Confirmed *
+       pw__confirmed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__confirmed__free_unpacked
+                     (Pw__Confirmed *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Pw__Envelope_Closure)
@@ -2072,6 +2162,12 @@
 typedef void (*Pw__Snapshot_Closure)
                  (const Pw__Snapshot *message,
                   void *closure_data);
+typedef void (*Pw__Confirm_Closure)
+                 (const Pw__Confirm *message,
+                  void *closure_data);
+typedef void (*Pw__Confirmed_Closure)
+                 (const Pw__Confirmed *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -2121,6 +2217,8 @@
 extern const ProtobufCMessageDescriptor pw__state__descriptor;
 extern const ProtobufCMessageDescriptor pw__batch__descriptor;
 extern const ProtobufCMessageDescriptor pw__snapshot__descriptor;
+extern const ProtobufCMessageDescriptor pw__confirm__descriptor;
+extern const ProtobufCMessageDescriptor pw__confirmed__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -51,11 +51,11 @@
 function gateways:add_gateway(i)
   local name, http, ready, gossip = "gateway-" .. i, run.port(), run.port(), run.port()
   local path = self.dir .. "/" .. name .. ".toml"
-  local metrics = run.port()
+  local metrics, relay = run.port(), run.port()
   fleet.write(path, string.format('[instance]\nname = %q\nroles = ["gateway"]\navailability_zone = "az-1"\n' ..
     'metrics = "127.0.0.1:%d"\n' ..
-    '[gateway]\nhttp = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\ngossip = "127.0.0.1:%d"\ncontrol = %s\n' ..
-    'control_port = %d\nbeat_ms = %d\nretry_ratio = 0.2\nretry_slack = 1000\n%s\n', name, metrics, http, ready, gossip,
+    '[gateway]\nhttp = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\ngossip = "127.0.0.1:%d"\nrelay = "tcp://127.0.0.1:%d"\ncontrol = %s\n' ..
+    'control_port = %d\nbeat_ms = %d\nretry_ratio = 0.2\nretry_slack = 1000\n%s\n', name, metrics, http, ready, gossip, relay,
     quoted(self.seeds), self.wire_port, BEAT_MS, self.o.text or ""))
   local p = self.f:process(name, {run.bin .. "/peatwelld", "--config", path}, "127.0.0.1:" .. ready)
   p.live = "/metrics"
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -471,18 +471,21 @@
       free(text);
       continue;
     }
-    pwdoc_pack(leader, pwdoc_version(follower), &d);
-    if (d.since)
-      CHECK(d.data.len < strlen(text) / 4);
-    CHECK(pwdoc_take(follower, &d) == PW_OK);
-    free(d.data.data);
+    const Pw__Document *packed = pwdoc_packed(leader, pwdoc_version(follower));
+    if (packed->since)
+      CHECK(packed->data.len < strlen(text) / 4);
+    CHECK(packed == pwdoc_packed(leader, pwdoc_version(follower)));
+    CHECK(pwdoc_take(follower, packed) == PW_OK);
+    const Pw__Document *passed = pwdoc_packed(follower, packed->since);
+    CHECK(pw_same(passed->data.data, passed->data.len, packed->data.data,
+                  packed->data.len));
+    CHECK(passed->version == packed->version && passed->size == packed->size);
     size_t n;
     CHECK(pwdoc_version(follower) == v * 3);
     CHECK(!strcmp(pwdoc_text(follower, &n), text) && n == strlen(text));
     free(text);
   }
-  Pw__Document old;
-  pwdoc_pack(follower, 0, &old);
+  Pw__Document old = *pwdoc_packed(follower, 0);
   old.version = 1;
   uint64_t held = pwdoc_version(leader);
   CHECK(pwdoc_take(leader, &old) == PW_OK && pwdoc_version(leader) == held);
@@ -493,7 +496,6 @@
   old.data.len /= 2;
   CHECK(pwdoc_take(leader, &old) == PW_E_CORRUPT);
   CHECK(pwdoc_version(leader) == held);
-  free(old.data.data);
   pwdoc_free(leader);
   pwdoc_free(follower);
 }
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -52,6 +52,7 @@
   b->set.availability_zone = "az-1";
   b->set.keys_file = b->set.trust_file = "";
   b->set.gateway_gossip = "127.0.0.1:1";
+  b->set.gateway_relay = "";
   b->set.gateway_control_port = port;
   b->p.set = &b->set;
   b->p.counters = pwcount_new();
