A configuration is read at whichever control instance is asked

Change: an instance that does not lead asks the leader, under its lease, up to where the log is committed, and answers when it has applied that much (pwreads). Ruled out: answering from what is applied without asking (a cut-off instance would show an older state).

--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -94,6 +94,10 @@
     case PW__ENVELOPE__BODY_RECORD:
       pwctl_ledger(c, &from, e, now);
       break;
+    case PW__ENVELOPE__BODY_CONFIRM:
+    case PW__ENVELOPE__BODY_CONFIRMED:
+      pwreads_message(c->reads, sock, &from, e, now);
+      break;
     case PW__ENVELOPE__BODY_WATCH:
     case PW__ENVELOPE__BODY_NOTICE:
       pwwatch_message(c->watch, &from, e, now);
@@ -209,6 +213,7 @@
     rc = pwgroup_work(c->group, now); /* reads see what is committed by now */
     if (rc != PW_OK)
       break;
+    pwreads_work(c->reads, now);
     on_mail(c, pwclock_ms());
     if (now - ticked >= TICK_MS) {
       ticked = now;
@@ -329,6 +334,7 @@
   const pw_doc *doc = pwstate_document(pwgroup_state(c.group));
   c.watch = pwwatch_new(p, c.listener, c.dialler, doc);
   c.publish = pwpublish_new(c.group, doc);
+  c.reads = pwreads_new(c.group);
   rc = PW_E_SETTINGS;
   if (pwproc_serve_metrics(p, &c.metrics, err) == 0 && start_http(&c, err) == 0)
     rc = loop(&c);
@@ -339,6 +345,7 @@
   pwserve_stop(c.metrics);
   pwplanner_free(c.planner);
   pwpublish_free(c.publish);
+  pwreads_free(c.reads);
   pwwatch_free(c.watch);
   pwnews_free(c.news);
   pwfeed_free(c.feed);
--- a/packages/control/pwctl.h
+++ b/packages/control/pwctl.h
@@ -9,6 +9,7 @@
 #include "pwnews.h"
 #include "pwplanner.h"
 #include "pwpublish.h"
+#include "pwreads.h"
 #include "pwwatch.h"
 
 #include <uthash.h>
@@ -43,6 +44,7 @@
   pw_planner *planner;
   pw_watch *watch;
   pw_publish *publish;
+  pw_reads *reads;
   pw_busy busy;
   uint64_t planned; /* index of the planner's change; 0: none is under way */
   int64_t planned_at;
--- a/packages/control/pwctlcall.c
+++ b/packages/control/pwctlcall.c
@@ -156,7 +156,7 @@
 
 void pwctl_call(pw_control *c, pw_api_call *call, int64_t now) {
   if (call->op >= PW_API_SITE_READ) {
-    pwsitecall_take(call, c->group, c->publish, c->watch, now);
+    pwsitecall_take(call, c->group, c->publish, c->reads, c->watch, now);
     return;
   }
   if (!pwgroup_lease(c->group, now)) {
@@ -274,6 +274,7 @@
   }
   pwctl_answer_watchers(c, pwclock_ms());
   pwpublish_end(c->publish);
+  pwreads_end(c->reads);
   pw_api_call *call;
   while ((call = (pw_api_call *)pwmail_take(c->mail)) != NULL)
     pwapi_fail(call, PW_E_NOT_LEADER, "", "not-run", NULL);
--- a/packages/control/pwgroup.c
+++ b/packages/control/pwgroup.c
@@ -305,6 +305,18 @@
   return m ? m->http : "";
 }
 
+uint64_t pwgroup_applied(const pw_group *g) {
+  return g->applied;
+}
+
+int pwgroup_ask_leader(pw_group *g, Pw__Envelope *e) {
+  const char *addr = pwgroup_leader_wire(g);
+  if (!addr[0])
+    return -1;
+  pwgi_send(g, addr, e);
+  return 0;
+}
+
 uint64_t pwgroup_term(const pw_group *g) {
   return g->cons ? pwcons_term(g->cons) : 0;
 }
--- a/packages/control/pwgroup.h
+++ b/packages/control/pwgroup.h
@@ -53,6 +53,13 @@
 const char *pwgroup_leader_wire(const pw_group *g);
 const char *pwgroup_leader_http(const pw_group *g);
 
+/* Up to where the log is applied here; at a leader under a lease that is all that is
+** committed. */
+uint64_t pwgroup_applied(const pw_group *g);
+
+/* Sends a message to the leader; -1: none is known. */
+int pwgroup_ask_leader(pw_group *g, Pw__Envelope *e);
+
 /* Whether a leader was heard just now, or it is the one. */
 int pwgroup_in_touch(const pw_group *g, int64_t now);
 
--- a/packages/control/pwsitecall.c
+++ b/packages/control/pwsitecall.c
@@ -60,7 +60,7 @@
   return rc;
 }
 
-static void to_leader(pw_api_call *call, const pw_group *g) {
+void pwsitecall_to_leader(pw_api_call *call, const pw_group *g) {
   const char *leader = pwgroup_is_leader(g) ? "" : pwgroup_leader_http(g);
   if (leader[0])
     pwapi_redirect(call, leader, call->name);
@@ -68,7 +68,7 @@
     pwapi_fail(call, PW_E_NOT_LEADER, "", "not-run", NULL);
 }
 
-static void read_site(pw_api_call *call, const pw_group *g) {
+void pwsitecall_read_site(pw_api_call *call, const pw_group *g) {
   size_t n;
   const pw_doc *doc = pwstate_document(pwgroup_state(g));
   const char *text = pwdoc_text(doc, &n);
@@ -79,8 +79,8 @@
                "not-run", NULL);
 }
 
-void pwsitecall_take(pw_api_call *call, pw_group *g, pw_publish *p, pw_watch *w,
-                     int64_t now) {
+void pwsitecall_take(pw_api_call *call, pw_group *g, pw_publish *p, pw_reads *r,
+                     pw_watch *w, int64_t now) {
   switch (call->op) {
   case PW_API_BEAT:
   case PW_API_LEAVE:
@@ -91,13 +91,10 @@
     if (pwgroup_lease(g, now))
       pwpublish_add(p, call, now);
     else
-      to_leader(call, g);
+      pwsitecall_to_leader(call, g);
     break;
   default:
-    if (pwgroup_lease(g, now))
-      read_site(call, g);
-    else
-      to_leader(call, g);
+    pwreads_add(r, call, now);
     break;
   }
 }
--- a/packages/control/pwsitecall.h
+++ b/packages/control/pwsitecall.h
@@ -5,6 +5,7 @@
 
 #include "pwapi.h"
 #include "pwpublish.h"
+#include "pwreads.h"
 #include "pwwatch.h"
 
 /* HTTP thread: reads a call. PW_E_PATH when it is none of the platform's (or
@@ -13,7 +14,12 @@
                         char *message, size_t cap);
 
 /* Control thread: does what it asks, and answers. */
-void pwsitecall_take(pw_api_call *call, pw_group *g, pw_publish *p, pw_watch *w,
-                     int64_t now);
+void pwsitecall_take(pw_api_call *call, pw_group *g, pw_publish *p, pw_reads *r,
+                     pw_watch *w, int64_t now);
+
+/* Control thread: answers a read with the configuration applied here; sends a caller to
+** the leader, or fails it when none is known. */
+void pwsitecall_read_site(pw_api_call *call, const pw_group *g);
+void pwsitecall_to_leader(pw_api_call *call, const pw_group *g);
 
 #endif
