A group whose voters have all just started elects at once

Cause: after a loss of all a voter waits for a lease it may have promised before (0.5 s), though whoever held it is gone too. Change: a voter that has neither led nor heard of a leader in this life says so in its answer to a question for votes; when all voters have, one asks for votes that need not wait. Of equals the one with the highest id alone is told so by all. Answers carry the asker's life, so an old one says nothing. A leader that is no voter has no lease. Split votes are asked for again after 0.2 to 0.7 of a lease, not 0.5 to 1. Safety: who takes a lease after that has its first entry on a quorum's disks, and the new candidate, which has heard of no leader, has not: it gets no votes there.

--- a/packages/consensus/pwcons.c
+++ b/packages/consensus/pwcons.c
@@ -13,6 +13,14 @@
 ** long. */
 #define ASK_AGAIN_PART 10
 
+/* Votes that were split are asked for again after this part of a lease to half a lease
+** more: much longer than a vote takes, so that one asks before the others. */
+#define SPLIT_PART 5
+
+/* Who has just started asks after this part of a lease to twice as long: where all have
+** just started they need not wait for a lease that nobody holds. */
+#define ASK_FIRST_PART 25
+
 int pwci_is_voter(const pw_cons *c, uint64_t id) {
   for (int i = 0; i < c->config.n; i++)
     if (c->config.m[i].id == id)
@@ -65,9 +73,13 @@
   rebuild_peers(c);
 }
 
+static uint64_t draw(pw_cons *c) {
+  uint64_t in[2] = {c->seed, ++c->draws};
+  return XXH3_64bits(in, sizeof in);
+}
+
 static void plan(pw_cons *c, int64_t least, int64_t spread) {
-  uint64_t draw[2] = {c->seed, ++c->draws};
-  uint64_t r = XXH3_64bits(draw, sizeof draw);
+  uint64_t r = draw(c);
   c->election_at = c->now + least + (int64_t)(r % (uint64_t)(spread + 1));
 }
 
@@ -79,7 +91,7 @@
   if (pre)
     plan(c, c->lease / ASK_AGAIN_PART, c->lease / ASK_AGAIN_PART);
   else
-    plan(c, c->lease / 2, c->lease / 2);
+    plan(c, c->lease / SPLIT_PART, c->lease / 2);
 }
 
 /* A term that is not stored yet is spoken of only after the sync. */
@@ -154,7 +166,7 @@
     break;
   case PWCONS_TIMEOUT_NOW:
     if (m->term == c->term && pwci_is_voter(c, c->id))
-      pwci_campaign(c, 0, 1);
+      pwci_campaign(c, 0, HINT_TRANSFER);
     break;
   default:
     break;
@@ -353,6 +365,8 @@
     return 0;
   if (PW_MUTATION == MUT_LEASE_FOREVER)
     return 1;
+  if (!pwci_is_voter(c, c->id)) /* new voters do not ask it whether it leads */
+    return 0;
   int64_t length = c->lease * LEASE_NUM / LEASE_DEN;
   int n = 0;
   for (int i = 0; i < c->npeers; i++) {
@@ -425,8 +439,10 @@
   c->applied = c->commit;
   c->synced = pwconslog_last(&c->log);
   c->heard_leader = s->now; /* it may have promised a lease before it stopped */
+  c->is_new = 1;
+  c->life = draw(c);
   pwci_reload_config(c);
-  pwci_plan_election(c);
+  plan(c, c->lease / ASK_FIRST_PART, c->lease / ASK_FIRST_PART);
   if (c->config.n == 1 && pwci_is_voter(c, c->id)) {
     c->heard_leader = s->now - s->lease;
     pwci_campaign(c, 0, 0);
--- a/packages/consensus/pwconsint.h
+++ b/packages/consensus/pwconsint.h
@@ -28,7 +28,15 @@
   MUT_LEASE_FOREVER = 7,   /* holds the lease as long as it leads */
   MUT_BIG_CHANGE = 8,      /* changes several voters at once */
   MUT_SKIP_TERM_SYNC = 9,  /* speaks of a term that is not stored */
-  MUT_COMMIT_AHEAD = 10    /* follower commits past what it matched */
+  MUT_COMMIT_AHEAD = 10,   /* follower commits past what it matched */
+  MUT_FRESH_QUORUM = 28,   /* a quorum that has just started is enough */
+  MUT_FRESH_LEADER = 29    /* a leader says that it has just started */
+};
+
+/* Values of `hint` in questions for votes and their answers. */
+enum {
+  HINT_TRANSFER = 1, /* the leader has handed over */
+  HINT_NO_LEASE = 2  /* nobody can hold a lease: see pwci_is_new */
 };
 
 typedef struct pw_progress {
@@ -39,6 +47,7 @@
   int64_t round;   /* newest send time it has echoed, ms */
   int64_t snap_at; /* when it was last sent a snapshot, ms */
   int granted;     /* vote or pre-vote */
+  int is_new;      /* it answered that it is new, after this life began */
 } pw_progress;
 
 typedef struct pw_outbox {
@@ -69,6 +78,8 @@
   pw_cons_config config;
   uint64_t config_index;
   int64_t heard_leader;
+  int is_new;    /* see pwci_is_new */
+  uint64_t life; /* drawn at the start, tells this life from others */
   int64_t election_at;
   int64_t beat_at;
   int64_t since; /* when the role was taken */
@@ -109,8 +120,13 @@
 /* Follows, in a newer term if that is given. */
 void pwci_become_follower(pw_cons *c, uint64_t term, uint64_t leader);
 
-/* Asks for votes, or first whether there would be any. */
-void pwci_campaign(pw_cons *c, int pre, int transfer);
+/* Asks for votes, or first whether there would be any; `hint` goes with the question. */
+void pwci_campaign(pw_cons *c, int pre, int hint);
+
+/* Whether this member is new: it has neither led nor heard of a leader since it started.
+** When every voter is, nobody holds a lease, whatever was promised before: a lease dies with
+** the process that holds it. */
+int pwci_is_new(const pw_cons *c);
 
 /* A member asks whether it would get a vote. */
 void pwci_on_prevote(pw_cons *c, const Pw__Cons *m);
--- a/packages/consensus/pwelect.c
+++ b/packages/consensus/pwelect.c
@@ -1,9 +1,29 @@
 /* pwelect.c: elections: asking for votes, giving them, leading. */
 #include "pwconsint.h"
 
+int pwci_is_new(const pw_cons *c) {
+  return c->is_new || (PW_MUTATION == MUT_FRESH_LEADER);
+}
+
+/* Whether all voters have answered this life that they are new. Whoever then takes a lease
+** has its first entry on the disks of a quorum, and this member, which has heard of no
+** leader, has not: it gets no votes there (model test, mutations 28 and 29). */
+static int all_new(const pw_cons *c) {
+  int n = 0, voters = 0;
+  for (int i = 0; i < c->npeers; i++) {
+    const pw_progress *p = &c->peer[i];
+    voters += pwci_is_voter(c, p->id);
+    n += pwci_is_voter(c, p->id) && (p->is_new || p->id == c->id);
+  }
+  if (PW_MUTATION == MUT_FRESH_QUORUM)
+    return c->is_new && n >= pwci_quorum(c);
+  return c->is_new && n == voters;
+}
+
 static void become_leader(pw_cons *c) {
   c->role = PWCONS_LEADER;
   c->leader = c->id;
+  c->is_new = 0;
   c->since = c->now;
   c->transferring = 0;
   for (int i = 0; i < c->npeers; i++) {
@@ -25,7 +45,7 @@
   return n;
 }
 
-void pwci_campaign(pw_cons *c, int pre, int transfer) {
+void pwci_campaign(pw_cons *c, int pre, int hint) {
   c->since = c->now;
   c->leader = 0;
   if (pre) {
@@ -48,12 +68,13 @@
     m->term = pre ? c->term + 1 : c->term;
     m->index = last;
     m->log_term = pwconslog_term(&c->log, last);
-    m->hint = (uint64_t)transfer;
+    m->hint = (uint64_t)hint;
+    m->round = c->life;
   }
   if (granted(c) < pwci_quorum(c))
     return;
   if (pre)
-    pwci_campaign(c, 0, transfer);
+    pwci_campaign(c, 0, hint);
   else
     become_leader(c);
 }
@@ -68,18 +89,30 @@
 
 /* A leader heard of within the lease may still hold it: no votes then. */
 static int lease_open(const pw_cons *c, const Pw__Cons *m) {
-  if (m->hint == 1)
+  if (m->hint == HINT_TRANSFER || (m->hint == HINT_NO_LEASE && pwci_is_new(c)))
     return 0;
   if (c->role == PWCONS_LEADER)
     return 1;
   return c->now - c->heard_leader < c->lease;
 }
 
+/* Of members that are all new one alone is told so by all others, the one whose log is
+** the longest, of those the one with the highest id: no two take votes from each other. */
+static int may_go_first(const pw_cons *c, const Pw__Cons *m) {
+  uint64_t last = pwconslog_last(&c->log);
+  uint64_t term = pwconslog_term(&c->log, last);
+  int same = m->log_term == term && m->index == last;
+  return up_to_date(c, m) && (!same || m->from > c->id);
+}
+
 void pwci_on_prevote(pw_cons *c, const Pw__Cons *m) {
   int yes = m->term > c->term && up_to_date(c, m) && !lease_open(c, m);
   Pw__Cons *r = pwci_send(c, &c->late, PWCONS_PREVOTE_REPLY, m->from);
   r->term = yes ? m->term : c->term;
   r->reject = !yes;
+  r->round = m->round;
+  if (pwci_is_new(c) && may_go_first(c, m))
+    r->hint = HINT_NO_LEASE;
 }
 
 void pwci_on_vote(pw_cons *c, const Pw__Cons *m) {
@@ -102,11 +135,23 @@
   r->reject = !yes;
 }
 
+/* Another voter is new; answers to an earlier life say nothing of now. */
+static void note_new(pw_cons *c, const Pw__Cons *m) {
+  pw_progress *p = pwci_peer_of(c, m->from);
+  if (!p || m->hint != HINT_NO_LEASE || m->round != c->life)
+    return;
+  p->is_new = 1;
+  if (c->role == PWCONS_PRECANDIDATE && all_new(c))
+    pwci_campaign(c, 0, HINT_NO_LEASE);
+}
+
 void pwci_on_vote_reply(pw_cons *c, const Pw__Cons *m, int pre) {
   if (m->reject && m->term > c->term) {
     pwci_become_follower(c, m->term, 0);
     return;
   }
+  if (pre)
+    note_new(c, m);
   pw_cons_role want = pre ? PWCONS_PRECANDIDATE : PWCONS_CANDIDATE;
   uint64_t term = pre ? c->term + 1 : c->term;
   pw_progress *p = pwci_peer_of(c, m->from);
--- a/packages/consensus/pwrepl.c
+++ b/packages/consensus/pwrepl.c
@@ -140,6 +140,7 @@
     pwci_become_follower(c, m->term, m->from);
   c->leader = m->from;
   c->heard_leader = c->now;
+  c->is_new = 0;
   pwci_plan_election(c);
 }
 
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -67,6 +67,8 @@
   int size;           /* of a group whose members are named by address; 0: by
                          number */
   uint32_t next_slot; /* address of the next replacement */
+  node *flickers;     /* its link comes and goes until cut_at; NULL: nobody's */
+  int64_t cut_at;
   int calm;
   const char *broken;
 } model;
@@ -473,9 +475,22 @@
   return whole >= voters - (voters - 1) / 2;
 }
 
+/* Power fails; all but `spared` (NULL: all) come back at once. */
+static void restart_all(model *m, const node *spared) {
+  for (int i = 0; i < m->count; i++) {
+    node *x = &m->n[i];
+    if (x == spared)
+      continue;
+    crash(x);
+    x->cut = 0;
+    if (x->d.snapshot)
+      start(m, x);
+  }
+}
+
 static void disturb(model *m) {
   node *x = &m->n[pwrand_below(&m->rnd, (uint64_t)m->count)];
-  switch (pwrand_below(&m->rnd, 14)) {
+  switch (pwrand_below(&m->rnd, 16)) {
   case 0:
   case 1:
     crash(x);
@@ -508,6 +523,15 @@
     if (x->up && !x->frozen)
       pwcons_hand_over(x->cons, m->now);
     break;
+  case 13:
+    restart_all(m, NULL);
+    break;
+  case 14: /* the leader may hold a lease that nobody else remembers; its link comes and
+              goes while the others ask for votes, and is cut then */
+    m->flickers = leader(m);
+    m->cut_at = m->now + LEASE / 5;
+    restart_all(m, m->flickers);
+    break;
   default: /* cut the leader off, the classical case */
     if (leader(m))
       leader(m)->cut = 1;
@@ -519,6 +543,10 @@
   m->now += 1 + (int64_t)pwrand_below(&m->rnd, 15);
   if (!m->calm && pwrand_below(&m->rnd, 60) == 0)
     disturb(m);
+  if (m->flickers && !m->calm)
+    m->flickers->cut = m->now >= m->cut_at || pwrand_below(&m->rnd, 4) > 0;
+  if (m->now >= m->cut_at)
+    m->flickers = NULL;
   for (int i = 0; i < m->count; i++) {
     node *x = &m->n[i];
     if (!x->d.snapshot) {
@@ -546,6 +574,7 @@
 /* Everything is mended: the group must come to one leader and one state. */
 static void settle(model *m) {
   m->calm = 1;
+  m->flickers = NULL;
   for (int i = 0; i < m->count; i++) {
     m->n[i].cut = 0;
     m->n[i].frozen = 0;
@@ -633,9 +662,10 @@
   return m.broken;
 }
 
-/* All start within `spread` ms, on disks that hold a term; gives how long it takes
-** from when a quorum may vote, a lease after the third start, to a leader, ms. */
-static int64_t cold_start(uint64_t seed, int64_t spread) {
+/* All start within `spread` ms, on disks that hold a term, but for one that does not with
+** `absent`; gives how long it takes to a leader, ms: from the last start, or with
+** `absent` from when a quorum may vote, a lease after the third start. */
+static int64_t cold_start(uint64_t seed, int64_t spread, int absent) {
   static model m; /* large */
   found(&m, seed, NODES);
   m.calm = 1;
@@ -647,10 +677,11 @@
       sorted[k] = sorted[k - 1];
     sorted[k] = at[i];
   }
-  int64_t may_vote = sorted[NODES / 2] + LEASE;
+  int64_t may_vote = absent ? sorted[NODES / 2] + LEASE : sorted[NODES - 1];
   while (!leader(&m) && m.now < may_vote + SETTLE_MS) {
     for (int i = 0; i < NODES; i++)
-      if (!m.n[i].up && m.now >= at[i])
+      if (!m.n[i].up && m.now >= at[i] &&
+          !(absent && at[i] == sorted[NODES - 1]))
         start(&m, &m.n[i]);
     step(&m);
   }
@@ -789,6 +820,45 @@
   disk_clear(&d);
 }
 
+/* The hint of the answer to a question for votes from member 3, whose log is longer. */
+static uint64_t hint_for(pw_cons *c, int64_t now) {
+  pw_cons_ready r;
+  Pw__Cons m = message(PWCONS_PREVOTE, 9);
+  m.index = 50;
+  m.log_term = 8;
+  m.round = 77;
+  m.to = 1;
+  m.from = 3;
+  flush(c);
+  pwcons_step(c, now, &m);
+  CHECK(pwcons_ready(c, &r) && r.nlate == 1);
+  CHECK(r.late[0]->round == 77);
+  uint64_t hint = r.late[0]->hint;
+  pwcons_advance(c);
+  return hint;
+}
+
+/* Who has just started says so, until it leads or hears of a leader. */
+static void test_who_is_new(void) {
+  disk d = {0};
+  pw_cons *c = one_of_three(&d, 1);
+  uint64_t is_new = hint_for(c, 5001);
+  CHECK(is_new != 0);
+  tell(c, 5002, message(PWCONS_APPEND, 2));
+  CHECK(hint_for(c, 5003) == 0);
+  pwcons_free(c);
+  disk_clear(&d);
+  c = one_of_three(&d, 1);
+  pwcons_tick(c, 9000);
+  tell(c, 9000, message(PWCONS_PREVOTE_REPLY, 2));
+  flush(c);
+  tell(c, 9000, message(PWCONS_VOTE_REPLY, 2));
+  CHECK(pwcons_role(c) == PWCONS_LEADER);
+  CHECK(hint_for(c, 9001) == 0);
+  pwcons_free(c);
+  disk_clear(&d);
+}
+
 static int seeds = 300;
 
 static void test_models(void) {
@@ -808,23 +878,38 @@
   CHECK(proposals > 0);
 }
 
-/* After all were down callers wait for a leader: those who asked too early for votes
-** ask again soon, and do not take the votes from each other. */
-static void test_cold_start(void) {
+static void time_starts(int absent, int64_t *mean, int64_t *most) {
   enum { STARTS = 300, SPREAD = LEASE * 3 / 5 };
   uint64_t first = test_seed(21);
-  int64_t sum = 0, most = 0;
+  int64_t sum = 0;
+  *most = INT64_MIN;
   for (int i = 0; i < STARTS; i++) {
-    int64_t took = cold_start(first + (uint64_t)i, SPREAD);
+    int64_t took = cold_start(first + (uint64_t)i, SPREAD, absent);
     sum += took;
-    most = took > most ? took : most;
+    *most = took > *most ? took : *most;
   }
-  printf("%lld ms on average, %lld at most\n", (long long)(sum / STARTS),
-         (long long)most);
-  CHECK(sum / STARTS < LEASE / 5);
+  *mean = sum / STARTS;
+  printf("%lld ms on average, %lld at most\n", (long long)*mean,
+         (long long)*most);
+}
+
+/* After all were down callers wait for a leader: those who asked too early for votes
+** ask again soon, and do not take the votes from each other. */
+static void test_cold_start(void) {
+  int64_t mean, most;
+  time_starts(1, &mean, &most);
+  CHECK(mean < LEASE / 5);
   CHECK(most < LEASE);
 }
 
+/* When all have started nobody can hold a lease, and none is waited for. */
+static void test_all_start(void) {
+  int64_t mean, most;
+  time_starts(0, &mean, &most);
+  CHECK(mean < LEASE / 5);
+  CHECK(most < LEASE / 2);
+}
+
 int main(int argc, char **argv) {
   if (argc > 1)
     seeds = atoi(argv[1]);
@@ -833,7 +918,9 @@
   TEST(test_old_terms);
   TEST(test_commit_of_follower);
   TEST(test_vote_is_synced);
+  TEST(test_who_is_new);
   TEST(test_cold_start);
+  TEST(test_all_start);
   TEST(test_models);
   TESTS_END();
 }
