test_link has a clock of its own

Cause: a check that nobody else is dialled depended on how fast the test ran. Change: ticks are told a time that the test sets.

--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -14,6 +14,7 @@
 #define CONTROLS 5
 #define TRIES 1000
 #define TRY_MS 5
+#define TURNS 4
 #define WATCH_MS 100000 /* nobody is silent for that long here */
 #define LONG_MS 8000    /* gateways go back to their first by then */
 
@@ -30,8 +31,8 @@
   pw_gate g;
   pw_wire *far; /* of the control instances */
   control c[CONTROLS];
-  int64_t
-      ahead; /* of the clock, ms: the gateway's ticks are told a later time */
+  int64_t now;  /* what the gateway's ticks are told, ms ... */
+  int64_t step; /* ... and how far it goes on in a turn */
 } bed;
 
 static int free_port(void) {
@@ -48,6 +49,8 @@
   pw_buf err = {0};
   int port = free_port();
   memset(b, 0, sizeof *b);
+  b->now = pwclock_ms();
+  b->step = TRY_MS;
   b->set.name = "gateway-1";
   b->set.availability_zone = "az-1";
   b->set.keys_file = b->set.trust_file = "";
@@ -105,7 +108,8 @@
 }
 
 static void turn(bed *b) {
-  pwlink_tick(b->g.link, pwclock_ms() + b->ahead);
+  b->now += b->step;
+  pwlink_tick(b->g.link, b->now);
   ev_run(b->g.ev, EVRUN_NOWAIT);
   for (int i = 0; i < CONTROLS; i++)
     hear(&b->c[i]);
@@ -162,13 +166,14 @@
 static void test_dials_in_turn(void) {
   bed b;
   begin(&b);
+  b.step = 0;
+  b.now += LONG_MS;
   for (int n = 1; n <= CONTROLS; n++) {
     UNTIL(&b, watched(&b) == n);
-    int64_t dialled = pwclock_ms();
-    while (pwclock_ms() == dialled)
+    for (int i = 0; i < TURNS; i++)
       turn(&b);
-    CHECK(watched(&b) == n); /* the clock goes on for long before the next */
-    b.ahead += LONG_MS;
+    CHECK(watched(&b) == n);
+    b.now += LONG_MS;
   }
   end(&b);
 }
@@ -223,13 +228,13 @@
   UNTIL(&b, wanted(&b) > 0);
   for (int i = 0; i < CONTROLS; i++)
     CHECK(b.c[i].is_primary == (&b.c[i] == first));
-  b.ahead += LONG_MS;
+  b.now += LONG_MS;
   UNTIL(&b, primary(&b) == second);
   for (int i = 0; i < CONTROLS; i++)
     tell(&b.c[i], 1, 1);
   UNTIL(&b, wanted(&b) > 1);
   CHECK(primary(&b) == second);
-  b.ahead += LONG_MS;
+  b.now += LONG_MS;
   UNTIL(&b, primary(&b) == first);
   end(&b);
 }
