Requests under way are told by gateways: which target holds one, from its id

Cause: clerks saw reviews hang and could not tell which target held them; `peatwell trace` needs log lines, which a request that still hangs may not have, and the logs of a hundred gateways. Ruled out: an entry in the answer's head for each request (the contract hands heads on as they are).

--- a/completion/peatwell.bash
+++ b/completion/peatwell.bash
@@ -1,7 +1,7 @@
 # bash completion for peatwell(1)
 _peatwell() {
   local cur=${COMP_WORDS[COMP_CWORD]}
-  local commands="apply get delete watch status drain timeline trace report backup restore check keygen keyhash"
+  local commands="apply get delete watch status drain timeline trace requests report backup restore check keygen keyhash"
   local options="--server --key-file --output --wait --timeout --dry-run --follow --since --seconds --chat --request --target --help"
   local kinds="model adapter version workspace target service policy"
   if [ "$COMP_CWORD" -eq 1 ]; then
--- a/packages/cli/peatwell.c
+++ b/packages/cli/peatwell.c
@@ -37,6 +37,10 @@
     {"timeline", pwcmd_timeline, "", "merge the events of all processes", 1},
     {"trace", pwcmd_trace, "ID [LOG...]",
      "tell one request's story from log files, or standard input", 0},
+    {"requests", pwcmd_requests, "GATEWAY...",
+     "show requests under way at gateways (IP:PORT of their metrics), and the "
+     "targets that hold them",
+     0},
     {"report", pwcmd_report, "[FILE.html]", "measure the fleet for a while", 1},
     {"backup", pwcmd_backup, "FILE", "write all resources to a file", 1},
     {"restore", pwcmd_restore, "FILE",
--- a/packages/cli/pwcmd.h
+++ b/packages/cli/pwcmd.h
@@ -39,6 +39,7 @@
 int pwcmd_timeline(pw_options *o);
 int pwcmd_trace(pw_options *o);
 int pwcmd_report(pw_options *o);
+int pwcmd_requests(pw_options *o);
 int pwcmd_backup(pw_options *o);
 int pwcmd_restore(pw_options *o);
 int pwcmd_check(pw_options *o);
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -136,6 +136,11 @@
 ** nothing over it since. */
 void pwexchange_failed(pw_exchange *x, pw_tcp_end how, int unused);
 
+/* --- pwunderway.c --- */
+
+/* Answers with the requests under way, the oldest first. */
+void pwunderway_answer(pw_gate *g, pw_conn *c);
+
 /* --- pwupconn.c --- */
 
 /* Sends head and body to the target of an exchange, over a kept connection
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -133,6 +133,8 @@
   pw_gate *g = c->all->arg;
   if (pwconn_path_is(c, "/metrics"))
     answer_metrics(c);
+  else if (pwconn_path_is(c, "/v1/requests"))
+    pwunderway_answer(g, c);
   else if (!pwconn_path_is(c, g->dialect->ready_path))
     pwconn_refuse(c, PW_E_PATH, "", 0);
   else if (g->is_ready && !g->stop_at)
