--- a/tests/fuzz/fuzz_parsers.c
+++ b/tests/fuzz/fuzz_parsers.c
@@ -11,6 +11,7 @@
 #include "pwset.h"
 #include "pwstate.h"
 #include "pwstore.h"
+#include "pwtold.h"
 #include "pwtoml.h"
 
 #include <stdlib.h>
@@ -181,12 +182,31 @@
     pw__document__free_unpacked(in, NULL);
 }
 
+/* Loads that a gateway tells, one datagram after another. */
+static void fuzz_gossip(const uint8_t *data, size_t n) {
+  pw_told_loads told = {0};
+  pw_loads sum = {0};
+  for (size_t at = 0; at + 1 < n;) {
+    size_t len = data[at] < n - at - 1 ? data[at] : n - at - 1;
+    Pw__Gossip *m = pw__gossip__unpack(NULL, len, data + at + 1);
+    if (m) {
+      pwtold_take(&told, m, 1);
+      pw__gossip__free_unpacked(m, NULL);
+    }
+    pwloads_clear(&sum);
+    pwtold_add(&told, &sum);
+    at += len + 1;
+  }
+  pwtold_free(&told);
+  pwloads_free(&sum);
+}
+
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t n);
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t n) {
   static void (*const parser[])(const uint8_t *, size_t) = {
       fuzz_message, fuzz_record,    fuzz_state,    fuzz_command,
       fuzz_schema,  fuzz_consensus, fuzz_settings, fuzz_cache_events,
-      fuzz_http,    fuzz_dialect,   fuzz_document};
+      fuzz_http,    fuzz_dialect,   fuzz_document, fuzz_gossip};
   const size_t parsers = sizeof parser / sizeof parser[0];
   if (n)
     parser[data[0] % parsers](data + 1, n - 1);
