--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -8,7 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
-#include <zmq.h>
 
 #define WATCH_MS 500  /* control is told so often that we are there */
 #define FRESH_TIMES 3 /* missed notices after which control is silent */
@@ -36,7 +35,6 @@
 
 #define FORGET_MS 20000 /* a control instance silent for so long is dropped */
 #define ALONE_MS 1500   /* with a configuration, but nobody to confirm it */
-#define POLL_S 0.05     /* in case an edge of the socket was missed */
 
 static contact *contact_of(pw_link *l, const char *addr, int64_t now) {
   for (contact *c = l->contacts; c; c = c->next)
@@ -151,7 +149,8 @@
   return NULL;
 }
 
-static void read_messages(pw_link *l) {
+static void read_messages(void *arg) {
+  pw_link *l = arg;
   pw_peer from;
   Pw__Envelope *e;
   while ((e = pwwire_recv(l->sock, &from)) != NULL) {
@@ -167,18 +166,6 @@
   }
 }
 
-static void on_io(struct ev_loop *ev, ev_io *w, int events) {
-  (void)ev;
-  (void)events;
-  read_messages(w->data);
-}
-
-static void on_poll(struct ev_loop *ev, ev_timer *w, int events) {
-  (void)ev;
-  (void)events;
-  read_messages(w->data);
-}
-
 /* --- time --- */
 
 static void drop_silent(pw_link *l, int64_t now) {
@@ -311,18 +298,11 @@
 
 pw_link *pwlink_new(pw_gate *g, pw_buf *err) {
   pw_link *l = pw_alloc(sizeof *l);
-  int fd = -1;
-  size_t len = sizeof fd;
   l->g = g;
   l->doc = pwdoc_new();
   l->patience_ms = TELL_ALL_MS;
   l->sock = pwwire_dialler(g->p->wire);
-  zmq_getsockopt(pwwire_raw(l->sock), ZMQ_FD, &fd, &len);
-  ev_io_init(&l->io, on_io, fd, EV_READ);
-  ev_timer_init(&l->poll, on_poll, POLL_S, POLL_S);
-  l->io.data = l->poll.data = l;
-  ev_io_start(g->ev, &l->io);
-  ev_timer_start(g->ev, &l->poll);
+  pwhear_start(&l->hear, g->ev, l->sock, read_messages, l);
   l->relay = pwrelay_new(g, l->doc, err);
   if (l->relay && dial_seeds(l, err) == 0)
     return l;
@@ -333,8 +313,7 @@
 void pwlink_free(pw_link *l) {
   if (!l)
     return;
-  ev_io_stop(l->g->ev, &l->io);
-  ev_timer_stop(l->g->ev, &l->poll);
+  pwhear_stop(&l->hear);
   while (l->contacts) {
     contact *c = l->contacts;
     l->contacts = c->next;
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -6,6 +6,7 @@
 #include "pwgate.h"
 
 #include "pwdoc.h"
+#include "pwhear.h"
 #include "pwlog.h"
 
 typedef struct pw_relay pw_relay;
@@ -48,8 +49,7 @@
   pw_peer helper_peer;
   pw_relay *relay;
   int ngateways;
-  ev_io io;
-  ev_timer poll;
+  pw_hear hear;
 };
 
 /* Says to a control instance what is held here; `want`: and that a newer one is wanted. */
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -3,12 +3,11 @@
 #include "platform.h"
 #include "pwgate.h"
 #include "pwpb.h"
+#include "pwports.h"
 #include "pwtest.h"
 
-#include <arpa/inet.h>
 #include <poll.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #define CONTROLS 5
@@ -16,7 +15,9 @@
 #define TRY_MS 5
 #define TURNS 4
 #define WATCH_MS 100000 /* nobody is silent for that long here */
-#define LONG_MS 8000    /* gateways go back to their first by then */
+#define ASK_MS                                                                 \
+  2000 /* a document that did not come is asked for again by then */
+#define LONG_MS 8000 /* gateways go back to their first by then */
 
 /* What answers as a control instance. */
 typedef struct control {
@@ -35,19 +36,10 @@
   int64_t step; /* ... and how far it goes on in a turn */
 } bed;
 
-static int free_port(void) {
-  struct sockaddr_in at = {.sin_family = AF_INET};
-  socklen_t len = sizeof at;
-  int fd = socket(AF_INET, SOCK_STREAM, 0);
-  CHECK(bind(fd, (struct sockaddr *)&at, sizeof at) == 0);
-  getsockname(fd, (struct sockaddr *)&at, &len);
-  close(fd);
-  return ntohs(at.sin_port);
-}
-
 static void begin(bed *b) {
   pw_buf err = {0};
-  int port = free_port();
+  int port = test_free_port(INADDR_ANY);
+  CHECK(port > 0);
   memset(b, 0, sizeof *b);
   b->now = pwclock_ms();
   b->step = TRY_MS;
@@ -178,14 +170,19 @@
   end(&b);
 }
 
+/* All are in touch, and one is relied on. */
+static void begin_with_primary(bed *b) {
+  begin(b);
+  UNTIL(b, watched_by_all(b));
+  for (int i = 0; i < CONTROLS; i++)
+    tell(&b->c[i], 0, 0);
+  UNTIL(b, primary(b) != NULL);
+}
+
 /* All tell of version 7 at once: the primary is asked, once, and nobody else. */
 static void test_asks_one(void) {
   bed b;
-  begin(&b);
-  UNTIL(&b, watched_by_all(&b));
-  for (int i = 0; i < CONTROLS; i++)
-    tell(&b.c[i], 0, 0);
-  UNTIL(&b, primary(&b) != NULL);
+  begin_with_primary(&b);
   for (int i = 0; i < CONTROLS; i++)
     tell(&b.c[i], 7, b.c[i].is_primary);
   UNTIL(&b, wanted(&b) > 0);
@@ -199,11 +196,7 @@
 /* The primary has not got it: after a while another one is asked. */
 static void test_asks_another(void) {
   bed b;
-  begin(&b);
-  UNTIL(&b, watched_by_all(&b));
-  for (int i = 0; i < CONTROLS; i++)
-    tell(&b.c[i], 0, 0);
-  UNTIL(&b, primary(&b) != NULL);
+  begin_with_primary(&b);
   for (int i = 0; i < CONTROLS; i++)
     tell(&b.c[i], b.c[i].is_primary ? 0 : 7, b.c[i].is_primary);
   UNTIL(&b, wanted(&b) > 0);
@@ -212,29 +205,49 @@
   end(&b);
 }
 
+/* All tell all targets and of a newer configuration, which shows that it was heard; `by`: who
+** is primary then, NULL: whoever. Then long passes. */
+static void tell_all(bed *b, uint64_t site, const control *by) {
+  int before = wanted(b);
+  b->step = 0;
+  b->now += ASK_MS;
+  for (int i = 0; i < CONTROLS; i++)
+    tell(&b->c[i], site, 1);
+  UNTIL(b, wanted(b) > before);
+  for (int i = 0; i < TURNS; i++)
+    turn(b);
+  CHECK(!by || primary(b) == by);
+  b->step = TRY_MS;
+  b->now += LONG_MS;
+  for (int i = 0; i < TURNS; i++)
+    turn(b);
+}
+
 /* The primary is out of touch for long while another one is in touch, which all gateways
 ** then rely on; when all are well, each goes back to the first of its own order. */
 static void test_goes_back(void) {
   bed b;
   begin(&b);
   UNTIL(&b, watched_by_all(&b));
-  for (int i = 0; i < CONTROLS; i++)
-    tell(&b.c[i], 0, 1);
-  UNTIL(&b, primary(&b) != NULL);
+  for (uint64_t site = 1; site <= 3;
+       site++) /* whom it heard before the others */
+    tell_all(&b, site, NULL);
   control *first = primary(&b);
+  CHECK(first != NULL);
+  tell_all(&b, 4, NULL);
+  CHECK(primary(&b) == first);
   control *second = first == b.c ? &b.c[1] : b.c;
+  b.step = 0;
   for (int i = 0; i < CONTROLS; i++)
-    tell_touch(&b.c[i], 1, 0, &b.c[i] == second);
-  UNTIL(&b, wanted(&b) > 0);
-  for (int i = 0; i < CONTROLS; i++)
-    CHECK(b.c[i].is_primary == (&b.c[i] == first));
+    tell_touch(&b.c[i], 5, 0, &b.c[i] == second);
+  b.now += ASK_MS;
+  int before = wanted(&b);
+  UNTIL(&b, wanted(&b) > before);
+  CHECK(primary(&b) == first); /* it may be in touch again any moment */
+  b.step = TRY_MS;
   b.now += LONG_MS;
   UNTIL(&b, primary(&b) == second);
-  for (int i = 0; i < CONTROLS; i++)
-    tell(&b.c[i], 1, 1);
-  UNTIL(&b, wanted(&b) > 1);
-  CHECK(primary(&b) == second);
-  b.now += LONG_MS;
+  tell_all(&b, 6, second);
   UNTIL(&b, primary(&b) == first);
   end(&b);
 }
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -1,6 +1,7 @@
 /* test_wire.c: messages between processes, and how soon a link that was silently
 ** cut is given up. */
 #include "pwlimits.h"
+#include "pwports.h"
 #include "pwtest.h"
 #include "pwwire.h"
 
@@ -18,17 +19,6 @@
 static pw_counters *counters;
 static pw_hlc hlc;
 
-static int free_port(void) {
-  struct sockaddr_in at = {.sin_family = AF_INET,
-                           .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-  socklen_t len = sizeof at;
-  int fd = socket(AF_INET, SOCK_STREAM, 0);
-  CHECK(bind(fd, (struct sockaddr *)&at, sizeof at) == 0);
-  getsockname(fd, (struct sockaddr *)&at, &len);
-  close(fd);
-  return ntohs(at.sin_port);
-}
-
 /* Waits for a message; the condition is that it comes. */
 static Pw__Envelope *receive(pw_sock *s, pw_peer *from) {
   for (int i = 0; i < TRIES; i++) {
@@ -62,7 +52,8 @@
   pw_settings set = {.name = "a", .keys_file = "", .trust_file = ""};
   pw_buf err = {0};
   char addr[64];
-  snprintf(addr, sizeof addr, "tcp://127.0.0.1:%d", free_port());
+  snprintf(addr, sizeof addr, "tcp://127.0.0.1:%d",
+           test_free_port(INADDR_LOOPBACK));
   pw_wire *w = pwwire_new(&set, counters, &hlc, &err);
   pw_sock *listener = pwwire_listen(w, addr, &err);
   pw_sock *dialler = pwwire_dialler(w);
