The whole change read again: a gateway's part weighed once a request, dead state and stale comments gone

A refusal weighed the service's targets twice for its part of the places (once to decide, once for its line): now the part is made once and passed on. pwgossip took memory each tick before it looked whether anything was due. Comments that no longer told what is (steps of groups, the spread of going back, whose share is kept) are mended.

--- a/packages/consensus/pwconsint.h
+++ b/packages/consensus/pwconsint.h
@@ -36,7 +36,7 @@
 /* Values of `hint` in questions for votes and their answers. */
 enum {
   HINT_TRANSFER = 1, /* the leader has handed over */
-  HINT_NO_LEASE = 2  /* nobody can hold a lease: see pwci_is_new */
+  HINT_NO_LEASE = 2  /* nobody can hold a lease: all voters are new */
 };
 
 typedef struct pw_progress {
@@ -78,7 +78,7 @@
   pw_cons_config config;
   uint64_t config_index;
   int64_t heard_leader;
-  int is_new;    /* see pwci_is_new */
+  int is_new;    /* it has neither led nor heard of a leader in this life */
   uint64_t life; /* drawn at the start, tells this life from others */
   int64_t election_at;
   int64_t beat_at;
@@ -123,11 +123,6 @@
 /* Asks for votes, or first whether there would be any; `hint` goes with the question. */
 void pwci_campaign(pw_cons *c, int pre, int hint);
 
-/* Whether this member is new: it has neither led nor heard of a leader since it started.
-** When every voter is, nobody holds a lease, whatever was promised before: a lease dies with
-** the process that holds it. */
-int pwci_is_new(const pw_cons *c);
-
 /* A member asks whether it would get a vote. */
 void pwci_on_prevote(pw_cons *c, const Pw__Cons *m);
 
--- a/packages/consensus/pwelect.c
+++ b/packages/consensus/pwelect.c
@@ -1,7 +1,10 @@
 /* pwelect.c: elections: asking for votes, giving them, leading. */
 #include "pwconsint.h"
 
-int pwci_is_new(const pw_cons *c) {
+/* Whether this member has neither led nor heard of a leader since it started. When every
+** voter is new, nobody holds a lease, whatever was promised before: a lease dies with the
+** process that holds it. */
+static int is_new(const pw_cons *c) {
   return c->is_new || (PW_MUTATION == MUT_FRESH_LEADER);
 }
 
@@ -89,7 +92,7 @@
 
 /* A leader heard of within the lease may still hold it: no votes then. */
 static int lease_open(const pw_cons *c, const Pw__Cons *m) {
-  if (m->hint == HINT_TRANSFER || (m->hint == HINT_NO_LEASE && pwci_is_new(c)))
+  if (m->hint == HINT_TRANSFER || (m->hint == HINT_NO_LEASE && is_new(c)))
     return 0;
   if (c->role == PWCONS_LEADER)
     return 1;
@@ -111,7 +114,7 @@
   r->term = yes ? m->term : c->term;
   r->reject = !yes;
   r->round = m->round;
-  if (pwci_is_new(c) && may_go_first(c, m))
+  if (is_new(c) && may_go_first(c, m))
     r->hint = HINT_NO_LEASE;
 }
 
--- a/packages/control/pwbusy.h
+++ b/packages/control/pwbusy.h
@@ -12,8 +12,7 @@
 typedef struct pw_busy {
   int64_t since;               /* when the period began, ms */
   int64_t sent[PW_BUSY_KINDS]; /* counters as they stood then */
-  int64_t
-      round_ms; /* longest time from an append to its answer in the period */
+  int64_t round_ms; /* longest from an append to its answer since then */
 } pw_busy;
 
 /* A message of the group came. */
--- a/packages/control/pwhand.c
+++ b/packages/control/pwhand.c
@@ -16,7 +16,6 @@
 } receiver;
 
 struct pw_hand {
-  pw_proc *p;
   pw_sock *listener;
   const pw_doc *doc;
   pw_spread_place **all; /* each is a receiver's */
@@ -24,9 +23,8 @@
   uint64_t last_id;
 };
 
-pw_hand *pwhand_new(pw_proc *p, pw_sock *listener, const pw_doc *doc) {
+pw_hand *pwhand_new(pw_sock *listener, const pw_doc *doc) {
   pw_hand *h = pw_alloc(sizeof *h);
-  h->p = p;
   h->listener = listener;
   h->doc = doc;
   return h;
--- a/packages/control/pwhand.h
+++ b/packages/control/pwhand.h
@@ -5,12 +5,12 @@
 
 #include "pwdoc.h"
 #include "pwpace.h"
-#include "pwproc.h"
+#include "pwwire.h"
 
 typedef struct pw_hand pw_hand;
 
 /* Hands on `doc` through `listener`. */
-pw_hand *pwhand_new(pw_proc *p, pw_sock *listener, const pw_doc *doc);
+pw_hand *pwhand_new(pw_sock *listener, const pw_doc *doc);
 void pwhand_free(pw_hand *h);
 
 /* A gateway has said what it holds, and whether it wants a newer one. */
--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -94,7 +94,7 @@
   w->listener = listener;
   w->dialler = dialler;
   w->doc = doc;
-  w->hand = pwhand_new(p, listener, doc);
+  w->hand = pwhand_new(listener, doc);
   w->bulk = pwpace_of(p->set->control_link);
   w->targets = pwfleet_new(p->set->availability_zone, p->set->control_beat, 0);
   return w;
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -91,11 +91,8 @@
 }
 
 /* Whether this gateway has its part already; a fraction of a place counts as often. */
-static int is_at_its_part(const pw_exchange *x, int64_t now) {
-  if (!is_new(x))
-    return 0;
-  part p = part_of(x, now);
-  return p.sum.inflight + pwgate_draw(x->g) > p.places;
+static int is_taken(const pw_exchange *x, const part *p) {
+  return p->sum.inflight + pwgate_draw(x->g) > p->places;
 }
 
 /* The connections that this gateway may have to one target: its part of those that a
@@ -141,15 +138,14 @@
 }
 
 /* The gateway has its part of the places, or all targets have as much as they may have. */
-static void refuse_full(pw_exchange *x, int64_t now) {
+static void refuse_full(pw_exchange *x, const part *p) {
   char why[160];
-  part p = part_of(x, now);
   snprintf(why, sizeof why,
            "all places are taken: urgency %d%s, %.0f in 100 get one; here %.0f "
            "of %.1f, of all %.0f of %.0f",
            x->urgency, x->is_last ? " after others" : "",
-           100 * pwplaces_share(&x->kept->places), p.sum.inflight, p.places,
-           p.sum.inflight + p.sum.others, p.sum.slots);
+           100 * pwplaces_share(&x->kept->places), p->sum.inflight, p->places,
+           p->sum.inflight + p->sum.others, p->sum.slots);
   pwcount_add(x->g->p->counters, PWC_GW_FULL, 1);
   x->client->close_next = 1; /* its caller comes back over a new connection */
   pwexi_refuse(x, PW_E_BUSY, why,
@@ -188,7 +184,8 @@
   int was_new = is_new(x);
   if (was_new)
     pwshare_asked(&x->kept->share, now);
-  int is_placed = !is_at_its_part(x, now) && place_now(x);
+  part p = part_of(x, now);
+  int is_placed = !(was_new && is_taken(x, &p)) && place_now(x);
   if (was_new)
     pwplaces_asked(&x->kept->places, x->urgency, x->is_last, is_placed, now);
   if (is_placed)
@@ -199,5 +196,5 @@
     pwexi_refuse(x, PW_E_NO_TARGET, "no target of the service is known",
                  PWEX_RETRY_NO_TARGET_MS);
   else
-    refuse_full(x, now);
+    refuse_full(x, &p);
 }
--- a/packages/gateway/pwfollow.c
+++ b/packages/gateway/pwfollow.c
@@ -92,24 +92,24 @@
           why);
 }
 
+static void drop_helper(pw_link *l) {
+  if (l->helper[0])
+    pwwire_hang_up(l->sock, l->helper);
+  l->helper[0] = 0;
+}
+
 /* A gateway that holds the document is asked for it; what it sends is as good as what control
 ** sends, since a version is written once, and only what is committed is ever sent. */
 static void ask_helper(pw_link *l, const char *addr) {
   Pw__Watch m = PW__WATCH__INIT;
-  if (l->helper[0])
-    pwwire_hang_up(l->sock, l->helper);
+  pw_peer peer;
+  drop_helper(l);
   pw_copy(l->helper, sizeof l->helper, addr);
-  pwwire_dial(l->sock, l->helper, &l->helper_peer);
+  pwwire_dial(l->sock, l->helper, &peer);
   m.site = pwdoc_version(l->doc);
   m.want = 1;
   Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
-  pwwire_send(l->sock, &l->helper_peer, &e);
-}
-
-static void drop_helper(pw_link *l) {
-  if (l->helper[0])
-    pwwire_hang_up(l->sock, l->helper);
-  l->helper[0] = 0;
+  pwwire_send(l->sock, &peer, &e);
 }
 
 void pwfollow_document(pw_link *l, const Pw__Document *d, int64_t now) {
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -176,13 +176,11 @@
 /* --- few gateways: each tells each --- */
 
 static void tell_each(pw_gossip *s, int64_t now) {
-  int *to = pw_alloc(sizeof *to * (size_t)s->npeers);
-  if (now - s->told_at < TELL_MS) {
-    free(to);
+  if (now - s->told_at < TELL_MS)
     return;
-  }
   s->told_at = now;
   count_own(s, now);
+  int *to = pw_alloc(sizeof *to * (size_t)s->npeers);
   for (int i = 1; i < s->npeers; i++)
     to[i - 1] = i;
   tell(s, PWTOLD_OWN, &s->own, &s->up, to, s->npeers - 1);
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -24,7 +24,7 @@
 #define APART_MS 1000
 
 /* A gateway goes back to the first control instance of its order when that one has been
-** well for so long, and up to as long again, each at its own time, ms. */
+** well for so long, and up to the spread longer, each at its own time, ms. */
 #define GO_BACK_MS 2000
 #define GO_BACK_SPREAD_MS 4000
 
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -46,7 +46,6 @@
   uint64_t read_version;
   size_t read_bytes;
   char helper[PW_NAME_MAX]; /* a gateway that was asked for it; "": none */
-  pw_peer helper_peer;
   pw_relay *relay;
   int ngateways;
   pw_hear hear;
--- a/packages/policy/pwplaces.h
+++ b/packages/policy/pwplaces.h
@@ -28,7 +28,7 @@
 void pwplaces_asked(pw_places *p, int urgency, int is_last, int got,
                     int64_t now);
 
-/* The share of a target's slots that a request leaves to more urgent ones; one that goes
+/* The share of the places that a request leaves to more urgent ones; one that goes
 ** last leaves it to others of its own urgency, too. */
 double pwplaces_reserve(const pw_places *p, int urgency, int is_last);
 
--- a/packages/policy/pwsight.c
+++ b/packages/policy/pwsight.c
@@ -7,7 +7,7 @@
 #define AGAIN_MS 2000
 
 /* Groups by the number of gateways: near its square root, where members and groups together
-** are fewest, in steps of 4 so that few changes of the number change it. */
+** are fewest, doubled so that few changes of the number of gateways change it. */
 #define GROUPS_FIRST 4
 #define GROUPS_STEP 2
 
