Sight: which request a target ended under, by what it is and not by its id

Cause: of the incident's hypotheses, one request that comes again under new ids, or attempts miscounted within one, the logs could tell neither: a line had the id alone. Change: pwsign_of, the hash of workspace, method, path and body, and a line ended-under with it. No decision changes.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -212,11 +212,20 @@
   return pwgate_draw(x->g) < surplus ? PWPLACES_SURPLUS + urgency : urgency;
 }
 
+static uint64_t sign_of(const pw_exchange *x) {
+  const pw_h1 *m = &x->client->request;
+  return pwsign_of(x->workspace ? x->workspace->name : "",
+                   http_method_str((enum http_method)m->parser.method),
+                   (pw_span){m->url, m->nurl},
+                   (pw_span){x->client->body.data, x->client->body.len});
+}
+
 static void start(pw_exchange *x) {
   pw_gate *g = x->g;
   x->site = pwsite_hold(g->site);
   if (admit(x) != 0)
     return;
+  x->sign = sign_of(x);
   x->timeout_at = x->arrived + x->route->timeout_ms;
   x->deadline_at =
       x->ask.deadline_ms >= 0 ? x->arrived + x->ask.deadline_ms : x->timeout_at;
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -71,6 +71,13 @@
                   PWEX_RETRY_NO_TARGET_MS);
 }
 
+/* The target ended while it had the request, or the connection to it did. */
+static void note_ended(pw_exchange *x, int unused) {
+  pwexi_note(x, PWTRACE_FAIL, "ended-under",
+             "target=%s sign=%016llx began=%d unused=%d", x->t->id,
+             (unsigned long long)x->sign, x->has_begun, unused);
+}
+
 void pwexchange_failed(pw_exchange *x, pw_tcp_end how, int unused) {
   int64_t now = pwclock_ms();
   x->u = NULL;
@@ -78,6 +85,7 @@
     unreached(x, now);
     return;
   }
+  note_ended(x, unused);
   if (!unused)
     pwfleet_failed(x->t, now);
   /* A connection that the target closed while it rested: the same target, over
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -4,6 +4,7 @@
 #define PWEXINT_H
 
 #include "pwgate.h"
+#include "pwsign.h"
 #include "pwtrace.h"
 
 #define PWEX_TRIED_MAX 8
@@ -23,6 +24,7 @@
   const pw_site_workspace *workspace; /* or NULL */
   pw_gate_service *kept;              /* of its service */
   pw_ask ask;
+  uint64_t sign; /* what it is, whichever id it has */
   int64_t arrived, deadline_at, timeout_at; /* ms */
   ev_timer timer;
   int is_awaiting; /* a configuration; what follows from it is not known yet */
--- /dev/null
+++ b/packages/policy/pwsign.c
@@ -0,0 +1,18 @@
+/* pwsign.c: what a request is, whichever id, instance or connection it comes with. */
+#include "pwsign.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+static uint64_t hash_of(pw_span s) {
+  return s.p ? XXH3_64bits(s.p, s.n) : 0;
+}
+
+uint64_t pwsign_of(const char *workspace, const char *method, pw_span path,
+                   pw_span body) {
+  uint64_t part[] = {hash_of((pw_span){workspace, strlen(workspace)}),
+                     hash_of((pw_span){method, strlen(method)}), hash_of(path),
+                     hash_of(body)};
+  uint64_t sign = XXH3_64bits(part, sizeof part);
+  return sign ? sign : 1;
+}
