Tests that fail: a request that ends each target that runs it

Five kinds of request at three gateways (streams, one that ends its target midway, one that may be resumed, calls that may run once or twice), and chats, streams and calls of services over agents at two entries. Seen on the code as it is: 'a stream ends 3 targets, not 4', 'a chat ends 3 targets, not 4'. The stand-ins learn to end as they begin to run a request that says so.

--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -1,6 +1,7 @@
 /* fake_engine.c: a model engine for tests: batches, a prefix cache of limited
 ** size with eviction, streams that can be resumed and cancelled, and faults.
 ** Speaks the protocol of docs/ENGINE.md. */
+#define _GNU_SOURCE
 #include "cachelog.h"
 #include "models.h"
 #include "pwbuf.h"
@@ -387,8 +388,16 @@
   return rc;
 }
 
+/* A prompt that holds this word ends the process as it begins to run. */
+static void crash_if_asked(const request *r) {
+  static const char word[] = "crash-engine";
+  if (r->in.len && memmem(r->in.data, r->in.len, word, sizeof word - 1))
+    _exit(1);
+}
+
 static enum MHD_Result complete(struct MHD_Connection *c, request *r) {
   const char *offset = header(c, "X-Resume-Offset");
+  crash_if_asked(r);
   json_t *doc = json_loadb(r->in.data ? r->in.data : "", r->in.len, 0, NULL);
   const char *model = json_string_value(json_object_get(doc, "model"));
   char version[64] = "";
--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -111,6 +111,8 @@
   }
   if (!first && service.close_second)
     return 0;
+  if (!strncmp(body, "crash", 5)) /* as it begins to run */
+    _exit(1);
   count(body);
   if (service.delay_ms) {
     struct timespec ts = {service.delay_ms / 1000,
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -3,7 +3,9 @@
 **
 ** fake-target IP:PORT CONTROL,CONTROL SERVICE ZONE ID [ADVERTISED]
 ** GET /fault?NAME=N sets a fault, GET /stats tells what was seen, GET /ran?ID how
-** often a request ran. ADVERTISED is the address that heartbeats name. */
+** often a request ran. ADVERTISED is the address that heartbeats name. A request whose
+** body begins with "crash" ends the process as it begins to run, one that begins with
+** "crash-midway" after the first event of its stream. */
 #include "pwbuf.h"
 #include "pwclock.h"
 #include "pwh1.h"
@@ -147,7 +149,14 @@
 
 /* --- streams --- */
 
+static int body_begins(const peer *p, const char *word) {
+  return p->body.len >= strlen(word) &&
+         !memcmp(p->body.data, word, strlen(word));
+}
+
 static void send_event(peer *p) {
+  if (p->event > 1 && body_begins(p, "crash-midway"))
+    _exit(1);
   char event[160], piece[200];
   int n = snprintf(event, sizeof event, "id: %d\ndata: %s-%d\n\n", p->event,
                    p->id, p->event);
@@ -261,6 +270,8 @@
     return;
   }
   count_run(p->id);
+  if (body_begins(p, "crash") && !body_begins(p, "crash-midway"))
+    _exit(1);
   if (spend(&me.f.mute))
     return;
   if (spend(&me.f.reset)) {
