--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -80,6 +80,12 @@
   X(PWC_LOAD, "load_tokens", "gauge", "tokens in progress at the target")      \
   X(PWC_QUEUE, "queue_requests", "gauge", "requests waiting at the agent")     \
   X(PWC_REVISION, "revision", "gauge", "configuration revision in force")      \
+  X(PWC_ENDED_UNDER, "ended_under_total", "counter",                           \
+    "targets that ended while they had a request, as seen or told")            \
+  X(PWC_QUARANTINED, "quarantined", "gauge",                                   \
+    "requests in quarantine: targets ended under them")                        \
+  X(PWC_QUARANTINE_REFUSED, "quarantine_refused_total", "counter",             \
+    "requests refused because they are in quarantine")                         \
   X(PWC_GW_CONNECTS, "gateway_connects_total", "counter",                      \
     "connections opened to targets")                                           \
   X(PWC_GW_BROKEN, "gateway_broken_total", "counter",                          \
--- a/packages/core/pwlimits.h
+++ b/packages/core/pwlimits.h
@@ -57,6 +57,12 @@
 #define PW_ATTEMPTS_MAX 3
 #define PW_HOPS_MAX 12
 
+/* A request under which so many targets ended goes to none any more, for so long (ms). One or two
+** ends happen to requests that are well (a target in 15 ends at once on a bad day); the third is the
+** last that users of a fleet accept. Ten minutes outlast the callers who come again. */
+#define PW_QUARANTINE_ENDS 3
+#define PW_QUARANTINE_MS (600LL * 1000)
+
 /* Share of the successes that may be spent on retries, and the reserve. */
 #define PW_RETRY_SHARE 0.05
 #define PW_RETRY_RESERVE 10.0
--- /dev/null
+++ b/packages/daemon/pwsuspects.c
@@ -0,0 +1,45 @@
+/* pwsuspects.c: requests under which targets ended, as instances tell each other. */
+#include "pwsuspects.h"
+
+#include <string.h>
+
+static void fill(Pw__Suspect *m, pw_quar_row *row) {
+  pw__suspect__init(m);
+  m->sign = row->sign;
+  m->targets = row->target;
+  m->n_targets = (size_t)row->n;
+  m->age = (uint32_t)row->age_ms;
+}
+
+size_t pwsuspects_fill(pw_suspects *s, pw_quarantine *q, int64_t now) {
+  s->n = pwquar_tell(q, s->row, now);
+  for (size_t i = 0; i < s->n; i++) {
+    fill(&s->message[i], &s->row[i]);
+    s->list[i] = &s->message[i];
+  }
+  return s->n;
+}
+
+/* 0 when it says nothing that can be used. */
+static int read_row(const Pw__Suspect *m, pw_quar_row *out) {
+  if (m->n_targets > PW_QUARANTINE_ENDS)
+    return 0;
+  *out = (pw_quar_row){
+      .sign = m->sign, .n = (int)m->n_targets, .age_ms = (int64_t)m->age};
+  if (m->n_targets)
+    memcpy(out->target, m->targets, sizeof *m->targets * m->n_targets);
+  return 1;
+}
+
+void pwsuspects_take(pw_quarantine *q, Pw__Suspect *const *list, size_t n,
+                     int64_t now,
+                     void (*heard)(void *arg, uint64_t sign, pw_quar_news news),
+                     void *arg) {
+  for (size_t i = 0; i < n; i++) {
+    pw_quar_row row;
+    pw_quar_news news =
+        read_row(list[i], &row) ? pwquar_hear(q, &row, now) : PWQUAR_OLD;
+    if (news != PWQUAR_OLD)
+      heard(arg, row.sign, news);
+  }
+}
--- a/packages/entry/pwask.c
+++ b/packages/entry/pwask.c
@@ -3,6 +3,7 @@
 
 #include "pwbuf.h"
 #include "pwplace.h"
+#include "pwsign.h"
 
 #include <ctype.h>
 #include <jansson.h>
@@ -263,6 +264,12 @@
   crypto_generichash_final(&st, c->digest, sizeof c->digest);
 }
 
+static void add_sign(pw_call *c) {
+  c->sign = pwsign_of(c->workspace.name, c->method,
+                      (pw_span){c->path, strlen(c->path)},
+                      (pw_span){c->body, c->body_len});
+}
+
 pw_code pwask_read(pw_http *h, const pw_view *view, pw_call *c, char *message,
                    size_t cap) {
   const pw_workspace *w = pwview_workspace(view, pwproc_bearer(h));
@@ -280,6 +287,7 @@
   if (rc != PW_OK)
     return rc;
   add_digest(c);
+  add_sign(c);
   if (!strncmp(c->path, SERVICE_PATH, strlen(SERVICE_PATH)))
     return read_service(h, view, c);
   if (strcmp(c->path, CHAT_PATH) != 0 || strcmp(c->method, "POST") != 0)
--- a/packages/entry/pwattempt.c
+++ b/packages/entry/pwattempt.c
@@ -3,8 +3,12 @@
 #include "pwfl.h"
 
 #include "pwlog.h"
+#include "pwsuspects.h"
+
+#include <xxhash.h>
 
 #define RESUMES_MAX 7
+#define END_SPAN_MS 2000
 #define RESUMES_FIRST 2 /* of what may begin anew elsewhere instead */
 
 /* A claim is settled only by a whole answer or a proof that it did not run;
@@ -41,7 +45,51 @@
     pwnews_count(fs->news, f->pool, failed);
 }
 
+static void note_suspect(pw_flights *fs, uint64_t sign, pw_quar_news news) {
+  const pw_quarantine *q = fs->quarantine;
+  pwcount_set(fs->p->counters, PWC_ENDED_UNDER, pwquar_total(q));
+  if (news == PWQUAR_BEGUN || news == PWQUAR_RELEASED)
+    pwlog(LOG_WARNING, news == PWQUAR_BEGUN ? "quarantined" : "released",
+          "sign=%016llx ends=%d", (unsigned long long)sign,
+          pwquar_ends(q, sign));
+}
+
+static void hear_suspect(void *arg, uint64_t sign, pw_quar_news news) {
+  note_suspect(arg, sign, news);
+}
+
+void pwflight_hear_suspects(pw_flights *fs, const Pw__Loads *m, int64_t now) {
+  pwsuspects_take(fs->quarantine, m->suspects, m->n_suspects, now, hear_suspect,
+                  fs);
+}
+
+/* One start of a target. Agents outlive what they stand before and do not tell its starts apart: it
+** takes longer than END_SPAN_MS to start again, and all entries see an end within a moment. */
+static uint64_t start_of(const pw_target *t) {
+  uint64_t both[2] = {t->id, (uint64_t)(pwclock_wall_ms() / END_SPAN_MS)};
+  return XXH3_64bits(both, sizeof both);
+}
+
+void pwfl_note_ended(pw_flights *fs, const pw_flight *f, int64_t now) {
+  const pw_target *t = pwfl_target_of(fs, f);
+  if (t)
+    note_suspect(fs, f->call->sign,
+                 pwquar_ended(fs->quarantine, f->call->sign, start_of(t), now));
+}
+
+int pwfl_end_quarantined(pw_flights *fs, pw_flight *f, int64_t now) {
+  int64_t left = pwquar_left(fs->quarantine, f->call->sign, now);
+  if (left == 0)
+    return 0;
+  pwcount_add(fs->p->counters, PWC_QUARANTINE_REFUSED, 1);
+  f->retry_after = (uint32_t)left;
+  pwfl_fail(fs, f, f->unproven ? PW_E_UNKNOWN : PW_E_QUARANTINED, now);
+  return 1;
+}
+
 void pwfl_finish(pw_flights *fs, pw_flight *f, int64_t now) {
+  note_suspect(fs, f->call->sign,
+               pwquar_answered(fs->quarantine, f->call->sign, now));
   pwretry_success(&fs->budget);
   count_version(fs, f, 0);
   f->status = f->call->status;
@@ -158,6 +206,8 @@
     pwfl_fail(fs, f, PW_E_DEADLINE, now);
     return;
   }
+  if (pwfl_end_quarantined(fs, f, now))
+    return;
   pw_target *t = NULL;
   if (f->hops <= PW_HOPS_MAX)
     t = pick_anywhere(fs, f, policy, now);
@@ -239,7 +289,9 @@
   pw_target *t = pwfl_target_of(fs, f);
   if (t && pwbreak_result(&t->breaker, 1, now))
     pwlog(LOG_WARNING, "target-set-aside", "target=%s", t->name);
-  if (resume(fs, f, code, now))
+  if (code == PW_E_CUT || code == PW_E_TIMEOUT)
+    pwfl_note_ended(fs, f, now);
+  if (pwfl_end_quarantined(fs, f, now) || resume(fs, f, code, now))
     return;
   count_version(fs, f, 1);
   if (!may_repeat(f) || f->attempts >= PW_ATTEMPTS_MAX) {
--- a/packages/entry/pwcall.h
+++ b/packages/entry/pwcall.h
@@ -32,6 +32,7 @@
   size_t nheaders;
   char once_key[PW_KEY_MAX + 1];
   unsigned char digest[32]; /* of method, path and body */
+  uint64_t sign;            /* what it is, whichever id it has */
   int never;
   int repeatable;
   int is_service;
--- a/packages/entry/pwentry.c
+++ b/packages/entry/pwentry.c
@@ -240,6 +240,11 @@
   pwfeed_hello(en->feed, from, e, &st, list, (size_t)n, now);
 }
 
+static void on_loads(entry *en, const Pw__Envelope *e, int64_t now) {
+  pwreport_peer(en->reports, e, now - en->waited, now);
+  pwflight_hear_suspects(en->flights, e->loads, now);
+}
+
 static void on_listener(entry *en, int64_t now) {
   pw_peer from;
   Pw__Envelope *e;
@@ -247,7 +252,7 @@
     if (e->body_case == PW__ENVELOPE__BODY_HELLO)
       on_hello(en, &from, e, now);
     else if (e->body_case == PW__ENVELOPE__BODY_LOADS)
-      pwreport_peer(en->reports, e, now - en->waited, now);
+      on_loads(en, e, now);
     pw__envelope__free_unpacked(e, NULL);
   }
 }
@@ -351,6 +356,7 @@
     en->summed = now;
   }
   pwreport_tick(en->reports, now);
+  pwreport_suspects(en->reports, pwflight_quarantine(en->flights), now);
   pwflight_tick(en->flights, &en->policy, now);
   tell_http(en, now);
   pwproc_set_ready(en->p, pwsub_may_serve(en->sub, now));
--- a/packages/entry/pwfl.h
+++ b/packages/entry/pwfl.h
@@ -5,6 +5,7 @@
 
 #include "pwbuf.h"
 #include "pwflight.h"
+#include "pwquarantine.h"
 #include "pwquota.h"
 
 #include <uthash.h>
@@ -66,6 +67,7 @@
   pw_retry_budget budget;
   double share;
   pw_quotas *quotas;
+  pw_quarantine *quarantine; /* requests under which targets ended */
 };
 
 /* Forgets a flight; its caller has its answer. */
@@ -114,6 +116,12 @@
 void pwfl_broken(pw_flights *fs, pw_flight *f, pw_code code,
                  const pw_policy *policy, int64_t now);
 
+/* Its target ended while it had the request, or its agent did. */
+void pwfl_note_ended(pw_flights *fs, const pw_flight *f, int64_t now);
+
+/* Ends it when it is in quarantine; gives whether it did. */
+int pwfl_end_quarantined(pw_flights *fs, pw_flight *f, int64_t now);
+
 /* Resumes after its pause. */
 void pwfl_end_pause(pw_flights *fs, pw_flight *f, int64_t now);
 
--- a/packages/entry/pwflight.c
+++ b/packages/entry/pwflight.c
@@ -21,6 +21,7 @@
   fs->sub = sub;
   fs->news = news;
   fs->quotas = pwquota_new();
+  fs->quarantine = pwquar_new();
   fs->share = PW_RETRY_SHARE;
   pwretry_init(&fs->budget, PW_RETRY_SHARE, PW_RETRY_RESERVE);
   return fs;
@@ -58,6 +59,7 @@
     pwfl_drop(fs, f);
   }
   pwquota_free(fs->quotas);
+  pwquar_free(fs->quarantine);
   free(fs);
 }
 
@@ -259,4 +261,10 @@
     tick_one(fs, list[i], policy, now);
   free(list);
   tick_links(fs, policy, now);
+  pwquar_tick(fs->quarantine, now);
+  pwcount_set(fs->p->counters, PWC_QUARANTINED, pwquar_count(fs->quarantine));
+}
+
+pw_quarantine *pwflight_quarantine(pw_flights *fs) {
+  return fs->quarantine;
 }
--- a/packages/entry/pwflight.h
+++ b/packages/entry/pwflight.h
@@ -10,6 +10,7 @@
 #include "pwbudget.h"
 #include "pwcall.h"
 #include "pwnews.h"
+#include "pwquarantine.h"
 #include "pwsub.h"
 #include "pwtargets.h"
 
@@ -30,6 +31,10 @@
                       const Pw__Envelope *e, const pw_policy *policy,
                       int64_t now);
 
+/* Requests under which targets ended, as this entry knows; and as another tells. */
+pw_quarantine *pwflight_quarantine(pw_flights *fs);
+void pwflight_hear_suspects(pw_flights *fs, const Pw__Loads *m, int64_t now);
+
 /* The connection to an agent was lost. */
 void pwflight_lost(pw_flights *fs, const char *addr, const pw_policy *policy,
                    int64_t now);
--- a/packages/entry/pwreport.c
+++ b/packages/entry/pwreport.c
@@ -4,6 +4,7 @@
 #include "pwbudget.h"
 #include "pwbuf.h"
 #include "pwlog.h"
+#include "pwsuspects.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -13,7 +14,8 @@
 #define BYTES_PER_S 4000.0 /* budget for telling peers */
 #define REFRESH_MS 5000    /* an unchanged load is told this often */
 #define ROWS_MAX 256
-#define OWN_MS 15000 /* an agent that told us within this is ours */
+#define SUSPECTS_MS 100 /* as gateways tell each other */
+#define OWN_MS 15000    /* an agent that told us within this is ours */
 
 typedef struct own {
   uint64_t id;
@@ -28,6 +30,7 @@
   int npeers;
   pw_bucket bucket;
   int64_t sent;
+  int64_t suspected; /* when suspects were told last */
   own *mine;
   int nmine;
   int cap;
@@ -121,6 +124,21 @@
   return n;
 }
 
+void pwreport_suspects(pw_reports *r, pw_quarantine *q, int64_t now) {
+  pw_suspects told;
+  if (!r->npeers || now - r->suspected < SUSPECTS_MS ||
+      !pwsuspects_fill(&told, q, now))
+    return;
+  r->suspected = now;
+  Pw__Loads loads = PW__LOADS__INIT;
+  loads.suspects = told.list;
+  loads.n_suspects = told.n;
+  for (int i = 0; i < r->npeers; i++) {
+    Pw__Envelope e = PW_ENVELOPE(LOADS, loads, &loads);
+    pwwire_send(r->sock, &r->peer[i], &e);
+  }
+}
+
 void pwreport_tick(pw_reports *r, int64_t now) {
   if (!r->npeers || now - r->sent < r->p->set->entry_report)
     return;
--- a/packages/entry/pwreport.h
+++ b/packages/entry/pwreport.h
@@ -7,6 +7,7 @@
 #ifndef PWREPORT_H
 #define PWREPORT_H
 
+#include "pwquarantine.h"
 #include "pwtargets.h"
 
 typedef struct pw_reports pw_reports;
@@ -23,6 +24,9 @@
 void pwreport_peer(pw_reports *r, const Pw__Envelope *e, int64_t at,
                    int64_t now);
 
+/* Tells the peers under which requests targets ended, when there is news. */
+void pwreport_suspects(pw_reports *r, pw_quarantine *q, int64_t now);
+
 /* Tells the peers when it is time. */
 void pwreport_tick(pw_reports *r, int64_t now);
 
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -155,8 +155,11 @@
     refuse_unready(x);
     return;
   }
-  if (x->t && pwfleet_is_dark(x->t, now))
+  if (x->t && pwfleet_is_dark(x->t, now)) {
     pwfleet_failed(x->t, now);
+    if (x->is_sent)
+      pwexi_note_ended(x, now);
+  }
   if (!x->has_begun && x->may_have_run)
     pwexi_refuse(x, PW_E_TIMEOUT, "no whole answer in time", 0);
   else
@@ -326,7 +329,8 @@
     x->is_too_long = 1;
 }
 
-static void whole_stream(pw_exchange *x) {
+static void whole_stream(pw_exchange *x, int64_t now) {
+  pwexi_note_answered(x, now);
   pwfleet_answered(x->t, 0, pwclock_ms());
   if (x->held.len) { /* bytes after the last whole event */
     pwexi_pass(x, x->held.data, x->held.len);
@@ -348,16 +352,18 @@
   int is_good = x->status / 100 == 2;
   x->u = NULL;
   if (x->is_events) {
-    whole_stream(x);
+    whole_stream(x, now);
   } else if (x->told.not_run && x->status != HTTP_STATUS_BAD_REQUEST) {
     pwexi_not_run(x);
   } else if (x->has_begun || x->is_too_long || (is_good && !x->told.is_whole)) {
     pwfleet_failed(x->t, now);
     pwexi_unknown(x, "the answer is not one");
   } else if (x->status / 100 == 5 && pwexi_may_repeat(x, now)) {
+    pwexi_note_answered(x, now);
     pwfleet_erred(x->t, now);
     pwexi_retry(x, "the target failed", 1);
   } else {
+    pwexi_note_answered(x, now);
     if (is_good)
       pwfleet_answered(x->t, (double)(now - x->sent_at), now);
     else if (x->status / 100 == 5)
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -2,6 +2,8 @@
 ** it may and can, else it ends at once. */
 #include "pwexint.h"
 
+#include <stdio.h>
+
 /* A refusal by proof goes on elsewhere; so often at most. */
 #define HOPS_MAX 4
 
@@ -11,6 +13,40 @@
 /* Sent at least so long ago, ms: less is usual for a request that waits. */
 #define STALL_MS 600
 
+/* One start of a target, the same at every gateway. */
+static uint64_t start_of(const pw_target *t) {
+  return t->hash;
+}
+
+void pwexi_note_ended(pw_exchange *x, int64_t now) {
+  pw_gate *g = x->g;
+  pw_quar_news news = pwquar_ended(g->quarantine, x->sign, start_of(x->t), now);
+  pwexi_note(x, PWTRACE_FAIL, "ended-under",
+             "target=%s sign=%016llx began=%d ends=%d", x->t->id,
+             (unsigned long long)x->sign, x->has_begun,
+             pwquar_ends(g->quarantine, x->sign));
+  pwgate_note_suspect(g, x->sign, news, "seen");
+}
+
+void pwexi_note_answered(pw_exchange *x, int64_t now) {
+  pw_quar_news news = pwquar_answered(x->g->quarantine, x->sign, now);
+  if (news != PWQUAR_OLD)
+    pwgate_note_suspect(x->g, x->sign, news, "seen");
+}
+
+int pwexi_end_quarantined(pw_exchange *x, int64_t now) {
+  pw_gate *g = x->g;
+  int64_t left = pwquar_left(g->quarantine, x->sign, now);
+  if (left == 0)
+    return 0;
+  char why[80];
+  snprintf(why, sizeof why, "%d targets ended under it; sign=%016llx",
+           pwquar_ends(g->quarantine, x->sign), (unsigned long long)x->sign);
+  pwcount_add(g->p->counters, PWC_QUARANTINE_REFUSED, 1);
+  pwexi_give_up(x, PW_E_QUARANTINED, why, left);
+  return 1;
+}
+
 static int spend_retry(pw_exchange *x, int64_t now) {
   pw_retries *b = &x->kept->retries;
   if (pwretries_spend(b, pwlink_gateways(x->g->link), now)) {
@@ -71,13 +107,6 @@
                   PWEX_RETRY_NO_TARGET_MS);
 }
 
-/* The target ended while it had the request, or the connection to it did. */
-static void note_ended(pw_exchange *x, int unused) {
-  pwexi_note(x, PWTRACE_FAIL, "ended-under",
-             "target=%s sign=%016llx began=%d unused=%d", x->t->id,
-             (unsigned long long)x->sign, x->has_begun, unused);
-}
-
 void pwexchange_failed(pw_exchange *x, pw_tcp_end how, int unused) {
   int64_t now = pwclock_ms();
   x->u = NULL;
@@ -85,7 +114,9 @@
     unreached(x, now);
     return;
   }
-  note_ended(x, unused);
+  pwexi_note_ended(x, now);
+  if (pwexi_end_quarantined(x, now))
+    return;
   if (!unused)
     pwfleet_failed(x->t, now);
   /* A connection that the target closed while it rested: the same target, over
@@ -106,6 +137,7 @@
       !pwfleet_is_dark(x->t, now) || !pwexi_may_repeat(x, now))
     return;
   pwfleet_unreached(x->t, now);
+  pwexi_note_ended(x, now);
   pw_upconn *u = x->u;
   x->u = NULL;
   pwupconn_cancel(u);
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -99,6 +99,15 @@
 
 /* --- pwexfail.c --- */
 
+/* The target ended, or went dark, while it had the request. */
+void pwexi_note_ended(pw_exchange *x, int64_t now);
+
+/* The target answered: it did not end under the request. */
+void pwexi_note_answered(pw_exchange *x, int64_t now);
+
+/* Ends it when it is in quarantine; gives whether it did. */
+int pwexi_end_quarantined(pw_exchange *x, int64_t now);
+
 /* Lets go, and places it again. */
 void pwexi_retry(pw_exchange *x, const char *why, int may_have_run);
 
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -234,6 +234,8 @@
 void pwexi_place(pw_exchange *x) {
   int64_t now = pwclock_ms();
   int was_new = is_new(x);
+  if (pwexi_end_quarantined(x, now))
+    return;
   if (was_new)
     pwshare_asked(&x->kept->share, now);
   part p = part_of(x, now);
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -11,6 +11,7 @@
 #include "pwfleet.h"
 #include "pwplaces.h"
 #include "pwproc.h"
+#include "pwquarantine.h"
 #include "pwretries.h"
 #include "pwshare.h"
 #include "pwstage.h"
@@ -55,6 +56,7 @@
   pw_gossip *gossip;
   pw_trace *trace;
   pw_stages *stages;
+  pw_quarantine *quarantine; /* requests under which targets ended */
   pw_gate_service *services;
   pw_gate_route *routes;
   pw_conns front;   /* callers */
@@ -100,6 +102,11 @@
 /* Whether requests can be sent anywhere: a configuration and targets are known. */
 int pwgate_may_serve(pw_gate *g);
 
+/* Tells in a line what has become known of a request under which targets ended; `how`:
+** "seen" here or "told" by another gateway. */
+void pwgate_note_suspect(pw_gate *g, uint64_t sign, pw_quar_news news,
+                         const char *how);
+
 /* A newer configuration is in force from now on. */
 void pwgate_adopt(pw_gate *g, pw_site *site);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -73,6 +73,19 @@
          9007199254740992.0;
 }
 
+void pwgate_note_suspect(pw_gate *g, uint64_t sign, pw_quar_news news,
+                         const char *how) {
+  pw_quarantine *q = g->quarantine;
+  pwcount_set(g->p->counters, PWC_ENDED_UNDER, pwquar_total(q));
+  pwcount_set(g->p->counters, PWC_QUARANTINED, pwquar_count(q));
+  if (news == PWQUAR_BEGUN || news == PWQUAR_RELEASED)
+    pwtrace_line(g->trace, PWTRACE_STATE, pwclock_ms(),
+                 news == PWQUAR_BEGUN ? "quarantined" : "released",
+                 "sign=%016llx ends=%d how=%s in_quarantine=%d",
+                 (unsigned long long)sign, pwquar_ends(q, sign), how,
+                 pwquar_count(q));
+}
+
 void pwgate_adopt(pw_gate *g, pw_site *site) {
   uint64_t version = pwsite_version(site);
   if (g->site && version <= pwsite_version(g->site)) {
@@ -224,6 +237,8 @@
   for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
     pwupconn_sweep(t, now);
   pwfleet_tick(g->fleet, now, NULL, NULL);
+  pwquar_tick(g->quarantine, now);
+  pwcount_set(g->p->counters, PWC_QUARANTINED, pwquar_count(g->quarantine));
   pwcount_set(g->p->counters, PWC_GW_TARGETS, pwfleet_count(g->fleet));
 }
 
@@ -307,6 +322,7 @@
   ev_timer_start(g.ev, &g.tick);
   g.trace = pwtrace_new(p->set->name, STDOUT_FILENO, p->set->gateway_log_bytes);
   g.stages = pwstage_new();
+  g.quarantine = pwquar_new();
   g.fleet = pwfleet_new(p->set->availability_zone, p->set->gateway_beat,
                         (int64_t)(p->set->gateway_keep * MS_PER_S));
   pwfleet_believe(g.fleet);
@@ -332,6 +348,7 @@
   pwsite_drop(g.site);
   pwtrace_free(g.trace);
   pwstage_free(g.stages);
+  pwquar_free(g.quarantine);
   ev_loop_destroy(g.ev);
   return rc;
 }
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -6,6 +6,7 @@
 
 #include "pwlog.h"
 #include "pwsight.h"
+#include "pwsuspects.h"
 #include "pwtold.h"
 
 #include <errno.h>
@@ -173,6 +174,16 @@
                 post, &l);
 }
 
+/* Requests under which targets ended: every instance tells what it knows, so that it goes on from
+** one to the next. */
+static void tell_suspects(pw_gossip *s, const int *to, int n, int64_t now) {
+  pw_suspects told;
+  letter l = {s, to, n};
+  if (n && pwsuspects_fill(&told, s->g->quarantine, now))
+    pwtold_pack_suspects(pwwire_incarnation(s->g->p->wire), told.list, told.n,
+                         post, &l);
+}
+
 /* --- few gateways: each tells each --- */
 
 static void tell_each(pw_gossip *s, int64_t now) {
@@ -184,6 +195,7 @@
   for (int i = 1; i < s->npeers; i++)
     to[i - 1] = i;
   tell(s, PWTOLD_OWN, &s->own, &s->up, to, s->npeers - 1);
+  tell_suspects(s, to, s->npeers - 1, now);
   free(to);
   s->up.n = s->down.n = 0;
   pwloads_clear(&s->all);
@@ -207,6 +219,7 @@
   s->told_at = now;
   count_own(s, now);
   tell(s, PWTOLD_REPORT, &s->own, &s->up, &first, 1);
+  tell_suspects(s, &first, 1, now);
   s->up.n = 0;
   pwsight_asked(&s->sight[first], now);
   if (!is_fresh(&s->total, now)) { /* nobody answers: its own is all it knows */
@@ -226,11 +239,10 @@
 }
 
 /* The sum of the group goes to the firsts of the others, and from who is not the first by
-** its own sight to the one who is. */
-static void tell_firsts(pw_gossip *s, uint32_t groups, uint32_t own_group,
-                        int is_first, int64_t now) {
+** its own sight to the one who is. Fills `to` with them; gives how many. */
+static int tell_firsts(pw_gossip *s, uint32_t groups, uint32_t own_group,
+                       int is_first, int *to, int64_t now) {
   static const pw_told_prompts none = {.n = 0};
-  int *to = pw_alloc(sizeof *to * groups);
   int n = 0;
   for (uint32_t group = 0; group < groups; group++) {
     int first = first_of(s, groups, group, now);
@@ -243,7 +255,7 @@
   tell(s, PWTOLD_SUM, &s->sum, is_first ? &s->up : &none, to, n);
   if (is_first)
     s->up.n = 0;
-  free(to);
+  return n;
 }
 
 static void sum_up(pw_gossip *s, uint32_t groups, uint32_t own_group,
@@ -251,8 +263,8 @@
   if (now - s->summed_at < SUM_MS)
     return;
   s->summed_at = now;
-  int *who = pw_alloc(sizeof *who * (size_t)s->npeers);
-  int n = reporters(s, who, now);
+  int *who = pw_alloc(sizeof *who * ((size_t)s->npeers + groups));
+  int n = reporters(s, who, now), firsts = 0;
   pwloads_clear(&s->sum);
   if (is_first) {
     count_own(s, now);
@@ -261,7 +273,7 @@
   for (int i = 0; i < n; i++)
     pwtold_add(&s->peers[who[i]].own, &s->sum);
   if (is_first || n)
-    tell_firsts(s, groups, own_group, is_first, now);
+    firsts = tell_firsts(s, groups, own_group, is_first, who + n, now);
   if (is_first) {
     pwloads_clear(&s->all);
     add_all(&s->all, &s->sum);
@@ -271,6 +283,7 @@
     believe(s, AGE_GROUPS_MS);
   }
   tell(s, PWTOLD_TOTAL, &s->all, &s->down, who, n);
+  tell_suspects(s, who, n + firsts, now);
   s->down.n = 0;
   free(who);
 }
@@ -315,12 +328,21 @@
   }
 }
 
+static void heard_suspect(void *arg, uint64_t sign, pw_quar_news news) {
+  pwgate_note_suspect(arg, sign, news, "told");
+}
+
 static void take(pw_gossip *s, const struct sockaddr_in *from,
                  const Pw__Gossip *m) {
   int64_t now = pwclock_ms();
   int i = find(s, from);
   if (i <= 0)
     return;
+  if (m->kind == PWTOLD_SUSPECTS) {
+    pwsuspects_take(s->g->quarantine, m->suspects, m->n_suspects, now,
+                    heard_suspect, s->g);
+    return;
+  }
   if (m->kind == PWTOLD_TOTAL || m->kind == PWTOLD_SUM)
     pwsight_heard(&s->sight[i]);
   if (m->kind == PWTOLD_TOTAL)
--- a/packages/gateway/pwtold.c
+++ b/packages/gateway/pwtold.c
@@ -3,6 +3,7 @@
 
 #include "pwbuf.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -110,3 +111,18 @@
     }
   }
 }
+
+/* It counts in no sequence: an instance that knows loads alone takes it for an old telling. */
+void pwtold_pack_suspects(uint64_t incarnation, Pw__Suspect **list, size_t n,
+                          void (*send)(void *arg, const uint8_t *data,
+                                       size_t n),
+                          void *arg) {
+  uint8_t data[PWTOLD_BYTES];
+  Pw__Gossip m = PW__GOSSIP__INIT;
+  m.incarnation = incarnation;
+  m.kind = PWTOLD_SUSPECTS;
+  m.suspects = list;
+  m.n_suspects = n;
+  assert(pw__gossip__get_packed_size(&m) <= sizeof data);
+  send(arg, data, pw__gossip__pack(&m, data));
+}
--- a/packages/gateway/pwtold.h
+++ b/packages/gateway/pwtold.h
@@ -13,10 +13,11 @@
 
 /* Kinds of a telling. */
 typedef enum pw_told_kind {
-  PWTOLD_OWN,    /* what a gateway has, to all */
-  PWTOLD_REPORT, /* the same, to the first of its group */
-  PWTOLD_SUM,    /* what a group has, to the firsts of the others */
-  PWTOLD_TOTAL   /* what all have, to the members of a group */
+  PWTOLD_OWN,     /* what a gateway has, to all */
+  PWTOLD_REPORT,  /* the same, to the first of its group */
+  PWTOLD_SUM,     /* what a group has, to the firsts of the others */
+  PWTOLD_TOTAL,   /* what all have, to the members of a group */
+  PWTOLD_SUSPECTS /* no loads: requests under which targets ended */
 } pw_told_kind;
 
 /* Prompts that were sent where nobody would look for them. */
@@ -55,4 +56,10 @@
                  void (*send)(void *arg, const uint8_t *data, size_t n),
                  void *arg);
 
+/* Packs a telling of PWTOLD_SUSPECTS. */
+void pwtold_pack_suspects(uint64_t incarnation, Pw__Suspect **list, size_t n,
+                          void (*send)(void *arg, const uint8_t *data,
+                                       size_t n),
+                          void *arg);
+
 #endif
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -1312,6 +1312,51 @@
   assert(message->base.descriptor == &pw__gossip__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pw__suspect__init
+                     (Pw__Suspect         *message)
+{
+  static const Pw__Suspect init_value = PW__SUSPECT__INIT;
+  *message = init_value;
+}
+size_t pw__suspect__get_packed_size
+                     (const Pw__Suspect *message)
+{
+  assert(message->base.descriptor == &pw__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__suspect__pack
+                     (const Pw__Suspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__suspect__pack_to_buffer
+                     (const Pw__Suspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__Suspect *
+       pw__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__Suspect *)
+     protobuf_c_message_unpack (&pw__suspect__descriptor,
+                                allocator, len, data);
+}
+void   pw__suspect__free_unpacked
+                     (Pw__Suspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pw__entry__init
                      (Pw__Entry         *message)
 {
@@ -4380,7 +4425,7 @@
   (ProtobufCMessageInit) pw__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__loads__field_descriptors[3] =
+static const ProtobufCFieldDescriptor pw__loads__field_descriptors[4] =
 {
   {
     "loads",
@@ -4418,16 +4463,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Loads, n_suspects),
+    offsetof(Pw__Loads, suspects),
+    &pw__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__loads__field_indices_by_name[] = {
   1,   /* field[1] = clock */
   2,   /* field[2] = echo */
   0,   /* field[0] = loads */
+  3,   /* field[3] = suspects */
 };
 static const ProtobufCIntRange pw__loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor pw__loads__descriptor =
 {
@@ -4437,7 +4495,7 @@
   "Pw__Loads",
   "pw",
   sizeof(Pw__Loads),
-  3,
+  4,
   pw__loads__field_descriptors,
   pw__loads__field_indices_by_name,
   1,  pw__loads__number_ranges,
@@ -5424,7 +5482,7 @@
   (ProtobufCMessageInit) pw__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__gossip__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pw__gossip__field_descriptors[10] =
 {
   {
     "incarnation",
@@ -5534,6 +5592,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Gossip, n_suspects),
+    offsetof(Pw__Gossip, suspects),
+    &pw__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__gossip__field_indices_by_name[] = {
   0,   /* field[0] = incarnation */
@@ -5544,12 +5614,13 @@
   8,   /* field[8] = parts */
   5,   /* field[5] = places */
   1,   /* field[1] = seq */
+  9,   /* field[9] = suspects */
   2,   /* field[2] = targets */
 };
 static const ProtobufCIntRange pw__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pw__gossip__descriptor =
 {
@@ -5559,13 +5630,77 @@
   "Pw__Gossip",
   "pw",
   sizeof(Pw__Gossip),
-  9,
+  10,
   pw__gossip__field_descriptors,
   pw__gossip__field_indices_by_name,
   1,  pw__gossip__number_ranges,
   (ProtobufCMessageInit) pw__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pw__suspect__field_descriptors[3] =
+{
+  {
+    "sign",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Suspect, sign),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Pw__Suspect, n_targets),
+    offsetof(Pw__Suspect, targets),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Suspect, age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__suspect__field_indices_by_name[] = {
+  2,   /* field[2] = age */
+  0,   /* field[0] = sign */
+  1,   /* field[1] = targets */
+};
+static const ProtobufCIntRange pw__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pw__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Suspect",
+  "Suspect",
+  "Pw__Suspect",
+  "pw",
+  sizeof(Pw__Suspect),
+  3,
+  pw__suspect__field_descriptors,
+  pw__suspect__field_indices_by_name,
+  1,  pw__suspect__number_ranges,
+  (ProtobufCMessageInit) pw__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pw__entry__field_descriptors[4] =
 {
   {
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -44,6 +44,7 @@
 typedef struct Pw__Table Pw__Table;
 typedef struct Pw__Document Pw__Document;
 typedef struct Pw__Gossip Pw__Gossip;
+typedef struct Pw__Suspect Pw__Suspect;
 typedef struct Pw__Entry Pw__Entry;
 typedef struct Pw__Cons Pw__Cons;
 typedef struct Pw__Member Pw__Member;
@@ -602,10 +603,15 @@
    * newest clock of the receiver the sender has seen
    */
   int64_t echo;
+  /*
+   * entry to entry
+   */
+  size_t n_suspects;
+  Pw__Suspect **suspects;
 };
 #define PW__LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__loads__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Pw__Claim
@@ -883,10 +889,37 @@
    * 0 is 1
    */
   uint32_t parts;
+  /*
+   * kind 4: these alone
+   */
+  size_t n_suspects;
+  Pw__Suspect **suspects;
 };
 #define PW__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__gossip__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
+
+
+/*
+ * A request under which targets ended, as pwquarantine.h has it.
+ */
+struct  Pw__Suspect
+{
+  ProtobufCMessage base;
+  uint64_t sign;
+  /*
+   * none: it was answered
+   */
+  size_t n_targets;
+  uint64_t *targets;
+  /*
+   * ms
+   */
+  uint32_t age;
+};
+#define PW__SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__suspect__descriptor) \
+    , 0, 0,NULL, 0 }
 
 
 /*
@@ -1754,6 +1787,25 @@
 void   pw__gossip__free_unpacked
                      (Pw__Gossip *message,
                       ProtobufCAllocator *allocator);
+/* Pw__Suspect methods */
+void   pw__suspect__init
+                     (Pw__Suspect         *message);
+size_t pw__suspect__get_packed_size
+                     (const Pw__Suspect   *message);
+size_t pw__suspect__pack
+                     (const Pw__Suspect   *message,
+                      uint8_t             *out);
+size_t pw__suspect__pack_to_buffer
+                     (const Pw__Suspect   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__Suspect *
+       pw__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__suspect__free_unpacked
+                     (Pw__Suspect *message,
+                      ProtobufCAllocator *allocator);
 /* Pw__Entry methods */
 void   pw__entry__init
                      (Pw__Entry         *message);
@@ -2147,6 +2199,9 @@
 typedef void (*Pw__Gossip_Closure)
                  (const Pw__Gossip *message,
                   void *closure_data);
+typedef void (*Pw__Suspect_Closure)
+                 (const Pw__Suspect *message,
+                  void *closure_data);
 typedef void (*Pw__Entry_Closure)
                  (const Pw__Entry *message,
                   void *closure_data);
@@ -2230,6 +2285,7 @@
 extern const ProtobufCMessageDescriptor pw__table__descriptor;
 extern const ProtobufCMessageDescriptor pw__document__descriptor;
 extern const ProtobufCMessageDescriptor pw__gossip__descriptor;
+extern const ProtobufCMessageDescriptor pw__suspect__descriptor;
 extern const ProtobufCMessageDescriptor pw__entry__descriptor;
 extern const ProtobufCMessageDescriptor pw__cons__descriptor;
 extern const ProtobufCMessageDescriptor pw__member__descriptor;
--- /dev/null
+++ b/tests/test_quarantine.c
@@ -0,0 +1,276 @@
+/* test_quarantine.c: requests under which targets end, without a process. */
+#include "pwquarantine.h"
+#include "pwsign.h"
+#include "pwtest.h"
+
+#include <string.h>
+
+static pw_span span(const char *s) {
+  return (pw_span){s, strlen(s)};
+}
+
+static void test_sign(void) {
+  uint64_t one = pwsign_of("kett", "POST", span("/a/1"), span("x"));
+  CHECK(one && one == pwsign_of("kett", "POST", span("/a/1"), span("x")));
+  CHECK(one != pwsign_of("exams", "POST", span("/a/1"), span("x")));
+  CHECK(one != pwsign_of("kett", "PUT", span("/a/1"), span("x")));
+  CHECK(one != pwsign_of("kett", "POST", span("/a/1x"), span("")));
+  CHECK(one != pwsign_of("kett", "POST", span("/a/1"), span("y")));
+  CHECK(pwsign_of("", "GET", span("/"), (pw_span){0}) != 0);
+}
+
+/* --- one instance --- */
+
+static void test_ends(void) {
+  pw_quarantine *q = pwquar_new();
+  CHECK(pwquar_ended(q, 7, 1, 100) == PWQUAR_ENDED);
+  CHECK(pwquar_ended(q, 7, 1, 101) == PWQUAR_OLD); /* the same end */
+  CHECK(pwquar_ended(q, 7, 2, 200) == PWQUAR_ENDED);
+  CHECK(pwquar_left(q, 7, 200) == 0);
+  CHECK(pwquar_ended(q, 7, 3, 300) == PWQUAR_BEGUN);
+  CHECK(pwquar_ended(q, 7, 4, 310) == PWQUAR_OLD);
+  CHECK(pwquar_left(q, 7, 300) == PW_QUARANTINE_MS);
+  CHECK(pwquar_left(q, 8, 300) == 0 && pwquar_count(q) == 1);
+  CHECK(pwquar_total(q) == 3);
+  /* it is over in time; one more end begins it anew */
+  int64_t over = 300 + PW_QUARANTINE_MS;
+  pwquar_tick(q, over - 1);
+  CHECK(pwquar_left(q, 7, over - 1) == 1);
+  pwquar_tick(q, over);
+  CHECK(pwquar_left(q, 7, over) == 0 && pwquar_count(q) == 0);
+  CHECK(pwquar_ended(q, 7, 9, over + 5) == PWQUAR_BEGUN);
+  pwquar_free(q);
+}
+
+/* An answer takes back all ends before it, and for a while none is counted. */
+static void test_answers(void) {
+  pw_quarantine *q = pwquar_new();
+  pwquar_ended(q, 7, 1, 100);
+  pwquar_ended(q, 7, 2, 100);
+  CHECK(pwquar_answered(q, 7, 200) == PWQUAR_OLD && pwquar_ends(q, 7) == 0);
+  CHECK(pwquar_ended(q, 7, 3, 300) == PWQUAR_OLD);
+  CHECK(pwquar_ended(q, 7, 3, 20000) == PWQUAR_ENDED);
+  CHECK(pwquar_ended(q, 7, 4, 20000) == PWQUAR_ENDED);
+  CHECK(pwquar_ended(q, 7, 5, 20000) == PWQUAR_BEGUN);
+  CHECK(pwquar_answered(q, 7, 20100) == PWQUAR_RELEASED); /* on its way yet */
+  CHECK(pwquar_left(q, 7, 20100) == 0);
+  pwquar_free(q);
+}
+
+/* What is kept is bounded; what is in quarantine stays. */
+static void test_room(void) {
+  pw_quarantine *q = pwquar_new();
+  for (uint64_t t = 1; t <= PW_QUARANTINE_ENDS; t++)
+    pwquar_ended(q, 1, t, 1);
+  for (uint64_t sign = 2; sign < 10000; sign++)
+    pwquar_ended(q, sign, 1, 2);
+  CHECK(pwquar_left(q, 1, 2) > 0 && pwquar_ends(q, 2) == 0);
+  CHECK(pwquar_ends(q, 9999) == 1);
+  pwquar_free(q);
+}
+
+/* --- several --- */
+
+static int told(pw_quarantine *from, pw_quarantine *to, int64_t now) {
+  pw_quar_row row[PWQUAR_ROWS];
+  size_t n = pwquar_tell(from, row, now);
+  for (size_t i = 0; to && i < n; i++)
+    pwquar_hear(to, &row[i], now);
+  return (int)n;
+}
+
+static void test_telling(void) {
+  pw_quarantine *a = pwquar_new(), *b = pwquar_new(), *c = pwquar_new();
+  pwquar_ended(a, 7, 1, 1000);
+  pwquar_ended(b, 7, 2, 1000);
+  pwquar_ended(b, 7, 1, 1000); /* both saw this one */
+  told(a, b, 1100);
+  told(b, a, 1200);
+  CHECK(pwquar_ends(a, 7) == 2 && pwquar_ends(b, 7) == 2);
+  CHECK(pwquar_ended(a, 7, 3, 1300) == PWQUAR_BEGUN);
+  told(a, NULL, 1400); /* lost */
+  told(a, b, 1500);
+  CHECK(pwquar_left(b, 7, 1500) == pwquar_left(a, 7, 1500));
+  /* who starts later hears of it within a second */
+  for (int64_t t = 1600; t <= 3000; t += 100)
+    told(b, NULL, t);
+  int heard = 0;
+  for (int64_t t = 3100; t <= 4100; t += 100)
+    heard += told(b, c, t);
+  CHECK(heard == 1 && pwquar_left(c, 7, 4100) == pwquar_left(a, 7, 4100));
+  /* an answer that one saw releases it at all */
+  pwquar_answered(c, 7, 5000);
+  told(c, b, 5100);
+  told(b, a, 5200);
+  CHECK(!pwquar_left(a, 7, 5200) && !pwquar_left(b, 7, 5200));
+  /* and one that hears of ends contradicts them */
+  pwquar_ended(a, 9, 1, 5000);
+  pwquar_answered(c, 9, 5000);
+  told(a, c, 5300);
+  told(c, a, 5400);
+  CHECK(pwquar_ends(a, 9) == 0);
+  pwquar_free(a);
+  pwquar_free(b);
+  pwquar_free(c);
+}
+
+/* What comes over the wire may be anything. */
+static void test_bad_rows(void) {
+  pw_quarantine *q = pwquar_new();
+  static const pw_quar_row bad[] = {
+      {.sign = 0, .n = 3, .target = {1, 2, 3}},
+      {.sign = 1, .n = PW_QUARANTINE_ENDS + 1},
+      {.sign = 1, .n = -1},
+      {.sign = 1, .n = 3, .target = {1, 2, 3}, .age_ms = PW_QUARANTINE_MS},
+      {.sign = 1, .n = 3, .target = {4, 4, 4}}};
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    pwquar_hear(q, &bad[i], 1000000);
+  CHECK(pwquar_count(q) == 0 && pwquar_ends(q, 1) == 1);
+  pwquar_free(q);
+}
+
+/* --- the load that it answers --- */
+
+/* Ways in which instances count ends. */
+typedef enum way { ALONE, TOLD } way;
+
+enum {
+  GATEWAYS_MAX = 103,
+  STEP_MS = 10,
+  DAY_MS = 60000,
+  EVERY_MS = 100, /* the request comes so often */
+  RUN_MS = 80,    /* a target ends so long after it began to run it */
+  TELL_MS = 100,
+  RUNS = 16,  /* that are on their way at once */
+  BESIDE = 15 /* other requests that a target has when it ends */
+};
+
+typedef struct run {
+  int gateway, attempt;
+  int64_t at; /* when its target ends; 0: none */
+  uint64_t target;
+} run;
+
+typedef struct played {
+  int ends;        /* targets that ended */
+  int late;        /* sends later than 3 s after the third end */
+  int wrong;       /* other requests in quarantine at the end of the day */
+  int shared_held; /* times that what all callers ask was in quarantine */
+} played;
+
+static const uint64_t BAD = 1, SHARED = 2;
+
+static void begin(run *r, int gateway, int attempt, int64_t now,
+                  pw_random *rnd) {
+  *r = (run){gateway, attempt, now + RUN_MS, pwrand(rnd)};
+}
+
+/* One in ten datagrams is lost; in a hundred gateways news go on over others. */
+static void tell_all(pw_quarantine **q, int gateways, int64_t now,
+                     pw_random *r) {
+  for (int i = 0; i < gateways; i++) {
+    pw_quar_row row[PWQUAR_ROWS];
+    size_t n = pwquar_tell(q[i], row, now);
+    int hub = i % 10 == 0;
+    for (int k = 0; n && k < gateways; k++)
+      for (size_t j = 0; k != i && j < n; j++)
+        if ((gateways <= 30 || hub || k % 10 == 0) && pwrand_below(r, 10))
+          pwquar_hear(q[k], &row[j], now);
+  }
+}
+
+/* A request comes at any gateway, is sent to two targets as its route allows, and ends them; each
+** end takes other requests with it, that go on elsewhere, are answered there, or end once more. All
+** gateways serve what all callers ask alike five times a second, a tenth of the targets at a time
+** has it when one ends. */
+static played play(int gateways, way how, pw_random *r) {
+  static pw_quarantine *q[GATEWAYS_MAX];
+  run runs[RUNS] = {{0}};
+  played p = {0};
+  int64_t third = 0;
+  uint64_t other = 1000;
+  for (int i = 0; i < gateways; i++)
+    q[i] = pwquar_new();
+  for (int64_t now = STEP_MS; now <= DAY_MS; now += STEP_MS) {
+    for (int i = 0; i < RUNS; i++) {
+      run *one = &runs[i];
+      if (!one->at && now % EVERY_MS == 0 && i == (now / EVERY_MS) % RUNS) {
+        int at = (int)pwrand_below(r, (uint64_t)gateways);
+        if (!pwquar_left(q[at], BAD, now)) {
+          begin(one, at, 1, now, r);
+          p.late += third && now > third + 3000;
+        }
+      } else if (one->at && now >= one->at) {
+        one->at = 0;
+        p.ends++;
+        third = third || p.ends < 3 ? third : now;
+        pwquar_ended(q[one->gateway], BAD, one->target, now);
+        for (int k = 0; k < BESIDE; k++) {
+          pw_quarantine *its = q[pwrand_below(r, (uint64_t)gateways)];
+          pwquar_ended(its, ++other, one->target, now);
+          if (pwrand_below(r, 10))
+            pwquar_answered(its, other, now);
+        }
+        if (!pwrand_below(r, 10))
+          pwquar_ended(q[pwrand_below(r, (uint64_t)gateways)], SHARED,
+                       one->target, now);
+        if (one->attempt == 1 && !pwquar_left(q[one->gateway], BAD, now)) {
+          begin(one, one->gateway, 2, now, r);
+          p.late += third && now > third + 3000;
+        }
+      }
+    }
+    for (int i = 0; i < gateways; i++)
+      if (pwrand_below(r, 20) == 0) {
+        p.shared_held += pwquar_left(q[i], SHARED, now) > 0;
+        pwquar_answered(q[i], SHARED, now);
+      }
+    if (how == TOLD && now % TELL_MS == 0)
+      tell_all(q, gateways, now, r);
+  }
+  for (int i = 0; i < gateways; i++)
+    p.wrong += pwquar_count(q[i]) - (pwquar_left(q[i], BAD, DAY_MS) > 0);
+  for (int i = 0; i < gateways; i++)
+    pwquar_free(q[i]);
+  return p;
+}
+
+/* Counted alone the request ends more targets the more gateways there are, and some are sent it
+** long after the third end; told, three, and those that have it when the third ends. */
+static void test_day(void) {
+  static const int sizes[] = {1, 5, 23, 103};
+  pw_random r = {.seed = test_seed(34)};
+  for (size_t s = 0; s < sizeof sizes / sizeof sizes[0]; s++) {
+    for (int how = ALONE; how <= TOLD; how++) {
+      played sum = {0};
+      int most = 0, days = sizes[s] > 30 ? 3 : 20;
+      for (int i = 0; i < days; i++) {
+        played p = play(sizes[s], (way)how, &r);
+        sum.ends += p.ends;
+        sum.late += p.late;
+        sum.wrong += p.wrong;
+        sum.shared_held += p.shared_held;
+        most = p.ends > most ? p.ends : most;
+      }
+      printf("%d gateways, %s: %.1f ends a day, %d at most; %.1f sends late, "
+             "%d others in quarantine, %d of what all ask\n",
+             sizes[s], how == ALONE ? "alone" : "told", (double)sum.ends / days,
+             most, (double)sum.late / days, sum.wrong, sum.shared_held);
+      CHECK(sum.wrong == 0 && sum.shared_held == 0);
+      if (how == TOLD || sizes[s] == 1)
+        CHECK(most <= 9 && sum.late == 0);
+    }
+  }
+}
+
+int main(void) {
+  TESTS_BEGIN("quarantine");
+  TEST(test_sign);
+  TEST(test_ends);
+  TEST(test_answers);
+  TEST(test_room);
+  TEST(test_telling);
+  TEST(test_bad_rows);
+  TEST(test_day);
+  TESTS_END();
+}
