A start of a target is its id and when it started; heartbeats of other writers are set aside

Cause: an id was taken for one incarnation. A target that started again under its id counted its heartbeats anew, so they were dropped as late until they had come as far as before, and what was known of the start before (load, failures, cold, being set aside, prompts held, having left) outlived it. Heartbeats with fields missing or of another type were taken as far as they could be read. Change: (id, born) names a start in heartbeats, tables, gossip and quarantine; an earlier start never undoes a later one, whichever way it comes, and a later one is a new target, of which the gateway knows nothing; the earlier is kept apart while it has connections of ours. Instances of an older version, which tell no start, mean the one that is known.

--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -246,6 +246,22 @@
   pwapi_respond(call);
 }
 
+#define ASIDE_LINE_MS 1000
+
+/* What a target, or another writer in its place, said that cannot be used: it changes nothing,
+** and others hold. One line a second at most. */
+static void note_set_aside(pw_control *c, const pw_http *h, pw_code rc,
+                           const char *message) {
+  int64_t now = pwclock_ms(), last = atomic_load(&c->aside_told_at);
+  pwcount_add(c->p->counters,
+              rc == PW_E_SCHEMA ? PWC_BEATS_ASIDE : PWC_BEATS_UNREADABLE, 1);
+  if (now - last < ASIDE_LINE_MS ||
+      !atomic_compare_exchange_strong(&c->aside_told_at, &last, now))
+    return;
+  pwlog(LOG_WARNING, "heartbeat-set-aside", "path=%.80s code=%d why=\"%s\"",
+        pwserve_path(h), (int)rc, message);
+}
+
 static void on_http(void *arg, pw_http *h, int again) {
   pw_control *c = arg;
   if (again) {
@@ -256,8 +272,11 @@
     return;
   pw_api_call *call;
   char message[160] = "";
-  pw_code rc =
-      pwsitecall_read(h, c->p->dialect, &call, message, sizeof message);
+  int of_target;
+  pw_code rc = pwsitecall_read(h, c->p->dialect, &call, &of_target, message,
+                               sizeof message);
+  if (rc != PW_OK && of_target)
+    note_set_aside(c, h, rc, message);
   if (rc == PW_E_PATH)
     rc = pwapi_read(h, c->operators, &call, message, sizeof message);
   if (rc == PW_OK && is_in_no_hurry(c, call))
--- a/packages/control/pwctl.h
+++ b/packages/control/pwctl.h
@@ -55,7 +55,8 @@
   uint64_t led_revision; /* when leadership began */
   int64_t led_at;
   int64_t stop_at;
-  _Atomic int64_t turned_at; /* when the loop came round last, ms */
+  _Atomic int64_t turned_at;     /* when the loop came round last, ms */
+  _Atomic int64_t aside_told_at; /* a line of a heartbeat set aside, ms */
 } pw_control;
 
 /* What the group holds. */
--- a/packages/control/pwsitecall.c
+++ b/packages/control/pwsitecall.c
@@ -2,7 +2,6 @@
 #include "pwsitecall.h"
 
 #include "pwlog.h"
-#include "pwtcp.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -21,18 +20,8 @@
   return PW_OK;
 }
 
-static pw_code read_beat(const pw_dialect *d, const char *id, const char *body,
-                         size_t n, pw_api_call *c, char *message, size_t cap) {
-  struct sockaddr_in addr;
-  pw_code rc = d->read_beat(id, body, n, &c->beat, message, cap);
-  if (rc != PW_OK || pwtcp_address(c->beat.address, &addr) == 0)
-    return rc;
-  snprintf(message, cap, "address: IP:PORT is needed");
-  return PW_E_BODY;
-}
-
 pw_code pwsitecall_read(pw_http *h, const pw_dialect *d, pw_api_call **out,
-                        char *message, size_t cap) {
+                        int *of_target, char *message, size_t cap) {
   static const pw_api_op ops[] = {[PWCALL_SITE_READ] = PW_API_SITE_READ,
                                   [PWCALL_SITE_WRITE] = PW_API_SITE_WRITE,
                                   [PWCALL_BEAT] = PW_API_BEAT,
@@ -40,21 +29,24 @@
                                   [PWCALL_EVACUATE] = PW_API_EVACUATE,
                                   [PWCALL_EVACUATE_END] = PW_API_EVACUATE};
   char id[PW_NAME_MAX];
+  *of_target = 0;
   if (!d)
     return PW_E_PATH;
   pw_call_kind kind = d->read_call(pwserve_method(h), pwserve_path(h), id);
   if (kind == PWCALL_OTHER || kind == PWCALL_BAD_METHOD)
     return PW_E_PATH;
+  *of_target = kind == PWCALL_BEAT || kind == PWCALL_LEAVE;
   pw_api_call *c = pwapi_new(ops[kind]);
   size_t n;
   const char *body = pwserve_body(h, &n);
   pw_code rc = PW_OK;
   pw_copy(c->name, sizeof c->name, pwserve_path(h));
-  pw_copy(c->beat.id, sizeof c->beat.id, id);
   if (kind == PWCALL_SITE_WRITE)
     rc = read_document(h, d, c, message, cap);
   else if (kind == PWCALL_BEAT)
-    rc = read_beat(d, id, body, n, c, message, cap);
+    rc = d->read_beat(id, body, n, &c->beat, message, cap);
+  else if (kind == PWCALL_LEAVE)
+    rc = d->read_leave(id, body, n, &c->beat, message, cap);
   else if (c->op == PW_API_EVACUATE)
     c->change = pwapi_one(PW_KIND_EVACUATION, id,
                           kind == PWCALL_EVACUATE ? "{}" : NULL);
--- a/packages/control/pwsitecall.h
+++ b/packages/control/pwsitecall.h
@@ -9,9 +9,10 @@
 #include "pwwatch.h"
 
 /* HTTP thread: reads a call. PW_E_PATH when it is none of the platform's (or
-** there is no dialect), else PW_OK or the code to refuse with. */
+** there is no dialect), else PW_OK or the code to refuse with. *of_target: it is what a target says
+** of itself. */
 pw_code pwsitecall_read(pw_http *h, const pw_dialect *d, pw_api_call **out,
-                        char *message, size_t cap);
+                        int *of_target, char *message, size_t cap);
 
 /* Control thread: does what it asks, and answers. */
 void pwsitecall_take(pw_api_call *call, pw_group *g, pw_publish *p, pw_reads *r,
--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -217,9 +217,12 @@
 static void note_news(pw_watch *w, const pw_beat *b, pw_fleet_news what,
                       int is_own, int64_t heard_at) {
   int is_change = what != PWFLEET_RENEWED;
+  if (what == PWFLEET_RESTARTED)
+    pwcount_add(w->p->counters, PWC_RESTARTS, 1);
   if (is_change)
     pwlog(LOG_NOTICE, pwfleet_news_name(what),
-          "target=%s service=%s address=%s", b->id, b->service, b->address);
+          "target=%s born=%llu service=%s address=%s", b->id,
+          (unsigned long long)b->born, b->service, b->address);
   if (w->nnews == NEWS_MAX) { /* watchers are told all, as if they were new */
     for (watcher *one = w->watchers; one; one = one->next)
       one->is_lost = 1;
@@ -233,9 +236,12 @@
 }
 
 void pwwatch_beat(pw_watch *w, const pw_beat *b, int gone, int64_t now) {
+  pw_beat told = *b;
   pw_fleet_news what = pwfleet_beat(w->targets, b, gone, now);
+  if (what == PWFLEET_GONE) /* others may know of another start */
+    told.born = pwfleet_find(w->targets, b->id)->born;
   if (what != PWFLEET_OLD)
-    note_news(w, b, what, 1, now);
+    note_news(w, &told, what, 1, now);
 }
 
 static void on_silent(void *arg, pw_target *t, int forgotten) {
@@ -267,11 +273,11 @@
   int64_t heard_at = in->now - beat->age;
   pw_fleet_news what =
       pwtable_is_renewal(beat)
-          ? pwfleet_renew(in->w->targets, b.id, b.seq, heard_at)
+          ? pwfleet_renew(in->w->targets, b.id, b.born, b.seq, heard_at)
           : pwfleet_beat(in->w->targets, &b, beat->gone, heard_at);
   if (pwtable_is_renewal(beat) && in->from &&
-      !pwfleet_find(in->w->targets, b.id))
-    in->from->must_tell_all = 1; /* forgotten here, as after a long pause */
+      !pwfleet_knows(in->w->targets, b.id, b.born))
+    in->from->must_tell_all = 1; /* not known here, as after a long pause */
   if (what == PWFLEET_BACK)      /* a renewal does not say all that it is */
     pwfleet_beat_of(pwfleet_find(in->w->targets, b.id), &b);
   if (what >= PWFLEET_JOINED)
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -80,6 +80,12 @@
   X(PWC_LOAD, "load_tokens", "gauge", "tokens in progress at the target")      \
   X(PWC_QUEUE, "queue_requests", "gauge", "requests waiting at the agent")     \
   X(PWC_REVISION, "revision", "gauge", "configuration revision in force")      \
+  X(PWC_RESTARTS, "target_restarts_total", "counter",                          \
+    "starts of targets under an id that was known")                            \
+  X(PWC_BEATS_ASIDE, "heartbeats_set_aside_total", "counter",                  \
+    "heartbeats without a field that is needed, or with a wrong one")          \
+  X(PWC_BEATS_UNREADABLE, "heartbeats_unreadable_total", "counter",            \
+    "heartbeats that are no JSON object")                                      \
   X(PWC_ENDED_UNDER, "ended_under_total", "counter",                           \
     "targets that ended while they had a request, as seen or told")            \
   X(PWC_QUARANTINED, "quarantined", "gauge",                                   \
--- a/packages/daemon/pwtable.c
+++ b/packages/daemon/pwtable.c
@@ -26,11 +26,13 @@
   out->silent = silent;
   out->cold = (uint32_t)(b->cold_ms > age ? b->cold_ms - age : 0);
   out->seq = b->seq;
+  out->born = b->born + 1;
   out->age = (uint32_t)(age > 0 ? age : 0);
 }
 
 void pwtable_unpack(const Pw__Beat *in, pw_beat *out) {
-  *out = (pw_beat){.slots = (int)in->slots,
+  *out = (pw_beat){.born = in->born ? in->born - 1 : PW_BORN_UNTOLD,
+                   .slots = (int)in->slots,
                    .leaving = in->leaving,
                    .cold_ms = in->cold ? (int64_t)in->cold + in->age : 0,
                    .seq = in->seq};
@@ -47,6 +49,7 @@
   pw__beat__init(out);
   out->target = (char *)b->id;
   out->seq = b->seq;
+  out->born = b->born + 1;
   out->age = (uint32_t)(age > 0 ? age : 0);
 }
 
@@ -69,9 +72,10 @@
   for (size_t i = 0; i < sizeof number / sizeof number[0]; i++)
     *number[i] = pw_alloc(sizeof(uint32_t) * (n + 1));
   t->seq = pw_alloc(sizeof(uint64_t) * (n + 1));
+  t->born = pw_alloc(sizeof(uint64_t) * (n + 1));
   t->n_target = t->n_service = t->n_address = n;
   t->n_availability_zone = t->n_version = t->n_slots = n;
-  t->n_flags = t->n_cold = t->n_seq = t->n_age = n;
+  t->n_flags = t->n_cold = t->n_seq = t->n_age = t->n_born = n;
 }
 
 static void free_columns(Pw__Table *t) {
@@ -84,6 +88,7 @@
   free(t->flags);
   free(t->cold);
   free(t->seq);
+  free(t->born);
   free(t->age);
 }
 
@@ -98,6 +103,7 @@
                 (b->silent ? SILENT : 0U);
   t->cold[i] = b->cold;
   t->seq[i] = b->seq;
+  t->born[i] = b->born;
   t->age[i] = b->age - b->age % AGE_STEP_MS;
 }
 
@@ -109,7 +115,7 @@
   for (size_t i = 0; i < sizeof n / sizeof n[0]; i++)
     if (n[i] != t->n_target)
       return 0;
-  return 1;
+  return t->n_born == 0 || t->n_born == t->n_target;
 }
 
 /* The beat of a row; its strings stay the table's. */
@@ -126,6 +132,7 @@
   out->silent = (t->flags[i] & SILENT) != 0;
   out->cold = t->cold[i];
   out->seq = t->seq[i];
+  out->born = t->n_born ? t->born[i] : 0;
   out->age = t->age[i];
 }
 
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -13,14 +13,10 @@
 /* Sent at least so long ago, ms: less is usual for a request that waits. */
 #define STALL_MS 600
 
-/* One start of a target, the same at every gateway. */
-static uint64_t start_of(const pw_target *t) {
-  return t->hash;
-}
-
 void pwexi_note_ended(pw_exchange *x, int64_t now) {
   pw_gate *g = x->g;
-  pw_quar_news news = pwquar_ended(g->quarantine, x->sign, start_of(x->t), now);
+  pw_quar_news news =
+      pwquar_ended(g->quarantine, x->sign, x->t->start_hash, now);
   pwexi_note(x, PWTRACE_FAIL, "ended-under",
              "target=%s sign=%016llx began=%d ends=%d", x->t->id,
              (unsigned long long)x->sign, x->has_begun,
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -236,6 +236,8 @@
     pwconns_sweep(&g->metrics, now);
   for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
     pwupconn_sweep(t, now);
+  for (pw_target *t = pwfleet_retired(g->fleet); t; t = t->next_retired)
+    pwupconn_sweep(t, now);
   pwfleet_tick(g->fleet, now, NULL, NULL);
   pwquar_tick(g->quarantine, now);
   pwcount_set(g->p->counters, PWC_QUARANTINED, pwquar_count(g->quarantine));
@@ -303,6 +305,8 @@
     t->is_gone = 1;
     pwupconn_sweep(t, pwclock_ms());
   }
+  for (pw_target *t = pwfleet_retired(g->fleet); t; t = t->next_retired)
+    pwupconn_sweep(t, pwclock_ms());
 }
 
 pw_code pwgateway_run(pw_proc *p, pw_buf *err) {
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -107,13 +107,16 @@
   pwtable_unpack(in, &b);
   pw_fleet_news what = pwfleet_beat(g->fleet, &b, in->gone, t->now - in->age);
   if (in->silent && t->in_touch)
-    what = pwfleet_told_silent(g->fleet, b.id, 1, t->now);
+    what = pwfleet_told_silent(g->fleet, b.id, b.born, 1, t->now);
   else if (!in->silent && what == PWFLEET_OLD)
-    what = pwfleet_told_silent(g->fleet, b.id, 0, t->now);
+    what = pwfleet_told_silent(g->fleet, b.id, b.born, 0, t->now);
+  if (what == PWFLEET_RESTARTED)
+    pwcount_add(g->p->counters, PWC_RESTARTS, 1);
   if (pwfleet_news_name(what))
     pwtrace_line(g->trace, PWTRACE_STATE, t->now, pwfleet_news_name(what),
-                 "target=%s service=%s addr=%s seq=%llu", b.id, b.service,
-                 b.address, (unsigned long long)b.seq);
+                 "target=%s born=%llu service=%s addr=%s seq=%llu", b.id,
+                 (unsigned long long)b.born, b.service, b.address,
+                 (unsigned long long)b.seq);
 }
 
 /* The gateways, as the primary tells: it knows all of them. */
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -47,6 +47,52 @@
   pwfleet_drop(t);
 }
 
+/* --- starts --- */
+
+/* An earlier start is kept apart while it has connections or requests of ours. */
+static void retire(pw_fleet *f, pw_target *t) {
+  t->is_gone = 1;
+  HASH_DEL(f->by_id, t);
+  t->next_retired = f->retired;
+  f->retired = t;
+}
+
+static void drop_retired(pw_target **at) {
+  pw_target *t = *at;
+  *at = t->next_retired;
+  pwfleet_drop(t);
+}
+
+static void sweep_retired(pw_fleet *f) {
+  for (pw_target **at = &f->retired; *at;) {
+    if ((*at)->inflight == 0 && (*at)->nconns == 0)
+      drop_retired(at);
+    else
+      at = &(*at)->next_retired;
+  }
+}
+
+pw_target *pwfleet_retired(const pw_fleet *f) {
+  return f->retired;
+}
+
+static uint64_t hash_start(const pw_target *t) {
+  return t->born ? XXH3_64bits_withSeed(t->id, strlen(t->id), t->born)
+                 : t->hash;
+}
+
+/* The start that is meant. */
+static uint64_t meant(const pw_target *t, uint64_t born) {
+  if (born != PW_BORN_UNTOLD)
+    return born;
+  return t ? t->born : 0;
+}
+
+int pwfleet_knows(pw_fleet *f, const char *id, uint64_t born) {
+  const pw_target *t = pwfleet_find(f, id);
+  return t && t->born >= meant(t, born);
+}
+
 static void free_evacuated(pw_fleet *f) {
   for (size_t i = 0; i < f->nevacuated; i++)
     free(f->evacuated[i]);
@@ -60,6 +106,8 @@
   HASH_ITER(hh, f->by_id, t, tmp) {
     remove_target(f, t);
   }
+  while (f->retired)
+    drop_retired(&f->retired);
   free_evacuated(f);
   free(f->availability_zone);
   free(f);
@@ -88,8 +136,10 @@
   pw_target *t = pw_alloc(sizeof *t);
   t->refs = 1;
   pw_copy(t->id, sizeof t->id, b->id);
+  t->born = meant(NULL, b->born);
   t->hash = XXH3_64bits(t->id, strlen(t->id));
-  t->short_hash = (uint32_t)(t->hash >> 32);
+  t->start_hash = hash_start(t);
+  t->short_hash = (uint32_t)(t->start_hash >> 32);
   t->heard_at = heard_at;
   t->joined_at = heard_at - (int64_t)b->seq * f->beat_ms;
   HASH_ADD_STR(f->by_id, id, t);
@@ -192,10 +242,16 @@
 pw_fleet_news pwfleet_beat(pw_fleet *f, const pw_beat *b, int gone,
                            int64_t heard_at) {
   pw_target *t = pwfleet_find(f, b->id);
-  int is_new = !t;
   struct sockaddr_in addr;
   if (!gone && pwtcp_address(b->address, &addr) != 0)
     return PWFLEET_OLD; /* says nothing that can be used */
+  uint64_t born = meant(t, b->born);
+  if (t && born < t->born && (born || !gone))
+    return PWFLEET_OLD; /* of an earlier start */
+  int is_restart = t && born > t->born;
+  if (is_restart)
+    retire(f, t);
+  int is_new = !t || is_restart;
   if (is_new)
     t = add(f, b, heard_at);
   if (heard_at > t->heard_at)
@@ -220,14 +276,18 @@
   t->is_leaving = b->leaving;
   if (t->is_leaving && !was_leaving)
     return PWFLEET_LEAVING;
+  if (is_restart)
+    return PWFLEET_RESTARTED;
   if (was_away)
     return PWFLEET_BACK;
   return is_new ? PWFLEET_JOINED : cold;
 }
 
-pw_fleet_news pwfleet_renew(pw_fleet *f, const char *id, uint64_t seq,
-                            int64_t heard_at) {
+pw_fleet_news pwfleet_renew(pw_fleet *f, const char *id, uint64_t born,
+                            uint64_t seq, int64_t heard_at) {
   pw_target *t = pwfleet_find(f, id);
+  if (t && t->born != meant(t, born))
+    return PWFLEET_OLD;
   int is_back = t && is_there_yet(f, t, seq, heard_at);
   if (!t || (t->is_gone && !is_back) || (!is_back && seq <= t->seq))
     return PWFLEET_OLD;
@@ -239,10 +299,10 @@
   return was_away ? PWFLEET_BACK : PWFLEET_RENEWED;
 }
 
-pw_fleet_news pwfleet_told_silent(pw_fleet *f, const char *id, int silent,
-                                  int64_t now) {
+pw_fleet_news pwfleet_told_silent(pw_fleet *f, const char *id, uint64_t born,
+                                  int silent, int64_t now) {
   pw_target *t = pwfleet_find(f, id);
-  if (!t || t->is_gone || t->is_silent == silent)
+  if (!t || t->born != meant(t, born) || t->is_gone || t->is_silent == silent)
     return PWFLEET_OLD;
   t->is_silent = silent;
   t->heard_at = now; /* when that was last known to be otherwise */
@@ -250,17 +310,21 @@
 }
 
 const char *pwfleet_news_name(pw_fleet_news news) {
-  static const char *const names[] = {
-      [PWFLEET_JOINED] = "target-joined", [PWFLEET_BACK] = "target-back",
-      [PWFLEET_COLD] = "target-cold",     [PWFLEET_WARM] = "target-warm",
-      [PWFLEET_SILENT] = "target-silent", [PWFLEET_LEAVING] = "target-leaving",
-      [PWFLEET_GONE] = "target-gone"};
+  static const char *const names[] = {[PWFLEET_JOINED] = "target-joined",
+                                      [PWFLEET_RESTARTED] = "target-restarted",
+                                      [PWFLEET_BACK] = "target-back",
+                                      [PWFLEET_COLD] = "target-cold",
+                                      [PWFLEET_WARM] = "target-warm",
+                                      [PWFLEET_SILENT] = "target-silent",
+                                      [PWFLEET_LEAVING] = "target-leaving",
+                                      [PWFLEET_GONE] = "target-gone"};
   return news >= PWFLEET_JOINED ? names[news] : NULL;
 }
 
 void pwfleet_beat_of(const pw_target *t, pw_beat *out) {
   int64_t cold_ms = t->cold.until - t->heard_at;
-  *out = (pw_beat){.slots = t->slots,
+  *out = (pw_beat){.born = t->born,
+                   .slots = t->slots,
                    .leaving = t->is_leaving,
                    .cold_ms = cold_ms > 0 ? cold_ms : 0,
                    .seq = t->seq};
@@ -280,6 +344,7 @@
                   void (*judge)(void *arg, pw_target *t, int forgotten),
                   void *arg) {
   pw_target *t, *tmp;
+  sweep_retired(f);
   HASH_ITER(hh, f->by_id, t, tmp) {
     int64_t silence = now - t->heard_at;
     if (judge && !t->is_gone && !t->is_silent &&
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -16,12 +16,15 @@
 /* One start of a target. Kept while anything refers to it. */
 typedef struct pw_target {
   char id[PW_NAME_MAX];
+  uint64_t born; /* with the id it names this start; 0: it does not say */
   char service[PW_NAME_MAX];
   char availability_zone[PW_NAME_MAX];
   char address[PW_NAME_MAX];
   struct sockaddr_in addr;
-  uint64_t hash;
-  uint32_t short_hash; /* names it between gateways */
+  uint64_t hash; /* of its id: prompts come home to the next start, too */
+  uint64_t
+      start_hash; /* of this start: what is known of another is not of this */
+  uint32_t short_hash; /* names this start between gateways */
   int slots;
   int is_leaving;
   int is_gone;
@@ -47,7 +50,8 @@
   int64_t seen_at;     /* its newest byte, ms */
   double work_ms; /* smoothed time of one request there; 0: none was measured */
   int refs;
-  struct pw_target *next_of_all;
+  struct pw_target
+      *next_retired; /* earlier starts that still have connections */
   UT_hash_handle hh;
 } pw_target;
 
@@ -68,9 +72,10 @@
   PWFLEET_OLD, /* nothing: known already */
   PWFLEET_RENEWED,
   PWFLEET_JOINED,
-  PWFLEET_BACK, /* after it was silent */
-  PWFLEET_COLD, /* it has turned cold ... */
-  PWFLEET_WARM, /* ... or is warm sooner than was known */
+  PWFLEET_RESTARTED, /* a new start under an id that is known */
+  PWFLEET_BACK,      /* after it was silent */
+  PWFLEET_COLD,      /* it has turned cold ... */
+  PWFLEET_WARM,      /* ... or is warm sooner than was known */
   PWFLEET_SILENT,
   PWFLEET_LEAVING,
   PWFLEET_GONE
@@ -79,20 +84,25 @@
 /* "target-joined" and so on, for log lines; NULL where nothing has changed. */
 const char *pwfleet_news_name(pw_fleet_news news);
 
-/* Takes a heartbeat that was heard at `heard_at`, ms. */
+/* Takes a heartbeat that was heard at `heard_at`, ms. One of an earlier start than is known
+** changes nothing, whatever it says; one of a later start is of a new target. That a target without
+** `born` ends is said of the start that is known. */
 pw_fleet_news pwfleet_beat(pw_fleet *f, const pw_beat *b, int gone,
                            int64_t heard_at);
 
 /* The id does not answer at its address any more. */
 void pwfleet_forget(pw_target *t, int64_t now);
 
-/* The same of a target that is known already; PWFLEET_OLD if it is not. */
-pw_fleet_news pwfleet_renew(pw_fleet *f, const char *id, uint64_t seq,
-                            int64_t heard_at);
+/* The same of a start that is known already; PWFLEET_OLD if it is not. */
+pw_fleet_news pwfleet_renew(pw_fleet *f, const char *id, uint64_t born,
+                            uint64_t seq, int64_t heard_at);
+
+/* Whether this start of a target, or a later one, is known. */
+int pwfleet_knows(pw_fleet *f, const char *id, uint64_t born);
 
 /* A control instance tells that the target has missed its heartbeats, or not. */
-pw_fleet_news pwfleet_told_silent(pw_fleet *f, const char *id, int silent,
-                                  int64_t now);
+pw_fleet_news pwfleet_told_silent(pw_fleet *f, const char *id, uint64_t born,
+                                  int silent, int64_t now);
 
 /* Lets time pass: targets long silent are forgotten. With `judge` it also finds
 ** who has missed its heartbeats, and tells of each, and of those that are about
@@ -116,6 +126,9 @@
 pw_target *pwfleet_find(pw_fleet *f, const char *id);
 pw_target *pwfleet_first(const pw_fleet *f);
 
+/* Earlier starts that still have connections or requests; follow next_retired. */
+pw_target *pwfleet_retired(const pw_fleet *f);
+
 /* How many are known that have not ended. */
 int pwfleet_count(const pw_fleet *f);
 
--- a/packages/membership/pwfleetint.h
+++ b/packages/membership/pwfleetint.h
@@ -15,6 +15,7 @@
   char **evacuated;      /* availability zones */
   size_t nevacuated;
   pw_target *by_id;
+  pw_target *retired;
 };
 
 #endif
--- a/packages/site/pwdialect.h
+++ b/packages/site/pwdialect.h
@@ -55,9 +55,16 @@
   int running, waiting, slots;
 } pw_told;
 
-/* A target's heartbeat. */
+/* A start that an instance of an older version told of, which knows nothing of starts: the one
+** that is known. */
+#define PW_BORN_UNTOLD UINT64_MAX
+
+/* A target's heartbeat. Id and start name one incarnation of it: one that starts again under its
+** id knows nothing of before. */
 typedef struct pw_beat {
   char id[PW_NAME_MAX];
+  uint64_t born; /* when it started, Unix ms; 0: it did not say, which is before
+                 ** all that did */
   char service[PW_NAME_MAX];
   char address[PW_NAME_MAX];           /* IP:PORT */
   char availability_zone[PW_NAME_MAX]; /* availability zone */
@@ -65,7 +72,7 @@
   int slots;
   int leaving;
   int64_t cold_ms; /* how much longer it is slow from its start */
-  uint64_t seq;    /* rises with each */
+  uint64_t seq;    /* rises with each of one start */
 } pw_beat;
 
 /* Calls to a control instance. */
@@ -111,9 +118,15 @@
                        size_t cap);
   void (*end_site)(pw_reading *r);
 
+  /* With a reason, what names no target to use: PW_E_BODY, it cannot be read; PW_E_SCHEMA, a
+  ** field that is needed is missing, or one is of another type or out of its range. */
   pw_code (*read_beat)(const char *id, const char *text, size_t n, pw_beat *out,
                        char *why, size_t cap);
 
+  /* The same of what a target says as it ends, which may be nothing. */
+  pw_code (*read_leave)(const char *id, const char *text, size_t n,
+                        pw_beat *out, char *why, size_t cap);
+
   /* Path that the platform asks for readiness. */
   const char *ready_path;
 } pw_dialect;
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -4798,7 +4798,7 @@
   (ProtobufCMessageInit) pw__record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor pw__beat__field_descriptors[13] =
 {
   {
     "target",
@@ -4944,11 +4944,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Beat, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__beat__field_indices_by_name[] = {
   2,   /* field[2] = address */
   10,   /* field[10] = age */
   3,   /* field[3] = availability_zone */
+  12,   /* field[12] = born */
   8,   /* field[8] = cold */
   7,   /* field[7] = gone */
   6,   /* field[6] = leaving */
@@ -4962,7 +4975,7 @@
 static const ProtobufCIntRange pw__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor pw__beat__descriptor =
 {
@@ -4972,7 +4985,7 @@
   "Pw__Beat",
   "pw",
   sizeof(Pw__Beat),
-  12,
+  13,
   pw__beat__field_descriptors,
   pw__beat__field_indices_by_name,
   1,  pw__beat__number_ranges,
@@ -5237,7 +5250,7 @@
   (ProtobufCMessageInit) pw__notice__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__table__field_descriptors[10] =
+static const ProtobufCFieldDescriptor pw__table__field_descriptors[11] =
 {
   {
     "target",
@@ -5359,11 +5372,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Pw__Table, n_born),
+    offsetof(Pw__Table, born),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__table__field_indices_by_name[] = {
   2,   /* field[2] = address */
   9,   /* field[9] = age */
   3,   /* field[3] = availability_zone */
+  10,   /* field[10] = born */
   7,   /* field[7] = cold */
   6,   /* field[6] = flags */
   8,   /* field[8] = seq */
@@ -5375,7 +5401,7 @@
 static const ProtobufCIntRange pw__table__number_ranges[1 + 1] =
 {
   { 2, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor pw__table__descriptor =
 {
@@ -5385,7 +5411,7 @@
   "Pw__Table",
   "pw",
   sizeof(Pw__Table),
-  10,
+  11,
   pw__table__field_descriptors,
   pw__table__field_indices_by_name,
   1,  pw__table__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -694,10 +694,14 @@
    * it has missed its heartbeats
    */
   protobuf_c_boolean silent;
+  /*
+   * when the target started, Unix ms, and 1 more (1: it did
+   */
+  uint64_t born;
 };
 #define PW__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -822,10 +826,15 @@
   uint64_t *seq;
   size_t n_age;
   uint32_t *age;
+  /*
+   * none: the sender knows nothing of starts
+   */
+  size_t n_born;
+  uint64_t *born;
 };
 #define PW__TABLE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__table__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -39,7 +39,9 @@
   X(leaving)  /* says so in its heartbeats */                                  \
   X(silent)   /* no heartbeats */                                              \
   X(closing)  /* closes a kept connection when a request comes over it */      \
-  X(cold)     /* ms that its heartbeats say that it is cold */
+  X(cold)     /* ms that its heartbeats say that it is cold */                 \
+  X(skip)     /* numbers of heartbeats to leave out at the next one */         \
+  X(unborn)   /* its heartbeats do not say when it started */
 
 typedef struct faults {
 #define FAULT_FIELD(name) int name;
@@ -75,6 +77,7 @@
   run *runs;
   int total, most, arrivals, left, acked, leaving_acked;
   uint64_t seq;
+  int64_t born; /* Unix ms */
   char workspace[ID_MAX], last_key[ID_MAX];
   ev_timer beat;
 } me;
@@ -284,11 +287,11 @@
 }
 
 static void serve_stats(peer *p) {
-  json_t *o =
-      json_pack("{s:i,s:i,s:i,s:i,s:i,s:i,s:s,s:s}", "total", me.total, "most",
-                me.most, "arrivals", me.arrivals, "left", me.left, "acked",
-                me.acked, "leaving_acked", me.leaving_acked, "workspace",
-                me.workspace, "key", me.last_key);
+  json_t *o = json_pack("{s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:s,s:s}", "seq",
+                        (json_int_t)me.seq, "total", me.total, "most", me.most,
+                        "arrivals", me.arrivals, "left", me.left, "acked",
+                        me.acked, "leaving_acked", me.leaving_acked,
+                        "workspace", me.workspace, "key", me.last_key);
   char *text = json_dumps(o, 0);
   json_decref(o);
   answer(p, 200, "", text);
@@ -424,13 +427,17 @@
   (void)events;
   if (me.f.silent)
     return;
-  char body[512], head[256];
+  char body[512], head[256], born[48] = "";
+  me.seq += (uint64_t)me.f.skip;
+  me.f.skip = 0;
+  if (!me.f.unborn)
+    snprintf(born, sizeof born, "\"born\":%lld,", (long long)me.born);
   int n = snprintf(body, sizeof body,
                    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
                    "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
-                   "\"coldLeftMs\":%d,\"seq\":%llu}",
+                   "\"coldLeftMs\":%d,%s\"seq\":%llu}",
                    me.service, me.address, me.availability_zone, SLOTS,
-                   me.f.leaving ? "draining" : "ready", me.f.cold,
+                   me.f.leaving ? "draining" : "ready", me.f.cold, born,
                    (unsigned long long)++me.seq);
   int m =
       snprintf(head, sizeof head,
@@ -470,6 +477,7 @@
   me.service = argv[3];
   me.availability_zone = argv[4];
   me.id = argv[5];
+  me.born = pwclock_wall_ms();
   signal(SIGPIPE, SIG_IGN);
   me.ev = ev_loop_new(0);
   pwtcp_loop_init(&me.tcp, me.ev);
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -60,23 +60,169 @@
   b = beat("b", "10.0.0.1:80", 2, 0);
   CHECK(pwfleet_beat(f, &b, 0, 1900) == PWFLEET_BACK);
   CHECK(pwfleet_usable(f, "s", 1900) == 2);
-  CHECK(pwfleet_renew(f, "b", 2, 1950) == PWFLEET_OLD);
-  CHECK(pwfleet_renew(f, "b", 3, 1950) == PWFLEET_RENEWED);
-  CHECK(pwfleet_renew(f, "nobody", 3, 1950) == PWFLEET_OLD);
+  CHECK(pwfleet_renew(f, "b", 0, 2, 1950) == PWFLEET_OLD);
+  CHECK(pwfleet_renew(f, "b", 0, 3, 1950) == PWFLEET_RENEWED);
+  CHECK(pwfleet_renew(f, "nobody", 0, 3, 1950) == PWFLEET_OLD);
   CHECK(!strcmp(pwfleet_find(f, "b")->address, "10.0.0.1:80"));
-  CHECK(pwfleet_told_silent(f, "b", 1, 2000) == PWFLEET_SILENT);
-  CHECK(pwfleet_told_silent(f, "b", 1, 2000) == PWFLEET_OLD);
+  CHECK(pwfleet_told_silent(f, "b", 0, 1, 2000) == PWFLEET_SILENT);
+  CHECK(pwfleet_told_silent(f, "b", 0, 1, 2000) == PWFLEET_OLD);
   CHECK(pwfleet_usable(f, "s", 2000) == 1);
   b = beat("c", "", 9, 0); /* without an address: it stays as it was */
   CHECK(pwfleet_beat(f, &b, 0, 2000) == PWFLEET_OLD);
   CHECK(!pwfleet_find(f, "c")->is_gone && pwfleet_find(f, "c")->seq == 1);
-  CHECK(pwfleet_told_silent(f, "c", 1, 2000) == PWFLEET_SILENT);
+  CHECK(pwfleet_told_silent(f, "c", 0, 1, 2000) == PWFLEET_SILENT);
   CHECK(pwfleet_usable(f, "s", 2000) == 2); /* all at once: nobody hears them */
   pwfleet_tick(f, 10000, NULL, NULL);
   CHECK(pwfleet_find(f, "a") == NULL && pwfleet_find(f, "b") == NULL);
   pwfleet_free(f);
 }
 
+static pw_beat start(const char *id, uint64_t born, uint64_t seq) {
+  pw_beat b = beat(id, "10.0.0.1:80", seq, 0);
+  b.born = born;
+  return b;
+}
+
+/* A target starts again under its id: it counts anew, and nothing that was known of it is so. */
+static void test_starts(void) {
+  pw_fleet *f = pwfleet_new("az", 100, 1000);
+  pw_beat b = start("a", 10, 500);
+  b.cold_ms = 5000;
+  CHECK(pwfleet_beat(f, &b, 0, 1000) == PWFLEET_JOINED);
+  pw_target *old = pwfleet_hold(pwfleet_find(f, "a"));
+  old->inflight = old->nconns = 1;
+  old->failures = 3;
+  old->set_aside = 9000;
+  b = start("a", 20, 1);
+  CHECK(pwfleet_beat(f, &b, 0, 1100) == PWFLEET_RESTARTED);
+  pw_target *t = pwfleet_find(f, "a");
+  CHECK(t != old && old->is_gone && !t->is_gone && t->born == 20);
+  CHECK(t->inflight == 0 && t->failures == 0 && t->set_aside == 0);
+  CHECK(t->cold.until == 0 && pwfleet_usable(f, "s", 1100) == 1);
+  CHECK(t->hash == old->hash);             /* prompts come home to it ... */
+  CHECK(t->short_hash != old->short_hash); /* ... but none lies there */
+  /* what is late of an earlier start, or says of none, changes nothing */
+  b = start("a", 10, 501);
+  b.leaving = 1;
+  CHECK(pwfleet_beat(f, &b, 0, 1110) == PWFLEET_OLD && !t->is_leaving);
+  b = start("a", 0, 900);
+  CHECK(pwfleet_beat(f, &b, 0, 1110) == PWFLEET_OLD);
+  b = start("a", 10, 0);
+  CHECK(pwfleet_beat(f, &b, 1, 1110) == PWFLEET_OLD && !t->is_gone);
+  CHECK(pwfleet_renew(f, "a", 10, 502, 1120) == PWFLEET_OLD);
+  CHECK(pwfleet_told_silent(f, "a", 10, 1, 1120) == PWFLEET_OLD);
+  CHECK(pwfleet_knows(f, "a", 10) && pwfleet_knows(f, "a", 20));
+  CHECK(!pwfleet_knows(f, "a", 30) && !pwfleet_knows(f, "b", 0));
+  /* an instance of an older version means the start that is known */
+  CHECK(pwfleet_renew(f, "a", PW_BORN_UNTOLD, 2, 1130) == PWFLEET_RENEWED);
+  b = start("a", PW_BORN_UNTOLD, 3);
+  CHECK(pwfleet_beat(f, &b, 0, 1140) == PWFLEET_RENEWED && t->born == 20);
+  b = start("new", PW_BORN_UNTOLD, 1);
+  b.address[0] = '2';
+  CHECK(pwfleet_beat(f, &b, 0, 1140) == PWFLEET_JOINED);
+  CHECK(pwfleet_find(f, "new")->born == 0);
+  /* it leaves without saying of which start; gone is gone until the next one */
+  b = start("a", 0, 0);
+  CHECK(pwfleet_beat(f, &b, 1, 1200) == PWFLEET_GONE && t->is_gone);
+  b = start("a", 20, 4);
+  CHECK(pwfleet_beat(f, &b, 0, 1210) == PWFLEET_OLD);
+  b = start("a", 30, 1);
+  CHECK(pwfleet_beat(f, &b, 0, 1220) == PWFLEET_RESTARTED);
+  b = start("a", 20, 0);
+  CHECK(pwfleet_beat(f, &b, 1, 1230) == PWFLEET_OLD); /* late */
+  CHECK(!pwfleet_find(f, "a")->is_gone);
+  /* what an earlier start has of ours is waited for */
+  pwfleet_tick(f, 1300, NULL, NULL);
+  CHECK(pwfleet_retired(f) == old && !old->next_retired);
+  old->inflight = old->nconns = 0;
+  pwfleet_tick(f, 1400, NULL, NULL);
+  CHECK(pwfleet_retired(f) == NULL);
+  pwfleet_drop(old);
+  pwfleet_free(f);
+}
+
+/* The start goes along, and an instance that knows nothing of starts is understood. */
+static void test_starts_told(void) {
+  Pw__Beat packed;
+  pw_beat b = start("a", 20, 1), got;
+  pwtable_pack(&packed, &b, 0, 0, 0);
+  pwtable_unpack(&packed, &got);
+  CHECK(got.born == 20);
+  b.born = 0;
+  pwtable_pack(&packed, &b, 0, 0, 0);
+  pwtable_unpack(&packed, &got);
+  CHECK(got.born == 0);
+  pwtable_pack_renewal(&packed, &b, 0);
+  pwtable_unpack(&packed, &got);
+  CHECK(got.born == 0);
+  packed.born = 0; /* as an older version leaves it */
+  pwtable_unpack(&packed, &got);
+  CHECK(got.born == PW_BORN_UNTOLD);
+}
+
+/* Heartbeats by other writers: each is set aside, with a reason. */
+static void test_bad_beats(void) {
+  static const char good[] = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+                             "\"zone\":\"z\",\"version\":"
+                             "\"v\",\"slots\":8,\"state\":\"ready\","
+                             "\"coldLeftMs\":0,\"born\":1700000000000,"
+                             "\"seq\":4,\"more\":[1]}";
+  static const struct {
+    const char *what, *instead;
+  } change[] = {{"\"service\":\"s\",", ""},
+                {"\"s\"", "7"},
+                {"\"s\"", "\"\""},
+                {"10.0.0.1:80", "10.0.0.1"},
+                {"10.0.0.1:80", "nobody:80"},
+                {"\"10.0.0.1:80\"", "null"},
+                {"\"zone\":\"z\",", ""},
+                {"\"v\"", "[\"v\"]"},
+                {"\"slots\":8", "\"slots\":8.5"},
+                {"\"slots\":8", "\"slots\":\"8\""},
+                {"\"slots\":8", "\"slots\":-1"},
+                {"\"slots\":8", "\"slots\":99999999999999"},
+                {"\"slots\":8,", ""},
+                {"ready", "resting"},
+                {"\"ready\"", "true"},
+                {"\"state\":\"ready\",", ""},
+                {"\"coldLeftMs\":0", "\"coldLeftMs\":\"0\""},
+                {"1700000000000", "1700000000000.5"},
+                {"1700000000000", "\"1700000000000\""},
+                {"1700000000000", "-1"},
+                {"1700000000000", "1e300"},
+                {"1700000000000", "99999999999999999999"},
+                {"\"seq\":4", "\"seq\":\"4\""},
+                {"\"seq\":4", "\"seq\":-4"},
+                {"\"seq\":4", "\"seq\":4,\"seq\":5"},
+                {",\"seq\":4", ""},
+                {"\"more\":[1]", "\"more\":\"\xff\xfe\""},
+                {"}", ""},
+                {"{", "[{"}};
+  char text[512], why[160];
+  pw_beat b;
+  CHECK(plat_read_beat("a", good, strlen(good), &b, why, sizeof why) == PW_OK);
+  CHECK(b.born == 1700000000000 && b.seq == 4 && b.slots == 8 && !b.leaving);
+  for (size_t i = 0; i < sizeof change / sizeof change[0]; i++) {
+    const char *at = strstr(good, change[i].what);
+    CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+    snprintf(text, sizeof text, "%.*s%s%s", (int)(at - good), good,
+             change[i].instead, at + strlen(change[i].what));
+    why[0] = 0;
+    pw_code rc = plat_read_beat("a", text, strlen(text), &b, why, sizeof why);
+    CHECK((rc == PW_E_SCHEMA || rc == PW_E_BODY) && why[0]);
+  }
+  char deep[40000];
+  memset(deep, '[', sizeof deep);
+  CHECK(plat_read_beat("a", deep, sizeof deep, &b, why, sizeof why) != PW_OK);
+  CHECK(plat_read_beat("a", "\0", 1, &b, why, sizeof why) != PW_OK);
+  CHECK(plat_read_leave("a", "", 0, &b, why, sizeof why) == PW_OK && !b.born);
+  static const char leave[] = "{\"born\":5}";
+  CHECK(plat_read_leave("a", leave, strlen(leave), &b, why, sizeof why) ==
+            PW_OK &&
+        b.born == 5);
+  CHECK(plat_read_leave("a", "{", 1, &b, why, sizeof why) == PW_E_BODY);
+}
+
 static void test_set_aside(void) {
   pw_fleet *f = pwfleet_new("az", 100000, 1000);
   pw_beat b = beat("a", "10.0.0.1:80", 1, 0);
@@ -159,8 +305,8 @@
   /* the same by renewals, as control instances tell each other */
   b = beat("late", "10.0.0.1:80", 9, 0);
   CHECK(pwfleet_beat(f, &b, 0, 3200) == PWFLEET_JOINED);
-  CHECK(pwfleet_renew(f, "new", 5, 4000) == PWFLEET_OLD);
-  CHECK(pwfleet_renew(f, "new", 6, 5000) == PWFLEET_BACK);
+  CHECK(pwfleet_renew(f, "new", 0, 5, 4000) == PWFLEET_OLD);
+  CHECK(pwfleet_renew(f, "new", 0, 6, 5000) == PWFLEET_BACK);
   CHECK(pwfleet_find(f, "late")->is_gone && pwfleet_usable(f, "s", 5000) == 1);
   /* a gateway believes what control has judged */
   pw_fleet *told = pwfleet_new("az", 1000, 1000);
@@ -593,6 +739,9 @@
 int main(void) {
   TESTS_BEGIN("gateway");
   TEST(test_fleet);
+  TEST(test_starts);
+  TEST(test_starts_told);
+  TEST(test_bad_beats);
   TEST(test_set_aside);
   TEST(test_errors);
   TEST(test_last_resort);
