Quarantine: an answer of failure proves nothing; a start that ends twice unheard counts twice

Cause: read of the repaired code. A target that fails part of its requests (500) without running them took back the ends that others had under a request, and for 10 s none was counted; a target that is back under its id before its heartbeat is heard ended again under the same name and was not counted. Change: only success takes ends back; an end of the same start 2 s after the last counted one has a name of its own, the same at all instances. Runner: a port must be free for UDP, too. Tests, red before: 46_crashing_or_failing ('it ends 3 targets, not 4'), test_quarantine test_ends_again.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -359,15 +359,15 @@
     pwfleet_failed(x->t, now);
     pwexi_unknown(x, "the answer is not one");
   } else if (x->status / 100 == 5 && pwexi_may_repeat(x, now)) {
-    pwexi_note_answered(x, now);
     pwfleet_erred(x->t, now);
     pwexi_retry(x, "the target failed", 1);
   } else {
-    pwexi_note_answered(x, now);
-    if (is_good)
+    if (is_good) {
+      pwexi_note_answered(x, now);
       pwfleet_answered(x->t, (double)(now - x->sent_at), now);
-    else if (x->status / 100 == 5)
+    } else if (x->status / 100 == 5) {
       pwfleet_erred(x->t, now);
+    }
     pwexi_let_go(x);
     answer(x);
   }
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -102,7 +102,8 @@
 /* The target ended, or went dark, while it had the request. */
 void pwexi_note_ended(pw_exchange *x, int64_t now);
 
-/* The target answered: it did not end under the request. */
+/* The target answered with success: it did not end under the request. That another failed it by an
+** answer of its own proves nothing: it may not have begun to run it. */
 void pwexi_note_answered(pw_exchange *x, int64_t now);
 
 /* Ends it when it is in quarantine; gives whether it did. */
--- a/packages/policy/pwquarantine.c
+++ b/packages/policy/pwquarantine.c
@@ -6,6 +6,7 @@
 #include <assert.h>
 #include <stdlib.h>
 #include <uthash.h>
+#include <xxhash.h>
 
 /* News are told so often: with one datagram in ten lost, all of ten are in 10^5 of 10^5 lost once. */
 #define TELLINGS 5
@@ -19,6 +20,10 @@
 #define ANSWERED_MS 10000
 #define ANSWERED_SLOTS 4096 /* requests that are remembered, a power of two */
 
+/* An end of the same start that is seen so much later, ms, is another: instances see one within the
+** time in which a silent connection is given up (1.5 s). */
+#define AGAIN_MS 2000
+
 /* Requests that are kept: an end leaves one for each that ran there, at most 64; 30 ends at once. */
 #define CASES_MAX 2048
 
@@ -143,6 +148,14 @@
   return PWQUAR_BEGUN;
 }
 
+/* How this end is told apart; the same at every instance that knows of those before it. */
+static uint64_t name_of_end(const quar_case *c, uint64_t target, int64_t now) {
+  if (!has_target(&c->row, target) || now - c->at < AGAIN_MS)
+    return target;
+  uint64_t both[2] = {target, (uint64_t)c->row.n};
+  return XXH3_64bits(both, sizeof both);
+}
+
 pw_quar_news pwquar_ended(pw_quarantine *q, uint64_t sign, uint64_t target,
                           int64_t now) {
   assert(sign);
@@ -151,7 +164,7 @@
   quar_case *c = find(q, sign);
   if (!c)
     c = add(q, sign);
-  if (!count(c, target))
+  if (!count(c, name_of_end(c, target, now)))
     return PWQUAR_OLD;
   q->total++;
   c->at = now;
--- a/packages/policy/pwquarantine.h
+++ b/packages/policy/pwquarantine.h
@@ -5,7 +5,7 @@
 ** usual requests, of which each end takes some with it. Every instance counts the targets that
 ** ended under a request, tells the others, and from PW_QUARANTINE_ENDS on sends it nowhere.
 **
-** A request that a target answered is not the cause: an answer takes back all ends before it, at
+** A request that a target answered with success is not the cause: an answer takes back all ends before it, at
 ** every instance, and for a while ends are not counted. So what many callers ask alike, a state for
 ** example, stays out when several targets that have it end at once for another reason. */
 #ifndef PWQUARANTINE_H
@@ -39,11 +39,12 @@
 void pwquar_free(pw_quarantine *q);
 
 /* A target ended while it had the request. `target` names one start of it, the same at every
-** instance. */
+** instance. One that has started again before anything was heard of it ends again under the same
+** name, some time later. */
 pw_quar_news pwquar_ended(pw_quarantine *q, uint64_t sign, uint64_t target,
                           int64_t now);
 
-/* A target answered it. */
+/* A target answered it with success. */
 pw_quar_news pwquar_answered(pw_quarantine *q, uint64_t sign, int64_t now);
 
 /* Ms that it is in quarantine yet; 0: it is not. */
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -40,6 +40,7 @@
   X(silent)   /* no heartbeats */                                              \
   X(closing)  /* closes a kept connection when a request comes over it */      \
   X(cold)     /* ms that its heartbeats say that it is cold */                 \
+  X(grey)     /* 500 in place of ending */                                     \
   X(skip)     /* numbers of heartbeats to leave out at the next one */         \
   X(unborn)   /* its heartbeats do not say when it started */
 
@@ -273,6 +274,12 @@
     return;
   }
   count_run(p->id);
+  if (body_begins(p, "crash") && spend(&me.f.grey)) {
+    char line[96];
+    seal(line);
+    answer(p, 500, line, "failed");
+    return;
+  }
   if (body_begins(p, "crash") && !body_begins(p, "crash-midway"))
     _exit(1);
   if (spend(&me.f.mute))
--- a/tests/runner/process.c
+++ b/tests/runner/process.c
@@ -126,11 +126,11 @@
   return 1;
 }
 
-static int can_bind(int port) {
+static int can_bind(int port, int type) {
   struct sockaddr_in at = {.sin_family = AF_INET,
                            .sin_port = htons((uint16_t)port),
                            .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
-  int fd = socket(AF_INET, SOCK_STREAM, 0);
+  int fd = socket(AF_INET, type, 0);
   int ok = fd >= 0 && bind(fd, (struct sockaddr *)&at, sizeof at) == 0;
   if (fd >= 0)
     close(fd);
@@ -160,7 +160,7 @@
     first = take_block();
   while (first && next < PORTS) {
     int port = first + next++;
-    if (!can_bind(port))
+    if (!can_bind(port, SOCK_STREAM) || !can_bind(port, SOCK_DGRAM))
       continue;
     lua_pushinteger(L, port);
     return 1;
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -42,6 +42,23 @@
   pwquar_free(q);
 }
 
+/* A target that starts again unheard ends again: the same start, later. */
+static void test_ends_again(void) {
+  pw_quarantine *a = pwquar_new(), *b = pwquar_new();
+  CHECK(pwquar_ended(a, 7, 1, 1000) == PWQUAR_ENDED);
+  CHECK(pwquar_ended(b, 7, 1, 1100) == PWQUAR_ENDED);
+  CHECK(pwquar_ended(a, 7, 1, 2900) == PWQUAR_OLD); /* seen late */
+  CHECK(pwquar_ended(a, 7, 1, 4000) == PWQUAR_ENDED);
+  CHECK(pwquar_ended(b, 7, 1, 4100) == PWQUAR_ENDED);
+  pw_quar_row row[PWQUAR_ROWS];
+  for (size_t i = pwquar_tell(a, row, 4200); i > 0; i--)
+    CHECK(pwquar_hear(b, &row[i - 1], 4200) == PWQUAR_OLD);
+  CHECK(pwquar_ends(b, 7) == 2); /* both mean the same two */
+  CHECK(pwquar_ended(b, 7, 1, 7000) == PWQUAR_BEGUN);
+  pwquar_free(a);
+  pwquar_free(b);
+}
+
 /* An answer takes back all ends before it, and for a while none is counted. */
 static void test_answers(void) {
   pw_quarantine *q = pwquar_new();
@@ -267,6 +284,7 @@
   TESTS_BEGIN("quarantine");
   TEST(test_sign);
   TEST(test_ends);
+  TEST(test_ends_again);
   TEST(test_answers);
   TEST(test_room);
   TEST(test_telling);
