Quarantine outlasts a restart of all gateways; what was answered before goes back after seconds

Cause: read of the repaired code. Gateways that were all restarted at once forgot what was in quarantine. And a request that many callers ask alike would have stayed away for ten minutes when three targets ended with it while nothing was served for over ten seconds: an outage would have been made longer. Ruled out: requests let through to try while others are held; each costs what runs beside it.

--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -7,6 +7,7 @@
 #include "pwlimits.h"
 #include "pwlog.h"
 #include "pwpace.h"
+#include "pwsuspects.h"
 #include "pwtable.h"
 
 #include <stdlib.h>
@@ -48,6 +49,7 @@
   int64_t heard_at, told_at, listed_at;
   uint64_t told_site;
   uint64_t told_revision; /* of the evacuated availability zones */
+  int64_t suspects_at;    /* when it was told of requests in quarantine */
   struct watcher *next;
 } watcher;
 
@@ -82,7 +84,9 @@
   int nnews;
   int64_t urgent_at; /* when the oldest change came; 0: there is none */
   int64_t renewed_at;
-  int64_t changed_at; /* when the set of gateways changed last, ms */
+  int64_t changed_at;        /* when the set of gateways changed last, ms */
+  pw_quarantine *quarantine; /* as gateways told: for those that start anew */
+  size_t listed;             /* of it, in the next notice */
   pw_hand *hand;
   pw_pace bulk;     /* tables and documents */
   Pw__Notice table; /* of all targets, as told last */
@@ -98,6 +102,7 @@
   w->dialler = dialler;
   w->doc = doc;
   w->resources = resources;
+  w->quarantine = pwquar_new();
   w->hand = pwhand_new(listener, doc);
   w->bulk = pwpace_of(p->set->control_link);
   w->targets = pwfleet_new(p->set->availability_zone, p->set->control_beat, 0);
@@ -112,6 +117,7 @@
     w->watchers = one->next;
     free(one);
   }
+  pwquar_free(w->quarantine);
   pwhand_free(w->hand);
   pwfleet_free(w->targets);
   pwzones_free(&w->evacuated);
@@ -145,6 +151,26 @@
          (to->listed_at <= w->changed_at && now - to->listed_at >= pause);
 }
 
+static int suspects_are_due(const pw_watch *w, const watcher *to, int64_t now) {
+  int64_t pause = LIST_MS + LIST_MS_A_WATCHER * (int64_t)w->nwatchers;
+  return !to->suspects_at || now - to->suspects_at >= pause;
+}
+
+static void add_suspects(pw_watch *w, watcher *to, pw_suspects *s,
+                         Pw__Notice *n, int64_t now) {
+  n->n_suspects = pwsuspects_list(s, w->quarantine, &w->listed, now);
+  n->suspects = s->list;
+  to->suspects_at = now;
+}
+
+static void hear_suspect(void *arg, uint64_t sign, pw_quar_news what) {
+  const pw_watch *w = arg;
+  if (what == PWQUAR_BEGUN || what == PWQUAR_RELEASED)
+    pwlog(LOG_WARNING, what == PWQUAR_BEGUN ? "quarantined" : "released",
+          "sign=%016llx in_quarantine=%d", (unsigned long long)sign,
+          pwquar_count(w->quarantine));
+}
+
 /* Sends a notice whose heartbeats the caller has filled in. */
 static void tell(pw_watch *w, watcher *to, Pw__Notice *n, int64_t now) {
   n->site = pwdoc_version(w->doc);
@@ -157,6 +183,9 @@
     add_lists(w, n, to->is_primary && to->gossip[0]);
     to->listed_at = now;
   }
+  pw_suspects suspects;
+  if (suspects_are_due(w, to, now))
+    add_suspects(w, to, &suspects, n, now);
   Pw__Envelope e = PW_ENVELOPE(NOTICE, notice, n);
   if (pwwire_send(w->listener, &to->peer, &e) != 0)
     to->is_lost = 1; /* it comes again, and is told all */
@@ -348,6 +377,8 @@
   one->heard_at = now;
   int relies = m->primary && !one->is_primary;
   one->is_primary = m->primary;
+  pwsuspects_take(w->quarantine, m->suspects, m->n_suspects, now, hear_suspect,
+                  w);
   if (relies)
     one->asked_at = now;
   else if (!m->primary)
@@ -366,10 +397,13 @@
 void pwwatch_message(pw_watch *w, const pw_peer *from, const Pw__Envelope *e,
                      int64_t now) {
   told in = {w, other_of(w, from), now};
-  if (e->body_case == PW__ENVELOPE__BODY_WATCH)
+  if (e->body_case == PW__ENVELOPE__BODY_WATCH) {
     on_watch(w, from, e, now);
-  else if (e->body_case == PW__ENVELOPE__BODY_NOTICE)
+  } else if (e->body_case == PW__ENVELOPE__BODY_NOTICE) {
     pwtable_read(e->notice, on_told, &in);
+    pwsuspects_take(w->quarantine, e->notice->suspects, e->notice->n_suspects,
+                    now, hear_suspect, w);
+  }
 }
 
 static void drop_lost(pw_watch *w, int64_t now) {
@@ -531,6 +565,8 @@
   w->in_touch = in_touch;
   pwzones_read(&w->evacuated, w->resources);
   drop_lost(w, now);
+  pwquar_tick(w->quarantine, now);
+  pwcount_set(w->p->counters, PWC_QUARANTINED, pwquar_count(w->quarantine));
   watch_others(w, now);
   pwfleet_tick(w->targets, now, on_silent, w);
   pwhand_serve(w->hand, &w->bulk, now);
--- a/packages/daemon/pwsuspects.c
+++ b/packages/daemon/pwsuspects.c
@@ -11,13 +11,22 @@
   m->age = (uint32_t)row->age_ms;
 }
 
-size_t pwsuspects_fill(pw_suspects *s, pw_quarantine *q, int64_t now) {
-  s->n = pwquar_tell(q, s->row, now);
-  for (size_t i = 0; i < s->n; i++) {
+static size_t fill_all(pw_suspects *s, size_t n) {
+  s->n = n;
+  for (size_t i = 0; i < n; i++) {
     fill(&s->message[i], &s->row[i]);
     s->list[i] = &s->message[i];
   }
-  return s->n;
+  return n;
+}
+
+size_t pwsuspects_fill(pw_suspects *s, pw_quarantine *q, int64_t now) {
+  return fill_all(s, pwquar_tell(q, s->row, now));
+}
+
+size_t pwsuspects_list(pw_suspects *s, const pw_quarantine *q, size_t *at,
+                       int64_t now) {
+  return fill_all(s, pwquar_list(q, at, s->row, now));
 }
 
 /* 0 when it says nothing that can be used. */
--- a/packages/daemon/pwsuspects.h
+++ b/packages/daemon/pwsuspects.h
@@ -16,6 +16,10 @@
 /* What is due to be told; gives how many. */
 size_t pwsuspects_fill(pw_suspects *s, pw_quarantine *q, int64_t now);
 
+/* The next of what is in quarantine or released (pwquar_list); gives how many. */
+size_t pwsuspects_list(pw_suspects *s, const pw_quarantine *q, size_t *at,
+                       int64_t now);
+
 /* Takes what another instance told; calls `heard` with each piece of news. */
 void pwsuspects_take(pw_quarantine *q, Pw__Suspect *const *list, size_t n,
                      int64_t now,
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -74,6 +74,10 @@
   m.gossip = l->g->p->set->gateway_gossip;
   m.primary = c == l->primary;
   m.relay = l->g->p->set->gateway_relay;
+  pw_suspects suspects;
+  m.n_suspects =
+      pwsuspects_list(&suspects, l->g->quarantine, &l->suspects_at, now);
+  m.suspects = suspects.list;
   Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
   pwwire_send(l->sock, &c->peer, &e);
   c->asked_at = now;
@@ -145,6 +149,10 @@
   pwbuf_free(&names);
 }
 
+static void heard_suspect(void *arg, uint64_t sign, pw_quar_news news) {
+  pwgate_note_suspect(arg, sign, news, "kept");
+}
+
 static void on_notice(pw_link *l, contact *c, const Pw__Notice *n,
                       int64_t now) {
   c->site = n->site;
@@ -155,6 +163,8 @@
     l->patience_ms = TELL_ALL_MS;
   }
   take_evacuated(l, n, now);
+  pwsuspects_take(l->g->quarantine, n->suspects, n->n_suspects, now,
+                  heard_suspect, l->g);
   told t = {l, n->in_touch, now};
   pwtable_read(n, on_told, &t);
   take_lists(l, c, n, now);
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -8,6 +8,7 @@
 #include "pwdoc.h"
 #include "pwhear.h"
 #include "pwlog.h"
+#include "pwsuspects.h"
 
 typedef struct pw_relay pw_relay;
 
@@ -27,6 +28,7 @@
 
 struct pw_link {
   pw_gate *g;
+  size_t suspects_at; /* of those to be told, in the next watch */
   pw_sock *sock;
   pw_doc *doc;
   contact *contacts;
--- a/packages/policy/pwquarantine.c
+++ b/packages/policy/pwquarantine.c
@@ -18,6 +18,11 @@
 /* A request that was answered counts no ends for so long, ms: what callers ask alike comes again
 ** within seconds. A request that ends targets since a new version is found so much later. */
 #define ANSWERED_MS 10000
+/* A request that was answered within PW_QUARANTINE_MS goes back after so long at first, ms, and twice as
+** long each time that it ends a target again: what many ask alike must not stay away for minutes after
+** a loss of all targets, and it is one more end each time if it is the cause since a new version. */
+#define KNOWN_MS 5000
+
 #define ANSWERED_SLOTS 4096 /* requests that are remembered, a power of two */
 
 /* An end of the same start that is seen so much later, ms, is another: instances see one within the
@@ -31,7 +36,9 @@
 typedef struct quar_case {
   pw_quar_row row; /* but for its age */
   int64_t at;      /* of the newest end, or of the answer, ms */
-  int64_t held_at; /* since when it is in quarantine, ms; 0: it is not */
+  int64_t held_at; /* since when it is in quarantine, ms; 0: it is not ... */
+  int64_t hold_ms; /* ... and for how long */
+  int holds;       /* quarantines that are over, since it was answered */
   int told;
   int64_t told_at;
   UT_hash_handle hh;
@@ -104,7 +111,20 @@
   return a->sign == sign && now - a->at < ANSWERED_MS;
 }
 
+/* How long it is in quarantine when it comes there after so many times. */
+static int64_t hold_of(pw_quarantine *q, uint64_t sign, int holds,
+                       int64_t now) {
+  const answered *a = slot_of(q, sign);
+  if (a->sign != sign || now - a->at >= PW_QUARANTINE_MS)
+    return PW_QUARANTINE_MS;
+  int64_t ms = KNOWN_MS;
+  for (int i = 0; i < holds && ms < PW_QUARANTINE_MS; i++)
+    ms *= 2;
+  return ms < PW_QUARANTINE_MS ? ms : PW_QUARANTINE_MS;
+}
+
 static void release(pw_quarantine *q, quar_case *c, int64_t at) {
+  c->holds = 0;
   q->held -= c->held_at != 0;
   c->held_at = 0;
   c->row.n = 0;
@@ -144,6 +164,7 @@
   if (c->row.n < PW_QUARANTINE_ENDS || c->held_at)
     return PWQUAR_ENDED;
   c->held_at = at;
+  c->hold_ms = hold_of(q, c->row.sign, c->holds, at);
   q->held++;
   return PWQUAR_BEGUN;
 }
@@ -177,7 +198,7 @@
   const quar_case *c = find(q, sign);
   if (!c || !c->held_at)
     return 0;
-  int64_t left = c->held_at + PW_QUARANTINE_MS - now;
+  int64_t left = c->held_at + c->hold_ms - now;
   return left > 0 ? left : 0;
 }
 
@@ -192,9 +213,14 @@
   return c->told < TELLINGS || (c->held_at && now - c->told_at >= REFRESH_MS);
 }
 
+static pw_quar_row row_of(const quar_case *c, int64_t now) {
+  pw_quar_row row = c->row;
+  row.age_ms = now - (c->held_at ? c->held_at : c->at);
+  return row;
+}
+
 static void tell(quar_case *c, pw_quar_row *row, int64_t now) {
-  *row = c->row;
-  row->age_ms = now - (c->held_at ? c->held_at : c->at);
+  *row = row_of(c, now);
   c->told_at = now;
   if (c->told < TELLINGS)
     c->told++;
@@ -210,6 +236,20 @@
   return n;
 }
 
+size_t pwquar_list(const pw_quarantine *q, size_t *at, pw_quar_row *row,
+                   int64_t now) {
+  size_t n = 0, seen = 0;
+  for (const quar_case *c = q->cases; c && n < PWQUAR_ROWS; c = c->hh.next) {
+    if (!c->held_at && c->row.n)
+      continue;
+    if (seen++ < *at)
+      continue;
+    row[n++] = row_of(c, now);
+  }
+  *at = n < PWQUAR_ROWS ? 0 : *at + n;
+  return n;
+}
+
 /* Another instance saw it answered. */
 static pw_quar_news hear_answer(pw_quarantine *q, const pw_quar_row *row,
                                 int64_t now) {
@@ -244,6 +284,10 @@
     return PWQUAR_OLD;
   }
   quar_case *c = find(q, row->sign);
+  int holds = c ? c->holds : 0;
+  if (row->n == PW_QUARANTINE_ENDS &&
+      row->age_ms >= hold_of(q, row->sign, holds ? holds - 1 : 0, now))
+    return PWQUAR_OLD; /* it is over here */
   if (!c)
     c = add(q, row->sign);
   int more = 0;
@@ -262,6 +306,7 @@
 static void end_quarantine(pw_quarantine *q, quar_case *c, int64_t now) {
   q->held--;
   c->held_at = 0;
+  c->holds++;
   c->row.n = PW_QUARANTINE_ENDS - 1;
   c->at = now;
   c->told = TELLINGS;
@@ -270,11 +315,11 @@
 void pwquar_tick(pw_quarantine *q, int64_t now) {
   quar_case *c, *tmp;
   HASH_ITER(hh, q->cases, c, tmp) {
-    if (c->held_at && now - c->held_at >= PW_QUARANTINE_MS)
+    if (c->held_at && now - c->held_at >= c->hold_ms)
       end_quarantine(q, c, now);
     else if (!c->held_at && now - c->at >= PW_QUARANTINE_MS)
       drop(q, c);
-    else if (c->row.n == 0 && c->told >= TELLINGS)
+    else if (c->row.n == 0 && now - c->at >= ANSWERED_MS)
       drop(q, c);
   }
 }
--- a/packages/policy/pwquarantine.h
+++ b/packages/policy/pwquarantine.h
@@ -58,6 +58,11 @@
 ** started anew. */
 size_t pwquar_tell(pw_quarantine *q, pw_quar_row *row, int64_t now);
 
+/* What is in quarantine here or was released lately, whatever was told of it: at most PWQUAR_ROWS of
+** them, the next ones with the next call; *at begins at 0. Gives how many. */
+size_t pwquar_list(const pw_quarantine *q, size_t *at, pw_quar_row *row,
+                   int64_t now);
+
 /* Another instance told. */
 pw_quar_news pwquar_hear(pw_quarantine *q, const pw_quar_row *row, int64_t now);
 
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -4992,7 +4992,7 @@
   (ProtobufCMessageInit) pw__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__watch__field_descriptors[5] =
+static const ProtobufCFieldDescriptor pw__watch__field_descriptors[6] =
 {
   {
     "site",
@@ -5054,18 +5054,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Watch, n_suspects),
+    offsetof(Pw__Watch, suspects),
+    &pw__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__watch__field_indices_by_name[] = {
   2,   /* field[2] = gossip */
   3,   /* field[3] = primary */
   4,   /* field[4] = relay */
   0,   /* field[0] = site */
+  5,   /* field[5] = suspects */
   1,   /* field[1] = want */
 };
 static const ProtobufCIntRange pw__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor pw__watch__descriptor =
 {
@@ -5075,14 +5088,14 @@
   "Pw__Watch",
   "pw",
   sizeof(Pw__Watch),
-  5,
+  6,
   pw__watch__field_descriptors,
   pw__watch__field_indices_by_name,
   1,  pw__watch__number_ranges,
   (ProtobufCMessageInit) pw__watch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__notice__field_descriptors[11] =
+static const ProtobufCFieldDescriptor pw__notice__field_descriptors[12] =
 {
   {
     "site",
@@ -5216,6 +5229,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Notice, n_suspects),
+    offsetof(Pw__Notice, suspects),
+    &pw__suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__notice__field_indices_by_name[] = {
   3,   /* field[3] = beats */
@@ -5226,6 +5251,7 @@
   1,   /* field[1] = in_touch */
   9,   /* field[9] = revision */
   0,   /* field[0] = site */
+  11,   /* field[11] = suspects */
   6,   /* field[6] = table */
   7,   /* field[7] = table_size */
   8,   /* field[8] = watch_ms */
@@ -5233,7 +5259,7 @@
 static const ProtobufCIntRange pw__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pw__notice__descriptor =
 {
@@ -5243,7 +5269,7 @@
   "Pw__Notice",
   "pw",
   sizeof(Pw__Notice),
-  11,
+  12,
   pw__notice__field_descriptors,
   pw__notice__field_indices_by_name,
   1,  pw__notice__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -733,10 +733,15 @@
    * where the sender hands configurations on; "": nowhere
    */
   char *relay;
+  /*
+   * in quarantine at the sender, or released there
+   */
+  size_t n_suspects;
+  Pw__Suspect **suspects;
 };
 #define PW__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__watch__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
 /*
@@ -790,10 +795,18 @@
    */
   size_t n_evacuated;
   char **evacuated;
+  /*
+   * evacuated by then
+   */
+  /*
+   * in quarantine, or released, as was told here
+   */
+  size_t n_suspects;
+  Pw__Suspect **suspects;
 };
 #define PW__NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__notice__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -74,6 +74,35 @@
   pwquar_free(q);
 }
 
+/* What all callers ask alike, when nothing is served for a while and targets end with it: it waits
+** for seconds, and longer each time, not for minutes; what nobody saw answered does. */
+static void test_known(void) {
+  pw_quarantine *q = pwquar_new();
+  pw_quar_row old = {.sign = 7, .target = {1, 2, 3}, .n = 3, .age_ms = 30000};
+  int64_t now = 20000, wait = 5000;
+  pwquar_answered(q, 7, 1000);
+  for (uint64_t t = 1; t <= 2; t++)
+    CHECK(pwquar_ended(q, 7, t, now) == PWQUAR_ENDED);
+  for (uint64_t t = 3; t < 9; t++) {
+    CHECK(pwquar_ended(q, 7, t, now) == PWQUAR_BEGUN);
+    CHECK(pwquar_left(q, 7, now) == wait);
+    now += wait;
+    pwquar_tick(q, now);
+    CHECK(pwquar_left(q, 7, now) == 0);
+    old.age_ms =
+        wait; /* another still holds it, and tells so again and again */
+    CHECK(pwquar_hear(q, &old, now) == PWQUAR_OLD);
+    CHECK(pwquar_left(q, 7, now) == 0 && pwquar_ends(q, 7) == 2);
+    wait *= 2;
+  }
+  CHECK(pwquar_answered(q, 7, now) == PWQUAR_OLD && pwquar_ends(q, 7) == 0);
+  now += 20000;
+  for (uint64_t t = 21; t <= 23; t++)
+    pwquar_ended(q, 7, t, now);
+  CHECK(pwquar_left(q, 7, now) == 5000); /* from the beginning */
+  pwquar_free(q);
+}
+
 /* What is kept is bounded; what is in quarantine stays. */
 static void test_room(void) {
   pw_quarantine *q = pwquar_new();
@@ -286,6 +315,7 @@
   TEST(test_ends);
   TEST(test_ends_again);
   TEST(test_answers);
+  TEST(test_known);
   TEST(test_room);
   TEST(test_telling);
   TEST(test_bad_rows);
