--- a/tests/soak.lua
+++ b/tests/soak.lua
@@ -248,6 +248,72 @@
   faults[#faults + 1] = target_fault("cold", 3000)
 end
 
+-- Targets that start again under their id, with heartbeats of before that come late; heartbeats by
+-- other writers; requests that end what runs them; pauses in series. From seed 1000 on.
+local function heartbeat(t, born, more)
+  return string.format('{"service":%q,"address":"127.0.0.1:9","zone":"az-1","version":"v1","slots":8,"state":"draining",' ..
+    '"coldLeftMs":0,"born":%s,"seq":9000000%s}', t.service, born, more or "")
+end
+local function put(t, body)
+  local c = one_of(living(g.control))
+  return run.http{url = "http://" .. c.health, method = "PUT", path = "/replicas/i-" .. t.name, body = body, timeout = 2,
+    headers = {["Content-Type"] = "application/json"}}.status
+end
+local function start_again()
+  if not spare(g.targets) then return end
+  local t = one_of(living(g.targets))
+  t:kill()
+  t.gone = true
+  return "kill " .. t.name, function()
+    restart(t)
+    for _ = 1, draw(3) do put(t, heartbeat(t, os.time() * 1000 - 600000)) end
+  end
+end
+local function garble()
+  local t = one_of(living(g.targets))
+  local bodies = {"", "{", "[]", "\255\0\1", heartbeat(t, "1.5"), heartbeat(t, '"x"'), heartbeat(t, "-1"),
+    heartbeat(t, "1", ',"seq":9000001'), ("["):rep(3000), (heartbeat(t, "1"):gsub('"slots":8', '"slots":null'))}
+  for _ = 1, 5 do
+    local status = put(t, one_of(bodies))
+    check(status == 400 or status == 422 or status == 0 or status == 503, "a garbled heartbeat was answered %d", status)
+  end
+  return "garbled heartbeats of " .. t.name, function() end
+end
+local ENDS_MOST = 3
+local crashes = 0
+local function crash()
+  if #living(g.targets) < #g.targets or portals < ENDS_MOST + 2 then return end
+  crashes = crashes + 1
+  local dead = {}
+  for _ = 1, 12 do
+    g:ask{path = "/once/a", body = "crash " .. SEED .. " " .. crashes, gateway = one_of(living(g.gateways)), timeout = 12}
+    for _, t in ipairs(g.targets) do
+      if not t.gone and run.wait(t.pid, 1) then
+        t.gone = true
+        dead[#dead + 1] = t
+      end
+    end
+    run.pause(100) -- callers come again, and gateways hear of each other meanwhile
+  end
+  check(#dead <= ENDS_MOST + #g.gateways, "a request ended %d targets", #dead)
+  return "a request ends " .. #dead .. " targets", function()
+    for _, t in ipairs(dead) do restart(t) end
+  end
+end
+local function pauses()
+  local p = one_of(living(({g.control, g.gateways, g.targets})[draw(3)]))
+  for _ = 1, draw(3) do
+    p:pause()
+    run.pause(500 + draw(2500))
+    p:continue()
+    run.pause(draw(200))
+  end
+  return "pauses of " .. p.name, function() end
+end
+if SEED >= 1000 then
+  for _, f in ipairs{start_again, start_again, garble, crash, pauses} do faults[#faults + 1] = f end
+end
+
 local open, ends = {}, run.now() + MINUTES * 60000
 while run.now() < ends and #problems == 0 do
   if #open < 3 and draw(2) == 1 then
