--- /dev/null
+++ b/packages/gateway/pwgate.c
@@ -0,0 +1,74 @@
+/* pwgate.c: what all files of the gateway use of its state. */
+#include "pwgate.h"
+
+#include <stdlib.h>
+
+#define MS_PER_S 1000
+
+void pwgate_later(pw_gate *g, void *p) {
+  if (g->nlater == g->later_cap) {
+    g->later_cap = g->later_cap ? g->later_cap * 2 : 64;
+    g->later = realloc(g->later, sizeof(void *) * g->later_cap);
+    if (!g->later)
+      abort();
+  }
+  g->later[g->nlater++] = p;
+}
+
+void pwgate_timer(pw_gate *g, ev_timer *w, int64_t ms) {
+  ev_now_update(g->ev);
+  ev_timer_stop(g->ev, w);
+  ev_timer_set(w, (double)(ms > 0 ? ms : 0) / MS_PER_S, 0);
+  ev_timer_start(g->ev, w);
+}
+
+/* xorshift64*; nothing secret hangs on it. */
+double pwgate_draw(pw_gate *g) {
+  g->random ^= g->random >> 12;
+  g->random ^= g->random << 25;
+  g->random ^= g->random >> 27;
+  return (double)((g->random * 2685821657736338717ULL) >> 11) /
+         9007199254740992.0;
+}
+
+void pwgate_note_suspect(pw_gate *g, uint64_t sign, pw_quar_news news,
+                         const char *how) {
+  pw_quarantine *q = g->quarantine;
+  pwcount_set(g->p->counters, PWC_ENDED_UNDER, pwquar_total(q));
+  pwcount_set(g->p->counters, PWC_QUARANTINED, pwquar_count(q));
+  if (news == PWQUAR_BEGUN || news == PWQUAR_RELEASED)
+    pwtrace_line(g->trace, PWTRACE_STATE, pwclock_ms(),
+                 news == PWQUAR_BEGUN ? "quarantined" : "released",
+                 "sign=%016llx ends=%d how=%s in_quarantine=%d",
+                 (unsigned long long)sign, pwquar_ends(q, sign), how,
+                 pwquar_count(q));
+}
+
+void pwgate_adopt(pw_gate *g, pw_site *site) {
+  uint64_t version = pwsite_version(site);
+  if (g->site && version <= pwsite_version(g->site)) {
+    pwsite_drop(site);
+    return;
+  }
+  pwsite_drop(g->site);
+  g->site = site;
+  const pw_site_limits *l = pwsite_limits(site);
+  g->front.limits = (pw_conn_limits){.header_bytes = (size_t)l->header_bytes,
+                                     .body_bytes = (size_t)l->body_bytes,
+                                     .header_ms = l->header_timeout_ms,
+                                     .idle_ms = l->idle_timeout_ms};
+  pwcount_set(g->p->counters, PWC_GW_SITE, (int64_t)version);
+  pwtrace_line(g->trace, PWTRACE_STATE, pwclock_ms(), "configuration",
+               "version=%llu", (unsigned long long)version);
+}
+
+static int knows_targets(pw_gate *g, int64_t now) {
+  for (int i = 0; i < pwsite_services(g->site); i++)
+    if (pwfleet_alive(g->fleet, pwsite_service(g->site, i)->name, now))
+      return 1;
+  return 0;
+}
+
+int pwgate_may_serve(pw_gate *g) {
+  return g->site && (g->is_ready || knows_targets(g, pwclock_ms()));
+}
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -78,6 +78,8 @@
   size_t nlater, later_cap;
 };
 
+/* --- pwgate.c --- */
+
 /* Frees memory when no call can refer to it any more. */
 void pwgate_later(pw_gate *g, void *p);
 
@@ -85,17 +87,6 @@
 ** process stood still, when the loop's own time is old. */
 void pwgate_timer(pw_gate *g, ev_timer *w, int64_t ms);
 
-/* --- pwkept.c --- */
-
-/* What is kept of a service, and of a route; NULL: too many are. */
-pw_gate_service *pwgate_service(pw_gate *g, const char *name);
-pw_gate_route *pwgate_route(pw_gate *g, const char *name);
-
-/* Frees all that is kept. */
-void pwgate_forget(pw_gate *g);
-
-/* --- pwgateway.c --- */
-
 /* Uniform in [0, 1). */
 double pwgate_draw(pw_gate *g);
 
@@ -110,6 +101,15 @@
 /* A newer configuration is in force from now on. */
 void pwgate_adopt(pw_gate *g, pw_site *site);
 
+/* --- pwkept.c --- */
+
+/* What is kept of a service, and of a route; NULL: too many are. */
+pw_gate_service *pwgate_service(pw_gate *g, const char *name);
+pw_gate_route *pwgate_route(pw_gate *g, const char *name);
+
+/* Frees all that is kept. */
+void pwgate_forget(pw_gate *g);
+
 /* --- pwexchange.c --- */
 
 /* Begins the exchange of a whole request. */
