An entry never answers 503 for what may have run

Cause: the code of the last attempt (3006, no connection, 503) went to the caller though an earlier attempt may have run; seen while a request was sent to two engines that ended. The outcome said 'unknown', the status 'not run'. Change: such an answer is 3004 (502). Test: 48_unknown_is_not_refused, red before: 'its status says so: 503'.

--- a/packages/entry/pwattempt.c
+++ b/packages/entry/pwattempt.c
@@ -30,6 +30,8 @@
   pw_call *c = f->call;
   int not_run = f->unproven == 0;
   uint32_t retry = 0;
+  if (!not_run && pwcode_http(code) == 503)
+    code = PW_E_UNKNOWN; /* the status would say that it did not run */
   if (not_run && (pwcode_http(code) == 503 || code == PW_E_QUOTA))
     retry = pwroute_retry_after(f->retry_after, f->walk.draw);
   pwevent_add(fs->p->events, not_run ? PWE_REFUSED : PWE_UNKNOWN, code,
