Entries: only success takes back the ends under a request

Change: pwfl_finish asks for a status of 2xx. Test: 49_crashing_or_failing_agent, red before: 'it ends 3 targets, not 4'.

--- a/packages/entry/pwattempt.c
+++ b/packages/entry/pwattempt.c
@@ -90,8 +90,9 @@
 }
 
 void pwfl_finish(pw_flights *fs, pw_flight *f, int64_t now) {
-  note_suspect(fs, f->call->sign,
-               pwquar_answered(fs->quarantine, f->call->sign, now));
+  if (f->call->status / 100 == 2)
+    note_suspect(fs, f->call->sign,
+                 pwquar_answered(fs->quarantine, f->call->sign, now));
   pwretry_success(&fs->budget);
   count_version(fs, f, 0);
   f->status = f->call->status;
--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -30,6 +30,7 @@
   int total, most;
   int close_second; /* close without an answer on a kept connection */
   int close_next;   /* run, then close without an answer, this many times */
+  int grey;         /* 500 in place of ending, this many times */
   int delay_ms;
 } service = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
@@ -105,13 +106,20 @@
   if (strstr(head, " /fault")) {
     service.close_second = number(head, "close_second=", service.close_second);
     service.close_next = number(head, "close_next=", service.close_next);
+    service.grey = number(head, "grey=", service.grey);
     service.delay_ms = number(head, "delay_ms=", service.delay_ms);
     answer(fd, "{}");
     return 1;
   }
   if (!first && service.close_second)
     return 0;
-  if (!strncmp(body, "crash", 5)) /* as it begins to run */
+  int crashes = !strncmp(body, "crash", 5);
+  if (crashes && service.grey > 0) {
+    service.grey--;
+    dprintf(fd, "HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n");
+    return 1;
+  }
+  if (crashes) /* as it begins to run */
     _exit(1);
   count(body);
   if (service.delay_ms) {
