--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -189,6 +189,8 @@
   Pw__Envelope e = PW_ENVELOPE(NOTICE, notice, n);
   if (pwwire_send(w->listener, &to->peer, &e) != 0)
     to->is_lost = 1; /* it comes again, and is told all */
+  n->suspects = NULL;
+  n->n_suspects = 0;
   free(n->control);
   free(n->gateways);
   to->told_at = now;
