A gateway that was suspended ends at once the requests whose time is over

Cause: deadlines are kept by timers of the loop, whose clock does not count the time for which an instance is suspended; a caller was told as late as the pause was long. Ruled out: leases, ages and what is left of a request's time, which go by pwclock_ms and count it. Change: the check of every 0.1 s ends what is over by that clock. A daemon for tests whose clock is set ahead by a signal while the loop's is not (peatwelld-skewed); control instances are suspended in turn, too.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,8 @@
 
 ALL_LIB = $(BUILD)/libpeatwell.a
 BINS = $(BUILD)/peatwelld $(BUILD)/peatwell
-FAKES = $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/fake-target
+FAKES = $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/fake-target \
+  $(BUILD)/peatwelld-skewed
 TESTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
 RUNNER = $(BUILD)/pwscenario
 
@@ -66,6 +67,11 @@
 	@echo "  LD $@"
 	@$(CXX) $(LDFLAGS) -o $@ $^ -largtable2 $(LDLIBS)
 
+# The daemon with a clock that scenarios set ahead, as a suspension does.
+$(BUILD)/peatwelld-skewed: $(BUILD)/packages/daemon/peatwelld.o $(BUILD)/tests/fakes/skewed_clock.o $(ALL_LIB)
+	@echo "  LD $@"
+	@$(CXX) $(LDFLAGS) -o $@ $^ -largtable2 $(LDLIBS)
+
 $(BUILD)/peatwell: $(BUILD)/packages/cli/peatwell.o $(ALL_LIB)
 	@echo "  LD $@"
 	@$(CXX) $(LDFLAGS) -o $@ $^ -largtable2 $(LDLIBS)
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -10,6 +10,10 @@
 /* While more than this part of those who ask get a place, hardly anyone comes back. */
 #define CALM_SHARE 0.99
 
+/* The loop's own timer, which does not count time for which the instance was suspended, is usually
+** that much late at most. */
+#define LATE_TURN_MS 100
+
 #define RETRY_SPREAD_MS 300 /* so that not all come back at once */
 
 /* A gateway that was started has its configuration by then: control elects a
@@ -146,11 +150,8 @@
                least + (int64_t)(pwgate_draw(g) * RETRY_SPREAD_MS));
 }
 
-static void on_timer(struct ev_loop *ev, ev_timer *w, int events) {
-  (void)ev;
-  (void)events;
-  pw_exchange *x = w->data;
-  int64_t now = pwclock_ms();
+/* Its time is over: of its caller or its route, or in which a configuration could come. */
+static void time_out(pw_exchange *x, int64_t now) {
   if (x->is_awaiting) {
     refuse_unready(x);
     return;
@@ -166,6 +167,24 @@
     pwexi_give_up(x, PW_E_NO_TARGET, "time is up", PWEX_RETRY_LEAST_MS);
 }
 
+static void on_timer(struct ev_loop *ev, ev_timer *w, int events) {
+  (void)ev;
+  (void)events;
+  time_out(w->data, pwclock_ms());
+}
+
+static void set_timer(pw_exchange *x, int64_t ms) {
+  x->ends_at = pwclock_ms() + ms;
+  pwgate_timer(x->g, &x->timer, ms);
+}
+
+int pwexi_end_late(pw_exchange *x, int64_t now) {
+  if (now < x->ends_at + LATE_TURN_MS)
+    return 0;
+  time_out(x, now);
+  return 1;
+}
+
 /* --- beginning --- */
 
 /* What the configuration says of this request: 0, or it was refused. */
@@ -236,7 +255,7 @@
   x->urgency = urgency_of(x);
   x->is_last = has_tried_before(x);
   pwretries_request(&x->kept->retries, x->arrived);
-  pwgate_timer(g, &x->timer, pwexi_time_left(x));
+  set_timer(x, pwexi_time_left(x));
   pwexi_place(x);
 }
 
@@ -258,7 +277,7 @@
   DL_APPEND(g->awaiting, x);
   g->nawaiting++;
   g->awaiting_bytes += bytes;
-  pwgate_timer(g, &x->timer, wait_ms);
+  set_timer(x, wait_ms);
 }
 
 void pwexchange_go_on(pw_gate *g) {
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -143,7 +143,7 @@
 void pwexchange_check(pw_gate *g, int64_t now) {
   for (pw_conn *c = g->front.first, *next; c; c = next) {
     next = c->next;
-    if (c->state)
+    if (c->state && !pwexi_end_late(c->state, now))
       check_stall(c->state, now);
   }
 }
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -27,6 +27,7 @@
   uint64_t sign; /* what it is, whichever id it has */
   int64_t arrived, deadline_at, timeout_at; /* ms */
   ev_timer timer;
+  int64_t ends_at; /* when the timer ends, ms */
   int is_awaiting; /* a configuration; what follows from it is not known yet */
   pw_exchange *prev, *next; /* of those */
 
@@ -89,6 +90,10 @@
 void pwexi_give_up(pw_exchange *x, pw_code code, const char *why,
                    int64_t retry_ms);
 
+/* Ends it when its time was over a while ago, as after the instance was suspended; gives whether it
+** did. */
+int pwexi_end_late(pw_exchange *x, int64_t now);
+
 /* --- pwexsend.c --- */
 
 /* Picks a target and sends it there, or ends it. */
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -118,7 +118,7 @@
 /* Begins those that waited for a configuration. */
 void pwexchange_go_on(pw_gate *g);
 
-/* Has requests go on elsewhere whose target went dark. */
+/* Ends requests whose time is over, and has those go on elsewhere whose target went dark. */
 void pwexchange_check(pw_gate *g, int64_t now);
 
 /* The caller has gone. */
--- a/tests/runner/process.c
+++ b/tests/runner/process.c
@@ -98,7 +98,8 @@
                  {"KILL", SIGKILL},
                  {"STOP", SIGSTOP},
                  {"CONT", SIGCONT},
-                 {"HUP", SIGHUP}};
+                 {"HUP", SIGHUP},
+                 {"USR2", SIGUSR2}};
   pid_t pid = (pid_t)luaL_checkinteger(L, 1);
   const char *name = luaL_checkstring(L, 2);
   for (size_t i = 0; i < sizeof signals / sizeof signals[0]; i++)
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -13,7 +13,7 @@
 end
 
 -- o: control, gateways, engines, portals (counts); zones: of targets by name; text: settings of gateways;
--- control_text: of control instances.
+-- control_text: of control instances; daemon: the program, "peatwelld" unless said otherwise.
 function gateways.new(o)
   local f = fleet.new{control = 0, entries = 0, engines = 0}
   local g = setmetatable({f = f, o = o, dir = f.dir, control = {}, gateways = {}, targets = {}, version = 0}, gateways)
@@ -35,7 +35,7 @@
 function gateways:add_control(ip, found)
   local name = "control-" .. ip:match("(%d+)$")
   local path = self.dir .. "/" .. name .. ".toml"
-  local p = self.f:process(name, {run.bin .. "/peatwelld", "--config", path}, ip .. ":" .. self.http_port)
+  local p = self.f:process(name, {run.bin .. "/" .. (self.o.daemon or "peatwelld"), "--config", path}, ip .. ":" .. self.http_port)
   p.ip, p.settings, p.found, p.data_dir = ip, path, found, self.dir .. "/data-" .. ip
   self.control[#self.control + 1] = p
   return p
@@ -57,7 +57,7 @@
     '[gateway]\nhttp = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\ngossip = "127.0.0.1:%d"\nrelay = "tcp://127.0.0.1:%d"\ncontrol = %s\n' ..
     'control_port = %d\nbeat_ms = %d\nretry_ratio = 0.2\nretry_slack = 1000\n%s\n', name, metrics, http, ready, gossip, relay,
     quoted(self.seeds), self.wire_port, BEAT_MS, self.o.text or ""))
-  local p = self.f:process(name, {run.bin .. "/peatwelld", "--config", path}, "127.0.0.1:" .. ready)
+  local p = self.f:process(name, {run.bin .. "/" .. (self.o.daemon or "peatwelld"), "--config", path}, "127.0.0.1:" .. ready)
   p.live = "/metrics"
   p.http = "127.0.0.1:" .. http
   p.metrics = "127.0.0.1:" .. metrics
