--- a/tests/fuzz/fuzz_parsers.c
+++ b/tests/fuzz/fuzz_parsers.c
@@ -11,6 +11,7 @@
 #include "pwset.h"
 #include "pwstate.h"
 #include "pwstore.h"
+#include "pwsuspects.h"
 #include "pwtold.h"
 #include "pwtoml.h"
 
@@ -165,6 +166,7 @@
   if (plat_read_site((const char *)data, n, &site, why, sizeof why) == PW_OK)
     pwsite_drop(site);
   plat_read_beat("id", (const char *)data, n, &beat, why, sizeof why);
+  plat_read_leave("id", (const char *)data, n, &beat, why, sizeof why);
   char id[PW_NAME_MAX];
   char *path = pw_alloc(n + 1);
   memcpy(path, data, n);
@@ -188,21 +190,32 @@
     pw__document__free_unpacked(in, NULL);
 }
 
-/* Loads that a gateway tells, one datagram after another. */
+static void hear_suspect(void *arg, uint64_t sign, pw_quar_news news) {
+  const pw_quarantine *q = arg;
+  if (!sign || news == PWQUAR_OLD || pwquar_ends(q, sign) > PW_QUARANTINE_ENDS)
+    abort();
+}
+
+/* Loads, and requests under which targets ended, that a gateway tells, one datagram after
+** another. */
 static void fuzz_gossip(const uint8_t *data, size_t n) {
   pw_told_loads told = {0};
   pw_loads sum = {0};
+  pw_quarantine *q = pwquar_new();
   for (size_t at = 0; at + 1 < n;) {
     size_t len = data[at] < n - at - 1 ? data[at] : n - at - 1;
     Pw__Gossip *m = pw__gossip__unpack(NULL, len, data + at + 1);
     if (m) {
       pwtold_take(&told, m, 1);
+      pwsuspects_take(q, m->suspects, m->n_suspects, 1, hear_suspect, q);
+      pwquar_tick(q, 2);
       pw__gossip__free_unpacked(m, NULL);
     }
     pwloads_clear(&sum);
     pwtold_add(&told, &sum);
     at += len + 1;
   }
+  pwquar_free(q);
   pwtold_free(&told);
   pwloads_free(&sum);
 }
--- a/tests/runner/process.c
+++ b/tests/runner/process.c
@@ -94,12 +94,8 @@
   static const struct {
     const char *name;
     int sig;
-  } signals[] = {{"TERM", SIGTERM},
-                 {"KILL", SIGKILL},
-                 {"STOP", SIGSTOP},
-                 {"CONT", SIGCONT},
-                 {"HUP", SIGHUP},
-                 {"USR2", SIGUSR2}};
+  } signals[] = {{"TERM", SIGTERM}, {"KILL", SIGKILL}, {"STOP", SIGSTOP},
+                 {"CONT", SIGCONT}, {"HUP", SIGHUP},   {"USR2", SIGUSR2}};
   pid_t pid = (pid_t)luaL_checkinteger(L, 1);
   const char *name = luaL_checkstring(L, 2);
   for (size_t i = 0; i < sizeof signals / sizeof signals[0]; i++)
