Quarantine: single ends are taken back in silence, and nothing is looked through when there is no news

Change: a single end is dropped when its request is answered, and contradicted by nobody; a count of news ends a telling that has none. Test: test_telling looks that all is told out; its contradiction has two ends now, of one it checks the silence.

--- a/packages/policy/pwquarantine.c
+++ b/packages/policy/pwquarantine.c
@@ -8,7 +8,7 @@
 #include <uthash.h>
 #include <xxhash.h>
 
-/* News are told so often: with one datagram in ten lost, all of ten are in 10^5 of 10^5 lost once. */
+/* News are told so often: with one datagram in ten lost, one of 100,000 news does not arrive. */
 #define TELLINGS 5
 
 /* What is in quarantine is told so often, ms: an instance that starts knows it before it has been
@@ -18,6 +18,7 @@
 /* A request that was answered counts no ends for so long, ms: what callers ask alike comes again
 ** within seconds. A request that ends targets since a new version is found so much later. */
 #define ANSWERED_MS 10000
+
 /* A request that was answered within PW_QUARANTINE_MS goes back after so long at first, ms, and twice as
 ** long each time that it ends a target again: what many ask alike must not stay away for minutes after
 ** a loss of all targets, and it is one more end each time if it is the cause since a new version. */
@@ -25,6 +26,10 @@
 
 #define ANSWERED_SLOTS 4096 /* requests that are remembered, a power of two */
 
+/* Ends that are worth taking back at other instances: a single one is common, each end leaves it at all
+** that ran there, and it does nothing alone. */
+#define TAKE_BACK 2
+
 /* An end of the same start that is seen so much later, ms, is another: instances see one within the
 ** time in which a silent connection is given up (1.5 s). */
 #define AGAIN_MS 2000
@@ -52,6 +57,7 @@
 struct pw_quarantine {
   quar_case *cases;
   int held;
+  int nnews; /* cases that are news: told less than TELLINGS times */
   int64_t total;
   answered answered[ANSWERED_SLOTS];
 };
@@ -62,6 +68,7 @@
 
 static void drop(pw_quarantine *q, quar_case *c) {
   q->held -= c->held_at != 0;
+  q->nnews -= c->told < TELLINGS;
   HASH_DEL(q->cases, c);
   free(c);
 }
@@ -96,6 +103,7 @@
   make_room(q);
   quar_case *c = pw_alloc(sizeof *c);
   c->row.sign = sign;
+  q->nnews++;
   HASH_ADD(hh, q->cases, row.sign, sizeof c->row.sign, c);
   return c;
 }
@@ -123,25 +131,39 @@
   return ms < PW_QUARANTINE_MS ? ms : PW_QUARANTINE_MS;
 }
 
+static void make_news(pw_quarantine *q, quar_case *c) {
+  q->nnews += c->told >= TELLINGS;
+  c->told = 0;
+}
+
 static void release(pw_quarantine *q, quar_case *c, int64_t at) {
   c->holds = 0;
   q->held -= c->held_at != 0;
   c->held_at = 0;
   c->row.n = 0;
   c->at = at;
-  c->told = 0;
+  make_news(q, c);
 }
 
-pw_quar_news pwquar_answered(pw_quarantine *q, uint64_t sign, int64_t now) {
+/* It was answered at `at`: ends before that are taken back, at other instances too if there are several. */
+static pw_quar_news take_back(pw_quarantine *q, uint64_t sign, int64_t at) {
   quar_case *c = find(q, sign);
-  *slot_of(q, sign) = (answered){sign, now};
   if (!c || c->row.n == 0)
     return PWQUAR_OLD;
+  if (c->row.n < TAKE_BACK) {
+    drop(q, c);
+    return PWQUAR_OLD;
+  }
   int was_held = c->held_at != 0;
-  release(q, c, now);
+  release(q, c, at);
   return was_held ? PWQUAR_RELEASED : PWQUAR_OLD;
 }
 
+pw_quar_news pwquar_answered(pw_quarantine *q, uint64_t sign, int64_t now) {
+  *slot_of(q, sign) = (answered){sign, now};
+  return take_back(q, sign, now);
+}
+
 /* --- ends --- */
 
 static int has_target(const pw_quar_row *row, uint64_t target) {
@@ -152,11 +174,11 @@
 }
 
 /* Counts a target that was not counted; gives whether it was. */
-static int count(quar_case *c, uint64_t target) {
+static int count(pw_quarantine *q, quar_case *c, uint64_t target) {
   if (c->row.n == PW_QUARANTINE_ENDS || has_target(&c->row, target))
     return 0;
   c->row.target[c->row.n++] = target;
-  c->told = 0;
+  make_news(q, c);
   return 1;
 }
 
@@ -185,7 +207,7 @@
   quar_case *c = find(q, sign);
   if (!c)
     c = add(q, sign);
-  if (!count(c, name_of_end(c, target, now)))
+  if (!count(q, c, name_of_end(c, target, now)))
     return PWQUAR_OLD;
   q->total++;
   c->at = now;
@@ -219,20 +241,25 @@
   return row;
 }
 
-static void tell(quar_case *c, pw_quar_row *row, int64_t now) {
+static void tell(pw_quarantine *q, quar_case *c, pw_quar_row *row,
+                 int64_t now) {
   *row = row_of(c, now);
   c->told_at = now;
-  if (c->told < TELLINGS)
-    c->told++;
+  if (c->told >= TELLINGS)
+    return;
+  c->told++;
+  q->nnews -= c->told == TELLINGS;
 }
 
 /* Those told least come first, so that many that ended together do not keep news waiting. */
 size_t pwquar_tell(pw_quarantine *q, pw_quar_row *row, int64_t now) {
   size_t n = 0;
+  if (!q->nnews && !q->held)
+    return 0;
   for (int told = 0; told <= TELLINGS && n < PWQUAR_ROWS; told++)
     for (quar_case *c = q->cases; c && n < PWQUAR_ROWS; c = c->hh.next)
       if (c->told == told && c->told_at < now && is_due(c, now))
-        tell(c, &row[n++], now);
+        tell(q, c, &row[n++], now);
   return n;
 }
 
@@ -256,12 +283,7 @@
   answered *a = slot_of(q, row->sign);
   if (a->sign != row->sign || a->at < now - row->age_ms)
     *a = (answered){row->sign, now - row->age_ms};
-  quar_case *c = find(q, row->sign);
-  if (!c || c->row.n == 0)
-    return PWQUAR_OLD;
-  int was_held = c->held_at != 0;
-  release(q, c, now - row->age_ms);
-  return was_held ? PWQUAR_RELEASED : PWQUAR_OLD;
+  return take_back(q, row->sign, now - row->age_ms);
 }
 
 /* Whoever told of ends is told that it was answered here. */
@@ -280,7 +302,8 @@
   if (row->n == 0)
     return hear_answer(q, row, now);
   if (was_answered(q, row->sign, now)) {
-    contradict(q, row->sign);
+    if (row->n >= TAKE_BACK)
+      contradict(q, row->sign);
     return PWQUAR_OLD;
   }
   quar_case *c = find(q, row->sign);
@@ -292,7 +315,7 @@
     c = add(q, row->sign);
   int more = 0;
   for (int i = 0; i < row->n; i++)
-    more += count(c, row->target[i]);
+    more += count(q, c, row->target[i]);
   if (!more)
     return PWQUAR_OLD;
   q->total += more;
@@ -309,6 +332,7 @@
   c->holds++;
   c->row.n = PW_QUARANTINE_ENDS - 1;
   c->at = now;
+  q->nnews -= c->told < TELLINGS;
   c->told = TELLINGS;
 }
 
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -153,8 +153,17 @@
   pwquar_ended(a, 9, 1, 5000);
   pwquar_answered(c, 9, 5000);
   told(a, c, 5300);
-  told(c, a, 5400);
+  CHECK(told(c, NULL, 5310) <= 1); /* of a single one it says nothing */
+  pwquar_ended(a, 9, 2, 5320);
+  told(a, c, 5400);
+  told(c, a, 5500);
   CHECK(pwquar_ends(a, 9) == 0);
+  /* all that was to be told has been told */
+  for (int64_t t = 6000; t < 7000; t += 100) {
+    told(a, NULL, t);
+    told(c, NULL, t);
+  }
+  CHECK(told(a, NULL, 7000) == 0 && told(c, NULL, 7000) == 0);
   pwquar_free(a);
   pwquar_free(b);
   pwquar_free(c);
