--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -66,6 +66,7 @@
   b->g.dialect = &platform_dialect;
   b->g.ev = ev_loop_new(EVFLAG_AUTO);
   b->g.fleet = pwfleet_new("az-1", 1000, 1000);
+  b->g.quarantine = pwquar_new();
   b->g.trace = pwtrace_new("gateway-1", STDOUT_FILENO, 0);
   b->g.link = pwlink_new(&b->g, &err);
   CHECK(b->g.link != NULL);
@@ -73,6 +74,7 @@
 
 static void end(bed *b) {
   pwlink_free(b->g.link);
+  pwquar_free(b->g.quarantine);
   for (int i = 0; i < CONTROLS; i++) {
     pwwire_close(b->c[i].sock);
     free(b->set.gateway_control.item[i]);
