--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -145,15 +145,18 @@
       n->gateways[n->n_gateways++] = one->gossip;
 }
 
+/* Between two lists for one watcher. */
+static int64_t list_pause_ms(const pw_watch *w) {
+  return LIST_MS + LIST_MS_A_WATCHER * (int64_t)w->nwatchers;
+}
+
 static int list_is_due(const pw_watch *w, const watcher *to, int64_t now) {
-  int64_t pause = LIST_MS + LIST_MS_A_WATCHER * (int64_t)w->nwatchers;
-  return !to->listed_at ||
-         (to->listed_at <= w->changed_at && now - to->listed_at >= pause);
+  return !to->listed_at || (to->listed_at <= w->changed_at &&
+                            now - to->listed_at >= list_pause_ms(w));
 }
 
 static int suspects_are_due(const pw_watch *w, const watcher *to, int64_t now) {
-  int64_t pause = LIST_MS + LIST_MS_A_WATCHER * (int64_t)w->nwatchers;
-  return !to->suspects_at || now - to->suspects_at >= pause;
+  return !to->suspects_at || now - to->suspects_at >= list_pause_ms(w);
 }
 
 static void add_suspects(pw_watch *w, watcher *to, pw_suspects *s,
--- a/packages/entry/pwattempt.c
+++ b/packages/entry/pwattempt.c
@@ -49,6 +49,8 @@
 
 static void note_suspect(pw_flights *fs, uint64_t sign, pw_quar_news news) {
   const pw_quarantine *q = fs->quarantine;
+  if (news == PWQUAR_OLD)
+    return;
   pwcount_set(fs->p->counters, PWC_ENDED_UNDER, pwquar_total(q));
   if (news == PWQUAR_BEGUN || news == PWQUAR_RELEASED)
     pwlog(LOG_WARNING, news == PWQUAR_BEGUN ? "quarantined" : "released",
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -94,7 +94,7 @@
 int pwgate_may_serve(pw_gate *g);
 
 /* Tells in a line what has become known of a request under which targets ended; `how`:
-** "seen" here or "told" by another gateway. */
+** "seen" here, "told" by another gateway, or "kept" by a control instance. */
 void pwgate_note_suspect(pw_gate *g, uint64_t sign, pw_quar_news news,
                          const char *how);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -159,15 +159,20 @@
 
 /* --- the loop --- */
 
+/* Connections to targets, to earlier starts of them too. */
+static void sweep_targets(pw_gate *g, int64_t now) {
+  for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
+    pwupconn_sweep(t, now);
+  for (pw_target *t = pwfleet_retired(g->fleet); t; t = t->next_retired)
+    pwupconn_sweep(t, now);
+}
+
 static void sweep(pw_gate *g, int64_t now) {
   pwconns_sweep(&g->front, now);
   pwconns_sweep(&g->ready, now);
   if (g->metrics.first)
     pwconns_sweep(&g->metrics, now);
-  for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
-    pwupconn_sweep(t, now);
-  for (pw_target *t = pwfleet_retired(g->fleet); t; t = t->next_retired)
-    pwupconn_sweep(t, now);
+  sweep_targets(g, now);
   pwfleet_tick(g->fleet, now, NULL, NULL);
   pwquar_tick(g->quarantine, now);
   pwcount_set(g->p->counters, PWC_QUARANTINED, pwquar_count(g->quarantine));
@@ -231,12 +236,9 @@
 }
 
 static void end_targets(pw_gate *g) {
-  for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next) {
+  for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
     t->is_gone = 1;
-    pwupconn_sweep(t, pwclock_ms());
-  }
-  for (pw_target *t = pwfleet_retired(g->fleet); t; t = t->next_retired)
-    pwupconn_sweep(t, pwclock_ms());
+  sweep_targets(g, pwclock_ms());
 }
 
 pw_code pwgateway_run(pw_proc *p, pw_buf *err) {
--- a/tests/scenarios/43_crashing_request.lua
+++ b/tests/scenarios/43_crashing_request.lua
@@ -9,27 +9,14 @@
 -- gateway it comes to; everything else is served on.
 local fleet = require("fleet")
 local gateways = require("gateways")
-local MOST, ASKS, TELL_MS = 3, 12, 10000
+local MOST, ASKS = 3, 12
 local g = gateways.new{control = 1, gateways = 3, engines = 11, portals = 8}
 g:start()
 
 -- How many targets have ended so far.
-local ended = 0
-local function count_ended()
-  for _, t in ipairs(g.targets) do
-    if not t.gone and run.wait(t.pid, 1) then
-      t.gone = true
-      ended = ended + 1
-    end
-  end
-  return ended
-end
+local count_ended = fleet.counter_of_ends(g.targets)
 
--- Waits until a gateway has heard of so many ends, as long as that may take.
-local function knows(p, n)
-  local until_ms = run.now() + TELL_MS
-  while p:counter("ended_under_total") < n and run.now() < until_ms do run.pause(20) end
-end
+local knows = fleet.wait_told_ends
 
 local KINDS = {
   {what = "a stream", path = "/chat/crash", events = 2, body = "crash 1", other = "/chat/a"},
@@ -43,6 +30,7 @@
   for i = 1, ASKS do
     local r = g:ask{path = kind.path, events = kind.events, body = kind.body, gateway = g.gateways[i % 3 + 1]}
     fleet.eventually("the target has ended that had it", function() return count_ended() > before or r.status == 503 end)
+    local ended = count_ended()
     fleet.expect(kind.what .. " ends " .. MOST .. " targets, not " .. ended - before, ended - before <= MOST)
     for _, p in ipairs(g.gateways) do knows(p, ended) end
     if r.status == 503 then
@@ -53,7 +41,7 @@
   end
   fleet.equal(kind.what .. ": targets that ended", count_ended() - before, MOST)
   fleet.expect(kind.what .. " is refused everywhere: " .. refused, refused >= ASKS - MOST)
-  before = ended
+  before = count_ended()
   for i, p in ipairs(g.gateways) do -- the same caller, something else
     -- Refused, not run, while most targets have just ended and are tried in vain.
     fleet.eventually(kind.what .. ": others are served", function()
--- a/tests/scenarios/44_crashing_agent.lua
+++ b/tests/scenarios/44_crashing_agent.lua
@@ -3,25 +3,13 @@
 -- alone ended three engines in one try (PW_ATTEMPTS_MAX), and three more each time that it came.
 -- Here: it ends three targets, and no agent gets it after that, whichever entry it comes to.
 local fleet = require("fleet")
-local MOST, ASKS, TELL_MS = 3, 6, 10000
+local MOST, ASKS = 3, 6
 local f = fleet.new{control = 1, entries = 2, engines = 7, services = 5}
 f:start()
 
-local ended = 0
-local function count_ended()
-  for _, e in ipairs(f.engines) do
-    if not e.gone and run.wait(e.pid, 1) then
-      e.gone = true
-      ended = ended + 1
-    end
-  end
-  return ended
-end
+local count_ended = fleet.counter_of_ends(f.engines)
 
-local function knows(p, n)
-  local until_ms = run.now() + TELL_MS
-  while p:counter("ended_under_total") < n and run.now() < until_ms do run.pause(20) end
-end
+local knows = fleet.wait_told_ends
 
 local function is_refused(r)
   local doc = r.status == 503 and run.json(r.body)
@@ -51,6 +39,7 @@
   for i = 1, ASKS do
     local r = kind.ask(f.entries[i % 2 + 1])
     fleet.eventually("the target has ended that had it", function() return count_ended() > before or is_refused(r) end)
+    local ended = count_ended()
     fleet.expect(kind.what .. " ends " .. MOST .. " targets, not " .. ended - before, ended - before <= MOST)
     for _, e in ipairs(f.entries) do knows(e, ended) end
     if is_refused(r) then
@@ -60,7 +49,7 @@
   end
   fleet.equal(kind.what .. ": targets that ended", count_ended() - before, MOST)
   fleet.expect(kind.what .. " is refused at each entry: " .. refused, refused >= ASKS - MOST)
-  before = ended
+  before = count_ended()
   for _, e in ipairs(f.entries) do
     local r
     fleet.eventually(kind.what .. ": others are served", function()
--- a/tests/scenarios/47_quarantine_kept.lua
+++ b/tests/scenarios/47_quarantine_kept.lua
@@ -6,16 +6,7 @@
 local g = gateways.new{control = 3, gateways = 2, engines = 0, portals = 6}
 g:start()
 
-local ended = 0
-local function count_ended()
-  for _, t in ipairs(g.targets) do
-    if not t.gone and run.wait(t.pid, 1) then
-      t.gone = true
-      ended = ended + 1
-    end
-  end
-  return ended
-end
+local count_ended = fleet.counter_of_ends(g.targets)
 local function ask(i) return g:ask{path = "/once/crash", body = "crash", gateway = g.gateways[i]} end
 local function restart(list)
   for _, p in ipairs(list) do p:kill() end
--- a/tests/scenarios/49_crashing_or_failing_agent.lua
+++ b/tests/scenarios/49_crashing_or_failing_agent.lua
@@ -4,20 +4,11 @@
 local MOST = 3
 local f = fleet.new{control = 1, entries = 1, engines = 0, services = 6}
 f:start()
-local ended = 0
-local function count_ended()
-  for _, e in ipairs(f.engines) do
-    if not e.gone and run.wait(e.pid, 1) then
-      e.gone = true
-      ended = ended + 1
-    end
-  end
-  return ended
-end
+local count_ended = fleet.counter_of_ends(f.engines)
 for _, e in ipairs(f.engines) do e:fault("grey=1") end -- each fails it once, then ends under it
 local refused, failed = 0, 0
 for _ = 1, 60 do
-  local before = ended
+  local before = count_ended()
   local r = run.http{url = "http://" .. f.entries[1].health, method = "POST", path = "/v1/services/portal/charge",
     body = "crash", headers = {Authorization = "Bearer " .. fleet.KEYS.kett}, timeout = 20}
   if r.status == 500 then
@@ -27,7 +18,8 @@
   elseif r["Peatwell-Outcome"] == "unknown" then
     fleet.eventually("its target has ended", function() return count_ended() > before end)
   end
-  fleet.expect("it ends " .. MOST .. " targets, not " .. ended, count_ended() <= MOST)
+  local ended = count_ended()
+  fleet.expect("it ends " .. MOST .. " targets, not " .. ended, ended <= MOST)
   if refused > 4 then break end
 end
 fleet.equal("targets that ended", count_ended(), MOST)
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -49,6 +49,27 @@
   return "[" .. table.concat(out, ", ") .. "]"
 end
 
+-- Gives a function that marks those of a list that have ended since (gone), and counts all that it marked.
+function fleet.counter_of_ends(list)
+  local ended = 0
+  return function()
+    for _, p in ipairs(list) do
+      if not p.gone and run.wait(p.pid, 1) then
+        p.gone = true
+        ended = ended + 1
+      end
+    end
+    return ended
+  end
+end
+
+-- Waits until a process has told of so many ends, as long as that may take; it need not come to it.
+local TELL_MS = 10000
+function fleet.wait_told_ends(p, n)
+  local until_ms = run.now() + TELL_MS
+  while p:counter("ended_under_total") < n and run.now() < until_ms do run.pause(20) end
+end
+
 local function tcp(port) return "tcp://127.0.0.1:" .. port end
 local function http(port) return "127.0.0.1:" .. port end
 
