Runner: a scenario disturbed from a seed; lines that led to an error

Cause: failures that came once in dozens of runs left one line of fleet.lua and the last 700 bytes of each log; nothing brought them back.

--- /dev/null
+++ b/tests/runner/disturb.c
@@ -0,0 +1,144 @@
+/* disturb.c: what a busy machine does to processes, drawn from a seed: one or all of a scenario's
+** processes stand still for a while, start late, or stand still again and again. */
+#include "runner.h"
+
+#include <pthread.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#define FIRST_MS 50  /* no pause begins sooner after the start ... */
+#define LAST_MS 8000 /* ... or later */
+#define HOLD_LEAST_MS 10
+#define HOLD_MOST_MS 2000
+#define HOLD_ALL_MOST_MS 800 /* where all stand still at once */
+#define GAP_MOST_MS 300      /* between pauses of a series */
+#define SERIES_MOST 5
+#define PROCESSES 24 /* few scenarios have more */
+
+typedef enum kind {
+  PAUSE_ONE,
+  PAUSE_SERIES,
+  PAUSE_ALL,
+  START_LATE,
+  NKINDS
+} kind;
+
+/* What is done in this run. */
+typedef struct disturbance {
+  kind kind;
+  int after_ms, hold_ms, gap_ms, times;
+  int pick; /* which of the processes that are there then, in the order of their starts */
+} disturbance;
+
+static disturbance drawn;
+static int is_on;
+
+static uint64_t mix(uint64_t *state) {
+  uint64_t z = *state += 0x9e3779b97f4a7c15ULL;
+  z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  z = (z ^ (z >> 27)) * 0x94d049bb133111ebULL;
+  return z ^ (z >> 31);
+}
+
+static int between(uint64_t *state, int least, int most) {
+  return least + (int)(mix(state) % (uint64_t)(most - least + 1));
+}
+
+static void sleep_ms(int ms) {
+  struct timespec ts = {ms / 1000, ms % 1000 * 1000000L};
+  nanosleep(&ts, NULL);
+}
+
+/* Those that stand still now, one or all that are there. */
+static void hold(int is_all) {
+  int n = runner_count();
+  if (n == 0)
+    return;
+  int from = is_all ? 0 : drawn.pick % n;
+  int past = is_all ? n : from + 1;
+  for (int i = from; i < past; i++)
+    runner_hold(i);
+  sleep_ms(drawn.hold_ms);
+  for (int i = from; i < past; i++)
+    runner_release(i);
+}
+
+static void *play(void *arg) {
+  (void)arg;
+  sleep_ms(drawn.after_ms);
+  for (int i = 0; i < drawn.times; i++) {
+    hold(drawn.kind == PAUSE_ALL);
+    sleep_ms(drawn.gap_ms);
+  }
+  return NULL;
+}
+
+static void *release_late(void *arg) {
+  (void)arg;
+  sleep_ms(drawn.hold_ms);
+  runner_release(drawn.pick);
+  return NULL;
+}
+
+static void begin(void *(*f)(void *)) {
+  pthread_t thread;
+  if (pthread_create(&thread, NULL, f, NULL) == 0)
+    pthread_detach(thread);
+}
+
+static const char *const names[NKINDS] = {"pause", "pauses", "pause-all",
+                                          "start-late"};
+
+static void draw(uint64_t seed) {
+  uint64_t state = seed;
+  drawn.kind = (kind)between(&state, 0, NKINDS - 1);
+  int is_all = drawn.kind == PAUSE_ALL;
+  int is_series = drawn.kind == PAUSE_SERIES;
+  drawn.after_ms = between(&state, FIRST_MS, LAST_MS);
+  drawn.hold_ms =
+      between(&state, HOLD_LEAST_MS, is_all ? HOLD_ALL_MOST_MS : HOLD_MOST_MS);
+  drawn.times = is_series ? between(&state, 2, SERIES_MOST) : 1;
+  drawn.gap_ms = between(&state, 1, GAP_MOST_MS);
+  drawn.pick = mix(&state) % PROCESSES;
+}
+
+/* KIND,AFTER_MS,HOLD_MS,TIMES,GAP_MS,PROCESS, as is printed. 0, or -1. */
+static int read_spec(const char *text) {
+  char name[16];
+  if (sscanf(text, "%15[a-z-],%d,%d,%d,%d,%d", name, &drawn.after_ms,
+             &drawn.hold_ms, &drawn.times, &drawn.gap_ms, &drawn.pick) != 6)
+    return -1;
+  for (int i = 0; i < NKINDS; i++) {
+    if (strcmp(names[i], name) != 0)
+      continue;
+    drawn.kind = (kind)i;
+    return 0;
+  }
+  return -1;
+}
+
+int runner_disturb(const char *text) {
+  if (strchr(text, ',')) {
+    if (read_spec(text) != 0)
+      return -1;
+  } else {
+    draw(strtoull(text, NULL, 10));
+  }
+  is_on = 1;
+  printf("disturbed: seed %s: %s,%d,%d,%d,%d,%d\n", text, names[drawn.kind],
+         drawn.after_ms, drawn.hold_ms, drawn.times, drawn.gap_ms, drawn.pick);
+  fflush(stdout);
+  if (drawn.kind != START_LATE)
+    begin(play);
+  return 0;
+}
+
+void runner_spawned(int i) {
+  if (!is_on || drawn.kind != START_LATE || i != drawn.pick)
+    return;
+  runner_hold(i);
+  begin(release_late);
+}
--- a/tests/runner/process.c
+++ b/tests/runner/process.c
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <lauxlib.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -21,27 +22,78 @@
 #include <unistd.h>
 
 #define PROCESSES_MAX 1024
+#define NAME_MAX_BYTES 64
 #define ARGS_MAX 64
 #define PORT_FIRST 10000 /* below those the kernel gives to connections */
 #define PORT_BLOCKS 20
 #define PORTS 1000 /* in a block */
 
-static pid_t started[PROCESSES_MAX];
-static int nstarted;
+/* A process that was spawned. */
+typedef struct child {
+  pid_t pid; /* 0: it has ended */
+  char name[NAME_MAX_BYTES];
+  int is_stopped; /* by the scenario */
+  int is_held;    /* by runner_hold */
+} child;
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static child children[PROCESSES_MAX];
+static int nchildren;
 
 void runner_end_all(void) {
-  for (int i = 0; i < nstarted; i++)
-    if (started[i] > 0) {
-      kill(started[i], SIGCONT);
-      kill(started[i], SIGKILL);
-      waitpid(started[i], NULL, 0);
+  pthread_mutex_lock(&lock); /* never given back: nothing is held from now on */
+  for (int i = 0; i < nchildren; i++)
+    if (children[i].pid > 0) {
+      kill(children[i].pid, SIGCONT);
+      kill(children[i].pid, SIGKILL);
+      waitpid(children[i].pid, NULL, 0);
     }
 }
 
-static void forget(pid_t pid) {
-  for (int i = 0; i < nstarted; i++)
-    if (started[i] == pid)
-      started[i] = 0;
+static child *child_of(pid_t pid) {
+  for (int i = 0; i < nchildren; i++)
+    if (children[i].pid == pid)
+      return &children[i];
+  return NULL;
+}
+
+int runner_count(void) {
+  pthread_mutex_lock(&lock);
+  int n = nchildren;
+  pthread_mutex_unlock(&lock);
+  return n;
+}
+
+void runner_hold(int i) {
+  pthread_mutex_lock(&lock);
+  child *c = &children[i];
+  if (c->pid && !c->is_stopped && kill(c->pid, SIGSTOP) == 0) {
+    c->is_held = 1;
+    printf("held: %s\n", c->name);
+    fflush(stdout);
+  }
+  pthread_mutex_unlock(&lock);
+}
+
+void runner_release(int i) {
+  pthread_mutex_lock(&lock);
+  child *c = &children[i];
+  if (c->pid && c->is_held && !c->is_stopped)
+    kill(c->pid, SIGCONT);
+  c->is_held = 0;
+  pthread_mutex_unlock(&lock);
+}
+
+/* Notes a process; gives its number. */
+static int add_child(pid_t pid, const char *log) {
+  pthread_mutex_lock(&lock);
+  int i = nchildren++;
+  const char *slash = strrchr(log, '/');
+  children[i].pid = pid;
+  snprintf(children[i].name, sizeof children[i].name, "%s",
+           slash ? slash + 1 : log);
+  pthread_mutex_unlock(&lock);
+  return i;
 }
 
 /* Child: output to the log file, limits set, then the program. */
@@ -80,12 +132,12 @@
   rlim_t limit = (rlim_t)luaL_optinteger(L, -1, 0);
   lua_getfield(L, 1, "descriptors");
   rlim_t descriptors = (rlim_t)luaL_optinteger(L, -1, 0);
-  if (nstarted == PROCESSES_MAX)
+  if (nchildren == PROCESSES_MAX)
     return luaL_error(L, "too many processes");
   pid_t pid = fork();
   if (pid == 0)
     become(argv, log, limit, descriptors);
-  started[nstarted++] = pid;
+  runner_spawned(add_child(pid, log));
   lua_pushinteger(L, pid);
   return 1;
 }
@@ -98,26 +150,45 @@
                  {"CONT", SIGCONT}, {"HUP", SIGHUP},   {"USR2", SIGUSR2}};
   pid_t pid = (pid_t)luaL_checkinteger(L, 1);
   const char *name = luaL_checkstring(L, 2);
-  for (size_t i = 0; i < sizeof signals / sizeof signals[0]; i++)
-    if (!strcmp(signals[i].name, name))
-      kill(pid, signals[i].sig);
+  pthread_mutex_lock(&lock);
+  child *c = child_of(pid);
+  for (size_t i = 0; i < sizeof signals / sizeof signals[0]; i++) {
+    if (strcmp(signals[i].name, name) != 0)
+      continue;
+    if (c && signals[i].sig == SIGSTOP)
+      c->is_stopped = 1;
+    if (c && signals[i].sig == SIGCONT)
+      c->is_stopped = 0;
+    kill(pid, signals[i].sig);
+  }
+  pthread_mutex_unlock(&lock);
   return 0;
 }
 
+/* Once it has, its pid may be another's. */
+static int has_ended(pid_t pid, int *status) {
+  pthread_mutex_lock(&lock);
+  int ended = waitpid(pid, status, WNOHANG) == pid;
+  child *c = child_of(pid);
+  if (ended && c)
+    c->pid = 0;
+  pthread_mutex_unlock(&lock);
+  return ended;
+}
+
 /* wait(pid, ms) -> exit code, or -signal, or nil when it still runs */
 static int wait_for(lua_State *L) {
   pid_t pid = (pid_t)luaL_checkinteger(L, 1);
   int64_t until = pwclock_ms() + luaL_checkinteger(L, 2);
   int status;
   for (;;) {
-    if (waitpid(pid, &status, WNOHANG) == pid)
+    if (has_ended(pid, &status))
       break;
     if (pwclock_ms() >= until)
       return 0;
     struct timespec ts = {0, 5000000};
     nanosleep(&ts, NULL);
   }
-  forget(pid);
   lua_pushinteger(L,
                   WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status));
   return 1;
--- a/tests/runner/runner.c
+++ b/tests/runner/runner.c
@@ -28,20 +28,36 @@
     lua_pcall(L, 0, 0, 0);
 }
 
+/* Adds to an error which lines of the scenario led to it. */
+static int add_traceback(lua_State *L) {
+  luaL_traceback(L, L, lua_tostring(L, 1), 1);
+  return 1;
+}
+
+static int play(lua_State *L, const char *script) {
+  lua_pushcfunction(L, add_traceback);
+  int rc = luaL_loadfile(L, script);
+  return rc == LUA_OK ? lua_pcall(L, 0, 0, 1) : rc;
+}
+
 int main(int argc, char **argv) {
   const char *bin = "build";
   int keep = 0;
   const char *script = NULL;
+  const char *disturb = NULL; /* the seed, or none */
   for (int i = 1; i < argc; i++) {
     if (!strcmp(argv[i], "--bin") && i + 1 < argc)
       bin = argv[++i];
+    else if (!strcmp(argv[i], "--disturb") && i + 1 < argc)
+      disturb = argv[++i];
     else if (!strcmp(argv[i], "--keep"))
       keep = 1;
     else
       script = argv[i];
   }
-  if (!script) {
-    fprintf(stderr, "usage: pwscenario [--bin DIR] [--keep] FILE\n");
+  if (!script || (disturb && runner_disturb(disturb) != 0)) {
+    fprintf(stderr, "usage: pwscenario [--bin DIR] [--keep] [--disturb "
+                    "SEED|KIND,AFTER_MS,HOLD_MS,TIMES,GAP_MS,PROCESS] FILE\n");
     return 2;
   }
   signal(SIGPIPE, SIG_IGN);
@@ -59,7 +75,7 @@
   lua_setfield(L, -2, "keep");
   lua_setglobal(L, "run");
   add_path(L, script);
-  int rc = luaL_dofile(L, script);
+  int rc = play(L, script);
   if (rc != LUA_OK) {
     fprintf(stderr, "%s: %s\n", script, lua_tostring(L, -1));
     show_logs(L);
