Accept: what is being closed is counted, few at rest give way, and no spin

Symptom: 36_many_callers, "260 were answered" never: all callers at rest were closed within a millisecond, accept failed 541,461 times in 5 s with a log line each, callers that came all at once after that were refused. Cause: a connection closed to make room keeps its descriptor until its caller closes, too, or for 1 s; these were not counted, so the next accept failed and closed the next half, until none was left, and then the listener stayed readable. It concerns every listener (pwconn: gateways, control, entries, agents, metrics). errno 24 with connections=79, 39, 20, 7, 2, 0 in the log showed it. Ruled out: waiting for the closings alone (callers that stand still would hold all others up for 1 s). Change: an eighth of those at rest, the longest, are closed at once, so that their descriptors are free; closings count among the connections allowed; where none rests, or another error comes, accept is tried again after 50 ms or when a connection ends; one log line a second, with how many failed. Left: ZeroMQ's own listeners turn as fast (no line each) while no descriptor is left; that is the library's.

--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -16,6 +16,16 @@
 #define AHEAD_MAX (256 * 1024) /* bytes read while a request is in progress */
 #define MS_PER_S 1000.0
 
+/* To make room, this part of those at rest are closed at once: they cost their callers a new
+** connection each, so few; but finding the longest at rest looks at all of them. */
+#define BATCH_PART 8
+
+/* Where nobody rests, accept is tried again so soon: a descriptor may come back unseen, from
+** another part of the process. Seen at once where a connection of the same listener ends. */
+#define AGAIN_S 0.05
+
+#define SAY_MS 1000 /* between log lines of accepts that fail */
+
 static void take(pw_conn *c, const char *data, size_t n);
 
 /* --- ends --- */
@@ -26,7 +36,13 @@
     ev_io_start(s->tcp->ev, &s->listening);
 }
 
-static void close_conn(pw_conn *c, int reset) {
+typedef enum close_how {
+  CLOSE_AFTER_WRITE, /* when what was written has left and the caller closes, too */
+  CLOSE_AT_ONCE,     /* its descriptor is needed; what was written has left */
+  CLOSE_RESET
+} close_how;
+
+static void close_conn(pw_conn *c, close_how how) {
   if (c->is_closed)
     return;
   c->is_closed = 1;
@@ -35,10 +51,10 @@
   c->state = NULL;
   if (request && all->abandoned)
     all->abandoned(request);
-  if (reset)
-    pwtcp_close(c->tcp, 1);
-  else
+  if (how == CLOSE_AFTER_WRITE)
     pwtcp_close_after_write(c->tcp);
+  else
+    pwtcp_close(c->tcp, how == CLOSE_RESET);
   if (c->prev)
     c->prev->next = c->next;
   else
@@ -55,7 +71,7 @@
 }
 
 void pwconn_break(pw_conn *c) {
-  close_conn(c, 1);
+  close_conn(c, CLOSE_RESET);
 }
 
 /* --- answers --- */
@@ -77,7 +93,7 @@
   c->is_busy = 0;
   c->state = NULL;
   if (ends_with_answer(c)) {
-    close_conn(c, 0);
+    close_conn(c, CLOSE_AFTER_WRITE);
     return;
   }
   pwh1_reset(&c->request);
@@ -262,7 +278,7 @@
 
 static void on_ended(void *arg, pw_tcp_end how) {
   (void)how;
-  close_conn(arg, 1);
+  close_conn(arg, CLOSE_RESET);
 }
 
 static void on_drained(void *arg) {
@@ -303,55 +319,102 @@
          c->request.head.len == 0 && !pwtcp_has_unread(c->tcp);
 }
 
-/* Closes those that have rested for more than half as long as the longest. */
-static void close_longest_idle(pw_conns *s) {
-  int64_t now = pwclock_ms();
-  int64_t longest = -1;
+static int by_since(const void *a, const void *b) {
+  int64_t x = (*(pw_conn *const *)a)->since;
+  int64_t y = (*(pw_conn *const *)b)->since;
+  return (x > y) - (x < y);
+}
+
+/* Those at rest, the longest first, to be freed; gives how many. */
+static int list_at_rest(const pw_conns *s, pw_conn ***out) {
+  pw_conn **at_rest = pw_alloc(sizeof *at_rest * (size_t)(s->count + 1));
+  int n = 0;
   for (pw_conn *c = s->first; c; c = c->next)
-    if (now - c->since > longest && is_at_rest(c))
-      longest = now - c->since;
-  for (pw_conn *c = s->first, *next; longest >= 0 && c; c = next) {
-    next = c->next;
-    if (2 * (now - c->since) >= longest && is_at_rest(c))
-      close_conn(c, 0);
-  }
+    if (is_at_rest(c))
+      at_rest[n++] = c;
+  qsort(at_rest, (size_t)n, sizeof(pw_conn *), by_since);
+  *out = at_rest;
+  return n;
+}
+
+/* Closes some of those that have rested longest, so that their descriptors are free now: one
+** that waits for its caller to close keeps it for up to a second, and those at rest would all
+** be closed meanwhile. Gives how many. */
+static int close_longest_at_rest(pw_conns *s) {
+  pw_conn **at_rest;
+  int n = list_at_rest(s, &at_rest);
+  int batch = (n + BATCH_PART - 1) / BATCH_PART;
+  for (int i = 0; i < batch; i++)
+    close_conn(at_rest[i], pwtcp_pending(at_rest[i]->tcp) ? CLOSE_AFTER_WRITE
+                                                          : CLOSE_AT_ONCE);
+  free(at_rest);
+  return batch;
+}
+
+/* Whether one more may come; those that are being closed have their descriptors yet. */
+static int is_full(const pw_conns *s) {
+  return s->max && s->count + s->tcp->nclosing >= s->max;
 }
 
 static int has_room(pw_conns *s) {
-  if (s->max && s->count >= s->max)
-    close_longest_idle(s);
-  return s->max == 0 || s->count < s->max;
+  if (is_full(s))
+    close_longest_at_rest(s);
+  return !is_full(s);
 }
 
-/* No descriptor is left: connections at rest give theirs. Where none rests, callers
-** wait in the kernel's queue until a connection ends. */
-static void make_room(pw_conns *s) {
-  int before = s->count;
-  close_longest_idle(s);
-  if (s->count == before && s->count > 0)
-    ev_io_stop(s->tcp->ev, &s->listening);
+/* Callers wait in the kernel's queue: until a connection ends, or for a moment. */
+static void wait_for_room(pw_conns *s) {
+  ev_io_stop(s->tcp->ev, &s->listening);
+  ev_timer_stop(s->tcp->ev, &s->again);
+  ev_timer_set(&s->again, AGAIN_S, 0);
+  ev_timer_start(s->tcp->ev, &s->again);
+}
+
+static void on_again(struct ev_loop *ev, ev_timer *w, int events) {
+  (void)ev;
+  (void)events;
+  resume_accepting(w->data);
+}
+
+static void note_failed(pw_conns *s, int why) {
+  int64_t now = pwclock_ms();
+  s->nfailed++;
+  if (s->said_at && now - s->said_at < SAY_MS)
+    return;
+  pwlog(LOG_WARNING, "accept-failed",
+        "errno=%d connections=%d closing=%d times=%d", why, s->count,
+        s->tcp->nclosing, s->nfailed - s->nsaid);
+  s->nsaid = s->nfailed;
+  s->said_at = now;
+}
+
+static int lacks_descriptor(int why) {
+  return why == EMFILE || why == ENFILE;
 }
 
 static void on_listening(struct ev_loop *ev, ev_io *w, int events) {
+  (void)ev;
   (void)events;
   pw_conns *s = w->data;
+  int has_closed = 0;
   while (has_room(s)) {
     int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
       add_conn(s, fd);
+      has_closed = 0;
       continue;
     }
-    if (errno != EAGAIN && errno != EINTR && errno != ECONNABORTED)
-      pwlog(LOG_WARNING, "accept-failed", "errno=%d connections=%d", errno,
-            s->count);
-    if (errno == EMFILE || errno == ENFILE) {
-      make_room(s);
-      return;
-    }
-    if (errno != EINTR && errno != ECONNABORTED)
+    int why = errno;
+    if (why == EAGAIN)
       return;
+    if (why == EINTR || why == ECONNABORTED)
+      continue;
+    note_failed(s, why);
+    if (has_closed || !lacks_descriptor(why) || close_longest_at_rest(s) == 0)
+      break;
+    has_closed = 1;
   }
-  ev_io_stop(ev, w);
+  wait_for_room(s);
 }
 
 static void on_reap(struct ev_loop *ev, ev_prepare *w, int events) {
@@ -368,7 +431,8 @@
 void pwconns_start(pw_conns *s, int fd) {
   ev_prepare_init(&s->reap, on_reap);
   ev_io_init(&s->listening, on_listening, fd, EV_READ);
-  s->reap.data = s->listening.data = s;
+  ev_timer_init(&s->again, on_again, AGAIN_S, 0);
+  s->reap.data = s->listening.data = s->again.data = s;
   ev_prepare_start(s->tcp->ev, &s->reap);
   ev_io_start(s->tcp->ev, &s->listening);
 }
@@ -377,6 +441,7 @@
   if (!s->reap.data || s->listening.fd < 0)
     return;
   ev_io_stop(s->tcp->ev, &s->listening);
+  ev_timer_stop(s->tcp->ev, &s->again);
   close(s->listening.fd);
   s->listening.fd = -1;
 }
@@ -407,7 +472,7 @@
   int64_t header_ms = l->header_ms ? l->header_ms : l->idle_ms;
   if (c->request.state == PWH1_HEAD && c->request.head.len == 0) {
     if (age > l->idle_ms && is_at_rest(c))
-      close_conn(c, 0);
+      close_conn(c, CLOSE_AFTER_WRITE);
   } else if (c->request.state == PWH1_HEAD) {
     if (age > header_ms)
       refuse_and_close(c, PW_E_SLOW, "");
@@ -420,7 +485,7 @@
   for (pw_conn *c = s->first, *next; c; c = next) {
     next = c->next;
     if (is_at_rest(c))
-      close_conn(c, 0);
+      close_conn(c, CLOSE_AFTER_WRITE);
   }
 }
 
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -36,6 +36,10 @@
   int count;
   int is_stopping; /* each answer ends its connection */
   ev_io listening;
+  ev_timer again;  /* accept is tried anew then */
+  int nfailed;     /* accepts that failed, since the start ... */
+  int nsaid;       /* ... and as of the last log line of it ... */
+  int64_t said_at; /* ... which was written then, ms */
   ev_prepare reap;
   pw_conn *dead;
   pw_buf chunk; /* the piece being written, of any of them */
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -102,6 +102,7 @@
     if (*at != c)
       continue;
     *at = c->next;
+    c->l->nclosing--;
     return;
   }
 }
@@ -154,6 +155,7 @@
   c->closing = 1;
   c->next = c->l->closing;
   c->l->closing = c;
+  c->l->nclosing++;
   set_int(c->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, LINGER_MS);
   if (pwtcp_pending(c) == 0)
     drain(c);
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -36,7 +36,8 @@
   struct ev_loop *ev;
   ev_prepare reap;
   pw_tcp *dead;
-  pw_tcp *closing; /* those that wait for their peer to close */
+  pw_tcp *closing; /* those that wait for their peer to close ... */
+  int nclosing;    /* ... each has its descriptor yet */
   char *block;     /* one read's bytes */
 } pw_tcp_loop;
 
