A request waits for agents that were not told of its pool yet; settled means in force

Cause: after all targets of a version were loaded anew, status told "settled" as soon as the leader had written it; entries know milliseconds later, agents through them some more, and an agent that was not told of a version refuses its requests by proof. The entry asked each once and gave up. Change: when nobody else is left and the last refusal was no-target, which two views that differ give, targets are asked again after 20, 40, ... 640 ms, two of them at most each time; what nobody is declared for is still refused at once. A rollout is settled when what was written of it is in force everywhere. Way not taken: agents that hold a Run of a newer revision; they would hold it, too, where another has room.

--- a/packages/control/pwctlcall.c
+++ b/packages/control/pwctlcall.c
@@ -24,9 +24,14 @@
   return c->led_revision == 0 || now - c->led_at > PW_CHILD_KEEP;
 }
 
-static json_t *in_force(pw_control *c, int64_t now) {
+static pw_feed_sum sum_up(const pw_control *c) {
   pw_feed_sum sum;
   pwfeed_sum(c->feed, pwres_revision(pwctl_resources(c)), &sum);
+  return sum;
+}
+
+static json_t *in_force(pw_control *c, int64_t now) {
+  pw_feed_sum sum = sum_up(c);
   return json_pack("{s:I,s:i,s:i,s:s,s:b}", "revision",
                    (json_int_t)sum.revision, "processes", (int)sum.count,
                    "entries", (int)sum.entries, "behind", sum.behind, "settled",
@@ -51,7 +56,7 @@
       (json_int_t)pwgroup_term(c->group), "leader",
       pwgroup_leader_http(c->group), "in_force", in_force(c, now), "members",
       pwgroup_json(c->group), "children", pwfeed_json(c->feed, now), "rollouts",
-      pwplanner_json(c->planner, now), "availability_zones",
+      pwplanner_json(c->planner, sum_up(c).revision, now), "availability_zones",
       pwwatch_zones_json(c->watch), "evacuated", evacuated_json(c),
       "once_claims", (int)pwonce_count(pwstate_once(pwgroup_state(c->group))));
 }
--- a/packages/control/pwplanner.c
+++ b/packages/control/pwplanner.c
@@ -634,7 +634,23 @@
 
 /* --- progress --- */
 
-static json_t *model_json(pw_planner *pl, const model *m, int64_t now) {
+static uint64_t newer(const pw_planner *pl, const char *kind, const char *name,
+                      uint64_t than) {
+  const pw_resource *one = pwres_get(pl->res, kind, name);
+  return one && one->revision > than ? one->revision : than;
+}
+
+/* As of which revision the model is what it is now. */
+static uint64_t written_at(const pw_planner *pl, const model *m,
+                           const slots *sl) {
+  uint64_t at = newer(pl, "rollout", m->name, 0);
+  for (int i = 0; i < sl->n; i++)
+    at = newer(pl, "assignment", sl->of[i]->t->name, at);
+  return at;
+}
+
+static json_t *model_json(pw_planner *pl, const model *m, uint64_t in_force,
+                          int64_t now) {
   slots sl;
   gather(pl, m, &sl, now);
   int usable = 0, loading = 0, failed = 0;
@@ -648,6 +664,7 @@
   int carry = m->replicas && m->replicas < usable ? m->replicas : usable;
   int right = pwplan_serving(sl.s, sl.n, back ? r->from : r->to);
   int unheard = count_unheard(pl, &sl);
+  int is_told = in_force >= written_at(pl, m, &sl);
   int moves = r->state == PW_ROLLOUT_ROLLING && r->share < 100;
   json_t *o = pwassign_rollout_json(r);
   json_object_update_new(
@@ -656,17 +673,17 @@
                    pwplan_serving(sl.s, sl.n, r->to), "serving_from",
                    pwplan_serving(sl.s, sl.n, r->from), "loading", loading,
                    "failed", failed, "unheard", unheard, "settled",
-                   !moves && !unheard && right == carry &&
+                   !moves && !unheard && is_told && right == carry &&
                        !strcmp(r->to, m->wanted)));
   slots_free(&sl);
   return o;
 }
 
-json_t *pwplanner_json(pw_planner *pl, int64_t now) {
+json_t *pwplanner_json(pw_planner *pl, uint64_t in_force, int64_t now) {
   json_t *list = json_array();
   read_changes(pl);
   for (const model *m = pl->models; m; m = m->hh.next)
     if (m->asked && (m->managed || m->has_rollout))
-      json_array_append_new(list, model_json(pl, m, now));
+      json_array_append_new(list, model_json(pl, m, in_force, now));
   return list;
 }
--- a/packages/control/pwplanner.h
+++ b/packages/control/pwplanner.h
@@ -26,7 +26,8 @@
 Pw__Change *pwplanner_next(pw_planner *pl, uint64_t term, int64_t now);
 void pwplanner_done(pw_planner *pl, pw_code code);
 
-/* Progress of each model that is managed; new reference. */
-json_t *pwplanner_json(pw_planner *pl, int64_t now);
+/* Progress of each model that is managed; new reference. One is settled only when what was written
+** of it is in force everywhere: as of `in_force`, a revision. */
+json_t *pwplanner_json(pw_planner *pl, uint64_t in_force, int64_t now);
 
 #endif
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -16,6 +16,8 @@
   X(PWC_RETRIES, "retries_total", "counter", "attempts paid from the budget")  \
   X(PWC_RETRY_DENIED, "retries_denied_total", "counter",                       \
     "retries the budget did not allow")                                        \
+  X(PWC_SETTLES, "settles_total", "counter",                                   \
+    "waits for targets that were not told of a pool yet")                      \
   X(PWC_HOPS, "refused_hops_total", "counter",                                 \
     "attempts an agent refused with proof and that went on elsewhere")         \
   X(PWC_RESUMES, "resumes_total", "counter", "streams resumed at an offset")   \
--- a/packages/entry/pwattempt.c
+++ b/packages/entry/pwattempt.c
@@ -11,6 +11,14 @@
 #define END_SPAN_MS 2000
 #define RESUMES_FIRST 2 /* of what may begin anew elsewhere instead */
 
+/* An agent that refuses because its target serves no such pool sees other resources than this entry:
+** one of the two is told within a moment. Nobody else being left, it is asked again after 20, 40, ...
+** 640 ms, 1.26 s in all: what was lost on the way is told again after 1 s (pwfeed). Each time so many
+** targets are asked at most. */
+#define SETTLES_MAX 6
+#define SETTLE_FIRST_MS 20
+#define SETTLE_ASKS 2
+
 /* A claim is settled only by a whole answer or a proof that it did not run;
 ** with neither it stays claimed, and resends learn that. */
 void pwfl_settle(pw_flights *fs, pw_flight *f, int whole, int not_run,
@@ -205,6 +213,20 @@
   return pick_target(fs, f, policy, now);
 }
 
+int64_t pwfl_settle_ms(const pw_flight *f) {
+  return (int64_t)SETTLE_FIRST_MS << (f->settles - 1);
+}
+
+static void begin_settling(pw_flights *fs, pw_flight *f, int64_t now) {
+  f->state = F_SETTLING;
+  f->since = now;
+  f->settles++;
+  pwcount_add(fs->p->counters, PWC_SETTLES, 1);
+  pwevent_add(fs->p->events, PWE_REFUSED, PW_E_NO_TARGET, f->call->request,
+              f->call->chat, "", "pool=%s hops=%d settles=%d", f->pool, f->hops,
+              f->settles);
+}
+
 void pwfl_place(pw_flights *fs, pw_flight *f, const pw_policy *policy,
                 int64_t now) {
   if (now + PWFL_MARGIN_MS >= f->deadline) {
@@ -218,10 +240,22 @@
     t = pick_anywhere(fs, f, policy, now);
   if (t)
     go_to(fs, f, t, now);
+  else if (f->last_code == PW_E_NO_TARGET && f->settles < SETTLES_MAX)
+    begin_settling(fs, f, now);
   else
     pwfl_fail(fs, f, f->last_code ? f->last_code : PW_E_NO_TARGET, now);
 }
 
+void pwfl_end_settling(pw_flights *fs, pw_flight *f, const pw_policy *policy,
+                       int64_t now) {
+  f->state = F_OPENING;
+  f->pool = f->call->pool;
+  f->walk.ntried = 0;
+  f->hops = PW_HOPS_MAX + 1 - SETTLE_ASKS;
+  f->last_code = PW_OK;
+  pwfl_place(fs, f, policy, now);
+}
+
 static pw_refusal refusal_of(pw_code code) {
   if (code == PW_E_MISS)
     return PW_REFUSED_MISSED;
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -146,6 +146,7 @@
 
 -- The end of every log, or a sanitizer's report, for a scenario that failed.
 function fleet:show_logs()
+  io.stderr:write("whole logs: ", self.dir, "\n")
   for _, p in ipairs(self.all) do
     local text = read(p.log)
     local at = text:find("ERROR: ") or text:find("runtime error")
@@ -271,6 +272,19 @@
   return p
 end
 
+-- What agents hear of changes by: entries, through relays of each agent's own with o.agent_relays
+-- (agent.parent_relays).
+function fleet:upstream_of(region)
+  local wires, relays = self:entry_wires_of(region), {}
+  if not self.o.agent_relays then return wires, relays end
+  local links = {}
+  for i, w in ipairs(wires) do
+    local relay, port = run.relay(tonumber(w:match(":(%d+)$")))
+    links[i], relays[i] = tcp(port), relay
+  end
+  return links, relays
+end
+
 -- A target: the stand-in and its agent. With o.relays the entries reach the
 -- agent through a relay; with "all" the agent its target, too.
 function fleet:target(name, kind, zone, region)
@@ -284,10 +298,12 @@
   if o.relays == "all" then
     engine.relay, url = run.relay(port)
   end
+  local upstream, parent_relays = self:upstream_of(region)
   local agent = self:daemon("agent-" .. name, "agent", zone, string.format(
     '[agent]\nhttp = %q\nwire = %q\nupstream = %s\ntarget = %q\nkind = %q\n' ..
     'url = "http://127.0.0.1:%d"\n%s\n', http(health), tcp(wire),
-    quoted(self:entry_wires_of(region)), name, kind, url, o.agent or ""), health, region)
+    quoted(upstream), name, kind, url, o.agent or ""), health, region)
+  agent.parent_relays = parent_relays
   if o.relays then
     agent.relay, link = run.relay(wire)
   end
@@ -414,8 +430,8 @@
   return {url = (o.entry or self.entries[1]):base(), method = "POST",
     path = "/v1/chat/completions", headers = headers, timeout = o.timeout or 60,
     stop_reading = o.stop_reading, give_up = o.give_up,
-    body = string.format('{"model": "register", "stream": %s, "max_tokens": %d, "messages": [%s]}',
-      tostring(o.stream or false), o.max_tokens or 16, table.concat(parts, ", "))}
+    body = string.format('{"model": "%s", "stream": %s, "max_tokens": %d, "messages": [%s]}',
+      o.model or "register", tostring(o.stream or false), o.max_tokens or 16, table.concat(parts, ", "))}
 end
 
 -- Whether an answer is whole and answers this text.
