--- a/packages/entry/pwattempt.c
+++ b/packages/entry/pwattempt.c
@@ -271,6 +271,8 @@
   pwroute_refused(&f->walk, id, refusal_of(code), f->told_wait, f->told_worth);
   if (code != PW_E_MISS)
     f->last_code = code;
+  if (refusal_of(code) == PW_REFUSED_BUSY && !pwretry_spend(&fs->budget))
+    pwroute_take_for_full(&f->walk);
   f->hops++;
   pwcount_add(fs->p->counters, PWC_HOPS, 1);
   pwfl_rename_attempt(fs, f);
--- a/packages/policy/pwadmit.c
+++ b/packages/policy/pwadmit.c
@@ -6,13 +6,18 @@
 #define SERVED_KEEP 0.7 /* weight of the past in the average */
 #define WAIT_MAX_MS 600000.0
 
+/* A shorter wait for a slot costs less than a refusal, which has the entry ask elsewhere, there and
+** back (1.4 ms one way between availability zones), and may be refused there, too. */
+#define HOP_MS 10
+
 void pwadmit_init(pw_admit *a, int slots, int queue, double rate, int64_t now) {
   *a = (pw_admit){.queue = pwqueue_new(queue),
                   .slots = slots,
                   .bound = PWBOUND_DEFAULT,
                   .reuse = PWADMIT_REUSE,
                   .served = rate,
-                  .served_at = now};
+                  .served_at = now,
+                  .used_at = now};
   pwload_init(&a->load, rate, now);
 }
 
@@ -31,11 +36,27 @@
   return pwbound_admits(pwload_now(&a->load, now), cost, pool, &a->bound, now);
 }
 
+/* Before the number of those that run changes. */
+static void count_in_use(pw_admit *a, int64_t now) {
+  a->in_use_ms += (double)a->running * (double)(now - a->used_at);
+  a->used_at = now;
+}
+
 static void start(pw_admit *a, double cost, int64_t now) {
   pwload_add(&a->load, cost, now);
+  count_in_use(a, now);
   a->running++;
 }
 
+/* Until a slot is free for one more in the queue, by how long requests took lately. The rate at which
+** tokens were served tells less than a target can do that had little to do until now. */
+static int waits_shortly(const pw_admit *a) {
+  if (a->running < a->slots || a->took_ms <= 0)
+    return 0;
+  double turns = (pwqueue_count(a->queue) + 0.5) / a->slots;
+  return turns * a->took_ms <= HOP_MS;
+}
+
 uint32_t pwadmit_wait(const pw_admit *a, const char *workspace, double weight,
                       int priority) {
   double ahead = pwqueue_ahead(a->queue, workspace, weight, priority);
@@ -73,7 +94,7 @@
     return out;
   }
   out.worth = worth_of(a, ask->recompute);
-  if (!ask->may_queue && out.wait >= out.worth)
+  if (!ask->may_queue && out.wait >= out.worth && !waits_shortly(a))
     return out;
   pw_item item = {.weight = ask->weight,
                   .priority = ask->priority,
@@ -107,6 +128,19 @@
   return item.job;
 }
 
+/* How long a request takes, by the slots that were in use for those that ended. */
+static void note_took(pw_admit *a, int64_t now) {
+  count_in_use(a, now);
+  if (a->nended) {
+    double took = a->in_use_ms / a->nended;
+    a->took_ms = a->took_ms > 0
+                     ? SERVED_KEEP * a->took_ms + (1 - SERVED_KEEP) * took
+                     : took;
+  }
+  a->in_use_ms = 0;
+  a->nended = 0;
+}
+
 /* Average of tokens done a second, over about three seconds. */
 static void count_served(pw_admit *a, double tokens, int64_t now) {
   a->since_at += tokens;
@@ -114,6 +148,7 @@
   if (passed < SERVED_WINDOW_MS)
     return;
   double rate = a->since_at / (double)passed * MS;
+  note_took(a, now);
   if (a->running)
     a->served = SERVED_KEEP * a->served + (1 - SERVED_KEEP) * rate;
   a->since_at = 0;
@@ -128,5 +163,7 @@
 void pwadmit_end(pw_admit *a, double left, int64_t now) {
   pwload_add(&a->load, -left, now);
   count_served(a, 0, now);
+  count_in_use(a, now);
+  a->nended++;
   a->running--;
 }
--- a/packages/policy/pwadmit.h
+++ b/packages/policy/pwadmit.h
@@ -16,6 +16,11 @@
   double served;   /* tokens a second lately, for estimates */
   double since_at; /* tokens ended since served_at */
   int64_t served_at;
+  double
+      took_ms; /* a request lately, from its start to its end; 0: none has ended */
+  double in_use_ms; /* slots in use, summed over the time since used_at ... */
+  int64_t used_at;
+  int nended; /* ... and requests that have ended, since served_at */
 } pw_admit;
 
 /* What the agent is asked. */
--- a/packages/policy/pwroute.c
+++ b/packages/policy/pwroute.c
@@ -95,6 +95,12 @@
 
 typedef enum scan_mode { SCAN_FITS, SCAN_OPEN, SCAN_ASIDE } scan_mode;
 
+/* Whether one that is set aside may be asked: where others are merely full it fails the request in
+** place of a short wait (520 to 549 of 600 whole, then 593 to 598), unless it is new. */
+static int may_ask_aside(const pw_route_target *t, const pw_route_walk *w) {
+  return !w->busy || t->joining;
+}
+
 /* First target from a drawn start on: one that fits; any open one; when all
 ** are set aside, one of those, since no answer is the worst. */
 static uint64_t anyone(const pw_route_pool *pool, const pw_route_walk *w,
@@ -102,7 +108,9 @@
   for (int i = 0; i < pool->n && i < SCAN_MAX; i++) {
     pw_route_target t;
     uint64_t id = pool->id[(draw + (uint64_t)i) % (uint64_t)pool->n];
-    if (!usable_target(pool, w, id, &t) || (t.aside && mode != SCAN_ASIDE))
+    if (!usable_target(pool, w, id, &t))
+      continue;
+    if (t.aside && (mode != SCAN_ASIDE || !may_ask_aside(&t, w)))
       continue;
     if (mode != SCAN_FITS || fits(&t, w->cost))
       return id;
@@ -175,6 +183,10 @@
   w->tried[w->ntried++] = id;
 }
 
+void pwroute_take_for_full(pw_route_walk *w) {
+  w->busy = QUEUE_AFTER;
+}
+
 uint32_t pwroute_retry_after(uint32_t wait_ms, uint64_t draw) {
   uint64_t base = wait_ms < RETRY_AFTER_MIN ? RETRY_AFTER_MIN : wait_ms;
   uint64_t ms = base + draw % (base + 1);
--- a/packages/policy/pwroute.h
+++ b/packages/policy/pwroute.h
@@ -75,6 +75,9 @@
 void pwroute_refused(pw_route_walk *walk, uint64_t id, pw_refusal why,
                      uint32_t wait_ms, uint32_t worth_ms);
 
+/* No more refusals are paid for: the next pick is where it may wait. */
+void pwroute_take_for_full(pw_route_walk *walk);
+
 /* Milliseconds after which to come back: the wait told by the target, spread
 ** over as long again so that callers do not return together. */
 uint32_t pwroute_retry_after(uint32_t wait_ms, uint64_t draw);
--- /dev/null
+++ b/tests/test_standstill.c
@@ -0,0 +1,128 @@
+/* test_standstill.c: agents that stood still for a moment find many requests at once, while the other
+** targets of their pool fail and are set aside: what agents and entries do with them. */
+#include "pwadmit.h"
+#include "pwbudget.h"
+#include "pwroute.h"
+#include "pwtest.h"
+
+#define TARGETS 4 /* the first two fail; the others stood still */
+#define SLOTS 50
+#define QUEUE 1000
+#define COST 20.0 /* tokens of a request */
+#define SHORT_MS 4
+#define LONG_MS 5000
+#define SERVED 400 /* requests that each agent has served before */
+
+typedef struct bed {
+  uint64_t id[TARGETS];
+  pw_route_target t[TARGETS];
+  pw_place *place;
+  pw_route_pool pool;
+} bed;
+
+static int get(void *arg, uint64_t id, pw_route_target *out) {
+  const bed *b = arg;
+  for (int i = 0; i < TARGETS; i++)
+    if (b->id[i] == id) {
+      *out = b->t[i];
+      return 1;
+    }
+  return 0;
+}
+
+static void set_up(bed *b) {
+  pw_place_target pt[TARGETS];
+  for (int i = 0; i < TARGETS; i++) {
+    b->id[i] = (uint64_t)i + 1;
+    b->t[i] = (pw_route_target){
+        .id = b->id[i], .usable = 1, .aside = i < 2, .limit = 1e9};
+    pt[i] = (pw_place_target){b->id[i], 1};
+  }
+  b->place = pwplace_build(pt, TARGETS, NULL);
+  b->pool = (pw_route_pool){b->place, b->id, TARGETS, b, get};
+}
+
+/* One that fails is no way out of a full pool: who was refused for load waits at one that works. */
+static void test_not_where_it_fails(void) {
+  bed b;
+  set_up(&b);
+  for (uint64_t key = 1; key < 200; key++) {
+    pw_route_walk w = {.key = key, .draw = key * 77, .cost = COST};
+    pw_route_pick pick = pwroute_next(&b.pool, &w);
+    for (int k = 0; k < 2; k++) {
+      CHECK(!b.t[pick.id - 1].aside && !pick.may_queue);
+      pwroute_refused(&w, pick.id, PW_REFUSED_BUSY, 2, 0);
+      pick = pwroute_next(&b.pool, &w);
+    }
+    CHECK(pick.id && !b.t[pick.id - 1].aside && pick.may_queue);
+  }
+  pwplace_free(b.place);
+}
+
+/* Where refusals are not paid for any more, the next one asked may have it wait. */
+static void test_unpaid(void) {
+  bed b;
+  set_up(&b);
+  pw_route_walk w = {.key = 5, .draw = 9, .cost = COST};
+  pw_route_pick pick = pwroute_next(&b.pool, &w);
+  pwroute_refused(&w, pick.id, PW_REFUSED_BUSY, 2, 0);
+  pwroute_take_for_full(&w);
+  CHECK(pwroute_next(&b.pool, &w).may_queue);
+  CHECK(pwroute_next(&b.pool, &w).id == 0);
+  pwplace_free(b.place);
+}
+
+/* An agent whose target was busy with few requests at a time, each taking so long. */
+static int64_t serve(pw_admit *a, const pw_admit_ask *ask,
+                     const pw_pool_sum *pool, int64_t took_ms) {
+  int64_t now = 0;
+  pwadmit_init(a, SLOTS, QUEUE, 1000, now);
+  a->bound.floor = 1e9;
+  for (int i = 0; i < SERVED; i++) {
+    CHECK(pwadmit_ask(a, ask, pool, now).verdict == PW_ADMIT_START);
+    now += took_ms;
+    pwadmit_end(a, COST, now);
+  }
+  return now;
+}
+
+/* Of so many requests at once, how many the agent refuses. */
+static int count_refused(pw_admit *a, const pw_admit_ask *ask,
+                         const pw_pool_sum *pool, int n, int64_t now) {
+  int refused = 0;
+  for (int i = 0; i < n; i++)
+    refused += pwadmit_ask(a, ask, pool, now).verdict == PW_ADMIT_REFUSED;
+  return refused;
+}
+
+static int refused_of(int n, int64_t took_ms) {
+  pw_admit a;
+  pw_pool_sum pool = {.targets = 1};
+  int job;
+  pw_admit_ask ask = {.workspace = "w",
+                      .weight = 1,
+                      .cost = COST,
+                      .deadline = INT64_MAX,
+                      .job = &job};
+  int64_t now = serve(&a, &ask, &pool, took_ms);
+  int refused = count_refused(&a, &ask, &pool, n, now);
+  pwadmit_free(&a);
+  return refused;
+}
+
+/* 100 short requests at once have 50 wait for 4 ms, which is less than a hop costs; of long ones 50 are
+** refused, to be asked elsewhere. */
+static void test_short_waits(void) {
+  CHECK(refused_of(2 * SLOTS, SHORT_MS) == 0);
+  CHECK(refused_of(2 * SLOTS, LONG_MS) == SLOTS);
+  /* Twice as long waits, or more, are refused, too. */
+  CHECK(refused_of(SLOTS + SLOTS * 20 / SHORT_MS, SHORT_MS) > 0);
+}
+
+int main(void) {
+  TESTS_BEGIN("standstill");
+  TEST(test_not_where_it_fails);
+  TEST(test_unpaid);
+  TEST(test_short_waits);
+  TESTS_END();
+}
