A version whose targets are set aside is left for the other one that serves

Cause: until control takes a bad version back, each request to it fails and is retried at the other one, which the budget of retries pays; its targets are set aside after three failures, but one that is set aside was asked before the other version's. The failed calls came late in the roll-out, with "target-set-aside" twice before them in the entry's log. Ruled out: a rollback that comes too late (the pause of control in the test makes it so, and costs nothing now). Change: the pool of the call's version is asked without those set aside, then the other version's, then those set aside.

--- a/packages/entry/pwattempt.c
+++ b/packages/entry/pwattempt.c
@@ -173,14 +173,18 @@
   pwtargets_ask(fs->targets, t, now);
 }
 
+/* Whether two versions share the chats, and the call's own was not left for the other. */
+static int has_other_version(const pw_flight *f) {
+  return f->call->other_pool[0] && f->pool != f->call->other_pool;
+}
+
 /* The pool of the other version, while two share the chats: where to go when
 ** nobody serves this one any more. 0 when there is none, or it was taken. */
 static int other_version(pw_flight *f) {
-  const char *other = f->call->other_pool;
-  if (!other[0] || f->pool == other || f->last_code == PW_E_BUSY ||
+  if (!has_other_version(f) || f->last_code == PW_E_BUSY ||
       f->last_code == PW_E_DEADLINE)
     return 0;
-  f->pool = other;
+  f->pool = f->call->other_pool;
   f->kv_tokens = 0; /* of the first version */
   f->walk.ntried = 0;
   return 1;
@@ -198,18 +202,38 @@
   return pwtargets_by_id(fs->targets, pick.id);
 }
 
+/* Begins anew with the call's own version. */
+static void go_back(pw_flight *f) {
+  f->failed = 0;
+  f->pool = f->call->pool;
+  f->walk.ntried = 0;
+}
+
+/* The same of the call's own version and then of the other: none that is set aside while the other
+** version may have one that works. A version that fails everywhere would use up the retries else. */
+static pw_target *pick_of_versions(pw_flights *fs, pw_flight *f,
+                                   const pw_policy *policy, int64_t now) {
+  f->walk.is_choosy = has_other_version(f);
+  pw_target *t = pick_target(fs, f, policy, now);
+  int was_choosy = f->walk.is_choosy;
+  f->walk.is_choosy = 0;
+  if (!t && other_version(f))
+    t = pick_target(fs, f, policy, now);
+  if (t || !was_choosy)
+    return t;
+  if (!has_other_version(f))
+    go_back(f); /* the other version has nobody */
+  return pick_target(fs, f, policy, now);
+}
+
 /* The same, wider: a retry may go where one has failed when no other is left.
  */
 static pw_target *pick_anywhere(pw_flights *fs, pw_flight *f,
                                 const pw_policy *policy, int64_t now) {
-  pw_target *t = pick_target(fs, f, policy, now);
-  if (!t && other_version(f))
-    t = pick_target(fs, f, policy, now);
+  pw_target *t = pick_of_versions(fs, f, policy, now);
   if (t || !f->failed)
     return t;
-  f->failed = 0;
-  f->pool = f->call->pool;
-  f->walk.ntried = 0;
+  go_back(f);
   return pick_target(fs, f, policy, now);
 }
 
--- a/packages/policy/pwroute.c
+++ b/packages/policy/pwroute.c
@@ -98,7 +98,7 @@
 /* Whether one that is set aside may be asked: where others are merely full it fails the request in
 ** place of a short wait (520 to 549 of 600 whole, then 593 to 598), unless it is new. */
 static int may_ask_aside(const pw_route_target *t, const pw_route_walk *w) {
-  return !w->busy || t->joining;
+  return !w->is_choosy && (!w->busy || t->joining);
 }
 
 /* First target from a drawn start on: one that fits; any open one; when all
--- a/packages/policy/pwroute.h
+++ b/packages/policy/pwroute.h
@@ -45,8 +45,9 @@
   int64_t wait[PWROUTE_TRIED]; /* ms one would wait there, less the worth of a
                                   prefix cached there */
   int ntried;
-  int busy;   /* refusals for load */
-  int queued; /* the pick that may wait in a queue was made */
+  int busy;      /* refusals for load */
+  int queued;    /* the pick that may wait in a queue was made */
+  int is_choosy; /* there is another pool: none that is set aside in this one */
 } pw_route_walk;
 
 typedef struct pw_route_pick {
