A line that tells who has a document is not counted as a copy of it

Symptom: 37_long_configuration, 18 copies to 12 gateways where 16 are allowed, once. Cause: control's line to a gateway, which other has the document, is a message of the same kind and was counted as a document, so who was served by another gateway counted twice. Change: such lines are counted as documents_referred_total.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -78,6 +78,8 @@
     "bytes of these tables")                                                   \
   X(PWC_DOCUMENTS, "documents_sent_total", "counter",                          \
     "configuration documents sent to gateways")                                \
+  X(PWC_REFERRED, "documents_referred_total", "counter",                       \
+    "gateways that were told of another which has the document")               \
   X(PWC_TABLES, "tables_built_total", "counter", "placement tables built")     \
   X(PWC_LOAD, "load_tokens", "gauge", "tokens in progress at the target")      \
   X(PWC_QUEUE, "queue_requests", "gauge", "requests waiting at the agent")     \
--- a/packages/wire/pwwire.c
+++ b/packages/wire/pwwire.c
@@ -197,12 +197,21 @@
   }
 }
 
+/* What is told of a configuration document: it, or only who has it; not PWC_COUNT elsewhere. */
+static pw_counter document_of(const Pw__Envelope *e) {
+  if (e->body_case != PW__ENVELOPE__BODY_DOCUMENT)
+    return PWC_COUNT;
+  return e->document->ask && e->document->ask[0] ? PWC_REFERRED : PWC_DOCUMENTS;
+}
+
 static void count_sent(pw_wire *w, const Pw__Envelope *e, size_t n) {
   pw_counter class = class_of(e);
   pwcount_add(w->counters, is_data(e) ? PWC_DATA_OUT : PWC_CTL_OUT, (int64_t)n);
   if (class != PWC_COUNT)
     pwcount_add(w->counters, class, (int64_t)n);
-  pwcount_add(w->counters, PWC_DOCUMENTS, class == PWC_DOCUMENT_OUT);
+  pw_counter document = document_of(e);
+  if (document != PWC_COUNT)
+    pwcount_add(w->counters, document, 1);
 }
 
 int pwwire_send(pw_sock *s, const pw_peer *to, Pw__Envelope *e) {
--- a/tests/test_wire.c
+++ b/tests/test_wire.c
@@ -76,10 +76,45 @@
   pwcount_free(counters);
 }
 
+/* A line that tells who has a document is no copy of it. 37_long_configuration saw 18 copies to 12 gateways,
+** where 16 are allowed: 12, and 6 such lines, of those who were served by other gateways. */
+static void test_documents_are_counted(void) {
+  pw_settings set = {.name = "b", .keys_file = "", .trust_file = ""};
+  pw_buf err = {0};
+  char addr[64];
+  snprintf(addr, sizeof addr, "tcp://127.0.0.1:%d",
+           test_free_port(INADDR_LOOPBACK));
+  pw_counters *own = pwcount_new();
+  pw_wire *w = pwwire_new(&set, own, &hlc, &err);
+  pw_sock *listener = pwwire_listen(w, addr, &err);
+  pw_sock *dialler = pwwire_dialler(w);
+  pw_peer peer;
+  CHECK(listener != NULL && pwwire_dial(dialler, addr, &peer) == 0);
+  Pw__Document d = PW__DOCUMENT__INIT;
+  Pw__Envelope out = PW_ENVELOPE(DOCUMENT, document, &d);
+  d.version = 2;
+  d.ask = "tcp://127.0.0.1:1";
+  CHECK(pwwire_send(dialler, &peer, &out) == 0);
+  CHECK(pwcount_get(own, PWC_DOCUMENTS) == 0);
+  CHECK(pwcount_get(own, PWC_REFERRED) == 1);
+  d.ask = "";
+  d.data.data = (uint8_t *)"{}";
+  d.data.len = 2;
+  CHECK(pwwire_send(dialler, &peer, &out) == 0);
+  CHECK(pwcount_get(own, PWC_DOCUMENTS) == 1);
+  CHECK(pwcount_get(own, PWC_REFERRED) == 1);
+  pwwire_close(dialler);
+  pwwire_close(listener);
+  pwwire_free(w);
+  pwbuf_free(&err);
+  pwcount_free(own);
+}
+
 int main(void) {
   counters = pwcount_new();
   pwhlc_init(&hlc);
   TESTS_BEGIN("wire");
   TEST(test_links_are_bounded);
+  TEST(test_documents_are_counted);
   TESTS_END();
 }
