Runner: a process that ends at its start is told at once, with why

Symptom: 46_crashing_or_failing, a gateway not live within 20 s, once, right after a build. Cause, as far as a run shows: a program that is being written cannot be started; the runner said nothing of it and waited 20 s. Change: what execv says stands in the log, and a process that has ended fails the scenario at once: "control-1 ended at its start: 127: cannot run .../peatwelld: Text file busy".

--- a/tests/runner/process.c
+++ b/tests/runner/process.c
@@ -115,6 +115,7 @@
   for (int i = 3; i < 1024; i++)
     close(i);
   execv(argv[0], argv);
+  dprintf(2, "cannot run %s: %s\n", argv[0], strerror(errno));
   _exit(127);
 }
 
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -83,6 +83,8 @@
   self.pid = run.spawn(args)
   if self.health then
     fleet.eventually(self.name .. " is live", function()
+      local ended = run.wait(self.pid, 0)
+      if ended then fail("%s ended at its start: %d: %s", self.name, ended, read(self.log):sub(-300)) end
       return self:get(self.live or "/health/live").status == 200
     end)
   end
