--- /dev/null
+++ b/tests/scenarios/53_target_stands_still.lua
@@ -0,0 +1,27 @@
+-- Promise: a target that stands still for longer than a second in the middle of a stream breaks nothing that
+-- its route's time allows.
+--
+-- Why: 36_many_callers failed ("the stream is whole") when its stand-in engine was paused for 1.2 s or twice
+-- 0.8 s. Its stream lasts 4 s and its route allows 5: "broken-off age=5001 why=\"time is up\"" was the
+-- gateway's line in each of these runs. What an operator allows is what ends it; the pause alone does not.
+local fleet = require("fleet")
+local gateways = require("gateways")
+local PAUSE_MS = 1500
+local g = gateways.new{control = 1, gateways = 1, engines = 1, portals = 1}
+g:start(function(s)
+  for _, r in ipairs(s.routes) do
+    if r.name == "chat" then r.timeout = 15000 end
+  end
+end)
+g.targets[1]:fault("gap=100")
+local streamed = g:call{path = "/chat/x", events = 20, body = "q", timeout = 60}
+local stream = run.http_start(streamed)
+fleet.eventually("it runs", function() return g:sum("engine", "total") == 1 end)
+g.targets[1]:pause()
+run.pause(PAUSE_MS)
+g.targets[1]:continue()
+local r = run.http_wait(stream)
+r.id = streamed.headers["X-Request-Id"]
+fleet.expect("the stream is whole: " .. r.status, gateways.is_stream(r, 20))
+fleet.equal("it ran once", g:sum("engine", "total"), 1)
+g:stop()
