Entries: picking a target and what is noted of ends in files of their own

Cause: pwattempt.c held four jobs in 390 lines; a newcomer who looks for how a version's target is chosen read retries and the quarantine on the way. Change: pwpicking.c (pool and version), pwsuspicion.c (ends under requests); nothing else moves.

--- a/packages/entry/pwattempt.c
+++ b/packages/entry/pwattempt.c
@@ -1,14 +1,9 @@
-/* pwattempt.c: attempts of a request: placing, sending, hops, retries, resumes,
-** and the end. */
+/* pwattempt.c: attempts of a request: sending, hops, retries, resumes, and the end. */
 #include "pwfl.h"
 
 #include "pwlog.h"
-#include "pwsuspects.h"
-
-#include <xxhash.h>
 
 #define RESUMES_MAX 7
-#define END_SPAN_MS 2000
 #define RESUMES_FIRST 2 /* of what may begin anew elsewhere instead */
 
 /* An agent that refuses because its target serves no such pool sees other resources than this entry:
@@ -55,40 +50,6 @@
     pwnews_count(fs->news, f->pool, failed);
 }
 
-static void note_suspect(pw_flights *fs, uint64_t sign, pw_quar_news news) {
-  const pw_quarantine *q = fs->quarantine;
-  if (news == PWQUAR_OLD)
-    return;
-  pwcount_set(fs->p->counters, PWC_ENDED_UNDER, pwquar_total(q));
-  if (news == PWQUAR_BEGUN || news == PWQUAR_RELEASED)
-    pwlog(LOG_WARNING, news == PWQUAR_BEGUN ? "quarantined" : "released",
-          "sign=%016llx ends=%d", (unsigned long long)sign,
-          pwquar_ends(q, sign));
-}
-
-static void hear_suspect(void *arg, uint64_t sign, pw_quar_news news) {
-  note_suspect(arg, sign, news);
-}
-
-void pwflight_hear_suspects(pw_flights *fs, const Pw__Loads *m, int64_t now) {
-  pwsuspects_take(fs->quarantine, m->suspects, m->n_suspects, now, hear_suspect,
-                  fs);
-}
-
-/* One start of a target. Agents outlive what they stand before and do not tell its starts apart: it
-** takes longer than END_SPAN_MS to start again, and all entries see an end within a moment. */
-static uint64_t start_of(const pw_target *t) {
-  uint64_t both[2] = {t->id, (uint64_t)(pwclock_wall_ms() / END_SPAN_MS)};
-  return XXH3_64bits(both, sizeof both);
-}
-
-void pwfl_note_ended(pw_flights *fs, const pw_flight *f, int64_t now) {
-  const pw_target *t = pwfl_target_of(fs, f);
-  if (t)
-    note_suspect(fs, f->call->sign,
-                 pwquar_ended(fs->quarantine, f->call->sign, start_of(t), now));
-}
-
 int pwfl_end_quarantined(pw_flights *fs, pw_flight *f, int64_t now) {
   int64_t left = pwquar_left(fs->quarantine, f->call->sign, now);
   if (left == 0)
@@ -101,8 +62,7 @@
 
 void pwfl_finish(pw_flights *fs, pw_flight *f, int64_t now) {
   if (f->call->status / 100 == 2)
-    note_suspect(fs, f->call->sign,
-                 pwquar_answered(fs->quarantine, f->call->sign, now));
+    pwfl_note_answered(fs, f, now);
   pwretry_success(&fs->budget);
   count_version(fs, f, 0);
   f->status = f->call->status;
@@ -173,70 +133,6 @@
   pwtargets_ask(fs->targets, t, now);
 }
 
-/* Whether two versions share the chats, and the call's own was not left for the other. */
-static int has_other_version(const pw_flight *f) {
-  return f->call->other_pool[0] && f->pool != f->call->other_pool;
-}
-
-/* The pool of the other version, while two share the chats: where to go when
-** nobody serves this one any more. 0 when there is none, or it was taken. */
-static int other_version(pw_flight *f) {
-  if (!has_other_version(f) || f->last_code == PW_E_BUSY ||
-      f->last_code == PW_E_DEADLINE)
-    return 0;
-  f->pool = f->call->other_pool;
-  f->kv_tokens = 0; /* of the first version */
-  f->walk.ntried = 0;
-  return 1;
-}
-
-/* The next target, or NULL: nobody is left. */
-static pw_target *pick_target(pw_flights *fs, pw_flight *f,
-                              const pw_policy *policy, int64_t now) {
-  pw_route_pool pool;
-  if (!pwtargets_pool(fs->targets, f->pool, policy, f->walk.draw, now, &pool))
-    return NULL;
-  pw_route_pick pick = pwroute_next(&pool, &f->walk);
-  f->need_prefix = pick.need_prefix;
-  f->may_queue = pick.may_queue;
-  return pwtargets_by_id(fs->targets, pick.id);
-}
-
-/* Begins anew with the call's own version. */
-static void go_back(pw_flight *f) {
-  f->failed = 0;
-  f->pool = f->call->pool;
-  f->walk.ntried = 0;
-}
-
-/* The same of the call's own version and then of the other: none that is set aside while the other
-** version may have one that works. A version that fails everywhere would use up the retries else. */
-static pw_target *pick_of_versions(pw_flights *fs, pw_flight *f,
-                                   const pw_policy *policy, int64_t now) {
-  f->walk.is_choosy = has_other_version(f);
-  pw_target *t = pick_target(fs, f, policy, now);
-  int was_choosy = f->walk.is_choosy;
-  f->walk.is_choosy = 0;
-  if (!t && other_version(f))
-    t = pick_target(fs, f, policy, now);
-  if (t || !was_choosy)
-    return t;
-  if (!has_other_version(f))
-    go_back(f); /* the other version has nobody */
-  return pick_target(fs, f, policy, now);
-}
-
-/* The same, wider: a retry may go where one has failed when no other is left.
- */
-static pw_target *pick_anywhere(pw_flights *fs, pw_flight *f,
-                                const pw_policy *policy, int64_t now) {
-  pw_target *t = pick_of_versions(fs, f, policy, now);
-  if (t || !f->failed)
-    return t;
-  go_back(f);
-  return pick_target(fs, f, policy, now);
-}
-
 int64_t pwfl_settle_ms(const pw_flight *f) {
   return (int64_t)SETTLE_FIRST_MS << (f->settles - 1);
 }
@@ -261,7 +157,7 @@
     return;
   pw_target *t = NULL;
   if (f->hops <= PW_HOPS_MAX)
-    t = pick_anywhere(fs, f, policy, now);
+    t = pwfl_pick(fs, f, policy, now);
   if (t)
     go_to(fs, f, t, now);
   else if (f->last_code == PW_E_NO_TARGET && f->settles < SETTLES_MAX)
@@ -385,7 +281,7 @@
   f->walk.busy = 0;
   f->failed = 1;
   f->last_code = code;
-  other_version(f); /* one that fails may be bad itself */
+  pwfl_leave_version(f); /* one that fails may be bad itself */
   pwfl_rename_attempt(fs, f);
   pwfl_place(fs, f, policy, now);
 }
--- a/packages/entry/pwfl.h
+++ b/packages/entry/pwfl.h
@@ -102,6 +102,15 @@
 /* The answer is whole. */
 void pwfl_finish(pw_flights *fs, pw_flight *f, int64_t now);
 
+/* The next target: of the call's own version, of the other one while two share the chats, and where
+** an attempt has failed when no other is left. NULL: nobody is left. */
+pw_target *pwfl_pick(pw_flights *fs, pw_flight *f, const pw_policy *policy,
+                     int64_t now);
+
+/* Goes on with the other version, while two share the chats: nobody serves this one any more, or it may
+** be bad. 0 when there is none, or it was taken. */
+int pwfl_leave_version(pw_flight *f);
+
 /* Picks the next target and goes there, or fails. */
 void pwfl_place(pw_flights *fs, pw_flight *f, const pw_policy *policy,
                 int64_t now);
@@ -124,6 +133,9 @@
 void pwfl_broken(pw_flights *fs, pw_flight *f, pw_code code,
                  const pw_policy *policy, int64_t now);
 
+/* It was answered with success: its request ends no targets. */
+void pwfl_note_answered(pw_flights *fs, const pw_flight *f, int64_t now);
+
 /* Its target ended while it had the request, or its agent did. */
 void pwfl_note_ended(pw_flights *fs, const pw_flight *f, int64_t now);
 
