--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -146,9 +146,18 @@
   return f
 end
 
+-- What each daemon that lives remembers of its decisions, beside its log.
+function fleet:keep_events()
+  for _, p in ipairs(self.all) do
+    local ok, r = pcall(run.http, {url = p:base(), ca = p.tls and p.tls(), path = "/v1/events", timeout = 1})
+    if ok and r.status == 200 and p.settings then write(self.dir .. "/" .. p.name .. ".events", r.body) end
+  end
+end
+
 -- The end of every log, or a sanitizer's report, for a scenario that failed.
 function fleet:show_logs()
-  io.stderr:write("whole logs: ", self.dir, "\n")
+  io.stderr:write("whole logs and events: ", self.dir, "\n")
+  pcall(self.keep_events, self)
   for _, p in ipairs(self.all) do
     local text = read(p.log)
     local at = text:find("ERROR: ") or text:find("runtime error")
