News of targets by one child are taken in the order in which it told them

Cause: a state is told once, when it changes, and is judged by its age, to which nobody adds the time that a Hello waits at a control instance that stands still. Of two that waited for 0.4 s the second looked older by the milliseconds that it had lain at the entry, and was dropped for good. The agents' last event was an order of revision 24 for two targets of one entry, all processes were at revision 24, one leader all the time: it waited for states that had been told. Change: states of the same child are taken in their order; age decides between children only.

--- a/packages/daemon/pwnews.c
+++ b/packages/daemon/pwnews.c
@@ -17,8 +17,9 @@
 typedef struct state_row {
   char target[PW_NAME_MAX];
   Pw__TargetState *state;
-  int64_t at;      /* the state was read then or later */
-  int64_t changed; /* when it came or changed here */
+  char from[PW_NAME_MAX]; /* the child that told it; "": none */
+  int64_t at;             /* the state was read then or later */
+  int64_t changed;        /* when it came or changed here */
   UT_hash_handle hh;
 } state_row;
 
@@ -90,18 +91,27 @@
   return 1;
 }
 
+/* Whether it is older than what is known. What the same child tells comes in order. What another
+** tells is judged by its age, to which the time is not added that it waited here to be read: of two
+** Hellos that waited while a control instance stood still for 0.4 s, the second looked older by 3 ms,
+** was dropped, and nobody told it again. */
+static int is_older(const state_row *r, const char *from, int64_t at) {
+  return strcmp(r->from, from) != 0 && at < r->at;
+}
+
 /* Takes a state over if it is newer than what is known. */
-static void note_state(pw_news *n, const Pw__TargetState *s, int64_t at,
-                       int64_t now) {
+static void note_state(pw_news *n, const Pw__TargetState *s, const char *from,
+                       int64_t at, int64_t now) {
   state_row *r;
   HASH_FIND_STR(n->states, s->target, r);
-  if (r && at < r->at)
+  if (r && is_older(r, from, at))
     return;
   if (!r) {
     r = pw_alloc(sizeof *r);
     pw_copy(r->target, sizeof r->target, s->target);
     HASH_ADD_STR(n->states, target, r);
   }
+  pw_copy(r->from, sizeof r->from, from);
   r->at = at;
   if (r->state && is_same(r->state, s))
     return;
@@ -118,7 +128,7 @@
   Pw__TargetState gone = PW__TARGET_STATE__INIT;
   gone.target = (char *)c->target;
   gone.gone = 1;
-  note_state(n, &gone, c->heard, now);
+  note_state(n, &gone, "", c->heard, now);
 }
 
 const Pw__TargetState *pwnews_target(const pw_news *n, const char *target) {
@@ -212,7 +222,7 @@
 void pwnews_hello(pw_news *n, const Pw__Envelope *e, int64_t now) {
   const Pw__Hello *h = e->hello;
   for (size_t i = 0; i < h->n_states; i++)
-    note_state(n, h->states[i], now - h->states[i]->age, now);
+    note_state(n, h->states[i], e->from, now - h->states[i]->age, now);
   int known = is_known(n, e);
   for (size_t i = 0; i < h->n_counts; i++)
     note_count(n, e, h->counts[i], known, now);
