03_not_run waits until the entry knows that its agent is dead

Cause: the agent is killed behind a relay; the request was sent on the link in the moment in which it broke. The entry's events: claim, link-down two ticks of the same millisecond later, unknown with one attempt sent. What was sent and not answered is unknown: the answer is true, the scenario asked too early. Change: it waits for the entry's link-down, then checks as before.

--- a/tests/scenarios/03_not_run.lua
+++ b/tests/scenarios/03_not_run.lua
@@ -22,8 +22,12 @@
 end)
 fleet.equal("runs", runs(), 1)
 
--- The agent is dead: nothing was ever sent to it.
+-- The agent is dead, and its entry knows: nothing was ever sent to it. (Asked before the entry could know,
+-- a request went out on the link as it broke, once: "link-down" two ticks after its claim. That is unknown.)
 agent:kill()
+fleet.eventually("the entry knows that the link is down", function()
+  return f.entries[1]:get("/v1/events").body:find('"link-down"', 1, true)
+end)
 r = charge("agent-dead")
 fleet.equal("outcome, agent dead", r["Peatwell-Outcome"], "not-run")
 agent:start()
