Tests of the incident, failing: targets that ask to be left alone, and that say they leave

Callers saw: a tenth of each kind of request not served for seconds while most targets were free; 53 told 'the target refused it' in the lines kept. 54_hold_off: a target that asked one gateway for 600 s without requests gets 19 of the next 60 (got 21, want 2). 55_says_leaving: an answer that says that its target leaves changes nothing. 56_hold_off_agent: by way of an agent a service's refusal by proof reaches the caller as 503, an engine's counts as a failure that proves nothing.

--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -52,9 +52,12 @@
   long imports, exports;
   long started, ended, cancels, resumed, cut;
   long cached_tokens, prompt_tokens;
-  int cut_next;   /* cut this many answers half way */
-  int fail_next;  /* answer this many with 500 */
-  int hang_next;  /* never answer this many */
+  int cut_next;      /* cut this many answers half way */
+  int fail_next;     /* answer this many with 500 */
+  int hang_next;     /* never answer this many */
+  int shed_next;     /* turn this many away: not run, said so ... */
+  double hold_off_s; /* ... with a wish to be left alone for so long */
+  long shed;
   double slow;    /* factor on all times */
   char pad[2048]; /* added to each piece of a stream */
 } engine = {.lock = PTHREAD_MUTEX_INITIALIZER,
@@ -167,6 +170,20 @@
   return rc;
 }
 
+/* Not run, and left alone for so long if anything is said of it. */
+static enum MHD_Result shed(struct MHD_Connection *c, double hold_off_s) {
+  struct MHD_Response *r =
+      MHD_create_response_from_buffer(2, (void *)"{}", MHD_RESPMEM_PERSISTENT);
+  char text[24];
+  snprintf(text, sizeof text, "%g", hold_off_s);
+  MHD_add_response_header(r, "X-Not-Executed", "shed");
+  if (hold_off_s > 0)
+    MHD_add_response_header(r, "Retry-After", text);
+  enum MHD_Result rc = MHD_queue_response(c, 503, r);
+  MHD_destroy_response(r);
+  return rc;
+}
+
 static enum MHD_Result reply_json(struct MHD_Connection *c, int status,
                                   json_t *o) {
   char *text = json_dumps(o, 0);
@@ -306,6 +323,7 @@
       (json_int_t)engine.prompt_tokens);
   pthread_mutex_unlock(&engine.lock);
   json_object_set_new(o, "models", models_stats());
+  json_object_set_new(o, "shed", json_integer(engine.shed));
   json_object_set_new(o, "imports", json_integer(engine.imports));
   json_object_set_new(o, "exports", json_integer(engine.exports));
   return reply_json(c, 200, o);
@@ -333,6 +351,8 @@
   engine.cut_next = (int)query(c, "cut", engine.cut_next);
   engine.fail_next = (int)query(c, "fail", engine.fail_next);
   engine.hang_next = (int)query(c, "hang", engine.hang_next);
+  engine.shed_next = (int)query(c, "shed", engine.shed_next);
+  engine.hold_off_s = query(c, "hold_off", engine.hold_off_s);
   engine.slow = query(c, "slow", engine.slow);
   engine.no_export = (int)query(c, "no_export", engine.no_export);
   cache_faults.late_ms = query(c, "events_late_ms", cache_faults.late_ms);
@@ -395,8 +415,19 @@
     _exit(1);
 }
 
+/* Whether the engine takes nothing now, and says so. */
+static int is_shed(void) {
+  pthread_mutex_lock(&engine.lock);
+  int yes = take(&engine.shed_next);
+  engine.shed += yes;
+  pthread_mutex_unlock(&engine.lock);
+  return yes;
+}
+
 static enum MHD_Result complete(struct MHD_Connection *c, request *r) {
   const char *offset = header(c, "X-Resume-Offset");
+  if (is_shed())
+    return shed(c, engine.hold_off_s);
   crash_if_asked(r);
   json_t *doc = json_loadb(r->in.data ? r->in.data : "", r->in.len, 0, NULL);
   const char *model = json_string_value(json_object_get(doc, "model"));
