A target's refusal without a proof is told as unknown, not as not run

Callers saw: a 503 of a target that had run the request, passed on as it was: the status promises that it has not run and never will. Cause: answers of status 408, 429 and 503 without the proof (X-Not-Executed) were passed on like any other. Change: such an answer counts as an error of the target; what may run twice goes on elsewhere, all else is told 502 (3004), without the target's signature. Why it holds: one place, through which every whole answer passes. Ruled out: passing on with another status and the signature (a failure with a signature must have the target's status). Test: 54_hold_off, 'it has run: no promise that it has not: got 503, want 502' before.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -366,6 +366,14 @@
   pwconn_end(c);
 }
 
+/* Whether a status tells the caller that its request has not run. */
+static int promises_not_run(int status) {
+  return status == HTTP_STATUS_REQUEST_TIMEOUT ||
+         status == HTTP_STATUS_MISDIRECTED_REQUEST ||
+         status == HTTP_STATUS_TOO_MANY_REQUESTS ||
+         status == HTTP_STATUS_SERVICE_UNAVAILABLE;
+}
+
 void pwexchange_whole(pw_exchange *x) {
   int64_t now = pwclock_ms();
   int is_good = x->status / 100 == 2;
@@ -374,6 +382,10 @@
     whole_stream(x, now);
   } else if (x->told.not_run && x->status != HTTP_STATUS_BAD_REQUEST) {
     pwexi_not_run(x);
+  } else if (promises_not_run(x->status)) {
+    /* Without the proof it may have run: passed on, the status would deny it. */
+    pwfleet_erred(x->t, now);
+    pwexi_unknown(x, "the target refused it without a proof");
   } else if (x->has_begun || x->is_too_long || (is_good && !x->told.is_whole)) {
     pwfleet_failed(x->t, now);
     pwexi_unknown(x, "the answer is not one");
