A target that asks to be left alone is sent nothing until then

Callers saw: a fifth of them refused for six seconds while two thirds of the targets were free; one target reached 19 times by one gateway in 3 s without requests that it had asked for. Gateways read no Retry-After of a target, and a refusal by proof left no trace: who refuses has little to do, so it drew the most. Change: pwholdoff keeps the wish with the start of a target; pwfleet_may_send is asked wherever a request is sent: picks, last resorts, sums of places, and the resend over a new connection to the same target (which left leaving and ended targets out of account, too). Refused callers of a service that all of which asks to be left alone are told at once, 503 held-off (2013), when the first may be asked. Lines target-held-off, counter target_hold_offs_total. Why it holds: one question, in the one place that knows the target; the wish is kept from its hearing on, so never shorter than asked; a new start is another target. Tests: test_holdoff (new), 54_hold_off (red before: got 21, want 2).

--- a/packages/core/pwcode.h
+++ b/packages/core/pwcode.h
@@ -36,6 +36,8 @@
     "the target refused an order or could not carry it out")                   \
   X(PW_E_QUARANTINED, 2012, 503, "quarantined",                                \
     "targets ended while they ran this request: it is not sent to another")    \
+  X(PW_E_HELD_OFF, 2013, 503, "held-off",                                      \
+    "all targets have asked to be left alone for a while")                     \
   X(PW_E_CUT, 3001, 502, "answer-cut", "the answer broke off")                 \
   X(PW_E_UPSTREAM, 3002, 502, "bad-upstream", "the target's answer is bad")    \
   X(PW_E_TIMEOUT, 3003, 504, "timeout", "no answer within the deadline")       \
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -96,6 +96,8 @@
     "requests in quarantine: targets ended under them")                        \
   X(PWC_QUARANTINE_REFUSED, "quarantine_refused_total", "counter",             \
     "requests refused because they are in quarantine")                         \
+  X(PWC_HOLD_OFFS, "target_hold_offs_total", "counter",                        \
+    "times that a target asked to be left alone")                              \
   X(PWC_GW_CONNECTS, "gateway_connects_total", "counter",                      \
     "connections opened to targets")                                           \
   X(PWC_GW_BROKEN, "gateway_broken_total", "counter",                          \
--- a/packages/core/pwlimits.h
+++ b/packages/core/pwlimits.h
@@ -63,6 +63,10 @@
 #define PW_QUARANTINE_ENDS 3
 #define PW_QUARANTINE_MS (600LL * 1000)
 
+/* A target that asks to be left alone is, for so long at most (ms): past a day it is more likely to be
+** another start, or what it said no time at all. */
+#define PW_HOLD_OFF_MAX_MS (24LL * 3600 * 1000)
+
 /* Share of the successes that may be spent on retries, and the reserve. */
 #define PW_RETRY_SHARE 0.05
 #define PW_RETRY_RESERVE 10.0
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -120,8 +120,9 @@
     pwfleet_failed(x->t, now);
   /* A connection that the target closed while it rested: the same target, over
   ** a new one, if the request may run again. */
-  if (unused && !x->has_begun && !x->is_fresh_only && !x->t->is_evacuated &&
-      x->route->kind == PWSITE_SAFE && spend_retry(x, now)) {
+  if (unused && !x->has_begun && !x->is_fresh_only &&
+      pwfleet_may_send(x->t, now) && x->route->kind == PWSITE_SAFE &&
+      spend_retry(x, now)) {
     x->is_fresh_only = 1;
     if (pwexi_send(x) == 0)
       return;
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -204,6 +204,17 @@
       pwplaces_retry(pwexi_time_left(x), x->known_after, pwgate_draw(x->g)));
 }
 
+/* Nobody can be asked: its caller is told when the first one may be. */
+static void refuse_unserved(pw_exchange *x, int64_t now) {
+  int64_t left = pwfleet_held_off(x->g->fleet, x->service->name, now);
+  if (left > 0)
+    pwexi_refuse(x, PW_E_HELD_OFF, "all targets have asked to be left alone",
+                 left);
+  else
+    pwexi_refuse(x, PW_E_NO_TARGET, "no target of the service is known",
+                 PWEX_RETRY_NO_TARGET_MS);
+}
+
 static void note_placed(pw_exchange *x) {
   const pw_target *t = x->t;
   if (x->ntried == 1)
@@ -247,8 +258,7 @@
   if (x->has_begun || x->may_have_run)
     pwexi_give_up(x, PW_E_UNKNOWN, "no other target", 0);
   else if (pwfleet_usable(x->g->fleet, x->service->name, now) == 0)
-    pwexi_refuse(x, PW_E_NO_TARGET, "no target of the service is known",
-                 PWEX_RETRY_NO_TARGET_MS);
+    refuse_unserved(x, now);
   else
     refuse_full(x, &p);
 }
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -163,6 +163,11 @@
 /* Closes connections that have rested long, and all to targets that went. */
 void pwupconn_sweep(pw_target *t, int64_t now);
 
+/* --- pwhint.c --- */
+
+/* Heeds what a target says of itself in an answer, whichever request that is for. */
+void pwhint_heed(pw_gate *g, pw_target *t, int status, const pw_told *told);
+
 /* --- pwlink.c: control instances --- */
 
 pw_link *pwlink_new(pw_gate *g, pw_buf *err);
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -106,6 +106,7 @@
     return;
   }
   u->is_surplus = pwexchange_is_surplus(u->x, &u->answer, &told);
+  pwhint_heed(u->g, u->t, u->answer.parser.status_code, &told);
   if (!u->is_surplus)
     pwexchange_head(u->x, &u->answer, &told);
 }
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -4,6 +4,7 @@
 
 #include "pwcold.h"
 #include "pwdialect.h"
+#include "pwholdoff.h"
 #include "pwloads.h"
 #include "pwpick.h"
 
@@ -32,10 +33,11 @@
   int64_t claimed_at; /* when it named the address since then; 0: it has not */
   int is_silent;      /* it has missed its heartbeats */
   uint64_t seq;
-  int64_t heard_at;  /* its newest heartbeat, ms */
-  int64_t joined_at; /* when it started, about, ms */
-  pw_cold cold;      /* what it bears after its start */
-  int is_evacuated;  /* its availability zone is: nothing new goes there */
+  int64_t heard_at;    /* its newest heartbeat, ms */
+  int64_t joined_at;   /* when it started, about, ms */
+  pw_cold cold;        /* what it bears after its start */
+  int is_evacuated;    /* its availability zone is: nothing new goes there */
+  pw_holdoff hold_off; /* it has asked to be left alone */
 
   int inflight; /* requests of this gateway that it has */
   int others;   /* and of the other gateways, as they said last */
@@ -184,6 +186,17 @@
 /* It could not be reached: no connection came up. */
 void pwfleet_unreached(pw_target *t, int64_t now);
 
+/* It asks in an answer to be left alone for `ms`; gives whether that is longer than was known. */
+int pwfleet_note_hold_off(pw_target *t, int64_t ms, int64_t now);
+
+/* Whether a request may be sent to it at all, also one that it had before: it has not ended, does not
+** leave, is not evacuated and has not asked to be left alone. */
+int pwfleet_may_send(const pw_target *t, int64_t now);
+
+/* Ms until the first target of a service may be asked, of which each that could be has asked to be left
+** alone; 0: there is another, or none at all. */
+int64_t pwfleet_held_off(pw_fleet *f, const char *service, int64_t now);
+
 /* Whether it has shown no sign of life for so long that requests which wait for
 ** it are better off elsewhere. */
 int pwfleet_is_dark(const pw_target *t, int64_t now);
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -90,14 +90,19 @@
          t->set_aside <= c->now;
 }
 
-static int is_usable(const pw_fleet *f, const pw_target *t, const common *c) {
-  return is_alive(f, t, c) && !t->is_leaving && !t->is_evacuated &&
-         errors_of(t, c->now) <= c->errors + ERROR_MARGIN;
+/* Whether it stays, and where it stands. */
+static int stays(const pw_target *t) {
+  return !t->is_gone && !t->is_leaving && !t->is_evacuated;
 }
 
-/* Where none is usable: whatever has not ended, is not leaving and may be sent to. */
-static int is_last_resort(const pw_target *t) {
-  return !t->is_gone && !t->is_leaving && !t->is_evacuated;
+int pwfleet_may_send(const pw_target *t, int64_t now) {
+  return stays(t) && pwholdoff_left(&t->hold_off, now) == 0;
+}
+
+/* Where none is usable, whatever may be sent to is the last resort. */
+static int is_usable(const pw_fleet *f, const pw_target *t, const common *c) {
+  return is_alive(f, t, c) && pwfleet_may_send(t, c->now) &&
+         errors_of(t, c->now) <= c->errors + ERROR_MARGIN;
 }
 
 static int count(const pw_fleet *f, const char *service, int64_t now,
@@ -118,12 +123,26 @@
   return count(f, service, now, is_alive);
 }
 
+int64_t pwfleet_held_off(pw_fleet *f, const char *service, int64_t now) {
+  int64_t least = 0;
+  for (const pw_target *t = f->by_id; t; t = t->hh.next) {
+    if (strcmp(t->service, service) != 0 || !stays(t))
+      continue;
+    int64_t left = pwholdoff_left(&t->hold_off, now);
+    if (left == 0)
+      return 0;
+    if (least == 0 || left < least)
+      least = left;
+  }
+  return least;
+}
+
 pw_fleet_sum pwfleet_sum(pw_fleet *f, const char *service, int64_t now) {
   common c = common_of(f, service, now);
   pw_fleet_sum out = {0};
   int n = 0;
   for (pw_target *t = f->by_id; t; t = t->hh.next) {
-    if (strcmp(t->service, service) != 0 || t->is_leaving || t->is_evacuated ||
+    if (strcmp(t->service, service) != 0 || !pwfleet_may_send(t, now) ||
         !is_alive(f, t, &c))
       continue;
     out.slots += t->slots;
@@ -200,8 +219,8 @@
     who[n++] = t;
   }
   for (int i = 0; usable == 0 && i < n; i++)
-    row[i].is_usable = is_last_resort(who[i]) && !was_tried(ask, who[i]) &&
-                       has_connection(who[i], ask) &&
+    row[i].is_usable = pwfleet_may_send(who[i], c->now) &&
+                       !was_tried(ask, who[i]) && has_connection(who[i], ask) &&
                        is_its_turn(who[i], ask, c->now);
   return n;
 }
@@ -254,6 +273,10 @@
   t->errors_at = now;
 }
 
+int pwfleet_note_hold_off(pw_target *t, int64_t ms, int64_t now) {
+  return pwholdoff_asked(&t->hold_off, ms, now);
+}
+
 void pwfleet_answered(pw_target *t, double work_ms, int64_t now) {
   t->failures = 0;
   t->set_aside = 0;
--- /dev/null
+++ b/tests/test_holdoff.c
@@ -0,0 +1,134 @@
+/* test_holdoff.c: targets that turn requests away, ask to be left alone, or say that they leave,
+** without a process. What happened stands in 54_hold_off and 55_says_leaving. */
+#include "pwbuf.h"
+#include "pwfleet.h"
+#include "pwholdoff.h"
+#include "pwlimits.h"
+#include "pwtest.h"
+
+#include <stdio.h>
+#include <string.h>
+
+enum { BEAT_MS = 100, KEEP_MS = 1000 };
+
+/* A shorter wish does not end a longer one; what is longer than a day is a day. */
+static void test_wishes(void) {
+  pw_holdoff h = {0};
+  CHECK(pwholdoff_left(&h, 5000) == 0);
+  CHECK(pwholdoff_asked(&h, 3000, 1000));
+  CHECK(pwholdoff_left(&h, 1000) == 3000 && pwholdoff_left(&h, 3999) == 1);
+  CHECK(pwholdoff_left(&h, 4000) == 0);
+  CHECK(!pwholdoff_asked(&h, 500, 2000));
+  CHECK(pwholdoff_left(&h, 2000) == 2000);
+  CHECK(pwholdoff_asked(&h, 2500, 2000)); /* it asks again */
+  CHECK(pwholdoff_left(&h, 2000) == 2500);
+  CHECK(pwholdoff_asked(&h, 1, 9000) && pwholdoff_left(&h, 9000) == 1);
+  CHECK(pwholdoff_asked(&h, INT64_MAX, 9000));
+  CHECK(pwholdoff_left(&h, 9000) == PW_HOLD_OFF_MAX_MS);
+}
+
+/* --- targets --- */
+
+static pw_beat beat(const char *id, int port, uint64_t seq) {
+  pw_beat b = {.slots = 4, .seq = seq, .born = 1000};
+  pw_copy(b.id, sizeof b.id, id);
+  pw_copy(b.service, sizeof b.service, "s");
+  snprintf(b.address, sizeof b.address, "10.0.0.1:%d", port);
+  pw_copy(b.availability_zone, sizeof b.availability_zone, "az-1");
+  return b;
+}
+
+/* Three targets: a, b, c. */
+static pw_fleet *fleet_of_three(void) {
+  static const char *const ids[] = {"a", "b", "c"};
+  pw_fleet *f = pwfleet_new("az-1", BEAT_MS, KEEP_MS);
+  for (int i = 0; i < 3; i++) {
+    pw_beat b = beat(ids[i], 80 + i, 1);
+    CHECK(pwfleet_beat(f, &b, 0, 1000) == PWFLEET_JOINED);
+  }
+  return f;
+}
+
+/* Where a request goes whose prompt's key is this; 0: it has none. */
+static pw_target *pick(pw_fleet *f, uint64_t key, int64_t now) {
+  pw_fleet_ask ask = {.service = "s",
+                      .how = PWPICK_BY_HOME,
+                      .is_sticky = key != 0,
+                      .key = key,
+                      .wait_ms = 100,
+                      .draw = 0.3,
+                      .bound = {2, 3, 0, 0},
+                      .part = 1};
+  pw_fleet_picked got = pwfleet_pick(f, &ask, now);
+  pwfleet_drop(got.target);
+  return got.target;
+}
+
+/* It is not picked, by home or by load, nor sent to once more; its places do not count; prompts come
+** home to it again afterwards. */
+static void test_left_alone(void) {
+  pw_fleet *f = fleet_of_three();
+  pw_target *home = pick(f, 7, 1000);
+  CHECK(pwfleet_sum(f, "s", 1000).slots == 12);
+  CHECK(pwfleet_note_hold_off(home, 3000, 1000));
+  CHECK(!pwfleet_note_hold_off(home, 200, 1100));
+  CHECK(!pwfleet_may_send(home, 1100) && pwfleet_usable(f, "s", 1100) == 2);
+  CHECK(pwfleet_sum(f, "s", 1100).slots == 8);
+  pw_target *other = pick(f, 7, 1100);
+  CHECK(other && other != home && pick(f, 7, 1200) == other);
+  for (uint64_t key = 0; key < 200; key++)
+    CHECK(pick(f, key, 1300) != home);
+  CHECK(pwfleet_held_off(f, "s", 1300) == 0); /* others may be asked */
+  pwfleet_answered(home, 5, 1400);            /* one that ran there before */
+  CHECK(!pwfleet_may_send(home, 1400));
+  pw_beat b = beat(home->id, 80, home->seq + 1);
+  b.born = 0; /* another writer's, and one of its own */
+  pwfleet_beat(f, &b, 0, 1500);
+  b = beat(home->id, ntohs(home->addr.sin_port), home->seq + 1);
+  CHECK(pwfleet_beat(f, &b, 0, 1500) == PWFLEET_RENEWED);
+  CHECK(!pwfleet_may_send(home, 3999) && pwfleet_may_send(home, 4000));
+  CHECK(pick(f, 7, 4000) == home);
+  pwfleet_free(f);
+}
+
+/* All ask for it: nothing is sent, not as a last resort either, and the first that may be asked again
+** is known. One that leaves is none of those. */
+static void test_all_left_alone(void) {
+  pw_fleet *f = fleet_of_three();
+  pwfleet_note_hold_off(pwfleet_find(f, "a"), 60000, 1000);
+  pwfleet_note_hold_off(pwfleet_find(f, "b"), 1000, 1000);
+  pwfleet_note_hold_off(pwfleet_find(f, "c"), 1500, 1000);
+  CHECK(pwfleet_usable(f, "s", 1100) == 0 && !pick(f, 0, 1100));
+  CHECK(pwfleet_held_off(f, "s", 1100) == 900);
+  CHECK(pwfleet_sum(f, "s", 1100).slots == 0);
+  CHECK(pick(f, 0, 2000) == pwfleet_find(f, "b"));
+  CHECK(pwfleet_held_off(f, "s", 2000) == 0);
+  pwfleet_free(f);
+}
+
+/* The next start under its id has asked for nothing, and does not leave; what comes late of the start
+** before is held against that one alone. */
+static void test_next_start(void) {
+  pw_fleet *f = fleet_of_three();
+  pw_target *before = pwfleet_find(f, "a");
+  pwfleet_hold(before);
+  pwfleet_note_hold_off(before, 60000, 1000);
+  pw_beat b = beat("a", 80, 1);
+  b.born = 2000;
+  CHECK(pwfleet_beat(f, &b, 0, 2000) == PWFLEET_RESTARTED);
+  pw_target *t = pwfleet_find(f, "a");
+  CHECK(t != before && pwfleet_may_send(t, 2000));
+  pwfleet_note_hold_off(before, 90000, 2000); /* an answer that came late */
+  CHECK(pwfleet_may_send(t, 2000) && !pwfleet_may_send(before, 2000));
+  pwfleet_drop(before);
+  pwfleet_free(f);
+}
+
+int main(void) {
+  TESTS_BEGIN("holdoff");
+  TEST(test_wishes);
+  TEST(test_left_alone);
+  TEST(test_all_left_alone);
+  TEST(test_next_start);
+  TESTS_END();
+}
