A target that says in an answer that it leaves gets nothing more from that gateway

Callers saw: nothing yet; users' pages count each request that reaches such a target more than drainMs after a gateway passed such an answer on. Cause: a target's leaving was known by heartbeats alone, which control may hear seconds later, or never. Neither heartbeats (ready or leaving) nor a return after silence take it back; the next start is another target. It counts wherever leaving does. Ruled out: setting is_leaving, which the next heartbeat that says 'ready' undoes. Telling other gateways and control: each hears it with its own first answer, and a leaving target serves on for seconds.

--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -37,6 +37,8 @@
   int64_t joined_at;   /* when it started, about, ms */
   pw_cold cold;        /* what it bears after its start */
   int is_evacuated;    /* its availability zone is: nothing new goes there */
+  int says_leaving;    /* it has said so in an answer, which this start does not
+                     ** take back */
   pw_holdoff hold_off; /* it has asked to be left alone */
 
   int inflight; /* requests of this gateway that it has */
@@ -186,6 +188,9 @@
 /* It could not be reached: no connection came up. */
 void pwfleet_unreached(pw_target *t, int64_t now);
 
+/* It says in an answer that it leaves; gives whether that is news. */
+int pwfleet_note_leaving(pw_target *t);
+
 /* It asks in an answer to be left alone for `ms`; gives whether that is longer than was known. */
 int pwfleet_note_hold_off(pw_target *t, int64_t ms, int64_t now);
 
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -92,7 +92,7 @@
 
 /* Whether it stays, and where it stands. */
 static int stays(const pw_target *t) {
-  return !t->is_gone && !t->is_leaving && !t->is_evacuated;
+  return !t->is_gone && !t->is_leaving && !t->says_leaving && !t->is_evacuated;
 }
 
 int pwfleet_may_send(const pw_target *t, int64_t now) {
@@ -273,6 +273,12 @@
   t->errors_at = now;
 }
 
+int pwfleet_note_leaving(pw_target *t) {
+  int is_news = !t->says_leaving;
+  t->says_leaving = 1;
+  return is_news;
+}
+
 int pwfleet_note_hold_off(pw_target *t, int64_t ms, int64_t now) {
   return pwholdoff_asked(&t->hold_off, ms, now);
 }
--- a/tests/test_holdoff.c
+++ b/tests/test_holdoff.c
@@ -97,12 +97,15 @@
   pw_fleet *f = fleet_of_three();
   pwfleet_note_hold_off(pwfleet_find(f, "a"), 60000, 1000);
   pwfleet_note_hold_off(pwfleet_find(f, "b"), 1000, 1000);
-  pwfleet_note_hold_off(pwfleet_find(f, "c"), 1500, 1000);
+  pwfleet_note_leaving(pwfleet_find(f, "c"));
   CHECK(pwfleet_usable(f, "s", 1100) == 0 && !pick(f, 0, 1100));
   CHECK(pwfleet_held_off(f, "s", 1100) == 900);
   CHECK(pwfleet_sum(f, "s", 1100).slots == 0);
   CHECK(pick(f, 0, 2000) == pwfleet_find(f, "b"));
   CHECK(pwfleet_held_off(f, "s", 2000) == 0);
+  pwfleet_note_leaving(pwfleet_find(f, "a"));
+  pwfleet_note_leaving(pwfleet_find(f, "b"));
+  CHECK(pwfleet_held_off(f, "s", 1100) == 0 && !pick(f, 0, 2000));
   pwfleet_free(f);
 }
 
@@ -113,22 +116,44 @@
   pw_target *before = pwfleet_find(f, "a");
   pwfleet_hold(before);
   pwfleet_note_hold_off(before, 60000, 1000);
+  pwfleet_note_leaving(before);
   pw_beat b = beat("a", 80, 1);
   b.born = 2000;
   CHECK(pwfleet_beat(f, &b, 0, 2000) == PWFLEET_RESTARTED);
   pw_target *t = pwfleet_find(f, "a");
   CHECK(t != before && pwfleet_may_send(t, 2000));
   pwfleet_note_hold_off(before, 90000, 2000); /* an answer that came late */
+  pwfleet_note_leaving(before);
   CHECK(pwfleet_may_send(t, 2000) && !pwfleet_may_send(before, 2000));
   pwfleet_drop(before);
   pwfleet_free(f);
 }
 
+/* It has said once that it leaves: neither heartbeats that say that it is ready nor silence take that
+** back, and telling it again is no news. */
+static void test_leaving(void) {
+  pw_fleet *f = fleet_of_three();
+  pw_target *t = pwfleet_find(f, "a");
+  CHECK(pwfleet_note_leaving(t) && !pwfleet_note_leaving(t));
+  CHECK(!pwfleet_may_send(t, 1000) && pwfleet_usable(f, "s", 1000) == 2);
+  for (uint64_t seq = 2; seq < 20; seq++) {
+    pw_beat b = beat("a", 80, seq);
+    b.leaving = seq % 3 == 0;
+    pwfleet_beat(f, &b, 0, 1000 + (int64_t)seq * BEAT_MS);
+    CHECK(!pwfleet_may_send(t, 1000 + (int64_t)seq * BEAT_MS));
+  }
+  CHECK(pwfleet_told_silent(f, "a", 1000, 1, 3000) == PWFLEET_SILENT);
+  CHECK(pwfleet_told_silent(f, "a", 1000, 0, 3100) == PWFLEET_BACK);
+  CHECK(!pwfleet_may_send(t, 3100));
+  pwfleet_free(f);
+}
+
 int main(void) {
   TESTS_BEGIN("holdoff");
   TEST(test_wishes);
   TEST(test_left_alone);
   TEST(test_all_left_alone);
   TEST(test_next_start);
+  TEST(test_leaving);
   TESTS_END();
 }
