Targets that turn requests away with room are put off, and gateways tell each other of them

Callers saw: 84 of 692 refused in two seconds though two thirds of the targets were free (targets that turn six in ten away and say nothing of when to come back); at 103 gateways 543 of 3,624, with the wish of targets heeded, too. Cause: each request that is turned away costs a retry, of which there are 0.2 for each request. A gateway that remembers nothing of it meets the same targets again, and one of a hundred meets each so seldom that what it remembers alone helps none. Change: pwreject counts what a target turned away though it had room (its own word, or the load known here), fading by half in a second; it goes between gateways as rows beside the loads, which older gateways pass over. Such targets are picked when no other can have the request, so that their places are still used when all are needed; a full target, and a service all of which turns away, are not put off. Why it holds: what is told reaches all within 0.15 s, so one second without requests costs all gateways together a few refusals and not one each.

--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -76,14 +76,31 @@
     pwexi_give_up(x, PW_E_UNKNOWN, why, 0);
 }
 
+/* Whether the target that turned it away had room, by its own word or by what is known here. */
+static int had_room(const pw_exchange *x) {
+  const pw_told *told = &x->told;
+  if (told->has_load)
+    return pwreject_had_room(told->running + told->waiting, told->slots);
+  return pwreject_had_room(x->t->inflight - 1 + x->t->others, x->t->slots);
+}
+
+static void note_turned_away(pw_exchange *x, int64_t now) {
+  int room = had_room(x);
+  pwexi_note(
+      x, PWTRACE_FAIL, "turned-away",
+      "target=%s status=%d hold_off_ms=%lld leaving=%d load=%d+%d room=%d",
+      x->t->id, x->status, (long long)x->told.hold_off_ms, x->told.is_leaving,
+      x->t->inflight, x->t->others, room);
+  if (x->status == HTTP_STATUS_MISDIRECTED_REQUEST)
+    pwfleet_forget(x->t, now);
+  else
+    pwfleet_rejected(x->t, room, now);
+}
+
 /* The target proved that it did not run it. */
 void pwexi_not_run(pw_exchange *x) {
   int64_t now = pwclock_ms();
-  pwexi_note(x, PWTRACE_FAIL, "turned-away",
-             "target=%s status=%d hold_off_ms=%lld leaving=%d", x->t->id,
-             x->status, (long long)x->told.hold_off_ms, x->told.is_leaving);
-  if (x->status == HTTP_STATUS_MISDIRECTED_REQUEST)
-    pwfleet_forget(x->t, now);
+  note_turned_away(x, now);
   x->runs--;
   x->may_have_run = x->runs > 0;
   pwbuf_free(&x->lines);
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -120,8 +120,10 @@
 
 static void count_own(pw_gossip *s, int64_t now) {
   pwloads_clear(&s->own);
-  for (pw_target *t = pwfleet_first(s->g->fleet); t; t = t->hh.next)
+  for (pw_target *t = pwfleet_first(s->g->fleet); t; t = t->hh.next) {
     pwloads_add(&s->own, t->short_hash, (uint32_t)t->inflight);
+    pwloads_add(&s->own, t->reject_hash, pwreject_told(&t->rejects, now));
+  }
   for (pw_gate_service *one = s->g->services; one; one = one->next)
     pwloads_add(&s->own, key_of(one),
                 (uint32_t)(pwshare_rate(&one->share, now) + 0.5));
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -140,6 +140,7 @@
   t->hash = XXH3_64bits(t->id, strlen(t->id));
   t->start_hash = hash_start(t);
   t->short_hash = (uint32_t)(t->start_hash >> 32);
+  t->reject_hash = (uint32_t)t->start_hash;
   t->heard_at = heard_at;
   t->joined_at = heard_at - (int64_t)b->seq * f->beat_ms;
   HASH_ADD_STR(f->by_id, id, t);
@@ -368,5 +369,8 @@
     uint32_t sum = pwloads_get(all, t->short_hash);
     uint32_t mine = pwloads_get(own, t->short_hash);
     t->others = sum > mine ? (int)(sum - mine) : 0;
+    sum = pwloads_get(all, t->reject_hash);
+    mine = pwloads_get(own, t->reject_hash);
+    t->others_rejects = sum > mine ? pwreject_heard(sum - mine) : 0;
   }
 }
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -7,6 +7,7 @@
 #include "pwholdoff.h"
 #include "pwloads.h"
 #include "pwpick.h"
+#include "pwreject.h"
 
 #include <netinet/in.h>
 #include <stdint.h>
@@ -25,7 +26,8 @@
   uint64_t hash; /* of its id: prompts come home to the next start, too */
   uint64_t
       start_hash; /* of this start: what is known of another is not of this */
-  uint32_t short_hash; /* names this start between gateways */
+  uint32_t short_hash;  /* names this start between gateways ... */
+  uint32_t reject_hash; /* ... and what it turned away */
   int slots;
   int is_leaving;
   int is_gone;
@@ -41,8 +43,10 @@
                      ** take back */
   pw_holdoff hold_off; /* it has asked to be left alone */
 
-  int inflight; /* requests of this gateway that it has */
-  int others;   /* and of the other gateways, as they said last */
+  int inflight;          /* requests of this gateway that it has */
+  int others;            /* and of the other gateways, as they said last */
+  pw_reject rejects;     /* requests of this gateway that it turned away ... */
+  double others_rejects; /* ... and of the others, lately, as they said last */
   int nconns;
   pw_upconn *idle; /* connections at rest, the newest first */
 
@@ -136,7 +140,7 @@
 /* How many are known that have not ended. */
 int pwfleet_count(const pw_fleet *f);
 
-/* What all gateways have at targets, and what of it is this one's own;
+/* What all gateways have at targets and what these turned away, and what of it is this one's own;
 ** it is `age_ms` old, about, until it is said anew. */
 void pwfleet_note_loads(pw_fleet *f, const pw_loads *all, const pw_loads *own,
                         int64_t age_ms);
@@ -194,6 +198,9 @@
 /* It asks in an answer to be left alone for `ms`; gives whether that is longer than was known. */
 int pwfleet_note_hold_off(pw_target *t, int64_t ms, int64_t now);
 
+/* It turned a request away with a proof; `had_room`: it was not full. */
+void pwfleet_rejected(pw_target *t, int had_room, int64_t now);
+
 /* Whether a request may be sent to it at all, also one that it had before: it has not ended, does not
 ** leave, is not evacuated and has not asked to be left alone. */
 int pwfleet_may_send(const pw_target *t, int64_t now);
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -196,6 +196,11 @@
   return pwcold_may(&t->cold, &ask->cold, ask->part, ask->draw, now);
 }
 
+/* Whether others are preferred, since it turns requests away though it has room. */
+static int is_avoided(const pw_target *t, int64_t now) {
+  return pwreject_avoids(pwreject_now(&t->rejects, now) + t->others_rejects);
+}
+
 /* The targets of the service as rows; gives how many. */
 static int fill_rows(pw_fleet *f, const pw_fleet_ask *ask, const common *c,
                      pw_pick *row, pw_target **who) {
@@ -241,6 +246,24 @@
   return best;
 }
 
+/* Those that are avoided come last: only when no other can have it. */
+static int pick_of_all(pw_fleet *f, const pw_fleet_ask *ask, pw_pick *row,
+                       pw_target *const *who, int n, int64_t now) {
+  char is_put_off[PICKS_MAX];
+  int put_off = 0;
+  for (int i = 0; i < n; i++) {
+    is_put_off[i] = row[i].is_usable && is_avoided(who[i], now);
+    put_off += is_put_off[i];
+    row[i].is_usable &= !is_put_off[i];
+  }
+  int best = pick_row(f, ask, row, n);
+  if (best >= 0 || put_off == 0)
+    return best;
+  for (int i = 0; i < n; i++)
+    row[i].is_usable |= is_put_off[i];
+  return pick_row(f, ask, row, n);
+}
+
 pw_fleet_picked pwfleet_pick(pw_fleet *f, const pw_fleet_ask *ask,
                              int64_t now) {
   pw_pick row[PICKS_MAX];
@@ -248,7 +271,7 @@
   pw_fleet_picked out = {0};
   common c = common_of(f, ask->service, now);
   int n = fill_rows(f, ask, &c, row, who);
-  int best = pick_row(f, ask, row, n);
+  int best = pick_of_all(f, ask, row, who, n, now);
   if (best < 0)
     return out;
   out.target = pwfleet_hold(who[best]);
@@ -273,6 +296,12 @@
   t->errors_at = now;
 }
 
+void pwfleet_rejected(pw_target *t, int had_room, int64_t now) {
+  t->seen_at = t->answered_at = now;
+  if (had_room)
+    pwreject_note(&t->rejects, now);
+}
+
 int pwfleet_note_leaving(pw_target *t) {
   int is_news = !t->says_leaving;
   t->says_leaving = 1;
