Gateways tell each other of targets that they can't reach

Callers saw: a third of the targets dark, 398 of 3,469 and 401 of 3,563 answered late in the third and fifth second after, with 103 gateways; some for eight seconds. Cause: each gateway waits 0.3 s for a connection to each such target before it sets it aside, and does so again each time that ends; heartbeats tell of it after four of them. Change: one that is set aside since no connection came up counts as one that takes no requests (pwreject), which other gateways put off for a second. Why it holds: put off is not put out: where no other has room it is asked all the same, so that a wrong word costs nothing. Tests: test_reject (test_out_of_reach).

--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -27,7 +27,7 @@
   uint64_t
       start_hash; /* of this start: what is known of another is not of this */
   uint32_t short_hash;  /* names this start between gateways ... */
-  uint32_t reject_hash; /* ... and what it turned away */
+  uint32_t reject_hash; /* ... and what it did not take */
   int slots;
   int is_leaving;
   int is_gone;
@@ -45,7 +45,7 @@
 
   int inflight;          /* requests of this gateway that it has */
   int others;            /* and of the other gateways, as they said last */
-  pw_reject rejects;     /* requests of this gateway that it turned away ... */
+  pw_reject rejects;     /* requests of this gateway that it did not take ... */
   double others_rejects; /* ... and of the others, lately, as they said last */
   int nconns;
   pw_upconn *idle; /* connections at rest, the newest first */
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -196,7 +196,7 @@
   return pwcold_may(&t->cold, &ask->cold, ask->part, ask->draw, now);
 }
 
-/* Whether others are preferred, since it turns requests away though it has room. */
+/* Whether others are preferred, since it did not take requests lately. */
 static int is_avoided(const pw_target *t, int64_t now) {
   return pwreject_avoids(pwreject_now(&t->rejects, now) + t->others_rejects);
 }
@@ -348,6 +348,8 @@
 ** nothing of a target that has just sent something. */
 void pwfleet_unreached(pw_target *t, int64_t now) {
   t->failures++;
-  if (t->failures >= ASIDE_AFTER || pwfleet_is_dark(t, now))
-    set_aside(t, t->failures - 1, now);
+  if (t->failures < ASIDE_AFTER && !pwfleet_is_dark(t, now))
+    return;
+  set_aside(t, t->failures - 1, now);
+  pwreject_note(&t->rejects, now); /* each gateway would wait in vain, too */
 }
--- a/packages/policy/pwreject.c
+++ b/packages/policy/pwreject.c
@@ -1,4 +1,4 @@
-/* pwreject.c: which targets turn requests away though they have room. */
+/* pwreject.c: which targets turn requests away though they have room, or can't be reached. */
 #include "pwreject.h"
 
 #include <math.h>
--- a/tests/test_reject.c
+++ b/tests/test_reject.c
@@ -99,6 +99,37 @@
   pwfleet_free(f);
 }
 
+/* A third of the targets go dark: each of 103 gateways waited 0.3 s for a connection to each of them, and
+** 401 of 3,563 callers in two seconds were answered late, up to eight seconds after. One that finds a
+** target out of reach tells the others; one lost packet of a target that has just sent something says
+** nothing. */
+static void test_out_of_reach(void) {
+  pw_fleet *f[2] = {fleet_of(3), fleet_of(3)};
+  pw_target *here = pwfleet_find(f[0], "t1"), *there = pwfleet_find(f[1], "t1");
+  pw_loads all = {0}, own = {0}, nothing = {0};
+  here->seen_at = 60000;
+  pwfleet_unreached(here, 60001);
+  CHECK(pwreject_told(&here->rejects, 60001) == 0);
+  here->failures = 0;
+  pwfleet_unreached(here, 62000);
+  CHECK(here->set_aside > 62000);
+  pwloads_add(&own, here->reject_hash, pwreject_told(&here->rejects, 62000));
+  pwloads_add(&all, here->reject_hash, pwreject_told(&here->rejects, 62000));
+  pwfleet_note_loads(f[1], &all, &nothing, 100);
+  CHECK(there->set_aside == 0);
+  for (uint64_t key = 0; key < 100; key++)
+    CHECK(pick(f[1], key, 0.5, NULL, 0, 62100) != there);
+  pwfleet_note_loads(f[1], &nothing, &nothing, 100); /* it is told no more */
+  int back = 0;
+  for (uint64_t key = 0; key < 100; key++)
+    back += pick(f[1], key, 0.5, NULL, 0, 64000) == there;
+  CHECK(back > 0);
+  pwloads_free(&all);
+  pwloads_free(&own);
+  pwfleet_free(f[0]);
+  pwfleet_free(f[1]);
+}
+
 /* --- the load --- */
 
 typedef enum way { NOTHING, ALONE, TOLD } way;
@@ -228,6 +259,7 @@
   TEST(test_counts);
   TEST(test_put_off);
   TEST(test_full);
+  TEST(test_out_of_reach);
   TEST(test_load);
   TESTS_END();
 }
