Model test: control instances are suspended, and disks lost while all others lose power

What users rely on: an accepted change is never lost and a read never older than what was told as accepted, also when a control instance stands still for seconds and its steady clock does not count that, or when power goes everywhere as disks are lost. Change: test_suspended: nodes stand still for up to three leases, the leader half of the time, and one in twenty times right as it tells that a change is accepted; at the end as many disks are lost as may be while all others lose power. A mutation, a clock that does not count the time (30), must be caught. Draws of their own: the seeds of test_models run as before. Ruled out by it: leases that outlive a pause (the mutation breaks 'a read under the lease missed an accepted change').

--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -16,7 +16,8 @@
 #endif
 enum {
   MUT_SAME_IDENTITY = 13, /* an emptied disk comes back as who it was */
-  MUT_SKIP_SYNC = 14      /* nothing is stored before it is spoken of */
+  MUT_SKIP_SYNC = 14,     /* nothing is stored before it is spoken of */
+  MUT_STEADY_CLOCK = 30   /* time that a node was suspended is not counted */
 };
 
 #define NODES 5
@@ -41,6 +42,8 @@
   pw_cons *cons;
   pw_state *state;
   int up, frozen, cut;
+  int64_t wakes_at; /* suspended until then; 0: it is not */
+  int64_t lost;     /* ms that its clock did not count */
   int64_t join_at;
   uint64_t applied;
 } node;
@@ -70,6 +73,10 @@
   node *flickers;     /* its link comes and goes until cut_at; NULL: nobody's */
   int64_t cut_at;
   int calm;
+  pw_random
+      pauses; /* of their own, so that others' draws are as without them */
+  int suspends; /* nodes are suspended for a while, and disks are lost at the end */
+  int nsuspended;
   const char *broken;
 } model;
 
@@ -117,10 +124,15 @@
 
 /* --- nodes --- */
 
+/* A node's clock, as pwclock_ms counts. */
+static int64_t now_of(const model *m, const node *x) {
+  return m->now - x->lost;
+}
+
 static void start(model *m, node *x) {
   pw_cons_setup s = {.id = x->d.id,
                      .seed = pwrand(&m->rnd),
-                     .now = m->now,
+                     .now = now_of(m, x),
                      .heartbeat = 100,
                      .retry = 200,
                      .lease = LEASE,
@@ -223,6 +235,47 @@
   *won = o->revision;
 }
 
+/* --- suspensions --- */
+
+enum { SUSPEND_STEPS = 150, SUSPEND_ACKS = 20, SUSPEND_LEASES = 3 };
+
+/* It stands still for up to some leases, at any moment. Its clock counts that time. */
+static void suspend(model *m, node *x) {
+  if (!x->up || x->frozen)
+    return;
+  int64_t ms = 1 + (int64_t)pwrand_below(&m->pauses, SUSPEND_LEASES * LEASE);
+  x->frozen = 1;
+  x->wakes_at = m->now + ms;
+  m->nsuspended++;
+  if (PW_MUTATION == MUT_STEADY_CLOCK)
+    x->lost += ms;
+}
+
+static void wake(const model *m, node *x) {
+  if (!x->wakes_at || (m->now < x->wakes_at && !m->calm))
+    return;
+  x->wakes_at = 0;
+  x->frozen = 0;
+}
+
+static node *leader(model *m);
+
+/* The leader, or any one, in the middle of anything. */
+static void suspend_some(model *m) {
+  if (m->calm || pwrand_below(&m->pauses, SUSPEND_STEPS))
+    return;
+  node *x = &m->n[pwrand_below(&m->pauses, (uint64_t)m->count)];
+  if (pwrand_below(&m->pauses, 2) && leader(m))
+    x = leader(m);
+  suspend(m, x);
+}
+
+/* Right as it tells that a change is accepted. */
+static void suspend_at_ack(model *m, node *x) {
+  if (!m->calm && pwrand_below(&m->pauses, SUSPEND_ACKS) == 0)
+    suspend(m, x);
+}
+
 static void apply(model *m, node *x, const Pw__Entry *e) {
   Pw__Outcome *o = NULL;
   Pw__Claimed *cl = NULL;
@@ -241,8 +294,11 @@
   /* The leader tells the caller: from here on it may never be lost. */
   int leads =
       pwcons_role(x->cons) == PWCONS_LEADER && e->term == pwcons_term(x->cons);
-  if (o && o->code == PW_OK && leads && o->revision > m->acked_revision)
+  if (o && o->code == PW_OK && leads && o->revision > m->acked_revision) {
     m->acked_revision = o->revision;
+    if (m->suspends)
+      suspend_at_ack(m, x);
+  }
   if (o)
     pw__outcome__free_unpacked(o, NULL);
   if (cl)
@@ -262,7 +318,7 @@
 
 /* A read under the lease sees every change that was told as accepted. */
 static void read_under_lease(model *m, const node *x) {
-  if (pwcons_lease(x->cons, m->now) &&
+  if (pwcons_lease(x->cons, now_of(m, x)) &&
       pwres_revision(pwstate_resources(x->state)) < m->acked_revision)
     violate(m, "a read under the lease missed an accepted change");
 }
@@ -378,7 +434,7 @@
     }
     m->f[i] = m->f[--m->nf];
     if (to && to->up && !to->cut)
-      pwcons_step(to->cons, m->now, msg);
+      pwcons_step(to->cons, now_of(m, to), msg);
     pw__cons__free_unpacked(msg, NULL);
     if (to && to->up)
       work(m, to);
@@ -521,7 +577,7 @@
     break;
   case 12:
     if (x->up && !x->frozen)
-      pwcons_hand_over(x->cons, m->now);
+      pwcons_hand_over(x->cons, now_of(m, x));
     break;
   case 13:
     restart_all(m, NULL);
@@ -543,6 +599,8 @@
   m->now += 1 + (int64_t)pwrand_below(&m->rnd, 15);
   if (!m->calm && pwrand_below(&m->rnd, 60) == 0)
     disturb(m);
+  if (m->suspends)
+    suspend_some(m);
   if (m->flickers && !m->calm)
     m->flickers->cut = m->now >= m->cut_at || pwrand_below(&m->rnd, 4) > 0;
   if (m->now >= m->cut_at)
@@ -553,10 +611,11 @@
       join(m, x);
       continue;
     }
+    wake(m, x);
     if (!x->up || x->frozen)
       continue;
     read_under_lease(m, x); /* one that was frozen may be asked first */
-    pwcons_tick(x->cons, m->now);
+    pwcons_tick(x->cons, now_of(m, x));
     int lost = m->size && pwcons_silence(x->cons) > 3 * LEASE;
     if (lost || pwmember_seeks(x->cons, x->d.id, LEASE))
       join(m, x);
@@ -571,6 +630,14 @@
   deliver(m);
 }
 
+/* As many disks are lost as may be, and all others lose power at the same moment. */
+static void lose_disks(model *m) {
+  for (int i = 0; i < m->count; i++)
+    if (may_lose(m, &m->n[i]))
+      swap_disk(m, &m->n[i]);
+  restart_all(m, NULL);
+}
+
 /* Everything is mended: the group must come to one leader and one state. */
 static void settle(model *m) {
   m->calm = 1;
@@ -586,7 +653,7 @@
   while (m->now < until && !m->broken && !done) {
     step(m);
     node *l = leader(m);
-    done = l && pwcons_lease(l->cons, m->now);
+    done = l && pwcons_lease(l->cons, now_of(m, l));
     for (int i = 0; done && i < m->count; i++)
       done = m->n[i].up && m->n[i].applied + 20 > l->applied &&
              has_its_place(m, l, &m->n[i]);
@@ -646,18 +713,24 @@
     pw__cons__free_unpacked(m->f[--m->nf].m, NULL);
 }
 
-static const char *run_seed(uint64_t seed, int steps, uint64_t *proposals) {
+static const char *run_seed(uint64_t seed, int steps, int suspends,
+                            uint64_t *proposals) {
   static model m; /* large */
   found(&m, seed, 0);
+  m.suspends = suspends;
+  m.pauses = (pw_random){.seed = ~seed};
   for (int i = 0; i < m.count; i++)
     start(&m, &m.n[i]);
   for (int i = 0; i < steps && !m.broken; i++)
     step(&m);
+  if (!m.broken && suspends)
+    lose_disks(&m);
   if (!m.broken)
     settle(&m);
   if (m.broken)
     show(&m);
   end(&m);
+  CHECK(!suspends || m.broken || m.nsuspended > 0);
   *proposals += m.proposals;
   return m.broken;
 }
@@ -861,13 +934,15 @@
 
 static int seeds = 300;
 
-static void test_models(void) {
+/* `suspends`: nodes are suspended beside all else, and disks are lost at the end. */
+static void run_models(int suspends) {
   const char *one = getenv("PW_SEED");
   uint64_t first = test_seed(1);
-  int n = one ? 1 : seeds;
+  int n = one ? 1 : suspends ? seeds / 3 : seeds; /* they take twice as long */
   uint64_t proposals = 0;
   for (int i = 0; i < n; i++) {
-    const char *broken = run_seed(first + (uint64_t)i, 3000, &proposals);
+    const char *broken =
+        run_seed(first + (uint64_t)i, 3000, suspends, &proposals);
     if (broken) {
       printf("PW_SEED=%llu: %s\n", (unsigned long long)first + i, broken);
       CHECK(0);
@@ -878,6 +953,17 @@
   CHECK(proposals > 0);
 }
 
+static void test_models(void) {
+  run_models(0);
+}
+
+/* A control instance may be suspended for seconds at any moment, the leader as it tells that a change is
+** accepted, too: woken, it answers no read by a lease that has run out meanwhile. At the end as many
+** disks are lost as may be while all others lose power. */
+static void test_suspended(void) {
+  run_models(1);
+}
+
 static void time_starts(int absent, int64_t *mean, int64_t *most) {
   enum { STARTS = 300, SPREAD = LEASE * 3 / 5 };
   uint64_t first = test_seed(21);
@@ -922,5 +1008,6 @@
   TEST(test_cold_start);
   TEST(test_all_start);
   TEST(test_models);
+  TEST(test_suspended);
   TESTS_END();
 }
--- a/tests/test_reject.c
+++ b/tests/test_reject.c
@@ -294,10 +294,10 @@
       p[how] = play(&loads[i], (way)how, &r);
     }
     printf("%d gateways, %.1f turned away: refused %.3f, alone %.3f, told "
-           "%.3f; of what ran %.2f, %.2f, %.2f; after %.2f\n",
+           "%.3f; of what ran %.2f, %.2f, %.2f; after %.2f (%.2f)\n",
            loads[i].gateways, loads[i].x, p[NOTHING].refused, p[ALONE].refused,
            p[TOLD].refused, p[NOTHING].there, p[ALONE].there, p[TOLD].there,
-           p[TOLD].after);
+           p[TOLD].after, p[NOTHING].after);
     CHECK(p[TOLD].refused < 0.01);
     CHECK(fabs(p[TOLD].after - p[NOTHING].after) < 0.08);
     if (loads[i].x > 0.5) {
