Targets that did not take a request are put off for 1.5 s, by when and not by how often

Cause: a count of what was turned away, summed over gateways, takes longer to fade the more there were of them. Change: when, in place of how often: pw_reject holds the time of the last request that was not taken; gateways and agents tell only whether that is recent. Less code, one limit in place of four. Beside it: the waits for targets that were not told of a pool are named for what they do (reask, reasks_total: 'settle' meant two things), status sums once what is in force, a comment that said the same twice is gone.

--- a/packages/agent/pwagrun.c
+++ b/packages/agent/pwagrun.c
@@ -22,7 +22,7 @@
   l->incarnation = pwwire_incarnation(a->p->wire);
   l->retry_after = pwadmit_wait(&a->admit, "", 1, 0);
   l->held_off = (uint64_t)pwholdoff_left(&a->admit.hold_off, now);
-  l->turned_away = pwreject_told(&a->rejects, now);
+  l->turned_away = pwreject_is_recent(&a->rejects, now);
   pwcount_set(a->p->counters, PWC_LOAD, (int64_t)l->tokens);
   pwcount_set(a->p->counters, PWC_QUEUE, l->queued);
 }
--- a/packages/control/pwctlcall.c
+++ b/packages/control/pwctlcall.c
@@ -30,12 +30,12 @@
   return sum;
 }
 
-static json_t *in_force(pw_control *c, int64_t now) {
-  pw_feed_sum sum = sum_up(c);
+static json_t *in_force(const pw_control *c, const pw_feed_sum *sum,
+                        int64_t now) {
   return json_pack("{s:I,s:i,s:i,s:s,s:b}", "revision",
-                   (json_int_t)sum.revision, "processes", (int)sum.count,
-                   "entries", (int)sum.entries, "behind", sum.behind, "settled",
-                   is_settled(c, now));
+                   (json_int_t)sum->revision, "processes", (int)sum->count,
+                   "entries", (int)sum->entries, "behind", sum->behind,
+                   "settled", is_settled(c, now));
 }
 
 static json_t *evacuated_json(const pw_control *c) {
@@ -48,17 +48,19 @@
 
 static json_t *status_json(pw_control *c, int64_t now) {
   char group[24];
+  pw_feed_sum sum = sum_up(c);
   snprintf(group, sizeof group, "%016llx",
            (unsigned long long)pwgroup_number(c->group));
-  return json_pack(
-      "{s:I,s:s,s:I,s:s,s:o,s:o,s:o,s:o,s:o,s:o,s:i}", "revision",
-      (json_int_t)pwres_revision(pwctl_resources(c)), "group", group, "term",
-      (json_int_t)pwgroup_term(c->group), "leader",
-      pwgroup_leader_http(c->group), "in_force", in_force(c, now), "members",
-      pwgroup_json(c->group), "children", pwfeed_json(c->feed, now), "rollouts",
-      pwplanner_json(c->planner, sum_up(c).revision, now), "availability_zones",
-      pwwatch_zones_json(c->watch), "evacuated", evacuated_json(c),
-      "once_claims", (int)pwonce_count(pwstate_once(pwgroup_state(c->group))));
+  return json_pack("{s:I,s:s,s:I,s:s,s:o,s:o,s:o,s:o,s:o,s:o,s:i}", "revision",
+                   (json_int_t)pwres_revision(pwctl_resources(c)), "group",
+                   group, "term", (json_int_t)pwgroup_term(c->group), "leader",
+                   pwgroup_leader_http(c->group), "in_force",
+                   in_force(c, &sum, now), "members", pwgroup_json(c->group),
+                   "children", pwfeed_json(c->feed, now), "rollouts",
+                   pwplanner_json(c->planner, sum.revision, now),
+                   "availability_zones", pwwatch_zones_json(c->watch),
+                   "evacuated", evacuated_json(c), "once_claims",
+                   (int)pwonce_count(pwstate_once(pwgroup_state(c->group))));
 }
 
 /* --- reads --- */
@@ -66,7 +68,8 @@
 static json_t *with_observed(pw_control *c, const pw_resource *one,
                              int64_t now) {
   json_t *o = pwapi_resource(one);
-  json_t *force = in_force(c, now);
+  pw_feed_sum sum = sum_up(c);
+  json_t *force = in_force(c, &sum, now);
   json_int_t revision = json_integer_value(json_object_get(force, "revision"));
   int everywhere = revision >= (json_int_t)one->revision &&
                    json_is_true(json_object_get(force, "settled"));
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -16,7 +16,7 @@
   X(PWC_RETRIES, "retries_total", "counter", "attempts paid from the budget")  \
   X(PWC_RETRY_DENIED, "retries_denied_total", "counter",                       \
     "retries the budget did not allow")                                        \
-  X(PWC_SETTLES, "settles_total", "counter",                                   \
+  X(PWC_REASKS, "reasks_total", "counter",                                     \
     "waits for targets that were not told of a pool yet")                      \
   X(PWC_HOPS, "refused_hops_total", "counter",                                 \
     "attempts an agent refused with proof and that went on elsewhere")         \
--- a/packages/entry/pwattempt.c
+++ b/packages/entry/pwattempt.c
@@ -10,9 +10,9 @@
 ** one of the two is told within a moment. Nobody else being left, it is asked again after 20, 40, ...
 ** 640 ms, 1.26 s in all: what was lost on the way is told again after 1 s (pwfeed). Each time so many
 ** targets are asked at most. */
-#define SETTLES_MAX 6
-#define SETTLE_FIRST_MS 20
-#define SETTLE_ASKS 2
+#define REASKS_MAX 6
+#define REASK_FIRST_MS 20
+#define REASK_TARGETS 2
 
 /* A claim is settled only by a whole answer or a proof that it did not run;
 ** with neither it stays claimed, and resends learn that. */
@@ -133,18 +133,18 @@
   pwtargets_ask(fs->targets, t, now);
 }
 
-int64_t pwfl_settle_ms(const pw_flight *f) {
-  return (int64_t)SETTLE_FIRST_MS << (f->settles - 1);
+int64_t pwfl_reask_ms(const pw_flight *f) {
+  return (int64_t)REASK_FIRST_MS << (f->reasks - 1);
 }
 
-static void begin_settling(pw_flights *fs, pw_flight *f, int64_t now) {
-  f->state = F_SETTLING;
+static void await_reask(pw_flights *fs, pw_flight *f, int64_t now) {
+  f->state = F_REASKING;
   f->since = now;
-  f->settles++;
-  pwcount_add(fs->p->counters, PWC_SETTLES, 1);
+  f->reasks++;
+  pwcount_add(fs->p->counters, PWC_REASKS, 1);
   pwevent_add(fs->p->events, PWE_REFUSED, PW_E_NO_TARGET, f->call->request,
-              f->call->chat, "", "pool=%s hops=%d settles=%d", f->pool, f->hops,
-              f->settles);
+              f->call->chat, "", "pool=%s hops=%d reasks=%d", f->pool, f->hops,
+              f->reasks);
 }
 
 void pwfl_place(pw_flights *fs, pw_flight *f, const pw_policy *policy,
@@ -160,18 +160,18 @@
     t = pwfl_pick(fs, f, policy, now);
   if (t)
     go_to(fs, f, t, now);
-  else if (f->last_code == PW_E_NO_TARGET && f->settles < SETTLES_MAX)
-    begin_settling(fs, f, now);
+  else if (f->last_code == PW_E_NO_TARGET && f->reasks < REASKS_MAX)
+    await_reask(fs, f, now);
   else
     pwfl_fail(fs, f, f->last_code ? f->last_code : PW_E_NO_TARGET, now);
 }
 
-void pwfl_end_settling(pw_flights *fs, pw_flight *f, const pw_policy *policy,
-                       int64_t now) {
+void pwfl_reask(pw_flights *fs, pw_flight *f, const pw_policy *policy,
+                int64_t now) {
   f->state = F_OPENING;
   f->pool = f->call->pool;
   f->walk.ntried = 0;
-  f->hops = PW_HOPS_MAX + 1 - SETTLE_ASKS;
+  f->hops = PW_HOPS_MAX + 1 - REASK_TARGETS;
   f->last_code = PW_OK;
   pwfl_place(fs, f, policy, now);
 }
--- a/packages/entry/pwfl.h
+++ b/packages/entry/pwfl.h
@@ -19,7 +19,7 @@
   F_CLAIMING, /* waits for the once-ledger */
   F_OPENING,  /* waits for a cold link; nothing was sent */
   F_PAUSING,  /* before a stream is resumed */
-  F_SETTLING, /* targets that serve its pool were not told of it yet */
+  F_REASKING, /* targets that serve its pool were not told of it yet */
   F_SENT,     /* a Run is out, no Head yet */
   F_ANSWERING,
   F_RECORDING /* answered; the ledger has yet to take the answer */
@@ -35,7 +35,7 @@
   uint64_t incarnation; /* of the agent the Run went to */
   int need_prefix;
   int may_queue;
-  int attempts, hops, resumes, settles;
+  int attempts, hops, resumes, reasks;
   int failed;   /* an attempt broke since the targets tried were cleared */
   int unproven; /* attempts sent that no Refuse has proved not started */
   int got_head; /* the caller's answer has begun */
@@ -116,11 +116,11 @@
                 int64_t now);
 
 /* Asks targets anew that were not told of its pool when they were asked. */
-void pwfl_end_settling(pw_flights *fs, pw_flight *f, const pw_policy *policy,
-                       int64_t now);
+void pwfl_reask(pw_flights *fs, pw_flight *f, const pw_policy *policy,
+                int64_t now);
 
 /* How long it waits before that, ms. */
-int64_t pwfl_settle_ms(const pw_flight *f);
+int64_t pwfl_reask_ms(const pw_flight *f);
 
 /* The attempt is known not to have started: to the next target. */
 void pwfl_hop(pw_flights *fs, pw_flight *f, pw_code code,
--- a/packages/entry/pwflight.c
+++ b/packages/entry/pwflight.c
@@ -212,9 +212,9 @@
       pwfl_end_pause(fs, f, now);
     return;
   }
-  if (f->state == F_SETTLING) {
-    if (now - f->since >= pwfl_settle_ms(f))
-      pwfl_end_settling(fs, f, policy, now);
+  if (f->state == F_REASKING) {
+    if (now - f->since >= pwfl_reask_ms(f))
+      pwfl_reask(fs, f, policy, now);
     return;
   }
   if (f->state == F_OPENING && now - f->since > PW_LINK_OPEN) {
--- a/packages/entry/pwreport.c
+++ b/packages/entry/pwreport.c
@@ -102,7 +102,7 @@
   l->retry_after = t->retry_after;
   if (t->held_until > t->report.at)
     l->held_off = (uint64_t)(t->held_until - t->report.at);
-  l->turned_away = pwreject_told(&t->rejects, t->report.at);
+  l->turned_away = pwreject_is_recent(&t->rejects, t->report.at);
 }
 
 static int is_due(const pw_target *t, int64_t now) {
--- a/packages/entry/pwsuspicion.c
+++ b/packages/entry/pwsuspicion.c
@@ -29,8 +29,7 @@
                   fs);
 }
 
-/* One start of a target. Agents outlive what they stand before and do not tell its starts apart: it
-** takes longer than END_SPAN_MS to start again, and all entries see an end within a moment. */
+/* One start of a target: agents outlive what they stand before and do not tell its starts apart. */
 static uint64_t start_of(const pw_target *t) {
   uint64_t both[2] = {t->id, (uint64_t)(pwclock_wall_ms() / END_SPAN_MS)};
   return XXH3_64bits(both, sizeof both);
--- a/packages/entry/pwtargets.c
+++ b/packages/entry/pwtargets.c
@@ -374,7 +374,8 @@
   one->queued = load->queued;
   one->retry_after = load->retry_after;
   one->held_until = load->held_off ? at + (int64_t)load->held_off : 0;
-  one->rejects = (pw_reject){pwreject_heard(load->turned_away), at};
+  if (load->turned_away)
+    pwreject_note(&one->rejects, at);
   one->pending = 0;
   one->heard = at;
   return reborn;
@@ -429,7 +430,7 @@
 /* It has asked for no requests, or turns them away and there are few retries left. */
 static int turns_away(const pw_target *one, int spares_retries, int64_t now) {
   return now < one->held_until ||
-         (spares_retries && pwreject_avoids(pwreject_now(&one->rejects, now)));
+         (spares_retries && pwreject_is_recent(&one->rejects, now));
 }
 
 static int is_aside(const pw_targets *t, const pw_target *one, uint64_t draw) {
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -122,8 +122,10 @@
   pwloads_clear(&s->own);
   for (pw_target *t = pwfleet_first(s->g->fleet); t; t = t->hh.next) {
     pwloads_add(&s->own, t->short_hash, (uint32_t)t->inflight);
-    pwloads_add(&s->own, t->reject_hash, pwreject_told(&t->rejects, now));
-    pwloads_add(&s->own, t->miss_hash, pwreject_told(&t->misses, now));
+    pwloads_add(&s->own, t->reject_hash,
+                (uint32_t)pwreject_is_recent(&t->rejects, now));
+    pwloads_add(&s->own, t->miss_hash,
+                (uint32_t)pwreject_is_recent(&t->misses, now));
   }
   for (pw_gate_service *one = s->g->services; one; one = one->next)
     pwloads_add(&s->own, key_of(one),
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -365,21 +365,20 @@
   }
 }
 
-/* What the others told of a target. */
-static double heard(const pw_loads *all, const pw_loads *own, uint32_t hash) {
-  uint32_t sum = pwloads_get(all, hash);
-  uint32_t mine = pwloads_get(own, hash);
-  return sum > mine ? pwreject_heard(sum - mine) : 0;
+/* What the others have told under a key. */
+static uint32_t others_of(const pw_loads *all, const pw_loads *own,
+                          uint32_t key) {
+  uint32_t sum = pwloads_get(all, key);
+  uint32_t mine = pwloads_get(own, key);
+  return sum > mine ? sum - mine : 0;
 }
 
 void pwfleet_note_loads(pw_fleet *f, const pw_loads *all, const pw_loads *own,
                         int64_t age_ms) {
   f->others_age_ms = age_ms;
   for (pw_target *t = f->by_id; t; t = t->hh.next) {
-    uint32_t sum = pwloads_get(all, t->short_hash);
-    uint32_t mine = pwloads_get(own, t->short_hash);
-    t->others = sum > mine ? (int)(sum - mine) : 0;
-    t->others_rejects = heard(all, own, t->reject_hash);
-    t->others_misses = heard(all, own, t->miss_hash);
+    t->others = (int)others_of(all, own, t->short_hash);
+    t->others_rejects = others_of(all, own, t->reject_hash);
+    t->others_misses = others_of(all, own, t->miss_hash);
   }
 }
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -44,12 +44,12 @@
                      ** take back */
   pw_holdoff hold_off; /* it has asked to be left alone */
 
-  int inflight;          /* requests of this gateway that it has */
-  int others;            /* and of the other gateways, as they said last */
-  pw_reject rejects;     /* requests of this gateway that it turned away ... */
-  double others_rejects; /* ... and of the others, lately, as they said last */
+  int inflight;      /* requests of this gateway that it has */
+  int others;        /* and of the other gateways, as they said last */
+  pw_reject rejects; /* when it turned a request of this gateway away ... */
+  uint32_t others_rejects; /* ... and at how many others it did so lately */
   pw_reject misses; /* the same of connections to it that did not come up */
-  double others_misses;
+  uint32_t others_misses;
   int nconns;
   pw_upconn *idle; /* connections at rest, the newest first */
 
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -197,11 +197,11 @@
 }
 
 static int has_rejected(const pw_target *t, int64_t now) {
-  return pwreject_avoids(pwreject_now(&t->rejects, now) + t->others_rejects);
+  return t->others_rejects || pwreject_is_recent(&t->rejects, now);
 }
 
 static int has_missed(const pw_target *t, int64_t now) {
-  return pwreject_avoids(pwreject_now(&t->misses, now) + t->others_misses);
+  return t->others_misses || pwreject_is_recent(&t->misses, now);
 }
 
 /* Whether others are preferred: it can't be reached, or turns requests away and there are few retries
--- a/packages/policy/pwreject.h
+++ b/packages/policy/pwreject.h
@@ -14,23 +14,16 @@
 
 #include <stdint.h>
 
-/* Requests of this gateway that a target did not take lately; fades. {0}: none. */
+/* When a target did not take a request of this gateway last. {0}: it never did not. */
 typedef struct pw_reject {
-  double n;
-  int64_t at; /* when this was right, ms */
+  int64_t at; /* ms; 0: never */
 } pw_reject;
 
 /* It did not take one. */
 void pwreject_note(pw_reject *r, int64_t now);
 
-double pwreject_now(const pw_reject *r, int64_t now);
-
-/* As it is told to other gateways, in whole numbers that add up; and as it is read. */
-uint32_t pwreject_told(const pw_reject *r, int64_t now);
-double pwreject_heard(uint32_t told);
-
-/* Whether others are preferred, by what was not taken lately, here and at all gateways together. */
-int pwreject_avoids(double n);
+/* Whether that was so lately that others are preferred. */
+int pwreject_is_recent(const pw_reject *r, int64_t now);
 
 /* Whether who turned a request away had room for it, with `load` requests of `slots`. */
 int pwreject_had_room(double load, double slots);
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -2591,7 +2591,7 @@
     "turned_away",
     13,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
     offsetof(Pw__Load, turned_away),
     NULL,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -166,9 +166,9 @@
    */
   uint64_t held_off;
   /*
-   * what it turned away lately though it had room (pwreject)
+   * it turned a request away lately though it had room (pwreject)
    */
-  uint32_t turned_away;
+  protobuf_c_boolean turned_away;
 };
 #define PW__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__load__descriptor) \
