Engines of agents say X-Not-Run: the platform's word stays in platform/

Cause: the agent read the platform's header, which tools/check-names refuses outside of platform/. Ruled out: an exception to the check. Test: 56_hold_off_agent, check-names.

--- a/packages/agent/pwjob.c
+++ b/packages/agent/pwjob.c
@@ -98,7 +98,7 @@
 /* An answer that turns the request away: whether it has run, and when the next may come. */
 static void read_refusal(reading *r, const pw_fetch_head *h) {
   const char *after = pwfetch_answer_header(h, "Retry-After");
-  r->not_run = pwfetch_answer_header(h, "X-Not-Executed") != NULL;
+  r->not_run = pwfetch_answer_header(h, "X-Not-Run") != NULL;
   r->hold_off_ms = after ? pwduration_read(after, strlen(after)) : 0;
 }
 
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -176,7 +176,7 @@
       MHD_create_response_from_buffer(2, (void *)"{}", MHD_RESPMEM_PERSISTENT);
   char text[24];
   snprintf(text, sizeof text, "%g", hold_off_s);
-  MHD_add_response_header(r, "X-Not-Executed", "shed");
+  MHD_add_response_header(r, "X-Not-Run", "shed");
   if (hold_off_s > 0)
     MHD_add_response_header(r, "Retry-After", text);
   enum MHD_Result rc = MHD_queue_response(c, 503, r);
--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -122,7 +122,7 @@
     service.shed--;
     service.refused++;
     dprintf(fd,
-            "HTTP/1.1 503 X\r\nX-Not-Executed: shed\r\nRetry-After: %d\r\n"
+            "HTTP/1.1 503 X\r\nX-Not-Run: shed\r\nRetry-After: %d\r\n"
             "Content-Length: 0\r\n\r\n",
             service.hold_off_s);
     return 1;
--- a/tests/scenarios/56_hold_off_agent.lua
+++ b/tests/scenarios/56_hold_off_agent.lua
@@ -2,7 +2,7 @@
 -- to be left alone is sent nothing by its agent until then. The request goes on to another target as one
 -- that has not run, and who asks meanwhile is not sent to that agent.
 --
--- What happened: an agent took a refusal by proof (503, X-Not-Executed) for a failure that proves nothing
+-- What happened: an agent took a refusal by proof (503, X-Not-Run) for a failure that proves nothing
 -- and read no Retry-After. What may not be repeated was told "unknown", and a service's refusal went to
 -- the caller as the answer, while another target was free:
 --   refused_hops_total 0, retries_total 1; the engine had the next request a moment later
