Tests count lines of a log by one function; a comment stands where it belongs

Change: fleet.lines, called by 45, 54 and 55; the comment stands at the loop in fill_rows. No behaviour changes, no assertion is touched.

--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -99,7 +99,6 @@
   return stays(t) && pwholdoff_left(&t->hold_off, now) == 0;
 }
 
-/* Where none is usable, whatever may be sent to is the last resort. */
 static int is_usable(const pw_fleet *f, const pw_target *t, const common *c) {
   return is_alive(f, t, c) && pwfleet_may_send(t, c->now) &&
          errors_of(t, c->now) <= c->errors + ERROR_MARGIN;
@@ -234,6 +233,7 @@
     usable += row[n].is_usable;
     who[n++] = t;
   }
+  /* Where none is usable, whatever may be sent to is the last resort. */
   for (int i = 0; usable == 0 && i < n; i++)
     row[i].is_usable = pwfleet_may_send(who[i], c->now) &&
                        !was_tried(ask, who[i]) && has_connection(who[i], ask) &&
--- a/tests/scenarios/45_target_restarts.lua
+++ b/tests/scenarios/45_target_restarts.lua
@@ -24,10 +24,6 @@
     return t:stats().total > before + 1
   end)
 end
-local function lines(p, what)
-  local _, n = fleet.read(p.log):gsub(what, "")
-  return n
-end
 
 -- Its heartbeats had come far; those of the next start begin anew.
 for _, t in ipairs{engine, portal} do t:fault("skip=1000000") end
@@ -43,7 +39,7 @@
 end
 for _, p in ipairs(g.gateways) do
   fleet.eventually(p.name .. " hears of both", function()
-    return lines(p, "ev=target%-restarted target=i%-engine%-1") == 1 and lines(p, "ev=target%-restarted target=i%-portal%-1") == 1
+    return fleet.lines(p, "ev=target%-restarted target=i%-engine%-1") == 1 and fleet.lines(p, "ev=target%-restarted target=i%-portal%-1") == 1
   end)
   fleet.expect("counted", p:counter("target_restarts_total") >= 2)
 end
@@ -59,8 +55,8 @@
 put("i-portal-1", (beat(portal, {born = 7, seq = 3000000, state = "draining"}):gsub('"born":7,', "")))
 serves(portal, "/once/a")
 for _, p in ipairs(g.gateways) do
-  fleet.equal(p.name .. ": nobody leaves", lines(p, "ev=target%-leaving"), 0)
-  fleet.equal(p.name .. ": no other start", lines(p, "ev=target%-restarted"), 2)
+  fleet.equal(p.name .. ": nobody leaves", fleet.lines(p, "ev=target%-leaving"), 0)
+  fleet.equal(p.name .. ": no other start", fleet.lines(p, "ev=target%-restarted"), 2)
 end
 
 -- Other writers: each is refused with a code, and the target goes on by its own heartbeats.
@@ -84,13 +80,13 @@
 end
 fleet.equal("each is counted", told, set_aside)
 serves(portal, "/once/a")
-for _, p in ipairs(g.gateways) do fleet.equal(p.name .. ": no other start", lines(p, "ev=target%-restarted"), 2) end
+for _, p in ipairs(g.gateways) do fleet.equal(p.name .. ": no other start", fleet.lines(p, "ev=target%-restarted"), 2) end
 
 -- It leaves, and what comes late of that start does not bring it back; the next start does.
 fleet.equal("it leaves", run.http{url = "http://" .. g.control[2].health, method = "DELETE", path = "/replicas/i-portal-1",
   timeout = 3}.status, 200)
 for _, p in ipairs(g.gateways) do
-  fleet.eventually(p.name .. " knows that it has gone", function() return lines(p, "ev=target%-gone target=i%-portal%-1") == 1 end)
+  fleet.eventually(p.name .. " knows that it has gone", function() return fleet.lines(p, "ev=target%-gone target=i%-portal%-1") == 1 end)
 end
 portal:kill()
 portal:start()
--- a/tests/scenarios/54_hold_off.lua
+++ b/tests/scenarios/54_hold_off.lua
@@ -26,10 +26,6 @@
   if path == "/again/x" then return g:ask{path = path, events = 3, body = "q", gateway = gateway} end
   return g:ask{path = path or "/once/a", body = "x", gateway = gateway}
 end
-local function lines(p, what)
-  local _, n = fleet.read(p.log):gsub(what, "")
-  return n
-end
 local function serves(gateway, t, path)
   fleet.eventually(t.name .. " is used by " .. gateway.name, function()
     local before = t:stats().total
@@ -40,11 +36,11 @@
 -- Asks until the target has turned one away; gives how many requests it had by then.
 local function until_shed(gateway, t, path)
   local line = "ev=turned%-away [^\n]*target=i%-" .. t.name:gsub("%-", "%%-")
-  local before = lines(gateway, line)
+  local before = fleet.lines(gateway, line)
   fleet.eventually(t.name .. " turns one away", function()
     local r = ask(gateway, path)
     fleet.equal("it is served by another", r.status, 200)
-    return lines(gateway, line) > before
+    return fleet.lines(gateway, line) > before
   end)
   return t:stats().arrivals
 end
--- a/tests/scenarios/55_says_leaving.lua
+++ b/tests/scenarios/55_says_leaving.lua
@@ -14,10 +14,6 @@
   if path == "/again/x" then return g:ask{path = path, events = 3, body = "q", gateway = gateway} end
   return g:ask{path = path, body = "x", gateway = gateway}
 end
-local function lines(p, what)
-  local _, n = fleet.read(p.log):gsub(what, "")
-  return n
-end
 local function serves(gateway, t, path)
   fleet.eventually(t.name .. " is used by " .. gateway.name, function()
     local before = t:stats().total
@@ -28,11 +24,11 @@
 -- With `last` nobody is left then.
 local function hears(gateway, t, path, last)
   local line = "ev=target%-says%-leaving target=i%-" .. t.name:gsub("%-", "%%-")
-  local before = lines(gateway, line)
+  local before = fleet.lines(gateway, line)
   fleet.eventually(gateway.name .. " hears it from " .. t.name, function()
     local status = ask(gateway, path).status
     fleet.expect("served: " .. status, status == 200 or last and status == 503)
-    return lines(gateway, line) > before
+    return fleet.lines(gateway, line) > before
   end)
 end
 
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -43,6 +43,12 @@
 end
 fleet.write, fleet.read = write, read
 
+-- How many times a pattern stands in the log of a process.
+function fleet.lines(p, pattern)
+  local _, n = read(p.log):gsub(pattern, "")
+  return n
+end
+
 local function quoted(list)
   local out = {}
   for i, s in ipairs(list) do out[i] = string.format("%q", s) end
