Control instances outside of the group are heard; what leaves is answered when two have it

Cause: a group has nine members at most, and an instance told and heard targets through the group's members alone. Ruled out: late tellings (all other leavings were at all ten within 0.6 s), lost messages (no watcher was dropped).

Change: who hears and tells is not who votes. Members tell each other and gateways; an instance outside of the group (an observer) is watched by all members as soon as it watches one, and is told who they are (pwmesh). Compared with each watching each other, links at 10, 24, 48 instances: 90, 342, 774 in place of 90, 552, 2256: it grows with observers times nine. What is told is numbered for each life of the sender, so a message that was lost is found and everything asked for again (pwtelling). That a target leaves is answered when another instance has said that it has it; members pass it on, so the instance that answered may end. An observer that nobody hears answers 503 (4014), also to heartbeats: targets turn to another. Operators are sent on to the leader by observers.

Test: 57_observers (12 control instances, a target of each; PW_CONTROL, PW_GATEWAYS set the size): without it gateways know 9 of 12 targets. test_mesh: a model of 3 to 48 instances with messages lost, late, doubled, in another order and restarts: what one says it holds it holds, and what was acknowledged comes to all members; five mutations.

--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -163,8 +163,11 @@
 static void tell_watchers(pw_control *c, int64_t now) {
   char members[PWCONS_MEMBERS][PW_NAME_MAX];
   int n = pwgroup_members(c->group, members);
-  pwwatch_others(c->watch, members, n);
+  int is_member = pwgroup_is_member(c->group);
+  pwwatch_group(c->watch, members, n, is_member, now);
   pwwatch_tick(c->watch, pwgroup_in_touch(c->group, now), now);
+  pwleave_work(c->leave, is_member, now);
+  atomic_store(&c->is_heard, pwwatch_is_heard(c->watch, now));
 }
 
 static void tick(pw_control *c, int64_t now) {
@@ -214,6 +217,7 @@
     if (rc != PW_OK)
       break;
     pwreads_work(c->reads, now);
+    pwleave_work(c->leave, pwgroup_is_member(c->group), now);
     on_mail(c, pwclock_ms());
     if (now - ticked >= TICK_MS) {
       ticked = now;
@@ -233,6 +237,7 @@
 ** call, and turns to another instance in time. */
 static int is_in_no_hurry(const pw_control *c, const pw_api_call *call) {
   return call->op == PW_API_BEAT && !call->beat.leaving &&
+         atomic_load(&c->is_heard) &&
          pwclock_ms() - atomic_load(&c->turned_at) <= ALIVE_MS;
 }
 
@@ -352,6 +357,7 @@
   c.planner = pwplanner_new(pwctl_resources(&c), c.news);
   const pw_doc *doc = pwstate_document(pwgroup_state(c.group));
   c.watch = pwwatch_new(p, c.listener, c.dialler, doc, pwctl_resources(&c));
+  c.leave = pwleave_new(c.watch, p->counters);
   c.publish = pwpublish_new(c.group, doc);
   c.reads = pwreads_new(c.group);
   rc = PW_E_SETTINGS;
@@ -365,6 +371,7 @@
   pwplanner_free(c.planner);
   pwpublish_free(c.publish);
   pwreads_free(c.reads);
+  pwleave_free(c.leave);
   pwwatch_free(c.watch);
   pwnews_free(c.news);
   pwfeed_free(c.feed);
--- a/packages/control/pwctl.h
+++ b/packages/control/pwctl.h
@@ -6,6 +6,7 @@
 #include "pwbusy.h"
 #include "pwfeed.h"
 #include "pwgroup.h"
+#include "pwleave.h"
 #include "pwnews.h"
 #include "pwplanner.h"
 #include "pwpublish.h"
@@ -43,6 +44,7 @@
   pw_news *news;
   pw_planner *planner;
   pw_watch *watch;
+  pw_leave *leave;
   pw_publish *publish;
   pw_reads *reads;
   pw_busy busy;
@@ -56,6 +58,7 @@
   int64_t led_at;
   int64_t stop_at;
   _Atomic int64_t turned_at;     /* when the loop came round last, ms */
+  _Atomic int is_heard;          /* what targets say here is told on */
   _Atomic int64_t aside_told_at; /* a line of a heartbeat set aside, ms */
 } pw_control;
 
--- a/packages/control/pwctlcall.c
+++ b/packages/control/pwctlcall.c
@@ -51,12 +51,13 @@
   pw_feed_sum sum = sum_up(c);
   snprintf(group, sizeof group, "%016llx",
            (unsigned long long)pwgroup_number(c->group));
-  return json_pack("{s:I,s:s,s:I,s:s,s:o,s:o,s:o,s:o,s:o,s:o,s:i}", "revision",
-                   (json_int_t)pwres_revision(pwctl_resources(c)), "group",
-                   group, "term", (json_int_t)pwgroup_term(c->group), "leader",
-                   pwgroup_leader_http(c->group), "in_force",
+  return json_pack("{s:I,s:s,s:I,s:s,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:i}",
+                   "revision", (json_int_t)pwres_revision(pwctl_resources(c)),
+                   "group", group, "term", (json_int_t)pwgroup_term(c->group),
+                   "leader", pwgroup_leader_http(c->group), "in_force",
                    in_force(c, &sum, now), "members", pwgroup_json(c->group),
-                   "children", pwfeed_json(c->feed, now), "rollouts",
+                   "observers", pwwatch_observers_json(c->watch), "children",
+                   pwfeed_json(c->feed, now), "rollouts",
                    pwplanner_json(c->planner, sum.revision, now),
                    "availability_zones", pwwatch_zones_json(c->watch),
                    "evacuated", evacuated_json(c), "once_claims",
@@ -207,7 +208,8 @@
     return;
   }
   if (call->op >= PW_API_SITE_READ) {
-    pwsitecall_take(call, c->group, c->publish, c->reads, c->watch, now);
+    pwsitecall_take(call, c->group, c->publish, c->reads, c->watch, c->leave,
+                    now);
     return;
   }
   if (!pwgroup_lease(c->group, now)) {
@@ -328,6 +330,7 @@
   pwctl_answer_watchers(c, pwclock_ms());
   pwpublish_end(c->publish);
   pwreads_end(c->reads);
+  pwleave_end(c->leave);
   pw_api_call *call;
   while ((call = (pw_api_call *)pwmail_take(c->mail)) != NULL)
     pwapi_fail(call, PW_E_NOT_LEADER, "", "not-run", NULL);
--- a/packages/control/pwgroup.c
+++ b/packages/control/pwgroup.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define JOIN_MS 200
+#define JOIN_FULL_MS 1000 /* in a group that has room for nobody else */
 #define FULL_RETRY_MS 200 /* a full disk is tried again so often */
 #define FULL_HAND_OVER_MS 50
 #define ENTRY_OVERHEAD 256 /* bytes of a record besides the command */
@@ -191,7 +192,8 @@
 void pwgroup_tick(pw_group *g, int64_t now) {
   if (g->cons && !is_passive(g, now))
     pwcons_tick(g->cons, now);
-  if ((g->cons && !pwgi_seeks(g)) || now - g->join_at < JOIN_MS)
+  int pause = g->known.n == PWCONS_MEMBERS ? JOIN_FULL_MS : JOIN_MS;
+  if ((g->cons && !pwgi_seeks(g)) || now - g->join_at < pause)
     return;
   g->join_at = now;
   for (contact *c = g->contacts; c; c = c->next)
@@ -272,19 +274,32 @@
          pwcons_silence(g->cons) <= g->p->set->control_lease;
 }
 
+int pwgroup_is_member(const pw_group *g) {
+  return g->cons &&
+         !(pwgi_seeks(g) && g->known.n && !pwmember_has(&g->known, g->id));
+}
+
+static int list_members(const pw_cons_config *c, char (*addr)[PW_NAME_MAX]) {
+  for (int i = 0; i < c->n; i++)
+    pw_copy(addr[i], PW_NAME_MAX, c->m[i].addr);
+  return c->n;
+}
+
 int pwgroup_members(const pw_group *g, char (*addr)[PW_NAME_MAX]) {
   int n = 0;
-  if (!g->cons) {
-    for (contact *c = g->contacts; c && n < PWCONS_MEMBERS; c = c->next)
-      pw_copy(addr[n++], PW_NAME_MAX, c->addr);
-    return n;
-  }
-  const pw_cons_config *c = pwcons_config(g->cons);
-  for (; n < c->n; n++)
-    pw_copy(addr[n], PW_NAME_MAX, c->m[n].addr);
+  if (pwgroup_is_member(g))
+    return list_members(pwcons_config(g->cons), addr);
+  if (g->known.n)
+    return list_members(&g->known, addr);
+  for (contact *c = g->contacts; c && n < PWCONS_MEMBERS; c = c->next)
+    pw_copy(addr[n++], PW_NAME_MAX, c->addr);
   return n;
 }
 
+int pwgroup_may_found(const pw_group *g) {
+  return !g->cons && g->may_found;
+}
+
 static const pw_cons_member *leader_member(const pw_group *g) {
   if (!g->cons)
     return NULL;
@@ -302,6 +317,8 @@
 
 const char *pwgroup_leader_http(const pw_group *g) {
   const pw_cons_member *m = leader_member(g);
+  if (!pwgroup_is_member(g))
+    return g->known_leader;
   return m ? m->http : "";
 }
 
--- a/packages/control/pwgroup.h
+++ b/packages/control/pwgroup.h
@@ -49,7 +49,8 @@
 /* Whether it leads under a lease at `now`; checked right before an effect. */
 int pwgroup_lease(const pw_group *g, int64_t now);
 
-/* Where the leader is, or "" when unknown. */
+/* Where the leader is, or "" when unknown; who is no member knows where it serves from
+** those that are. */
 const char *pwgroup_leader_wire(const pw_group *g);
 const char *pwgroup_leader_http(const pw_group *g);
 
@@ -63,6 +64,12 @@
 /* Whether a leader was heard just now, or it is the one. */
 int pwgroup_in_touch(const pw_group *g, int64_t now);
 
+/* Whether this instance belongs to the group, as far as it knows. */
+int pwgroup_is_member(const pw_group *g);
+
+/* Whether it may still found one together with the others that its settings list. */
+int pwgroup_may_found(const pw_group *g);
+
 /* Wire addresses of the members; gives how many, at most PWCONS_MEMBERS. */
 int pwgroup_members(const pw_group *g, char (*addr)[PW_NAME_MAX]);
 
--- a/packages/control/pwgroupint.h
+++ b/packages/control/pwgroupint.h
@@ -35,6 +35,9 @@
   int disk_full;
   int64_t full_until;     /* the disk is not tried again before, ms */
   pw_cons_member joining; /* learner to add; id 0: none */
+  pw_cons_config known;   /* the members, as one of them has told ... */
+  char known_leader
+      [PWCONS_ADDR]; /* ... and where the leader serves; "": not known */
   uint64_t applied;
 };
 
--- a/packages/control/pwjoin.c
+++ b/packages/control/pwjoin.c
@@ -113,6 +113,7 @@
   }
   g->applied = st->snapshot->index;
   g->cons = pwcons_new(&s);
+  g->known = (pw_cons_config){0}; /* its own configuration counts now */
   return PW_OK;
 }
 
@@ -201,6 +202,7 @@
   j.reply = reply;
   j.initialised = g->cons != NULL;
   j.learner = pwgi_seeks(g);
+  j.leader = (char *)pwgroup_leader_http(g);
   j.group = pwgroup_number(g);
   if (g->cons)
     pwcons_config_pack(pwcons_config(g->cons), &j.config);
@@ -227,11 +229,20 @@
       contact_of(g, config->members[i]->addr);
 }
 
+/* A member tells who belongs to the group, for an instance that does not. */
+static void note_group(pw_group *g, const Pw__Join *j) {
+  if (!j->initialised || j->learner)
+    return;
+  pwcons_config_unpack(j->config, &g->known);
+  pw_copy(g->known_leader, sizeof g->known_leader, j->leader);
+}
+
 void pwgi_on_join(pw_group *g, const Pw__Join *j, int64_t now) {
   if (!j->reply)
     pwgi_send_join(g, j->addr, 1);
   if (g->by_seeds)
     learn_contacts(g, j->config);
+  note_group(g, j);
   if (g->cons) {
     if (!j->initialised || j->learner)
       note_joining(g, j);
--- a/packages/control/pwsitecall.c
+++ b/packages/control/pwsitecall.c
@@ -76,13 +76,22 @@
                "not-run", NULL);
 }
 
+/* An instance that nobody hears must not keep a target from those that are heard. */
+static void take_beat(pw_api_call *call, const pw_group *g, pw_watch *w,
+                      pw_leave *l, int64_t now) {
+  uint64_t number = pwwatch_beat(w, &call->beat, call->op == PW_API_LEAVE, now);
+  if (pwwatch_is_heard(w, now) || pwgroup_may_found(g))
+    pwleave_add(l, call, number, now);
+  else
+    pwapi_fail(call, PW_E_UNHEARD, "", "unknown", NULL);
+}
+
 void pwsitecall_take(pw_api_call *call, pw_group *g, pw_publish *p, pw_reads *r,
-                     pw_watch *w, int64_t now) {
+                     pw_watch *w, pw_leave *l, int64_t now) {
   switch (call->op) {
   case PW_API_BEAT:
   case PW_API_LEAVE:
-    pwwatch_beat(w, &call->beat, call->op == PW_API_LEAVE, now);
-    pwapi_answer_text(call, "{}", 2);
+    take_beat(call, g, w, l, now);
     break;
   case PW_API_SITE_WRITE:
     if (pwgroup_lease(g, now))
--- a/packages/control/pwsitecall.h
+++ b/packages/control/pwsitecall.h
@@ -4,6 +4,7 @@
 #define PWSITECALL_H
 
 #include "pwapi.h"
+#include "pwleave.h"
 #include "pwpublish.h"
 #include "pwreads.h"
 #include "pwwatch.h"
@@ -16,7 +17,7 @@
 
 /* Control thread: does what it asks, and answers. */
 void pwsitecall_take(pw_api_call *call, pw_group *g, pw_publish *p, pw_reads *r,
-                     pw_watch *w, int64_t now);
+                     pw_watch *w, pw_leave *l, int64_t now);
 
 /* Control thread: answers a read with the configuration applied here; sends a caller to
 ** the leader, or fails it when none is known. */
--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -2,11 +2,12 @@
 #include "pwwatch.h"
 
 #include "pwbuf.h"
-#include "pwcons.h"
 #include "pwhand.h"
 #include "pwlimits.h"
 #include "pwlog.h"
+#include "pwoutbox.h"
 #include "pwpace.h"
+#include "pwpeers.h"
 #include "pwsuspects.h"
 #include "pwtable.h"
 
@@ -30,21 +31,20 @@
 #define LIST_MS 1000
 #define LIST_MS_A_WATCHER 20
 
-/* A single change goes out at once, more within so long together: the longer the
-** more there are to tell; ms. */
+/* A single change goes out at once, more within so long together: for gateways the
+** longer the more there are to tell; ms. */
 #define GATHER_MS 30
 #define GATHER_MS_A_WATCHER 2
 
 #define TABLE_MS 300 /* a table is told so long before it is made anew */
 
-#define NEWS_MAX 2048 /* heartbeats that wait to be passed on */
-
 typedef struct watcher {
   pw_peer peer;
   uint64_t incarnation;
-  char gossip[PW_NAME_MAX]; /* "": another control instance */
-  int is_primary;           /* it relies on this one for all of the targets */
-  int is_lost;              /* a message to it was dropped */
+  char gossip[PW_NAME_MAX];  /* "": another control instance ... */
+  char control[PW_NAME_MAX]; /* ... at this address */
+  int is_primary;            /* it relies on this one for all of the targets */
+  int is_lost;               /* a message to it was dropped */
   int64_t asked_at; /* when it asked for all targets; 0: it need not be told */
   int64_t heard_at, told_at, listed_at;
   uint64_t told_site;
@@ -53,37 +53,20 @@
   struct watcher *next;
 } watcher;
 
-/* Another control instance, which this one watches. */
-typedef struct other {
-  char addr[PW_NAME_MAX];
-  pw_peer peer;
-  int64_t asked_at;
-  int must_tell_all; /* it knows of targets that this one does not */
-} other;
-
-typedef struct news {
-  pw_beat beat;
-  int gone, silent;
-  int is_change; /* else: it was heard again, as before */
-  int is_own;    /* heard here, not told by another control instance */
-  int64_t heard_at;
-} news;
-
 struct pw_watch {
   pw_proc *p;
-  pw_sock *listener, *dialler;
+  pw_sock *listener;
   const pw_doc *doc;
   const pw_res *resources;
   pw_zones evacuated;
   pw_fleet *targets;
   watcher *watchers;
   int nwatchers;
-  other others[PWCONS_MEMBERS];
-  int nothers;
-  news news[NEWS_MAX];
-  int nnews;
-  int64_t urgent_at; /* when the oldest change came; 0: there is none */
-  int64_t renewed_at;
+  pw_peers *peers;
+  pw_mesh *mesh; /* of peers */
+  pw_outbox to_control, to_gateways;
+  uint64_t number; /* of the last news that control instances were told */
+  int confirm; /* a call waits until another instance has what is told next */
   int64_t changed_at;        /* when the set of gateways changed last, ms */
   pw_quarantine *quarantine; /* as gateways told: for those that start anew */
   size_t listed;             /* of it, in the next notice */
@@ -91,7 +74,9 @@
   pw_pace bulk;     /* tables and documents */
   Pw__Notice table; /* of all targets, as told last */
   int64_t table_at;
-  int in_touch; /* a leader was heard just now */
+  int is_unheard;
+  uint64_t table_number; /* what of its own news is in the table */
+  int in_touch;          /* a leader was heard just now */
 };
 
 pw_watch *pwwatch_new(pw_proc *p, pw_sock *listener, pw_sock *dialler,
@@ -99,7 +84,8 @@
   pw_watch *w = pw_alloc(sizeof *w);
   w->p = p;
   w->listener = listener;
-  w->dialler = dialler;
+  w->peers = pwpeers_new(p, dialler);
+  w->mesh = pwpeers_mesh(w->peers);
   w->doc = doc;
   w->resources = resources;
   w->quarantine = pwquar_new();
@@ -117,6 +103,9 @@
     w->watchers = one->next;
     free(one);
   }
+  pwpeers_free(w->peers);
+  pwoutbox_free(&w->to_control);
+  pwoutbox_free(&w->to_gateways);
   pwquar_free(w->quarantine);
   pwhand_free(w->hand);
   pwfleet_free(w->targets);
@@ -132,11 +121,15 @@
 
 /* --- messages to watchers --- */
 
+/* Gateways rely on members of the group, which know all targets. */
 static void add_lists(pw_watch *w, Pw__Notice *n, int with_gateways) {
-  n->control = pw_alloc(sizeof(char *) * (size_t)(w->nothers + 1));
-  for (int i = 0; i < w->nothers; i++)
-    n->control[n->n_control++] = w->others[i].addr;
-  n->control[n->n_control++] = w->p->set->control_wire;
+  const pw_mesh *m = w->mesh;
+  n->control = pw_alloc(sizeof(char *) * (size_t)(m->n + 1));
+  for (int i = 0; i < m->n; i++)
+    if (m->peer[i]->is_member)
+      n->control[n->n_control++] = m->peer[i]->addr;
+  if (m->is_member)
+    n->control[n->n_control++] = w->p->set->control_wire;
   if (!with_gateways)
     return;
   n->gateways = pw_alloc(sizeof(char *) * (size_t)(w->nwatchers + 1));
@@ -179,6 +172,7 @@
   n->site = pwdoc_version(w->doc);
   n->in_touch = w->in_touch;
   n->watch_ms = (uint32_t)notice_ms(w);
+  n->number = to->gossip[0] ? 0 : n->full ? w->table_number : w->number;
   n->revision = w->evacuated.revision;
   n->evacuated = w->evacuated.name;
   n->n_evacuated = w->evacuated.n;
@@ -210,6 +204,7 @@
   w->table = (Pw__Notice)PW__NOTICE__INIT;
   pwtable_write(w->targets, now, &w->table);
   w->table_at = now;
+  w->table_number = w->number;
 }
 
 static void tell_all_targets(pw_watch *w, watcher *to, int64_t now) {
@@ -248,34 +243,84 @@
 
 /* --- news --- */
 
+/* They are told all, as if they were new. */
+static void lose_watchers(pw_watch *w, int of_control) {
+  for (watcher *one = w->watchers; one; one = one->next)
+    if ((one->gossip[0] == 0) == of_control)
+      one->is_lost = 1;
+}
+
+static void tell_control(pw_watch *w, const pw_tidings *t) {
+  if (pwoutbox_add(&w->to_control, t) != 0)
+    lose_watchers(w, 1);
+}
+
 static void note_news(pw_watch *w, const pw_beat *b, pw_fleet_news what,
                       int is_own, int64_t heard_at) {
-  int is_change = what != PWFLEET_RENEWED;
+  pw_tidings t = {.beat = *b,
+                  .gone = what == PWFLEET_GONE,
+                  .silent = what == PWFLEET_SILENT,
+                  .is_change = what > PWFLEET_RENEWED,
+                  .is_own = is_own,
+                  .heard_at = heard_at};
   if (what == PWFLEET_RESTARTED)
     pwcount_add(w->p->counters, PWC_RESTARTS, 1);
-  if (is_change)
+  if (t.is_change)
     pwlog(LOG_NOTICE, pwfleet_news_name(what),
           "target=%s born=%llu service=%s address=%s", b->id,
           (unsigned long long)b->born, b->service, b->address);
-  if (w->nnews == NEWS_MAX) { /* watchers are told all, as if they were new */
-    for (watcher *one = w->watchers; one; one = one->next)
-      one->is_lost = 1;
-    w->nnews = 0;
-  }
-  w->news[w->nnews++] = (news){
-      *b,      what == PWFLEET_GONE, what == PWFLEET_SILENT, is_change, is_own,
-      heard_at};
-  if (is_change && !w->urgent_at)
-    w->urgent_at = pwclock_ms();
+  if (is_own)
+    tell_control(w, &t);
+  if (t.is_change && pwoutbox_add(&w->to_gateways, &t) != 0)
+    lose_watchers(w, 0);
 }
 
-void pwwatch_beat(pw_watch *w, const pw_beat *b, int gone, int64_t now) {
-  pw_beat told = *b;
+/* Whether another control instance is there to have what is heard here. */
+static int has_audience(const pw_watch *w) {
+  for (const watcher *one = w->watchers; one; one = one->next)
+    if (!one->gossip[0] && one->is_primary)
+      return 1;
+  return 0;
+}
+
+/* What another instance has told of a target's end: it may itself end before all have it. */
+static void pass_on(pw_watch *w, const pw_beat *b, pw_fleet_news what,
+                    int64_t heard_at) {
+  pw_tidings t = {.beat = *b,
+                  .gone = what == PWFLEET_GONE,
+                  .is_change = 1,
+                  .heard_at = heard_at};
+  if (w->mesh->is_member)
+    tell_control(w, &t);
+}
+
+/* Which start it is that ends, where the target does not say: a member of the group knows. */
+static uint64_t start_that_ends(const pw_watch *w, const pw_beat *b) {
+  return b->born || !w->mesh->is_member ? b->born
+                                        : pwfleet_find(w->targets, b->id)->born;
+}
+
+/* That a target ends is told each time that it says so: the time before may have been lost. */
+static void note_gone(pw_watch *w, const pw_beat *b, pw_fleet_news what,
+                      int64_t now) {
+  pw_tidings t = {.beat = *b, .gone = 1, .is_own = 1, .heard_at = now};
+  t.beat.born = start_that_ends(w, b);
+  if (what == PWFLEET_OLD)
+    tell_control(w, &t);
+  else
+    note_news(w, &t.beat, what, 1, now);
+}
+
+uint64_t pwwatch_beat(pw_watch *w, const pw_beat *b, int gone, int64_t now) {
   pw_fleet_news what = pwfleet_beat(w->targets, b, gone, now);
-  if (what == PWFLEET_GONE) /* others may know of another start */
-    told.born = pwfleet_find(w->targets, b->id)->born;
-  if (what != PWFLEET_OLD)
-    note_news(w, &told, what, 1, now);
+  if (gone)
+    note_gone(w, b, what, now);
+  else if (what != PWFLEET_OLD)
+    note_news(w, b, what, 1, now);
+  if ((!gone && !b->leaving) || !has_audience(w))
+    return 0;
+  w->confirm = 1;
+  return w->number + 1;
 }
 
 static void on_silent(void *arg, pw_target *t, int forgotten) {
@@ -292,7 +337,7 @@
 
 typedef struct told {
   pw_watch *w;
-  other *from;
+  const pw_peer *from;
   int64_t now;
 } told;
 
@@ -309,13 +354,14 @@
       pwtable_is_renewal(beat)
           ? pwfleet_renew(in->w->targets, b.id, b.born, b.seq, heard_at)
           : pwfleet_beat(in->w->targets, &b, beat->gone, heard_at);
-  if (pwtable_is_renewal(beat) && in->from &&
-      !pwfleet_knows(in->w->targets, b.id, b.born))
-    in->from->must_tell_all = 1; /* not known here, as after a long pause */
-  if (what == PWFLEET_BACK)      /* a renewal does not say all that it is */
+  if (pwtable_is_renewal(beat) && !pwfleet_knows(in->w->targets, b.id, b.born))
+    pwpeers_ask_all(in->w->peers, in->from);
+  if (what == PWFLEET_BACK) /* a renewal does not say all that it is */
     pwfleet_beat_of(pwfleet_find(in->w->targets, b.id), &b);
   if (what >= PWFLEET_JOINED)
     note_news(in->w, &b, what, 0, heard_at);
+  if (what == PWFLEET_LEAVING || what == PWFLEET_GONE)
+    pass_on(in->w, &b, what, heard_at);
 }
 
 /* --- watchers --- */
@@ -369,6 +415,7 @@
   w->nwatchers++;
   one->told_site = UINT64_MAX; /* it is told at once */
   pw_copy(one->gossip, sizeof one->gossip, e->watch->gossip);
+  pw_copy(one->control, sizeof one->control, e->watch->control);
   note_gateways(w, one);
   return one;
 }
@@ -380,6 +427,7 @@
   if (!one)
     one = add_watcher(w, from, e);
   one->heard_at = now;
+  pwpeers_watched(w->peers, m, now);
   int relies = m->primary && !one->is_primary;
   one->is_primary = m->primary;
   pwsuspects_take(w->quarantine, m->suspects, m->n_suspects, now, hear_suspect,
@@ -392,20 +440,14 @@
     pwhand_watch(w->hand, from, e->incarnation, m, now);
 }
 
-static other *other_of(pw_watch *w, const pw_peer *peer) {
-  for (int i = 0; i < w->nothers; i++)
-    if (pwwire_same(&w->others[i].peer, peer))
-      return &w->others[i];
-  return NULL;
-}
-
 void pwwatch_message(pw_watch *w, const pw_peer *from, const Pw__Envelope *e,
                      int64_t now) {
-  told in = {w, other_of(w, from), now};
+  told in = {w, from, now};
   if (e->body_case == PW__ENVELOPE__BODY_WATCH) {
     on_watch(w, from, e, now);
   } else if (e->body_case == PW__ENVELOPE__BODY_NOTICE) {
     pwtable_read(e->notice, on_told, &in);
+    pwpeers_told(w->peers, from, e, now);
     pwsuspects_take(w->quarantine, e->notice->suspects, e->notice->n_suspects,
                     now, hear_suspect, w);
   }
@@ -429,101 +471,58 @@
 
 /* --- other control instances --- */
 
-void pwwatch_others(pw_watch *w, char (*addr)[PW_NAME_MAX], int n) {
-  other next[PWCONS_MEMBERS];
-  int count = 0;
-  for (int i = 0; i < n && count < PWCONS_MEMBERS; i++) {
-    other *o = &next[count];
-    if (!strcmp(addr[i], w->p->set->control_wire))
-      continue;
-    *o = (other){0};
-    for (int k = 0; k < w->nothers; k++)
-      if (!strcmp(w->others[k].addr, addr[i]))
-        *o = w->others[k];
-    if (!o->addr[0]) {
-      pw_copy(o->addr, sizeof o->addr, addr[i]);
-      pwwire_dial(w->dialler, o->addr, &o->peer);
-    }
-    count++;
-  }
-  memcpy(w->others, next, sizeof next[0] * (size_t)count);
-  w->nothers = count;
+void pwwatch_group(pw_watch *w, char (*addr)[PW_NAME_MAX], int n, int is_member,
+                   int64_t now) {
+  pwmesh_group(w->mesh, addr, n, is_member, now);
 }
 
-static void send_watch(pw_watch *w, const other *o, int primary) {
-  Pw__Watch m = PW__WATCH__INIT;
-  m.primary = primary;
-  Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
-  pwwire_send(w->dialler, &o->peer, &e);
+uint64_t pwwatch_held(const pw_watch *w) {
+  return pwmesh_held(w->mesh);
 }
 
-/* Who begins to rely on another instance is told all by it. */
-static void watch_others(pw_watch *w, int64_t now) {
-  for (int i = 0; i < w->nothers; i++) {
-    other *o = &w->others[i];
-    if (now - o->asked_at < NOTICE_MS)
-      continue;
-    o->asked_at = now;
-    if (o->must_tell_all)
-      send_watch(w, o, 0);
-    o->must_tell_all = 0;
-    send_watch(w, o, 1);
-  }
+int pwwatch_is_heard(const pw_watch *w, int64_t now) {
+  return w->mesh->is_member || pwmesh_is_heard(w->mesh, now);
+}
+
+json_t *pwwatch_observers_json(const pw_watch *w) {
+  json_t *list = json_array();
+  for (int i = 0; i < w->mesh->n; i++)
+    if (!w->mesh->peer[i]->is_member)
+      json_array_append_new(list, json_string(w->mesh->peer[i]->addr));
+  return list;
 }
 
 /* --- time --- */
 
 /* Who is told what: other control instances what was heard here, its renewals
-** too. Gateways hear of changes: of all from the instance that they rely on, of
-** what was heard here and leaves from every one. */
-typedef enum audience { TO_CONTROL, TO_RELYING, TO_OTHERS, AUDIENCES } audience;
+** too, and observers nothing of targets. Gateways hear of changes: of all from the instance
+** that they rely on, of what was heard here and leaves from every one. */
+typedef enum audience {
+  TO_CONTROL,
+  TO_OBSERVERS,
+  TO_RELYING,
+  TO_OTHERS,
+  AUDIENCES
+} audience;
 
 static audience audience_of(const watcher *one) {
   if (!one->gossip[0])
-    return TO_CONTROL;
+    return one->is_primary ? TO_CONTROL : TO_OBSERVERS;
   return one->is_primary ? TO_RELYING : TO_OTHERS;
 }
 
-static int concerns(const news *n, audience to) {
-  if (to == TO_CONTROL)
-    return n->is_own;
-  if (to == TO_RELYING)
-    return n->is_change;
-  return n->is_change && n->is_own && (n->gone || n->beat.leaving);
-}
-
-/* What one audience is told, made once for all of it. */
-typedef struct bundle {
-  Pw__Notice notice;
-  Pw__Beat *beat;
-  Pw__Beat **at;
-  size_t n;
-} bundle;
-
-static void make_bundle(const pw_watch *w, audience to, int64_t now,
-                        bundle *out) {
-  *out = (bundle){.notice = PW__NOTICE__INIT};
-  out->beat = pw_alloc(sizeof *out->beat * (size_t)(w->nnews + 1));
-  out->at = pw_alloc(sizeof *out->at * (size_t)(w->nnews + 1));
-  for (int i = 0; i < w->nnews; i++) {
-    const news *one = &w->news[i];
-    int64_t age = now - one->heard_at;
-    if (!concerns(one, to))
-      continue;
-    Pw__Beat *beat = &out->beat[out->n];
-    if (one->is_change || one->beat.leaving) /* may overtake the change */
-      pwtable_pack(beat, &one->beat, one->gone, one->silent, age);
-    else
-      pwtable_pack_renewal(beat, &one->beat, age);
-    out->at[out->n++] = beat;
-  }
-  pwtable_put(out->at, out->n, &out->notice);
+static int is_any(const pw_tidings *t) {
+  (void)t;
+  return 1;
 }
 
-static void free_bundle(bundle *b) {
-  free(b->notice.table.data);
-  free(b->at);
-  free(b->beat);
+static int is_own_end(const pw_tidings *t) {
+  return t->is_own && (t->gone || t->beat.leaving);
+}
+
+static int is_nothing(const pw_tidings *t) {
+  (void)t;
+  return 0;
 }
 
 /* Whether the configuration or the evacuated availability zones are others than it was
@@ -533,37 +532,73 @@
          to->told_revision != w->evacuated.revision;
 }
 
-static void tell_news(pw_watch *w, watcher *to, const bundle *b, int64_t now) {
+static void tell_news(pw_watch *w, watcher *to, const pw_bundle *b,
+                      int64_t now) {
   Pw__Notice n = b->notice;
+  n.confirm = audience_of(to) == TO_CONTROL && w->confirm;
   if (b->n || is_news_to(w, to) || now - to->told_at >= notice_ms(w))
     tell(w, to, &n, now);
 }
 
-static void tell_all(pw_watch *w, int64_t now) {
-  bundle b[AUDIENCES];
-  for (int i = 0; i < AUDIENCES; i++)
-    make_bundle(w, (audience)i, now, &b[i]);
+static void tell_each(pw_watch *w, audience to, const pw_bundle *b,
+                      int64_t now) {
   for (watcher *one = w->watchers; one; one = one->next)
-    tell_news(w, one, &b[audience_of(one)], now);
-  for (int i = 0; i < AUDIENCES; i++)
-    free_bundle(&b[i]);
+    if (audience_of(one) == to)
+      tell_news(w, one, b, now);
+}
+
+static void tell_audience(pw_watch *w, audience to, const pw_outbox *from,
+                          int (*concerns)(const pw_tidings *t), int64_t now) {
+  pw_bundle b;
+  pwbundle_make(&b, from, concerns, now);
+  if (to == TO_CONTROL && b.n)
+    w->number++;
+  tell_each(w, to, &b, now);
+  pwbundle_free(&b);
 }
 
 static int is_news(const pw_watch *w) {
   for (watcher *one = w->watchers; one; one = one->next)
-    if (is_news_to(w, one))
+    if (one->gossip[0] && is_news_to(w, one))
       return 1;
   return 0;
 }
 
+/* Control instances are few, and a call may wait until they have it. */
+static void tell_control_instances(pw_watch *w, int64_t now) {
+  if (!w->confirm && !pwoutbox_is_due(&w->to_control, GATHER_MS, RENEW_MS, now))
+    return;
+  tell_audience(w, TO_CONTROL, &w->to_control, is_any, now);
+  tell_audience(w, TO_OBSERVERS, &w->to_control, is_nothing, now);
+  pwoutbox_told(&w->to_control, now);
+  w->confirm = 0;
+}
+
 /* The first change goes out at once; those that follow closely wait a little
 ** for each other. */
-static int is_due(const pw_watch *w, int64_t now) {
+static void tell_gateways(pw_watch *w, int64_t now) {
   int64_t gather = GATHER_MS_A_WATCHER * (int64_t)w->nwatchers;
-  if (now - w->renewed_at >= (gather > RENEW_MS ? gather : RENEW_MS))
-    return 1;
-  return (w->urgent_at || is_news(w)) &&
-         now - w->renewed_at >= (gather > GATHER_MS ? gather : GATHER_MS);
+  int64_t renew = gather > RENEW_MS ? gather : RENEW_MS;
+  gather = gather > GATHER_MS ? gather : GATHER_MS;
+  if (!w->to_gateways.urgent_at && is_news(w))
+    w->to_gateways.urgent_at = now;
+  if (!pwoutbox_is_due(&w->to_gateways, gather, renew, now))
+    return;
+  tell_audience(w, TO_RELYING, &w->to_gateways, is_any, now);
+  tell_audience(w, TO_OTHERS, &w->to_gateways, is_own_end, now);
+  pwoutbox_told(&w->to_gateways, now);
+}
+
+static void count(pw_watch *w, int64_t now) {
+  pw_counters *c = w->p->counters;
+  int unheard = !pwwatch_is_heard(w, now);
+  pwcount_set(c, PWC_QUARANTINED, pwquar_count(w->quarantine));
+  pwcount_set(c, PWC_OBSERVERS, pwmesh_observers(w->mesh));
+  pwcount_set(c, PWC_UNHEARD, unheard);
+  if (unheard != w->is_unheard)
+    pwlog(unheard ? LOG_WARNING : LOG_NOTICE, unheard ? "unheard" : "heard",
+          "control_instances=%d", w->mesh->n);
+  w->is_unheard = unheard;
 }
 
 void pwwatch_tick(pw_watch *w, int in_touch, int64_t now) {
@@ -571,15 +606,11 @@
   pwzones_read(&w->evacuated, w->resources);
   drop_lost(w, now);
   pwquar_tick(w->quarantine, now);
-  pwcount_set(w->p->counters, PWC_QUARANTINED, pwquar_count(w->quarantine));
-  watch_others(w, now);
+  count(w, now);
+  pwpeers_tick(w->peers, now);
   pwfleet_tick(w->targets, now, on_silent, w);
   pwhand_serve(w->hand, &w->bulk, now);
   tell_tables(w, now);
-  if (!is_due(w, now))
-    return;
-  tell_all(w, now);
-  w->nnews = 0;
-  w->urgent_at = 0;
-  w->renewed_at = now;
+  tell_control_instances(w, now);
+  tell_gateways(w, now);
 }
--- a/packages/control/pwwatch.h
+++ b/packages/control/pwwatch.h
@@ -24,8 +24,16 @@
 void pwwatch_message(pw_watch *w, const pw_peer *from, const Pw__Envelope *e,
                      int64_t now);
 
-/* A target was heard here. */
-void pwwatch_beat(pw_watch *w, const pw_beat *b, int gone, int64_t now);
+/* A target was heard here. One that leaves, or has gone, may be told that this is known when
+** pwwatch_held has come to the number; 0: at once. */
+uint64_t pwwatch_beat(pw_watch *w, const pw_beat *b, int gone, int64_t now);
+
+/* Up to which number another control instance has all that was heard here. */
+uint64_t pwwatch_held(const pw_watch *w);
+
+/* Whether what is heard here is told on: this instance is a member of the group, or members
+** hear it. */
+int pwwatch_is_heard(const pw_watch *w, int64_t now);
 
 /* Whether a target was heard in that availability zone; and all of them, new
 ** reference. */
@@ -35,8 +43,12 @@
 /* The availability zones that are evacuated. */
 const pw_zones *pwwatch_evacuated(const pw_watch *w);
 
-/* Other control instances, by their wire addresses. */
-void pwwatch_others(pw_watch *w, char (*addr)[PW_NAME_MAX], int n);
+/* The group's members by their wire addresses, and whether this instance is one. */
+void pwwatch_group(pw_watch *w, char (*addr)[PW_NAME_MAX], int n, int is_member,
+                   int64_t now);
+
+/* Control instances outside of the group that are known here; new reference. */
+json_t *pwwatch_observers_json(const pw_watch *w);
 
 /* Sends what is due; `in_touch`: a leader was heard just now. */
 void pwwatch_tick(pw_watch *w, int in_touch, int64_t now);
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -90,6 +90,14 @@
     "heartbeats without a field that is needed, or with a wrong one")          \
   X(PWC_BEATS_UNREADABLE, "heartbeats_unreadable_total", "counter",            \
     "heartbeats that are no JSON object")                                      \
+  X(PWC_OBSERVERS, "control_observers", "gauge",                               \
+    "control instances outside of the group that are known here")              \
+  X(PWC_UNHEARD, "control_unheard", "gauge",                                   \
+    "1: outside of the group, and no other control instance hears this one")   \
+  X(PWC_LEAVES_ALONE, "leaves_alone_total", "counter",                         \
+    "targets that leave and were answered while no other instance had it")     \
+  X(PWC_TELLINGS_LOST, "tellings_lost_total", "counter",                       \
+    "times that news of another control instance were found missing")          \
   X(PWC_ENDED_UNDER, "ended_under_total", "counter",                           \
     "targets that ended while they had a request, as seen or told")            \
   X(PWC_QUARANTINED, "quarantined", "gauge",                                   \
--- /dev/null
+++ b/packages/policy/pwmesh.c
@@ -0,0 +1,111 @@
+/* pwmesh.c: which control instances tell each other of targets. */
+#include "pwmesh.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#ifndef PW_MUTATION
+#define PW_MUTATION 0
+#endif
+enum {
+  MUT_MEMBERS_ONLY = 44 /* what observers hear is not asked for */
+};
+
+static void copy(char out[PW_NAME_MAX], const char *text) {
+  size_t n = strlen(text);
+  if (n >= PW_NAME_MAX)
+    n = PW_NAME_MAX - 1;
+  memcpy(out, text, n);
+  out[n] = 0;
+}
+
+void pwmesh_init(pw_mesh *m, const char *self) {
+  *m = (pw_mesh){0};
+  copy(m->self, self);
+}
+
+void pwmesh_free(pw_mesh *m) {
+  while (m->n)
+    free(m->peer[--m->n]);
+}
+
+static pw_mesh_peer *peer_of(pw_mesh *m, const char *addr, int64_t now) {
+  for (int i = 0; i < m->n; i++) {
+    if (strcmp(m->peer[i]->addr, addr) != 0)
+      continue;
+    m->peer[i]->named_at = now;
+    return m->peer[i];
+  }
+  if (m->n == PW_CONTROL_MAX)
+    return NULL;
+  pw_mesh_peer *p = calloc(1, sizeof *p);
+  if (!p)
+    abort();
+  copy(p->addr, addr);
+  p->named_at = p->whole_at = now;
+  m->peer[m->n++] = p;
+  return p;
+}
+
+void pwmesh_group(pw_mesh *m, char (*addr)[PW_NAME_MAX], int n, int is_member,
+                  int64_t now) {
+  m->is_member = is_member;
+  for (int i = 0; i < m->n; i++)
+    m->peer[i]->is_member = 0;
+  for (int i = 0; i < n; i++) {
+    if (!strcmp(addr[i], m->self))
+      continue;
+    pw_mesh_peer *p = peer_of(m, addr[i], now);
+    if (p)
+      p->is_member = 1;
+  }
+}
+
+pw_mesh_peer *pwmesh_watched(pw_mesh *m, const char *addr, int is_for_all,
+                             int64_t now) {
+  if (!strcmp(addr, m->self))
+    return NULL;
+  pw_mesh_peer *p = peer_of(m, addr, now);
+  if (p && is_for_all)
+    p->hears_at = now;
+  return p;
+}
+
+void pwmesh_tick(pw_mesh *m, int64_t now) {
+  for (int i = 0; i < m->n;) {
+    if (now - m->peer[i]->named_at < PWMESH_FORGET_MS) {
+      i++;
+      continue;
+    }
+    free(m->peer[i]);
+    m->peer[i] = m->peer[--m->n];
+  }
+}
+
+pw_mesh_watch pwmesh_watch_of(const pw_mesh *m, const pw_mesh_peer *p) {
+  if (m->is_member && (p->is_member || PW_MUTATION != MUT_MEMBERS_ONLY))
+    return PWMESH_FOR_ALL;
+  return p->is_member ? PWMESH_FOR_LISTS : PWMESH_NOT;
+}
+
+uint64_t pwmesh_held(const pw_mesh *m) {
+  uint64_t most = 0;
+  for (int i = 0; i < m->n; i++)
+    if (m->peer[i]->holds > most)
+      most = m->peer[i]->holds;
+  return most;
+}
+
+int pwmesh_is_heard(const pw_mesh *m, int64_t now) {
+  for (int i = 0; i < m->n; i++)
+    if (m->peer[i]->hears_at && now - m->peer[i]->hears_at < PWMESH_DEAF_MS)
+      return 1;
+  return 0;
+}
+
+int pwmesh_observers(const pw_mesh *m) {
+  int n = 0;
+  for (int i = 0; i < m->n; i++)
+    n += !m->peer[i]->is_member;
+  return n + !m->is_member;
+}
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -5018,7 +5018,7 @@
   (ProtobufCMessageInit) pw__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__watch__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pw__watch__field_descriptors[9] =
 {
   {
     "site",
@@ -5092,9 +5092,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "control",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Watch, control),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holds",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Watch, holds),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "holds_of",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Watch, holds_of),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__watch__field_indices_by_name[] = {
+  6,   /* field[6] = control */
   2,   /* field[2] = gossip */
+  7,   /* field[7] = holds */
+  8,   /* field[8] = holds_of */
   3,   /* field[3] = primary */
   4,   /* field[4] = relay */
   0,   /* field[0] = site */
@@ -5104,7 +5143,7 @@
 static const ProtobufCIntRange pw__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pw__watch__descriptor =
 {
@@ -5114,14 +5153,14 @@
   "Pw__Watch",
   "pw",
   sizeof(Pw__Watch),
-  6,
+  9,
   pw__watch__field_descriptors,
   pw__watch__field_indices_by_name,
   1,  pw__watch__number_ranges,
   (ProtobufCMessageInit) pw__watch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__notice__field_descriptors[12] =
+static const ProtobufCFieldDescriptor pw__notice__field_descriptors[14] =
 {
   {
     "site",
@@ -5267,14 +5306,40 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Notice, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "confirm",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Notice, confirm),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__notice__field_indices_by_name[] = {
   3,   /* field[3] = beats */
+  13,   /* field[13] = confirm */
   4,   /* field[4] = control */
   10,   /* field[10] = evacuated */
   2,   /* field[2] = full */
   5,   /* field[5] = gateways */
   1,   /* field[1] = in_touch */
+  12,   /* field[12] = number */
   9,   /* field[9] = revision */
   0,   /* field[0] = site */
   11,   /* field[11] = suspects */
@@ -5285,7 +5350,7 @@
 static const ProtobufCIntRange pw__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor pw__notice__descriptor =
 {
@@ -5295,7 +5360,7 @@
   "Pw__Notice",
   "pw",
   sizeof(Pw__Notice),
-  12,
+  14,
   pw__notice__field_descriptors,
   pw__notice__field_indices_by_name,
   1,  pw__notice__number_ranges,
@@ -6165,7 +6230,7 @@
   (ProtobufCMessageInit) pw__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__join__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pw__join__field_descriptors[10] =
 {
   {
     "id",
@@ -6275,6 +6340,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leader",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Join, leader),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__join__field_indices_by_name[] = {
   4,   /* field[4] = addr */
@@ -6283,6 +6360,7 @@
   6,   /* field[6] = http */
   0,   /* field[0] = id */
   2,   /* field[2] = initialised */
+  9,   /* field[9] = leader */
   7,   /* field[7] = learner */
   5,   /* field[5] = reply */
   1,   /* field[1] = slot */
@@ -6290,7 +6368,7 @@
 static const ProtobufCIntRange pw__join__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pw__join__descriptor =
 {
@@ -6300,7 +6378,7 @@
   "Pw__Join",
   "pw",
   sizeof(Pw__Join),
-  9,
+  10,
   pw__join__field_descriptors,
   pw__join__field_indices_by_name,
   1,  pw__join__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -746,10 +746,22 @@
    */
   size_t n_suspects;
   Pw__Suspect **suspects;
+  /*
+   * wire address of a control instance; "": a gateway
+   */
+  char *control;
+  /*
+   * it has all that the receiver told up to this number ...
+   */
+  uint64_t holds;
+  /*
+   * ... in this life (incarnation) of the receiver
+   */
+  uint64_t holds_of;
 };
 #define PW__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__watch__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -811,10 +823,21 @@
    */
   size_t n_suspects;
   Pw__Suspect **suspects;
+  /*
+   * to control instances: of these beats; with none,
+   */
+  uint64_t number;
+  /*
+   * of the last ones
+   */
+  /*
+   * say at once that it has come
+   */
+  protobuf_c_boolean confirm;
 };
 #define PW__NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__notice__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -1040,10 +1063,14 @@
    * in a group as a learner that no leader knows of
    */
   protobuf_c_boolean learner;
+  /*
+   * where the leader serves, as far as the sender knows
+   */
+  char *leader;
 };
 #define PW__JOIN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__join__descriptor) \
-    , 0, 0, 0, NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, NULL, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
