--- a/completion/peatwell.bash
+++ b/completion/peatwell.bash
@@ -1,9 +1,9 @@
 # bash completion for peatwell(1)
 _peatwell() {
   local cur=${COMP_WORDS[COMP_CWORD]}
-  local commands="apply get delete watch status drain evacuate timeline trace requests report backup restore check keygen keyhash"
+  local commands="apply get delete watch status drain evacuate rollout timeline trace requests report backup restore check keygen keyhash"
   local options="--server --key-file --output --wait --timeout --dry-run --follow --end --since --seconds --chat --request --target --help"
-  local kinds="model adapter version workspace target service policy evacuation"
+  local kinds="model adapter version workspace target service policy evacuation service-rollout"
   if [ "$COMP_CWORD" -eq 1 ]; then
     mapfile -t COMPREPLY < <(compgen -W "$commands --help --version" -- "$cur")
   elif [[ $cur == -* ]]; then
--- a/packages/cli/peatwell.c
+++ b/packages/cli/peatwell.c
@@ -38,6 +38,9 @@
      "send nothing new to the targets of an availability zone; --end: take it "
      "back",
      1},
+    {"rollout", pwcmd_rollout, "SERVICE [VERSION SECONDS]",
+     "move a service to targets of another version, or show where that stands",
+     1},
     {"timeline", pwcmd_timeline, "", "merge the events of all processes", 1},
     {"trace", pwcmd_trace, "ID [LOG...]",
      "tell one request's story from log files, or standard input", 0},
--- a/packages/cli/pwcmd.c
+++ b/packages/cli/pwcmd.c
@@ -387,6 +387,20 @@
   }
 }
 
+static void print_service_rollouts(const json_t *list) {
+  size_t i;
+  const json_t *r;
+  if (json_array_size(list))
+    printf("%-16s %-12s %-12s %6s %9s %9s\n", "SERVICE", "TO", "STATE", "SHARE",
+           "GOOD", "BAD");
+  json_array_foreach(list, i, r) {
+    printf("%-16s %-12s %-12s %5.1f%% %9.0f %9.0f\n", pwjson_text(r, "service"),
+           pwjson_text(r, "version"), pwjson_text(r, "state"),
+           pwjson_number(r, "share", 0) / 10, pwjson_number(r, "good", 0),
+           pwjson_number(r, "bad", 0));
+  }
+}
+
 static void print_names(const char *title, const json_t *list) {
   size_t i;
   const json_t *name;
@@ -419,6 +433,9 @@
               json_object_get(st, "availability_zones"));
   print_names("evacuated", json_object_get(st, "evacuated"));
   print_rollouts(json_object_get(st, "rollouts"));
+  print_service_rollouts(json_object_get(st, "service_rollouts"));
+  print_names("control instances outside of the group",
+              json_object_get(st, "observers"));
   printf("%-16s %-8s %-10s %9s %9s %6s %11s\n", "CHILD", "ROLE", "ZONE",
          "REVISION", "BELOW-REV", "BELOW", "SILENT");
   print_rows(json_object_get(st, "children"));
--- a/packages/cli/pwcmd.h
+++ b/packages/cli/pwcmd.h
@@ -38,6 +38,7 @@
 int pwcmd_status(pw_options *o);
 int pwcmd_drain(pw_options *o);
 int pwcmd_evacuate(pw_options *o);
+int pwcmd_rollout(pw_options *o);
 int pwcmd_timeline(pw_options *o);
 int pwcmd_trace(pw_options *o);
 int pwcmd_report(pw_options *o);
--- a/packages/control/pwapi.c
+++ b/packages/control/pwapi.c
@@ -11,6 +11,9 @@
 
 #define ROOT "/v1/resources"
 #define PUTS_MAX 10000
+#define ROLLOUT_ROOT "/v1/rollouts/"
+#define OVER_S_MAX 86400.0
+#define MS_PER_S 1000
 
 /* --- reading --- */
 
@@ -184,10 +187,50 @@
   return pwres_is_kind(c->kind) ? PW_OK : PW_E_PATH;
 }
 
+/* {version, over_s} */
+static const char *read_order(const json_t *doc, pw_rollout_order *out) {
+  const char *version = json_string_value(json_object_get(doc, "version"));
+  double over_s = json_number_value(json_object_get(doc, "over_s"));
+  if (!version || !version[0] || strlen(version) >= PW_NAME_MAX)
+    return "version: a text of 1 to 63 bytes is needed";
+  if (!(over_s > 0 && over_s <= OVER_S_MAX))
+    return "over_s: a number above 0 and up to 86400 is needed";
+  pw_copy(out->version, sizeof out->version, version);
+  out->over_ms = (int64_t)(over_s * MS_PER_S) + 1;
+  return NULL;
+}
+
+/* What follows ROLLOUT_ROOT names a service. */
+static pw_code read_rollout(pw_http *h, pw_api_call *c, char *message,
+                            size_t cap) {
+  const char *service = pwserve_path(h) + strlen(ROLLOUT_ROOT);
+  const char *method = pwserve_method(h);
+  size_t n;
+  const char *body = pwserve_body(h, &n);
+  if (!service[0] || strlen(service) >= PW_NAME_MAX || strchr(service, '/'))
+    return PW_E_PATH;
+  pw_copy(c->order.service, sizeof c->order.service, service);
+  c->op = strcmp(method, "GET") ? PW_API_ROLLOUT : PW_API_ROLLOUT_READ;
+  if (c->op == PW_API_ROLLOUT_READ)
+    return PW_OK;
+  if (strcmp(method, "PUT") != 0)
+    return PW_E_PATH;
+  json_t *doc = json_loadb(body, n, JSON_REJECT_DUPLICATES, NULL);
+  const char *why = json_is_object(doc) ? read_order(doc, &c->order)
+                                        : "a JSON object is needed";
+  json_decref(doc);
+  if (!why)
+    return PW_OK;
+  snprintf(message, cap, "%s", why);
+  return PW_E_BODY;
+}
+
 static pw_code read_call(pw_http *h, pw_api_call *c, char *message,
                          size_t cap) {
   const char *path = pwserve_path(h);
   const char *method = pwserve_method(h);
+  if (!strncmp(path, ROLLOUT_ROOT, strlen(ROLLOUT_ROOT)))
+    return read_rollout(h, c, message, cap);
   if (!strcmp(path, "/v1/status")) {
     c->op = PW_API_STATUS;
     return PW_OK;
--- a/packages/control/pwapi.h
+++ b/packages/control/pwapi.h
@@ -19,7 +19,11 @@
   PW_API_SITE_WRITE,
   PW_API_EVACUATE, /* an availability zone is evacuated or taken back */
   PW_API_BEAT,
-  PW_API_LEAVE
+  PW_API_LEAVE,
+
+  /* of the platform or of operators, see pwrollcall.h */
+  PW_API_ROLLOUT,
+  PW_API_ROLLOUT_READ
 } pw_api_op;
 
 /* One request. The HTTP thread fills it and waits; the control thread answers
@@ -34,8 +38,11 @@
   Pw__Change *change; /* PW_API_CHANGE, PW_API_EVACUATE */
   pw_buf document;    /* PW_API_SITE_WRITE: a valid one */
   uint64_t document_version;
-  pw_beat beat;    /* PW_API_BEAT; of PW_API_LEAVE the id */
-  int64_t started; /* ns */
+  pw_beat beat; /* PW_API_BEAT; of PW_API_LEAVE the id */
+  pw_rollout_order
+      order; /* PW_API_ROLLOUT; of PW_API_ROLLOUT_READ the service */
+  const pw_dialect *dialect; /* of the platform's call; NULL: an operator's */
+  int64_t started;           /* ns */
 
   pthread_mutex_t lock;
   pw_http *h; /* NULL once the caller is gone */
--- /dev/null
+++ b/packages/control/pwcanaries.c
@@ -0,0 +1,380 @@
+/* pwcanaries.c: services that are rolled out to targets of another version. */
+#include "pwcanaries.h"
+
+#include "pwapi.h"
+#include "pwbuf.h"
+#include "pwjson.h"
+#include "pwlog.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#define PASS_MS 100 /* between two looks */
+
+/* The same order within this time of the first is the first one, sent again. */
+#define RESEND_MS 15000
+
+/* One as its resource says. */
+typedef struct spec {
+  char service[PW_NAME_MAX];
+  char version[PW_NAME_MAX];
+  pw_canary canary;
+  int64_t over_ms;
+  int64_t elapsed_ms; /* when it was written ... */
+  int64_t written;    /* ... by the writer's wall clock, ms */
+  uint64_t begun;
+  uint64_t resource_version;
+} spec;
+
+/* What one gateway has seen on one route. */
+typedef struct seen {
+  char route[PW_NAME_MAX];
+  pw_canary_route sum;
+} seen;
+
+/* All that one gateway has seen of one roll-out. */
+typedef struct report {
+  struct {
+    uint64_t begun;
+    uint64_t incarnation; /* of the gateway */
+  } key;
+  seen route[PWCANARY_ROUTES_MAX];
+  int nroutes;
+  UT_hash_handle hh;
+} report;
+
+/* A roll-out that this instance carries out. */
+typedef struct under_way {
+  uint64_t begun;
+  int64_t led_at, elapsed_ms; /* it had gone on for so long then */
+  int share;
+  int64_t share_at; /* when the share was seen first, ms */
+  struct under_way *next;
+} under_way;
+
+struct pw_canaries {
+  const pw_res *res;
+  const pw_watch *watch;
+  double expose_share;
+  report *reports;
+  under_way *list;
+  int is_proposed;
+  int64_t passed_at;
+};
+
+pw_canaries *pwcanaries_new(const pw_res *res, const pw_watch *watch,
+                            double expose_share) {
+  pw_canaries *c = pw_alloc(sizeof *c);
+  c->res = res;
+  c->watch = watch;
+  c->expose_share = expose_share > 0 ? expose_share : PWCANARY_EXPOSE_SHARE;
+  return c;
+}
+
+static void forget(pw_canaries *c) {
+  while (c->list) {
+    under_way *u = c->list;
+    c->list = u->next;
+    free(u);
+  }
+}
+
+static void drop_reports(pw_canaries *c) {
+  report *r, *tmp;
+  HASH_ITER(hh, c->reports, r, tmp) {
+    HASH_DEL(c->reports, r);
+    free(r);
+  }
+}
+
+void pwcanaries_free(pw_canaries *c) {
+  if (!c)
+    return;
+  forget(c);
+  drop_reports(c);
+  free(c);
+}
+
+void pwcanaries_lead(pw_canaries *c, int64_t now) {
+  forget(c);
+  c->is_proposed = 0;
+  c->passed_at = now;
+}
+
+/* --- resources --- */
+
+static void read_spec(const pw_resource *one, spec *out) {
+  json_t *o = json_loads(one->spec, 0, NULL);
+  *out = (spec){.resource_version = one->version};
+  pw_copy(out->service, sizeof out->service, one->name);
+  pw_copy(out->version, sizeof out->version, pwjson_text(o, "version"));
+  out->canary.state = pwcanary_state_of(pwjson_text(o, "state"));
+  out->canary.share = (int)pwjson_number(o, "share", 0);
+  out->over_ms = (int64_t)pwjson_number(o, "over_ms", 0);
+  out->elapsed_ms = (int64_t)pwjson_number(o, "elapsed_ms", 0);
+  out->written = (int64_t)pwjson_number(o, "written", 0);
+  out->begun = (uint64_t)pwjson_number(o, "begun", 0);
+  json_decref(o);
+}
+
+static int read_of(const pw_res *res, const char *service, spec *out) {
+  const pw_resource *one = pwres_get(res, PW_KIND_SERVICE_ROLLOUT, service);
+  if (one)
+    read_spec(one, out);
+  return one != NULL;
+}
+
+static char *write_spec(const spec *s) {
+  json_t *o =
+      json_pack("{s:s,s:I,s:i,s:s,s:I,s:I,s:I}", "version", s->version,
+                "over_ms", (json_int_t)s->over_ms, "share", s->canary.share,
+                "state", pwcanary_state_name(s->canary.state), "begun",
+                (json_int_t)s->begun, "elapsed_ms", (json_int_t)s->elapsed_ms,
+                "written", (json_int_t)s->written);
+  char *text = json_dumps(o, JSON_COMPACT | JSON_SORT_KEYS);
+  json_decref(o);
+  return text;
+}
+
+/* Written only over what was read: of two writers the second is refused. */
+static Pw__Change *change_to(const spec *s) {
+  char *text = write_spec(s);
+  Pw__Change *ch = pwapi_one(PW_KIND_SERVICE_ROLLOUT, s->service, text);
+  ch->puts[0]->any_version = 0;
+  ch->puts[0]->version = s->resource_version;
+  free(text);
+  return ch;
+}
+
+pw_code pwcanaries_read(const pw_res *res, const char *service, char *version,
+                        pw_canary *out) {
+  spec s;
+  if (!read_of(res, service, &s))
+    return PW_E_NOT_FOUND;
+  pw_copy(version, PW_NAME_MAX, s.version);
+  *out = s.canary;
+  return PW_OK;
+}
+
+/* --- time --- */
+
+/* So long it has gone on by all that was written; a wall clock that jumped counts for no more
+** than the whole of it. */
+static int64_t elapsed_by_wall(const spec *s) {
+  int64_t since = pwclock_wall_ms() - s->written;
+  if (since < 0)
+    since = 0;
+  return s->elapsed_ms + (since < s->over_ms ? since : s->over_ms);
+}
+
+static under_way *under_way_of(pw_canaries *c, const spec *s, int64_t now) {
+  under_way *u = c->list;
+  while (u && u->begun != s->begun)
+    u = u->next;
+  if (!u) {
+    u = pw_alloc(sizeof *u);
+    *u = (under_way){.begun = s->begun,
+                     .led_at = now,
+                     .elapsed_ms = elapsed_by_wall(s),
+                     .share = s->canary.share,
+                     .share_at = now,
+                     .next = c->list};
+    c->list = u;
+  }
+  if (u->share != s->canary.share) {
+    u->share = s->canary.share;
+    u->share_at = now;
+  }
+  return u;
+}
+
+static int64_t elapsed(const under_way *u, int64_t now) {
+  return u->elapsed_ms + now - u->led_at;
+}
+
+/* --- orders --- */
+
+static int is_resent(const spec *s, const pw_rollout_order *o) {
+  return !strcmp(s->version, o->version) &&
+         (s->canary.state != PWCANARY_REVERTED ||
+          elapsed_by_wall(s) < RESEND_MS);
+}
+
+pw_code pwcanaries_order(pw_canaries *c, const pw_rollout_order *o,
+                         Pw__Change **out, char *why, size_t cap) {
+  spec s = {0};
+  *out = NULL;
+  int has = read_of(c->res, o->service, &s);
+  if (has && is_resent(&s, o))
+    return PW_OK;
+  if (has && s.canary.state == PWCANARY_RUNNING) {
+    snprintf(why, cap, "%s is being rolled out to %s", o->service, s.version);
+    return PW_E_CONFLICT;
+  }
+  const pw_resource *old =
+      pwres_find(c->res, PW_KIND_SERVICE_ROLLOUT, o->service);
+  spec fresh = {.over_ms = o->over_ms,
+                .written = pwclock_wall_ms(),
+                .resource_version = has ? old->version : 0};
+  fresh.begun = (uint64_t)fresh.written;
+  pw_copy(fresh.service, sizeof fresh.service, o->service);
+  pw_copy(fresh.version, sizeof fresh.version, o->version);
+  *out = change_to(&fresh);
+  return PW_OK;
+}
+
+/* --- what gateways have seen --- */
+
+static report *report_of(pw_canaries *c, uint64_t begun, uint64_t incarnation) {
+  report *r, key = {.key = {begun, incarnation}};
+  HASH_FIND(hh, c->reports, &key.key, sizeof key.key, r);
+  if (r)
+    return r;
+  r = pw_alloc(sizeof *r);
+  r->key = key.key;
+  HASH_ADD(hh, c->reports, key, sizeof r->key, r);
+  return r;
+}
+
+static seen *seen_on(report *r, const char *route) {
+  for (int i = 0; i < r->nroutes; i++)
+    if (!strcmp(r->route[i].route, route))
+      return &r->route[i];
+  if (r->nroutes == PWCANARY_ROUTES_MAX)
+    return &r->route[PWCANARY_ROUTES_MAX - 1];
+  seen *s = &r->route[r->nroutes++];
+  pw_copy(s->route, sizeof s->route, route);
+  return s;
+}
+
+/* Sums only rise: one that comes late changes nothing. */
+static void raise_to(double *at, uint64_t value) {
+  if ((double)value > *at)
+    *at = (double)value;
+}
+
+void pwcanaries_heard(pw_canaries *c, const Pw__Envelope *e) {
+  const Pw__Watch *m = e->watch;
+  for (size_t i = 0; i < m->n_answers; i++) {
+    const Pw__Answers *a = m->answers[i];
+    spec s;
+    if (!read_of(c->res, a->service, &s) || s.begun != a->begun)
+      continue;
+    seen *at = seen_on(report_of(c, a->begun, e->incarnation), a->route);
+    raise_to(&at->sum.good_to, a->good_to);
+    raise_to(&at->sum.bad_to, a->bad_to);
+    raise_to(&at->sum.good_from, a->good_from);
+    raise_to(&at->sum.bad_from, a->bad_from);
+  }
+}
+
+static void add(pw_canary_route *to, const pw_canary_route *from) {
+  to->good_to += from->good_to;
+  to->bad_to += from->bad_to;
+  to->good_from += from->good_from;
+  to->bad_from += from->bad_from;
+}
+
+/* Over all gateways, route by route. */
+static void sum_up(pw_canaries *c, uint64_t begun, report *out) {
+  *out = (report){.key = {.begun = begun}};
+  for (report *r = c->reports; r; r = r->hh.next)
+    for (int i = 0; i < r->nroutes && r->key.begun == begun; i++)
+      add(&seen_on(out, r->route[i].route)->sum, &r->route[i].sum);
+}
+
+/* --- the leader's part --- */
+
+static void tell(const spec *s, const pw_canary *next, double ratio,
+                 const report *sum) {
+  pw_canary_route all = {0};
+  for (int i = 0; i < sum->nroutes; i++)
+    add(&all, &sum->route[i].sum);
+  pwlog(LOG_NOTICE, "service-rollout",
+        "service=%s version=%s state=%s share=%d ratio=%.3g good=%.0f bad=%.0f "
+        "good_before=%.0f bad_before=%.0f",
+        s->service, s->version, pwcanary_state_name(next->state), next->share,
+        ratio, all.good_to, all.bad_to, all.good_from, all.bad_from);
+}
+
+/* The change that a roll-out needs now, or NULL. */
+static Pw__Change *tend(pw_canaries *c, spec *s, int64_t now) {
+  under_way *u = under_way_of(c, s, now);
+  report sum;
+  pw_canary_route route[PWCANARY_ROUTES_MAX];
+  pw_canary next;
+  sum_up(c, s->begun, &sum);
+  for (int i = 0; i < sum.nroutes; i++)
+    route[i] = sum.route[i].sum;
+  pw_canary_ask ask = {.over_ms = s->over_ms,
+                       .elapsed_ms = elapsed(u, now),
+                       .in_share_ms = now - u->share_at,
+                       .expose_share = c->expose_share,
+                       .route = route,
+                       .nroutes = sum.nroutes};
+  pwwatch_slots(c->watch, s->service, s->version, &ask.slots_to,
+                &ask.slots_from);
+  if (!pwcanary_next(&s->canary, &ask, &next))
+    return NULL;
+  tell(s, &next, pwcanary_ratio(route, sum.nroutes), &sum);
+  s->canary = next;
+  s->elapsed_ms = ask.elapsed_ms;
+  s->written = pwclock_wall_ms();
+  return change_to(s);
+}
+
+Pw__Change *pwcanaries_next(pw_canaries *c, int64_t now) {
+  if (c->is_proposed || now - c->passed_at < PASS_MS)
+    return NULL;
+  c->passed_at = now;
+  int n = 0;
+  for (const pw_resource *one = pwres_first(c->res); one; one = one->next) {
+    spec s;
+    if (one->deleted || strcmp(one->kind, PW_KIND_SERVICE_ROLLOUT) != 0)
+      continue;
+    read_spec(one, &s);
+    if (s.canary.state != PWCANARY_RUNNING)
+      continue;
+    n++;
+    Pw__Change *ch = tend(c, &s, now);
+    c->is_proposed = ch != NULL;
+    if (ch)
+      return ch;
+  }
+  if (n == 0)
+    drop_reports(c);
+  return NULL;
+}
+
+void pwcanaries_done(pw_canaries *c) {
+  c->is_proposed = 0;
+}
+
+static json_t *one_json(pw_canaries *c, const spec *s, int64_t now) {
+  report sum;
+  pw_canary_route all = {0};
+  sum_up(c, s->begun, &sum);
+  for (int i = 0; i < sum.nroutes; i++)
+    add(&all, &sum.route[i].sum);
+  int runs = s->canary.state == PWCANARY_RUNNING;
+  return json_pack(
+      "{s:s,s:s,s:s,s:i,s:I,s:I,s:f,s:f}", "service", s->service, "version",
+      s->version, "state", pwcanary_state_name(s->canary.state), "share",
+      s->canary.share, "over_ms", (json_int_t)s->over_ms, "elapsed_ms",
+      (json_int_t)(runs ? elapsed(under_way_of(c, s, now), now)
+                        : s->elapsed_ms),
+      "good", all.good_to, "bad", all.bad_to);
+}
+
+json_t *pwcanaries_json(pw_canaries *c, int64_t now) {
+  json_t *list = json_array();
+  for (const pw_resource *one = pwres_first(c->res); one; one = one->next) {
+    spec s;
+    if (one->deleted || strcmp(one->kind, PW_KIND_SERVICE_ROLLOUT) != 0)
+      continue;
+    read_spec(one, &s);
+    json_array_append_new(list, one_json(c, &s, now));
+  }
+  return list;
+}
--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -36,6 +36,15 @@
 
 /* --- the group's calls --- */
 
+static void end_plan(pw_control *c, pw_code code) {
+  c->planned = 0;
+  if (c->plans_rollout)
+    pwcanaries_done(c->canaries);
+  else
+    pwplanner_done(c->planner, code);
+  c->plans_rollout = 0;
+}
+
 static void on_applied(void *arg, const Pw__Entry *e, Pw__Outcome *o,
                        Pw__Claimed *cl) {
   pw_control *c = arg;
@@ -46,10 +55,8 @@
                 (int64_t)pwonce_count(pwstate_once(pwgroup_state(c->group))));
   }
   pwpublish_applied(c->publish, e, o);
-  if (e->index == c->planned) {
-    c->planned = 0;
-    pwplanner_done(c->planner, o ? (pw_code)o->code : PW_E_CONFLICT);
-  }
+  if (e->index == c->planned)
+    end_plan(c, o ? (pw_code)o->code : PW_E_CONFLICT);
   if (o && o->code == PW_OK)
     pwevent_add(c->p->events, PWE_CHANGE, 0, NULL, NULL, NULL,
                 "revision=%llu resources=%zu", (unsigned long long)o->revision,
@@ -66,7 +73,9 @@
     return;
   c->led_at = pwclock_ms();
   c->planned = 0;
+  c->plans_rollout = 0;
   pwplanner_lead(c->planner, c->led_at);
+  pwcanaries_lead(c->canaries, c->led_at);
   c->led_revision = pwres_revision(pwctl_resources(c));
 }
 
@@ -99,6 +108,9 @@
       pwreads_message(c->reads, sock, &from, e, now);
       break;
     case PW__ENVELOPE__BODY_WATCH:
+      pwcanaries_heard(c->canaries, e);
+      pwwatch_message(c->watch, &from, e, now);
+      break;
     case PW__ENVELOPE__BODY_NOTICE:
       pwwatch_message(c->watch, &from, e, now);
       break;
@@ -129,16 +141,24 @@
     pwfeed_push(c->feed, &st, now);
 }
 
-/* Proposes the planner's next change; one at a time. The log fences it: it has
+/* Of models, or of services. */
+static Pw__Change *next_plan(pw_control *c, int64_t now) {
+  Pw__Change *ch = NULL;
+  if (!c->planned)
+    ch = pwcanaries_next(c->canaries, now);
+  c->plans_rollout |= ch != NULL;
+  return ch ? ch : pwplanner_next(c->planner, pwgroup_term(c->group), now);
+}
+
+/* Proposes the next change that the leader plans; one at a time. The log fences it: it has
 ** an effect only if this instance still leads when it is committed. */
 static void plan(pw_control *c, int64_t now) {
   if (!pwgroup_lease(c->group, now) || atomic_load(&c->p->stopping))
     return;
   if (c->planned && now - c->planned_at > PLAN_MS) {
-    c->planned = 0;
-    pwplanner_done(c->planner, PW_E_UNKNOWN);
+    end_plan(c, PW_E_UNKNOWN);
   }
-  Pw__Change *ch = pwplanner_next(c->planner, pwgroup_term(c->group), now);
+  Pw__Change *ch = next_plan(c, now);
   if (!ch)
     return;
   Pw__Command cmd = PW__COMMAND__INIT;
@@ -148,10 +168,8 @@
   cmd.change = ch;
   c->planned_at = now;
   pw_code rc = pwgroup_propose(c->group, &cmd, &c->planned, &term);
-  if (rc != PW_OK) {
-    c->planned = 0;
-    pwplanner_done(c->planner, rc);
-  }
+  if (rc != PW_OK)
+    end_plan(c, rc);
   pw__change__free_unpacked(ch, NULL);
 }
 
@@ -165,7 +183,8 @@
   int n = pwgroup_members(c->group, members);
   int is_member = pwgroup_is_member(c->group);
   pwwatch_group(c->watch, members, n, is_member, now);
-  pwwatch_tick(c->watch, pwgroup_in_touch(c->group, now), now);
+  pwwatch_tick(c->watch, pwgroup_in_touch(c->group, now),
+               pwgroup_is_leader(c->group), now);
   pwleave_work(c->leave, is_member, now);
   atomic_store(&c->is_heard, pwwatch_is_heard(c->watch, now));
 }
@@ -357,6 +376,8 @@
   c.planner = pwplanner_new(pwctl_resources(&c), c.news);
   const pw_doc *doc = pwstate_document(pwgroup_state(c.group));
   c.watch = pwwatch_new(p, c.listener, c.dialler, doc, pwctl_resources(&c));
+  c.canaries = pwcanaries_new(pwctl_resources(&c), c.watch,
+                              p->set->control_expose_share);
   c.leave = pwleave_new(c.watch, p->counters);
   c.publish = pwpublish_new(c.group, doc);
   c.reads = pwreads_new(c.group);
@@ -372,6 +393,7 @@
   pwpublish_free(c.publish);
   pwreads_free(c.reads);
   pwleave_free(c.leave);
+  pwcanaries_free(c.canaries);
   pwwatch_free(c.watch);
   pwnews_free(c.news);
   pwfeed_free(c.feed);
--- a/packages/control/pwctl.h
+++ b/packages/control/pwctl.h
@@ -4,6 +4,7 @@
 
 #include "pwapi.h"
 #include "pwbusy.h"
+#include "pwcanaries.h"
 #include "pwfeed.h"
 #include "pwgroup.h"
 #include "pwleave.h"
@@ -43,12 +44,15 @@
   pw_feed *feed;
   pw_news *news;
   pw_planner *planner;
+  pw_canaries *canaries;
   pw_watch *watch;
   pw_leave *leave;
   pw_publish *publish;
   pw_reads *reads;
   pw_busy busy;
-  uint64_t planned; /* index of the planner's change; 0: none is under way */
+  uint64_t
+      planned; /* index of the change that the leader plans; 0: none is under way */
+  int plans_rollout; /* it is of a service */
   int64_t planned_at;
   pw_ctl_waiter *waiters;
   pw_ctl_watcher *watchers;
--- a/packages/control/pwctlcall.c
+++ b/packages/control/pwctlcall.c
@@ -2,6 +2,7 @@
 #include "pwctl.h"
 
 #include "pwlog.h"
+#include "pwrollcall.h"
 #include "pwsitecall.h"
 
 #include <stdio.h>
@@ -51,7 +52,7 @@
   pw_feed_sum sum = sum_up(c);
   snprintf(group, sizeof group, "%016llx",
            (unsigned long long)pwgroup_number(c->group));
-  return json_pack("{s:I,s:s,s:I,s:s,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:i}",
+  return json_pack("{s:I,s:s,s:I,s:s,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:o,s:i}",
                    "revision", (json_int_t)pwres_revision(pwctl_resources(c)),
                    "group", group, "term", (json_int_t)pwgroup_term(c->group),
                    "leader", pwgroup_leader_http(c->group), "in_force",
@@ -59,6 +60,7 @@
                    "observers", pwwatch_observers_json(c->watch), "children",
                    pwfeed_json(c->feed, now), "rollouts",
                    pwplanner_json(c->planner, sum.revision, now),
+                   "service_rollouts", pwcanaries_json(c->canaries, now),
                    "availability_zones", pwwatch_zones_json(c->watch),
                    "evacuated", evacuated_json(c), "once_claims",
                    (int)pwonce_count(pwstate_once(pwgroup_state(c->group))));
@@ -202,20 +204,44 @@
     pwsitecall_to_leader(call, c->group);
 }
 
+static void to_leader(pw_control *c, pw_api_call *call) {
+  if (call->dialect) {
+    pwsitecall_to_leader(call, c->group);
+    return;
+  }
+  pw_copy(call->leader, sizeof call->leader,
+          pwgroup_is_leader(c->group) ? "" : pwgroup_leader_http(c->group));
+  pwapi_fail(call, PW_E_NOT_LEADER, "", "not-run", NULL);
+}
+
+static void roll_out(pw_control *c, pw_api_call *call, int64_t now) {
+  if (!pwgroup_lease(c->group, now)) {
+    to_leader(c, call);
+  } else if (call->op == PW_API_ROLLOUT_READ) {
+    pwrollcall_read(c, call);
+  } else {
+    call->change = pwrollcall_order(c, call);
+    if (call->change)
+      change(c, call, now);
+  }
+}
+
 void pwctl_call(pw_control *c, pw_api_call *call, int64_t now) {
   if (call->op == PW_API_EVACUATE) {
     evacuate(c, call, now);
     return;
   }
+  if (call->op == PW_API_ROLLOUT || call->op == PW_API_ROLLOUT_READ) {
+    roll_out(c, call, now);
+    return;
+  }
   if (call->op >= PW_API_SITE_READ) {
     pwsitecall_take(call, c->group, c->publish, c->reads, c->watch, c->leave,
                     now);
     return;
   }
   if (!pwgroup_lease(c->group, now)) {
-    pw_copy(call->leader, sizeof call->leader,
-            pwgroup_is_leader(c->group) ? "" : pwgroup_leader_http(c->group));
-    pwapi_fail(call, PW_E_NOT_LEADER, "", "not-run", NULL);
+    to_leader(c, call);
   } else if (call->op == PW_API_CHANGE) {
     change(c, call, now);
   } else {
@@ -271,7 +297,10 @@
   int is_so = call->op == PW_API_EVACUATE && o->code == PW_E_NOT_FOUND;
   if (o->code == PW_OK || is_so) {
     pwcount_add(c->p->counters, PWC_CHANGES, o->code == PW_OK);
-    pwapi_answer(call, 200, outcome_json(o));
+    if (call->op == PW_API_ROLLOUT)
+      pwrollcall_taken(call);
+    else
+      pwapi_answer(call, 200, outcome_json(o));
     return;
   }
   pwcount_add(c->p->counters, PWC_CONFLICTS, o->code == PW_E_CONFLICT);
--- a/packages/control/pwsitecall.c
+++ b/packages/control/pwsitecall.c
@@ -27,7 +27,9 @@
                                   [PWCALL_BEAT] = PW_API_BEAT,
                                   [PWCALL_LEAVE] = PW_API_LEAVE,
                                   [PWCALL_EVACUATE] = PW_API_EVACUATE,
-                                  [PWCALL_EVACUATE_END] = PW_API_EVACUATE};
+                                  [PWCALL_EVACUATE_END] = PW_API_EVACUATE,
+                                  [PWCALL_ROLLOUT] = PW_API_ROLLOUT,
+                                  [PWCALL_ROLLOUT_READ] = PW_API_ROLLOUT_READ};
   char id[PW_NAME_MAX];
   *of_target = 0;
   if (!d)
@@ -41,12 +43,17 @@
   const char *body = pwserve_body(h, &n);
   pw_code rc = PW_OK;
   pw_copy(c->name, sizeof c->name, pwserve_path(h));
+  c->dialect = d;
   if (kind == PWCALL_SITE_WRITE)
     rc = read_document(h, d, c, message, cap);
   else if (kind == PWCALL_BEAT)
     rc = d->read_beat(id, body, n, &c->beat, message, cap);
   else if (kind == PWCALL_LEAVE)
     rc = d->read_leave(id, body, n, &c->beat, message, cap);
+  else if (kind == PWCALL_ROLLOUT)
+    rc = d->read_rollout(body, n, &c->order, message, cap);
+  else if (kind == PWCALL_ROLLOUT_READ)
+    pw_copy(c->order.service, sizeof c->order.service, id);
   else if (c->op == PW_API_EVACUATE)
     c->change = pwapi_one(PW_KIND_EVACUATION, id,
                           kind == PWCALL_EVACUATE ? "{}" : NULL);
--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -8,6 +8,7 @@
 #include "pwoutbox.h"
 #include "pwpace.h"
 #include "pwpeers.h"
+#include "pwrolltold.h"
 #include "pwsuspects.h"
 #include "pwtable.h"
 
@@ -59,6 +60,7 @@
   const pw_doc *doc;
   const pw_res *resources;
   pw_zones evacuated;
+  pw_rolltold rollouts;
   pw_fleet *targets;
   watcher *watchers;
   int nwatchers;
@@ -77,6 +79,7 @@
   int is_unheard;
   uint64_t table_number; /* what of its own news is in the table */
   int in_touch;          /* a leader was heard just now */
+  int leads;             /* this instance leads */
 };
 
 pw_watch *pwwatch_new(pw_proc *p, pw_sock *listener, pw_sock *dialler,
@@ -110,6 +113,7 @@
   pwhand_free(w->hand);
   pwfleet_free(w->targets);
   pwzones_free(&w->evacuated);
+  pwrolltold_free(&w->rollouts);
   free(w->table.table.data);
   free(w);
 }
@@ -176,6 +180,9 @@
   n->revision = w->evacuated.revision;
   n->evacuated = w->evacuated.name;
   n->n_evacuated = w->evacuated.n;
+  n->rollouts = w->rollouts.list;
+  n->n_rollouts = w->rollouts.n;
+  n->leads = w->leads;
   if (list_is_due(w, to, now)) {
     add_lists(w, n, to->is_primary && to->gossip[0]);
     to->listed_at = now;
@@ -395,6 +402,28 @@
   return list;
 }
 
+int pwwatch_has_service(const pw_watch *w, const char *name) {
+  for (pw_target *t = pwfleet_first(w->targets); t; t = t->hh.next)
+    if (!strcmp(t->service, name))
+      return 1;
+  return 0;
+}
+
+static int may_be_sent_to(const pw_watch *w, const pw_target *t) {
+  return !t->is_gone && !t->is_leaving && !t->is_silent &&
+         !pwzones_holds(&w->evacuated, t->availability_zone);
+}
+
+void pwwatch_slots(const pw_watch *w, const char *service, const char *version,
+                   double *of_version, double *of_others) {
+  *of_version = *of_others = 0;
+  for (pw_target *t = pwfleet_first(w->targets); t; t = t->hh.next) {
+    if (strcmp(t->service, service) != 0 || !may_be_sent_to(w, t))
+      continue;
+    *(strcmp(t->version, version) ? of_others : of_version) += t->slots;
+  }
+}
+
 const pw_zones *pwwatch_evacuated(const pw_watch *w) {
   return &w->evacuated;
 }
@@ -601,9 +630,11 @@
   w->is_unheard = unheard;
 }
 
-void pwwatch_tick(pw_watch *w, int in_touch, int64_t now) {
+void pwwatch_tick(pw_watch *w, int in_touch, int leads, int64_t now) {
   w->in_touch = in_touch;
+  w->leads = leads;
   pwzones_read(&w->evacuated, w->resources);
+  pwrolltold_read(&w->rollouts, w->resources);
   drop_lost(w, now);
   pwquar_tick(w->quarantine, now);
   count(w, now);
--- a/packages/control/pwwatch.h
+++ b/packages/control/pwwatch.h
@@ -40,6 +40,12 @@
 int pwwatch_has_zone(const pw_watch *w, const char *name);
 json_t *pwwatch_zones_json(const pw_watch *w);
 
+/* Whether a target of that service was heard here; and the slots of those that may be sent
+** to, of that version and of all others. */
+int pwwatch_has_service(const pw_watch *w, const char *name);
+void pwwatch_slots(const pw_watch *w, const char *service, const char *version,
+                   double *of_version, double *of_others);
+
 /* The availability zones that are evacuated. */
 const pw_zones *pwwatch_evacuated(const pw_watch *w);
 
@@ -50,7 +56,7 @@
 /* Control instances outside of the group that are known here; new reference. */
 json_t *pwwatch_observers_json(const pw_watch *w);
 
-/* Sends what is due; `in_touch`: a leader was heard just now. */
-void pwwatch_tick(pw_watch *w, int in_touch, int64_t now);
+/* Sends what is due; `in_touch`: a leader was heard just now; `leads`: this is the one. */
+void pwwatch_tick(pw_watch *w, int in_touch, int leads, int64_t now);
 
 #endif
--- a/packages/control/pwzones.h
+++ b/packages/control/pwzones.h
@@ -16,6 +16,8 @@
 /* Reads them anew when the resources have changed; each that came or went is logged. */
 void pwzones_read(pw_zones *z, const pw_res *resources);
 
+int pwzones_holds(const pw_zones *z, const char *name);
+
 void pwzones_free(pw_zones *z);
 
 #endif
--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -192,6 +192,9 @@
     INT("control", "losses", control_losses, 0, 3, 2, "instances",
         "lost at once without harm: the group has twice as many and one "
         "voters; with seeds only"),
+    REAL("control", "expose_share", control_expose_share, 0, 1, 0, "share",
+         "of a service's requests that a version which proves bad may get "
+         "while it is rolled out; 0: a tenth"),
     LIST("control", "availability_zones", control_zones, NULL,
          "availability zones that may be evacuated, beside those of targets "
          "that were heard; unset: any"),
--- a/packages/core/pwset.h
+++ b/packages/core/pwset.h
@@ -91,6 +91,7 @@
   int64_t control_seed_port;
   int64_t control_found;
   int64_t control_losses;
+  double control_expose_share;
   int64_t control_beat;
 } pw_settings;
 
--- a/packages/gateway/pwevents.c
+++ b/packages/gateway/pwevents.c
@@ -29,7 +29,8 @@
 
 void pwexi_begin_answer(pw_exchange *x) {
   x->has_begun = 1;
-  x->passed_at = pwclock_ms();
+  x->first_at = x->passed_at = pwclock_ms();
+  x->pieces = 0;
   pwexi_observe(x, PWSTAGE_FIRST, x->passed_at - x->arrived);
   pwconn_begin(x->client, x->status, x->lines.data ? x->lines.data : "");
   pwbuf_free(&x->lines);
@@ -46,6 +47,7 @@
   if (!x->has_begun)
     pwexi_begin_answer(x);
   note_pause(x);
+  x->pieces++;
   pwconn_piece(x->client, data, n);
   if (x->u && pwtcp_pending(x->client->tcp) > PAUSE_BYTES && !x->is_paused) {
     x->is_paused = 1;
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -157,6 +157,8 @@
     pwfleet_failed(x->t, now);
     if (x->is_sent)
       pwexi_note_ended(x, now);
+  } else if (x->t && x->is_sent) {
+    pwexi_seen_bad(x);
   }
   if (!x->has_begun && x->may_have_run)
     pwexi_refuse(x, PW_E_TIMEOUT, "no whole answer in time", 0);
@@ -348,6 +350,7 @@
 
 static void whole_stream(pw_exchange *x, int64_t now) {
   pwexi_note_answered(x, now);
+  pwexi_seen_good(x, now);
   pwfleet_answered(x->t, 0, pwclock_ms());
   if (x->held.len) { /* bytes after the last whole event */
     pwexi_pass(x, x->held.data, x->held.len);
@@ -388,13 +391,16 @@
     pwfleet_failed(x->t, now);
     pwexi_unknown(x, "the answer is not one");
   } else if (x->status / 100 == 5 && pwexi_may_repeat(x, now)) {
+    pwexi_seen_bad(x);
     pwfleet_erred(x->t, now);
     pwexi_retry(x, "the target failed", 1);
   } else {
     if (is_good) {
       pwexi_note_answered(x, now);
+      pwexi_seen_good(x, now);
       pwfleet_answered(x->t, (double)(now - x->sent_at), now);
     } else if (x->status / 100 == 5) {
+      pwexi_seen_bad(x);
       pwfleet_erred(x->t, now);
     }
     pwexi_let_go(x);
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -1,5 +1,5 @@
-/* pwexint.h: state of one exchange, for pwexchange.c, pwexsend.c, pwexfail.c and
-** pwevents.c alone. */
+/* pwexint.h: state of one exchange, for pwexchange.c, pwexsend.c, pwexfail.c,
+** pwexseen.c and pwevents.c alone. */
 #ifndef PWEXINT_H
 #define PWEXINT_H
 
@@ -34,8 +34,9 @@
   int is_awaiting; /* a configuration; what follows from it is not known yet */
   pw_exchange *prev, *next; /* of those */
 
-  int urgency; /* 0 first: its route's priority, or after all others */
-  int is_last; /* it goes after others of its urgency */
+  pw_fleet_side side; /* the targets that it may go to */
+  int urgency;        /* 0 first: its route's priority, or after all others */
+  int is_last;        /* it goes after others of its urgency */
   int64_t
       known_after; /* its caller is known to have tried before by then, ms */
 
@@ -45,6 +46,8 @@
   pw_upconn *u;
   int is_sent; /* bytes of it have gone to t */
   int64_t sent_at;
+  int64_t first_at;  /* when its first piece was passed on ... */
+  int pieces;        /* ... and how many since */
   int64_t passed_at; /* when the newest bytes of its stream were passed on */
   int64_t longest_pause;
 
@@ -105,6 +108,14 @@
 /* Sends it to x->t; -1: no connection can be had. */
 int pwexi_send(pw_exchange *x);
 
+/* --- pwexseen.c --- */
+
+/* The target answered with a failure of its own, or too late. */
+void pwexi_seen_bad(const pw_exchange *x);
+
+/* It answered well, by now. */
+void pwexi_seen_good(const pw_exchange *x, int64_t now);
+
 /* --- pwexfail.c --- */
 
 /* The target ended, or went dark, while it had the request. */
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -115,7 +115,7 @@
 } part;
 
 static part part_of(const pw_exchange *x, int64_t now) {
-  part p = {.sum = pwfleet_sum(x->g->fleet, x->service->name, now)};
+  part p = {.sum = pwfleet_sum(x->g->fleet, x->service->name, x->side, now)};
   double mine = pwshare_rate(&x->kept->share, now);
   double kept = pwplaces_reserve(&x->kept->places, x->urgency, x->is_last);
   if (!x->service->is_engine && p.sum.work_ms > 0) /* targets' queues, too */
@@ -166,6 +166,7 @@
   int64_t keep = (int64_t)(g->p->set->gateway_keep * MS_PER_S);
   pw_fleet_ask ask = {
       .service = x->service->name,
+      .side = x->side,
       .how = g->how,
       .is_sticky = is_sticky,
       .key = key,
@@ -252,6 +253,20 @@
   return 0;
 }
 
+/* A request that the new version failed goes back to the old one. */
+static void choose_side(pw_exchange *x) {
+  if (x->ntried == 0)
+    x->side = pwfleet_side(x->g->fleet, x->service->name, pwgate_draw(x->g));
+  else if (x->side == PWFLEET_TO)
+    x->side = PWFLEET_FROM;
+}
+
+/* Sends it to a target of its side that has a place, if it gets one; 0: it does not. */
+static int try_side(pw_exchange *x, part *p, int was_new, int64_t now) {
+  *p = part_of(x, now);
+  return !(was_new && is_turned_away(x, p)) && place_now(x);
+}
+
 void pwexi_place(pw_exchange *x) {
   int64_t now = pwclock_ms();
   int was_new = is_new(x);
@@ -259,8 +274,13 @@
     return;
   if (was_new)
     pwshare_asked(&x->kept->share, now);
-  part p = part_of(x, now);
-  int is_placed = !(was_new && is_turned_away(x, &p)) && place_now(x);
+  part p;
+  choose_side(x);
+  int is_placed = try_side(x, &p, was_new, now);
+  if (!is_placed && x->side == PWFLEET_TO) {
+    x->side = PWFLEET_FROM;
+    is_placed = try_side(x, &p, was_new, now);
+  }
   if (was_new)
     pwplaces_asked(&x->kept->places, x->urgency, x->is_last, is_placed, now);
   if (is_placed)
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -25,6 +25,7 @@
 typedef struct pw_exchange pw_exchange;
 typedef struct pw_link pw_link;
 typedef struct pw_gossip pw_gossip;
+typedef struct pw_versions pw_versions;
 
 /* What a gateway keeps of one service. */
 typedef struct pw_gate_service {
@@ -41,6 +42,8 @@
 typedef struct pw_gate_route {
   char name[PW_NAME_MAX];
   pw_usual usual; /* time that its callers give a request */
+  double
+      usual_ms; /* smoothed time of an answer, or between pieces of a stream; 0: not known */
   UT_hash_handle hh;
 } pw_gate_route;
 
@@ -57,6 +60,7 @@
   pw_trace *trace;
   pw_stages *stages;
   pw_quarantine *quarantine; /* requests under which targets ended */
+  pw_versions *versions;     /* services that are rolled out */
   pw_gate_service *services;
   pw_gate_route *routes;
   pw_conns front;   /* callers */
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -4,6 +4,7 @@
 
 #include "pwgate.h"
 #include "pwlog.h"
+#include "pwversions.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -259,6 +260,7 @@
   g.trace = pwtrace_new(p->set->name, STDOUT_FILENO, p->set->gateway_log_bytes);
   g.stages = pwstage_new();
   g.quarantine = pwquar_new();
+  g.versions = pwversions_new(&g);
   g.fleet = pwfleet_new(p->set->availability_zone, p->set->gateway_beat,
                         (int64_t)(p->set->gateway_keep * MS_PER_S));
   pwfleet_believe(g.fleet);
@@ -285,6 +287,7 @@
   pwtrace_free(g.trace);
   pwstage_free(g.stages);
   pwquar_free(g.quarantine);
+  pwversions_free(g.versions);
   ev_loop_destroy(g.ev);
   return rc;
 }
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -3,13 +3,16 @@
 #include "pwlinkint.h"
 
 #include "pwtable.h"
+#include "pwversions.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <xxhash.h>
 
-#define WATCH_MS 500  /* control is told so often that we are there */
+#define WATCH_MS 500 /* control is told so often that we are there */
+#define ANSWERS_MS                                                             \
+  250 /* the leader is told of answers while services are rolled out */
 #define FRESH_TIMES 3 /* missed notices after which control is silent */
 /* A primary has told all of its targets by then, or another one is chosen: so long, ms, and so
 ** many times its pause between notices, which grows with those who wait for their turn. Each
@@ -78,8 +81,11 @@
   m.n_suspects =
       pwsuspects_list(&suspects, l->g->quarantine, &l->suspects_at, now);
   m.suspects = suspects.list;
+  if (c->leads)
+    pwversions_fill(l->g->versions, &m);
   Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
   pwwire_send(l->sock, &c->peer, &e);
+  pwversions_clear(&m);
   c->asked_at = now;
 }
 
@@ -163,6 +169,8 @@
     l->patience_ms = TELL_ALL_MS;
   }
   take_evacuated(l, n, now);
+  pwversions_take(l->g->versions, n, now);
+  c->leads = n->leads;
   pwsuspects_take(l->g->quarantine, n->suspects, n->n_suspects, now,
                   heard_suspect, l->g);
   told t = {l, n->in_touch, now};
@@ -275,6 +283,12 @@
   pwlink_send_watch(l, best, 0, now);
 }
 
+/* The leader decides on roll-outs by what gateways have seen. */
+static int64_t watch_pause(const pw_link *l, const contact *c) {
+  int is_awaited = c->leads && pwversions_is_any(l->g->versions);
+  return is_awaited && c->watch_ms > ANSWERS_MS ? ANSWERS_MS : c->watch_ms;
+}
+
 void pwlink_tick(pw_link *l, int64_t now) {
   if (l->reading || l->read_version < pwdoc_version(l->doc))
     pwfollow_read(l);
@@ -282,7 +296,7 @@
   pwfollow_ask(l, now);
   dial_next(l, now);
   for (contact *c = l->contacts; c; c = c->next)
-    if (c->dialled_at && now - c->asked_at >= c->watch_ms)
+    if (c->dialled_at && now - c->asked_at >= watch_pause(l, c))
       pwlink_send_watch(l, c, 0, now);
   drop_silent(l, now);
 }
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -19,6 +19,7 @@
   int is_seed;
   uint64_t site; /* version it has told */
   int in_touch;
+  int leads;
   int64_t heard_at; /* 0: never */
   int64_t watch_ms; /* how often it wants to hear of us */
   int64_t known_at, asked_at;
--- /dev/null
+++ b/packages/gateway/pwversions.c
@@ -0,0 +1,177 @@
+/* pwversions.c: services that are rolled out to another version. */
+#include "pwversions.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define ROLLOUTS_MAX 64 /* that are known; control takes no more */
+
+/* Answers on one route. */
+typedef struct answers {
+  char route[PW_NAME_MAX];
+  uint64_t good[2], bad[2]; /* of other versions, and of the new one */
+} answers;
+
+typedef struct rollout {
+  pw_fleet_rollout fleet;
+  uint64_t begun;
+  answers route[PWCANARY_ROUTES_MAX];
+  int nroutes;
+} rollout;
+
+struct pw_versions {
+  pw_gate *g;
+  uint64_t revision; /* of what is known */
+  rollout *list;
+  size_t n;
+};
+
+pw_versions *pwversions_new(pw_gate *g) {
+  pw_versions *v = pw_alloc(sizeof *v);
+  v->g = g;
+  return v;
+}
+
+void pwversions_free(pw_versions *v) {
+  if (!v)
+    return;
+  free(v->list);
+  free(v);
+}
+
+static const rollout *find(const pw_versions *v, const char *service) {
+  for (size_t i = 0; i < v->n; i++)
+    if (!strcmp(v->list[i].fleet.service, service))
+      return &v->list[i];
+  return NULL;
+}
+
+static pw_canary_state state_of(const Pw__ServiceRollout *in) {
+  return in->state <= PWCANARY_REVERTED ? (pw_canary_state)in->state
+                                        : PWCANARY_RUNNING;
+}
+
+/* What was counted stays with the same roll-out. */
+static void read_one(const pw_versions *v, const Pw__ServiceRollout *in,
+                     rollout *out) {
+  const rollout *before = find(v, in->service);
+  if (before && before->begun == in->begun)
+    *out = *before;
+  pw_copy(out->fleet.service, sizeof out->fleet.service, in->service);
+  pw_copy(out->fleet.version, sizeof out->fleet.version, in->version);
+  out->begun = in->begun;
+  out->fleet.canary = (pw_canary){state_of(in), (int)in->share};
+}
+
+static void tell(const pw_versions *v, const rollout *now, int64_t at) {
+  const rollout *before = find(v, now->fleet.service);
+  const pw_canary *c = &now->fleet.canary;
+  if (before && before->begun == now->begun &&
+      before->fleet.canary.state == c->state &&
+      before->fleet.canary.share == c->share)
+    return;
+  pwtrace_line(v->g->trace, PWTRACE_STATE, at, "service-rollout",
+               "service=%s version=%s state=%s share=%d", now->fleet.service,
+               now->fleet.version, pwcanary_state_name(c->state), c->share);
+}
+
+static void adopt(pw_versions *v, rollout *list, size_t n) {
+  pw_fleet_rollout *fleet = pw_alloc(sizeof *fleet * (n + 1));
+  for (size_t i = 0; i < n; i++)
+    fleet[i] = list[i].fleet;
+  pwfleet_rollouts(v->g->fleet, fleet, n);
+  free(fleet);
+  free(v->list);
+  v->list = list;
+  v->n = n;
+}
+
+void pwversions_take(pw_versions *v, const Pw__Notice *n, int64_t now) {
+  if (n->revision <= v->revision)
+    return;
+  v->revision = n->revision;
+  if (n->n_rollouts == 0 && v->n == 0)
+    return;
+  size_t count = n->n_rollouts < ROLLOUTS_MAX ? n->n_rollouts : ROLLOUTS_MAX;
+  rollout *list = pw_alloc(sizeof *list * (count + 1));
+  for (size_t i = 0; i < count; i++) {
+    read_one(v, n->rollouts[i], &list[i]);
+    tell(v, &list[i], now);
+  }
+  adopt(v, list, count);
+}
+
+int pwversions_is_any(const pw_versions *v) {
+  for (size_t i = 0; i < v->n; i++)
+    if (v->list[i].fleet.canary.state == PWCANARY_RUNNING)
+      return 1;
+  return 0;
+}
+
+/* The last one counts for all routes for which there is no room. */
+static answers *route_of(rollout *r, const char *route) {
+  for (int i = 0; i < r->nroutes; i++)
+    if (!strcmp(r->route[i].route, route))
+      return &r->route[i];
+  if (r->nroutes == PWCANARY_ROUTES_MAX)
+    return &r->route[PWCANARY_ROUTES_MAX - 1];
+  answers *one = &r->route[r->nroutes++];
+  pw_copy(one->route, sizeof one->route, route);
+  return one;
+}
+
+void pwversions_note(pw_versions *v, const pw_target *t, const char *route,
+                     int is_bad) {
+  rollout *r = (rollout *)find(v, t->service);
+  if (!r || r->fleet.canary.state != PWCANARY_RUNNING ||
+      t->side == PWFLEET_BOTH)
+    return;
+  answers *one = route_of(r, route);
+  int to = t->side == PWFLEET_TO;
+  if (is_bad)
+    one->bad[to]++;
+  else
+    one->good[to]++;
+}
+
+static size_t count(const pw_versions *v) {
+  size_t n = 0;
+  for (size_t i = 0; i < v->n; i++)
+    if (v->list[i].fleet.canary.state == PWCANARY_RUNNING)
+      n += (size_t)v->list[i].nroutes;
+  return n;
+}
+
+static Pw__Answers *pack(const rollout *r, const answers *one) {
+  Pw__Answers *a = pw_alloc(sizeof *a);
+  pw__answers__init(a);
+  a->service = (char *)r->fleet.service;
+  a->route = (char *)one->route;
+  a->begun = r->begun;
+  a->good_to = one->good[1];
+  a->bad_to = one->bad[1];
+  a->good_from = one->good[0];
+  a->bad_from = one->bad[0];
+  return a;
+}
+
+void pwversions_fill(const pw_versions *v, Pw__Watch *m) {
+  size_t n = count(v);
+  if (!n)
+    return;
+  m->answers = pw_alloc(sizeof *m->answers * n);
+  for (size_t i = 0; i < v->n; i++) {
+    const rollout *r = &v->list[i];
+    for (int k = 0; k < r->nroutes && r->fleet.canary.state == PWCANARY_RUNNING;
+         k++)
+      m->answers[m->n_answers++] = pack(r, &r->route[k]);
+  }
+}
+
+void pwversions_clear(Pw__Watch *m) {
+  for (size_t i = 0; i < m->n_answers; i++)
+    free(m->answers[i]);
+  free(m->answers);
+  m->answers = NULL;
+  m->n_answers = 0;
+}
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -111,6 +111,7 @@
   while (f->retired)
     drop_retired(&f->retired);
   free_evacuated(f);
+  free(f->rollouts);
   free(f->availability_zone);
   free(f);
 }
@@ -189,6 +190,8 @@
           b->availability_zone);
   pw_copy(t->address, sizeof t->address, b->address);
   pwtcp_address(b->address, &t->addr);
+  if (b->version[0]) /* one of a start does not change */
+    pw_copy(t->version, sizeof t->version, b->version);
   t->slots = b->slots > 0 ? b->slots : SLOTS_DEFAULT;
   t->cold.until = b->cold_ms > 0 ? heard_at + b->cold_ms : 0;
   t->is_evacuated = is_evacuated(f, t);
@@ -276,6 +279,8 @@
   write_down(f, t, b, heard_at);
   if (is_new || is_back)
     take_address(f, t);
+  if (is_new && f->nrollouts)
+    pwflt_sort(f, t->service);
   int was_leaving = t->is_leaving;
   t->is_leaving = b->leaving;
   if (t->is_leaving && !was_leaving)
@@ -337,6 +342,7 @@
   pw_copy(out->address, sizeof out->address, t->address);
   pw_copy(out->availability_zone, sizeof out->availability_zone,
           t->availability_zone);
+  pw_copy(out->version, sizeof out->version, t->version);
 }
 
 void pwfleet_forget(pw_target *t, int64_t now) {
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -2,6 +2,7 @@
 #ifndef PWFLEET_H
 #define PWFLEET_H
 
+#include "pwcanary.h"
 #include "pwcold.h"
 #include "pwdialect.h"
 #include "pwholdoff.h"
@@ -15,6 +16,13 @@
 
 typedef struct pw_upconn pw_upconn;
 
+/* Which targets of a service a request may go to, while it is rolled out to another version. */
+typedef enum pw_fleet_side {
+  PWFLEET_BOTH, /* it is not */
+  PWFLEET_FROM,
+  PWFLEET_TO /* those of the new version that take part */
+} pw_fleet_side;
+
 /* One start of a target. Kept while anything refers to it. */
 typedef struct pw_target {
   char id[PW_NAME_MAX];
@@ -26,11 +34,13 @@
   uint64_t hash; /* of its id: prompts come home to the next start, too */
   uint64_t
       start_hash; /* of this start: what is known of another is not of this */
-  uint32_t short_hash;  /* names this start between gateways ... */
-  uint32_t reject_hash; /* ... what it turned away ... */
-  uint32_t miss_hash;   /* ... and that it can't be reached */
+  uint32_t short_hash;       /* names this start between gateways ... */
+  uint32_t reject_hash;      /* ... what it turned away ... */
+  uint32_t miss_hash;        /* ... and that it can't be reached */
+  char version[PW_NAME_MAX]; /* of its software */
   int slots;
   int is_leaving;
+  int is_outdated; /* its service has been rolled out to another version */
   int is_gone;
   int is_displaced;   /* it is gone only because another named its address */
   int64_t claimed_at; /* when it named the address since then; 0: it has not */
@@ -60,6 +70,8 @@
   int64_t answered_at; /* its newest answer, ms */
   int64_t seen_at;     /* its newest byte, ms */
   double work_ms; /* smoothed time of one request there; 0: none was measured */
+  pw_fleet_side side;
+  int takes_part; /* of the new version: requests go there already */
   int refs;
   struct pw_target
       *next_retired; /* earlier starts that still have connections */
@@ -148,12 +160,29 @@
 void pwfleet_note_loads(pw_fleet *f, const pw_loads *all, const pw_loads *own,
                         int64_t age_ms);
 
+/* A roll-out of a service, as pwcanary.h has it. */
+typedef struct pw_fleet_rollout {
+  char service[PW_NAME_MAX];
+  char version[PW_NAME_MAX];
+  pw_canary canary;
+} pw_fleet_rollout;
+
+/* --- pwfleetroll.c --- */
+
+/* All roll-outs that are known, in place of those before. Targets of other versions get
+** nothing more once one is complete. */
+void pwfleet_rollouts(pw_fleet *f, const pw_fleet_rollout *list, size_t n);
+
+/* Which targets a request of the service goes to; `draw` is uniform in [0, 1). */
+pw_fleet_side pwfleet_side(const pw_fleet *f, const char *service, double draw);
+
 /* What the targets of a service that are alive have together. */
 typedef struct pw_fleet_sum {
   double slots, inflight, others;
   double work_ms; /* mean time of one request there */
 } pw_fleet_sum;
-pw_fleet_sum pwfleet_sum(pw_fleet *f, const char *service, int64_t now);
+pw_fleet_sum pwfleet_sum(pw_fleet *f, const char *service, pw_fleet_side side,
+                         int64_t now);
 
 /* Targets of a service that may be sent to, and all of it that are there. */
 int pwfleet_usable(pw_fleet *f, const char *service, int64_t now);
@@ -162,6 +191,7 @@
 /* What a request needs of its target. */
 typedef struct pw_fleet_ask {
   const char *service;
+  pw_fleet_side side;
   pw_pick_how how;
   int is_sticky; /* `key` is the hash of what its prompt shares */
   uint64_t key;
--- a/packages/membership/pwfleetint.h
+++ b/packages/membership/pwfleetint.h
@@ -14,8 +14,18 @@
   uint64_t evacuated_at; /* revision */
   char **evacuated;      /* availability zones */
   size_t nevacuated;
+  pw_fleet_rollout *rollouts;
+  size_t nrollouts;
   pw_target *by_id;
   pw_target *retired;
 };
 
+/* Whether it is a target of that service and side. */
+int pwflt_is_of(const pw_target *t, const char *service, pw_fleet_side side);
+
+/* --- pwfleetroll.c --- */
+
+/* Finds anew which side a service's targets are on. */
+void pwflt_sort(pw_fleet *f, const char *service);
+
 #endif
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -49,6 +49,7 @@
 /* What targets of a service have in common at one moment. */
 typedef struct common {
   const char *service;
+  pw_fleet_side side;
   int64_t now;
   int64_t oldest;  /* when the first of them joined, ms */
   double errors;   /* mean share of errors */
@@ -57,11 +58,20 @@
   int most_silent; /* more than half of them: who listens is at fault */
 } common;
 
-static common common_of(const pw_fleet *f, const char *service, int64_t now) {
-  common c = {.service = service, .now = now, .oldest = now};
+int pwflt_is_of(const pw_target *t, const char *service, pw_fleet_side side) {
+  if (strcmp(t->service, service) != 0)
+    return 0;
+  if (side == PWFLEET_TO)
+    return t->side == PWFLEET_TO && t->takes_part;
+  return side == PWFLEET_BOTH || t->side != PWFLEET_TO;
+}
+
+static common common_of(const pw_fleet *f, const char *service,
+                        pw_fleet_side side, int64_t now) {
+  common c = {.service = service, .side = side, .now = now, .oldest = now};
   int n = 0, silent = 0, measured = 0;
   for (pw_target *t = f->by_id; t; t = t->hh.next) {
-    if (t->is_gone || strcmp(t->service, service) != 0)
+    if (t->is_gone || !pwflt_is_of(t, service, side))
       continue;
     if (t->joined_at < c.oldest)
       c.oldest = t->joined_at;
@@ -92,7 +102,8 @@
 
 /* Whether it stays, and where it stands. */
 static int stays(const pw_target *t) {
-  return !t->is_gone && !t->is_leaving && !t->says_leaving && !t->is_evacuated;
+  return !t->is_gone && !t->is_leaving && !t->says_leaving &&
+         !t->is_evacuated && !t->is_outdated;
 }
 
 int pwfleet_may_send(const pw_target *t, int64_t now) {
@@ -107,7 +118,7 @@
 static int count(const pw_fleet *f, const char *service, int64_t now,
                  int (*fits)(const pw_fleet *f, const pw_target *t,
                              const common *c)) {
-  common c = common_of(f, service, now);
+  common c = common_of(f, service, PWFLEET_BOTH, now);
   int n = 0;
   for (pw_target *t = f->by_id; t; t = t->hh.next)
     n += !strcmp(t->service, service) && fits(f, t, &c);
@@ -136,12 +147,13 @@
   return least;
 }
 
-pw_fleet_sum pwfleet_sum(pw_fleet *f, const char *service, int64_t now) {
-  common c = common_of(f, service, now);
+pw_fleet_sum pwfleet_sum(pw_fleet *f, const char *service, pw_fleet_side side,
+                         int64_t now) {
+  common c = common_of(f, service, side, now);
   pw_fleet_sum out = {0};
   int n = 0;
   for (pw_target *t = f->by_id; t; t = t->hh.next) {
-    if (strcmp(t->service, service) != 0 || !pwfleet_may_send(t, now) ||
+    if (!pwflt_is_of(t, service, side) || !pwfleet_may_send(t, now) ||
         !is_alive(f, t, &c))
       continue;
     out.slots += t->slots;
@@ -216,7 +228,7 @@
                      pw_pick *row, pw_target **who) {
   int n = 0, usable = 0;
   for (pw_target *t = f->by_id; t && n < PICKS_MAX; t = t->hh.next) {
-    if (t->is_gone || strcmp(t->service, ask->service) != 0)
+    if (t->is_gone || !pwflt_is_of(t, ask->service, ask->side))
       continue;
     row[n] = (pw_pick){
         .id = t->hash,
@@ -276,7 +288,7 @@
   pw_pick row[PICKS_MAX];
   pw_target *who[PICKS_MAX];
   pw_fleet_picked out = {0};
-  common c = common_of(f, ask->service, now);
+  common c = common_of(f, ask->service, ask->side, now);
   int n = fill_rows(f, ask, &c, row, who);
   int best = pick_of_all(f, ask, row, who, n, now);
   if (best < 0)
--- a/packages/site/pwdialect.h
+++ b/packages/site/pwdialect.h
@@ -87,9 +87,25 @@
   PWCALL_LEAVE,        /* a target ends */
   PWCALL_EVACUATE,     /* an availability zone is to be evacuated ... */
   PWCALL_EVACUATE_END, /* ... or is taken back */
+  PWCALL_ROLLOUT, /* a service is to be rolled out to another version ... */
+  PWCALL_ROLLOUT_READ, /* ... and where that stands */
   PWCALL_BAD_METHOD
 } pw_call_kind;
 
+/* An order to roll a service out to targets of another version. */
+typedef struct pw_rollout_order {
+  char service[PW_NAME_MAX];
+  char version[PW_NAME_MAX];
+  int64_t over_ms; /* it is to be over by then */
+} pw_rollout_order;
+
+/* Where that stands, for those who ask. */
+typedef enum pw_rollout_stage {
+  PWROLLOUT_RUNNING,
+  PWROLLOUT_COMPLETE,
+  PWROLLOUT_REVERTED
+} pw_rollout_stage;
+
 /* A configuration document that is being read. */
 typedef struct pw_reading pw_reading;
 
@@ -130,6 +146,12 @@
   pw_code (*read_leave)(const char *id, const char *text, size_t n,
                         pw_beat *out, char *why, size_t cap);
 
+  /* With a reason, as read_beat. */
+  pw_code (*read_rollout)(const char *text, size_t n, pw_rollout_order *out,
+                          char *why, size_t cap);
+  void (*write_rollout)(pw_buf *out, const char *version,
+                        pw_rollout_stage stage);
+
   /* Path that the platform asks for readiness. */
   const char *ready_path;
 } pw_dialect;
--- a/packages/store/pwres.c
+++ b/packages/store/pwres.c
@@ -38,7 +38,8 @@
 }
 
 int pwres_is_leaders(const char *kind) {
-  return !strcmp(kind, "rollout") || !strcmp(kind, "assignment");
+  return !strcmp(kind, "rollout") || !strcmp(kind, "assignment") ||
+         !strcmp(kind, PW_KIND_SERVICE_ROLLOUT);
 }
 
 pw_res *pwres_new(void) {
--- a/packages/store/pwres.h
+++ b/packages/store/pwres.h
@@ -14,6 +14,10 @@
 /* An availability zone whose targets get nothing new; its name is the zone's. */
 #define PW_KIND_EVACUATION "evacuation"
 
+/* Where the roll-out of a service to targets of another version stands; its name is the
+** service's. */
+#define PW_KIND_SERVICE_ROLLOUT "service-rollout"
+
 /* Kinds of resources; the order is that in which they depend on each other. */
 #define PW_KINDS(X)                                                            \
   X("model")                                                                   \
@@ -24,6 +28,7 @@
   X("service")                                                                 \
   X("policy")                                                                  \
   X(PW_KIND_EVACUATION)                                                        \
+  X(PW_KIND_SERVICE_ROLLOUT)                                                   \
   X("rollout")                                                                 \
   X("assignment")
 
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -1132,6 +1132,96 @@
   assert(message->base.descriptor == &pw__watch__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pw__service_rollout__init
+                     (Pw__ServiceRollout         *message)
+{
+  static const Pw__ServiceRollout init_value = PW__SERVICE_ROLLOUT__INIT;
+  *message = init_value;
+}
+size_t pw__service_rollout__get_packed_size
+                     (const Pw__ServiceRollout *message)
+{
+  assert(message->base.descriptor == &pw__service_rollout__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__service_rollout__pack
+                     (const Pw__ServiceRollout *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__service_rollout__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__service_rollout__pack_to_buffer
+                     (const Pw__ServiceRollout *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__service_rollout__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__ServiceRollout *
+       pw__service_rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__ServiceRollout *)
+     protobuf_c_message_unpack (&pw__service_rollout__descriptor,
+                                allocator, len, data);
+}
+void   pw__service_rollout__free_unpacked
+                     (Pw__ServiceRollout *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__service_rollout__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pw__answers__init
+                     (Pw__Answers         *message)
+{
+  static const Pw__Answers init_value = PW__ANSWERS__INIT;
+  *message = init_value;
+}
+size_t pw__answers__get_packed_size
+                     (const Pw__Answers *message)
+{
+  assert(message->base.descriptor == &pw__answers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__answers__pack
+                     (const Pw__Answers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__answers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__answers__pack_to_buffer
+                     (const Pw__Answers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__answers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__Answers *
+       pw__answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__Answers *)
+     protobuf_c_message_unpack (&pw__answers__descriptor,
+                                allocator, len, data);
+}
+void   pw__answers__free_unpacked
+                     (Pw__Answers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__answers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pw__notice__init
                      (Pw__Notice         *message)
 {
@@ -5018,7 +5108,7 @@
   (ProtobufCMessageInit) pw__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__watch__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pw__watch__field_descriptors[10] =
 {
   {
     "site",
@@ -5128,8 +5218,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answers",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Watch, n_answers),
+    offsetof(Pw__Watch, answers),
+    &pw__answers__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__watch__field_indices_by_name[] = {
+  9,   /* field[9] = answers */
   6,   /* field[6] = control */
   2,   /* field[2] = gossip */
   7,   /* field[7] = holds */
@@ -5143,7 +5246,7 @@
 static const ProtobufCIntRange pw__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pw__watch__descriptor =
 {
@@ -5153,14 +5256,220 @@
   "Pw__Watch",
   "pw",
   sizeof(Pw__Watch),
-  9,
+  10,
   pw__watch__field_descriptors,
   pw__watch__field_indices_by_name,
   1,  pw__watch__number_ranges,
   (ProtobufCMessageInit) pw__watch__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__notice__field_descriptors[14] =
+static const ProtobufCFieldDescriptor pw__service_rollout__field_descriptors[5] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ServiceRollout, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ServiceRollout, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ServiceRollout, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ServiceRollout, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ServiceRollout, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__service_rollout__field_indices_by_name[] = {
+  2,   /* field[2] = begun */
+  0,   /* field[0] = service */
+  3,   /* field[3] = share */
+  4,   /* field[4] = state */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange pw__service_rollout__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor pw__service_rollout__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.ServiceRollout",
+  "ServiceRollout",
+  "Pw__ServiceRollout",
+  "pw",
+  sizeof(Pw__ServiceRollout),
+  5,
+  pw__service_rollout__field_descriptors,
+  pw__service_rollout__field_indices_by_name,
+  1,  pw__service_rollout__number_ranges,
+  (ProtobufCMessageInit) pw__service_rollout__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__answers__field_descriptors[7] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Answers, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Answers, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begun",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Answers, begun),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "good_to",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Answers, good_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bad_to",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Answers, bad_to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "good_from",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Answers, good_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bad_from",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Answers, bad_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__answers__field_indices_by_name[] = {
+  6,   /* field[6] = bad_from */
+  4,   /* field[4] = bad_to */
+  2,   /* field[2] = begun */
+  5,   /* field[5] = good_from */
+  3,   /* field[3] = good_to */
+  1,   /* field[1] = route */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange pw__answers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor pw__answers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.Answers",
+  "Answers",
+  "Pw__Answers",
+  "pw",
+  sizeof(Pw__Answers),
+  7,
+  pw__answers__field_descriptors,
+  pw__answers__field_indices_by_name,
+  1,  pw__answers__number_ranges,
+  (ProtobufCMessageInit) pw__answers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__notice__field_descriptors[16] =
 {
   {
     "site",
@@ -5330,6 +5639,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollouts",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Notice, n_rollouts),
+    offsetof(Pw__Notice, rollouts),
+    &pw__service_rollout__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leads",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Notice, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__notice__field_indices_by_name[] = {
   3,   /* field[3] = beats */
@@ -5339,8 +5672,10 @@
   2,   /* field[2] = full */
   5,   /* field[5] = gateways */
   1,   /* field[1] = in_touch */
+  15,   /* field[15] = leads */
   12,   /* field[12] = number */
   9,   /* field[9] = revision */
+  14,   /* field[14] = rollouts */
   0,   /* field[0] = site */
   11,   /* field[11] = suspects */
   6,   /* field[6] = table */
@@ -5350,7 +5685,7 @@
 static const ProtobufCIntRange pw__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor pw__notice__descriptor =
 {
@@ -5360,7 +5695,7 @@
   "Pw__Notice",
   "pw",
   sizeof(Pw__Notice),
-  14,
+  16,
   pw__notice__field_descriptors,
   pw__notice__field_indices_by_name,
   1,  pw__notice__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -40,6 +40,8 @@
 typedef struct Pw__Record Pw__Record;
 typedef struct Pw__Beat Pw__Beat;
 typedef struct Pw__Watch Pw__Watch;
+typedef struct Pw__ServiceRollout Pw__ServiceRollout;
+typedef struct Pw__Answers Pw__Answers;
 typedef struct Pw__Notice Pw__Notice;
 typedef struct Pw__Table Pw__Table;
 typedef struct Pw__Document Pw__Document;
@@ -758,10 +760,63 @@
    * ... in this life (incarnation) of the receiver
    */
   uint64_t holds_of;
+  /*
+   * of services that are rolled out
+   */
+  size_t n_answers;
+  Pw__Answers **answers;
 };
 #define PW__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__watch__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+/*
+ * A roll-out of a service to targets of another version, as pwcanary.h has it.
+ */
+struct  Pw__ServiceRollout
+{
+  ProtobufCMessage base;
+  char *service;
+  char *version;
+  /*
+   * names it: Unix ms of its order
+   */
+  uint64_t begun;
+  /*
+   * of the requests, for the version, in thousandths
+   */
+  uint32_t share;
+  /*
+   * a pw_canary_state
+   */
+  uint32_t state;
+};
+#define PW__SERVICE_ROLLOUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__service_rollout__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * Answers on one route of a service since its roll-out began, in one life of the sender.
+ */
+struct  Pw__Answers
+{
+  ProtobufCMessage base;
+  char *service;
+  char *route;
+  uint64_t begun;
+  /*
+   * of the new version
+   */
+  uint64_t good_to;
+  uint64_t bad_to;
+  uint64_t good_from;
+  uint64_t bad_from;
+};
+#define PW__ANSWERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__answers__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -834,10 +889,19 @@
    * say at once that it has come
    */
   protobuf_c_boolean confirm;
+  /*
+   * as of `revision`
+   */
+  size_t n_rollouts;
+  Pw__ServiceRollout **rollouts;
+  /*
+   * the sender leads the group
+   */
+  protobuf_c_boolean leads;
 };
 #define PW__NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__notice__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -1768,6 +1832,44 @@
 void   pw__watch__free_unpacked
                      (Pw__Watch *message,
                       ProtobufCAllocator *allocator);
+/* Pw__ServiceRollout methods */
+void   pw__service_rollout__init
+                     (Pw__ServiceRollout         *message);
+size_t pw__service_rollout__get_packed_size
+                     (const Pw__ServiceRollout   *message);
+size_t pw__service_rollout__pack
+                     (const Pw__ServiceRollout   *message,
+                      uint8_t             *out);
+size_t pw__service_rollout__pack_to_buffer
+                     (const Pw__ServiceRollout   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__ServiceRollout *
+       pw__service_rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__service_rollout__free_unpacked
+                     (Pw__ServiceRollout *message,
+                      ProtobufCAllocator *allocator);
+/* Pw__Answers methods */
+void   pw__answers__init
+                     (Pw__Answers         *message);
+size_t pw__answers__get_packed_size
+                     (const Pw__Answers   *message);
+size_t pw__answers__pack
+                     (const Pw__Answers   *message,
+                      uint8_t             *out);
+size_t pw__answers__pack_to_buffer
+                     (const Pw__Answers   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__Answers *
+       pw__answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__answers__free_unpacked
+                     (Pw__Answers *message,
+                      ProtobufCAllocator *allocator);
 /* Pw__Notice methods */
 void   pw__notice__init
                      (Pw__Notice         *message);
@@ -2244,6 +2346,12 @@
 typedef void (*Pw__Watch_Closure)
                  (const Pw__Watch *message,
                   void *closure_data);
+typedef void (*Pw__ServiceRollout_Closure)
+                 (const Pw__ServiceRollout *message,
+                  void *closure_data);
+typedef void (*Pw__Answers_Closure)
+                 (const Pw__Answers *message,
+                  void *closure_data);
 typedef void (*Pw__Notice_Closure)
                  (const Pw__Notice *message,
                   void *closure_data);
@@ -2338,6 +2446,8 @@
 extern const ProtobufCMessageDescriptor pw__record__descriptor;
 extern const ProtobufCMessageDescriptor pw__beat__descriptor;
 extern const ProtobufCMessageDescriptor pw__watch__descriptor;
+extern const ProtobufCMessageDescriptor pw__service_rollout__descriptor;
+extern const ProtobufCMessageDescriptor pw__answers__descriptor;
 extern const ProtobufCMessageDescriptor pw__notice__descriptor;
 extern const ProtobufCMessageDescriptor pw__table__descriptor;
 extern const ProtobufCMessageDescriptor pw__document__descriptor;
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -1,7 +1,7 @@
 /* fake_target.c: a target as the platform has them, for scenarios: requests
 ** with a signature, streams of events, heartbeats, and faults on demand.
 **
-** fake-target IP:PORT CONTROL,CONTROL SERVICE ZONE ID [ADVERTISED]
+** fake-target IP:PORT CONTROL,CONTROL SERVICE ZONE ID [ADVERTISED [VERSION]]
 ** GET /fault?NAME=N sets a fault, GET /stats tells what was seen, GET /ran?ID how
 ** often a request ran. ADVERTISED is the address that heartbeats name. A request whose
 ** /hold_off?TEXT is what it asks for with a Retry-After when it sheds, "+" for a blank; two lines
@@ -47,6 +47,7 @@
   X(closing)  /* closes a kept connection when a request comes over it */      \
   X(cold)     /* ms that its heartbeats say that it is cold */                 \
   X(grey)     /* 500 in place of ending */                                     \
+  X(bad)      /* of a hundred requests that run so many fail */                \
   X(skip)     /* numbers of heartbeats to leave out at the next one */         \
   X(unborn)   /* its heartbeats do not say when it started */
 
@@ -77,7 +78,7 @@
 static struct {
   struct ev_loop *ev;
   pw_tcp_loop tcp;
-  const char *address, *service, *availability_zone, *id;
+  const char *address, *service, *availability_zone, *id, *version;
   struct sockaddr_in control[CONTROLS_MAX];
   int ncontrol, at_control;
   faults f;
@@ -167,6 +168,12 @@
   pwbuf_free(&all);
 }
 
+/* Spread evenly: of each hundred that run. */
+static int is_one_of_bad(void) {
+  return me.total % 100 * me.f.bad / 100 !=
+         (me.total % 100 + 1) * me.f.bad / 100;
+}
+
 static void count_run(const char *id) {
   run *r;
   HASH_FIND_STR(me.runs, id, r);
@@ -240,7 +247,7 @@
     begin_stream(p);
     return;
   }
-  if (spend(&me.f.error)) {
+  if (spend(&me.f.error) || is_one_of_bad()) {
     seal(line);
     answer(p, 500, line, "failed");
     return;
@@ -494,10 +501,10 @@
     snprintf(born, sizeof born, "\"born\":%lld,", (long long)me.born);
   int n = snprintf(body, sizeof body,
                    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\","
-                   "\"version\":\"v1\",\"slots\":%d,\"state\":\"%s\","
+                   "\"version\":\"%s\",\"slots\":%d,\"state\":\"%s\","
                    "\"coldLeftMs\":%d,%s\"seq\":%llu}",
-                   me.service, me.address, me.availability_zone, SLOTS,
-                   me.f.leaving ? "draining" : "ready", me.f.cold, born,
+                   me.service, me.address, me.availability_zone, me.version,
+                   SLOTS, me.f.leaving ? "draining" : "ready", me.f.cold, born,
                    (unsigned long long)++me.seq);
   int m =
       snprintf(head, sizeof head,
@@ -527,9 +534,10 @@
 
 int main(int argc, char **argv) {
   struct sockaddr_in at;
-  if (argc < 6 || argc > 7 || pwtcp_address(argv[1], &at) != 0 ||
+  if (argc < 6 || argc > 8 || pwtcp_address(argv[1], &at) != 0 ||
       read_controls(argv[2]) != 0) {
-    fputs("fake-target IP:PORT CONTROL,... SERVICE ZONE ID [ADVERTISED]\n",
+    fputs("fake-target IP:PORT CONTROL,... SERVICE ZONE ID [ADVERTISED "
+          "[VERSION]]\n",
           stderr);
     return 2;
   }
@@ -537,6 +545,7 @@
   me.service = argv[3];
   me.availability_zone = argv[4];
   me.id = argv[5];
+  me.version = argc > 7 ? argv[7] : "v1";
   me.born = pwclock_wall_ms();
   signal(SIGPIPE, SIG_IGN);
   me.ev = ev_loop_new(0);
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -66,7 +66,7 @@
 end
 
 -- A target; with o.relays gateways reach it through a relay. `id` is its start's id.
-function gateways:add_target(name, service, id)
+function gateways:add_target(name, service, id, version)
   local control = {}
   for i, c in ipairs(self.control) do control[i] = c.health end
   local port = run.port()
@@ -78,6 +78,10 @@
     relay, relay_port = run.relay(port)
     argv[7] = "127.0.0.1:" .. relay_port
   end
+  if version then
+    argv[7] = argv[7] or address
+    argv[8] = version
+  end
   local p = self.f:process(name, argv, address)
   p.relay, p.service = relay, service
   p.live = "/stats"
--- a/tests/test_cold.c
+++ b/tests/test_cold.c
@@ -179,7 +179,7 @@
   CHECK(pwfleet_evacuate(f, 5, first, 1, 1000));
   CHECK(pwfleet_usable(f, "s", 1000) == 0 && pwfleet_alive(f, "s", 1000) == 1);
   CHECK(pick(f, 1000).target == NULL); /* no last resort */
-  CHECK(pwfleet_sum(f, "s", 1000).slots == 0);
+  CHECK(pwfleet_sum(f, "s", PWFLEET_BOTH, 1000).slots == 0);
   pwfleet_beat(f, &b, 0, 1000);
   CHECK(pwfleet_usable(f, "s", 1000) == 1);
   CHECK(pick(f, 1000).target == pwfleet_find(f, "b"));
--- a/tests/test_holdoff.c
+++ b/tests/test_holdoff.c
@@ -69,11 +69,11 @@
 static void test_left_alone(void) {
   pw_fleet *f = fleet_of_three();
   pw_target *home = pick(f, 7, 1000);
-  CHECK(pwfleet_sum(f, "s", 1000).slots == 12);
+  CHECK(pwfleet_sum(f, "s", PWFLEET_BOTH, 1000).slots == 12);
   CHECK(pwfleet_note_hold_off(home, 3000, 1000));
   CHECK(!pwfleet_note_hold_off(home, 200, 1100));
   CHECK(!pwfleet_may_send(home, 1100) && pwfleet_usable(f, "s", 1100) == 2);
-  CHECK(pwfleet_sum(f, "s", 1100).slots == 8);
+  CHECK(pwfleet_sum(f, "s", PWFLEET_BOTH, 1100).slots == 8);
   pw_target *other = pick(f, 7, 1100);
   CHECK(other && other != home && pick(f, 7, 1200) == other);
   for (uint64_t key = 0; key < 200; key++)
@@ -100,7 +100,7 @@
   pwfleet_note_leaving(pwfleet_find(f, "c"));
   CHECK(pwfleet_usable(f, "s", 1100) == 0 && !pick(f, 0, 1100));
   CHECK(pwfleet_held_off(f, "s", 1100) == 900);
-  CHECK(pwfleet_sum(f, "s", 1100).slots == 0);
+  CHECK(pwfleet_sum(f, "s", PWFLEET_BOTH, 1100).slots == 0);
   CHECK(pick(f, 0, 2000) == pwfleet_find(f, "b"));
   CHECK(pwfleet_held_off(f, "s", 2000) == 0);
   pwfleet_note_leaving(pwfleet_find(f, "a"));
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -5,6 +5,7 @@
 #include "pwpb.h"
 #include "pwports.h"
 #include "pwtest.h"
+#include "pwversions.h"
 
 #include <poll.h>
 #include <string.h>
@@ -67,6 +68,7 @@
   b->g.ev = ev_loop_new(EVFLAG_AUTO);
   b->g.fleet = pwfleet_new("az-1", 1000, 1000);
   b->g.quarantine = pwquar_new();
+  b->g.versions = pwversions_new(&b->g);
   b->g.trace = pwtrace_new("gateway-1", STDOUT_FILENO, 0);
   b->g.link = pwlink_new(&b->g, &err);
   CHECK(b->g.link != NULL);
@@ -75,6 +77,7 @@
 static void end(bed *b) {
   pwlink_free(b->g.link);
   pwquar_free(b->g.quarantine);
+  pwversions_free(b->g.versions);
   for (int i = 0; i < CONTROLS; i++) {
     pwwire_close(b->c[i].sock);
     free(b->set.gateway_control.item[i]);
--- a/tests/test_reject.c
+++ b/tests/test_reject.c
@@ -80,7 +80,7 @@
   for (uint64_t key = 0; key < 100; key++)
     CHECK(pick(f, key, 0.5, NULL, 0, 1500) != a);
   CHECK(pwfleet_usable(f, "s", 1500) == 3); /* its places count */
-  CHECK(pwfleet_sum(f, "s", 1500).slots == 3 * SLOTS);
+  CHECK(pwfleet_sum(f, "s", PWFLEET_BOTH, 1500).slots == 3 * SLOTS);
   for (pw_target *t = pwfleet_first(f); t; t = t->hh.next)
     t->inflight = t == a ? 0 : SLOTS; /* the others are full */
   CHECK(pick(f, 7, 0.5, NULL, 0, 1500) == a);
--- /dev/null
+++ b/tests/test_versions.c
@@ -0,0 +1,127 @@
+/* test_versions.c: which targets a request goes to while its service is rolled out to another
+** version: a few of the new ones for a small share, none of them once it went back, none of the
+** old ones once it is complete. */
+#include "pwfleet.h"
+#include "pwtest.h"
+
+#include <string.h>
+
+#define EACH 20
+#define BEAT_MS 1000
+
+static void join(pw_fleet *f, const char *version, int i, int64_t now) {
+  pw_beat b = {.born = 1, .slots = 4, .seq = 1};
+  snprintf(b.id, sizeof b.id, "%s-%d", version, i);
+  snprintf(b.service, sizeof b.service, "s");
+  snprintf(b.address, sizeof b.address, "10.0.%d.%d:1", version[1] - '0', i);
+  snprintf(b.version, sizeof b.version, "%s", version);
+  snprintf(b.availability_zone, sizeof b.availability_zone, "az-1");
+  pwfleet_beat(f, &b, 0, now);
+}
+
+static pw_fleet *both(void) {
+  pw_fleet *f = pwfleet_new("az-1", BEAT_MS, BEAT_MS);
+  for (int i = 0; i < EACH; i++) {
+    join(f, "v1", i, 0);
+    join(f, "v2", i, 0);
+  }
+  return f;
+}
+
+static void roll(pw_fleet *f, pw_canary_state state, int share) {
+  pw_fleet_rollout r = {.service = "s", .version = "v2"};
+  r.canary = (pw_canary){state, share};
+  pwfleet_rollouts(f, &r, 1);
+}
+
+/* How many targets of a version are picked when many requests wait. */
+static int picked(pw_fleet *f, pw_fleet_side side, const char *version) {
+  pw_target *got[4 * EACH * 4];
+  int n = 0, of = 0;
+  for (; n < 4 * EACH * 4; n++) {
+    pw_fleet_ask ask = {.service = "s",
+                        .side = side,
+                        .wait_ms = 1,
+                        .draw = (n % 10) / 10.0,
+                        .bound = {1e9, 1e9, 0, 0}};
+    pw_fleet_picked p = pwfleet_pick(f, &ask, 10);
+    if (!p.target)
+      break;
+    got[n] = p.target;
+    p.target->inflight++;
+  }
+  for (pw_target *t = pwfleet_first(f); t; t = t->hh.next)
+    of += t->inflight > 0 && !strcmp(t->version, version);
+  for (int i = 0; i < n; i++) {
+    got[i]->inflight--;
+    pwfleet_drop(got[i]);
+  }
+  return of;
+}
+
+static void test_sides(void) {
+  pw_fleet *f = both();
+  CHECK(pwfleet_side(f, "s", 0) == PWFLEET_BOTH);
+  CHECK(picked(f, PWFLEET_BOTH, "v2") == EACH);
+  roll(f, PWCANARY_RUNNING, 0);
+  CHECK(pwfleet_side(f, "s", 0) == PWFLEET_FROM);
+  CHECK(picked(f, PWFLEET_FROM, "v2") == 0);
+  CHECK(picked(f, PWFLEET_FROM, "v1") == EACH);
+  roll(f, PWCANARY_RUNNING, 90);
+  CHECK(pwfleet_side(f, "s", 0.08) == PWFLEET_TO);
+  CHECK(pwfleet_side(f, "s", 0.1) == PWFLEET_FROM);
+  CHECK(pwfleet_side(f, "other", 0.08) == PWFLEET_BOTH);
+  int some = picked(f, PWFLEET_TO, "v2");
+  CHECK(some >= 1 && some < EACH / 2);
+  CHECK(picked(f, PWFLEET_TO, "v1") == 0);
+  CHECK(pwfleet_sum(f, "s", PWFLEET_TO, 10).slots == 4 * some);
+  CHECK(pwfleet_sum(f, "s", PWFLEET_FROM, 10).slots == 4 * EACH);
+  join(f, "v2", EACH, 10); /* one more starts meanwhile */
+  CHECK(picked(f, PWFLEET_FROM, "v2") == 0);
+  roll(f, PWCANARY_RUNNING, PWCANARY_ALL);
+  CHECK(pwfleet_side(f, "s", 0.99) == PWFLEET_TO);
+  CHECK(picked(f, PWFLEET_TO, "v2") == EACH + 1);
+  pwfleet_free(f);
+}
+
+static void test_few_targets(void) {
+  pw_fleet *f = pwfleet_new("az-1", BEAT_MS, BEAT_MS);
+  join(f, "v1", 0, 0);
+  roll(f, PWCANARY_RUNNING, 90);
+  CHECK(picked(f, PWFLEET_TO, "v2") == 0);
+  join(f, "v2", 0, 0);
+  CHECK(picked(f, PWFLEET_TO, "v2") == 1); /* one takes part at least */
+  pwfleet_free(f);
+}
+
+static void test_back(void) {
+  pw_fleet *f = both();
+  roll(f, PWCANARY_RUNNING, PWCANARY_ALL);
+  roll(f, PWCANARY_REVERTED, 0);
+  CHECK(pwfleet_side(f, "s", 0) == PWFLEET_FROM);
+  CHECK(picked(f, PWFLEET_FROM, "v2") == 0);
+  CHECK(picked(f, PWFLEET_TO, "v2") == 0);
+  pwfleet_free(f);
+}
+
+static void test_complete(void) {
+  pw_fleet *f = both();
+  roll(f, PWCANARY_RUNNING, PWCANARY_ALL);
+  roll(f, PWCANARY_COMPLETE, PWCANARY_ALL);
+  CHECK(pwfleet_side(f, "s", 0.5) == PWFLEET_BOTH);
+  CHECK(picked(f, PWFLEET_BOTH, "v1") == 0);
+  CHECK(picked(f, PWFLEET_BOTH, "v2") == EACH);
+  CHECK(!pwfleet_may_send(pwfleet_find(f, "v1-0"), 10));
+  join(f, "v3", 0, 10); /* what comes later is no old version */
+  CHECK(picked(f, PWFLEET_BOTH, "v3") == 1);
+  pwfleet_free(f);
+}
+
+int main(void) {
+  TESTS_BEGIN("versions");
+  TEST(test_sides);
+  TEST(test_few_targets);
+  TEST(test_back);
+  TEST(test_complete);
+  TESTS_END();
+}
