test_hold: requests that nobody's answers are read of do arrive before they are counted

The scenario passed without the change: small sends waited for acknowledgements (Nagle), 14 of 1,000 requests had arrived. With TCP_NODELAY, and once the server has turned until nothing more comes: without the change all 1,000 are answered into the buffer, with it 60 to 500, and under 256 KB are held.

--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -8,6 +8,7 @@
 #include "pwtest.h"
 
 #include <errno.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -135,7 +136,8 @@
 }
 
 static int new_caller(bed *b) {
-  int fd = socket(AF_INET, SOCK_STREAM, 0), bytes = (int)BUFFER;
+  int fd = socket(AF_INET, SOCK_STREAM, 0), bytes = (int)BUFFER, on = 1;
+  setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
   CHECK(connect(fd, (struct sockaddr *)&b->at, sizeof b->at) == 0);
   return fd;
@@ -231,9 +233,11 @@
     ask(fd);
     ev_run(b->ev, EVRUN_NOWAIT);
   }
+  for (int i = 0; i < TURNS && b->ended < asked; i++)
+    ev_run(b->ev, EVRUN_NOWAIT);
   size_t held = pwconns_check(&b->conns, 1);
-  CHECK(b->ended < asked);
-  CHECK(held < 256 * KB + 128 * KB);
+  CHECK(b->ended > 60 && b->ended < asked / 2);
+  CHECK(held < 256 * KB);
   char block[16 * KB];
   for (int i = 0; i < TURNS && b->ended < asked; i++) {
     ev_run(b->ev, EVRUN_NOWAIT);
