A gateway weighs all targets of a service, not the first 1,024

Would be seen: with more targets of one service than that, all past the first 1,024 get nothing, and where only they may be sent to callers are refused for want of a target, without a line.

Change: room for a row for each target that is known, in the fleet's own memory.

Test: test_last_of_many (3,000 targets, the last is the only one that stays): without the change no target is picked.";

--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -112,6 +112,8 @@
     drop_retired(&f->retired);
   free_evacuated(f);
   free(f->rollouts);
+  free(f->row);
+  free(f->who);
   free(f->availability_zone);
   free(f);
 }
--- a/packages/membership/pwfleetint.h
+++ b/packages/membership/pwfleetint.h
@@ -18,6 +18,9 @@
   size_t nrollouts;
   pw_target *by_id;
   pw_target *retired;
+  pw_pick *row; /* of the targets that are weighed ... */
+  pw_target **who;
+  size_t rows; /* ... for which there is room */
 };
 
 /* Whether it is a target of that service and side. */
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -2,11 +2,12 @@
 ** each that speaks for or against it. */
 #include "pwfleetint.h"
 
+#include "pwbuf.h"
+
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
-#define PICKS_MAX 1024 /* targets of one service that are weighed */
-
 /* One that answered this gateway within so many heartbeats is there, whatever
 ** control hears of it. */
 #define ALIVE_BEATS 3
@@ -227,7 +228,7 @@
 static int fill_rows(pw_fleet *f, const pw_fleet_ask *ask, const common *c,
                      pw_pick *row, pw_target **who) {
   int n = 0, usable = 0;
-  for (pw_target *t = f->by_id; t && n < PICKS_MAX; t = t->hh.next) {
+  for (pw_target *t = f->by_id; t; t = t->hh.next) {
     if (t->is_gone || !pwflt_is_of(t, ask->service, ask->side))
       continue;
     row[n] = (pw_pick){
@@ -283,11 +284,24 @@
   return other >= 0 ? other : best;
 }
 
+/* Rows for all targets that are known. */
+static void make_room(pw_fleet *f) {
+  size_t n = HASH_COUNT(f->by_id);
+  if (n <= f->rows)
+    return;
+  f->rows = 2 * n;
+  free(f->row);
+  free(f->who);
+  f->row = pw_alloc(sizeof *f->row * f->rows);
+  f->who = pw_alloc(sizeof(pw_target *) * f->rows);
+}
+
 pw_fleet_picked pwfleet_pick(pw_fleet *f, const pw_fleet_ask *ask,
                              int64_t now) {
-  pw_pick row[PICKS_MAX];
-  pw_target *who[PICKS_MAX];
   pw_fleet_picked out = {0};
+  make_room(f);
+  pw_pick *row = f->row;
+  pw_target **who = f->who;
   common c = common_of(f, ask->service, ask->side, now);
   int n = fill_rows(f, ask, &c, row, who);
   int best = pick_of_all(f, ask, row, who, n, now);
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -84,6 +84,24 @@
   pwfleet_free(f);
 }
 
+/* Of more targets than were weighed once (1,024) the last that joined is the only one that may
+** be sent to: requests were refused for want of a target, without a line. */
+static void test_last_of_many(void) {
+  pw_fleet *f = pwfleet_new("az-1", BEAT_MS, BEAT_MS);
+  for (int i = 0; i < 3000; i++) {
+    pw_beat b = {.born = 1, .slots = 4, .seq = 1, .leaving = i < 2999};
+    snprintf(b.id, sizeof b.id, "i-%d", i);
+    snprintf(b.service, sizeof b.service, "s");
+    snprintf(b.address, sizeof b.address, "10.1.%d.%d:1", i / 250, i % 250);
+    pwfleet_beat(f, &b, 0, 0);
+  }
+  pw_fleet_ask ask = {.service = "s", .wait_ms = 1, .bound = {1e9, 1e9, 0, 0}};
+  pw_fleet_picked p = pwfleet_pick(f, &ask, 10);
+  CHECK(p.target && !strcmp(p.target->id, "i-2999"));
+  pwfleet_drop(p.target);
+  pwfleet_free(f);
+}
+
 static void test_few_targets(void) {
   pw_fleet *f = pwfleet_new("az-1", BEAT_MS, BEAT_MS);
   join(f, "v1", 0, 0);
@@ -120,6 +138,7 @@
 int main(void) {
   TESTS_BEGIN("versions");
   TEST(test_sides);
+  TEST(test_last_of_many);
   TEST(test_few_targets);
   TEST(test_back);
   TEST(test_complete);
