A home is taken though it has two requests, where few come before they are told

Cause: with 0.4 requests a target, one with two in progress was over the bound (1.6 times the mean and two), of 2 times the mean and three that are allowed. What is kept free is for requests of other gateways that are not seen yet; here 0.2 of them come to a target in the 0.15 s until they are told. Ruled out: targets that some gateways do not know (1,444 GB with those, 1,381 without), full targets (12 places, none full), new ones.

Change: what is kept free is twice what comes unseen, by the rate and the age that gateways see, one request at most (pwpick_extra). Compared in the model (test_pick): 624 targets, 808 requests a second 0.073 -> 0.012 away from home, over the rule's bound 0.0034 -> 0.0079 (0.03 allowed); 40 targets, 523 a second: as before.

--- a/packages/core/pwlimits.h
+++ b/packages/core/pwlimits.h
@@ -120,10 +120,9 @@
 #define PW_POINTER_KEEP_MS (2LL * 3600 * 1000)
 
 /* A gateway keeps a target's load to this share of what gateway.load_times
-** allows, and so many requests more: each sees the others' requests a little
-** late. Measured: docs/RESULTS.md. */
+** allows, and some requests more (pwpick_extra): each sees the others' requests
+** a little late. */
 #define PW_GW_BOUND_SHARE 0.8
-#define PW_GW_BOUND_EXTRA 2.0
 
 /* The same of the mean of all that are alive, those of evacuated availability zones too, which
 ** have nothing to do. */
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -157,8 +157,19 @@
                              pwgate_draw(g), now);
 }
 
+/* How far a target may be loaded: more where few requests come to it before the other gateways
+** have told of them. */
+static pw_pick_bound bound_of(const pw_exchange *x, const part *p) {
+  double times = x->g->p->set->gateway_load_times;
+  double a_second =
+      p->sum.targets > 0 ? x->kept->others_rate / p->sum.targets : 0;
+  return (pw_pick_bound){PW_GW_BOUND_SHARE * times,
+                         pwpick_extra(a_second, p->sum.others_age_ms),
+                         PW_GW_BOUND_ALL_SHARE * times, PW_GW_BOUND_ALL_EXTRA};
+}
+
 /* Fills x->t (held) and x->holder; 0 when there is no target. */
-static int pick(pw_exchange *x) {
+static int pick(pw_exchange *x, const part *p) {
   pw_gate *g = x->g;
   int64_t now = pwclock_ms();
   int is_sticky = x->route->is_sticky && x->ask.nparts > 0;
@@ -175,10 +186,7 @@
       .beginning = is_sticky ? find_beginning(g, &x->ask, now, keep) : 0,
       .wait_ms = wait_at_target(x),
       .draw = pwgate_draw(g),
-      .bound = {PW_GW_BOUND_SHARE * g->p->set->gateway_load_times,
-                PW_GW_BOUND_EXTRA,
-                PW_GW_BOUND_ALL_SHARE * g->p->set->gateway_load_times,
-                PW_GW_BOUND_ALL_EXTRA},
+      .bound = bound_of(x, p),
       .cold = {x->service->cold_ms, x->service->cold_per_s},
       .part = part_of_demand(x, now),
       .conns = connections_of(x),
@@ -238,8 +246,8 @@
 }
 
 /* Sends it to a target that has a place; 0: there is none. */
-static int place_now(pw_exchange *x) {
-  while (pwexi_time_left(x) > 0 && x->ntried < PWEX_TRIED_MAX && pick(x)) {
+static int place_now(pw_exchange *x, const part *p) {
+  while (pwexi_time_left(x) > 0 && x->ntried < PWEX_TRIED_MAX && pick(x, p)) {
     x->is_fresh_only = 0;
     x->t->inflight++;
     x->tried[x->ntried++] = pwfleet_hold(x->t);
@@ -264,7 +272,7 @@
 /* Sends it to a target of its side that has a place, if it gets one; 0: it does not. */
 static int try_side(pw_exchange *x, part *p, int was_new, int64_t now) {
   *p = part_of(x, now);
-  return !(was_new && is_turned_away(x, p)) && place_now(x);
+  return !(was_new && is_turned_away(x, p)) && place_now(x, p);
 }
 
 void pwexi_place(pw_exchange *x) {
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -178,8 +178,10 @@
 
 /* What the targets of a service that are alive have together. */
 typedef struct pw_fleet_sum {
+  int targets;
   double slots, inflight, others;
-  double work_ms; /* mean time of one request there */
+  double others_age_ms; /* of what the other gateways have there */
+  double work_ms;       /* mean time of one request there */
 } pw_fleet_sum;
 pw_fleet_sum pwfleet_sum(pw_fleet *f, const char *service, pw_fleet_side side,
                          int64_t now);
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -164,6 +164,8 @@
     n++;
   }
   out.work_ms = n ? out.work_ms / n : 0;
+  out.targets = n;
+  out.others_age_ms = (double)f->others_age_ms;
   return out;
 }
 
--- a/packages/policy/pwpick.c
+++ b/packages/policy/pwpick.c
@@ -15,6 +15,13 @@
 #define TIGHT_TIMES 1.15
 #define TIGHT_EXTRA 2.0
 
+/* Requests that a target may hold past twice the mean; less what is not seen yet, down to the
+** least that leaves homes any room. */
+#define EXTRA_MOST 3.0
+#define EXTRA_LEAST 2.0
+#define UNSEEN_TIMES 2.0
+#define MS_PER_S 1000.0
+
 static double mean_of_usable(const pw_pick *t, int n) {
   double sum = 0;
   int count = 0;
@@ -42,6 +49,12 @@
   return bound.all_times > 0 && of_all < limit ? of_all : limit;
 }
 
+double pwpick_extra(double a_second, double age_ms) {
+  double unseen = a_second * age_ms / MS_PER_S;
+  double extra = EXTRA_MOST - UNSEEN_TIMES * unseen;
+  return extra > EXTRA_LEAST ? extra : EXTRA_LEAST;
+}
+
 static uint64_t score(uint64_t key, uint64_t id) {
   uint64_t both[2] = {key, id};
   return XXH3_64bits(both, sizeof both);
--- a/packages/policy/pwpick.h
+++ b/packages/policy/pwpick.h
@@ -42,6 +42,10 @@
 /* The load up to which one more request may be sent to a target. */
 double pwpick_limit(const pw_pick *t, int n, pw_pick_bound bound);
 
+/* How many requests more than a part of the mean a target may have, where the others send it so
+** many a second that are told of `age_ms` later: what is not seen yet is kept free, twice. */
+double pwpick_extra(double a_second, double age_ms);
+
 /* By rendezvous hashing of `key`: the first in the key's order that is under
 ** the bound and has a free slot; -1 when there is none. Past the first few in that
 ** order only those with slots to spare count, so that a prompt comes to lie in few
--- /dev/null
+++ b/tests/test_pick.c
@@ -0,0 +1,138 @@
+/* test_pick.c: how many requests find the target that has their prompt free, and how many reach one
+** that holds too much, while gateways see each other's requests late.
+**
+** On a calm day of 624 targets with 0.4 requests each, 1,381 GB of prompts were moved between
+** targets: a target with two requests in progress was taken for too busy (bound: 1.6 times the
+** mean and two), though it may hold three and twice the mean. What is kept free for requests that
+** are not seen yet is needed where many come before they are told; here hardly one does. */
+#include "pwpick.h"
+#include "pwtest.h"
+
+#include <math.h>
+#include <string.h>
+
+#define TARGETS_MAX 624
+#define STEP_MS 10
+#define STEPS 1500
+#define KEYS 2800
+#define BUSY_MAX 60 /* requests that one target is given at most */
+
+typedef struct load {
+  int targets;
+  double a_second, work_ms, age_ms;
+} load;
+
+typedef struct figures {
+  double
+      away; /* share of the requests that are not at their key's first target */
+  double
+      over; /* share that reaches one which holds more than twice the mean and three */
+} figures;
+
+typedef struct fleet {
+  double ends[TARGETS_MAX][BUSY_MAX]; /* of requests in progress, ms */
+  int n[TARGETS_MAX];
+  int seen[STEPS + 1][TARGETS_MAX]; /* at the end of each step */
+} fleet;
+
+static void finish(fleet *f, int targets, double now) {
+  for (int t = 0; t < targets; t++)
+    for (int i = 0; i < f->n[t];) {
+      if (f->ends[t][i] <= now)
+        f->ends[t][i] = f->ends[t][--f->n[t]];
+      else
+        i++;
+    }
+}
+
+static double mean(const fleet *f, int targets) {
+  double sum = 0;
+  for (int t = 0; t < targets; t++)
+    sum += f->n[t];
+  return sum / targets;
+}
+
+static int first_of(const pw_pick *row, int n, uint64_t key) {
+  return pwpick_holder(row, n, key);
+}
+
+static void place(fleet *f, const load *l, pw_pick *row, pw_pick_bound bound,
+                  pw_random *r, double now, figures *out) {
+  uint64_t key = pwrand_below(r, KEYS) + 1;
+  int t = pwpick_home(row, l->targets, key, bound);
+  if (t < 0)
+    t = pwpick_least(row, l->targets, 1e9, pwrand_unit(r), bound);
+  if (t < 0 || f->n[t] == BUSY_MAX)
+    return;
+  f->ends[t][f->n[t]++] = now - l->work_ms * log(1 - pwrand_unit(r));
+  out->away += t != first_of(row, l->targets, key);
+  out->over += f->n[t] > 2 * mean(f, l->targets) + 3;
+}
+
+static figures play(const load *l, double extra, uint64_t seed) {
+  fleet *f = calloc(1, sizeof *f);
+  pw_random r = {.seed = seed};
+  pw_pick row[TARGETS_MAX] = {{0}};
+  pw_pick_bound bound = {1.6, extra, 1.9, 3};
+  figures out = {0};
+  double due = 0, requests = 0;
+  int age = (int)(l->age_ms / STEP_MS);
+  for (int t = 0; t < l->targets; t++)
+    row[t] = (pw_pick){.id = XXH3_64bits(&t, sizeof t),
+                       .slots = 12,
+                       .work_ms = l->work_ms,
+                       .is_usable = 1,
+                       .is_alive = 1};
+  for (int step = 0; step < STEPS; step++) {
+    double now = step * STEP_MS;
+    finish(f, l->targets, now);
+    for (int t = 0; t < l->targets; t++)
+      row[t].load = step > age ? f->seen[step - age][t] : 0;
+    for (due += l->a_second * STEP_MS / 1000; due >= 1; due--, requests++)
+      place(f, l, row, bound, &r, now, &out);
+    memcpy(f->seen[step + 1], f->n, sizeof f->n);
+  }
+  out.away /= requests;
+  out.over /= requests;
+  free(f);
+  return out;
+}
+
+static double extra_of(const load *l) {
+  return pwpick_extra(l->a_second / l->targets, l->age_ms);
+}
+
+static void test_few_requests_each(void) {
+  load l = {TARGETS_MAX, 808, 300, 150};
+  figures before = play(&l, 2, 1), now = play(&l, extra_of(&l), 1);
+  printf("624 targets: away %.3f -> %.3f, over %.4f -> %.4f\n", before.away,
+         now.away, before.over, now.over);
+  CHECK(before.away > 0.05);
+  CHECK(now.away < 0.4 * before.away);
+  CHECK(now.over < 0.01);
+}
+
+/* Many come before they are told: nothing changes. */
+static void test_many_requests_each(void) {
+  load l = {40, 523, 200, 150};
+  figures before = play(&l, 2, 1), now = play(&l, extra_of(&l), 1);
+  printf("40 targets: away %.3f -> %.3f, over %.4f -> %.4f\n", before.away,
+         now.away, before.over, now.over);
+  CHECK(extra_of(&l) == 2);
+  CHECK(now.over < 0.03);
+}
+
+static void test_extra(void) {
+  CHECK(pwpick_extra(0, 150) == 3);
+  CHECK(pwpick_extra(100, 150) == 2);
+  for (double rate = 0; rate < 20; rate += 0.1)
+    CHECK(pwpick_extra(rate + 0.1, 50) <= pwpick_extra(rate, 50));
+}
+
+int main(void) {
+  TESTS_BEGIN("pick");
+  TEST(test_extra);
+  TEST(test_few_requests_each);
+  TEST(test_many_requests_each);
+  TESTS_END();
+}
