Roll-outs of two services do not mix, and no plan overwrites another

Found by reading: a roll-out was named by the ms of its order alone, so two services ordered in the same ms shared counts and time; while a change of a roll-out was on its way the planner of models could propose, and the first one's end was taken for the second's; and orders had no limit though gateways keep 64. Now the service is part of the name, one plan is under way at a time, and the 65th service is refused (4015).

Checked by 58_service_rollout and 17_rollout; no test of its own for the first two."

--- a/packages/control/pwcanaries.c
+++ b/packages/control/pwcanaries.c
@@ -6,10 +6,12 @@
 #include "pwjson.h"
 #include "pwlog.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <uthash.h>
 
+#define KEY_BYTES (PW_NAME_MAX + 40)
 #define PASS_MS 100 /* between two looks */
 
 /* The same order within this time of the first is the first one, sent again. */
@@ -35,10 +37,9 @@
 
 /* All that one gateway has seen of one roll-out. */
 typedef struct report {
-  struct {
-    uint64_t begun;
-    uint64_t incarnation; /* of the gateway */
-  } key;
+  char key[KEY_BYTES]; /* of the service, the roll-out and the gateway's life */
+  char service[PW_NAME_MAX];
+  uint64_t begun;
   seen route[PWCANARY_ROUTES_MAX];
   int nroutes;
   UT_hash_handle hh;
@@ -46,6 +47,7 @@
 
 /* A roll-out that this instance carries out. */
 typedef struct under_way {
+  char service[PW_NAME_MAX];
   uint64_t begun;
   int64_t led_at, elapsed_ms; /* it had gone on for so long then */
   int share;
@@ -170,7 +172,7 @@
 
 static under_way *under_way_of(pw_canaries *c, const spec *s, int64_t now) {
   under_way *u = c->list;
-  while (u && u->begun != s->begun)
+  while (u && (u->begun != s->begun || strcmp(u->service, s->service) != 0))
     u = u->next;
   if (!u) {
     u = pw_alloc(sizeof *u);
@@ -180,6 +182,7 @@
                      .share = s->canary.share,
                      .share_at = now,
                      .next = c->list};
+    pw_copy(u->service, sizeof u->service, s->service);
     c->list = u;
   }
   if (u->share != s->canary.share) {
@@ -195,6 +198,13 @@
 
 /* --- orders --- */
 
+static int count(const pw_res *res) {
+  int n = 0;
+  for (const pw_resource *one = pwres_first(res); one; one = one->next)
+    n += !one->deleted && !strcmp(one->kind, PW_KIND_SERVICE_ROLLOUT);
+  return n;
+}
+
 static int is_resent(const spec *s, const pw_rollout_order *o) {
   return !strcmp(s->version, o->version) &&
          (s->canary.state != PWCANARY_REVERTED ||
@@ -212,6 +222,8 @@
     snprintf(why, cap, "%s is being rolled out to %s", o->service, s.version);
     return PW_E_CONFLICT;
   }
+  if (!has && count(c->res) >= PW_ROLLOUTS_MAX)
+    return PW_E_TOO_MANY;
   const pw_resource *old =
       pwres_find(c->res, PW_KIND_SERVICE_ROLLOUT, o->service);
   spec fresh = {.over_ms = o->over_ms,
@@ -226,14 +238,20 @@
 
 /* --- what gateways have seen --- */
 
-static report *report_of(pw_canaries *c, uint64_t begun, uint64_t incarnation) {
-  report *r, key = {.key = {begun, incarnation}};
-  HASH_FIND(hh, c->reports, &key.key, sizeof key.key, r);
+static report *report_of(pw_canaries *c, const Pw__Answers *a,
+                         uint64_t incarnation) {
+  char key[KEY_BYTES];
+  report *r;
+  snprintf(key, sizeof key, "%s %llx %llx", a->service,
+           (unsigned long long)a->begun, (unsigned long long)incarnation);
+  HASH_FIND_STR(c->reports, key, r);
   if (r)
     return r;
   r = pw_alloc(sizeof *r);
-  r->key = key.key;
-  HASH_ADD(hh, c->reports, key, sizeof r->key, r);
+  r->begun = a->begun;
+  pw_copy(r->service, sizeof r->service, a->service);
+  pw_copy(r->key, sizeof r->key, key);
+  HASH_ADD_STR(c->reports, key, r);
   return r;
 }
 
@@ -261,7 +279,7 @@
     spec s;
     if (!read_of(c->res, a->service, &s) || s.begun != a->begun)
       continue;
-    seen *at = seen_on(report_of(c, a->begun, e->incarnation), a->route);
+    seen *at = seen_on(report_of(c, a, e->incarnation), a->route);
     raise_to(&at->sum.good_to, a->good_to);
     raise_to(&at->sum.bad_to, a->bad_to);
     raise_to(&at->sum.good_from, a->good_from);
@@ -277,11 +295,14 @@
 }
 
 /* Over all gateways, route by route. */
-static void sum_up(pw_canaries *c, uint64_t begun, report *out) {
-  *out = (report){.key = {.begun = begun}};
-  for (report *r = c->reports; r; r = r->hh.next)
-    for (int i = 0; i < r->nroutes && r->key.begun == begun; i++)
+static void sum_up(pw_canaries *c, const spec *s, report *out) {
+  *out = (report){.begun = s->begun};
+  for (report *r = c->reports; r; r = r->hh.next) {
+    if (r->begun != s->begun || strcmp(r->service, s->service) != 0)
+      continue;
+    for (int i = 0; i < r->nroutes; i++)
       add(&seen_on(out, r->route[i].route)->sum, &r->route[i].sum);
+  }
 }
 
 /* --- the leader's part --- */
@@ -304,7 +325,7 @@
   report sum;
   pw_canary_route route[PWCANARY_ROUTES_MAX];
   pw_canary next;
-  sum_up(c, s->begun, &sum);
+  sum_up(c, s, &sum);
   for (int i = 0; i < sum.nroutes; i++)
     route[i] = sum.route[i].sum;
   pw_canary_ask ask = {.over_ms = s->over_ms,
@@ -354,7 +375,7 @@
 static json_t *one_json(pw_canaries *c, const spec *s, int64_t now) {
   report sum;
   pw_canary_route all = {0};
-  sum_up(c, s->begun, &sum);
+  sum_up(c, s, &sum);
   for (int i = 0; i < sum.nroutes; i++)
     add(&all, &sum.route[i].sum);
   int runs = s->canary.state == PWCANARY_RUNNING;
--- a/packages/control/pwcanaries.h
+++ b/packages/control/pwcanaries.h
@@ -27,7 +27,8 @@
 void pwcanaries_heard(pw_canaries *c, const Pw__Envelope *e);
 
 /* The change that an order asks for; NULL with PW_OK: it is under way, or done, already. Or
-** PW_E_CONFLICT with a reason: another is under way. */
+** PW_E_CONFLICT with a reason: another is under way; PW_E_TOO_MANY: of PW_ROLLOUTS_MAX services
+** roll-outs are kept. */
 pw_code pwcanaries_order(pw_canaries *c, const pw_rollout_order *o,
                          Pw__Change **out, char *why, size_t cap);
 
--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -141,12 +141,12 @@
     pwfeed_push(c->feed, &st, now);
 }
 
-/* Of models, or of services. */
+/* Of services, or else of models. */
 static Pw__Change *next_plan(pw_control *c, int64_t now) {
-  Pw__Change *ch = NULL;
-  if (!c->planned)
-    ch = pwcanaries_next(c->canaries, now);
-  c->plans_rollout |= ch != NULL;
+  if (c->planned)
+    return NULL;
+  Pw__Change *ch = pwcanaries_next(c->canaries, now);
+  c->plans_rollout = ch != NULL;
   return ch ? ch : pwplanner_next(c->planner, pwgroup_term(c->group), now);
 }
 
@@ -155,9 +155,8 @@
 static void plan(pw_control *c, int64_t now) {
   if (!pwgroup_lease(c->group, now) || atomic_load(&c->p->stopping))
     return;
-  if (c->planned && now - c->planned_at > PLAN_MS) {
+  if (c->planned && now - c->planned_at > PLAN_MS)
     end_plan(c, PW_E_UNKNOWN);
-  }
   Pw__Change *ch = next_plan(c, now);
   if (!ch)
     return;
--- a/packages/core/pwcode.h
+++ b/packages/core/pwcode.h
@@ -66,6 +66,8 @@
     "no target is known in this availability zone, and no setting names it")   \
   X(PW_E_UNHEARD, 4014, 503, "unheard",                                        \
     "no other control instance hears this one: turn to another")               \
+  X(PW_E_TOO_MANY, 4015, 422, "too-many",                                      \
+    "as many of these are kept as may be")                                     \
   X(PW_E_SETTINGS, 5001, 500, "settings", "the settings file is wrong")        \
   X(PW_E_IO, 5002, 500, "io", "a file could not be read or written")           \
   X(PW_E_DISK_FULL, 5003, 507, "disk-full", "no room left on the disk")        \
--- a/packages/core/pwlimits.h
+++ b/packages/core/pwlimits.h
@@ -60,6 +60,9 @@
 /* Control instances that one knows besides itself, those outside of the group included. */
 #define PW_CONTROL_MAX 64
 
+/* Services whose roll-outs are kept; an order for one more is refused. */
+#define PW_ROLLOUTS_MAX 64
+
 /* A request under which so many targets ended goes to none any more, for so long (ms). One or two
 ** ends happen to requests that are well (a target in 15 ends at once on a bad day); the third is the
 ** last that users of a fleet accept. Ten minutes outlast the callers who come again. */
--- a/packages/gateway/pwversions.c
+++ b/packages/gateway/pwversions.c
@@ -4,8 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define ROLLOUTS_MAX 64 /* that are known; control takes no more */
-
 /* Answers on one route. */
 typedef struct answers {
   char route[PW_NAME_MAX];
@@ -92,7 +90,8 @@
   v->revision = n->revision;
   if (n->n_rollouts == 0 && v->n == 0)
     return;
-  size_t count = n->n_rollouts < ROLLOUTS_MAX ? n->n_rollouts : ROLLOUTS_MAX;
+  size_t count =
+      n->n_rollouts < PW_ROLLOUTS_MAX ? n->n_rollouts : PW_ROLLOUTS_MAX;
   rollout *list = pw_alloc(sizeof *list * (count + 1));
   for (size_t i = 0; i < count; i++) {
     read_one(v, n->rollouts[i], &list[i]);
