--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 MAKEFLAGS += --no-builtin-rules
 .SECONDARY:
-.PHONY: all bench-policy bench-overload bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak soak-seeds rounds capacity install deb sanitized format lint help clean
+.PHONY: all bench-pick bench-policy bench-overload bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak soak-seeds rounds capacity install deb sanitized format lint help clean
 
 all: $(BINS)
 
@@ -105,6 +105,10 @@
 bench-overload: $(BUILD)/bench_overload
 	$(BUILD)/bench_overload docs/overload.svg docs/overload-large.svg
 
+# What a request costs a gateway as the targets grow.
+bench-pick: $(BUILD)/bench_pick
+	$(BUILD)/bench_pick
+
 # The path against a direct call to the stand-in engine.
 bench-path: all $(FAKES) $(RUNNER) $(BUILD)/bench_path
 	$(RUNNER) --bin $(BUILD) bench/path.lua
