--- a/packages/cli/pwcmd.c
+++ b/packages/cli/pwcmd.c
@@ -387,6 +387,14 @@
   }
 }
 
+int pwcmd_print_json(const pw_options *o, const json_t *answer) {
+  if (!o->json)
+    return 0;
+  json_dumpf(answer, stdout, JSON_INDENT(2) | JSON_SORT_KEYS);
+  putchar('\n');
+  return 1;
+}
+
 static void print_service_rollouts(const json_t *list) {
   size_t i;
   const json_t *r;
--- a/packages/cli/pwcmd.h
+++ b/packages/cli/pwcmd.h
@@ -49,6 +49,9 @@
 int pwcmd_keygen(pw_options *o);
 int pwcmd_keyhash(pw_options *o);
 
+/* Prints an answer as JSON where that was asked for; gives whether it did. */
+int pwcmd_print_json(const pw_options *o, const json_t *answer);
+
 /* Prints an error as one line with its code; gives the exit code. */
 int pwcmd_error(pw_code code, const char *message);
 
--- a/packages/cli/pwevacuatecmd.c
+++ b/packages/cli/pwevacuatecmd.c
@@ -29,12 +29,8 @@
     json_decref(answer);
     return pwcmd_error(rc, message);
   }
-  if (o->json) {
-    json_dumpf(answer, stdout, JSON_INDENT(2) | JSON_SORT_KEYS);
-    putchar('\n');
-  } else {
+  if (!pwcmd_print_json(o, answer))
     printf("%s: %s\n", o->args[0], o->end ? "taken back" : "evacuated");
-  }
   json_decref(answer);
   return PWEXIT_OK;
 }
--- a/packages/cli/pwrolloutcmd.c
+++ b/packages/cli/pwrolloutcmd.c
@@ -40,12 +40,8 @@
     json_decref(answer);
     return pwcmd_error(rc, message);
   }
-  if (o->json) {
-    json_dumpf(answer, stdout, JSON_INDENT(2) | JSON_SORT_KEYS);
-    putchar('\n');
-  } else {
+  if (!pwcmd_print_json(o, answer))
     print_one(answer);
-  }
   json_decref(answer);
   return PWEXIT_OK;
 }
--- a/packages/policy/pwmesh.c
+++ b/packages/policy/pwmesh.c
@@ -1,6 +1,8 @@
 /* pwmesh.c: which control instances tell each other of targets. */
 #include "pwmesh.h"
 
+#include "pwbuf.h"
+
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,17 +13,9 @@
   MUT_MEMBERS_ONLY = 44 /* what observers hear is not asked for */
 };
 
-static void copy(char out[PW_NAME_MAX], const char *text) {
-  size_t n = strlen(text);
-  if (n >= PW_NAME_MAX)
-    n = PW_NAME_MAX - 1;
-  memcpy(out, text, n);
-  out[n] = 0;
-}
-
 void pwmesh_init(pw_mesh *m, const char *self) {
   *m = (pw_mesh){0};
-  copy(m->self, self);
+  pw_copy(m->self, sizeof m->self, self);
 }
 
 void pwmesh_free(pw_mesh *m) {
@@ -38,10 +32,8 @@
   }
   if (m->n == PW_CONTROL_MAX)
     return NULL;
-  pw_mesh_peer *p = calloc(1, sizeof *p);
-  if (!p)
-    abort();
-  copy(p->addr, addr);
+  pw_mesh_peer *p = pw_alloc(sizeof *p);
+  pw_copy(p->addr, sizeof p->addr, addr);
   p->named_at = now;
   m->peer[m->n++] = p;
   return p;
--- a/tests/scenarios/41_evacuate.lua
+++ b/tests/scenarios/41_evacuate.lua
@@ -6,14 +6,7 @@
 local g = gateways.new{control = 3, gateways = 2, engines = 3, portals = 2, zones = zones}
 g:start()
 
-local function peatwell(words)
-  local servers = {}
-  for i, c in ipairs(g.control) do servers[i] = c.health end
-  local f = io.popen(run.bin .. "/peatwell " .. words .. " --server " .. table.concat(servers, ",") .. " 2>&1; echo rc=$?")
-  local text = f:read("a")
-  f:close()
-  return text, tonumber(text:match("rc=(%d+)"))
-end
+local function peatwell(words) return g:peatwell(words) end
 local function in_force(list)
   for _, p in ipairs(g.gateways) do
     fleet.eventually(p.name .. " knows of " .. list, function()
--- a/tests/scenarios/58_service_rollout.lua
+++ b/tests/scenarios/58_service_rollout.lua
@@ -10,14 +10,7 @@
 g:start()
 for _, t in ipairs(g.targets) do t:fault("delay=20") end
 
-local function peatwell(words)
-  local servers = {}
-  for i, c in ipairs(g.control) do servers[i] = c.health end
-  local f = io.popen(run.bin .. "/peatwell " .. words .. " --server " .. table.concat(servers, ",") .. " 2>&1; echo rc=$?")
-  local text = f:read("a")
-  f:close()
-  return text, tonumber(text:match("rc=(%d+)"))
-end
+local function peatwell(words) return g:peatwell(words) end
 local function order(service, version, over, c)
   return g:control_call(c or g.control[1], "POST", "/rollouts",
     string.format('{"service":%q,"targetVersion":%q,"overS":%s}', service, version, over)).status
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -138,6 +138,16 @@
   return {status = 0}
 end
 
+-- What the operators' command says to all control instances, and its exit code.
+function gateways:peatwell(words)
+  local servers = {}
+  for i, c in ipairs(self.control) do servers[i] = c.health end
+  local f = io.popen(run.bin .. "/peatwell " .. words .. " --server " .. table.concat(servers, ",") .. " 2>&1; echo rc=$?")
+  local text = f:read("a")
+  f:close()
+  return text, tonumber(text:match("rc=(%d+)"))
+end
+
 -- Sends a configuration until it is taken; gives its version.
 function gateways:publish(s)
   local text = type(s) == "string" and s or gateways.site_text(s)
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -88,7 +88,11 @@
     finish(f, l->targets, now);
     for (int t = 0; t < l->targets; t++)
       row[t].load = step > age ? f->seen[step - age][t] : 0;
-    for (due += l->a_second * STEP_MS / 1000; due >= 1; due--, requests++)
+    due += l->a_second * STEP_MS / 1000;
+    int come = (int)due;
+    due -= come;
+    requests += come;
+    for (int i = 0; i < come; i++)
       place(f, l, row, bound, &r, now, &out);
     memcpy(f->seen[step + 1], f->n, sizeof f->n);
   }
@@ -125,8 +129,8 @@
 static void test_extra(void) {
   CHECK(pwpick_extra(0, 150) == 3);
   CHECK(pwpick_extra(100, 150) == 2);
-  for (double rate = 0; rate < 20; rate += 0.1)
-    CHECK(pwpick_extra(rate + 0.1, 50) <= pwpick_extra(rate, 50));
+  for (int rate = 0; rate < 200; rate++)
+    CHECK(pwpick_extra(rate + 1, 50) <= pwpick_extra(rate, 50));
 }
 
 int main(void) {
