--- a/tools/day-table.lua
+++ b/tools/day-table.lua
@@ -7,16 +7,16 @@
 local day = run.json(f:read("a"))
 f:close()
 
--- Figures of a role by their place in the report; what the others are it does not say.
-local ROWS = {[1] = "processor, % of its share", [2] = "memory at its peak, MB", [5] = "descriptors"}
+-- In the order in which the report has them, as a sweep prints them.
+local ROWS = {"processor, % of its share", "memory at its peak, MB", "KB a second", "wake-ups a second", "connections",
+  "new connections a second", "syncs a second"}
 local roles = {}
 for name in pairs(day.load) do roles[#roles + 1] = name end
 table.sort(roles)
 print("| role | figure | middle | busiest |")
 print("| --- | --- | --- | --- |")
 for _, role in ipairs(roles) do
-  for _, i in ipairs{1, 2, 5} do
-    local row = ROWS[i]
+  for i, row in ipairs(ROWS) do
     local pair = day.load[role].of[i]
     if pair then print(string.format("| %s (%d) | %s | %.1f | %.1f |", role, day.load[role].machines, row, pair[1], pair[2])) end
   end
