--- a/tests/test_canary.c
+++ b/tests/test_canary.c
@@ -168,6 +168,47 @@
   CHECK(f.over < 0.05);
 }
 
+/* Answers until a version is bad whose answers are so, on one route of which 2,000 of the old one
+** are known; the median of some draws. */
+static int by_size(const void *a, const void *b) {
+  return *(const int *)a - *(const int *)b;
+}
+
+#define DRAWS 101
+#define ANSWERS_MAX 20000
+
+static int answers_until(double usual_bad, double worse_by) {
+  int n[DRAWS];
+  pw_canary_route from = {.good_from = 2000 * (1 - usual_bad),
+                          .bad_from = 2000 * usual_bad};
+  for (int i = 0; i < DRAWS; i++) {
+    pw_random r = {.seed = (uint64_t)i + 1};
+    pw_canary_route route = from;
+    for (n[i] = 0; n[i] < ANSWERS_MAX; n[i]++) {
+      int is_bad = pwrand_unit(&r) < usual_bad + worse_by * (1 - usual_bad);
+      *(is_bad ? &route.bad_to : &route.good_to) += 1;
+      if (pwcanary_ratio(&route, 1) >= PWCANARY_BAD)
+        break;
+    }
+  }
+  qsort(n, DRAWS, sizeof n[0], by_size);
+  return n[DRAWS / 2];
+}
+
+static void test_answers_needed(void) {
+  static const double worse_by[] = {0.2, 0.05, 0.02};
+  for (int i = 0; i < ROUTES; i++) {
+    int needed[3];
+    for (int k = 0; k < 3; k++)
+      needed[k] = answers_until(usual[i], worse_by[k]);
+    printf("usual %.3f: 20 in 100 worse after %d answers, 5 after %d, 2 after "
+           "%d\n",
+           usual[i], needed[0], needed[1], needed[2]);
+    CHECK(needed[0] < needed[1] && needed[1] < needed[2]);
+    CHECK(needed[0] < 150);
+  }
+}
+
 /* --- steps --- */
 
 static pw_canary_ask calm(int64_t elapsed) {
@@ -262,6 +303,7 @@
   TEST(test_back_at_any_share);
   TEST(test_in_doubt);
   TEST(test_targets);
+  TEST(test_answers_needed);
   TEST(test_good);
   TEST(test_bad);
   TEST(test_bad_in_part);
