The planner of models in two files: what it reads, and what comes next

What the resources say about models, versions and targets is read in pwplanread.c (164 lines), the plan stays in pwplanner.c (471), their state in pwplannerint.h.

--- a/packages/control/pwplanner.c
+++ b/packages/control/pwplanner.c
@@ -1,254 +1,36 @@
-/* pwplanner.c: makes what operators declare about models true. */
-#include "pwplanner.h"
+/* pwplanner.c: makes what operators declare about models true: what comes next. */
+#include "pwplannerint.h"
 
-#include "pwassign.h"
 #include "pwbuf.h"
 #include "pwjson.h"
-#include "pwplace.h"
-#include "pwplan.h"
 
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
 
 #define PASS_MS 1000 /* between passes in which nothing has changed */
 #define BATCH_MAX 8  /* targets whose assignments one change writes */
-#define LOADS_AT_ONCE 2
-
-typedef struct target target;
-
-/* One target as a carrier of one model. */
-typedef struct slot {
-  target *t;
-  char model[PW_NAME_MAX];
-  uint64_t attempt; /* of its order */
-  uint64_t failed;  /* attempt whose failure was counted */
-  pw_plan_slot s;
-} slot;
-
-struct target {
-  char name[PW_NAME_MAX];
-  uint64_t id;
-  int drain;
-  int gone; /* its resource is deleted */
-  char role[PW_NAME_MAX];
-  slot *slot;
-  int nslots;
-  int in_batch; /* number of the batch that writes it */
-  UT_hash_handle hh;
-};
-
-typedef struct model {
-  char name[PW_NAME_MAX];
-  uint64_t asked; /* version of its resource; 0: deleted */
-  char wanted[PW_NAME_MAX];
-  int replicas;
-  int managed;
-  int has_rollout;
-  pw_rollout rollout;
-  uint64_t rollout_version;
-  char adapter[PWASSIGN_ADAPTERS][PW_NAME_MAX];
-  int nadapters;
-  double done_to, failed_to, done_from, failed_from; /* when the step began */
-  int counted_step; /* step and version that these are of */
-  char counted[PW_NAME_MAX];
-  int64_t full_at; /* when the step's share came in force; 0: not yet */
-  UT_hash_handle hh;
-} model;
-
-struct pw_planner {
-  const pw_res *res;
-  const pw_news *news;
-  target *targets;
-  model *models;
-  uint64_t read; /* revision up to which the resources were read */
-  uint64_t seen; /* changes of the news that were looked at */
-  int64_t passed;
-  int64_t next_load; /* the weight store's limit */
-  double weights;    /* its bytes a second; 0: no limit */
-  int loads_at_once;
-  int batch; /* number of the batch */
-  int proposed;
-};
 
 pw_planner *pwplanner_new(const pw_res *res, const pw_news *news) {
   pw_planner *pl = pw_alloc(sizeof *pl);
   pl->res = res;
   pl->news = news;
-  pl->loads_at_once = LOADS_AT_ONCE;
+  pl->loads_at_once = PWPL_LOADS_AT_ONCE;
   return pl;
 }
 
-static void clear(pw_planner *pl) {
-  target *t, *ttmp;
-  HASH_ITER(hh, pl->targets, t, ttmp) {
-    HASH_DEL(pl->targets, t);
-    free(t->slot);
-    free(t);
-  }
-  model *m, *mtmp;
-  HASH_ITER(hh, pl->models, m, mtmp) {
-    HASH_DEL(pl->models, m);
-    free(m);
-  }
-  pl->read = 0;
-}
-
 void pwplanner_free(pw_planner *pl) {
   if (!pl)
     return;
-  clear(pl);
+  pwpl_clear(pl);
   free(pl);
 }
 
 void pwplanner_lead(pw_planner *pl, int64_t now) {
-  clear(pl);
+  pwpl_clear(pl);
   pl->next_load = now;
   pl->proposed = 0;
 }
 
-/* --- reading resources --- */
-
-static model *model_of(pw_planner *pl, const char *name) {
-  model *m;
-  HASH_FIND_STR(pl->models, name, m);
-  if (m)
-    return m;
-  m = pw_alloc(sizeof *m);
-  pw_copy(m->name, sizeof m->name, name);
-  m->rollout.share = 100;
-  HASH_ADD_STR(pl->models, name, m);
-  return m;
-}
-
-static target *target_of(pw_planner *pl, const char *name) {
-  target *t;
-  HASH_FIND_STR(pl->targets, name, t);
-  if (t)
-    return t;
-  t = pw_alloc(sizeof *t);
-  pw_copy(t->name, sizeof t->name, name);
-  t->id = pwplace_id(name);
-  HASH_ADD_STR(pl->targets, name, t);
-  return t;
-}
-
-static void read_model(pw_planner *pl, const pw_resource *one,
-                       const json_t *spec) {
-  model *m = model_of(pl, one->name);
-  m->asked = one->deleted ? 0 : one->version;
-  m->replicas = (int)pwjson_number(spec, "replicas", 0);
-  m->managed = json_object_get(spec, "version") || m->replicas;
-  pw_copy(m->wanted, sizeof m->wanted, pwjson_text(spec, "version"));
-}
-
-static void read_rollout(pw_planner *pl, const pw_resource *one) {
-  model *m = model_of(pl, one->name);
-  m->has_rollout = pwassign_rollout(pl->res, one->name, &m->rollout);
-  m->rollout_version = one->deleted ? 0 : one->version;
-}
-
-static void read_adapters(pw_planner *pl) {
-  for (model *m = pl->models; m; m = m->hh.next)
-    m->nadapters = 0;
-  for (const pw_resource *one = pwres_first(pl->res); one; one = one->next) {
-    if (one->deleted || strcmp(one->kind, "adapter") != 0)
-      continue;
-    json_t *spec = json_loads(one->spec, 0, NULL);
-    model *m = model_of(pl, pwjson_text(spec, "model"));
-    if (m->nadapters < PWASSIGN_ADAPTERS)
-      pw_copy(m->adapter[m->nadapters++], PW_NAME_MAX, one->name);
-    json_decref(spec);
-  }
-}
-
-static const slot *find_slot(const slot *list, int n, const char *name) {
-  for (int i = 0; i < n; i++)
-    if (!strcmp(list[i].model, name))
-      return &list[i];
-  return NULL;
-}
-
-static void add_slot(target *t, const char *name, const pw_assigned *row,
-                     const slot *old) {
-  slot *s = &t->slot[t->nslots++];
-  *s = (slot){.t = t};
-  if (old) {
-    s->failed = old->failed;
-    s->s.failures = old->s.failures;
-    s->s.retry_at = old->s.retry_at;
-  }
-  pw_copy(s->model, sizeof s->model, name);
-  s->s.id = t->id;
-  if (!row)
-    return;
-  s->attempt = row->attempt;
-  s->s.has_load = row->has_load;
-  s->s.has_serve = row->has_serve;
-  pw_copy(s->s.load, sizeof s->s.load, row->load);
-  pw_copy(s->s.serve, sizeof s->s.serve, row->serve);
-}
-
-/* A target and its assignment are read together. */
-static void read_target(pw_planner *pl, const char *name) {
-  const pw_resource *one = pwres_get(pl->res, "target", name);
-  json_t *spec = one ? json_loads(one->spec, 0, NULL) : NULL;
-  target *t = target_of(pl, name);
-  slot *old = t->slot;
-  int nold = t->nslots;
-  pw_assignment *a = pw_alloc(sizeof *a);
-  pwassign_read(pl->res, name, a);
-  t->gone = one == NULL;
-  t->drain = json_is_true(json_object_get(spec, "drain"));
-  pw_copy(t->role, sizeof t->role, pwjson_text(spec, "role"));
-  t->slot = pw_alloc(sizeof *t->slot * PWASSIGN_MODELS);
-  t->nslots = 0;
-  size_t i;
-  const json_t *m;
-  json_array_foreach(json_object_get(spec, "models"), i, m) {
-    const char *key = json_string_value(m);
-    if (key && t->nslots < PWASSIGN_MODELS)
-      add_slot(t, key, pwassign_model(a, key), find_slot(old, nold, key));
-  }
-  free(old);
-  free(a);
-  json_decref(spec);
-}
-
-static void read_policy(pw_planner *pl, const json_t *spec) {
-  pl->weights = pwjson_number(spec, "weights_bytes_per_s", 0);
-  pl->loads_at_once = (int)pwjson_number(spec, "loads_at_once", LOADS_AT_ONCE);
-}
-
-static void read_one(pw_planner *pl, const pw_resource *one, int *adapters) {
-  json_t *spec = json_loads(one->spec, 0, NULL);
-  if (!strcmp(one->kind, "model"))
-    read_model(pl, one, spec);
-  else if (!strcmp(one->kind, "rollout"))
-    read_rollout(pl, one);
-  else if (!strcmp(one->kind, "adapter"))
-    *adapters = 1;
-  else if (!strcmp(one->kind, "target") || !strcmp(one->kind, "assignment"))
-    read_target(pl, one->name);
-  else if (!strcmp(one->kind, "policy") && !strcmp(one->name, "default"))
-    read_policy(pl, spec);
-  json_decref(spec);
-}
-
-static void read_changes(pw_planner *pl) {
-  int adapters = 0;
-  if (pl->read != pwres_revision(pl->res))
-    pl->passed = 0; /* whoever asked: the next pass is due */
-  if (pl->read < pwres_floor(pl->res))
-    clear(pl);
-  for (const pw_resource *one = pwres_after(pl->res, pl->read); one;
-       one = one->next)
-    read_one(pl, one, &adapters);
-  if (adapters)
-    read_adapters(pl);
-  pl->read = pwres_revision(pl->res);
-}
-
 /* --- what the targets are --- */
 
 static const Pw__ModelState *state_of(const Pw__TargetState *st,
@@ -302,7 +84,7 @@
   out->s = pw_alloc(sizeof *out->s * most);
   out->n = 0;
   for (const target *t = pl->targets; t; t = t->hh.next) {
-    slot *s = (slot *)find_slot(t->slot, t->nslots, m->name);
+    slot *s = (slot *)pwpl_find_slot(t->slot, t->nslots, m->name);
     if (!s || t->gone)
       continue;
     look(pl, m, s, now);
@@ -555,7 +337,7 @@
     pw_assigned *row = &a->model[i];
     const model *m;
     HASH_FIND_STR(pl->models, row->model, m);
-    int carried = find_slot(t->slot, t->nslots, row->model) != NULL;
+    int carried = pwpl_find_slot(t->slot, t->nslots, row->model) != NULL;
     if (row->has_load && (!carried || !m)) {
       row->has_load = row->has_serve = 0;
       row->attempt++;
@@ -605,7 +387,7 @@
   int still = pl->read == pwres_revision(pl->res) && changes == pl->seen;
   if (pl->proposed || (still && now - pl->passed < PASS_MS))
     return NULL;
-  read_changes(pl);
+  pwpl_read(pl);
   pl->seen = changes;
   pl->passed = now;
   pl->batch++;
@@ -681,7 +463,7 @@
 
 json_t *pwplanner_json(pw_planner *pl, uint64_t in_force, int64_t now) {
   json_t *list = json_array();
-  read_changes(pl);
+  pwpl_read(pl);
   for (const model *m = pl->models; m; m = m->hh.next)
     if (m->asked && (m->managed || m->has_rollout))
       json_array_append_new(list, model_json(pl, m, in_force, now));
