--- a/packages/control/pwpeers.c
+++ b/packages/control/pwpeers.c
@@ -94,7 +94,7 @@
 static void note_full(pw_peers *o, const char *addr) {
   if (!o->is_full)
     pwlog(LOG_ERR, "too-many-control-instances", "code=%d most=%d left_out=%s",
-          (int)PW_E_UNHEARD, PW_CONTROL_MAX, addr);
+          (int)PW_E_TOO_MANY, PW_CONTROL_MAX, addr);
   o->is_full = 1;
 }
 
--- a/packages/control/pwrollcall.c
+++ b/packages/control/pwrollcall.c
@@ -1,6 +1,7 @@
 /* pwrollcall.c: calls that order a service's roll-out, or ask where it stands. */
 #include "pwrollcall.h"
 
+#include <stdio.h>
 #include <string.h>
 
 static pw_rollout_stage stage_of(pw_canary_state s) {
--- a/packages/gateway/pwversions.c
+++ b/packages/gateway/pwversions.c
@@ -37,7 +37,7 @@
   free(v);
 }
 
-static const rollout *find(const pw_versions *v, const char *service) {
+static rollout *find(const pw_versions *v, const char *service) {
   for (size_t i = 0; i < v->n; i++)
     if (!strcmp(v->list[i].fleet.service, service))
       return &v->list[i];
@@ -121,7 +121,7 @@
 
 void pwversions_note(pw_versions *v, const pw_target *t, const char *route,
                      int is_bad) {
-  rollout *r = (rollout *)find(v, t->service);
+  rollout *r = find(v, t->service);
   if (!r || r->fleet.canary.state != PWCANARY_RUNNING ||
       t->side == PWFLEET_BOTH)
     return;
--- a/tests/fuzz/fuzz_parsers.c
+++ b/tests/fuzz/fuzz_parsers.c
@@ -15,6 +15,7 @@
 #include "pwtold.h"
 #include "pwtoml.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/mman.h>
