A caller out of reach for some seconds has its whole answer when it comes back

Ruled out: a longer limit for all (a target is held up and cuts the stream itself after some seconds). Making room still closes such connections after writing: others need the descriptors. Why it holds: what is held stays bounded by the same budget, both limits shrink with it.

--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -198,6 +198,7 @@
   g->front.ahead_max = g->hold.ahead;
   g->front.body_room = g->hold.body;
   g->front.stall_ms = g->hold.stall_ms;
+  g->front.stall_whole_ms = g->hold.stall_whole_ms;
   pwcount_set(g->p->counters, PWC_GW_HELD, (int64_t)held);
   pwcount_set(g->p->counters, PWC_GW_STALLED, g->front.nstalled);
 }
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -315,7 +315,11 @@
   pw_conn *c = arg;
   if (c->state && c->all->resume)
     c->all->resume(c->state);
-  if (c->is_closed || !c->is_held_up)
+  if (c->is_closed)
+    return;
+  if (!c->is_busy)
+    c->since = pwclock_ms();
+  if (!c->is_held_up)
     return;
   c->is_held_up = c->is_busy = 0;
   take_ahead(c);
@@ -498,6 +502,11 @@
 
 /* --- connections that rest or dawdle --- */
 
+/* Its caller has not taken its answer yet; pwconns_check ends it if it does not. */
+static int is_awaited(const pw_conn *c) {
+  return c->all->stall_whole_ms && pwtcp_pending(c->tcp) > 0;
+}
+
 static void sweep_one(pw_conn *c, int64_t now) {
   const pw_conn_limits *l = &c->all->limits;
   if (c->is_busy)
@@ -505,7 +514,7 @@
   int64_t age = now - c->since;
   int64_t header_ms = l->header_ms ? l->header_ms : l->idle_ms;
   if (c->request.state == PWH1_HEAD && c->request.head.len == 0) {
-    if (age > l->idle_ms && is_at_rest(c))
+    if (age > l->idle_ms && is_at_rest(c) && !is_awaited(c))
       close_conn(c, CLOSE_AFTER_WRITE);
   } else if (c->request.state == PWH1_HEAD) {
     if (age > header_ms)
@@ -523,7 +532,8 @@
     c->taken = taken;
     c->taken_at = now;
   }
-  return c->all->stall_ms && now - c->taken_at >= c->all->stall_ms;
+  int64_t most = c->state ? c->all->stall_ms : c->all->stall_whole_ms;
+  return most && now - c->taken_at >= most;
 }
 
 static void note_stalled(pw_conns *s, const pw_conn *c, int64_t now) {
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -30,7 +30,9 @@
   size_t
       body_room; /* longest body that there is room for; 0: any that is allowed */
   int64_t
-      stall_ms; /* a caller that takes nothing for so long is ended; 0: never */
+      stall_ms; /* a caller that takes nothing for so long is ended; 0: never ... */
+  int64_t
+      stall_whole_ms; /* ... and one that has only whole answers to take; 0: never */
   int send_bytes; /* that the kernel holds for a caller; 0: as it likes */
   const pw_tls_keys *keys;          /* callers speak TLS; NULL: they do not */
   void *arg;                        /* the owner's own */
--- a/packages/policy/pwhold.c
+++ b/packages/policy/pwhold.c
@@ -11,6 +11,7 @@
 
 /* Targets cut an answer that is left unread for some seconds. */
 #define STALL_MS 5000.0
+#define STALL_WHOLE_MS 60000.0 /* as long as callers wait for an answer */
 #define STALL_LEAST_MS 1000.0
 
 #define EASE 0.5 /* up to this part of the budget nobody has less */
@@ -28,6 +29,7 @@
   return (pw_hold){.untaken = (size_t)between(UNTAKEN_LEAST, UNTAKEN, ease),
                    .ahead = (size_t)between(AHEAD_LEAST, AHEAD, ease),
                    .body = (size_t)(body > BODY_LEAST ? body : BODY_LEAST),
-                   .stall_ms =
-                       (int64_t)between(STALL_LEAST_MS, STALL_MS, ease)};
+                   .stall_ms = (int64_t)between(STALL_LEAST_MS, STALL_MS, ease),
+                   .stall_whole_ms =
+                       (int64_t)between(STALL_LEAST_MS, STALL_WHOLE_MS, ease)};
 }
--- a/packages/policy/pwhold.h
+++ b/packages/policy/pwhold.h
@@ -18,7 +18,9 @@
   size_t
       ahead; /* bytes that are read of a caller while its request is in progress */
   size_t body;      /* longest body of a request that comes now */
-  int64_t stall_ms; /* a caller that takes nothing for so long is ended */
+  int64_t stall_ms; /* a caller that takes nothing for so long is ended ... */
+  int64_t
+      stall_whole_ms; /* ... and one whose answers are whole: they hold no target up */
 } pw_hold;
 
 /* What each may have while so much of a budget is held, bytes. */
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -3,6 +3,7 @@
 ** Of 1,000 callers that stop in the middle of their answers each was held 128 KB, and each request
 ** that followed on such a connection was answered into the same buffer: more than the 160 MB that
 ** a gateway has. A process past its memory is ended, with every caller's request. */
+#include "pwclock.h"
 #include "pwconn.h"
 #include "pwhold.h"
 #include "pwtest.h"
@@ -23,16 +24,19 @@
   pw_hold none = pwhold_limits(0, 80 * MB);
   CHECK(none.untaken == 128 * KB && none.ahead == 256 * KB);
   CHECK(none.body == 20 * MB && none.stall_ms == 5000);
+  CHECK(none.stall_whole_ms == 60000);
   pw_hold before = none;
   for (size_t held = 0; held <= 100 * MB; held += MB) {
     pw_hold l = pwhold_limits(held, 80 * MB);
     CHECK(held > 40 * MB || l.untaken == none.untaken);
     CHECK(l.untaken <= before.untaken && l.ahead <= before.ahead);
     CHECK(l.body <= before.body && l.stall_ms <= before.stall_ms);
+    CHECK(l.stall_whole_ms <= before.stall_whole_ms);
     before = l;
   }
   CHECK(before.untaken == 0 && before.ahead == 4 * KB);
   CHECK(before.body == 64 * KB && before.stall_ms == 1000);
+  CHECK(before.stall_whole_ms == 1000);
 }
 
 /* Callers stop reading, some more in each step; each is sent more until it is held up. Gives
@@ -175,6 +179,7 @@
   b->hold = pwhold_limits(held, BUDGET);
   b->conns.ahead_max = b->hold.ahead;
   b->conns.stall_ms = b->hold.stall_ms;
+  b->conns.stall_whole_ms = b->hold.stall_whole_ms;
   b->most = held > b->most ? held : b->most;
   for (int i = STOPPED; i < CALLERS; i++) {
     ssize_t n = recv(b->fd[i], block, sizeof block, MSG_DONTWAIT);
@@ -248,11 +253,56 @@
   free(b);
 }
 
+#define LONG_BODY (60 * KB) /* more than the kernel takes */
+
+static void answer_long(pw_conn *c) {
+  static const char body[LONG_BODY];
+  pwconn_answer(c, 200, "", body, sizeof body);
+}
+
+/* A caller was out of reach for six seconds while its answer, whole, waited for it, and lost it:
+** the line was `caller-stalled ms=5000 untaken_bytes=` with most of the memory free. It has the
+** answer once it reads again; only while memory is short is it ended as the others are. */
+static void test_whole_answer_waits(void) {
+  char block[16 * KB];
+  bed *b = calloc(1, sizeof *b);
+  set_up(b, answer_long);
+  int fd = b->fd[0] = new_caller(b);
+  size_t got = 0;
+  ask(fd);
+  for (int i = 0; i < TURNS && b->conns.count == 0; i++)
+    ev_run(b->ev, EVRUN_NOWAIT);
+  for (int i = 0; i < TURNS && pwtcp_pending(b->conns.first->tcp) == 0; i++)
+    ev_run(b->ev, EVRUN_NOWAIT);
+  b->conns.stall_ms = 5000;
+  b->conns.stall_whole_ms = 60000;
+  pwconns_check(&b->conns, 1);
+  pwconns_check(&b->conns, 6001);
+  pwconns_sweep(&b->conns, pwclock_ms() + 61000);
+  CHECK(b->conns.nstalled == 0 && b->conns.count == 1);
+  for (int i = 0; i < TURNS && got < LONG_BODY; i++) {
+    ev_run(b->ev, EVRUN_NOWAIT);
+    ssize_t n = recv(fd, block, sizeof block, MSG_DONTWAIT);
+    got += n > 0 ? (size_t)n : 0;
+  }
+  CHECK(got >= LONG_BODY);
+  ask(fd);
+  for (int i = 0; i < TURNS && pwtcp_pending(b->conns.first->tcp) == 0; i++)
+    ev_run(b->ev, EVRUN_NOWAIT);
+  b->conns.stall_whole_ms = 1000;
+  pwconns_check(&b->conns, 7000);
+  pwconns_check(&b->conns, 8000);
+  CHECK(b->conns.nstalled == 1);
+  tear_down(b);
+  free(b);
+}
+
 int main(void) {
   TESTS_BEGIN("hold");
   TEST(test_limits);
   TEST(test_many_that_stop);
   TEST(test_most_do_not_read);
   TEST(test_requests_without_end);
+  TEST(test_whole_answer_waits);
   TESTS_END();
 }
