One question for live resources of a kind, one sum of answers

Read over once more: whether a resource is of a kind and not deleted was asked in seven places, with both signs (pwcanaries three times, pwrolltold, pwzones, pwplanread, pwtargets): pwres_is. Answers of a roll-out were added up by two copies of four lines and three loops: pwcanary_add, total_of. Behaviour as before; no test changed.

--- a/packages/control/pwcanaries.c
+++ b/packages/control/pwcanaries.c
@@ -201,7 +201,7 @@
 static int count(const pw_res *res) {
   int n = 0;
   for (const pw_resource *one = pwres_first(res); one; one = one->next)
-    n += !one->deleted && !strcmp(one->kind, PW_KIND_SERVICE_ROLLOUT);
+    n += pwres_is(one, PW_KIND_SERVICE_ROLLOUT);
   return n;
 }
 
@@ -287,13 +287,6 @@
   }
 }
 
-static void add(pw_canary_route *to, const pw_canary_route *from) {
-  to->good_to += from->good_to;
-  to->bad_to += from->bad_to;
-  to->good_from += from->good_from;
-  to->bad_from += from->bad_from;
-}
-
 /* Over all gateways, route by route. */
 static void sum_up(pw_canaries *c, const spec *s, report *out) {
   *out = (report){.begun = s->begun};
@@ -301,17 +294,22 @@
     if (r->begun != s->begun || strcmp(r->service, s->service) != 0)
       continue;
     for (int i = 0; i < r->nroutes; i++)
-      add(&seen_on(out, r->route[i].route)->sum, &r->route[i].sum);
+      pwcanary_add(&seen_on(out, r->route[i].route)->sum, &r->route[i].sum);
   }
 }
 
+static pw_canary_route total_of(const report *sum) {
+  pw_canary_route all = {0};
+  for (int i = 0; i < sum->nroutes; i++)
+    pwcanary_add(&all, &sum->route[i].sum);
+  return all;
+}
+
 /* --- the leader's part --- */
 
 static void tell(const spec *s, const pw_canary *next, double ratio,
                  const report *sum) {
-  pw_canary_route all = {0};
-  for (int i = 0; i < sum->nroutes; i++)
-    add(&all, &sum->route[i].sum);
+  pw_canary_route all = total_of(sum);
   pwlog(LOG_NOTICE, "service-rollout",
         "service=%s version=%s state=%s share=%d ratio=%.3g good=%.0f bad=%.0f "
         "good_before=%.0f bad_before=%.0f",
@@ -352,7 +350,7 @@
   int n = 0;
   for (const pw_resource *one = pwres_first(c->res); one; one = one->next) {
     spec s;
-    if (one->deleted || strcmp(one->kind, PW_KIND_SERVICE_ROLLOUT) != 0)
+    if (!pwres_is(one, PW_KIND_SERVICE_ROLLOUT))
       continue;
     read_spec(one, &s);
     if (s.canary.state != PWCANARY_RUNNING)
@@ -374,10 +372,8 @@
 
 static json_t *one_json(pw_canaries *c, const spec *s, int64_t now) {
   report sum;
-  pw_canary_route all = {0};
   sum_up(c, s, &sum);
-  for (int i = 0; i < sum.nroutes; i++)
-    add(&all, &sum.route[i].sum);
+  pw_canary_route all = total_of(&sum);
   int runs = s->canary.state == PWCANARY_RUNNING;
   return json_pack(
       "{s:s,s:s,s:s,s:i,s:I,s:I,s:f,s:f}", "service", s->service, "version",
@@ -392,7 +388,7 @@
   json_t *list = json_array();
   for (const pw_resource *one = pwres_first(c->res); one; one = one->next) {
     spec s;
-    if (one->deleted || strcmp(one->kind, PW_KIND_SERVICE_ROLLOUT) != 0)
+    if (!pwres_is(one, PW_KIND_SERVICE_ROLLOUT))
       continue;
     read_spec(one, &s);
     json_array_append_new(list, one_json(c, &s, now));
--- a/packages/control/pwplanread.c
+++ b/packages/control/pwplanread.c
@@ -65,7 +65,7 @@
   for (model *m = pl->models; m; m = m->hh.next)
     m->nadapters = 0;
   for (const pw_resource *one = pwres_first(pl->res); one; one = one->next) {
-    if (one->deleted || strcmp(one->kind, "adapter") != 0)
+    if (!pwres_is(one, "adapter"))
       continue;
     json_t *spec = json_loads(one->spec, 0, NULL);
     model *m = model_of(pl, pwjson_text(spec, "model"));
--- a/packages/control/pwrolltold.c
+++ b/packages/control/pwrolltold.c
@@ -6,7 +6,6 @@
 #include "pwjson.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 void pwrolltold_free(pw_rolltold *t) {
   for (size_t i = 0; i < t->n; i++)
@@ -15,10 +14,6 @@
   *t = (pw_rolltold){0};
 }
 
-static int is_one(const pw_resource *one) {
-  return !one->deleted && !strcmp(one->kind, PW_KIND_SERVICE_ROLLOUT);
-}
-
 static Pw__ServiceRollout *pack(const pw_resource *one) {
   json_t *o = json_loads(one->spec, 0, NULL);
   Pw__ServiceRollout *r = pw_alloc(sizeof *r);
@@ -40,9 +35,9 @@
   pwrolltold_free(t);
   t->revision = revision;
   for (const pw_resource *one = pwres_first(resources); one; one = one->next)
-    n += (size_t)is_one(one);
+    n += (size_t)pwres_is(one, PW_KIND_SERVICE_ROLLOUT);
   t->list = pw_alloc(sizeof(void *) * (n + 1));
   for (const pw_resource *one = pwres_first(resources); one; one = one->next)
-    if (is_one(one))
+    if (pwres_is(one, PW_KIND_SERVICE_ROLLOUT))
       t->list[t->n++] = pack(one);
 }
--- a/packages/control/pwzones.c
+++ b/packages/control/pwzones.c
@@ -45,7 +45,7 @@
   if (z->revision == revision)
     return;
   for (const pw_resource *one = pwres_first(resources); one; one = one->next)
-    if (!one->deleted && !strcmp(one->kind, PW_KIND_EVACUATION))
+    if (pwres_is(one, PW_KIND_EVACUATION))
       add(&now, one->name);
   tell(&now, z, "evacuation");
   z->revision = revision;
--- a/packages/entry/pwtargets.c
+++ b/packages/entry/pwtargets.c
@@ -327,7 +327,7 @@
   for (pool *p = t->pools; p; p = p->hh.next)
     p->marked = 0;
   for (const pw_resource *one = pwres_first(r); one; one = one->next) {
-    if (one->deleted || strcmp(one->kind, "target") != 0)
+    if (!pwres_is(one, "target"))
       continue;
     json_t *spec = json_loads(one->spec, 0, NULL);
     if (is_near(t, spec)) {
--- a/packages/policy/pwcanary.c
+++ b/packages/policy/pwcanary.c
@@ -88,14 +88,17 @@
   return seen ? sum / seen : 1;
 }
 
+void pwcanary_add(pw_canary_route *to, const pw_canary_route *from) {
+  to->good_to += from->good_to;
+  to->bad_to += from->bad_to;
+  to->good_from += from->good_from;
+  to->bad_from += from->bad_from;
+}
+
 static double sum_ratio(const pw_canary_route *route, int n) {
   pw_canary_route all = {0};
-  for (int i = 0; i < n; i++) {
-    all.good_to += route[i].good_to;
-    all.bad_to += route[i].bad_to;
-    all.good_from += route[i].good_from;
-    all.bad_from += route[i].bad_from;
-  }
+  for (int i = 0; i < n; i++)
+    pwcanary_add(&all, &route[i]);
   return route_ratio(&all);
 }
 
--- a/packages/policy/pwcanary.h
+++ b/packages/policy/pwcanary.h
@@ -57,6 +57,9 @@
   int nroutes;
 } pw_canary_ask;
 
+/* Adds the answers of `from`. */
+void pwcanary_add(pw_canary_route *to, const pw_canary_route *from);
+
 /* How much likelier the answers are with a worse version. */
 double pwcanary_ratio(const pw_canary_route *route, int n);
 
--- a/packages/store/pwres.c
+++ b/packages/store/pwres.c
@@ -127,6 +127,10 @@
   return r->first;
 }
 
+int pwres_is(const pw_resource *one, const char *kind) {
+  return !one->deleted && !strcmp(one->kind, kind);
+}
+
 const pw_resource *pwres_after(const pw_res *r, uint64_t since) {
   const pw_resource *at = NULL;
   for (const pw_resource *one = r->last; one && one->revision > since;
--- a/packages/store/pwres.h
+++ b/packages/store/pwres.h
@@ -64,6 +64,9 @@
 /* First in order of revision; follow ->next. Tombstones are included. */
 const pw_resource *pwres_first(const pw_res *r);
 
+/* Whether it is of that kind and not deleted. */
+int pwres_is(const pw_resource *one, const char *kind);
+
 /* First one newer than `since`, or NULL. */
 const pw_resource *pwres_after(const pw_res *r, uint64_t since);
 
