A gateway that stood still answers requests of which the rest came meanwhile

What callers saw: half a head sent, the gateway stood still, the rest sent 0.2 s later: "408 Request Timeout" and a closed connection for a caller that was never late; who has 12,000 requests under way has half a head at nearly every 64 KB and lost all that follow.

In a turn of libev's loop timers come before what is readable (shown by a program of 12 lines: "timer", then "readable"). The same comparison stood at half a body, at a caller that takes nothing (it compares two checks without asking what was written between), at a connection that is closing (its second was over; with bytes unread it was reset and the caller lost what it had not taken), and at a connection to a target that came up meanwhile.

Ruled out: reading before timers alone (a higher priority of readable descriptors).

Change: pwlag, a decision without I/O: each turn of a loop first notes what it took beyond the usual, and peers are held to a clock without it (pwtcp_clock).

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -174,7 +174,7 @@
 
 static void set_timer(pw_exchange *x, int64_t ms) {
   x->ends_at = pwclock_ms() + ms;
-  pwgate_timer(x->g, &x->timer, ms);
+  pwtcp_timer(&x->g->tcp, &x->timer, ms);
 }
 
 int pwexi_end_late(pw_exchange *x, int64_t now) {
--- a/packages/gateway/pwgate.c
+++ b/packages/gateway/pwgate.c
@@ -3,8 +3,6 @@
 
 #include <stdlib.h>
 
-#define MS_PER_S 1000
-
 void pwgate_later(pw_gate *g, void *p) {
   if (g->nlater == g->later_cap) {
     g->later_cap = g->later_cap ? g->later_cap * 2 : 64;
@@ -15,13 +13,6 @@
   g->later[g->nlater++] = p;
 }
 
-void pwgate_timer(pw_gate *g, ev_timer *w, int64_t ms) {
-  ev_now_update(g->ev);
-  ev_timer_stop(g->ev, w);
-  ev_timer_set(w, (double)(ms > 0 ? ms : 0) / MS_PER_S, 0);
-  ev_timer_start(g->ev, w);
-}
-
 /* xorshift64*; nothing secret hangs on it. */
 double pwgate_draw(pw_gate *g) {
   g->random ^= g->random >> 12;
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -89,10 +89,6 @@
 /* Frees memory when no call can refer to it any more. */
 void pwgate_later(pw_gate *g, void *p);
 
-/* Starts a timer, or starts it anew, to end `ms` from now: also right after the
-** process stood still, when the loop's own time is old. */
-void pwgate_timer(pw_gate *g, ev_timer *w, int64_t ms);
-
 /* Uniform in [0, 1). */
 double pwgate_draw(pw_gate *g);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -19,6 +19,7 @@
 
 #define TICK_S 0.02
 #define TICK_MS 20
+#define TURN_MS 100 /* a longer turn of the loop was held up */
 #define US_PER_MS 1000
 #define SWEEP_MS 250
 #define LAG_TOLD_MS 100 /* a lag of the loop that is worth a line */
@@ -276,6 +277,7 @@
   randombytes_buf(&g.random, sizeof g.random);
   g.random |= 1;
   pwtcp_loop_init(&g.tcp, g.ev);
+  g.tcp.lag.turn_ms = TURN_MS;
   ev_prepare_init(&g.reap, on_reap);
   ev_timer_init(&g.tick, on_tick, TICK_S, TICK_S);
   g.reap.data = g.tick.data = &g;
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -21,7 +21,8 @@
   pw_h1 answer;
   pw_exchange *x; /* NULL: at rest */
   ev_timer connecting;
-  pw_buf out; /* to be written when it is up */
+  int64_t dialled_at; /* by pwtcp_clock, ms */
+  pw_buf out;         /* to be written when it is up */
   int is_up;
   int has_rested; /* the request in progress is not its first ... */
   int has_spoken; /* ... and the target has sent something since */
@@ -189,10 +190,16 @@
 
 static const pw_tcp_calls calls = {on_connected, on_data, on_ended, NULL};
 
+/* It may have come up while the loop stood still, and its target is not to be taken for lost. */
 static void on_connect_timeout(struct ev_loop *ev, ev_timer *w, int events) {
   (void)ev;
   (void)events;
-  fail(w->data, PWTCP_REFUSED);
+  pw_upconn *u = w->data;
+  int64_t left = u->dialled_at + CONNECT_MS - pwtcp_clock(&u->g->tcp);
+  if (left > 0)
+    pwtcp_timer(&u->g->tcp, w, left);
+  else
+    fail(u, PWTCP_REFUSED);
 }
 
 static pw_upconn *open_conn(pw_gate *g, pw_target *t) {
@@ -211,7 +218,8 @@
     free(u);
     return NULL;
   }
-  pwgate_timer(g, &u->connecting, CONNECT_MS);
+  u->dialled_at = pwtcp_clock(&g->tcp);
+  pwtcp_timer(&g->tcp, &u->connecting, CONNECT_MS);
   t->nconns++;
   pwcount_add(g->p->counters, PWC_GW_CONNECTS, 1);
   return u;
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -25,7 +25,7 @@
 
 /* Where nobody rests, accept is tried again so soon: a descriptor may come back unseen, from
 ** another part of the process. Seen at once where a connection of the same listener ends. */
-#define AGAIN_S 0.05
+#define AGAIN_MS 50
 
 #define SAY_MS 1000 /* between log lines of accepts that fail */
 
@@ -105,7 +105,7 @@
   c->body.len = 0;
   if (c->body.cap > KEPT_MAX)
     pwbuf_free(&c->body);
-  c->since = pwclock_ms();
+  c->since = pwtcp_clock(c->all->tcp);
   if (pwtcp_pending(c->tcp) > UNTAKEN_MAX)
     c->is_held_up = c->is_busy = 1;
   else
@@ -271,7 +271,7 @@
 static size_t take_some(pw_conn *c, const char *data, size_t n) {
   pw_h1_state before = c->request.state;
   if (before == PWH1_HEAD && c->request.head.len == 0) {
-    c->since = pwclock_ms();
+    c->since = pwtcp_clock(c->all->tcp);
     c->request.head_max = c->all->limits.header_bytes;
   }
   size_t used = pwh1_take(&c->request, data, n);
@@ -318,7 +318,7 @@
   if (c->is_closed)
     return;
   if (!c->is_busy)
-    c->since = pwclock_ms();
+    c->since = pwtcp_clock(c->all->tcp);
   if (!c->is_held_up)
     return;
   c->is_held_up = c->is_busy = 0;
@@ -337,7 +337,7 @@
   pwh1_init(&c->request, HTTP_REQUEST, s->limits.header_bytes);
   c->request.arg = c;
   c->request.on_body = on_body;
-  c->since = pwclock_ms();
+  c->since = pwtcp_clock(s->tcp);
   c->next = s->first;
   if (c->next)
     c->next->prev = c;
@@ -403,9 +403,7 @@
 /* Callers wait in the kernel's queue: until a connection ends, or for a moment. */
 static void wait_for_room(pw_conns *s) {
   ev_io_stop(s->tcp->ev, &s->listening);
-  ev_timer_stop(s->tcp->ev, &s->again);
-  ev_timer_set(&s->again, AGAIN_S, 0);
-  ev_timer_start(s->tcp->ev, &s->again);
+  pwtcp_timer(s->tcp, &s->again, AGAIN_MS);
 }
 
 static void on_again(struct ev_loop *ev, ev_timer *w, int events) {
@@ -469,7 +467,7 @@
 void pwconns_start(pw_conns *s, int fd) {
   ev_prepare_init(&s->reap, on_reap);
   ev_io_init(&s->listening, on_listening, fd, EV_READ);
-  ev_timer_init(&s->again, on_again, AGAIN_S, 0);
+  ev_timer_init(&s->again, on_again, 0, 0);
   s->reap.data = s->listening.data = s->again.data = s;
   ev_prepare_start(s->tcp->ev, &s->reap);
   ev_io_start(s->tcp->ev, &s->listening);
@@ -507,6 +505,7 @@
   return c->all->stall_whole_ms && pwtcp_pending(c->tcp) > 0;
 }
 
+/* `now` by pwtcp_clock: a caller is not late for what the loop stood still. */
 static void sweep_one(pw_conn *c, int64_t now) {
   const pw_conn_limits *l = &c->all->limits;
   if (c->is_busy)
@@ -526,6 +525,7 @@
 
 /* --- callers that do not read --- */
 
+/* `now` by pwtcp_clock. */
 static int has_stalled(pw_conn *c, int64_t now) {
   uint64_t taken = pwtcp_taken(c->tcp);
   if (pwtcp_pending(c->tcp) == 0 || taken != c->taken || !c->taken_at) {
@@ -547,7 +547,8 @@
         (long long)s->nstalled, s->count);
 }
 
-size_t pwconns_check(pw_conns *s, int64_t now) {
+size_t pwconns_check(pw_conns *s, int64_t at) {
+  int64_t now = pwlag_clock(&s->tcp->lag, at);
   size_t held = 0;
   for (pw_conn *c = s->first, *next; c; c = next) {
     next = c->next;
@@ -569,7 +570,8 @@
   }
 }
 
-void pwconns_sweep(pw_conns *s, int64_t now) {
+void pwconns_sweep(pw_conns *s, int64_t at) {
+  int64_t now = pwlag_clock(&s->tcp->lag, at);
   for (pw_conn *c = s->first, *next; c; c = next) {
     next = c->next;
     sweep_one(c, now);
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -84,11 +84,12 @@
 /* Closes connections at rest: a planned stop. */
 void pwconns_close_idle(pw_conns *s);
 
-/* Ends callers that take nothing, and gives the bytes that are held for all of them. */
-size_t pwconns_check(pw_conns *s, int64_t now);
+/* Ends callers that take nothing, and gives the bytes that are held for all of them. `at`: now, by
+** the machine's clock, here and below. */
+size_t pwconns_check(pw_conns *s, int64_t at);
 
 /* Closes connections that have rested or dawdled for too long. */
-void pwconns_sweep(pw_conns *s, int64_t now);
+void pwconns_sweep(pw_conns *s, int64_t at);
 
 /* Breaks off all that is left, and ends. */
 void pwconns_end(pw_conns *s);
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -2,6 +2,8 @@
 #define _GNU_SOURCE
 #include "pwtcp.h"
 
+#include "pwclock.h"
+
 #include <arpa/inet.h>
 #include <assert.h>
 #include <errno.h>
@@ -18,8 +20,10 @@
 #define BACKLOG 1024
 #define LINGER_MS 3000 /* a peer that takes nothing more may keep a close so */
 #define KEPT_MAX                                                               \
-  (16 * 1024)       /* a larger buffer is given back once it is empty */
-#define DRAIN_S 1.0 /* what a peer still sends is let pass so long */
+  (16 * 1024)         /* a larger buffer is given back once it is empty */
+#define DRAIN_MS 1000 /* what a peer still sends is let pass so long */
+#define TURN_MS 500   /* a loop turns as often, by a timer of its owner */
+#define MS_PER_S 1000.0
 
 struct pw_tcp {
   pw_tcp_loop *l;
@@ -30,6 +34,7 @@
   int closed;
   int closing;       /* closes when `out` has left ... */
   ev_timer draining; /* ... and the peer closes too, or time is up */
+  int64_t drains_at; /* since when it drains, by pwtcp_clock */
   ev_io rd, wr;
   pw_buf out;
   size_t out_at;
@@ -53,11 +58,23 @@
   }
 }
 
+static void on_turn(struct ev_loop *ev, ev_check *w, int events) {
+  (void)ev;
+  (void)events;
+  pw_tcp_loop *l = w->data;
+  pwlag_turn(&l->lag, pwclock_ms());
+}
+
 void pwtcp_loop_init(pw_tcp_loop *l, struct ev_loop *ev) {
-  *l = (pw_tcp_loop){.ev = ev, .block = pw_alloc(BLOCK)};
+  *l =
+      (pw_tcp_loop){.ev = ev, .block = pw_alloc(BLOCK), .lag.turn_ms = TURN_MS};
   ev_prepare_init(&l->reap, reap);
-  l->reap.data = l;
+  ev_check_init(&l->turn, on_turn);
+  ev_set_priority(&l->turn, EV_MAXPRI);
+  l->reap.data = l->turn.data = l;
   ev_prepare_start(ev, &l->reap);
+  ev_check_start(ev, &l->turn);
+  ev_unref(ev);
   ev_unref(ev);
 }
 
@@ -66,10 +83,23 @@
     pwtcp_close(l->closing, 0);
   reap(l->ev, &l->reap, 0);
   ev_ref(l->ev);
+  ev_ref(l->ev);
   ev_prepare_stop(l->ev, &l->reap);
+  ev_check_stop(l->ev, &l->turn);
   free(l->block);
 }
 
+void pwtcp_timer(pw_tcp_loop *l, ev_timer *w, int64_t ms) {
+  ev_now_update(l->ev);
+  ev_timer_stop(l->ev, w);
+  ev_timer_set(w, (double)(ms > 0 ? ms : 0) / MS_PER_S, 0);
+  ev_timer_start(l->ev, w);
+}
+
+int64_t pwtcp_clock(const pw_tcp_loop *l) {
+  return pwlag_clock(&l->lag, pwclock_ms());
+}
+
 /* --- sockets --- */
 
 static void set_int(int fd, int level, int option, int value) {
@@ -135,18 +165,25 @@
     c->calls->ended(c->arg, how);
 }
 
+/* After a standstill what the peer sent meanwhile is let pass first: with bytes unread it would be
+** reset, and lose what it has not taken of its answer. */
 static void on_drain_timeout(struct ev_loop *ev, ev_timer *w, int events) {
   (void)ev;
   (void)events;
-  pwtcp_close(w->data, 0);
+  pw_tcp *c = w->data;
+  int64_t left = c->drains_at + DRAIN_MS - pwtcp_clock(c->l);
+  if (left > 0)
+    pwtcp_timer(c->l, w, left);
+  else
+    pwtcp_close(c, 0);
 }
 
 /* A close with bytes unread would reset, and the peer might lose what was
 ** written to it: it is told that no more comes, and its bytes are let pass. */
 static void drain(pw_tcp *c) {
   shutdown(c->fd, SHUT_WR);
-  ev_timer_set(&c->draining, DRAIN_S, 0);
-  ev_timer_start(c->l->ev, &c->draining);
+  c->drains_at = pwtcp_clock(c->l);
+  pwtcp_timer(c->l, &c->draining, DRAIN_MS);
   ev_io_start(c->l->ev, &c->rd);
 }
 
@@ -340,7 +377,7 @@
   c->arg = arg;
   ev_io_init(&c->rd, on_read, fd, EV_READ);
   ev_io_init(&c->wr, on_write, fd, EV_WRITE);
-  ev_timer_init(&c->draining, on_drain_timeout, DRAIN_S, 0);
+  ev_timer_init(&c->draining, on_drain_timeout, 0, 0);
   c->rd.data = c->wr.data = c->draining.data = c;
   set_int(fd, IPPROTO_TCP, TCP_NODELAY, 1);
   return c;
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -8,6 +8,7 @@
 #define PWTCP_H
 
 #include "pwbuf.h"
+#include "pwlag.h"
 #include "pwtls.h"
 
 #include <ev.h>
@@ -35,6 +36,8 @@
 typedef struct pw_tcp_loop {
   struct ev_loop *ev;
   ev_prepare reap;
+  ev_check turn; /* before all else of a turn */
+  pw_lag lag;    /* some timer of the owner turns the loop within lag.turn_ms */
   pw_tcp *dead;
   pw_tcp *closing; /* those that wait for their peer to close ... */
   int nclosing;    /* ... each has its descriptor yet */
@@ -44,6 +47,13 @@
 void pwtcp_loop_init(pw_tcp_loop *l, struct ev_loop *ev);
 void pwtcp_loop_free(pw_tcp_loop *l);
 
+/* Starts a timer, or starts it anew, to end `ms` from now: also right after the process stood
+** still, when the loop's own time is old. */
+void pwtcp_timer(pw_tcp_loop *l, ev_timer *w, int64_t ms);
+
+/* The clock that peers are held to, which leaves out what held the loop up; ms. */
+int64_t pwtcp_clock(const pw_tcp_loop *l);
+
 /* Listens on ip:port; the descriptor, or -1. */
 int pwtcp_listen(const struct sockaddr_in *at);
 
--- /dev/null
+++ b/tests/scenarios/59_stands_still.lua
@@ -0,0 +1,49 @@
+-- Promise: a gateway that stood still charges nobody with it: a request whose bytes came meanwhile is
+-- answered, an answer that came meanwhile is delivered, and no target or request is taken for bad. Each
+-- limit is passed by pauses a little under it, a little over it and ten times over, a gateway each.
+local fleet = require("fleet")
+local gateways = require("gateways")
+local HEADER_MS, IDLE_MS, TIMEOUT_MS, DARK_MS = 600, 1000, 1000, 500
+local BEFORE_MS = 200 -- of what is waited for, before the pause
+local g = gateways.new{control = 1, gateways = 3, engines = 2, portals = 2}
+g:start(function(s)
+  s.header_ms, s.idle_ms = HEADER_MS, IDLE_MS
+  for _, r in ipairs(s.routes) do r.timeout = TIMEOUT_MS end
+end)
+
+-- Has the gateways stand still, each for its part of a limit.
+local function stand_still(limit_ms)
+  local began = run.now()
+  for _, p in ipairs(g.gateways) do p:pause() end
+  return function()
+    for i, times in ipairs{0.8, 1.3, 10} do
+      local left = began + math.floor(limit_ms * times) - run.now()
+      if left > 0 then run.pause(left) end
+      g.gateways[i]:continue()
+    end
+  end
+end
+
+-- A request in two parts; the second comes while the gateway stands still.
+local function in_two(what, limit_ms, head, first, second)
+  local c = {}
+  for i, p in ipairs(g.gateways) do
+    c[i] = run.raw_open(p.http)
+    run.raw_send(c[i], head .. first)
+  end
+  run.pause(BEFORE_MS)
+  local go_on = stand_still(limit_ms)
+  for i in ipairs(g.gateways) do run.raw_send(c[i], second) end
+  go_on()
+  for i, p in ipairs(g.gateways) do
+    local text = run.raw_read(c[i], 10000, "\r\n\r\n")
+    fleet.expect(what .. " at " .. p.name .. " is answered: " .. text:sub(1, 300), text:find("HTTP/1.1 200", 1, true))
+    run.raw_close(c[i])
+  end
+end
+local lines = "Host: a.example\r\nApi-Key: kett-key\r\n"
+in_two("half a head", HEADER_MS, "GET /safe/a HTTP/1.1\r\n", lines, "X-Request-Id: head\r\n\r\n")
+in_two("half a body", HEADER_MS + IDLE_MS, "POST /safe/a HTTP/1.1\r\nContent-Length: 10\r\n" .. lines,
+  "X-Request-Id: body\r\n\r\n12345", "67890")
+
+g:stop()
