A gateway's own standstill is not its targets' silence

What callers saw: after a gateway stood still for half a second or more, sound requests were sent to a second target although their answers lay in the gateway's sockets, and were counted as having ended their targets; after three such counts a request is refused at all gateways for ten minutes.

Cause: is a target dark, how long has it had a request, how long did its answer take: all three were read off a clock that counts the gateway's own standstill, by a timer that comes before what is readable.

Change: what the loop lost is taken off targets' silence and off measured times; for 0.2 s after a standstill, once a second at most, nothing is decided by silence, so that what came meanwhile is read.

Why it holds: silence grows by a turn (0.1 s) at most however long the process stood still, and a loop that is held up all the time decides for four fifths of it.

Ruled out: taking silence from the time of the return (a floor). A gateway that is held up every 0.5 s would never find a target dark.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -132,6 +132,11 @@
 
 /* --- time --- */
 
+int64_t pwexi_at_target(const pw_exchange *x, int64_t at) {
+  int64_t ms = at - x->sent_at - (x->g->tcp.lag.lost_ms - x->sent_lost);
+  return ms > 0 ? ms : 0;
+}
+
 int64_t pwexi_time_left(const pw_exchange *x) {
   int64_t until =
       x->deadline_at < x->timeout_at ? x->deadline_at : x->timeout_at;
@@ -405,7 +410,7 @@
     if (is_good) {
       pwexi_note_answered(x, now);
       pwexi_seen_good(x, now);
-      pwfleet_answered(x->t, (double)(now - x->sent_at), now);
+      pwfleet_answered(x->t, (double)pwexi_at_target(x, now), now);
     } else if (x->status / 100 == 5) {
       pwexi_seen_bad(x);
       pwfleet_erred(x->t, now);
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -150,8 +150,9 @@
 /* A target that went dark says nothing: who may go on elsewhere does so while
 ** there is time, another waits for its time-out. */
 static void check_stall(pw_exchange *x, int64_t now) {
-  if (!x->u || !x->is_sent || x->is_paused || now - x->sent_at < STALL_MS ||
-      !pwfleet_is_dark(x->t, now) || !pwexi_may_repeat(x, now))
+  if (!x->u || !x->is_sent || x->is_paused ||
+      pwexi_at_target(x, now) < STALL_MS || !pwfleet_is_dark(x->t, now) ||
+      !pwexi_may_repeat(x, now))
     return;
   pwfleet_unreached(x->t, now);
   pwexi_note_ended(x, now);
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -46,6 +46,7 @@
   pw_upconn *u;
   int is_sent; /* bytes of it have gone to t */
   int64_t sent_at;
+  int64_t sent_lost; /* lost_ms of the loop by then */
   int64_t first_at;  /* when its first piece was passed on ... */
   int pieces;        /* ... and how many since */
   int64_t passed_at; /* when the newest bytes of its stream were passed on */
@@ -83,6 +84,9 @@
 /* Lets go of the target. */
 void pwexi_let_go(pw_exchange *x);
 
+/* Ms for which its target has had it, by `at`, without what this process stood still. */
+int64_t pwexi_at_target(const pw_exchange *x, int64_t at);
+
 /* Ms until it must have ended. */
 int64_t pwexi_time_left(const pw_exchange *x);
 
--- a/packages/gateway/pwexseen.c
+++ b/packages/gateway/pwexseen.c
@@ -20,15 +20,16 @@
 ** new version's targets have nothing cached at first. 0: nothing can be said. */
 static double pace_of(const pw_exchange *x, int64_t now) {
   if (!x->is_events)
-    return (double)(now - x->sent_at);
-  if (x->pieces < PIECES_LEAST || x->is_paused)
+    return (double)pwexi_at_target(x, now);
+  int was_held_up = x->g->tcp.lag.lost_ms != x->sent_lost;
+  if (x->pieces < PIECES_LEAST || x->is_paused || was_held_up)
     return 0;
   return (double)(x->passed_at - x->first_at) / (x->pieces - 1);
 }
 
 static int is_late(const pw_exchange *x) {
   return x->is_events && x->route->goal_ms > 0 &&
-         x->first_at - x->sent_at > x->route->goal_ms;
+         pwexi_at_target(x, x->first_at) > x->route->goal_ms;
 }
 
 /* Every version is slow then. */
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -47,6 +47,7 @@
   write_head(x, &head);
   x->is_sent = 0;
   x->sent_at = pwclock_ms();
+  x->sent_lost = x->g->tcp.lag.lost_ms;
   x->u = pwupconn_send(x->g, x->t, x, &head, &x->client->body,
                        x->client->request.parser.method == HTTP_HEAD, rest);
   pwbuf_free(&head);
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -214,11 +214,16 @@
                  (long long)lag);
 }
 
-static void on_tick(struct ev_loop *ev, ev_timer *w, int events) {
-  (void)events;
-  pw_gate *g = w->data;
-  int64_t now = pwclock_ms();
-  note_lag(g, now);
+/* Targets are not taken for dark since this process stood still. */
+static void excuse_targets(pw_gate *g) {
+  int64_t lost_ms = g->tcp.lag.lost_ms;
+  if (lost_ms > g->excused_ms)
+    pwfleet_excuse(g->fleet, lost_ms - g->excused_ms);
+  g->excused_ms = lost_ms;
+}
+
+/* What is decided by how long somebody has been silent. */
+static void judge(pw_gate *g, int64_t now) {
   pwlink_tick(g->link, now);
   pwgossip_tick(g->gossip, now);
   if (now - g->checked_at >= CHECK_MS) {
@@ -230,6 +235,16 @@
     g->swept_at = now;
     sweep(g, now);
   }
+}
+
+static void on_tick(struct ev_loop *ev, ev_timer *w, int events) {
+  (void)events;
+  pw_gate *g = w->data;
+  int64_t now = pwclock_ms();
+  note_lag(g, now);
+  excuse_targets(g);
+  if (pwlag_catch_up(&g->tcp.lag, now) == 0)
+    judge(g, now);
   note_ready(g, now);
   if (g->awaiting && pwgate_may_serve(g))
     pwexchange_go_on(g);
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -373,6 +373,13 @@
   }
 }
 
+void pwfleet_excuse(pw_fleet *f, int64_t ms) {
+  for (pw_target *t = f->by_id; t; t = t->hh.next)
+    t->seen_at += ms;
+  for (pw_target *t = f->retired; t; t = t->next_retired)
+    t->seen_at += ms;
+}
+
 /* What the others have told under a key. */
 static uint32_t others_of(const pw_loads *all, const pw_loads *own,
                           uint32_t key) {
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -68,7 +68,7 @@
   int64_t errors_at;   /* ... as of then, ms; it fades without answers */
   int64_t set_aside;   /* not sent to until then, ms */
   int64_t answered_at; /* its newest answer, ms */
-  int64_t seen_at;     /* its newest byte, ms */
+  int64_t seen_at; /* its newest byte, and later by what is excused since; ms */
   double work_ms; /* smoothed time of one request there; 0: none was measured */
   pw_fleet_side side;
   int takes_part; /* of the new version: requests go there already */
@@ -245,6 +245,9 @@
 ** alone; 0: there is another, or none at all. */
 int64_t pwfleet_held_off(pw_fleet *f, const char *service, int64_t now);
 
+/* This process could hear nobody for `ms`: that is no target's silence. */
+void pwfleet_excuse(pw_fleet *f, int64_t ms);
+
 /* Whether it has shown no sign of life for so long that requests which wait for
 ** it are better off elsewhere. */
 int pwfleet_is_dark(const pw_target *t, int64_t now);
--- a/tests/test_lag.c
+++ b/tests/test_lag.c
@@ -15,11 +15,12 @@
 #include <unistd.h>
 
 #define TURN_MS 50
-#define LIMIT_MS 300  /* of each kind in a test */
-#define WAITS_MS 5000 /* for what comes */
+#define LIMIT_MS 300           /* of each kind in a test */
+#define WAITS_MS 5000          /* for what comes */
 #define LONG (4 * 1024 * 1024) /* more than the kernel takes for a caller */
-#define SHORT (32 * 1024)      /* less than that, and more than a caller's part of it */
-#define RECEIVED 4096          /* that part */
+#define SHORT                                                                  \
+  (32 * 1024)         /* less than that, and more than a caller's part of it */
+#define RECEIVED 4096 /* that part */
 #define SWEEP_S 0.01
 
 /* How long a loop stands still: a little under a limit, a little over it, ten times over. */
