An answer that has come is delivered, though its time was over while the gateway stood still

Cause: the request's timer and its answer became due in one turn of the loop, where timers come first.

Why it holds: the check is at the only place that ends a request for time (time_out), and looks at the socket itself, so it does not hang on who comes first in a turn. Bounded, so a target that sends without end is not waited for; a request whose caller does not keep up is not put off.

Ruled out: ending by FIONREAD at the end of the pause. It differs only for a target that goes on sending, which the bound covers; an answer longer than a socket's buffer would be cut.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -11,6 +11,9 @@
 ** that much late at most. */
 #define LATE_TURN_MS 100
 
+/* An answer that has come when time is over is read for so long, ms. */
+#define READ_MS 200
+
 #define RETRY_SPREAD_MS 300 /* so that not all come back at once */
 
 /* A gateway that was started has its configuration by then: control elects a
@@ -152,11 +155,28 @@
                least + (int64_t)(pwgate_draw(g) * RETRY_SPREAD_MS));
 }
 
-/* Its time is over: of its caller or its route, or in which a configuration could come. */
-static void time_out(pw_exchange *x, int64_t now) {
+/* Ms until it may be timed out; -1: it may be now. What has come for it is read first: a timer comes
+** before what is readable, and a standstill makes both due at once. */
+static int64_t put_off_ms(const pw_exchange *x, int64_t now) {
+  int64_t catch_up = pwlag_catch_up(&x->g->tcp.lag, now);
+  if (catch_up > 0)
+    return catch_up;
+  if (!x->u || x->is_paused || now >= x->ends_at + READ_MS)
+    return -1;
+  return pwupconn_is_readable(x->u) ? 0 : -1;
+}
+
+/* Its time is over: of its caller or its route, or in which a configuration could come. Gives whether
+** it was ended. */
+static int time_out(pw_exchange *x, int64_t now) {
+  int64_t wait_ms = put_off_ms(x, now);
+  if (wait_ms >= 0) {
+    pwtcp_timer(&x->g->tcp, &x->timer, wait_ms);
+    return 0;
+  }
   if (x->is_awaiting) {
     refuse_unready(x);
-    return;
+    return 1;
   }
   if (x->t && pwfleet_is_dark(x->t, now)) {
     pwfleet_failed(x->t, now);
@@ -169,6 +189,7 @@
     pwexi_refuse(x, PW_E_TIMEOUT, "no whole answer in time", 0);
   else
     pwexi_give_up(x, PW_E_NO_TARGET, "time is up", PWEX_RETRY_LEAST_MS);
+  return 1;
 }
 
 static void on_timer(struct ev_loop *ev, ev_timer *w, int events) {
@@ -183,10 +204,7 @@
 }
 
 int pwexi_end_late(pw_exchange *x, int64_t now) {
-  if (now < x->ends_at + LATE_TURN_MS)
-    return 0;
-  time_out(x, now);
-  return 1;
+  return now >= x->ends_at + LATE_TURN_MS && time_out(x, now);
 }
 
 /* --- beginning --- */
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -167,6 +167,9 @@
 /* Bytes that the target has not taken. */
 size_t pwupconn_held(const pw_upconn *u);
 
+/* Whether more of the answer has come, or its end. */
+int pwupconn_is_readable(const pw_upconn *u);
+
 void pwupconn_pause(pw_upconn *u, int paused);
 
 /* Closes connections that have rested long, and all to targets that went. */
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -269,6 +269,10 @@
   return pwtcp_held(u->tcp) + u->out.cap;
 }
 
+int pwupconn_is_readable(const pw_upconn *u) {
+  return u->is_up && pwtcp_is_readable(u->tcp);
+}
+
 void pwupconn_pause(pw_upconn *u, int paused) {
   pwtcp_pause(u->tcp, paused);
 }
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -352,9 +352,18 @@
   return c->taken;
 }
 
-int pwtcp_has_unread(const pw_tcp *c) {
+/* Bytes that wait, one at most; -1: nothing has come, or it is broken. */
+static ssize_t peek(const pw_tcp *c) {
   char one;
-  return !c->closed && recv(c->fd, &one, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+  return c->closed ? -1 : recv(c->fd, &one, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
+int pwtcp_has_unread(const pw_tcp *c) {
+  return peek(c) > 0;
+}
+
+int pwtcp_is_readable(const pw_tcp *c) {
+  return peek(c) >= 0;
 }
 
 void pwtcp_pause(pw_tcp *c, int paused) {
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -83,6 +83,9 @@
 /* Whether bytes have come that were not read yet. */
 int pwtcp_has_unread(const pw_tcp *c);
 
+/* The same, or whether its peer has closed in order. */
+int pwtcp_is_readable(const pw_tcp *c);
+
 /* Stops and resumes reading; the end of a stopped one is not noticed. */
 void pwtcp_pause(pw_tcp *c, int paused);
 
--- a/tests/scenarios/59_stands_still.lua
+++ b/tests/scenarios/59_stands_still.lua
@@ -3,7 +3,7 @@
 -- limit is passed by pauses a little under it, a little over it and ten times over, a gateway each.
 local fleet = require("fleet")
 local gateways = require("gateways")
-local HEADER_MS, IDLE_MS, DARK_MS = 600, 1000, 500
+local HEADER_MS, IDLE_MS, TIMEOUT_MS, DARK_MS = 600, 1000, 1000, 500
 local BEFORE_MS = 200 -- of what is waited for, before the pause
 local g = gateways.new{control = 1, gateways = 3, engines = 2, portals = 2}
 local function limits(timeout_ms)
@@ -68,6 +68,8 @@
   for _, t in ipairs(g.targets) do t:fault("delay=0") end
 end
 answered("past the silence of a target", DARK_MS, 700)
+g:wait_in_force(g:publish(g:site(limits(TIMEOUT_MS))))
+answered("past the time of the route", TIMEOUT_MS, 500)
 for _, p in ipairs(g.gateways) do
   fleet.equal(p.name .. " counts ends", p:counter("ended_under_total"), 0)
   fleet.equal(p.name .. " finds targets silent", fleet.lines(p, "ev=target%-silent"), 0)
