A request that takes long is waited for, and is not charged with its target's end

What callers saw, with no trouble at all: one target of a service, answers after 0.8 s. Requests that may run again got 502 3004 "no other target" each time, and from the third on "3 targets ended under it": sound requests in quarantine at all gateways for ten minutes. Requests that may run once got 200.

Cause: a target from which nothing came for 0.5 s, while a request was there for 0.6 s, is taken for dark. On a quiet target a long answer looks the same as none. By that alone the request was taken away though nobody else could run it, whatever is usual on its route, and counted as having ended the target.

Why it holds: control hears targets by heartbeats, which do not wait for a request, so length and hanging are told apart by what differs between them.

Ruled out: unacknowledged bytes of the connection. A target whose process hangs has them acknowledged by its kernel, and one that ends after that looks the same. Dropping the charge altogether: a request that hangs its targets would go on to hang two more at each return.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -181,7 +181,7 @@
   if (x->t && pwfleet_is_dark(x->t, now)) {
     pwfleet_failed(x->t, now);
     if (x->is_sent)
-      pwexi_note_ended(x, now);
+      pwexi_note_dark(x, now);
   } else if (x->t && x->is_sent) {
     pwexi_seen_bad(x);
   }
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -13,6 +13,9 @@
 /* Sent at least so long ago, ms: less is usual for a request that waits. */
 #define STALL_MS 600
 
+/* And so many times as long as is usual. */
+#define USUAL_TIMES 2
+
 void pwexi_note_ended(pw_exchange *x, int64_t now) {
   pw_gate *g = x->g;
   pw_quar_news news =
@@ -24,6 +27,16 @@
   pwgate_note_suspect(g, x->sign, news, "seen");
 }
 
+void pwexi_note_dark(pw_exchange *x, int64_t now) {
+  if (x->t->is_silent || x->t->is_gone) { /* control has missed it, too */
+    pwexi_note_ended(x, now);
+    return;
+  }
+  pwdark_note(&x->g->dark, x->sign, x->t->start_hash, now);
+  pwexi_note(x, PWTRACE_FAIL, "dark-under", "target=%s sign=%016llx", x->t->id,
+             (unsigned long long)x->sign);
+}
+
 void pwexi_note_answered(pw_exchange *x, int64_t now) {
   pw_quar_news news = pwquar_answered(x->g->quarantine, x->sign, now);
   if (news != PWQUAR_OLD)
@@ -147,15 +160,30 @@
   pwexi_unknown(x, how == PWTCP_EOF ? "the target closed" : "reset");
 }
 
+/* Whether its target has had it for longer than one that is well should need: streams say something
+** all the time, other answers take what is usual on their route. */
+static int is_overdue(const pw_exchange *x, int64_t now) {
+  const pw_gate_route *r = pwgate_route(x->g, x->route->name);
+  double usual = r && !x->route->is_stream ? USUAL_TIMES * r->usual_ms : 0;
+  return (double)pwexi_at_target(x, now) >=
+         (usual > STALL_MS ? usual : STALL_MS);
+}
+
+static int may_go_elsewhere(const pw_exchange *x, int64_t now) {
+  return x->route->kind == PWSITE_SAFE && pwexi_time_left(x) > 0 &&
+         pwfleet_has_other(x->g->fleet, x->service->name, x->side, x->tried,
+                           x->ntried, now);
+}
+
 /* A target that went dark says nothing: who may go on elsewhere does so while
 ** there is time, another waits for its time-out. */
 static void check_stall(pw_exchange *x, int64_t now) {
-  if (!x->u || !x->is_sent || x->is_paused ||
-      pwexi_at_target(x, now) < STALL_MS || !pwfleet_is_dark(x->t, now) ||
+  if (!x->u || !x->is_sent || x->is_paused || !is_overdue(x, now) ||
+      !pwfleet_is_dark(x->t, now) || !may_go_elsewhere(x, now) ||
       !pwexi_may_repeat(x, now))
     return;
   pwfleet_unreached(x->t, now);
-  pwexi_note_ended(x, now);
+  pwexi_note_dark(x, now);
   pw_upconn *u = x->u;
   x->u = NULL;
   pwupconn_cancel(u);
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -122,8 +122,10 @@
 
 /* --- pwexfail.c --- */
 
-/* The target ended, or went dark, while it had the request. */
+/* The target ended while it had the request; or it went dark, which may be for the request's own
+** length. */
 void pwexi_note_ended(pw_exchange *x, int64_t now);
+void pwexi_note_dark(pw_exchange *x, int64_t now);
 
 /* The target answered with success: it did not end under the request. That another failed it by an
 ** answer of its own proves nothing: it may not have begun to run it. */
--- a/packages/gateway/pwgate.c
+++ b/packages/gateway/pwgate.c
@@ -35,6 +35,18 @@
                  pwquar_count(q));
 }
 
+void pwgate_note_silent(pw_gate *g, const char *id, int64_t now) {
+  const pw_target *t = pwfleet_find(g->fleet, id);
+  uint64_t sign;
+  while (t && (sign = pwdark_take(&g->dark, t->start_hash, now)) != 0) {
+    pw_quar_news news = pwquar_ended(g->quarantine, sign, t->start_hash, now);
+    pwtrace_line(g->trace, PWTRACE_STATE, now, "ended-under",
+                 "target=%s sign=%016llx dark=1 ends=%d", id,
+                 (unsigned long long)sign, pwquar_ends(g->quarantine, sign));
+    pwgate_note_suspect(g, sign, news, "seen");
+  }
+}
+
 void pwgate_adopt(pw_gate *g, pw_site *site) {
   uint64_t version = pwsite_version(site);
   if (g->site && version <= pwsite_version(g->site)) {
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -7,6 +7,7 @@
 #define PWGATE_H
 
 #include "pwconn.h"
+#include "pwdark.h"
 #include "pwdialect.h"
 #include "pwfleet.h"
 #include "pwhold.h"
@@ -60,8 +61,9 @@
   pw_gossip *gossip;
   pw_trace *trace;
   pw_stages *stages;
-  pw_quarantine *quarantine; /* requests under which targets ended */
-  pw_versions *versions;     /* services that are rolled out */
+  pw_quarantine *quarantine; /* requests under which targets ended ... */
+  pw_dark dark; /* ... and those of which it is not known whether theirs did */
+  pw_versions *versions; /* services that are rolled out */
   pw_gate_service *services;
   pw_gate_route *routes;
   pw_conns front;   /* callers */
@@ -101,6 +103,10 @@
 void pwgate_note_suspect(pw_gate *g, uint64_t sign, pw_quar_news news,
                          const char *how);
 
+/* Control has missed a target's heartbeats, or heard that it ended: what it had when it went dark is
+** held against the requests. */
+void pwgate_note_silent(pw_gate *g, const char *id, int64_t now);
+
 /* A newer configuration is in force from now on. */
 void pwgate_adopt(pw_gate *g, pw_site *site);
 
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -120,6 +120,8 @@
     what = pwfleet_told_silent(g->fleet, b.id, b.born, 1, t->now);
   else if (!in->silent && what == PWFLEET_OLD)
     what = pwfleet_told_silent(g->fleet, b.id, b.born, 0, t->now);
+  if (what == PWFLEET_SILENT || what == PWFLEET_GONE)
+    pwgate_note_silent(g, b.id, t->now);
   if (what == PWFLEET_RESTARTED)
     pwcount_add(g->p->counters, PWC_RESTARTS, 1);
   if (pwfleet_news_name(what))
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -190,6 +190,10 @@
 int pwfleet_usable(pw_fleet *f, const char *service, int64_t now);
 int pwfleet_alive(pw_fleet *f, const char *service, int64_t now);
 
+/* Whether a request that has tried these may go to yet another target that is alive. */
+int pwfleet_has_other(pw_fleet *f, const char *service, pw_fleet_side side,
+                      pw_target *const *tried, int ntried, int64_t now);
+
 /* What a request needs of its target. */
 typedef struct pw_fleet_ask {
   const char *service;
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -116,6 +116,23 @@
          errors_of(t, c->now) <= c->errors + ERROR_MARGIN;
 }
 
+static int is_among(const pw_target *t, pw_target *const *list, int n) {
+  for (int i = 0; i < n; i++)
+    if (list[i] == t)
+      return 1;
+  return 0;
+}
+
+int pwfleet_has_other(pw_fleet *f, const char *service, pw_fleet_side side,
+                      pw_target *const *tried, int ntried, int64_t now) {
+  common c = common_of(f, service, side, now);
+  for (const pw_target *t = f->by_id; t; t = t->hh.next)
+    if (pwflt_is_of(t, service, side) && is_usable(f, t, &c) &&
+        !is_among(t, tried, ntried))
+      return 1;
+  return 0;
+}
+
 static int count(const pw_fleet *f, const char *service, int64_t now,
                  int (*fits)(const pw_fleet *f, const pw_target *t,
                              const common *c)) {
@@ -170,10 +187,7 @@
 }
 
 static int was_tried(const pw_fleet_ask *ask, const pw_target *t) {
-  for (int i = 0; i < ask->ntried; i++)
-    if (ask->tried[i] == t)
-      return 1;
-  return 0;
+  return is_among(t, ask->tried, ask->ntried);
 }
 
 /* Targets that started together are not new to each other. */
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -1,4 +1,5 @@
 /* test_quarantine.c: requests under which targets end, without a process. */
+#include "pwdark.h"
 #include "pwquarantine.h"
 #include "pwsign.h"
 #include "pwtest.h"
@@ -19,6 +20,26 @@
   CHECK(pwsign_of("", "GET", span("/"), (pw_span){0}) != 0);
 }
 
+/* A request whose target said nothing any more is charged when the target is known to have ended, once;
+** not for another start, and not when that was long after. */
+static void test_dark(void) {
+  pw_dark d = {0};
+  pwdark_note(&d, 7, 1, 1000);
+  pwdark_note(&d, 8, 1, 1000);
+  pwdark_note(&d, 9, 2, 1000);
+  CHECK(pwdark_take(&d, 3, 1500) == 0);
+  CHECK(pwdark_take(&d, 1, 1500) == 7);
+  CHECK(pwdark_take(&d, 1, 1500) == 8);
+  CHECK(pwdark_take(&d, 1, 1500) == 0);
+  CHECK(pwdark_take(&d, 2, 61000) == 0);
+  for (int i = 0; i < 2 * PWDARK_MAX; i++)
+    pwdark_note(&d, 100 + (uint64_t)i, 4, 70000);
+  int n = 0;
+  while (pwdark_take(&d, 4, 70000) != 0)
+    n++;
+  CHECK(n == PWDARK_MAX);
+}
+
 /* --- one instance --- */
 
 static void test_ends(void) {
@@ -321,6 +342,7 @@
 int main(void) {
   TESTS_BEGIN("quarantine");
   TEST(test_sign);
+  TEST(test_dark);
   TEST(test_ends);
   TEST(test_ends_again);
   TEST(test_answers);
