A control instance asks for what it lacks though it confirms others all the time

What callers would see: "no target" from gateways of a control instance that has forgotten targets, or lost a telling, while any target of another instance is leaving.

Cause: who lacks something asks for all together with its regular "I am here", twice a second unless something was sent to that instance meanwhile. A target that leaves is confirmed at each of its heartbeats by the same message, so the regular one never came due.

Until now a false target-silent and target-back of all targets after a standstill told everything anyway.

Change: what is missing is asked for by itself, once in two seconds as before.

Why it holds: the pause between such questions is kept apart (asked_all_at) from when anything was sent.

--- a/packages/control/pwpeers.c
+++ b/packages/control/pwpeers.c
@@ -134,14 +134,14 @@
 }
 
 /* Who begins to watch for all is told all: one that does so already ends that first. */
-static void watch_for_all(pw_peers *o, pw_mesh_peer *p, int64_t now) {
+static void ask_missing(pw_peers *o, pw_mesh_peer *p, int64_t now) {
   link *one = link_of(o, p->addr);
   int is_missing = one->must_ask_all || !p->told.is_whole;
-  if (is_missing && now - one->asked_all_at >= ASK_ALL_MS) {
-    one->asked_all_at = now;
-    one->must_ask_all = 0;
-    send_watch(o, p, 0, now);
-  }
+  if (!is_missing || now - one->asked_all_at < ASK_ALL_MS)
+    return;
+  one->asked_all_at = now;
+  one->must_ask_all = 0;
+  send_watch(o, p, 0, now);
   send_watch(o, p, 1, now);
 }
 
@@ -150,11 +150,10 @@
   for (int i = 0; i < o->mesh.n; i++) {
     pw_mesh_peer *p = o->mesh.peer[i];
     pw_mesh_watch how = pwmesh_watch_of(&o->mesh, p);
-    if (how == PWMESH_NOT || now - p->asked_at < WATCH_MS)
-      continue;
+    /* Not held up by what is sent meanwhile: a target that leaves is confirmed at each heartbeat. */
     if (how == PWMESH_FOR_ALL)
-      watch_for_all(o, p, now);
-    else
-      send_watch(o, p, 0, now);
+      ask_missing(o, p, now);
+    if (how != PWMESH_NOT && now - p->asked_at >= WATCH_MS)
+      send_watch(o, p, how == PWMESH_FOR_ALL, now);
   }
 }
