A control instance does not take its own standstill for the silence of targets

What callers saw: after a control instance stood still for more than four heartbeats it told gateways that every target is silent, and 10 to 30 ms later that they are back; after 40 it forgot them all.

Cause: silence was now less the newest heartbeat, judged in the first turn, when heartbeats of the pause lay in sockets that other threads had not read yet.

Change: what the loop lost is taken off the silence of targets, watchers and children, and nothing is decided by silence for 0.2 s. Leases and elections stay on the clock.

Why it holds: a target is silent when it was not heard for four beats in which this instance could hear; one that does end is missed as before (the last check of 61).

Ruled out: waiting alone.

--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -14,6 +14,7 @@
 #include <zmq.h>
 
 #define TICK_MS 10
+#define TURN_MS 100  /* a longer turn of the loop was held up */
 #define ALIVE_MS 200 /* a loop that came round by then is going on */
 #define BODY_MAX (16 * 1024 * 1024)
 #define CONNECTIONS_MAX 3000 /* every target may keep one for its heartbeats */
@@ -188,14 +189,20 @@
   atomic_store(&c->is_heard, pwwatch_is_heard(c->watch, now));
 }
 
-static void tick(pw_control *c, int64_t now) {
-  pwgroup_tick(c->group, now);
+/* What is decided by how long somebody has been silent. */
+static void judge(pw_control *c, int64_t now) {
   pwfeed_expire(c->feed, on_child_left, c, now);
   pwctl_expire(c, now);
-  pwbusy_tick(&c->busy, c->p, now);
-  pwpublish_tick(c->publish, now);
   tell_watchers(c, now);
   plan(c, now);
+}
+
+static void tick(pw_control *c, int64_t now) {
+  pwgroup_tick(c->group, now);
+  pwbusy_tick(&c->busy, c->p, now);
+  pwpublish_tick(c->publish, now);
+  if (pwlag_catch_up(&c->lag, now) == 0)
+    judge(c, now);
   pwproc_set_ready(c->p, pwgroup_leader_http(c->group)[0] != 0);
 }
 
@@ -219,6 +226,16 @@
   return !pwgroup_hand_over(c->group, now) && pwserve_active(c->http) == 0;
 }
 
+/* A disk that hangs, or a process that stood still: others are not charged with it. */
+static void note_turn(pw_control *c, int64_t now) {
+  int64_t lost_ms = pwlag_turn(&c->lag, now);
+  atomic_store(&c->turned_at, now);
+  if (lost_ms == 0)
+    return;
+  pwwatch_excuse(c->watch, lost_ms);
+  pwfeed_excuse(c->feed, lost_ms);
+}
+
 static pw_code loop(pw_control *c) {
   zmq_pollitem_t items[3] = {{pwwire_raw(c->listener), 0, ZMQ_POLLIN, 0},
                              {pwwire_raw(c->dialler), 0, ZMQ_POLLIN, 0},
@@ -228,7 +245,7 @@
   while (rc == PW_OK && !may_end(c, pwclock_ms())) {
     zmq_poll(items, 3, TICK_MS);
     int64_t now = pwclock_ms();
-    atomic_store(&c->turned_at, now);
+    note_turn(c, now);
     on_messages(c, c->listener, now);
     on_messages(c, c->dialler, now);
     rc = pwgroup_work(c->group, now); /* reads see what is committed by now */
@@ -359,7 +376,7 @@
 }
 
 pw_code pwcontrol_run(pw_proc *p, pw_buf *err) {
-  pw_control c = {.p = p};
+  pw_control c = {.p = p, .lag.turn_ms = TURN_MS};
   pw_code rc = PW_E_SETTINGS;
   pw_group_calls calls = {&c, on_applied, on_led};
   c.mail = pwmail_new();
--- a/packages/control/pwctl.h
+++ b/packages/control/pwctl.h
@@ -7,6 +7,7 @@
 #include "pwcanaries.h"
 #include "pwfeed.h"
 #include "pwgroup.h"
+#include "pwlag.h"
 #include "pwleave.h"
 #include "pwnews.h"
 #include "pwplanner.h"
@@ -62,6 +63,7 @@
   int64_t led_at;
   int64_t stop_at;
   _Atomic int64_t turned_at;     /* when the loop came round last, ms */
+  pw_lag lag;                    /* of the loop */
   _Atomic int is_heard;          /* what targets say here is told on */
   _Atomic int64_t aside_told_at; /* a line of a heartbeat set aside, ms */
 } pw_control;
--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -483,6 +483,12 @@
   }
 }
 
+void pwwatch_excuse(pw_watch *w, int64_t ms) {
+  pwfleet_excuse(w->targets, ms);
+  for (watcher *one = w->watchers; one; one = one->next)
+    one->heard_at += ms;
+}
+
 static void drop_lost(pw_watch *w, int64_t now) {
   int64_t longest = LOST_TIMES * notice_ms(w);
   for (watcher **at = &w->watchers; *at;) {
--- a/packages/control/pwwatch.h
+++ b/packages/control/pwwatch.h
@@ -57,6 +57,9 @@
 json_t *pwwatch_observers_json(const pw_watch *w);
 
 /* Sends what is due; `in_touch`: a leader was heard just now; `leads`: this is the one. */
+/* This process could hear nobody for `ms`: no silence of targets or gateways. */
+void pwwatch_excuse(pw_watch *w, int64_t ms);
+
 void pwwatch_tick(pw_watch *w, int in_touch, int leads, int64_t now);
 
 #endif
--- a/packages/daemon/pwfeed.c
+++ b/packages/daemon/pwfeed.c
@@ -166,6 +166,11 @@
       send_welcome(f, c, st, NULL, 0, now);
 }
 
+void pwfeed_excuse(pw_feed *f, int64_t ms) {
+  for (pw_child *c = f->children; c; c = c->next)
+    c->heard += ms;
+}
+
 void pwfeed_expire(pw_feed *f, void (*left)(void *arg, const pw_child *c),
                    void *arg, int64_t now) {
   pw_child **at = &f->children;
--- a/packages/daemon/pwfeed.h
+++ b/packages/daemon/pwfeed.h
@@ -58,6 +58,9 @@
 void pwfeed_push(pw_feed *f, const pw_feed_state *st, int64_t now);
 
 /* Drops children that have gone silent, each told of before. */
+/* This process could hear nobody for `ms`: no silence of children. */
+void pwfeed_excuse(pw_feed *f, int64_t ms);
+
 void pwfeed_expire(pw_feed *f, void (*left)(void *arg, const pw_child *c),
                    void *arg, int64_t now);
 
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -137,6 +137,11 @@
 
 /* --- heartbeats --- */
 
+static void note_heard(pw_target *t, int64_t at) {
+  t->heard_at = at;
+  t->excused_ms = 0;
+}
+
 static pw_target *add(pw_fleet *f, const pw_beat *b, int64_t heard_at) {
   pw_target *t = pw_alloc(sizeof *t);
   t->refs = 1;
@@ -264,7 +269,7 @@
   if (is_new)
     t = add(f, b, heard_at);
   if (heard_at > t->heard_at)
-    t->heard_at = heard_at;
+    note_heard(t, heard_at);
   if (gone) {
     int was_known = t->is_gone && !t->is_displaced;
     t->is_gone = 1;
@@ -303,7 +308,7 @@
   if (!t || (t->is_gone && !is_back) || (!is_back && seq <= t->seq))
     return PWFLEET_OLD;
   if (heard_at > t->heard_at)
-    t->heard_at = heard_at;
+    note_heard(t, heard_at);
   int was_away = note_there(t, seq);
   if (is_back)
     take_address(f, t);
@@ -316,7 +321,7 @@
   if (!t || t->born != meant(t, born) || t->is_gone || t->is_silent == silent)
     return PWFLEET_OLD;
   t->is_silent = silent;
-  t->heard_at = now; /* when that was last known to be otherwise */
+  note_heard(t, now); /* when that was last known to be otherwise */
   return silent ? PWFLEET_SILENT : PWFLEET_BACK;
 }
 
@@ -349,7 +354,7 @@
 
 void pwfleet_forget(pw_target *t, int64_t now) {
   t->is_gone = 1;
-  t->heard_at = now;
+  note_heard(t, now);
 }
 
 void pwfleet_tick(pw_fleet *f, int64_t now,
@@ -358,7 +363,7 @@
   pw_target *t, *tmp;
   sweep_retired(f);
   HASH_ITER(hh, f->by_id, t, tmp) {
-    int64_t silence = now - t->heard_at;
+    int64_t silence = now - t->heard_at - t->excused_ms;
     if (judge && !t->is_gone && !t->is_silent &&
         silence > SILENT_BEATS * f->beat_ms) {
       t->is_silent = 1;
@@ -374,8 +379,10 @@
 }
 
 void pwfleet_excuse(pw_fleet *f, int64_t ms) {
-  for (pw_target *t = f->by_id; t; t = t->hh.next)
+  for (pw_target *t = f->by_id; t; t = t->hh.next) {
     t->seen_at += ms;
+    t->excused_ms += ms;
+  }
   for (pw_target *t = f->retired; t; t = t->next_retired)
     t->seen_at += ms;
 }
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -46,11 +46,13 @@
   int64_t claimed_at; /* when it named the address since then; 0: it has not */
   int is_silent;      /* it has missed its heartbeats */
   uint64_t seq;
-  int64_t heard_at;    /* its newest heartbeat, ms */
-  int64_t joined_at;   /* when it started, about, ms */
-  pw_cold cold;        /* what it bears after its start */
-  int is_evacuated;    /* its availability zone is: nothing new goes there */
-  int says_leaving;    /* it has said so in an answer, which this start does not
+  int64_t heard_at; /* its newest heartbeat, ms */
+  int64_t
+      excused_ms;    /* of the time since, in which this process heard nobody */
+  int64_t joined_at; /* when it started, about, ms */
+  pw_cold cold;      /* what it bears after its start */
+  int is_evacuated;  /* its availability zone is: nothing new goes there */
+  int says_leaving;  /* it has said so in an answer, which this start does not
                      ** take back */
   pw_holdoff hold_off; /* it has asked to be left alone */
 
