An entry that stood still delivers the answers that came meanwhile

What callers saw: an answer of 0.8 s, a deadline of 2 s, the entry stands still for 2.6 s: 504 3003 "no answer within the deadline", while the answer lay in its socket.

Cause: messages are read before the tick, but the library's own thread fetches them from the sockets, and wakes at the same moment: the first turn finds nothing to read, and its tick ends what is over time.

Evidence: 62_entry_stands_still on: "entry-2 for 2600 ms, call 1: 504 ... no answer within the deadline".

Change: for 0.2 s after a standstill (pwlag, which also replaces the entry's own measure of a stop) nothing is decided by time or silence. Whether it may serve is told at once, as before.

Ruled out: more turns in place of 0.2 s. The other thread may not have run in any number of turns.

--- a/packages/entry/pwentry.c
+++ b/packages/entry/pwentry.c
@@ -7,6 +7,7 @@
 #include "pwfeed.h"
 #include "pwfetch.h"
 #include "pwflight.h"
+#include "pwlag.h"
 #include "pwlog.h"
 #include "pwnews.h"
 #include "pwreport.h"
@@ -22,7 +23,7 @@
 #define TICK_MS 20
 #define SUM_MS 50
 #define TELL_MS 250
-#define STALL_MS 100 /* a longer round of the loop was a stop */
+#define TURN_MS 100 /* a longer turn of the loop was held up */
 #define POOLS_PER_AGENT 16
 #define FORWARD_TIMEOUT_S 40
 #define FORWARD_MAX (64 * 1024 * 1024)
@@ -44,7 +45,7 @@
   pw_policy policy;
   uint64_t in_force; /* revision that the view and the targets show */
   int64_t summed;
-  int64_t looped;       /* when the loop last came round */
+  pw_lag lag;           /* of the loop */
   int64_t waited;       /* ms a message read now may have lain unread */
   int64_t stop_at;      /* when stopping began; 0: not stopping */
   int64_t told;         /* when the next two were filled */
@@ -347,8 +348,8 @@
   pwbuf_free(&err);
 }
 
-static void tick(entry *en, int64_t now) {
-  renew(en);
+/* What is decided by how long somebody has been silent, or by a time that is over. */
+static void judge(entry *en, int64_t now) {
   say_hello(en, now);
   pwfeed_expire(en->feed, on_child_left, en, now);
   if (now - en->summed >= SUM_MS) {
@@ -358,6 +359,12 @@
   pwreport_tick(en->reports, now);
   pwreport_suspects(en->reports, pwflight_quarantine(en->flights), now);
   pwflight_tick(en->flights, &en->policy, now);
+}
+
+static void tick(entry *en, int64_t now) {
+  renew(en);
+  if (pwlag_catch_up(&en->lag, now) == 0)
+    judge(en, now);
   tell_http(en, now);
   pwproc_set_ready(en->p, pwsub_may_serve(en->sub, now));
 }
@@ -388,9 +395,9 @@
 /* A process that was stopped and goes on reads messages of before: a load they
 ** report is taken to be as old as the stop. */
 static void note_wait(entry *en, int64_t now) {
-  int64_t gap = en->looped ? now - en->looped : 0;
-  en->waited = gap > STALL_MS ? gap : 0;
-  en->looped = now;
+  int64_t lost_ms = pwlag_turn(&en->lag, now);
+  en->waited = lost_ms ? lost_ms + TURN_MS : 0;
+  pwfeed_excuse(en->feed, lost_ms);
 }
 
 static void loop(entry *en) {
@@ -450,7 +457,7 @@
 }
 
 pw_code pwentry_run(pw_proc *p, pw_buf *err) {
-  entry en = {.p = p};
+  entry en = {.p = p, .lag.turn_ms = TURN_MS};
   pw_code rc = PW_E_SETTINGS;
   pthread_mutex_init(&en.lock, NULL);
   en.listener = pwwire_listen(p->wire, p->set->entry_wire, err);
