--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 
 MAKEFLAGS += --no-builtin-rules
 .SECONDARY:
-.PHONY: all bench-pick bench-policy bench-overload bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak soak-seeds rounds capacity install deb sanitized format lint help clean
+.PHONY: all bench-pick bench-policy bench-overload bench-path bench-control bench-ledger bench-fleet-many deps demo demo-keep test scenarios check mutations fuzz soak soak-seeds pauses rounds capacity install deb sanitized format lint help clean
 
 all: $(BINS)
 
@@ -189,6 +189,11 @@
 	@sed -n 's/^\([0-9][0-9]*\) .*/\1/p' tests/soak-seeds.txt | xargs -P 4 -I{} \
 	  sh -c 'SEED={} MINUTES=$(MINUTES) PROCESSES=$(PROCESSES) $(RUNNER) --bin $(BUILD) tests/soak.lua'
 
+# Pauses past the limits of the product, beside each other: seeds that failed once, and one of each kind.
+pauses: all $(FAKES) $(RUNNER)
+	@sed '/^#/d' tests/pause-seeds.txt | cut -d' ' -f1-3 | xargs -P 4 -L 1 \
+	  sh -c '$(RUNNER) --bin $(BUILD) --hold-most "$$2" --disturb "$$1" "tests/scenarios/$$0.lua"'
+
 # The same tests under AddressSanitizer and UndefinedBehaviorSanitizer.
 SANITIZE = -fsanitize=address,undefined -fno-sanitize-recover=undefined \
   -fno-omit-frame-pointer
--- a/tests/runner/disturb.c
+++ b/tests/runner/disturb.c
@@ -12,9 +12,7 @@
 #define FIRST_MS 50  /* no pause begins sooner after the start ... */
 #define LAST_MS 8000 /* ... or later */
 #define HOLD_LEAST_MS 10
-#define HOLD_MOST_MS 2000
-#define HOLD_ALL_MOST_MS 800 /* where all stand still at once */
-#define GAP_MOST_MS 300      /* between pauses of a series */
+#define GAP_MOST_MS 300 /* between pauses of a series */
 #define SERIES_MOST 5
 #define PROCESSES 24 /* few scenarios have more */
 
@@ -33,6 +31,10 @@
   int pick; /* which of the processes that are there then, in the order of their starts */
 } disturbance;
 
+/* The longest that a process stands still, and all at once: within most limits of the product. */
+static int hold_most_ms = 2000;
+static int hold_all_most_ms = 800;
+
 static disturbance drawn;
 static int is_on;
 
@@ -99,7 +101,7 @@
   int is_series = drawn.kind == PAUSE_SERIES;
   drawn.after_ms = between(&state, FIRST_MS, LAST_MS);
   drawn.hold_ms =
-      between(&state, HOLD_LEAST_MS, is_all ? HOLD_ALL_MOST_MS : HOLD_MOST_MS);
+      between(&state, HOLD_LEAST_MS, is_all ? hold_all_most_ms : hold_most_ms);
   drawn.times = is_series ? between(&state, 2, SERIES_MOST) : 1;
   drawn.gap_ms = between(&state, 1, GAP_MOST_MS);
   drawn.pick = mix(&state) % PROCESSES;
@@ -120,6 +122,14 @@
   return -1;
 }
 
+int runner_hold_most(const char *text) {
+  return sscanf(text, "%d,%d", &hold_most_ms, &hold_all_most_ms) == 2 &&
+                 hold_most_ms >= HOLD_LEAST_MS &&
+                 hold_all_most_ms >= HOLD_LEAST_MS
+             ? 0
+             : -1;
+}
+
 int runner_disturb(const char *text) {
   if (strchr(text, ',')) {
     if (read_spec(text) != 0)
--- a/tests/runner/runner.c
+++ b/tests/runner/runner.c
@@ -45,18 +45,23 @@
   int keep = 0;
   const char *script = NULL;
   const char *disturb = NULL; /* the seed, or none */
+  const char *hold = NULL;    /* the longest pauses, or as is usual */
   for (int i = 1; i < argc; i++) {
     if (!strcmp(argv[i], "--bin") && i + 1 < argc)
       bin = argv[++i];
     else if (!strcmp(argv[i], "--disturb") && i + 1 < argc)
       disturb = argv[++i];
+    else if (!strcmp(argv[i], "--hold-most") && i + 1 < argc)
+      hold = argv[++i];
     else if (!strcmp(argv[i], "--keep"))
       keep = 1;
     else
       script = argv[i];
   }
-  if (!script || (disturb && runner_disturb(disturb) != 0)) {
-    fprintf(stderr, "usage: pwscenario [--bin DIR] [--keep] [--disturb "
+  if (!script || (hold && runner_hold_most(hold) != 0) ||
+      (disturb && runner_disturb(disturb) != 0)) {
+    fprintf(stderr, "usage: pwscenario [--bin DIR] [--keep] "
+                    "[--hold-most ONE_MS,ALL_MS] [--disturb "
                     "SEED|KIND,AFTER_MS,HOLD_MS,TIMES,GAP_MS,PROCESS] FILE\n");
     return 2;
   }
--- a/tests/runner/runner.h
+++ b/tests/runner/runner.h
@@ -22,6 +22,10 @@
 ** it cannot be read. */
 int runner_disturb(const char *text);
 
+/* Reads "ONE,ALL": the longest pauses that are drawn, of one process and of all at once, ms; called
+** before runner_disturb. 0, or -1: it cannot be read. */
+int runner_hold_most(const char *text);
+
 /* The i-th process was spawned. */
 void runner_spawned(int i);
 
