A caller that is refused for want of places keeps what it has sent behind

What callers saw: all places are taken; one request for them is refused, 503, and the connection ends with all that was sent behind it unanswered: 0 of 51, though each could be answered at once.

Cause: who is refused so is asked to come back over a new connection; what it had sent behind was not looked at.

Change: only a caller with nothing behind is closed: neither in what was read, nor kept, nor in the socket.

--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -218,7 +218,8 @@
            100 * pwplaces_share(&x->kept->places), p->sum.inflight, p->places,
            p->sum.inflight + p->sum.others, p->sum.slots);
   pwcount_add(x->g->p->counters, PWC_GW_FULL, 1);
-  x->client->close_next = 1; /* its caller comes back over a new connection */
+  /* Its caller comes back over a new connection, unless that would cost it what it has sent behind. */
+  x->client->close_next = !pwconn_has_more(x->client);
   pwexi_refuse(
       x, PW_E_BUSY, why,
       pwplaces_retry(pwexi_time_left(x), x->known_after, pwgate_draw(x->g)));
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -275,6 +275,7 @@
     c->request.head_max = c->all->limits.header_bytes;
   }
   size_t used = pwh1_take(&c->request, data, n);
+  c->behind = n - used;
   pw_h1_state now = c->request.state;
   int had_head = before == PWH1_HEAD && (now == PWH1_BODY || now == PWH1_DONE);
   if (had_head && !check_head(c))
@@ -294,6 +295,7 @@
     n -= used;
   }
   c->is_taking = 0;
+  c->behind = 0;
   if (n > 0 && !c->is_closed)
     keep_ahead(c, data, n);
 }
@@ -493,6 +495,10 @@
   pwbuf_free(&s->chunk);
 }
 
+int pwconn_has_more(const pw_conn *c) {
+  return c->behind > 0 || c->ahead.len > 0 || pwtcp_has_unread(c->tcp);
+}
+
 int pwconn_path_is(const pw_conn *c, const char *path) {
   return c->request.nurl == strlen(path) &&
          !memcmp(c->request.url, path, c->request.nurl);
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -62,6 +62,7 @@
   pw_h1 request;
   pw_buf body;
   pw_buf ahead;  /* bytes that came while a request is in progress */
+  size_t behind; /* bytes of what is being taken that follow the request */
   void *state;   /* the handler's own of this request; NULL: none */
   int is_busy;   /* a request is in progress */
   int is_taking; /* bytes of it are being read into requests */
@@ -110,6 +111,9 @@
 /* Breaks off: an answer in progress does not look whole. */
 void pwconn_break(pw_conn *c);
 
+/* Whether its caller has sent more behind the request in progress. */
+int pwconn_has_more(const pw_conn *c);
+
 /* Whether the request is for this path. */
 int pwconn_path_is(const pw_conn *c, const char *path);
 
