A charge that was told "not run" while disks hung can be run when it comes again

What callers saw: the disks of control hang for 6.5 s; a charge is told 503 4004, not run; under the same key it then gets 409 4007, unknown, each time and for good, though it never ran.

Cause: an entry sends a claim again each 0.3 s, gives up after 6 s and gives the claim back. (1) The late answer to the claim was taken for that to the record, which was then not sent again. (2) Copies of the claim, over another link, were read after the record and opened the key anew.

Lines added to the ledger: claims x 11, record, claims x 2, record, claims x 4 of one request.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 ALL_LIB = $(BUILD)/libpeatwell.a
 BINS = $(BUILD)/peatwelld $(BUILD)/peatwell
 FAKES = $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/fake-target \
-  $(BUILD)/peatwelld-skewed
+  $(BUILD)/peatwelld-skewed $(BUILD)/peatwelld-hanging
 TESTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
 RUNNER = $(BUILD)/pwscenario
 
@@ -72,6 +72,11 @@
 	@echo "  LD $@"
 	@$(CXX) $(LDFLAGS) -o $@ $^ -largtable2 $(LDLIBS)
 
+# The daemon with a disk that hangs for a while.
+$(BUILD)/peatwelld-hanging: $(BUILD)/packages/daemon/peatwelld.o $(BUILD)/tests/fakes/hanging_disk.o $(ALL_LIB)
+	@echo "  LD $@"
+	@$(CXX) $(LDFLAGS) -o $@ $^ -largtable2 $(LDLIBS)
+
 $(BUILD)/peatwell: $(BUILD)/packages/cli/peatwell.o $(ALL_LIB)
 	@echo "  LD $@"
 	@$(CXX) $(LDFLAGS) -o $@ $^ -largtable2 $(LDLIBS)
--- a/packages/control/pwctl.h
+++ b/packages/control/pwctl.h
@@ -25,6 +25,7 @@
   pw_api_call *call; /* or NULL: */
   pw_peer peer;      /* an entry that claims or records */
   char id[PW_NAME_MAX];
+  int is_record;
   UT_hash_handle hh;
 } pw_ctl_waiter;
 
--- a/packages/control/pwctlcall.c
+++ b/packages/control/pwctlcall.c
@@ -271,6 +271,7 @@
     pw_ctl_waiter *w = add_waiter(c, index, term, now);
     w->peer = *from;
     pw_copy(w->id, sizeof w->id, id);
+    w->is_record = !claims;
     return;
   }
   Pw__Claimed cl = PW__CLAIMED__INIT;
@@ -320,6 +321,7 @@
   Pw__Claimed plain = PW__CLAIMED__INIT;
   plain.id = w->id;
   plain.code = ours ? PW_OK : PW_E_NOT_LEADER;
+  plain.recorded = w->is_record;
   send_claimed(c, &w->peer, ours && cl ? cl : &plain);
 }
 
--- a/packages/core/pwlimits.h
+++ b/packages/core/pwlimits.h
@@ -31,6 +31,9 @@
 #define PW_ONCE_MAX 1000000
 #define PW_ONCE_OPEN_MAX 32768
 #define PW_ONCE_ANSWERS 32768
+
+/* Claims that were given back, of which late copies are told apart. */
+#define PW_ONCE_GIVEN_BACK 8192
 #define PW_ONCE_ANSWER_BYTES (8UL * 1024 * 1024)
 
 /* An open claim's answer cannot be recorded any more after this (ms): the
--- a/packages/entry/pwclaim.c
+++ b/packages/entry/pwclaim.c
@@ -61,11 +61,12 @@
   pw_flight *f = by_request(fs, cl->id);
   if (!f || cl->code == PW_E_NOT_LEADER)
     return; /* asked again at the next tick */
-  if (f->state == F_RECORDING) {
+  /* A late answer to the claim is none to the record: the claim would stay, and its key be lost. */
+  if (f->state == F_RECORDING && cl->recorded) {
     pwfl_drop(fs, f);
     return;
   }
-  if (f->state != F_CLAIMING)
+  if (f->state != F_CLAIMING || cl->recorded)
     return;
   pwevent_add(fs->p->events, PWE_CLAIM, (int)cl->code, f->call->request, NULL,
               NULL, "answered=%d", cl->answered);
--- a/packages/store/pwonce.c
+++ b/packages/store/pwonce.c
@@ -31,7 +31,7 @@
 } claim;
 
 struct pw_once {
-  claim *open, *answered;
+  claim *open, *answered, *given_back;
   size_t answer_bytes;
   pw_dedup *past;
   uint64_t held_until; /* wall clock, ms */
@@ -64,8 +64,17 @@
   free(c);
 }
 
+static void drop_given_back(pw_once *o, claim *c) {
+  HASH_DEL(o->given_back, c);
+  pw__kept_claim__free_unpacked(c->kept, NULL);
+  free(c);
+}
+
 static void clear(pw_once *o) {
   claim *c, *tmp;
+  HASH_ITER(hh, o->given_back, c, tmp) {
+    drop_given_back(o, c);
+  }
   HASH_ITER(hh, o->open, c, tmp) {
     drop_open(o, c);
   }
@@ -109,10 +118,29 @@
   return c;
 }
 
+static claim *find_given_back(const pw_once *o, const uint8_t *id) {
+  claim *c;
+  HASH_FIND(hh, o->given_back, id, PWDEDUP_KEY, c);
+  return c;
+}
+
+static void add_given_back(pw_once *o, claim *c) {
+  claim *before = find_given_back(o, c->id);
+  if (before)
+    drop_given_back(o, before);
+  HASH_ADD(hh, o->given_back, id, sizeof c->id, c);
+  if (HASH_COUNT(o->given_back) > PW_ONCE_GIVEN_BACK)
+    drop_given_back(o, o->given_back);
+}
+
 static void add(pw_once *o, Pw__KeptClaim *kept) {
   claim *c = pw_alloc(sizeof *c);
   hash_id(kept->workspace, kept->key, c->id);
   c->kept = kept;
+  if (kept->given_back) {
+    add_given_back(o, c);
+    return;
+  }
   if (!kept->answered) {
     HASH_ADD(hh, o->open, id, sizeof c->id, c);
     return;
@@ -176,8 +204,11 @@
   out->id = pw_dup(in->id);
   hash_id(in->workspace, in->key, id);
   const claim *c = find(o, id);
+  claim *back = find_given_back(o, id);
   if (c)
     tell_kept(c->kept, in, out);
+  else if (back && !strcmp(back->kept->owner, in->id))
+    out->code = PW_E_RUNNING;
   else if (pwdedup_find(o->past, id, &e))
     tell_past(&e, in, out);
   else if (wall < o->held_until)
@@ -186,19 +217,35 @@
     out->code = PW_E_LEDGER_FULL;
   else
     add(o, keep(wall, in));
+  if (back && find(o, id))
+    drop_given_back(o, back);
   return out;
 }
 
+/* A copy of its claim may come after it, over another link or through another leader: it would open
+** the key for good, though its caller was told that it has not run. */
+static void give_back(pw_once *o, const Pw__Record *in) {
+  Pw__KeptClaim *k = pw_alloc(sizeof *k);
+  pw__kept_claim__init(k);
+  k->workspace = pw_dup(in->workspace);
+  k->key = pw_dup(in->key);
+  k->owner = pw_dup(in->id);
+  k->given_back = 1;
+  add(o, k);
+}
+
 void pwonce_record(pw_once *o, const Pw__Record *in) {
   uint8_t id[PWDEDUP_KEY];
   hash_id(in->workspace, in->key, id);
   claim *c = find(o, id);
-  if (!c || c->kept->answered || strcmp(c->kept->owner, in->id) != 0)
+  if (c && (c->kept->answered || strcmp(c->kept->owner, in->id) != 0))
     return;
-  if (in->not_run) {
+  if (c && in->not_run)
     drop_open(o, c);
+  if (in->not_run)
+    give_back(o, in);
+  if (!c || in->not_run)
     return;
-  }
   Pw__KeptClaim *k = c->kept;
   HASH_DEL(o->open, c);
   free(c);
@@ -261,9 +308,12 @@
 }
 
 void pwonce_pack(const pw_once *o, Pw__State *out) {
-  size_t n = HASH_COUNT(o->open) + HASH_COUNT(o->answered);
+  size_t n =
+      HASH_COUNT(o->open) + HASH_COUNT(o->answered) + HASH_COUNT(o->given_back);
   out->claims = pw_alloc(sizeof(Pw__KeptClaim *) * (n + 1));
   out->n_claims = 0;
+  for (const claim *c = o->given_back; c; c = c->hh.next)
+    out->claims[out->n_claims++] = c->kept;
   for (const claim *c = o->open; c; c = c->hh.next)
     out->claims[out->n_claims++] = c->kept;
   for (const claim *c = o->answered; c; c = c->hh.next)
--- a/packages/store/pwonce.h
+++ b/packages/store/pwonce.h
@@ -29,7 +29,8 @@
 ** PW_E_REUSED: the key came with another body;
 ** PW_E_LEDGER_FULL: not claimed, there is no room; PW_E_LEDGER_LOST: not
 ** claimed, it is held (pwonce_hold). A claim resent with the same
-** id is granted again only until it is recorded. */
+** id is granted again only until it is recorded: one that was given back is RUNNING for its own id, and
+** open to all others. */
 Pw__Claimed *pwonce_claim(pw_once *o, uint64_t wall, const Pw__Claim *in);
 
 /* Records the answer of a claim its owner holds, or gives the claim back
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -4695,7 +4695,7 @@
   (ProtobufCMessageInit) pw__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__claimed__field_descriptors[6] =
+static const ProtobufCFieldDescriptor pw__claimed__field_descriptors[7] =
 {
   {
     "id",
@@ -4769,6 +4769,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recorded",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Claimed, recorded),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__claimed__field_indices_by_name[] = {
   2,   /* field[2] = answered */
@@ -4776,12 +4788,13 @@
   1,   /* field[1] = code */
   5,   /* field[5] = content_type */
   0,   /* field[0] = id */
+  6,   /* field[6] = recorded */
   3,   /* field[3] = status */
 };
 static const ProtobufCIntRange pw__claimed__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pw__claimed__descriptor =
 {
@@ -4791,7 +4804,7 @@
   "Pw__Claimed",
   "pw",
   sizeof(Pw__Claimed),
-  6,
+  7,
   pw__claimed__field_descriptors,
   pw__claimed__field_indices_by_name,
   1,  pw__claimed__number_ranges,
@@ -7118,7 +7131,7 @@
   (ProtobufCMessageInit) pw__kept_outcome__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__kept_claim__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pw__kept_claim__field_descriptors[10] =
 {
   {
     "workspace",
@@ -7228,12 +7241,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "given_back",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__KeptClaim, given_back),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__kept_claim__field_indices_by_name[] = {
   4,   /* field[4] = answered */
   6,   /* field[6] = body */
   7,   /* field[7] = content_type */
   2,   /* field[2] = digest */
+  9,   /* field[9] = given_back */
   1,   /* field[1] = key */
   8,   /* field[8] = owner */
   5,   /* field[5] = status */
@@ -7243,7 +7269,7 @@
 static const ProtobufCIntRange pw__kept_claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pw__kept_claim__descriptor =
 {
@@ -7253,7 +7279,7 @@
   "Pw__KeptClaim",
   "pw",
   sizeof(Pw__KeptClaim),
-  9,
+  10,
   pw__kept_claim__field_descriptors,
   pw__kept_claim__field_indices_by_name,
   1,  pw__kept_claim__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -649,10 +649,14 @@
   uint32_t status;
   ProtobufCBinaryData body;
   char *content_type;
+  /*
+   * it answers a Record, not a Claim of the same id
+   */
+  protobuf_c_boolean recorded;
 };
 #define PW__CLAIMED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__claimed__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Pw__Record
@@ -1257,10 +1261,14 @@
   ProtobufCBinaryData body;
   char *content_type;
   char *owner;
+  /*
+   * only its owner may not claim it again
+   */
+  protobuf_c_boolean given_back;
 };
 #define PW__KEPT_CLAIM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__kept_claim__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, 0, {0,NULL}, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/tests/scenarios/fleet.lua
+++ b/tests/scenarios/fleet.lua
@@ -141,7 +141,7 @@
 function process:fault(what) self:get("/fault?" .. what) end
 
 -- Builds a fleet. o: control, entries, engines, services (counts), and texts
--- added to settings: agent, entry, control; relays between entry and agent;
+-- added to settings: agent, entry, control; daemon: the program, else that of PW_DAEMON, or "peatwelld"; relays between entry and agent;
 -- regions: a list from which entries and engines take one in turn, each region's
 -- entries reaching control through relays of its own (self.region_relays).
 function fleet.new(o)
@@ -198,7 +198,7 @@
   write(path, string.format('[instance]\nname = %q\nroles = [%q]\n' ..
     'availability_zone = %q\n%s\n%s', name, role, zone,
     keys .. (self.o.instance or ""), text))
-  local p = self:process(name, {run.bin .. "/peatwelld", "--config", path}, http(port))
+  local p = self:process(name, {run.bin .. "/" .. (self.o.daemon or os.getenv("PW_DAEMON") or "peatwelld"), "--config", path}, http(port))
   p.settings = path
   return p
 end
--- a/tests/test_ledger.c
+++ b/tests/test_ledger.c
@@ -53,6 +53,49 @@
   pwonce_free(o);
 }
 
+/* A caller that was told "not run" could never have its request run: copies of its claim were read after
+** the claim was given back, and opened the key for good (4007 for each resend). Neither a copy after the
+** record nor one that comes before any claim does so, also in a ledger that was packed. */
+static void test_given_back(void) {
+  pw_once *o = pwonce_new();
+  pw_once *copy = pwonce_new();
+  Pw__Record r = PW__RECORD__INIT;
+  Pw__State s = PW__STATE__INIT;
+  r.workspace = "w";
+  r.key = "k";
+  r.id = "a";
+  r.not_run = 1;
+  expect_claim(o, 1, "a", "k", "body", PW_OK, 0);
+  pwonce_record(o, &r);
+  expect_claim(o, 1, "a", "k", "body", PW_E_RUNNING, 0);
+  r.key = "early";
+  pwonce_record(o, &r);
+  pwonce_pack(o, &s);
+  CHECK(pwonce_load(copy, &s) == PW_OK);
+  free(s.claims);
+  free(s.past.data);
+  expect_claim(copy, 1, "a", "early", "body", PW_E_RUNNING, 0);
+  expect_claim(copy, 1, "b", "early", "body", PW_OK, 0);
+  expect_claim(copy, 1, "a", "early", "body", PW_E_RUNNING, 0);
+  expect_claim(o, 1, "b", "k", "body", PW_OK, 0);
+  expect_claim(o, 1, "a", "k", "body", PW_E_RUNNING, 0);
+  r.key = "k";
+  pwonce_record(o, &r); /* late as well: the claim is another's now */
+  expect_claim(o, 1, "b", "k", "body", PW_OK, 0);
+  for (int i = 0; i < 2 * PW_ONCE_GIVEN_BACK; i++) {
+    char key[32];
+    snprintf(key, sizeof key, "many-%d", i);
+    r.key = key;
+    pwonce_record(o, &r);
+  }
+  pwonce_pack(o, &s);
+  CHECK(s.n_claims == PW_ONCE_GIVEN_BACK + 1);
+  free(s.claims);
+  free(s.past.data);
+  pwonce_free(o);
+  pwonce_free(copy);
+}
+
 static void record(pw_once *o, const char *id, const char *key) {
   Pw__Record r = PW__RECORD__INIT;
   r.id = (char *)id;
@@ -234,6 +277,7 @@
 int main(void) {
   TESTS_BEGIN("ledger");
   TEST(test_once);
+  TEST(test_given_back);
   TEST(test_crowded);
   TEST(test_open_past);
   TEST(test_full);
