--- a/tests/fakes/hanging_disk.c
+++ b/tests/fakes/hanging_disk.c
@@ -42,7 +42,9 @@
   return now >= atomic_load(&hangs_from) && now < atomic_load(&hangs_until);
 }
 
-int fdatasync(int fd) {
+int sync_when_back(int fd) __asm__("fdatasync");
+
+int sync_when_back(int fd) {
   while (hangs())
     usleep(STEP_US);
   return (int)syscall(SYS_fdatasync, fd);
