Targets heard right after a standstill are not taken to be heard in the future

What callers would see: a target that ends within seconds after a gateway stood still for ten is not left as dark for ten more: what was lost was added to targets' newest sign of life in the gateway's tick, after what came in that turn had been read.

Now the loop tells its owner what it lost before anything else of the turn (pw_tcp_loop.held_up). test_first_of_a_turn: the owner hears it, and nothing has been read by then.

--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -79,8 +79,7 @@
   pw_pick_how how; /* targets are picked */
   int is_ready;
   int64_t ticked_at, swept_at, checked_at;
-  int64_t excused_ms; /* of tcp.lag.lost_ms: targets were not charged with it */
-  pw_hold hold;       /* what each caller and target may have held for it */
+  pw_hold hold; /* what each caller and target may have held for it */
   ev_timer tick;
   ev_prepare reap;
   void **later; /* memory that goes at the loop's next turn */
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -215,11 +215,9 @@
 }
 
 /* Targets are not taken for dark since this process stood still. */
-static void excuse_targets(pw_gate *g) {
-  int64_t lost_ms = g->tcp.lag.lost_ms;
-  if (lost_ms > g->excused_ms)
-    pwfleet_excuse(g->fleet, lost_ms - g->excused_ms);
-  g->excused_ms = lost_ms;
+static void on_held_up(void *arg, int64_t lost_ms) {
+  pw_gate *g = arg;
+  pwfleet_excuse(g->fleet, lost_ms);
 }
 
 /* What is decided by how long somebody has been silent. */
@@ -242,7 +240,6 @@
   pw_gate *g = w->data;
   int64_t now = pwclock_ms();
   note_lag(g, now);
-  excuse_targets(g);
   if (pwlag_catch_up(&g->tcp.lag, now) == 0)
     judge(g, now);
   note_ready(g, now);
@@ -306,6 +303,8 @@
   g.fleet = pwfleet_new(p->set->availability_zone, p->set->gateway_beat,
                         (int64_t)(p->set->gateway_keep * MS_PER_S));
   pwfleet_believe(g.fleet);
+  g.tcp.held_up = on_held_up;
+  g.tcp.arg = &g;
   g.where = pwwhere_new();
   g.gossip = pwgossip_new(&g, err);
   g.link = g.gossip ? pwlink_new(&g, err) : NULL;
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -137,6 +137,7 @@
 
 /* --- heartbeats --- */
 
+/* Its newest heartbeat, or news of its state: what was excused before says nothing any more. */
 static void note_heard(pw_target *t, int64_t at) {
   t->heard_at = at;
   t->excused_ms = 0;
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -46,13 +46,12 @@
   int64_t claimed_at; /* when it named the address since then; 0: it has not */
   int is_silent;      /* it has missed its heartbeats */
   uint64_t seq;
-  int64_t heard_at; /* its newest heartbeat, ms */
-  int64_t
-      excused_ms;    /* of the time since, in which this process heard nobody */
-  int64_t joined_at; /* when it started, about, ms */
-  pw_cold cold;      /* what it bears after its start */
-  int is_evacuated;  /* its availability zone is: nothing new goes there */
-  int says_leaving;  /* it has said so in an answer, which this start does not
+  int64_t heard_at;    /* its newest heartbeat, ms */
+  int64_t excused_ms;  /* of the time since: this process heard nobody */
+  int64_t joined_at;   /* when it started, about, ms */
+  pw_cold cold;        /* what it bears after its start */
+  int is_evacuated;    /* its availability zone is: nothing new goes there */
+  int says_leaving;    /* it has said so in an answer, which this start does not
                      ** take back */
   pw_holdoff hold_off; /* it has asked to be left alone */
 
@@ -251,7 +250,8 @@
 ** alone; 0: there is another, or none at all. */
 int64_t pwfleet_held_off(pw_fleet *f, const char *service, int64_t now);
 
-/* This process could hear nobody for `ms`: that is no target's silence. */
+/* This process could hear nobody for `ms`: that is no target's silence. Called before anything that came
+** meanwhile is read. */
 void pwfleet_excuse(pw_fleet *f, int64_t ms);
 
 /* Whether it has shown no sign of life for so long that requests which wait for
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -62,7 +62,9 @@
   (void)ev;
   (void)events;
   pw_tcp_loop *l = w->data;
-  pwlag_turn(&l->lag, pwclock_ms());
+  int64_t lost_ms = pwlag_turn(&l->lag, pwclock_ms());
+  if (lost_ms > 0 && l->held_up)
+    l->held_up(l->arg, lost_ms);
 }
 
 void pwtcp_loop_init(pw_tcp_loop *l, struct ev_loop *ev) {
@@ -352,7 +354,7 @@
   return c->taken;
 }
 
-/* Bytes that wait, one at most; -1: nothing has come, or it is broken. */
+/* Bytes that wait, one at most; 0: its peer has closed; -1: nothing has come, or it is broken. */
 static ssize_t peek(const pw_tcp *c) {
   char one;
   return c->closed ? -1 : recv(c->fd, &one, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -38,6 +38,9 @@
   ev_prepare reap;
   ev_check turn; /* before all else of a turn */
   pw_lag lag;    /* some timer of the owner turns the loop within lag.turn_ms */
+  void (*held_up)(void *arg,
+                  int64_t lost_ms); /* before all else; may be NULL */
+  void *arg;
   pw_tcp *dead;
   pw_tcp *closing; /* those that wait for their peer to close ... */
   int nclosing;    /* ... each has its descriptor yet */
--- a/tests/test_lag.c
+++ b/tests/test_lag.c
@@ -185,6 +185,42 @@
   ask_in_two("POST / HTTP/1.1\r\nContent-Length: 4\r\n\r\nab", "cd");
 }
 
+typedef struct order {
+  int64_t lost_ms;
+  int was_read; /* something had been read by then */
+} order;
+
+static int has_read;
+
+static void read_first(pw_conn *c) {
+  has_read = 1;
+  answer(c);
+}
+
+static void on_held_up(void *arg, int64_t lost_ms) {
+  order *o = arg;
+  o->lost_ms = lost_ms;
+  o->was_read = has_read;
+}
+
+/* Who counts a standstill does so before anything is read: a target heard right after it would be taken to
+** be heard in the future, and not be missed for as long as the standstill was. */
+static void test_first_of_a_turn(void) {
+  bed b;
+  order o = {0};
+  set_up(&b, read_first);
+  b.tcp.held_up = on_held_up;
+  b.tcp.arg = &o;
+  turns(&b, 2 * TURN_MS);
+  has_read = 0;
+  o = (order){0};
+  say(&b, "GET / HTTP/1.1\r\n\r\n");
+  poll(NULL, 0, 4 * TURN_MS);
+  CHECK(is_well(&b));
+  CHECK(has_read && o.lost_ms > 0 && !o.was_read);
+  tear_down(&b);
+}
+
 /* A caller that is late itself is refused yet. */
 static void test_late_caller(void) {
   char text[400] = "";
@@ -254,6 +290,7 @@
   TEST(test_always_held_up);
   TEST(test_half_a_head);
   TEST(test_half_a_body);
+  TEST(test_first_of_a_turn);
   TEST(test_late_caller);
   TEST(test_takes_nothing);
   TEST(test_closes_in_order);
