--- a/tests/pwports.h
+++ b/tests/pwports.h
@@ -2,6 +2,8 @@
 #ifndef PWPORTS_H
 #define PWPORTS_H
 
+#include "pwtcp.h"
+
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -18,4 +20,13 @@
   return rc == 0 ? ntohs(at.sin_port) : -1;
 }
 
+/* Listens on a free port of loopback, which is put into `at`; the descriptor. */
+static inline int test_listen(struct sockaddr_in *at) {
+  socklen_t len = sizeof *at;
+  pwtcp_address("127.0.0.1:0", at);
+  int fd = pwtcp_listen(at);
+  getsockname(fd, (struct sockaddr *)at, &len);
+  return fd;
+}
+
 #endif
--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -7,6 +7,7 @@
 ** a log line each. "accept-failed errno=24 connections=79", 39, 20, 7, 2, 0, and then 541,461 such
 ** lines in 5 s showed it. */
 #include "pwconn.h"
+#include "pwports.h"
 #include "pwtest.h"
 
 #include <errno.h>
@@ -46,11 +47,7 @@
                         .max = max,
                         .arg = b,
                         .handle = answer};
-  pwtcp_address("127.0.0.1:0", &b->at);
-  int fd = pwtcp_listen(&b->at);
-  socklen_t len = sizeof b->at;
-  getsockname(fd, (struct sockaddr *)&b->at, &len);
-  pwconns_start(&b->conns, fd);
+  pwconns_start(&b->conns, test_listen(&b->at));
 }
 
 static void tear_down(bed *b) {
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -6,6 +6,7 @@
 #include "pwclock.h"
 #include "pwconn.h"
 #include "pwhold.h"
+#include "pwports.h"
 #include "pwtest.h"
 
 #include <errno.h>
@@ -123,11 +124,7 @@
                         .handle = handle,
                         .abandoned = abandoned};
   b->hold = pwhold_limits(0, BUDGET);
-  pwtcp_address("127.0.0.1:0", &b->at);
-  int fd = pwtcp_listen(&b->at);
-  socklen_t len = sizeof b->at;
-  getsockname(fd, (struct sockaddr *)&b->at, &len);
-  pwconns_start(&b->conns, fd);
+  pwconns_start(&b->conns, test_listen(&b->at));
 }
 
 static void tear_down(bed *b) {
--- a/tests/test_lag.c
+++ b/tests/test_lag.c
@@ -6,6 +6,7 @@
 #include "pwclock.h"
 #include "pwconn.h"
 #include "pwlag.h"
+#include "pwports.h"
 #include "pwtest.h"
 
 #include <errno.h>
@@ -117,7 +118,6 @@
 
 static void set_up(bed *b, void (*handle)(pw_conn *c)) {
   struct sockaddr_in at;
-  socklen_t len = sizeof at;
   *b = (bed){.ev = ev_loop_new(0)};
   pwtcp_loop_init(&b->tcp, b->ev);
   b->tcp.lag.turn_ms = TURN_MS;
@@ -126,10 +126,7 @@
                         .stall_whole_ms = LIMIT_MS,
                         .arg = b,
                         .handle = handle};
-  pwtcp_address("127.0.0.1:0", &at);
-  int listening = pwtcp_listen(&at);
-  getsockname(listening, (struct sockaddr *)&at, &len);
-  pwconns_start(&b->conns, listening);
+  pwconns_start(&b->conns, test_listen(&at));
   ev_timer_init(&b->sweep, on_sweep, SWEEP_S, SWEEP_S);
   b->sweep.data = b;
   ev_timer_start(b->ev, &b->sweep);
