Ledger: claims are found and dropped in one way; who is dark is asked before what is usual

Read again: the three tables of claims had three ways to drop one and two to find one, of the same lines. And whether a request is overdue looked its route up by name for each request under way, ten times a second, before it was asked whether its target is dark, which is a comparison.

--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -178,8 +178,8 @@
 /* A target that went dark says nothing: who may go on elsewhere does so while
 ** there is time, another waits for its time-out. */
 static void check_stall(pw_exchange *x, int64_t now) {
-  if (!x->u || !x->is_sent || x->is_paused || !is_overdue(x, now) ||
-      !pwfleet_is_dark(x->t, now) || !may_go_elsewhere(x, now) ||
+  if (!x->u || !x->is_sent || x->is_paused || !pwfleet_is_dark(x->t, now) ||
+      !is_overdue(x, now) || !may_go_elsewhere(x, now) ||
       !pwexi_may_repeat(x, now))
     return;
   pwfleet_unreached(x->t, now);
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -86,7 +86,7 @@
 void pwconns_close_idle(pw_conns *s);
 
 /* Ends callers that take nothing, and gives the bytes that are held for all of them. `at`: now, by
-** the machine's clock, here and below. */
+** pwclock_ms, here and below. */
 size_t pwconns_check(pw_conns *s, int64_t at);
 
 /* Closes connections that have rested or dawdled for too long. */
--- a/packages/store/pwonce.c
+++ b/packages/store/pwonce.c
@@ -51,32 +51,24 @@
   return c->kept->body.len + strlen(c->kept->content_type);
 }
 
-static void drop_open(pw_once *o, claim *c) {
-  HASH_DEL(o->open, c);
+static void drop(claim **table, claim *c) {
+  HASH_DEL(*table, c);
   pw__kept_claim__free_unpacked(c->kept, NULL);
   free(c);
 }
 
 static void drop_answered(pw_once *o, claim *c) {
   o->answer_bytes -= answer_size(c);
-  HASH_DEL(o->answered, c);
-  pw__kept_claim__free_unpacked(c->kept, NULL);
-  free(c);
-}
-
-static void drop_given_back(pw_once *o, claim *c) {
-  HASH_DEL(o->given_back, c);
-  pw__kept_claim__free_unpacked(c->kept, NULL);
-  free(c);
+  drop(&o->answered, c);
 }
 
 static void clear(pw_once *o) {
   claim *c, *tmp;
   HASH_ITER(hh, o->given_back, c, tmp) {
-    drop_given_back(o, c);
+    drop(&o->given_back, c);
   }
   HASH_ITER(hh, o->open, c, tmp) {
-    drop_open(o, c);
+    drop(&o->open, c);
   }
   HASH_ITER(hh, o->answered, c, tmp) {
     drop_answered(o, c);
@@ -110,27 +102,25 @@
   return h & BODY_BITS;
 }
 
-static claim *find(const pw_once *o, const uint8_t *id) {
+static claim *find_in(claim *table, const uint8_t *id) {
   claim *c;
-  HASH_FIND(hh, o->open, id, PWDEDUP_KEY, c);
-  if (!c)
-    HASH_FIND(hh, o->answered, id, PWDEDUP_KEY, c);
+  HASH_FIND(hh, table, id, PWDEDUP_KEY, c);
   return c;
 }
 
-static claim *find_given_back(const pw_once *o, const uint8_t *id) {
-  claim *c;
-  HASH_FIND(hh, o->given_back, id, PWDEDUP_KEY, c);
-  return c;
+/* One that is open or answered. */
+static claim *find(const pw_once *o, const uint8_t *id) {
+  claim *c = find_in(o->open, id);
+  return c ? c : find_in(o->answered, id);
 }
 
 static void add_given_back(pw_once *o, claim *c) {
-  claim *before = find_given_back(o, c->id);
+  claim *before = find_in(o->given_back, c->id);
   if (before)
-    drop_given_back(o, before);
+    drop(&o->given_back, before);
   HASH_ADD(hh, o->given_back, id, sizeof c->id, c);
   if (HASH_COUNT(o->given_back) > PW_ONCE_GIVEN_BACK)
-    drop_given_back(o, o->given_back);
+    drop(&o->given_back, o->given_back);
 }
 
 static void add(pw_once *o, Pw__KeptClaim *kept) {
@@ -204,7 +194,7 @@
   out->id = pw_dup(in->id);
   hash_id(in->workspace, in->key, id);
   const claim *c = find(o, id);
-  claim *back = find_given_back(o, id);
+  claim *back = find_in(o->given_back, id);
   if (c)
     tell_kept(c->kept, in, out);
   else if (back && !strcmp(back->kept->owner, in->id))
@@ -218,7 +208,7 @@
   else
     add(o, keep(wall, in));
   if (back && find(o, id))
-    drop_given_back(o, back);
+    drop(&o->given_back, back);
   return out;
 }
 
@@ -241,7 +231,7 @@
   if (c && (c->kept->answered || strcmp(c->kept->owner, in->id) != 0))
     return;
   if (c && in->not_run)
-    drop_open(o, c);
+    drop(&o->open, c);
   if (in->not_run)
     give_back(o, in);
   if (!c || in->not_run)
@@ -271,7 +261,7 @@
 static void expire_open(pw_once *o, uint64_t wall) {
   while (o->open && o->open->kept->wall + PW_ONCE_OPEN_MS < wall) {
     make_past(o, o->open);
-    drop_open(o, o->open);
+    drop(&o->open, o->open);
   }
 }
 
