Control: a log line for each read that is redirected to the leader

What callers saw: 38_reads fails with "reads answered by the instance that was asked: got 119, want 120" under pauses. A 307 left no line, so the logs of a failed run could not distinguish a leader that was silent, one without a lease, and an instance that had not yet applied what was confirmed.

Change: `read-redirected why= waited_ms= refusals= applied= leader=`, a line per decision.

Behaviour is unchanged.

--- a/packages/control/pwreads.c
+++ b/packages/control/pwreads.c
@@ -1,6 +1,7 @@
 /* pwreads.c: reads of the configuration, answered by any control instance. */
 #include "pwreads.h"
 
+#include "pwlog.h"
 #include "pwsitecall.h"
 
 #include <stdlib.h>
@@ -14,6 +15,7 @@
   pw_api_call *call;
   uint64_t number; /* number of the Confirm message that it waits for */
   uint64_t index;  /* log index that must be applied first; 0: not known yet */
+  int refusals;    /* Confirmed messages for it from a leader without a lease */
   int64_t since;
   struct waiter *next;
 } waiter;
@@ -54,17 +56,31 @@
   return pwgroup_send_to_leader(r->g, &e) == 0;
 }
 
+static void redirect(const pw_reads *r, pw_api_call *call, const char *why,
+                     int64_t waited_ms, int refusals) {
+  pwlog(LOG_NOTICE, "read-redirected",
+        "why=%s waited_ms=%lld refusals=%d applied=%llu leader=%s", why,
+        (long long)waited_ms, refusals,
+        (unsigned long long)pwgroup_applied(r->g), pwgroup_leader_http(r->g));
+  pwsitecall_redirect_to_leader(call, r->g);
+}
+
 void pwreads_add(pw_reads *r, pw_api_call *call, int64_t now) {
   if (pwgroup_lease(r->g, now)) {
     pwsitecall_answer_site(call, r->g);
     return;
   }
-  if (pwgroup_is_leader(r->g) || !ask_leader(r)) {
-    pwsitecall_redirect_to_leader(call, r->g);
+  if (pwgroup_is_leader(r->g)) {
+    redirect(r, call, "no-lease-here", 0, 0);
+    return;
+  }
+  if (!ask_leader(r)) {
+    redirect(r, call, "no-leader", 0, 0);
     return;
   }
   waiter *one = pw_alloc(sizeof *one);
-  *one = (waiter){call, r->last_number, 0, now, r->first};
+  *one = (waiter){
+      .call = call, .number = r->last_number, .since = now, .next = r->first};
   r->first = one;
 }
 
@@ -81,9 +97,21 @@
 /* Numbers rise with time: a Confirmed message counts for all reads that came
 ** before the Confirm message that it answers. */
 static void on_confirmed(pw_reads *r, const Pw__Confirmed *m) {
-  for (waiter *one = r->first; one && m->leads; one = one->next)
-    if (!one->index && one->number <= m->number)
+  for (waiter *one = r->first; one; one = one->next) {
+    if (one->index || one->number > m->number)
+      continue;
+    if (m->leads)
       one->index = m->index;
+    else
+      one->refusals++;
+  }
+}
+
+/* Why a read is not answered here. */
+static const char *reason(const waiter *one) {
+  if (one->index)
+    return "not-applied";
+  return one->refusals ? "leader-without-lease" : "leader-silent";
 }
 
 void pwreads_message(pw_reads *r, pw_sock *sock, const pw_peer *from,
@@ -106,7 +134,7 @@
     if (is_ready)
       pwsitecall_answer_site(one->call, r->g);
     else
-      pwsitecall_redirect_to_leader(one->call, r->g);
+      redirect(r, one->call, reason(one), now - one->since, one->refusals);
     free(one);
   }
 }
