Control: its own standstill is not charged to a read that waits

What callers saw: a read of the configuration gets 307 to the leader although the confirmation lies in the socket of the instance that was asked; 38_reads fails with "reads answered by the instance that was asked: got 119, want 120".

Cause: the limit of 300 ms for a confirmation counted the time in which the instance itself did not run, and was applied in the first turn after it, before what had come was read.

Ruled out by the lines: a lost confirmation, a leader without a lease (refusals=0), no known leader.

Change: stalls are taken off (pwreads_discount_stall), reads are redirected from check_silence only, so not while input of a stall is unread. Answers are given at each turn as before.

Why it holds: a read ends by silence only after the time in which this process could hear the leader, and after its socket was read.

--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -198,6 +198,7 @@
 static void check_silence(pw_control *c, int64_t now) {
   pwfeed_expire(c->feed, on_child_left, c, now);
   pwctl_expire(c, now);
+  pwreads_expire(c->reads, now);
   update_watchers(c, now);
   propose_plan(c, now);
 }
@@ -241,6 +242,7 @@
     return;
   pwwatch_discount_stall(c->watch, stalled_ms);
   pwfeed_discount_stall(c->feed, stalled_ms);
+  pwreads_discount_stall(c->reads, stalled_ms);
 }
 
 static pw_code loop(pw_control *c) {
@@ -258,7 +260,7 @@
     rc = pwgroup_work(c->group, now); /* reads see what is committed by now */
     if (rc != PW_OK)
       break;
-    pwreads_work(c->reads, now);
+    pwreads_answer(c->reads, now);
     pwleave_work(c->leave, pwgroup_is_member(c->group), now);
     on_mail(c, pwclock_ms());
     if (now - ticked >= TICK_MS) {
--- a/packages/control/pwreads.c
+++ b/packages/control/pwreads.c
@@ -122,19 +122,36 @@
     on_confirmed(r, e->confirmed);
 }
 
-void pwreads_work(pw_reads *r, int64_t now) {
+/* Ends the wait of *at: unlinks it, and answers or redirects its call. */
+static void finish(pw_reads *r, waiter **at, int is_ready, int64_t now) {
+  waiter *one = *at;
+  *at = one->next;
+  if (is_ready)
+    pwsitecall_answer_site(one->call, r->g);
+  else
+    redirect(r, one->call, reason(one), now - one->since, one->refusals);
+  free(one);
+}
+
+void pwreads_answer(pw_reads *r, int64_t now) {
   for (waiter **at = &r->first; *at;) {
-    waiter *one = *at;
-    int is_ready = one->index && pwgroup_applied(r->g) >= one->index;
-    if (!is_ready && now - one->since < CONFIRM_MS) {
-      at = &one->next;
-      continue;
-    }
-    *at = one->next;
-    if (is_ready)
-      pwsitecall_answer_site(one->call, r->g);
+    if ((*at)->index && pwgroup_applied(r->g) >= (*at)->index)
+      finish(r, at, 1, now);
     else
-      redirect(r, one->call, reason(one), now - one->since, one->refusals);
-    free(one);
+      at = &(*at)->next;
   }
 }
+
+void pwreads_expire(pw_reads *r, int64_t now) {
+  for (waiter **at = &r->first; *at;) {
+    if (now - (*at)->since >= CONFIRM_MS)
+      finish(r, at, 0, now);
+    else
+      at = &(*at)->next;
+  }
+}
+
+void pwreads_discount_stall(pw_reads *r, int64_t ms) {
+  for (waiter *one = r->first; one; one = one->next)
+    one->since += ms;
+}
--- a/packages/control/pwreads.h
+++ b/packages/control/pwreads.h
@@ -26,8 +26,15 @@
 void pwreads_message(pw_reads *r, pw_sock *sock, const pw_peer *from,
                      const Pw__Envelope *e, int64_t now);
 
-/* Answers the reads that are confirmed, and redirects those that waited too
-** long to the leader. */
-void pwreads_work(pw_reads *r, int64_t now);
+/* Answers the reads that are confirmed and applied. */
+void pwreads_answer(pw_reads *r, int64_t now);
+
+/* Redirects the reads that waited too long to the leader. To be called after
+** pwreads_answer, and not while input that arrived in a stall is unread: the
+** confirmation may be there. */
+void pwreads_expire(pw_reads *r, int64_t now);
+
+/* This process was stalled for `ms`: that is no silence of the leader. */
+void pwreads_discount_stall(pw_reads *r, int64_t ms);
 
 #endif
--- /dev/null
+++ b/tests/scenarios/65_read_stands_still.lua
@@ -0,0 +1,44 @@
+-- Guards against a control instance that was suspended while it waited for the confirmation of a read, takes its
+-- own stall for silence of the leader and sends the caller away, though the confirmation is in its socket.
+local fleet = require("fleet")
+local gateways = require("gateways")
+local CONFIRM_MS = 300 -- limit of a control instance for a confirmation
+local ROUNDS = 6
+local g = gateways.new{control = 3, gateways = 1, engines = 0, portals = 1}
+g:start()
+
+local function leader()
+  return fleet.eventually("a leader", function()
+    for _, c in ipairs(g.control) do
+      local r = run.http{url = "http://" .. c.health, method = "PUT", path = "/config", body = "{}", timeout = 3}
+      if r.status ~= 307 and r.status < 500 then return c end
+    end
+  end)
+end
+local function follower(of)
+  for _, c in ipairs(g.control) do
+    if c ~= of then return c end
+  end
+end
+
+-- The leader is suspended until the read has come, so that its confirmation arrives while the instance that was
+-- asked is suspended: for a little less than the limit, a little more, and ten times as long.
+for _, times in ipairs{0.8, 1.3, 10} do
+  for round = 1, ROUNDS do
+    local version = g:publish(g:config())
+    local first = leader()
+    local asked = follower(first)
+    first:pause()
+    local read = run.http_start{url = "http://" .. asked.health, method = "GET", path = "/config", timeout = 10}
+    run.pause(30)
+    asked:pause()
+    first:continue()
+    run.pause(math.floor(times * CONFIRM_MS))
+    asked:continue()
+    local r = run.http_wait(read)
+    local what = string.format("suspended for %g times the limit, round %d: ", times, round)
+    fleet.equal(what .. "status", r.status, 200)
+    fleet.equal(what .. "version", run.json(r.body).version, version)
+  end
+end
+g:stop()
