Control: its own standstill is not charged to a leaving that waits

What callers saw: a target's leaving is acknowledged although no other control instance is known to have it: `leave-alone answered=1`, while the confirmations lie in the socket of the instance that stood still. Ended right then, it would take with it what it acknowledged, and callers would be sent to a target that is gone.

Change: pwleave_answer in each turn, pwleave_expire from check_silence only, pwleave_discount_stall.

Why it holds: the limit is applied to time in which this process could hear the others, after it has read what they sent.

--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -190,7 +190,7 @@
   pwwatch_group(c->watch, members, n, is_member, now);
   pwwatch_tick(c->watch, pwgroup_has_contact(c->group, now),
                pwgroup_is_leader(c->group), now);
-  pwleave_work(c->leave, is_member, now);
+  pwleave_expire(c->leave, is_member, now);
   atomic_store(&c->is_connected, pwwatch_is_connected(c->watch, now));
 }
 
@@ -244,6 +244,7 @@
   pwwatch_discount_stall(c->watch, stalled_ms);
   pwfeed_discount_stall(c->feed, stalled_ms);
   pwreads_discount_stall(c->reads, stalled_ms);
+  pwleave_discount_stall(c->leave, stalled_ms);
 }
 
 static pw_code loop(pw_control *c) {
@@ -262,7 +263,7 @@
     if (rc != PW_OK)
       break;
     pwreads_answer(c->reads, now);
-    pwleave_work(c->leave, pwgroup_is_member(c->group), now);
+    pwleave_answer(c->leave);
     on_mail(c, pwclock_ms());
     if (now - ticked >= TICK_MS) {
       ticked = now;
--- a/packages/control/pwleave.c
+++ b/packages/control/pwleave.c
@@ -69,20 +69,34 @@
     pwapi_fail(call, PW_E_ISOLATED, "", "unknown", NULL);
 }
 
-void pwleave_work(pw_leave *l, int is_member, int64_t now) {
+void pwleave_answer(pw_leave *l) {
   uint64_t confirmed = pwwatch_replicated_seq(l->watch);
   for (waiter **at = &l->first; *at;) {
     waiter *one = *at;
-    int is_confirmed = confirmed >= one->seq;
-    if (!is_confirmed && now - one->since < CONFIRM_MS) {
+    if (confirmed < one->seq) {
       at = &one->next;
       continue;
     }
     *at = one->next;
-    if (is_confirmed)
-      acknowledge(one->call);
-    else
-      give_up(l, one->call, is_member);
+    acknowledge(one->call);
     free(one);
   }
 }
+
+void pwleave_expire(pw_leave *l, int is_member, int64_t now) {
+  for (waiter **at = &l->first; *at;) {
+    waiter *one = *at;
+    if (now - one->since < CONFIRM_MS) {
+      at = &one->next;
+      continue;
+    }
+    *at = one->next;
+    give_up(l, one->call, is_member);
+    free(one);
+  }
+}
+
+void pwleave_discount_stall(pw_leave *l, int64_t ms) {
+  for (waiter *one = l->first; one; one = one->next)
+    one->since += ms;
+}
--- a/packages/control/pwleave.h
+++ b/packages/control/pwleave.h
@@ -22,8 +22,15 @@
 ** updates up to `seq`; 0: at once. */
 void pwleave_add(pw_leave *l, pw_api_call *call, uint64_t seq, int64_t now);
 
-/* Answers the calls that were confirmed or waited too long; `is_member`:
-** this instance is a member of the group. */
-void pwleave_work(pw_leave *l, int is_member, int64_t now);
+/* Answers the calls that were confirmed. */
+void pwleave_answer(pw_leave *l);
+
+/* Answers the calls that waited too long; `is_member`: this instance is a
+** member of the group. To be called after pwleave_answer, and not while input
+** that arrived in a stall is unread: the confirmation may be there. */
+void pwleave_expire(pw_leave *l, int is_member, int64_t now);
+
+/* This process was stalled for `ms`: that is no silence of the others. */
+void pwleave_discount_stall(pw_leave *l, int64_t ms);
 
 #endif
