Runner: a late start is drawn among processes that exist

One of 24 processes was drawn to start late; 32_pipelined has five, so four in five of such runs disturbed nothing: a check that could not fail. Other kinds of disturbances are as before.

--- a/tests/runner/disturb.c
+++ b/tests/runner/disturb.c
@@ -15,6 +15,8 @@
 #define GAP_MOST_MS 300 /* longest gap between the pauses of a series */
 #define SERIES_MOST 5
 #define PROCESSES 24 /* one of these is drawn; few scenarios have more */
+/* A late start is drawn among the first of them: scenarios have at least as many, so that one starts late. */
+#define LATE_PROCESSES 4
 
 typedef enum kind {
   PAUSE_ONE,
@@ -78,10 +80,14 @@
   return NULL;
 }
 
+static int late_process(void) {
+  return drawn.pick % LATE_PROCESSES;
+}
+
 static void *resume_late(void *arg) {
   (void)arg;
   sleep_ms(drawn.pause_ms);
-  runner_resume(drawn.pick);
+  runner_resume(late_process());
   return NULL;
 }
 
@@ -147,7 +153,7 @@
 }
 
 void runner_spawned(int i) {
-  if (!is_on || drawn.kind != START_LATE || i != drawn.pick)
+  if (!is_on || drawn.kind != START_LATE || i != late_process())
     return;
   runner_suspend(i);
   start_thread(resume_late);
