Scenarios: one list of the other control instances

65_read_stands_still and 66_read_leader_stands_still had each its own loop for it; gateways:followers serves both. Checks are unchanged. Found in reading the change again.

--- a/tests/scenarios/65_read_stands_still.lua
+++ b/tests/scenarios/65_read_stands_still.lua
@@ -7,19 +7,13 @@
 local g = gateways.new{control = 3, gateways = 1, engines = 0, portals = 1}
 g:start()
 
-local function follower(of)
-  for _, c in ipairs(g.control) do
-    if c ~= of then return c end
-  end
-end
-
 -- The leader is suspended until the read has come, so that its confirmation arrives while the instance that was
 -- asked is suspended: for a little less than the limit, a little more, and ten times as long.
 for _, times in ipairs{0.8, 1.3, 10} do
   for round = 1, ROUNDS do
     local version = g:publish(g:config())
     local first = g:leader()
-    local asked = follower(first)
+    local asked = g:followers(first)[1]
     first:pause()
     local read = gateways.start_read(asked)
     run.pause(30)
--- a/tests/scenarios/66_read_leader_stands_still.lua
+++ b/tests/scenarios/66_read_leader_stands_still.lua
@@ -6,20 +6,12 @@
 local g = gateways.new{control = 3, gateways = 1, engines = 0, portals = 1}
 g:start()
 
-local function others(first)
-  local list = {}
-  for _, c in ipairs(g.control) do
-    if c ~= first then list[#list + 1] = c end
-  end
-  return list
-end
-
 for round = 1, ROUNDS do
   local version = g:publish(g:config())
   local first = g:leader()
   first:pause()
   local reads = {}
-  for i, c in ipairs(others(first)) do reads[i] = gateways.start_read(c) end
+  for i, c in ipairs(g:followers(first)) do reads[i] = gateways.start_read(c) end
   run.pause(400)
   first:continue()
   for i, h in ipairs(reads) do
@@ -34,7 +26,7 @@
 local first = g:leader()
 first:pause()
 fleet.eventually("each of the others returns the configuration", function()
-  for _, c in ipairs(others(first)) do
+  for _, c in ipairs(g:followers(first)) do
     local r = run.http_wait(gateways.start_read(c))
     fleet.expect(c.name .. " redirects to the suspended leader", not (r.Location or ""):find(first.health, 1, true))
     if r.status ~= 200 or run.json(r.body).version ~= version then return false end
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -149,6 +149,15 @@
   end)
 end
 
+-- The other control instances, in order.
+function gateways:followers(leader)
+  local list = {}
+  for _, c in ipairs(self.control) do
+    if c ~= leader then list[#list + 1] = c end
+  end
+  return list
+end
+
 -- Starts a read of the configuration at a control instance, for run.http_wait; redirects are not followed.
 function gateways.start_read(c)
   return run.http_start{url = "http://" .. c.health, method = "GET", path = "/config", timeout = 10}
