Gateways choose engines by prefill: time to the first chunk, holders of a prefix, one prefill at a time

What callers saw: with 14 of 64 slots in use, answers are late because long prompts wait for each other's prefill. After half of 56 engines crashed at twice the load, each of the others had 30 to 40 requests that waited for prefill, 8.2 million tokens of shared prefixes were computed again, and the fleet was not back while the load held.

Cause, from lines of first chunks in trials: gateways know slots and loads, not prefill. Two requests with one prefix that reach an engine during the prefill of the first both compute it in full (17 of 17 pairs looked at), copies of a prefix queue behind each other on the links of one engine, a target counted as holding a prefix before it had computed it, and whatever was late went on to the next target in the key's order, which evicted what that one had cached.

Change: - pwprefill: the speed of prefill is learned from first chunks; the expected time to a first chunk from the backlog of prefill and copies at each target, the gateway's own exactly, the others' by rows beside the loads (prefill_hash, copies_hash). A request that would be late everywhere is refused at once; the limit is a part of the shortest goal that falls while more than one answer in 20 is late. - pwpick_soonest: the prompt's home while answers are in time, then other holders, then the next in the key's order, each if soon enough by the mean. gateway.place = "home" is the earlier way, by slots only. - pwaffinity: up to four targets for each part, four ways; a target holds a prefix from its first chunk on. - pwexprefix: a request waits for a prefix that is in prefill, at most for half of the shortest goal. - pwprefixsync: what is known of prefixes is announced again to a gateway that has started; until then it takes a prompt's home as its holder.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -123,6 +123,10 @@
     "requests that wait for a first configuration")                            \
   X(PWC_GW_FULL, "gateway_full_total", "counter",                              \
     "requests refused because all places were taken")                          \
+  X(PWC_GW_PREFILL_FULL, "gateway_prefill_full_total", "counter",              \
+    "requests refused because the first chunk would be late everywhere")       \
+  X(PWC_GW_PREFIX_WAITS, "gateway_prefix_waits_total", "counter",              \
+    "requests that waited for the prefill of a prefix in progress")            \
   X(PWC_GW_CLIENTS, "gateway_clients", "gauge", "callers' connections open")   \
   X(PWC_GW_BUFFERED, "gateway_held_bytes", "gauge",                            \
     "held for callers and targets that have not taken it")                     \
--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -157,8 +157,10 @@
         "have not taken yet"),
     INT("gateway", "await_ms", gateway_await, 0, 60000, 1500, "ms",
         "a request that comes before a configuration waits so long at most"),
-    STR("gateway", "place", gateway_place, "home", "home|load|turn|hash", NULL,
-        "how a target is picked; all but home are naive, to measure against"),
+    STR("gateway", "place", gateway_place, "prefill",
+        "prefill|home|load|turn|hash", NULL,
+        "how a target is picked; all but prefill are baselines to measure "
+        "against"),
     INT("gateway", "log_bytes_per_s", gateway_log_bytes, 0, 10000000, 16384,
         "bytes/s", "budget of its log lines"),
     STR("control", "http", control_http, NULL, NULL, "control",
--- a/packages/gateway/pwevents.c
+++ b/packages/gateway/pwevents.c
@@ -25,17 +25,28 @@
   pwstage_observe(x->g->stages, x->route->name, stage, ms);
 }
 
+/* Counts a stream as late, once, when a chunk comes after the time that the route allows. */
+static void note_lateness(pw_exchange *x, int64_t ms, int64_t allowed_ms) {
+  if (allowed_ms <= 0 || ms <= allowed_ms || x->is_late)
+    return;
+  x->is_late = 1;
+  pwprefill_answered(&x->service_state->prefill, 1);
+}
+
 void pwexi_begin_answer(pw_exchange *x) {
   x->has_begun = 1;
   x->first_forwarded_at = x->forwarded_at = pwclock_ms();
   x->nchunks = 0;
   pwexi_observe(x, PWSTAGE_FIRST, x->forwarded_at - x->arrived);
+  pwexi_note_first_chunk(x, x->forwarded_at);
+  note_lateness(x, x->forwarded_at - x->arrived, x->route->goal_ms);
   pwconn_begin(x->caller, x->status, x->headers.data ? x->headers.data : "");
   pwbuf_free(&x->headers);
 }
 
 static void note_pause(pw_exchange *x) {
   int64_t now = pwclock_ms();
+  note_lateness(x, now - x->forwarded_at, x->route->pause_ms);
   if (now - x->forwarded_at > x->longest_pause)
     x->longest_pause = now - x->forwarded_at;
   x->forwarded_at = now;
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -33,6 +33,7 @@
 void pwexi_release(pw_exchange *x) {
   if (!x->t)
     return;
+  pwexi_end_prefill(x);
   x->t->inflight--;
   pwfleet_release(x->t);
   x->t = NULL;
@@ -52,6 +53,7 @@
 static void free_exchange(pw_exchange *x) {
   pw_gate *g = x->g;
   leave_waiting_list(x);
+  pwexi_leave_prefix_queue(x);
   if (x->u) {
     pw_upconn *u = x->u;
     x->u = NULL;
@@ -180,6 +182,10 @@
     refuse_unready(x);
     return 1;
   }
+  if (x->awaits_prefix) {
+    pwexi_end_prefix_wait(x);
+    return 1;
+  }
   if (x->t && pwfleet_is_unresponsive(x->t, now)) {
     pwfleet_failed(x->t, now);
     if (x->is_sent)
@@ -202,7 +208,7 @@
   time_out(w->data, pwclock_ms());
 }
 
-static void set_timer(pw_exchange *x, int64_t ms) {
+void pwexi_set_timer(pw_exchange *x, int64_t ms) {
   x->timer_at = pwclock_ms() + ms;
   pwtcp_timer(&x->g->tcp, &x->timer, ms);
 }
@@ -288,7 +294,7 @@
   x->urgency = urgency_of(x);
   x->is_deprioritized = is_repeat(x);
   pwretries_request(&x->service_state->retries, x->arrived);
-  set_timer(x, pwexi_time_left(x));
+  pwexi_set_timer(x, pwexi_time_left(x));
   pwexi_dispatch(x);
 }
 
@@ -311,7 +317,7 @@
   DL_APPEND(g->awaiting, x);
   g->nawaiting++;
   g->awaiting_bytes += bytes;
-  set_timer(x, wait_ms);
+  pwexi_set_timer(x, wait_ms);
 }
 
 void pwexchange_start_waiting(pw_gate *g) {
@@ -394,6 +400,8 @@
   pwexi_note_answered(x, now);
   pwexi_record_good(x, now);
   pwfleet_answered(x->t, 0, pwclock_ms());
+  if (!x->is_late)
+    pwprefill_answered(&x->service_state->prefill, 0);
   if (x->buffered.len) { /* bytes after the last complete event */
     pwexi_forward(x, x->buffered.data, x->buffered.len);
     x->buffered.len = 0;
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -35,7 +35,9 @@
   /* The request waits for a configuration; route, service and the fields that depend
   ** on them are not set yet. */
   int is_awaiting;
-  pw_exchange *prev, *next; /* in the list of waiting requests */
+  int awaits_prefix; /* another request's prefill of its prefix is in progress */
+  int has_awaited_prefix;   /* it does so at most once */
+  pw_exchange *prev, *next; /* in the list of requests that wait for either */
 
   pw_fleet_side side;   /* the version of the service to which it may be sent */
   int urgency;          /* 0 is the most urgent */
@@ -48,13 +50,16 @@
   /* Another target that has the prompt cached, or NULL. No reference is held. */
   pw_target *holder;
   pw_upconn *u;
-  int is_sent; /* bytes of the request have been sent to t */
+  pw_prefill_work work; /* of t before the first chunk; {0} from then on */
+  pw_target *source;    /* the target from which t copies a prefix, or NULL */
+  int is_sent;          /* bytes of the request have been sent to t */
   int64_t sent_at;
   int64_t sent_stalled_ms;    /* the event loop's total stall time at sent_at */
   int64_t first_forwarded_at; /* time of the first chunk of the answer */
   int nchunks;                /* chunks of the answer that were forwarded */
   int64_t forwarded_at;       /* time of the last chunk */
   int64_t longest_pause;
+  int is_late; /* its first chunk or a later one came after the route's goal */
 
   /* past attempts */
   pw_target *tried[PWEX_TRIED_MAX];
@@ -110,6 +115,37 @@
 ** whether the exchange was ended. */
 int pwexi_end_late(pw_exchange *x, int64_t now);
 
+/* Sets the timer of the exchange to expire after `ms`. */
+void pwexi_set_timer(pw_exchange *x, int64_t ms);
+
+/* --- pwexprefix.c --- */
+
+/* Describes the prompt of the request, and by when its first chunk is to come. */
+pw_fleet_prompt pwexi_prompt(const pw_exchange *x, int is_new, int64_t now);
+
+/* Id of the deepest part that the prompt shares with others; 0: none. */
+uint64_t pwexi_prompt_key(const pw_request_info *info);
+
+/* Queues the request if a target is computing the prefix that it shares with an earlier one. Returns whether
+** it waits. */
+int pwexi_await_prefix(pw_exchange *x, int64_t now);
+
+/* Removes the request from the queue; nothing if it is not there. */
+void pwexi_leave_prefix_queue(pw_exchange *x);
+
+/* Ends the wait for a prefix and dispatches the request. */
+void pwexi_end_prefix_wait(pw_exchange *x);
+
+/* Counts what its target has to do before the first chunk, and announces the prefix that it computes. */
+void pwexi_begin_prefill(pw_exchange *x, const pw_fleet_picked *picked,
+                         int64_t now);
+
+/* The request counts no more among what its target has to do before a first chunk. */
+void pwexi_end_prefill(pw_exchange *x);
+
+/* Learns from the first chunk of an answer, at `now`: the speed of prefill, and what the target has cached. */
+void pwexi_note_first_chunk(pw_exchange *x, int64_t now);
+
 /* --- pwexsend.c --- */
 
 /* Picks a target and sends the request there, or ends it. */
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -8,8 +8,6 @@
 #define IDLE_ONCE_MS 800
 #define IDLE_SAFE_MS 60000
 
-#define MS_PER_S 1000
-
 /* Connections to one target that a gateway may always have, however many gateways there are. */
 #define CONNECTIONS_LEAST 2
 
@@ -56,40 +54,6 @@
   return x->u ? 0 : -1;
 }
 
-/* Number of leading parts that a prompt may share with others; its last part is its own. */
-static int shared_part_count(const pw_request_info *info) {
-  return info->nparts > 1 ? info->nparts - 1 : info->nparts;
-}
-
-static uint64_t prompt_key(const pw_request_info *info) {
-  int n = shared_part_count(info);
-  return n ? info->part[n - 1].id : 0;
-}
-
-/* Short hash of the target that has the longest known shorter prefix of the prompt cached; 0: none
-** is known. */
-static uint32_t find_prefix(const pw_gate *g, const pw_request_info *info,
-                            int64_t now, int64_t keep_ms) {
-  for (int i = shared_part_count(info) - 2; i >= 0; i--) {
-    uint32_t at = pwaffinity_find(g->affinity, info->part[i].id, now, keep_ms);
-    if (at)
-      return at;
-  }
-  return 0;
-}
-
-/* Records that the target has all prefixes of the prompt cached. Only prefixes that had no known target
-** are announced to other gateways, since one target is enough for a prefix. */
-static void note_prefixes(pw_gate *g, const pw_request_info *info,
-                          uint32_t target, int64_t now, int64_t keep_ms) {
-  for (int i = shared_part_count(info) - 2; i >= 0; i--) {
-    uint64_t key = info->part[i].id;
-    if (!pwaffinity_find(g->affinity, key, now, keep_ms))
-      pwgossip_prompt_moved(g->gossip, key, target);
-    pwaffinity_note(g->affinity, key, target, now);
-  }
-}
-
 /* Whether no target was tried yet, so that the request can still be refused outright. */
 static int is_new(const pw_exchange *x) {
   return !x->has_begun && !x->may_have_run && x->ntried == 0;
@@ -114,6 +78,7 @@
 /* This gateway's quota of the slots of a service. */
 typedef struct quota {
   double slots;     /* slots open to requests of this urgency */
+  int is_used;      /* a request was refused because they are taken */
   pw_fleet_sum sum; /* over all targets */
 } quota;
 
@@ -165,14 +130,28 @@
                              now);
 }
 
-/* Load bound of one target. It is higher where few requests reach a target between two load reports of the
-** other gateways. */
-static pw_pick_bound bound_of(const pw_exchange *x, const quota *p) {
-  double times = x->g->p->set->gateway_load_times;
+/* Requests that a target may have above its multiple of the mean while answers are late: prompts that wait for
+** prefill fill some targets faster than reports tell. */
+#define EXTRA_LATE 2.0
+
+/* Requests that a target may have above its multiple of the mean. More are allowed where few requests reach a target
+** between two load reports of the other gateways. Requests that waited for the same prefix are sent at the same
+** moment by all gateways, so none of these sees the others' in the reports. */
+static double extra_of(const pw_exchange *x, const quota *p) {
   double rate_per_target =
       p->sum.targets > 0 ? x->service_state->others_rate / p->sum.targets : 0;
-  return (pw_pick_bound){PW_GW_BOUND_SHARE * times,
-                         pwpick_extra(rate_per_target, p->sum.others_age_ms),
+  double extra = pwpick_extra(rate_per_target, p->sum.others_age_ms);
+  if (x->has_awaited_prefix)
+    return 0;
+  if (x->service_state->prefill.goal_part < 1 && extra > EXTRA_LATE)
+    return EXTRA_LATE;
+  return extra;
+}
+
+/* Load bound of one target. */
+static pw_pick_bound bound_of(const pw_exchange *x, const quota *p) {
+  double times = x->g->p->set->gateway_load_times;
+  return (pw_pick_bound){PW_GW_BOUND_SHARE * times, extra_of(x, p),
                          PW_GW_BOUND_ALL_SHARE * times, PW_GW_BOUND_ALL_EXTRA};
 }
 
@@ -181,8 +160,7 @@
   pw_gate *g = x->g;
   int64_t now = pwclock_ms();
   int is_sticky = x->route->is_sticky && x->request_info.nparts > 0;
-  uint64_t key = prompt_key(&x->request_info);
-  int64_t keep_ms = (int64_t)(g->p->set->gateway_keep * MS_PER_S);
+  uint64_t key = pwexi_prompt_key(&x->request_info);
   pw_fleet_criteria criteria = {
       .service = x->service->name,
       .side = x->side,
@@ -190,10 +168,6 @@
       .is_sticky = is_sticky,
       .key = key,
       .home_only = is_new(x) && x->service->is_engine,
-      .last_target =
-          is_sticky ? pwaffinity_find(g->affinity, key, now, keep_ms) : 0,
-      .prefix_target =
-          is_sticky ? find_prefix(g, &x->request_info, now, keep_ms) : 0,
       .wait_ms = max_target_wait_ms(x),
       .draw = pwgate_random(g),
       .bound = bound_of(x, p),
@@ -203,20 +177,28 @@
       .save_retries = avoids_rejections(x, now),
       .tried = x->tried,
       .ntried = x->ntried};
+  if (is_sticky)
+    criteria.prompt = pwexi_prompt(x, is_new(x), now);
   pw_fleet_picked picked = pwfleet_pick(g->fleet, &criteria, now);
   x->t = picked.target;
   x->holder = picked.holder;
   if (!picked.target)
     return 0;
-  if (is_sticky) {
-    pwaffinity_note(g->affinity, key, picked.target->short_hash, now);
-    note_prefixes(g, &x->request_info, picked.target->short_hash, now, keep_ms);
-    if (!picked.is_home)
-      pwgossip_prompt_moved(g->gossip, key, picked.target->short_hash);
-  }
+  if (is_sticky)
+    pwexi_begin_prefill(x, &picked, now);
   return 1;
 }
 
+/* Refuses a request because what it needs is used up. */
+static void refuse_busy(pw_exchange *x, const char *why) {
+  /* Closes the connection so that the caller's retry may reach another gateway, unless the close would lose
+  ** requests that the caller has pipelined behind this one. */
+  x->caller->close_next = !pwconn_has_more(x->caller);
+  pwexi_refuse(x, PW_E_BUSY, why,
+               pwshed_retry_ms(pwexi_time_left(x), x->retry_known_ms,
+                               pwgate_random(x->g)));
+}
+
 /* Refuses a request because the quota of this gateway or the load bound of all targets is used up. */
 static void refuse_full(pw_exchange *x, const quota *p) {
   char why[160];
@@ -228,12 +210,20 @@
       100 * pwshed_admitted_share(&x->service_state->shed), p->sum.inflight,
       p->slots, p->sum.inflight + p->sum.others, p->sum.slots);
   pwcount_add(x->g->p->counters, PWC_GW_FULL, 1);
-  /* Closes the connection so that the caller's retry may reach another gateway, unless the close would lose
-  ** requests that the caller has pipelined behind this one. */
-  x->caller->close_next = !pwconn_has_more(x->caller);
-  pwexi_refuse(x, PW_E_BUSY, why,
-               pwshed_retry_ms(pwexi_time_left(x), x->retry_known_ms,
-                               pwgate_random(x->g)));
+  refuse_busy(x, why);
+}
+
+/* Refuses a prompt because no target within its load bound would send the first chunk in time. */
+static void refuse_prefill(pw_exchange *x) {
+  const pw_prefill *p = &x->service_state->prefill;
+  char why[160];
+  snprintf(why, sizeof why,
+           "no target would send the first chunk within %.0f ms: %.3f ms of "
+           "prefill per token",
+           p->goal_part * (double)x->service->shortest_goal_ms,
+           p->ms_per_token);
+  pwcount_add(x->g->p->counters, PWC_GW_PREFILL_FULL, 1);
+  refuse_busy(x, why);
 }
 
 /* Refuses a request because no target is usable. If all have asked for a hold-off, the caller may retry
@@ -252,11 +242,12 @@
   const pw_target *t = x->t;
   if (x->ntried == 1)
     pwexi_observe(x, PWSTAGE_QUEUE, x->sent_at - x->arrived);
-  pwexi_log(x, PWTRACE_ROUTINE, "placed",
-            "target=%s load=%d+%d n=%d key=%llx fetch=%s", t->id, t->inflight,
-            t->others, x->ntried,
-            (unsigned long long)prompt_key(&x->request_info),
-            x->holder ? x->holder->id : "-");
+  pwexi_log(
+      x, PWTRACE_ROUTINE, "placed",
+      "target=%s load=%d+%d n=%d key=%llx fetch=%s prefill=%.0f ahead=%.0f",
+      t->id, t->inflight, t->others, x->ntried,
+      (unsigned long long)pwexi_prompt_key(&x->request_info),
+      x->holder ? x->holder->id : "-", x->work.own, x->work.ahead);
   x->holder = NULL; /* no reference was taken */
 }
 
@@ -289,7 +280,8 @@
 static int try_side(pw_exchange *x, quota *p, int is_first_attempt,
                     int64_t now) {
   *p = quota_of(x, now);
-  return !(is_first_attempt && must_refuse(x, p)) && dispatch_now(x, p);
+  p->is_used = is_first_attempt && must_refuse(x, p);
+  return !p->is_used && dispatch_now(x, p);
 }
 
 void pwexi_dispatch(pw_exchange *x) {
@@ -297,6 +289,8 @@
   int is_first_attempt = is_new(x);
   if (pwexi_end_quarantined(x, now))
     return;
+  if (is_first_attempt && pwexi_await_prefix(x, now))
+    return;
   if (is_first_attempt)
     pwshare_note(&x->service_state->share, now);
   quota p;
@@ -317,6 +311,8 @@
         "no other target is available after an attempt that may have run", 0);
   else if (pwfleet_usable(x->g->fleet, x->service->name, now) == 0)
     refuse_no_target(x, now);
+  else if (x->service->is_engine && x->route->is_sticky && !p.is_used)
+    refuse_prefill(x);
   else
     refuse_full(x, &p);
 }
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -36,6 +36,7 @@
   pw_shed shed;       /* admission by urgency class */
   pw_share share;     /* request rate at this gateway */
   double others_rate; /* request rate at all other gateways, per second */
+  pw_prefill prefill; /* of its engines */
   pw_spike *spike;    /* load spikes of workspaces */
   struct pw_gate_service *next;
 } pw_gate_service;
@@ -56,7 +57,7 @@
   const pw_dialect *dialect;
   pw_site *site; /* configuration in force; NULL: none received yet */
   pw_fleet *fleet;
-  /* The target that has a prompt cached, by the id of the last part that the prompt shares. */
+  /* The targets that have a shared part of a prompt cached, by its id. */
   pw_affinity *affinity;
   pw_link *link;
   pw_gossip *gossip;
@@ -75,6 +76,8 @@
   /* Requests that wait for a configuration, oldest first. */
   pw_exchange *awaiting;
   int nawaiting;
+  /* Requests that wait for another request's prefill of the prefix that they share, oldest first. */
+  pw_exchange *prefix_waiters;
   size_t awaiting_bytes; /* body bytes of the waiting requests */
   uint64_t random;
   int64_t started_at;
@@ -161,6 +164,14 @@
 ** nothing over it since. */
 void pwexchange_failed(pw_exchange *x, pw_tcp_end how, int unused);
 
+/* --- pwexprefix.c --- */
+
+/* Time for which a target is expected to have a prefix cached, ms. */
+int64_t pwexchange_prefix_keep_ms(const pw_gate *g);
+
+/* A target has finished prefill of the prefix with this key: dispatches the requests that waited for it. */
+void pwexchange_prefix_cached(pw_gate *g, uint64_t key);
+
 /* --- pwinflight.c --- */
 
 /* Answers with a JSON list of the requests in flight, the oldest first. */
@@ -216,8 +227,8 @@
 /* Sets the addresses of all gateways, "IP:PORT" each, as received from control. */
 void pwgossip_set_peers(pw_gossip *s, char **address, size_t n);
 
-/* Queues an announcement that a prompt was sent to a target other than its home. */
-void pwgossip_prompt_moved(pw_gossip *s, uint64_t key, uint32_t target);
+/* Queues an announcement that a target has the prefix of this key cached, or computes it. */
+void pwgossip_announce_prefix(pw_gossip *s, uint64_t key, uint32_t target);
 
 /* Sends this gateway's loads to the others and sums up the loads received. */
 void pwgossip_tick(pw_gossip *s, int64_t now);
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -274,7 +274,9 @@
     return PWPICK_BY_LOAD;
   if (!strcmp(name, "turn"))
     return PWPICK_BY_ROUND_ROBIN;
-  return !strcmp(name, "hash") ? PWPICK_BY_HASH : PWPICK_BY_HOME;
+  if (!strcmp(name, "home"))
+    return PWPICK_BY_HOME;
+  return !strcmp(name, "hash") ? PWPICK_BY_HASH : PWPICK_BY_PREFILL;
 }
 
 static void end_targets(pw_gate *g) {
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -6,6 +6,7 @@
 
 #include "pwgossipmsg.h"
 #include "pwlog.h"
+#include "pwprefixsync.h"
 #include "pwsuspects.h"
 #include "pwtopology.h"
 
@@ -47,9 +48,10 @@
   pw_gossip_prompts prompts_up;
   /* Prompts to announce to the members of the group; used at an aggregator. */
   pw_gossip_prompts prompts_down;
-  pw_loads own;      /* loads of this gateway, as last counted */
-  pw_loads sum, all; /* loads of the group, and of all gateways */
-  pw_loads fitted;   /* rows of the current message that fit into it */
+  pw_prefix_sync sync; /* for gateways that have started since */
+  pw_loads own;        /* loads of this gateway, as last counted */
+  pw_loads sum, all;   /* loads of the group, and of all gateways */
+  pw_loads fitted;     /* rows of the current message that fit into it */
   /* Loads of all gateways, as received from the aggregator. */
   pw_gossip_loads total;
   ev_io io;
@@ -125,6 +127,10 @@
   pwloads_clear(&s->own);
   for (pw_target *t = pwfleet_first(s->g->fleet); t; t = t->hh.next) {
     pwloads_add(&s->own, t->short_hash, (uint32_t)t->inflight);
+    pwloads_add(&s->own, t->prefill_hash,
+                (uint32_t)(t->prefill / PWFLEET_PREFILL_UNIT + 0.5));
+    pwloads_add(&s->own, t->copies_hash,
+                (uint32_t)(t->copies / PWFLEET_PREFILL_UNIT + 0.5));
     pwloads_add(&s->own, t->reject_hash,
                 (uint32_t)pwreject_is_recent(&t->rejects, now));
     pwloads_add(&s->own, t->connect_failure_hash,
@@ -184,6 +190,8 @@
   size_t at = 0;
   const pw_load_row *row;
   for (pw_target *t = pwfleet_first(s->g->fleet); t; t = t->hh.next) {
+    pwloads_add(&rejections, t->prefill_hash, 1);
+    pwloads_add(&rejections, t->copies_hash, 1);
     pwloads_add(&rejections, t->reject_hash, 1);
     pwloads_add(&rejections, t->connect_failure_hash, 1);
   }
@@ -213,6 +221,19 @@
                               suspects.n, send_datagram, &l);
 }
 
+/* Adds prefixes for gateways that have just started to a message. All gateways that notice the start share the work;
+** of a group only the aggregator may notice it, and then announces all. */
+static void add_synced_prefixes(pw_gossip *s, int is_aggregator, int64_t now,
+                                pw_gossip_prompts *out) {
+  pw_prefix_share share = {.part = 0, .parts = 1};
+  for (int i = 1; i < s->npeers && !is_aggregator; i++) {
+    share.parts++;
+    share.part += s->topology[i].hash < s->topology[0].hash;
+  }
+  pwprefixsync_add(&s->sync, s->g->affinity, share, now,
+                   pwexchange_prefix_keep_ms(s->g), out);
+}
+
 /* --- few gateways: direct exchange --- */
 
 static void exchange_direct(pw_gossip *s, int64_t now) {
@@ -223,6 +244,7 @@
   int *to = pw_alloc(sizeof *to * (size_t)s->npeers);
   for (int i = 1; i < s->npeers; i++)
     to[i - 1] = i;
+  add_synced_prefixes(s, 0, now, &s->prompts_up);
   send_loads(s, PWGOSSIPMSG_OWN, &s->own, &s->prompts_up, to, s->npeers - 1);
   send_suspects(s, to, s->npeers - 1, now);
   free(to);
@@ -315,6 +337,8 @@
         pwgossipmsg_sum(&s->peers[i].sum, &s->all);
     apply_loads(s, AGE_GROUPS_MS);
   }
+  if (is_aggregator)
+    add_synced_prefixes(s, 1, now, &s->prompts_down);
   send_loads(s, PWGOSSIPMSG_TOTAL, &s->all, &s->prompts_down, members, n);
   send_suspects(s, members, n + naggregators, now);
   s->prompts_down.n = 0;
@@ -334,7 +358,7 @@
   aggregate(s, groups, group, aggregator == 0, now);
 }
 
-void pwgossip_prompt_moved(pw_gossip *s, uint64_t key, uint32_t target) {
+void pwgossip_announce_prefix(pw_gossip *s, uint64_t key, uint32_t target) {
   pwgossipmsg_add_prompt(&s->prompts_up, key, target);
   pwgossipmsg_add_prompt(&s->prompts_down, key, target);
 }
@@ -353,7 +377,8 @@
 ** group to the members of this one. */
 static void handle_prompts(pw_gossip *s, const Pw__Gossip *m, int64_t now) {
   for (size_t i = 0; i < m->n_keys && i < m->n_places; i++) {
-    pwaffinity_note(s->g->affinity, m->keys[i], m->places[i], now);
+    pwaffinity_learn(s->g->affinity, m->keys[i], m->places[i], now);
+    pwexchange_prefix_cached(s->g, m->keys[i]);
     if (m->kind == PWGOSSIPMSG_REPORT)
       pwgossipmsg_add_prompt(&s->prompts_up, m->keys[i], m->places[i]);
     if (m->kind == PWGOSSIPMSG_REPORT || m->kind == PWGOSSIPMSG_SUM)
@@ -361,6 +386,14 @@
   }
 }
 
+/* A new incarnation of a gateway knows no prefixes. */
+static void handle_own(pw_gossip *s, pw_gossip_loads *loads,
+                       const Pw__Gossip *m, int64_t now) {
+  if (loads->incarnation != m->incarnation)
+    pwprefixsync_begin(&s->sync);
+  pwgossipmsg_take(loads, m, now);
+}
+
 static void on_suspect(void *arg, uint64_t fingerprint, pw_quar_change change) {
   pwgate_log_suspect(arg, fingerprint, change, "told");
 }
@@ -383,7 +416,7 @@
   else if (m->kind == PWGOSSIPMSG_SUM)
     pwgossipmsg_take(&s->peers[i].sum, m, now);
   else
-    pwgossipmsg_take(&s->peers[i].own, m, now);
+    handle_own(s, &s->peers[i].own, m, now);
   handle_prompts(s, m, now);
 }
 
--- a/packages/membership/pwaffinity.h
+++ b/packages/membership/pwaffinity.h
@@ -1,7 +1,7 @@
-/* pwaffinity.h: affinity table of fixed size, which maps a prompt to the target
-** that got it last.
+/* pwaffinity.h: affinity table of fixed size, which maps a shared part of a
+** prompt to the targets that have it cached.
 **
-** A prompt may overwrite the row of another one with the same index. A lost row
+** A key may overwrite the row of another one with the same index. A lost row
 ** costs one prompt cache miss and nothing else. */
 #ifndef PWAFFINITY_H
 #define PWAFFINITY_H
@@ -9,17 +9,37 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Targets that are kept for one key; another one replaces the target that was
+** used least recently. */
+#define PWAFFINITY_HOLDERS 4
+
+/* The bit of a key that marks a part whose prefill is in progress at the target. It
+** is clear in the keys of parts that are cached. */
+#define PWAFFINITY_PREFILL (1ULL << 63)
+
 typedef struct pw_affinity pw_affinity;
 
 pw_affinity *pwaffinity_new(void);
 void pwaffinity_free(pw_affinity *a);
 
-/* Records that the prompt of `key` was sent to the target with this short hash at `now`, ms. */
-void pwaffinity_note(pw_affinity *a, uint64_t key, uint32_t target,
-                     int64_t now);
+/* Records that a prompt with this part was sent at `now`, ms, to the target with
+** this short hash. Returns whether other gateways should be told: they do not
+** know it, or were told more than half of keep_ms ago. */
+int pwaffinity_note(pw_affinity *a, uint64_t key, uint32_t target, int64_t now,
+                    int64_t keep_ms);
+
+/* Records the same as reported by another gateway. */
+void pwaffinity_learn(pw_affinity *a, uint64_t key, uint32_t target,
+                      int64_t now);
+
+/* Fills `target` with the short hashes of the targets that got the part within
+** keep_ms, the most recently used first. Returns their number. */
+int pwaffinity_holders(const pw_affinity *a, uint64_t key, int64_t now,
+                       int64_t keep_ms, uint32_t target[PWAFFINITY_HOLDERS]);
 
-/* Short hash of the target that got the prompt last, within keep_ms; 0: unknown. */
-uint32_t pwaffinity_find(const pw_affinity *a, uint64_t key, int64_t now,
-                         int64_t keep_ms);
+/* Iterates over the targets that have had a part cached within keep_ms: *at starts
+** at 0 and is advanced. Returns 0 at the end. */
+int pwaffinity_next(const pw_affinity *a, size_t *at, int64_t now,
+                    int64_t keep_ms, uint64_t *key, uint32_t *target);
 
 #endif
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -17,6 +17,10 @@
 /* Makes connect_failure_hash differ from reject_hash. */
 #define CONNECT_FAILURE_SALT 0x9e3779b9U
 
+/* Make prefill_hash and copies_hash differ from the other keys. */
+#define PREFILL_SALT 0x7f4a7c15U
+#define COPIES_SALT 0xf39cc060U
+
 /* A cold phase that differs by more than this from the announced one is reported as a change,
 ** ms. Smaller differences come from heartbeats that arrive late. */
 #define COLD_CHANGE_MS 500
@@ -155,6 +159,8 @@
   t->short_hash = (uint32_t)(t->start_hash >> 32);
   t->reject_hash = (uint32_t)t->start_hash;
   t->connect_failure_hash = t->reject_hash ^ CONNECT_FAILURE_SALT;
+  t->prefill_hash = t->reject_hash ^ PREFILL_SALT;
+  t->copies_hash = t->reject_hash ^ COPIES_SALT;
   t->heard_at = heard_at;
   t->joined_at = heard_at - (int64_t)b->seq * f->beat_ms;
   HASH_ADD_STR(f->by_id, id, t);
@@ -405,6 +411,10 @@
   f->others_age_ms = age_ms;
   for (pw_target *t = f->by_id; t; t = t->hh.next) {
     t->others = (int)others_of(all, own, t->short_hash);
+    t->others_prefill =
+        PWFLEET_PREFILL_UNIT * (double)others_of(all, own, t->prefill_hash);
+    t->others_copies =
+        PWFLEET_PREFILL_UNIT * (double)others_of(all, own, t->copies_hash);
     t->peer_rejects = others_of(all, own, t->reject_hash);
     t->peer_connect_failures = others_of(all, own, t->connect_failure_hash);
   }
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -9,6 +9,7 @@
 #include "pwholdoff.h"
 #include "pwloads.h"
 #include "pwpick.h"
+#include "pwprefill.h"
 #include "pwreject.h"
 
 #include <netinet/in.h>
@@ -64,6 +65,13 @@
                          ** revokes this for this incarnation */
   pw_holdoff hold_off;   /* how long it asked to get no requests */
 
+  /* Prompt tokens that requests without a first chunk have it compute: those of this
+  ** gateway's requests, and of the other gateways' as last reported. */
+  double prefill, others_prefill;
+  uint32_t prefill_hash; /* key under which gateways report them */
+  /* The same for tokens that are copied from its KV cache or to it. */
+  double copies, others_copies;
+  uint32_t copies_hash;
   int inflight;          /* requests of this gateway in flight there */
   int others;            /* requests of the other gateways, as last reported */
   pw_reject rejects;     /* its latest rejection of a request of this gateway */
@@ -193,6 +201,9 @@
 ** [0, 1). */
 pw_fleet_side pwfleet_side(const pw_fleet *f, const char *service, double draw);
 
+/* Tokens that one count in a report of prefill or copies stands for. */
+#define PWFLEET_PREFILL_UNIT 64
+
 /* Totals over the live targets of a service that accept requests. */
 typedef struct pw_fleet_sum {
   int targets;
@@ -214,6 +225,30 @@
 int pwfleet_has_other(pw_fleet *f, const char *service, pw_fleet_side side,
                       pw_target *const *tried, int ntried, int64_t now);
 
+/* The leading tokens of a prompt that a target has cached. */
+typedef struct pw_fleet_cached {
+  uint32_t target; /* short hash */
+  double tokens;
+} pw_fleet_cached;
+
+/* Targets that are considered for what they have of one prompt. */
+#define PWFLEET_CACHED_MAX 16
+
+/* The prompt of a request. */
+typedef struct pw_fleet_prompt {
+  double tokens;        /* in all */
+  double shared_tokens; /* the leading ones that other prompts share */
+  pw_fleet_cached cached[PWFLEET_CACHED_MAX];
+  int ncached;
+  /* Time since which this process knows which target gets which prefix, ms: what it does not know of, targets may
+  ** have got before. 0: it knows all that matters. */
+  int64_t known_since;
+  int can_copy; /* targets can copy a prefix from one another's KV cache */
+  int is_new; /* no target was tried yet: if it has to wait for long it may still be refused */
+  pw_prefill prefill;
+  pw_pick_times times;
+} pw_fleet_prompt;
+
 /* What a request requires of its target. */
 typedef struct pw_fleet_criteria {
   const char *service;
@@ -222,13 +257,9 @@
   int is_sticky; /* `key` is set */
   uint64_t key;  /* hash of the prompt prefix that requests share */
   int home_only; /* only the prompt's home targets, without a fallback to others */
-  /* Short hash of the prompt's latest target; 0: unknown. */
-  uint32_t last_target;
-  /* Short hash of the latest target of a prompt with the same beginning; 0:
-  ** unknown. */
-  uint32_t prefix_target;
-  double wait_ms; /* longest acceptable wait for a slot */
-  double draw;    /* uniform in [0, 1) */
+  pw_fleet_prompt prompt; /* if is_sticky */
+  double wait_ms;         /* longest acceptable wait for a slot */
+  double draw;            /* uniform in [0, 1) */
   pw_pick_bound bound;
   pw_cold_service cold; /* what the service's cold targets accept */
   double part; /* this gateway's share of `cold`, above 0 and at most 1 */
@@ -241,9 +272,11 @@
 
 typedef struct pw_fleet_picked {
   pw_target *target; /* with a reference for the caller; NULL: none */
-  pw_target *holder; /* another target that likely has the prompt prefix cached,
-                     ** without a reference; NULL: none */
-  int is_home;       /* every gateway looks for the prompt at this target */
+  pw_target *
+      holder; /* another target that likely has the prompt prefix cached, and from which it is
+                     ** to be copied, without a reference; NULL: none */
+  pw_prefill_work
+      work; /* of the target before the first chunk, if the request is sticky */
 } pw_fleet_picked;
 
 pw_fleet_picked pwfleet_pick(pw_fleet *f, const pw_fleet_criteria *criteria,
--- a/packages/membership/pwfleetint.h
+++ b/packages/membership/pwfleetint.h
@@ -26,6 +26,28 @@
 /* Whether a target belongs to a service and is on this side of its rollout. */
 int pwflt_is_of(const pw_target *t, const char *service, pw_fleet_side side);
 
+/* --- pwfleetprompt.c --- */
+
+/* What a target has to do before the first chunk of the prompt's answer; `holder`: the target from whose KV
+** cache it may copy a prefix, or NULL. */
+pw_prefill_work pwflt_prefill_work(const pw_target *t, const pw_fleet_prompt *p,
+                                   const pw_target *holder);
+
+/* Adds the home of a prompt to the targets that have it cached, if none is known and the home may have got it
+** before this process could know. */
+void pwflt_assume_home(pw_fleet_prompt *p, uint64_t key, const pw_pick *row,
+                       pw_target *const *targets, int n);
+
+/* Fills in the fields of each row that depend on the prompt. */
+void pwflt_fill_prompt(const pw_fleet_prompt *p, pw_pick *row,
+                       pw_target *const *targets, int n);
+
+/* The target from which the one in row `best` may copy a prefix of the prompt; NULL: none is known, or computing
+** the prefix is faster. */
+pw_target *pwflt_copy_source(const pw_fleet_prompt *p, uint64_t key,
+                             const pw_pick *row, pw_target *const *targets,
+                             int n, int best);
+
 /* --- pwfleetroll.c --- */
 
 /* Reassigns the targets of a service to the sides of its rollout. */
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -210,15 +210,6 @@
          t->joined_at - s->oldest > GENERATION_BEATS * f->beat_ms;
 }
 
-/* Index of the live target with a short hash; -1: none. */
-static int find_row(pw_target *const *targets, const pw_pick *row, int n,
-                    uint32_t short_hash) {
-  for (int i = 0; short_hash && i < n; i++)
-    if (targets[i]->short_hash == short_hash && row[i].is_alive)
-      return i;
-  return -1;
-}
-
 /* Estimated requests in flight at a target. The reported requests of other gateways are pulled
 ** towards their mean by their age relative to the duration of a request: with short requests
 ** the report is out of date, and all gateways would send to the target that was the least
@@ -306,9 +297,12 @@
     return pwpick_round_robin(row, n, f->turn++);
   if (criteria->how == PWPICK_BY_HASH && criteria->is_sticky)
     return pwpick_home(row, n, criteria->key, no_bound);
+  if (criteria->how == PWPICK_BY_PREFILL && criteria->is_sticky)
+    best = pwpick_soonest(row, n, criteria->key, criteria->bound,
+                          &criteria->prompt.times);
   if (criteria->how == PWPICK_BY_HOME && criteria->is_sticky)
     best = pwpick_home(row, n, criteria->key, criteria->bound);
-  int home_only = criteria->how == PWPICK_BY_HOME && criteria->is_sticky &&
+  int home_only = criteria->how <= PWPICK_BY_HOME && criteria->is_sticky &&
                   criteria->home_only;
   if (best < 0 && !home_only)
     best = pwpick_least(row, n, criteria->wait_ms, criteria->draw,
@@ -351,6 +345,11 @@
   pw_target **targets = f->targets;
   service_stats s = stats_of(f, criteria->service, criteria->side, now);
   int n = fill_rows(f, criteria, &s, row, targets);
+  pw_fleet_prompt prompt = criteria->prompt;
+  if (criteria->is_sticky) {
+    pwflt_assume_home(&prompt, criteria->key, row, targets, n);
+    pwflt_fill_prompt(&prompt, row, targets, n);
+  }
   int best = pick_preferred(f, criteria, row, targets, n, now);
   if (best < 0)
     return out;
@@ -358,13 +357,10 @@
   pwcold_sent(&targets[best]->cold, &criteria->cold, criteria->part, now);
   if (!criteria->is_sticky)
     return out;
-  int home = pwpick_holder(row, n, criteria->key);
-  int last = find_row(targets, row, n, criteria->last_target);
-  int holder = last >= 0 && last != best ? last : home;
-  out.is_home = home == best;
-  if (last != best && (holder < 0 || holder == best))
-    holder = find_row(targets, row, n, criteria->prefix_target);
-  out.holder = holder >= 0 && holder != best ? targets[holder] : NULL;
+  pw_target *holder =
+      pwflt_copy_source(&prompt, criteria->key, row, targets, n, best);
+  out.work = pwflt_prefill_work(out.target, &prompt, holder);
+  out.holder = holder;
   return out;
 }
 
--- a/packages/policy/pwpick.c
+++ b/packages/policy/pwpick.c
@@ -1,6 +1,7 @@
 /* pwpick.c: a gateway's choice of the target for a request. */
 #include "pwpick.h"
 
+#include <math.h>
 #include <xxhash.h>
 
 /* Extra wait in ms that is accepted to stay in the availability zone. */
@@ -11,6 +12,11 @@
 #define COPIES 3
 #define SPARE_SHARE 0.75
 
+/* A target is also soon enough if its first chunk comes no later after the mean
+** than this part of soon_ms. Otherwise a long prompt, for which no target is
+** within soon_ms, would go to another target than its home for no gain. */
+#define SLACK_PART 0.5
+
 /* A limit below TIGHT_TIMES times the mean plus TIGHT_EXTRA requests leaves no
 ** room for homes that are busier than others. */
 #define TIGHT_TIMES 1.15
@@ -139,6 +145,90 @@
   return first_in_order(t, n, key, has_slots_to_spare, limit);
 }
 
+/* What a target must satisfy to be picked for a prompt. */
+typedef struct requirement {
+  double limit; /* on its load */
+  const pw_pick_times *times;
+  double soon_ms;   /* on the time to the first chunk */
+  int holders_only; /* it has the prompt cached */
+} requirement;
+
+static int is_in_time(const pw_pick *t, const pw_pick_times *times) {
+  return t->first_ms <= times->latest_ms || t->queue_ms <= times->queue_ms;
+}
+
+static int satisfies(const pw_pick *t, const requirement *r) {
+  return has_room(t, r->limit) && !t->repeats_prefill &&
+         is_in_time(t, r->times) && t->first_ms <= r->soon_ms &&
+         (t->is_holder || !r->holders_only);
+}
+
+/* The first target in the key's order that satisfies the requirement; -1: there
+** is none. */
+static int first_satisfying(const pw_pick *t, int n, uint64_t key,
+                            const requirement *r) {
+  uint64_t best_score = 0;
+  int best = -1;
+  for (int i = 0; i < n; i++) {
+    if (!satisfies(&t[i], r))
+      continue;
+    uint64_t s = score(key, t[i].id);
+    if (best < 0 || s > best_score) {
+      best = i;
+      best_score = s;
+    }
+  }
+  return best;
+}
+
+static int is_alive(const pw_pick *t, double limit) {
+  (void)limit;
+  return t->is_alive;
+}
+
+/* Whether the home of the key satisfies the requirement; *home is its index. */
+static int home_satisfies(const pw_pick *t, int n, uint64_t key,
+                          const requirement *r, int *home) {
+  *home = first_in_order(t, n, key, is_alive, 0);
+  return *home >= 0 && satisfies(&t[*home], r);
+}
+
+/* The mean time to the first chunk over all targets that satisfy the
+** requirement. */
+static double mean_first_ms(const pw_pick *t, int n, const requirement *r) {
+  double sum = 0;
+  int count = 0;
+  for (int i = 0; i < n; i++) {
+    int counts = satisfies(&t[i], r);
+    sum += counts ? t[i].first_ms : 0;
+    count += counts;
+  }
+  return count ? sum / count : 0;
+}
+
+/* Targets are compared with the mean and not with the soonest one: few are
+** nearly as soon as that, and all gateways would send their requests to these
+** few until they learn of each other's. */
+int pwpick_soonest(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound,
+                   const pw_pick_times *times) {
+  requirement r = {
+      .limit = pwpick_limit(t, n, bound), .times = times, .soon_ms = INFINITY};
+  int best;
+  if (is_tight(t, n, bound, r.limit))
+    return pick_least_own(t, n, key, r.limit);
+  r.soon_ms = mean_first_ms(t, n, &r) + SLACK_PART * times->soon_ms;
+  if (r.soon_ms < times->soon_ms)
+    r.soon_ms = times->soon_ms;
+  if (times->home_first && home_satisfies(t, n, key, &r, &best))
+    return best;
+  r.holders_only = 1;
+  best = first_satisfying(t, n, key, &r);
+  if (best >= 0)
+    return best;
+  r.holders_only = 0;
+  return first_satisfying(t, n, key, &r);
+}
+
 int pwpick_holder(const pw_pick *t, int n, uint64_t key) {
   return first_in_order(t, n, key, may_have_prompts, 0);
 }
--- a/packages/policy/pwpick.h
+++ b/packages/policy/pwpick.h
@@ -18,6 +18,12 @@
   int counts;   /* its load is part of the mean, though it may not be usable */
   int is_near;  /* it is in the gateway's own availability zone */
   int is_alive; /* it answers, though it may be leaving or full */
+  double first_ms; /* expected time to the first chunk there; 0: unknown */
+  double
+      queue_ms;  /* the part of it before the target begins with the request */
+  int is_holder; /* it has all that the prompt shares with others cached */
+  int repeats_prefill; /* it would compute a prefix that another target has
+                          cached, because copying that takes longer */
   int is_new; /* it joined recently: the prompts of its keys may still be cached
                  at other targets */
 } pw_pick;
@@ -33,11 +39,12 @@
   double alive_extra;
 } pw_pick_bound;
 
-/* Selection policies. All but PWPICK_BY_HOME are naive and serve as baselines
-** in comparisons. */
+/* Selection policies. All but PWPICK_BY_PREFILL serve as baselines in
+** comparisons. */
 typedef enum pw_pick_policy {
-  PWPICK_BY_HOME, /* the prompt's home within the bound, or else by load */
-  PWPICK_BY_LOAD, /* the shortest expected wait */
+  PWPICK_BY_PREFILL, /* by the time to the first chunk, or else by load */
+  PWPICK_BY_HOME,    /* the prompt's home within the bound, or else by load */
+  PWPICK_BY_LOAD,    /* the shortest expected wait */
   PWPICK_BY_ROUND_ROBIN, /* the usable targets in turn */
   PWPICK_BY_HASH         /* the prompt's home, however loaded it is */
 } pw_pick_policy;
@@ -56,6 +63,26 @@
 ** few targets, and at more of them as these fill up. */
 int pwpick_home(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound);
 
+/* By when a request's first chunk is to come. */
+typedef struct pw_pick_times {
+  double soon_ms;   /* within this time one target is as good as another */
+  double latest_ms; /* a target that needs longer is not picked, ... */
+  double queue_ms;  /* ... unless the request waits no longer than this there: a
+                       long prompt may need longer even at an idle target */
+  int home_first;   /* the prompt's home is picked if it is soon enough, though
+                       another target has the prompt cached and the home has
+                       not */
+} pw_pick_times;
+
+/* The target for a prompt by the time to its first chunk: the home, if that goes
+** first and is soon enough, or else the first in the order of `key` that is soon
+** enough and has the prompt cached, or else the first that is soon enough. Soon
+** enough is what is within soon_ms, or little later than the mean. -1:
+** none is within `times`. Targets over the bound or without a free slot do not
+** qualify. */
+int pwpick_soonest(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound,
+                   const pw_pick_times *times);
+
 /* The target that most likely has the shared prefix of `key` cached: the first
 ** in the key's order that is alive and not new; -1: none. */
 int pwpick_holder(const pw_pick *t, int n, uint64_t key);
--- a/packages/site/pwsite.c
+++ b/packages/site/pwsite.c
@@ -180,6 +180,18 @@
   free(s);
 }
 
+/* Finds the shortest goal of the routes of each service. */
+static void find_goals(pw_site_parts *p) {
+  for (int i = 0; i < p->nroutes; i++) {
+    const pw_site_route *r = &p->route[i];
+    for (int k = 0; k < r->nweighted && r->goal_ms > 0; k++) {
+      pw_site_service *s = &p->service[r->weighted[k].service];
+      if (s->shortest_goal_ms == 0 || r->goal_ms < s->shortest_goal_ms)
+        s->shortest_goal_ms = r->goal_ms;
+    }
+  }
+}
+
 pw_code pwsite_new(pw_site_parts *parts, pw_site **out, char *why, size_t cap) {
   pw_site *s = pw_alloc(sizeof *s);
   s->refs = 1;
@@ -201,6 +213,7 @@
     return rc;
   }
   index_sources(s);
+  find_goals(&s->p);
   *out = s;
   return PW_OK;
 }
--- a/packages/site/pwsite.h
+++ b/packages/site/pwsite.h
@@ -26,7 +26,11 @@
   int slots;     /* requests that a target runs at once */
   int64_t kv_tokens; /* capacity of a target's KV cache, tokens */
   int64_t pin_ms;    /* longest pin of a prompt in the cache; 0: no pins */
-  int moves_kv;      /* a target can import a prompt's KV cache from another */
+  double
+      kv_copy_per_ms; /* tokens that a target copies from another in 1 ms; 0: unknown */
+  int moves_kv; /* a target can import a prompt's KV cache from another */
+  int64_t
+      shortest_goal_ms; /* of its routes, to the first piece; 0: none has a goal */
   int tokens_per_event; /* tokens in one event of a stream */
 } pw_site_service;
 
