Gateways report unanswered requests to each other and avoid the target

Cause: a target with good heartbeats that leaves half of its requests without a byte was known to no gateway: each learned only at the deadline of a request, one answer cleared its evidence, and others were told nothing.

Change: ten times a second a gateway looks for pending requests that are overdue, while they are still pending, and notes each once per attempt. Requests to engines are not counted: their first byte depends on the prompt and on the prefill backlog. The stand-in target can leave a percentage of its requests unanswered.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -119,6 +119,10 @@
     "availability zones evacuated")                                            \
   X(PWC_GW_OTHERS, "gateway_others", "gauge",                                  \
     "requests of other gateways at targets, as far as they told")              \
+  X(PWC_GW_UNANSWERED, "unanswered_total", "counter",                          \
+    "requests left without a byte for several times the usual time")           \
+  X(PWC_GW_SUSPECTED, "gateway_suspected_targets", "gauge",                    \
+    "targets suspected of leaving requests unanswered")                        \
   X(PWC_GW_AWAITING, "gateway_awaiting", "gauge",                              \
     "requests that wait for a first configuration")                            \
   X(PWC_GW_FULL, "gateway_full_total", "counter",                              \
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -380,6 +380,7 @@
   int status = m->parser.status_code;
   x->answer_info = *info;
   x->status = status;
+  pwexi_note_first_byte(x, pwclock_ms());
   x->buffered.len = 0;
   x->is_event_stream =
       x->route->is_stream && status / 100 == 2 && info->is_signed;
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -181,14 +181,76 @@
                            x->ntried, now);
 }
 
-/* Retries a request elsewhere while there is time if its target is unresponsive. One that may not be
-** retried waits for its time-out. */
+/* --- targets that leave requests unanswered --- */
+
+/* How long a target may leave the request without a byte before it counts as unanswered. */
+static int64_t unanswered_after_ms(const pw_exchange *x) {
+  const pw_gate_route *r = pwgate_route(x->g, x->route->name);
+  return pwunanswered_after_ms(r ? r->first_ms : 0);
+}
+
+int pwexi_may_probe(const pw_exchange *x) {
+  return x->route->kind == PWSITE_SAFE && x->runs + 1 < x->route->attempts &&
+         3 * pwexi_time_left(x) > 4 * unanswered_after_ms(x);
+}
+
+void pwexi_note_first_byte(pw_exchange *x, int64_t now) {
+  pw_gate_route *r = pwgate_route(x->g, x->route->name);
+  if (x->unanswered_at)
+    pwunanswered_retract(&x->t->unanswered, x->unanswered_at);
+  x->unanswered_at = 0;
+  if (r && x->status / 100 == 2) /* rejections are faster */
+    r->first_ms =
+        pwunanswered_usual_ms(r->first_ms, (double)pwexi_target_ms(x, now));
+}
+
+/* Records once that the request is unanswered. Requests to engines are not recorded: their time to the
+** first byte depends on the length of the prompt and on what waits for prefill. */
+static void note_if_unanswered(pw_exchange *x, int64_t now) {
+  if (x->unanswered_at || !x->u || !x->is_sent || x->service->is_engine ||
+      pwexi_target_ms(x, now) < unanswered_after_ms(x) ||
+      pwupconn_has_received(x->u))
+    return;
+  x->unanswered_at = now;
+  pwunanswered_note(&x->t->unanswered, now);
+  pwcount_add(x->g->p->counters, PWC_GW_UNANSWERED, 1);
+}
+
+void pwexchange_check_targets(pw_gate *g, int64_t now) {
+  static const char *const names[] = {
+      [PWUNANSWERED_SUSPECTED] = "target-unanswering",
+      [PWUNANSWERED_CLEARED] = "target-answering"};
+  int suspected = 0;
+  for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next) {
+    pw_unanswered_change change =
+        pwunanswered_update(&t->unanswered, pwgate_random(g), now);
+    if (change != PWUNANSWERED_UNCHANGED)
+      pwtrace_line(g->trace, PWTRACE_STATE, now, names[change],
+                   "target=%s own=%u others=%u", t->id,
+                   pwunanswered_report(&t->unanswered, now),
+                   t->unanswered.others);
+    suspected += t->unanswered.is_suspected;
+  }
+  pwcount_set(g->p->counters, PWC_GW_SUSPECTED, suspected);
+}
+
+/* --- checks of pending requests --- */
+
+/* Whether a request waits for a target that probably does not answer it. */
+static int waits_in_vain(const pw_exchange *x, int64_t now) {
+  if (x->unanswered_at && x->t->unanswered.is_suspected)
+    return 1;
+  return pwfleet_is_unresponsive(x->t, now) && is_overdue(x, now);
+}
+
+/* Retries a request elsewhere while there is time if its target is unresponsive, or suspected of leaving
+** requests unanswered. One that may not be retried waits for its time-out. */
 static void retry_if_unresponsive(pw_exchange *x, int64_t now) {
-  if (!x->u || !x->is_sent || x->is_paused ||
-      !pwfleet_is_unresponsive(x->t, now) || !is_overdue(x, now) ||
+  if (!x->u || !x->is_sent || x->is_paused || !waits_in_vain(x, now) ||
       !may_retry_elsewhere(x, now) || !pwexi_may_repeat(x, now))
     return;
-  pwfleet_connect_failed(x->t, now);
+  if (pwfleet_is_unresponsive(x->t, now))
+    pwfleet_connect_failed(x->t, now);
   pwexi_note_unresponsive(x, now);
   pw_upconn *u = x->u;
   x->u = NULL;
@@ -199,7 +261,9 @@
 void pwexchange_check(pw_gate *g, int64_t now) {
   for (pw_conn *c = g->callers.first, *next; c; c = next) {
     next = c->next;
-    if (c->state && !pwexi_end_late(c->state, now))
-      retry_if_unresponsive(c->state, now);
+    if (!c->state || pwexi_end_late(c->state, now))
+      continue;
+    note_if_unanswered(c->state, now);
+    retry_if_unresponsive(c->state, now);
   }
 }
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -54,6 +54,8 @@
   pw_target *source;    /* the target from which t copies a prefix, or NULL */
   int is_sent;          /* bytes of the request have been sent to t */
   int64_t sent_at;
+  int64_t
+      unanswered_at; /* when the attempt became overdue without a byte of an answer, ms; 0: not */
   int64_t sent_stalled_ms;    /* the event loop's total stall time at sent_at */
   int64_t first_forwarded_at; /* time of the first chunk of the answer */
   int nchunks;                /* chunks of the answer that were forwarded */
@@ -185,6 +187,14 @@
 ** has a retry left, which is spent. */
 int pwexi_may_repeat(pw_exchange *x, int64_t now);
 
+/* Whether the request may probe a target that is suspected of leaving requests unanswered: its route and
+** its time allow another attempt if this one is not answered: that begins up to 0.1 s after this one is
+** overdue. */
+int pwexi_may_probe(const pw_exchange *x);
+
+/* Records that an answer has begun. */
+void pwexi_note_first_byte(pw_exchange *x, int64_t now);
+
 /* A failure after which the request may have run: retries it, or ends it. */
 void pwexi_fail_unknown(pw_exchange *x, const char *why);
 
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -47,6 +47,7 @@
   x->is_sent = 0;
   x->sent_at = pwclock_ms();
   x->sent_stalled_ms = x->g->tcp.lag.lost_ms;
+  x->unanswered_at = 0;
   x->u =
       pwupconn_send(x->g, x->t, x, &head, &x->caller->body,
                     x->caller->request.parser.method == HTTP_HEAD, max_idle_ms);
@@ -174,6 +175,7 @@
       .cold = {x->service->cold_ms, x->service->cold_per_s},
       .part = demand_share(x, now),
       .conns = connection_limit(x),
+      .may_probe = pwexi_may_probe(x),
       .save_retries = avoids_rejections(x, now),
       .tried = x->tried,
       .ntried = x->ntried};
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -47,6 +47,7 @@
   pw_timeouts baseline; /* baseline of the deadlines that callers send */
   /* Smoothed answer time, or time per chunk of a stream. 0: unknown. */
   double answer_ms;
+  double first_ms; /* usual time to the first byte; 0: unknown */
   UT_hash_handle hh;
 } pw_gate_route;
 
@@ -133,9 +134,13 @@
 /* Begins the requests that waited for a configuration. */
 void pwexchange_start_waiting(pw_gate *g);
 
-/* Ends requests whose timers are overdue, and retries elsewhere those whose target is unresponsive. */
+/* Ends requests whose timers are overdue, retries elsewhere those whose target is unresponsive, and records
+** those that their target leaves unanswered. */
 void pwexchange_check(pw_gate *g, int64_t now);
 
+/* Updates and logs which targets are suspected of leaving requests unanswered. */
+void pwexchange_check_targets(pw_gate *g, int64_t now);
+
 /* The caller has disconnected. */
 void pwexchange_abandon(void *exchange);
 
@@ -194,6 +199,9 @@
 /* Whether unread bytes of the answer, or its end, have arrived. */
 int pwupconn_is_readable(const pw_upconn *u);
 
+/* Whether bytes have arrived since the current request was sent, also unread ones. */
+int pwupconn_has_received(const pw_upconn *u);
+
 void pwupconn_pause(pw_upconn *u, int paused);
 
 /* Closes connections that were idle for too long, and all idle ones to a target that is gone. */
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -233,6 +233,7 @@
     check_buffers(g, now);
     pwexchange_check(g, now);
   }
+  pwexchange_check_targets(g, now);
   if (now - g->swept_at >= SWEEP_MS) {
     g->swept_at = now;
     sweep(g, now);
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -135,6 +135,8 @@
                 (uint32_t)pwreject_is_recent(&t->rejects, now));
     pwloads_add(&s->own, t->connect_failure_hash,
                 (uint32_t)pwreject_is_recent(&t->connect_failures, now));
+    pwloads_add(&s->own, t->unanswered_hash,
+                pwunanswered_report(&t->unanswered, now));
   }
   for (pw_gate_service *one = s->g->services; one; one = one->next)
     pwloads_add(&s->own, key_of(one),
@@ -149,8 +151,9 @@
 }
 
 /* Applies the sum of all gateways to the targets and services. */
-static void apply_loads(pw_gossip *s, int64_t age_ms) {
+static void apply_loads(pw_gossip *s, int64_t age_ms, int64_t now) {
   pwfleet_note_loads(s->g->fleet, &s->all, &s->own, age_ms);
+  pwfleet_note_unanswered(s->g->fleet, &s->all, &s->own, now);
   int64_t others = 0;
   for (pw_target *t = pwfleet_first(s->g->fleet); t; t = t->hh.next)
     others += t->others;
@@ -181,7 +184,7 @@
 }
 
 /* Returns the rows that fit into a message: if there are too many, only loads, in s->fitted. With more
-** than some thousand targets the rows of rejections would push loads out of the datagrams, and receivers
+** than some thousand targets the rows of rejections and the like would push loads out of the datagrams, and receivers
 ** would keep outdated loads for good. */
 static const pw_loads *fit_rows(pw_gossip *s, const pw_loads *loads) {
   if (loads->n <= PWGOSSIPMSG_ROWS)
@@ -194,6 +197,7 @@
     pwloads_add(&rejections, t->copies_hash, 1);
     pwloads_add(&rejections, t->reject_hash, 1);
     pwloads_add(&rejections, t->connect_failure_hash, 1);
+    pwloads_add(&rejections, t->unanswered_hash, 1);
   }
   pwloads_clear(&s->fitted);
   while ((row = pwloads_next(loads, &at)) != NULL)
@@ -254,7 +258,7 @@
   for (int i = 1; i < s->npeers; i++)
     if (is_fresh(&s->peers[i].own, now))
       pwgossipmsg_sum(&s->peers[i].own, &s->all);
-  apply_loads(s, AGE_DIRECT_MS);
+  apply_loads(s, AGE_DIRECT_MS, now);
 }
 
 /* --- many gateways: through the aggregators of groups --- */
@@ -277,7 +281,7 @@
   if (!is_fresh(&s->total, now)) {
     pwloads_clear(&s->all);
     add_all(&s->all, &s->own);
-    apply_loads(s, STALE_MS);
+    apply_loads(s, STALE_MS, now);
   }
 }
 
@@ -335,7 +339,7 @@
     for (int i = 1; i < s->npeers; i++)
       if (is_fresh(&s->peers[i].sum, now))
         pwgossipmsg_sum(&s->peers[i].sum, &s->all);
-    apply_loads(s, AGE_GROUPS_MS);
+    apply_loads(s, AGE_GROUPS_MS, now);
   }
   if (is_aggregator)
     add_synced_prefixes(s, 1, now, &s->prompts_down);
@@ -370,7 +374,7 @@
     return;
   pwloads_clear(&s->all);
   pwgossipmsg_sum(&s->total, &s->all);
-  apply_loads(s, AGE_GROUPS_MS);
+  apply_loads(s, AGE_GROUPS_MS, now);
 }
 
 /* Records announced prompts. Those from a member are forwarded to all groups, those from another
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -278,6 +278,10 @@
   return u->is_up && pwtcp_is_readable(u->tcp);
 }
 
+int pwupconn_has_received(const pw_upconn *u) {
+  return u->has_received || pwupconn_is_readable(u);
+}
+
 void pwupconn_pause(pw_upconn *u, int paused) {
   pwtcp_pause(u->tcp, paused);
 }
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -45,11 +45,12 @@
   X(leaving)         /* the heartbeats report the target as leaving */         \
   X(silent)          /* no heartbeats */                                       \
   X(closing)         /* closes a reused connection when a request arrives */   \
-  X(cold)   /* ms for which the heartbeats report the target as cold */        \
-  X(grey)   /* a crashing request gets 500 instead of a crash */               \
-  X(bad)    /* percentage of the requests that run and fail */                 \
-  X(skip)   /* added to the number of the next heartbeat */                    \
-  X(unborn) /* the heartbeats do not contain the start time */
+  X(cold)       /* ms for which the heartbeats report the target as cold */    \
+  X(grey)       /* a crashing request gets 500 instead of a crash */           \
+  X(bad)        /* percentage of the requests that run and fail */             \
+  X(unanswered) /* percentage of the requests that run; nothing is sent */     \
+  X(skip)       /* added to the number of the next heartbeat */                \
+  X(unborn)     /* the heartbeats do not contain the start time */
 
 typedef struct faults {
 #define FAULT_FIELD(name) int name;
@@ -171,10 +172,10 @@
   pwbuf_free(&all);
 }
 
-/* Whether this run is one of the `bad` failures in each hundred runs, which are spread evenly. */
-static int is_bad_run(void) {
-  return me.total % 100 * me.f.bad / 100 !=
-         (me.total % 100 + 1) * me.f.bad / 100;
+/* Whether this run is one of so many in each hundred runs, which are spread evenly. */
+static int is_among_runs(int percentage) {
+  return me.total % 100 * percentage / 100 !=
+         (me.total % 100 + 1) * percentage / 100;
 }
 
 static void count_run(const char *id) {
@@ -250,7 +251,7 @@
     begin_stream(p);
     return;
   }
-  if (spend(&me.f.error) || is_bad_run()) {
+  if (spend(&me.f.error) || is_among_runs(me.f.bad)) {
     seal(line);
     answer(p, 500, line, "failed");
     return;
@@ -333,7 +334,7 @@
   }
   if (body_begins(p, "crash") && !body_begins(p, "crash-midway"))
     _exit(1);
-  if (spend(&me.f.mute))
+  if (spend(&me.f.mute) || is_among_runs(me.f.unanswered))
     return;
   if (spend(&me.f.reset)) {
     p->is_busy = 0;
