Unanswered targets: a probe is overdue after 5 times the usual time

Cause: 12 gateways with a time-out of 800 ms had too little time for probes, since one is only sent while a further attempt fits into its caller's time. With few probes the target was cleared while it still left half of its requests unanswered, and suspected again.

Change: a request to a suspected target is overdue after 5 times the usual time instead of 7. Streams are not counted at services without engine settings either.

--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -184,14 +184,14 @@
 /* --- targets that leave requests unanswered --- */
 
 /* How long a target may leave the request without a byte before it counts as unanswered. */
-static int64_t unanswered_after_ms(const pw_exchange *x) {
+static int64_t unanswered_after_ms(const pw_exchange *x, int is_suspected) {
   const pw_gate_route *r = pwgate_route(x->g, x->route->name);
-  return pwunanswered_after_ms(r ? r->first_ms : 0);
+  return pwunanswered_after_ms(r ? r->first_ms : 0, is_suspected);
 }
 
 int pwexi_may_probe(const pw_exchange *x) {
   return x->route->kind == PWSITE_SAFE && x->runs + 1 < x->route->attempts &&
-         3 * pwexi_time_left(x) > 4 * unanswered_after_ms(x);
+         3 * pwexi_time_left(x) > 4 * unanswered_after_ms(x, 1);
 }
 
 void pwexi_note_first_byte(pw_exchange *x, int64_t now) {
@@ -204,11 +204,13 @@
         pwunanswered_usual_ms(r->first_ms, (double)pwexi_target_ms(x, now));
 }
 
-/* Records once that the request is unanswered. Requests to engines are not recorded: their time to the
-** first byte depends on the length of the prompt and on what waits for prefill. */
+/* Records once that the request is unanswered. Streams and requests to engines are not recorded: their time
+** to the first byte depends on the length of the prompt and on what waits for prefill. */
 static void note_if_unanswered(pw_exchange *x, int64_t now) {
   if (x->unanswered_at || !x->u || !x->is_sent || x->service->is_engine ||
-      pwexi_target_ms(x, now) < unanswered_after_ms(x) ||
+      x->route->is_stream ||
+      pwexi_target_ms(x, now) <
+          unanswered_after_ms(x, x->t->unanswered.is_suspected) ||
       pwupconn_has_received(x->u))
     return;
   x->unanswered_at = now;
--- a/packages/policy/pwunanswered.c
+++ b/packages/policy/pwunanswered.c
@@ -8,6 +8,10 @@
 ** simulated fleets suspected a slow target at 1.7 or 2.5 times the load. */
 #define USUAL_TIMES 7
 
+/* The same at a suspected target. At 7 times, 12 gateways had too little time
+** for probes in a time-out of 800 ms, and cleared the target wrongly. */
+#define SUSPECTED_TIMES 5
+
 /* Least time until a request is overdue, ms, and the time while the usual one is
 ** unknown. */
 #define LEAST_MS 250
@@ -35,10 +39,10 @@
 ** runs instead of 17. */
 #define PROBE_MS 150
 
-int64_t pwunanswered_after_ms(double usual_ms) {
+int64_t pwunanswered_after_ms(double usual_ms, int is_suspected) {
   if (usual_ms <= 0)
     return UNKNOWN_MS;
-  double ms = USUAL_TIMES * usual_ms;
+  double ms = (is_suspected ? SUSPECTED_TIMES : USUAL_TIMES) * usual_ms;
   return ms > LEAST_MS ? (int64_t)ms : LEAST_MS;
 }
 
--- a/packages/policy/pwunanswered.h
+++ b/packages/policy/pwunanswered.h
@@ -41,8 +41,9 @@
 
 /* How long a target may leave a request without a byte, ms, before the request
 ** counts as unanswered. `usual_ms`: usual time to the first byte of an answer on
-** the request's route; 0: unknown. */
-int64_t pwunanswered_after_ms(double usual_ms);
+** the request's route; 0: unknown. A suspected target has less time, so that a
+** probe can run again elsewhere within its caller's time. */
+int64_t pwunanswered_after_ms(double usual_ms, int is_suspected);
 
 /* The usual time to the first byte after one that took `ms`. */
 double pwunanswered_usual_ms(double usual_ms, double ms);
--- a/tests/test_unanswered.c
+++ b/tests/test_unanswered.c
@@ -22,12 +22,14 @@
 ** be taken for one that does not answer. */
 static void test_overdue(void) {
   double usual = 0;
-  CHECK(pwunanswered_after_ms(usual) == 600);
+  CHECK(pwunanswered_after_ms(usual, 0) == 600);
   usual = pwunanswered_usual_ms(usual, 30);
-  CHECK(usual == 30 && pwunanswered_after_ms(usual) == 250);
+  CHECK(usual == 30 && pwunanswered_after_ms(usual, 0) == 250);
   for (int i = 0; i < 50; i++)
     usual = pwunanswered_usual_ms(usual, 100);
-  CHECK(pwunanswered_after_ms(usual) > 480);
+  int64_t after = pwunanswered_after_ms(usual, 0);
+  CHECK(after > 480);
+  CHECK(pwunanswered_after_ms(usual, 1) < after); /* a probe is repeated */
 }
 
 /* Guards against an ejection by one gateway, whose own link may be at fault: neither does its count
@@ -284,8 +286,9 @@
   pw_fleet *f = w->f[q->gateway];
   pw_target *tried = q->is_retry ? target_of(w, q) : NULL;
   int64_t left = q->arrived + w->d->deadline_ms - now;
-  int may_probe = q->may_repeat && !q->is_retry &&
-                  3 * left > 4 * pwunanswered_after_ms(w->usual_ms[q->gateway]);
+  int may_probe =
+      q->may_repeat && !q->is_retry &&
+      3 * left > 4 * pwunanswered_after_ms(w->usual_ms[q->gateway], 1);
   pw_target *t =
       pick(f, w->d, may_probe, pwrand_unit(w->r), &tried, q->is_retry, now);
   if (!t || (!q->is_retry && !may_admit(w, q->gateway, now))) {
@@ -351,7 +354,8 @@
 static void check_pending(world *w, result *out, request *q, int64_t now) {
   pw_target *t = target_of(w, q);
   if (!q->noted_at &&
-      now - q->sent_at >= pwunanswered_after_ms(w->usual_ms[q->gateway])) {
+      now - q->sent_at >= pwunanswered_after_ms(w->usual_ms[q->gateway],
+                                                t->unanswered.is_suspected)) {
     q->noted_at = now;
     pwunanswered_note(&t->unanswered, now);
     out->noted++;
