--- a/packages/gateway/pwgatestate.c
+++ b/packages/gateway/pwgatestate.c
@@ -21,7 +21,7 @@
                  (int64_t)(set->gateway_retry_window * MS_PER_S));
   pwshed_init(&s->shed, pwclock_ms());
   pwprefill_init(&s->prefill);
-  s->spike = pwspike_new(pwclock_ms());
+  s->spike = pwspike_new(name, pwclock_ms());
   s->next = g->services;
   g->services = s;
   return s;
--- a/tests/test_shed.c
+++ b/tests/test_shed.c
@@ -225,7 +225,7 @@
   static const char *const names[NAMES] = {"large", "b", "c", "d", "e", "f"};
   static const double baseline[NAMES] = {0.5, 0.1, 0.1, 0.1, 0.1, 0.1};
   pw_random r = {test_seed(9), 0};
-  pw_spike *s = pwspike_new(0);
+  pw_spike *s = pwspike_new("", 0);
   double most_baseline = 0, most_raised = 0, surplus_b = 0, surplus_others = 0;
   int asked_b = 0;
   int64_t now = 0;
