Control: a read need not wait for the leader's next heartbeat

Cause: the confirmation of a read names an index, and the instance that was asked mostly has the entries, but learned only with the leader's next heartbeat, up to 100 ms later, that they are committed.

Change: with the confirmation the leader states which entry is committed (index and term, a Cons message of the new type 9 that names no receiver). A follower commits up to there if its log has an entry of that term at that index, now or when it arrives: logs that agree there agree on all before. No field is added to the wire format. Members of the build before ignore the message, and a leader of that build does not send it, so reads wait for the heartbeat as before.

--- a/packages/consensus/pwcons.c
+++ b/packages/consensus/pwcons.c
@@ -145,6 +145,8 @@
 void pwcons_step(pw_cons *c, int64_t now, const Pw__Cons *m) {
   if (now > c->now)
     c->now = now;
+  if (m->type == PWCONS_COMMITTED)
+    pwci_on_committed(c, m);
   if (m->to != c->id)
     return;
   switch (m->type) {
@@ -305,6 +307,16 @@
   pwci_advance_commit(c);
 }
 
+void pwcons_state_committed(const pw_cons *c, uint64_t index, Pw__Cons *m) {
+  assert(index <= c->commit);
+  pw__cons__init(m);
+  m->type = PWCONS_COMMITTED;
+  m->from = c->id;
+  m->term = c->term;
+  m->index = index;
+  m->log_term = pwconslog_term(&c->log, index);
+}
+
 const Pw__Entry *pwcons_next_committed(pw_cons *c) {
   if (c->applied >= c->commit)
     return NULL;
--- a/packages/consensus/pwcons.h
+++ b/packages/consensus/pwcons.h
@@ -53,7 +53,9 @@
   PWCONS_APPEND,
   PWCONS_APPEND_REPLY,
   PWCONS_SNAPSHOT,
-  PWCONS_TIMEOUT_NOW /* asks a voter to campaign at once */
+  PWCONS_TIMEOUT_NOW, /* asks a voter to campaign at once */
+  PWCONS_COMMITTED    /* states that the entry of log_term at index is
+                      ** committed; members of older builds ignore it */
 } pw_cons_type;
 
 /* Timing of a member, and the state on its disk that it starts from. */
@@ -97,7 +99,8 @@
 /* Advances the clock to `now`, ms. */
 void pwcons_tick(pw_cons *c, int64_t now);
 
-/* Handles a received message. Messages for another id are ignored. */
+/* Handles a received message. Messages for another id are ignored, except
+** statements of pwcons_state_committed, which are for all members. */
 void pwcons_step(pw_cons *c, int64_t now, const Pw__Cons *m);
 
 /* Appends a command to the log; PW_E_NOT_LEADER unless this member leads. The
@@ -119,6 +122,11 @@
 /* Confirms that all work of pwcons_ready was done. */
 void pwcons_advance(pw_cons *c);
 
+/* Fills m with the statement that the entry at `index`, which must be
+** committed here and not before the snapshot, is committed. The statement stays
+** true whoever leads, so it names no receiver and may arrive late. */
+void pwcons_state_committed(const pw_cons *c, uint64_t index, Pw__Cons *m);
+
 /* The next committed entry that this function has not returned yet, or NULL. */
 const Pw__Entry *pwcons_next_committed(pw_cons *c);
 
--- a/packages/consensus/pwconsint.h
+++ b/packages/consensus/pwconsint.h
@@ -32,7 +32,9 @@
   MUT_SKIP_TERM_SYNC = 9,  /* sends a term before it is stored */
   MUT_COMMIT_AHEAD = 10,   /* commits entries that may not match the leader's */
   MUT_FRESH_QUORUM = 28,   /* ignores leases when only a quorum is new */
-  MUT_FRESH_LEADER = 29    /* a leader claims to be new */
+  MUT_FRESH_LEADER = 29,   /* a leader claims to be new */
+  MUT_COMMIT_ANY_TERM = 61 /* ignores the term of an entry that is stated to be
+                           ** committed */
 };
 
 /* Values of `hint` in vote and pre-vote requests and their replies. */
@@ -72,9 +74,11 @@
   pw_cons_log log;
   uint64_t commit;
   uint64_t applied;
-  uint64_t synced;   /* last index on the disk */
-  int hard_dirty;    /* term or vote must be stored */
-  int install_dirty; /* a received snapshot must be stored */
+  uint64_t synced;       /* last index on the disk */
+  uint64_t stated_index; /* highest entry that was stated to be committed, */
+  uint64_t stated_term;  /* and its term; it may not be in this log yet */
+  int hard_dirty;        /* term or vote must be stored */
+  int install_dirty;     /* a received snapshot must be stored */
 
   pw_cons_role role;
   uint64_t leader;
@@ -151,6 +155,9 @@
 /* Handles entries or a heartbeat from a leader. */
 void pwci_on_append(pw_cons *c, const Pw__Cons *m);
 
+/* Handles the statement that an entry is committed. */
+void pwci_on_committed(pw_cons *c, const Pw__Cons *m);
+
 /* Handles a snapshot from a leader. */
 void pwci_on_snapshot(pw_cons *c, const Pw__Cons *m);
 
--- a/packages/consensus/pwrepl.c
+++ b/packages/consensus/pwrepl.c
@@ -155,6 +155,29 @@
   return 1;
 }
 
+/* Commits up to an entry that is stated to be committed if this log has it: logs
+** that have an entry of one term at an index are the same up to there. An entry of
+** another term at that index is not committed and will be replaced. */
+static void commit_stated(pw_cons *c, uint64_t index, uint64_t term) {
+  if (c->role == PWCONS_LEADER || index <= c->commit)
+    return;
+  uint64_t have = pwconslog_term(&c->log, index);
+  if (have && (have == term || PW_MUTATION == MUT_COMMIT_ANY_TERM))
+    c->commit = index;
+}
+
+/* Only a member's statement counts: another group has another log. The newest one
+** is kept for entries that have not arrived yet. */
+void pwci_on_committed(pw_cons *c, const Pw__Cons *m) {
+  if (!pwci_peer_of(c, m->from))
+    return;
+  if (m->index > c->stated_index) {
+    c->stated_index = m->index;
+    c->stated_term = m->log_term;
+  }
+  commit_stated(c, m->index, m->log_term);
+}
+
 void pwci_on_append(pw_cons *c, const Pw__Cons *m) {
   if (!is_well_formed(m))
     return;
@@ -182,6 +205,7 @@
   }
   if (to > c->commit)
     c->commit = to;
+  commit_stated(c, c->stated_index, c->stated_term);
   reply_append(c, m, matched, 0);
 }
 
--- a/packages/control/pwgroup.c
+++ b/packages/control/pwgroup.c
@@ -337,6 +337,16 @@
   return g->applied;
 }
 
+void pwgroup_state_committed(const pw_group *g, pw_sock *sock,
+                             const pw_peer *to) {
+  if (!g->cons || !g->applied)
+    return;
+  Pw__Cons m;
+  pwcons_state_committed(g->cons, g->applied, &m);
+  Pw__Envelope e = PW_ENVELOPE(CONS, cons, &m);
+  pwwire_send(sock, to, &e);
+}
+
 int pwgroup_send_to_leader(pw_group *g, Pw__Envelope *e) {
   const char *addr = pwgroup_leader_wire(g);
   if (!addr[0])
--- a/packages/control/pwgroup.h
+++ b/packages/control/pwgroup.h
@@ -66,6 +66,11 @@
 ** that is committed is applied. */
 uint64_t pwgroup_applied(const pw_group *g);
 
+/* States to a member that what is applied here is committed, on the connection
+** on which it asked. */
+void pwgroup_state_committed(const pw_group *g, pw_sock *sock,
+                             const pw_peer *to);
+
 /* Sends a message to the leader; -1: none is known. */
 int pwgroup_send_to_leader(pw_group *g, Pw__Envelope *e);
 
--- a/packages/control/pwreads.c
+++ b/packages/control/pwreads.c
@@ -105,12 +105,18 @@
   ask_leader(r, now);
 }
 
+/* The asking instance mostly has the entries already, but would learn only with
+** the next heartbeat that they are committed, which a suspended leader does not
+** send. The statement precedes the answer on one connection, so it is there
+** when the answer is. */
 static void on_confirm(pw_reads *r, pw_sock *sock, const pw_peer *to,
                        const Pw__Confirm *m, int64_t now) {
   Pw__Confirmed out = PW__CONFIRMED__INIT;
   out.number = m->number;
   out.leads = pwgroup_lease(r->g, now);
   out.index = pwgroup_applied(r->g);
+  if (out.leads)
+    pwgroup_state_committed(r->g, sock, to);
   Pw__Envelope e = PW_ENVELOPE(CONFIRMED, confirmed, &out);
   pwwire_send(sock, to, &e);
 }
--- a/packages/control/pwreads.h
+++ b/packages/control/pwreads.h
@@ -2,9 +2,10 @@
 **
 ** An instance that does not lead asks the leader for its commit index, which
 ** the leader gives only under a valid lease, and answers once it has applied
-** the log that far. So the answer is never older than what was acknowledged
-** before the read came, and the link of the leader does not carry the
-** configuration. */
+** the log that far. The leader states with its answer that the entry there is
+** committed, so that no heartbeat has to come first. So the answer is never
+** older than what was acknowledged before the read came, and the link of the
+** leader does not carry the configuration. */
 #ifndef PWREADS_H
 #define PWREADS_H
 
--- a/tests/test_consensus.c
+++ b/tests/test_consensus.c
@@ -53,6 +53,21 @@
   int64_t at;
 } flight;
 
+/* A read at a member that does not lead: it asks the leader, which answers with
+** its commit index and states that the entry there is committed. */
+typedef struct question {
+  uint64_t asker;          /* disk id; 0: this place is free */
+  uint64_t asked;          /* disk id of the member that is asked */
+  uint64_t acked_revision; /* acknowledged when the read began */
+  uint64_t index;          /* to be applied first; 0: no confirmation yet */
+  Pw__Cons stated;         /* the statement on its way */
+  int is_answered;         /* the answer is on its way */
+  int leads;               /* the answer confirms the read */
+  int64_t at;              /* the question or the answer arrives then */
+} question;
+
+enum { QUESTIONS = 8, QUESTION_STEPS = 4, LATE_ANSWERS = 20, LATE_MS = 3000 };
+
 typedef struct model {
   pw_random rnd;
   int64_t now;
@@ -78,7 +93,11 @@
                     ** do not depend on suspensions */
   int suspends;     /* suspends nodes, and loses disks at the end */
   int nsuspended;
-  const char *broken; /* the first violation, or NULL */
+  int has_reads; /* members that do not lead answer reads, see question */
+  pw_random asks;
+  question q[QUESTIONS];
+  uint64_t nconfirmed, nstated; /* reads answered; statements that committed */
+  const char *broken;           /* the first violation, or NULL */
 } model;
 
 static void violate(model *m, const char *what) {
@@ -324,6 +343,85 @@
     violate(m, "a read under the lease missed an accepted change");
 }
 
+/* --- reads at members that do not lead --- */
+
+static node *running(model *m, uint64_t id) {
+  node *x = id ? find_node(m, id) : NULL;
+  return x && x->up && !x->frozen && !x->cut ? x : NULL;
+}
+
+static int64_t travel(model *m) {
+  int is_late = pwrand_below(&m->asks, LATE_ANSWERS) == 0;
+  return m->now + 1 + (int64_t)pwrand_below(&m->asks, is_late ? LATE_MS : 20);
+}
+
+/* Asks the supposed leader, or any member: one that was deposed may still be
+** taken for the leader. */
+static void ask(model *m, question *q) {
+  node *x = &m->n[pwrand_below(&m->asks, (uint64_t)m->count)];
+  node *other = &m->n[pwrand_below(&m->asks, (uint64_t)m->count)];
+  if (!x->up || x->frozen)
+    return;
+  uint64_t to =
+      pwrand_below(&m->asks, 2) ? pwcons_leader(x->cons) : other->d.id;
+  *q = (question){.asker = x->d.id,
+                  .asked = to,
+                  .acked_revision = m->acked_revision,
+                  .at = travel(m)};
+}
+
+/* States what is committed there in any case: it stays true without a lease. */
+static void answer(model *m, question *q) {
+  const node *l = running(m, q->asked);
+  if (!l || l->applied == 0) {
+    q->asker = 0;
+    return;
+  }
+  pwcons_state_committed(l->cons, l->applied, &q->stated);
+  q->leads = pwcons_holds_lease(l->cons, now_of(m, l)) &&
+             l->applied >= pwcons_commit(l->cons);
+  q->is_answered = 1;
+  q->at = travel(m);
+}
+
+static void work(model *m, node *x);
+
+static void receive_answer(model *m, question *q, node *x) {
+  uint64_t commit = pwcons_commit(x->cons);
+  pwcons_step(x->cons, now_of(m, x), &q->stated);
+  m->nstated += pwcons_commit(x->cons) > commit;
+  if (!q->leads) {
+    q->asker = 0;
+    return;
+  }
+  q->index = q->stated.index;
+  work(m, x);
+}
+
+/* A confirmed read must see every change that was acknowledged before it. */
+static void answer_read(model *m, question *q, const node *x) {
+  if (!q->index || x->applied < q->index)
+    return;
+  if (pwres_revision(pwstate_resources(x->state)) < q->acked_revision)
+    violate(m, "a confirmed read missed an accepted change");
+  m->nconfirmed++;
+  q->asker = 0;
+}
+
+static void step_question(model *m, question *q) {
+  node *x = running(m, q->asker);
+  if (!q->asker && pwrand_below(&m->asks, QUESTION_STEPS) == 0)
+    ask(m, q);
+  else if (q->asker && !find_node(m, q->asker))
+    q->asker = 0; /* its disk was replaced */
+  else if (q->asker && !q->is_answered && m->now >= q->at)
+    answer(m, q);
+  else if (x && q->is_answered && !q->index && m->now >= q->at)
+    receive_answer(m, q, x);
+  if (q->asker && (x = running(m, q->asker)) != NULL)
+    answer_read(m, q, x);
+}
+
 /* --- work --- */
 
 static void store(node *x, const pw_cons_ready *r) {
@@ -630,6 +728,8 @@
   }
   manage(m);
   deliver(m);
+  for (int i = 0; m->has_reads && i < QUESTIONS; i++)
+    step_question(m, &m->q[i]);
 }
 
 /* Loses as many disks as may be lost, while all other nodes lose power. */
@@ -715,12 +815,18 @@
     pw__cons__free_unpacked(m->f[--m->nf].m, NULL);
 }
 
-static const char *run_seed(uint64_t seed, int steps, int suspends,
+/* What a run injects and checks besides the common faults. */
+enum { WITH_SUSPENDS = 1, WITH_READS = 2 };
+
+static const char *run_seed(uint64_t seed, int steps, int with,
                             uint64_t *proposals) {
   static model m; /* large */
   create_group(&m, seed, 0);
+  int suspends = (with & WITH_SUSPENDS) != 0;
   m.suspends = suspends;
   m.pauses = (pw_random){.seed = ~seed};
+  m.has_reads = (with & WITH_READS) != 0;
+  m.asks = (pw_random){.seed = seed ^ UINT64_MAX / 3};
   for (int i = 0; i < m.count; i++)
     start(&m, &m.n[i]);
   for (int i = 0; i < steps && !m.broken; i++)
@@ -733,6 +839,7 @@
     print_nodes(&m);
   free_group(&m);
   CHECK(!suspends || m.broken || m.nsuspended > 0);
+  CHECK(!m.has_reads || m.broken || (m.nconfirmed > 0 && m.nstated > 0));
   *proposals += m.proposals;
   return m.broken;
 }
@@ -879,6 +986,88 @@
   disk_clear(&d);
 }
 
+static void state_committed(pw_cons *c, uint64_t from, uint64_t index,
+                            uint64_t term) {
+  Pw__Cons m = message(PWCONS_COMMITTED, 2);
+  m.from = from;
+  m.index = index;
+  m.log_term = term;
+  pwcons_step(c, 6000, &m);
+}
+
+/* A read must not wait for a heartbeat that a suspended leader does not send: a member learns
+** from a statement what is committed, for entries that it has and for those that come later. */
+static void test_stated_committed(void) {
+  disk d = {0};
+  pw_cons *c = one_of_three(&d, 3);
+  state_committed(c, 2, 2, 1);
+  CHECK(pwcons_commit(c) == 2);
+  state_committed(c, 9, 3, 1); /* no member: another group's log */
+  CHECK(pwcons_commit(c) == 2);
+  state_committed(c, 2, 4, 1);
+  CHECK(pwcons_commit(c) == 2);
+  Pw__Entry e = PW__ENTRY__INIT;
+  Pw__Entry *entries[1] = {&e};
+  e.term = 1;
+  e.index = 4;
+  Pw__Cons m = message(PWCONS_APPEND, 2);
+  m.index = 3;
+  m.log_term = 1;
+  m.entries = entries;
+  m.n_entries = 1;
+  receive_from_2(c, 6001, m);
+  CHECK(pwcons_commit(c) == 4);
+  pwcons_free(c);
+  disk_clear(&d);
+}
+
+/* Entries 2 and 3 of a deposed leader are not committed, though entries of a newer term at
+** these indexes are; nor does its late statement commit more than it held. */
+static void test_stated_for_rewritten_log(void) {
+  disk d = {0};
+  pw_cons *c = one_of_three(&d, 3);
+  state_committed(c, 2, 3, 2);
+  CHECK(pwcons_commit(c) == 0);
+  state_committed(c, 3, 1, 1); /* late, from the deposed leader */
+  CHECK(pwcons_commit(c) == 1);
+  Pw__Entry e[2] = {PW__ENTRY__INIT, PW__ENTRY__INIT};
+  Pw__Entry *entries[2] = {&e[0], &e[1]};
+  for (int i = 0; i < 2; i++) {
+    e[i].term = 2;
+    e[i].index = (uint64_t)i + 2;
+  }
+  Pw__Cons m = message(PWCONS_APPEND, 2);
+  m.index = 1;
+  m.log_term = 1;
+  m.entries = entries;
+  m.n_entries = 1;
+  receive_from_2(c, 6001, m);
+  CHECK(pwcons_last(c) == 2 && pwcons_commit(c) == 1);
+  m.index = 2;
+  m.log_term = 2;
+  m.entries = entries + 1;
+  receive_from_2(c, 6002, m);
+  CHECK(pwcons_last(c) == 3 && pwcons_commit(c) == 3);
+  pwcons_free(c);
+  disk_clear(&d);
+}
+
+/* A leader commits only what a quorum holds, whatever is stated. */
+static void test_stated_to_leader(void) {
+  disk d = {0};
+  pw_cons *c = one_of_three(&d, 1);
+  pwcons_tick(c, 9000);
+  receive_from_2(c, 9000, message(PWCONS_PREVOTE_REPLY, 2));
+  flush(c);
+  receive_from_2(c, 9000, message(PWCONS_VOTE_REPLY, 2));
+  flush(c);
+  CHECK(pwcons_role(c) == PWCONS_LEADER);
+  state_committed(c, 3, 2, 2);
+  CHECK(pwcons_commit(c) == 0);
+  pwcons_free(c);
+  disk_clear(&d);
+}
+
 /* A vote is stored before its reply is sent. */
 static void test_vote_is_synced(void) {
   disk d = {0};
@@ -936,16 +1125,15 @@
 
 static int seeds = 300;
 
-/* Runs one simulation for each seed. With `suspends` nodes are suspended, and disks are lost at
+/* Runs one simulation for each seed. WITH_SUSPENDS: nodes are suspended, and disks are lost at
 ** the end. */
-static void run_models(int suspends) {
+static void run_models(int with) {
   const char *one = getenv("PW_SEED");
   uint64_t first = test_seed(1);
-  int n = one ? 1 : suspends ? seeds / 3 : seeds; /* these take twice as long */
+  int n = one ? 1 : with ? seeds / 3 : seeds; /* these take twice as long */
   uint64_t proposals = 0;
   for (int i = 0; i < n; i++) {
-    const char *broken =
-        run_seed(first + (uint64_t)i, 3000, suspends, &proposals);
+    const char *broken = run_seed(first + (uint64_t)i, 3000, with, &proposals);
     if (broken) {
       printf("PW_SEED=%llu: %s\n", (unsigned long long)first + i, broken);
       CHECK(0);
@@ -964,7 +1152,14 @@
 ** change. When it resumes, it must answer no read under a lease that has expired. At the end, as many disks
 ** are lost as may be while all other nodes lose power. */
 static void test_suspended(void) {
-  run_models(1);
+  run_models(WITH_SUSPENDS);
+}
+
+/* Reads at members that do not lead, while leaders are suspended and deposed and logs are
+** rewritten: what a leader states to be committed must be, and a confirmed read must not be
+** older than what was acknowledged before it. */
+static void test_reads(void) {
+  run_models(WITH_SUSPENDS | WITH_READS);
 }
 
 static void time_starts(int absent, int64_t *mean, int64_t *most) {
@@ -1006,11 +1201,15 @@
   TEST(test_one_voter_at_a_time);
   TEST(test_old_terms);
   TEST(test_commit_of_follower);
+  TEST(test_stated_committed);
+  TEST(test_stated_for_rewritten_log);
+  TEST(test_stated_to_leader);
   TEST(test_vote_is_synced);
   TEST(test_who_is_new);
   TEST(test_cold_start);
   TEST(test_all_start);
   TEST(test_models);
   TEST(test_suspended);
+  TEST(test_reads);
   TESTS_END();
 }
