Control: a stall of the instance itself is not the absence of a leader

Cause: a read is refused at once if no leader has been known for 700 ms. The time at which a leader was known last was noted before the loop's write to the disk, with the time of the start of the iteration. When the process stood still in between for 0.7 s, a read that came then was redirected, though the leader was known and had not been away.

Ruled out: adding stalls to the time at which a leader was known. The stall is noticed only in the next iteration, so that would not help.

Change: the leader that is known when the read comes counts.

--- a/packages/control/pwreads.c
+++ b/packages/control/pwreads.c
@@ -81,9 +81,17 @@
     pwsitecall_redirect_to_leader(call, r->g);
 }
 
+static void note_leader(pw_reads *r, int64_t now) {
+  if (pwgroup_leader_wire(r->g)[0])
+    r->leader_at = now;
+}
+
 /* Whether a confirmation can be expected: a group that has lost its leader
-** just now elects another one, but not if that has taken long already. */
-static int may_be_confirmed(const pw_reads *r, int64_t now) {
+** just now elects another one, but not if that has taken long already. A stall
+** in this iteration, as by a disk that hangs, is not noticed yet, so the leader
+** that is known now counts, not the time at which one was noted. */
+static int may_be_confirmed(pw_reads *r, int64_t now) {
+  note_leader(r, now);
   return pwgroup_is_member(r->g) && now - r->leader_at < CONFIRM_MS;
 }
 
@@ -170,8 +178,7 @@
 
 void pwreads_answer(pw_reads *r, int64_t now) {
   int has_lease = pwgroup_lease(r->g, now);
-  if (pwgroup_leader_wire(r->g)[0])
-    r->leader_at = now;
+  note_leader(r, now);
   for (waiter **at = &r->first; *at;) {
     if (has_lease || is_confirmed(r, *at))
       finish(r, at, 1, now);
