Gateways ask live targets before a request has used up its attempts

Cause: when more than half of a service's targets are silent, the receiver of their heartbeats is taken to be at fault and silence counts no more. Targets that are really gone have no requests, so they came first; seven failed connects are all that a request may have, and it was refused with 3006 (connect) while live targets were not asked. If the live ones are busy, the gone ones lower the mean too, and the load bound excludes the live ones.

Change: a request that has failed elsewhere goes to a target that is not silent or has answered within three heartbeats, as long as one fits; mean and bound are those of these targets. First attempts are placed as before, so that a fault of the receiver does not put the load of all on a few. Only the order of targets has changed: what is told as not run did not run, as before.

Ruled out: the retry budget (failed connects are not paid from it); a false answer (nothing ran). Not taken: leaving silent targets out of first attempts.

--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -325,6 +325,33 @@
   return other >= 0 ? other : best;
 }
 
+/* Fills the rows and picks one; -1: none fits. */
+static int fill_and_pick(pw_fleet *f, const pw_fleet_criteria *criteria,
+                         const service_stats *s, pw_fleet_prompt *prompt,
+                         int *n) {
+  *n = fill_rows(f, criteria, s, f->row, f->targets);
+  *prompt = criteria->prompt;
+  if (criteria->is_sticky) {
+    pwflt_assume_home(prompt, criteria->key, f->row, f->targets, *n);
+    pwflt_fill_prompt(prompt, f->row, f->targets, *n);
+  }
+  return pick_preferred(f, criteria, f->row, f->targets, *n, s->now);
+}
+
+/* Picks among responsive targets for a request that has failed elsewhere while most targets are
+** silent; -1: none fits. If silent targets are really gone they are idle and come first: seven
+** connects failed, all that a request may try, and the live targets were not asked. A first attempt
+** may go to a silent target, since the receiver of the heartbeats may be at fault; then silent
+** targets that are busy are responsive by their answers. */
+static int pick_responsive(pw_fleet *f, const pw_fleet_criteria *criteria,
+                           service_stats s, pw_fleet_prompt *prompt, int *n) {
+  if (!s.most_silent || criteria->ntried == 0)
+    return -1;
+  s.most_silent = 0;
+  int best = fill_and_pick(f, criteria, &s, prompt, n);
+  return best >= 0 && is_responsive(f, f->targets[best], s.now) ? best : -1;
+}
+
 /* Grows the rows to hold all known targets. */
 static void reserve_rows(pw_fleet *f) {
   size_t n = HASH_COUNT(f->by_id);
@@ -344,13 +371,11 @@
   pw_pick *row = f->row;
   pw_target **targets = f->targets;
   service_stats s = stats_of(f, criteria->service, criteria->side, now);
-  int n = fill_rows(f, criteria, &s, row, targets);
-  pw_fleet_prompt prompt = criteria->prompt;
-  if (criteria->is_sticky) {
-    pwflt_assume_home(&prompt, criteria->key, row, targets, n);
-    pwflt_fill_prompt(&prompt, row, targets, n);
-  }
-  int best = pick_preferred(f, criteria, row, targets, n, now);
+  pw_fleet_prompt prompt;
+  int n = 0;
+  int best = pick_responsive(f, criteria, s, &prompt, &n);
+  if (best < 0)
+    best = fill_and_pick(f, criteria, &s, &prompt, &n);
   if (best < 0)
     return out;
   out.target = pwfleet_retain(targets[best]);
