--- a/tests/test_slotorder.c
+++ b/tests/test_slotorder.c
@@ -115,8 +115,7 @@
   TARGETS = 4,
   SLOTS = 6,
   QUEUE = 24,
-  REPORT_MS = 100, /* gateways report loads and rates, and lend slots */
-  LEASE_MS = 400,  /* a lease ends by itself */
+  REPORT_MS = 100, /* interval at which gateways report loads and rates */
   FROM_MS = 3000,  /* callers count who ask from here on, */
   TO_MS = 13000,   /* up to here */
   END_MS = 15000,
@@ -134,9 +133,8 @@
                              {"22 gateways", 22, 4, 30, 150, 1000}};
 
 /* How slots are divided among gateways: one quota for all targets and return
-** times as before (pwshare, pwshed); leases of each target's slots from one
-** gateway; a quota at each target. */
-typedef enum way { BEFORE, LEASES, QUOTAS } way;
+** times as before (pwshare, pwshed), or a quota at each target. */
+typedef enum way { BEFORE, QUOTAS } way;
 
 typedef struct job {
   int gateway, target, born, tries, sent_at;
@@ -155,7 +153,6 @@
   pw_shed shed;
   int own[TARGETS], reported[TARGETS], others[TARGETS];
   double rate, others_rate, work[TARGETS];
-  int lease[TARGETS], leased_at[TARGETS];
 } gate;
 
 typedef struct figures {
@@ -237,22 +234,8 @@
       w->job[t->job[k]].ends_at = w->now + (int)(ms * (0.8 + 0.4 * unit(w)));
 }
 
-/* Divides the slots of a target by the demand that the gateways reported. */
-static void lend(world *w, int t) {
-  double work = 2 * work_of(w, t), sum = 0, done = unit(w);
-  double slots = SLOTS * (1 + w->s->goal_ms / 2.0 / work);
-  for (int g = 0; g < w->s->gateways; g++)
-    sum += w->g[g].rate;
-  for (int g = 0; g < w->s->gateways && sum > 0; g++) {
-    double next = done + slots * w->g[g].rate / sum;
-    w->g[g].lease[t] = (int)next - (int)done;
-    w->g[g].leased_at[t] = w->now;
-    done = next;
-  }
-}
-
 /* Each gateway reports, and takes the last reports of the others, at a phase of
-** its own. The first ones lend the slots of the targets. */
+** its own. */
 static void report(world *w, int i) {
   gate *g = &w->g[i];
   g->rate = pwshare_rate(&g->share, w->now);
@@ -264,8 +247,6 @@
     for (int t = 0; k != i && t < w->s->targets; t++)
       g->others[t] += w->g[k].reported[t];
   }
-  if (i < w->s->targets)
-    lend(w, i);
 }
 
 /* What the gateway knows of the service. */
@@ -285,9 +266,6 @@
 
 static int has_room(const world *w, const gate *g, const pw_slotorder_quota *q,
                     int t, double draw) {
-  if (w->how == LEASES)
-    return w->now - g->leased_at[t] < LEASE_MS &&
-           g->own[t] < g->lease[t] + q->is_returned;
   return w->how == BEFORE ||
          pwslotorder_has_room(q, g->own[t], SLOTS, g->work[t], t, draw);
 }
@@ -341,7 +319,7 @@
   if (!pwslotorder_can_end(&t) || !pwslotorder_may_take(&t, admitted, unit(w)))
     return -1;
   q.is_returned = is_last;
-  return pick(w, g, &q, w->how == LEASES ? q.wait_ms : left / 2);
+  return pick(w, g, &q, left / 2);
 }
 
 static int return_ms(world *w, const gate *g, double left) {
@@ -444,7 +422,7 @@
 }
 
 static figures play_all(const site *s, double load, way how, uint64_t seed) {
-  static const char *const names[] = {"before", "leases", "quotas"};
+  static const char *const names[] = {"before", "quotas"};
   figures sum = {0};
   for (uint64_t k = 0; k < SEEDS; k++) {
     figures f = play(s, load, how, seed + k);
@@ -480,7 +458,6 @@
     double returned = 0, refused_again = 0;
     for (size_t l = 0; l < sizeof loads / sizeof loads[0]; l++) {
       figures before = play_all(&sites[s], loads[l], BEFORE, seed);
-      play_all(&sites[s], loads[l], LEASES, seed);
       figures f = play_all(&sites[s], loads[l], QUOTAS, seed);
       CHECK(f.in_goal > before.in_goal && f.idle < before.idle);
       CHECK(loads[l] == 1 || useful(&f, loads[l]) > 0.9);
