--- a/packages/policy/pwslotorder.c
+++ b/packages/policy/pwslotorder.c
@@ -50,6 +50,10 @@
   return 1;
 }
 
+int pwslotorder_is_short(const pw_slotorder_quota *q) {
+  return q->used >= q->slots;
+}
+
 /* The part of what is asked that the targets can do, at most 1. */
 static double fitting_part(const pw_slotorder_quota *q) {
   double busy = q->used > q->slots ? q->used : q->slots;
@@ -69,7 +73,7 @@
 
 int pwslotorder_has_room(const pw_slotorder_quota *q, double own, double slots,
                          double work_ms, int i, double draw) {
-  if (q->used < q->slots)
+  if (!pwslotorder_is_short(q))
     return 1;
   double limit = pwslotorder_limit(q, slots, work_ms);
   /* A gateway that gets a request now and then may send the part of them that
--- a/packages/policy/pwslotorder.h
+++ b/packages/policy/pwslotorder.h
@@ -49,6 +49,10 @@
   int is_returned; /* the try is a PWSLOTORDER_RETURNED that may take a slot */
 } pw_slotorder_quota;
 
+/* Whether no slot is free, as far as it is known. The order of tries, their
+** deadlines and the quota matter only then. */
+int pwslotorder_is_short(const pw_slotorder_quota *q);
+
 /* How many requests this gateway may have in flight at targets with `slots` whose
 ** requests take `work_ms`: its share, by demand, of the slots and of the queue
 ** that is worked off in q->wait_ms. The queue is shorter the more of what is
@@ -57,8 +61,7 @@
                          double work_ms);
 
 /* Whether this gateway may send one more request to target number `i`, where it
-** has `own` in flight. Always so while the service has free slots. A fraction of
-** a slot is granted with that probability, by `draw`, uniform in [0, 1) and the
+** has `own` in flight. Always so while slots are not short. A fraction of a slot is granted with that probability, by `draw`, uniform in [0, 1) and the
 ** same for all targets of a request. */
 int pwslotorder_has_room(const pw_slotorder_quota *q, double own, double slots,
                          double work_ms, int i, double draw);
--- a/tests/test_slotorder.c
+++ b/tests/test_slotorder.c
@@ -316,7 +316,9 @@
                         .time_left_ms = left,
                         .work_ms = q.work_ms};
   double admitted = pwshed_first_admitted(&g->shed);
-  if (!pwslotorder_can_end(&t) || !pwslotorder_may_take(&t, admitted, unit(w)))
+  if (pwslotorder_is_short(&q) &&
+      (!pwslotorder_can_end(&t) ||
+       !pwslotorder_may_take(&t, admitted, unit(w))))
     return -1;
   q.is_returned = is_last;
   return pick(w, g, &q, left / 2);
