Gateways divide the slots of plain services by pwslotorder

Cause: in the model of test_slotorder a tenth (12 gateways) and a fifth (22) of the slots of three or four targets are idle while requests are refused, and nearly all callers that come back when they are told to are refused again.

Change, for services that are not engines: the gateway's quota is its share by demand of each target's slots (pw_fleet_criteria.quota), not of all together. While slots are short, second tries of requests that may be repeated and callers that came back go after others, and tries that cannot end before the deadline are refused at once. A refusal has Retry-After only while callers that come back are likely to find a slot. Counters gateway_returned_total and gateway_returned_full_total. No setting is added.

pwshed_may_retry is deleted: its rule is that of second tries in pwslotorder_may_take, and test_may_retry of test_shed checks it there with the same numbers.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -135,6 +135,10 @@
     "requests beyond what their workspace may send before others")             \
   X(PWC_GW_SURGING, "gateway_workspaces_surging", "gauge",                     \
     "workspaces that send far beyond their share of a service")                \
+  X(PWC_GW_RETURNED, "gateway_returned_total", "counter",                      \
+    "callers of plain services that came back after a refusal")                \
+  X(PWC_GW_RETURNED_FULL, "gateway_returned_full_total", "counter",            \
+    "of these, refused again because no slot was free")                        \
   X(PWC_GW_CLIENTS, "gateway_clients", "gauge", "callers' connections open")   \
   X(PWC_GW_BUFFERED, "gateway_held_bytes", "gauge",                            \
     "held for callers and targets that have not taken it")                     \
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -95,39 +95,70 @@
 
 /* This gateway's quota of the slots of a service. */
 typedef struct quota {
-  double slots;     /* slots open to requests of this urgency */
-  int is_used;      /* a request was refused because they are taken */
-  pw_fleet_sum sum; /* over all targets */
+  double slots;             /* slots open to requests of this urgency */
+  int is_used;              /* a request was refused because they are taken */
+  pw_slotorder_quota plain; /* of a plain service */
+  pw_fleet_sum sum;         /* over all targets */
 } quota;
 
 static quota quota_of(const pw_exchange *x, int64_t now) {
   quota p = {.sum = pwfleet_sum(x->g->fleet, x->service->name, x->side, now)};
   double mine = pwshare_rate(&x->service_state->share, now);
+  double all = mine + x->service_state->others_rate;
+  double used = p.sum.inflight + p.sum.others;
   double reserved =
       pwshed_reserve(&x->service_state->shed, x->urgency, x->is_deprioritized);
-  if (!x->service->is_engine &&
-      p.sum.work_ms > 0) /* add the requests that fit in the targets' queues */
-    p.sum.slots *= 1 + max_target_wait_ms(x) / p.sum.work_ms;
-  p.slots = pwshare_slots(mine, mine + x->service_state->others_rate,
-                          p.sum.slots, p.sum.inflight + p.sum.others, reserved);
+  if (x->service->is_engine) {
+    p.slots = pwshare_slots(mine, all, p.sum.slots, used, reserved);
+    return p;
+  }
+  p.plain = (pw_slotorder_quota){.mine = mine,
+                                 .all = all,
+                                 .targets = p.sum.targets,
+                                 .slots = p.sum.slots,
+                                 .used = used,
+                                 .work_ms = p.sum.work_ms,
+                                 .wait_ms = max_target_wait_ms(x),
+                                 .reserved = reserved,
+                                 .is_returned = x->is_deprioritized};
+  p.slots = pwslotorder_limit(&p.plain, p.sum.slots, p.sum.work_ms);
   return p;
 }
 
-/* Whether this gateway has used up its quota. A fraction of a slot is granted with that probability. */
+/* Whether this gateway has used up its quota of an engine service. A fraction of a slot is granted with
+** that probability. */
 static int is_quota_used(const pw_exchange *x, const quota *p) {
   return p->sum.inflight + pwgate_random(x->g) > p->slots;
 }
 
+static pw_slotorder_try try_of(const pw_exchange *x) {
+  const pw_gate_route *r = pwgate_route(x->g, x->route->name);
+  pw_slotorder_rank rank = x->may_have_run       ? PWSLOTORDER_SECOND_TRY
+                           : x->is_deprioritized ? PWSLOTORDER_RETURNED
+                                                 : PWSLOTORDER_FIRST;
+  return (pw_slotorder_try){.rank = rank,
+                            .may_repeat = x->route->kind == PWSITE_SAFE,
+                            .time_left_ms = (double)pwexi_time_left(x),
+                            .work_ms =
+                                r && !x->route->is_stream ? r->answer_ms : 0};
+}
+
 /* Whether the request is refused even if a target is free. Repeats to engines are not refused as
 ** such, since they fill slots that become free: refusing them lowered the value of answers at six
 ** times the load from 0.419 to 0.399. At a plain service the quota is one slot or less, of which none can
 ** be reserved: refusing repeats raised the value of answers at three times the load on 103 gateways
-** from 0.63 to 0.77. */
+** from 0.63 to 0.77. There, second attempts of requests that may be repeated and attempts that cannot end
+** before the deadline are refused as well, but only while slots are short. */
 static int must_refuse(const pw_exchange *x, const quota *p) {
-  int is_refused_repeat =
-      x->is_deprioritized && !x->service->is_engine &&
-      !pwshed_may_retry(&x->service_state->shed, pwgate_random(x->g));
-  return is_refused_repeat || is_quota_used(x, p);
+  if (x->service->is_engine)
+    return is_new(x) && is_quota_used(x, p);
+  if (p->sum.targets == 0 || !pwslotorder_is_short(&p->plain))
+    return 0; /* without a live target the last resort may still answer */
+  pw_slotorder_try t = try_of(x);
+  return !pwslotorder_can_end(&t) ||
+         !pwslotorder_may_take(&t,
+                               pwshed_first_admitted(&x->service_state->shed),
+                               pwgate_random(x->g));
 }
 
 /* Connections that this gateway may have to one target: its share of those that a
@@ -179,6 +210,9 @@
   int64_t now = pwclock_ms();
   int is_sticky = x->route->is_sticky && x->request_info.nparts > 0;
   uint64_t key = pwexi_prompt_key(&x->request_info);
+  /* The quota at each target limits the wait there by what is known here at once; the reported loads
+  ** are 100 ms old. */
+  int has_quota = is_new(x) && !x->service->is_engine;
   pw_fleet_criteria criteria = {
       .service = x->service->name,
       .side = x->side,
@@ -186,7 +220,9 @@
       .is_sticky = is_sticky,
       .key = key,
       .home_only = is_new(x) && x->service->is_engine,
-      .wait_ms = max_target_wait_ms(x),
+      .wait_ms =
+          has_quota ? (double)pwexi_time_left(x) / 2 : max_target_wait_ms(x),
+      .quota = has_quota ? &p->plain : NULL,
       .draw = pwgate_random(g),
       .bound = bound_of(x, p),
       .cold = {x->service->cold_ms, x->service->cold_per_s},
@@ -208,6 +244,19 @@
   return 1;
 }
 
+/* When the refused caller is to come back, ms; 0: it is not told to. */
+static int64_t return_ms(const pw_exchange *x) {
+  double draw = pwgate_random(x->g);
+  int64_t left = pwexi_time_left(x);
+  if (x->service->is_engine)
+    return pwshed_retry_ms(left, x->retry_known_ms, draw);
+  pw_slotorder_try t = try_of(x);
+  if (!pwslotorder_can_end(&t))
+    return 0;
+  return pwslotorder_return_ms(pwshed_first_admitted(&x->service_state->shed),
+                               (double)left, (double)x->retry_known_ms, draw);
+}
+
 /* Refuses a request because what it needs is used up. */
 static void refuse_busy(pw_exchange *x, const char *why) {
   pwspike_refused(x->service_state->spike,
@@ -215,9 +264,7 @@
   /* Closes the connection so that the caller's retry may reach another gateway, unless the close would lose
   ** requests that the caller has pipelined behind this one. */
   x->caller->close_next = !pwconn_has_more(x->caller);
-  pwexi_refuse(x, PW_E_BUSY, why,
-               pwshed_retry_ms(pwexi_time_left(x), x->retry_known_ms,
-                               pwgate_random(x->g)));
+  pwexi_refuse(x, PW_E_BUSY, why, return_ms(x));
 }
 
 /* Refuses a request because the quota of this gateway or the load bound of all targets is used up. */
@@ -298,10 +345,9 @@
 }
 
 /* Sends the request to a target of the chosen version. Returns 0 if quota or slots do not allow it. */
-static int try_side(pw_exchange *x, quota *p, int is_first_attempt,
-                    int64_t now) {
+static int try_side(pw_exchange *x, quota *p, int64_t now) {
   *p = quota_of(x, now);
-  p->is_used = is_first_attempt && must_refuse(x, p);
+  p->is_used = must_refuse(x, p);
   return !p->is_used && dispatch_now(x, p);
 }
 
@@ -310,6 +356,10 @@
               is_dispatched, now);
   if (!is_dispatched && !is_surplus(x) && !x->is_deprioritized)
     x->service_state->short_at = now;
+  if (x->is_deprioritized && !x->service->is_engine) {
+    pwcount_add(x->g->p->counters, PWC_GW_RETURNED, 1);
+    pwcount_add(x->g->p->counters, PWC_GW_RETURNED_FULL, !is_dispatched);
+  }
 }
 
 void pwexi_dispatch(pw_exchange *x) {
@@ -323,10 +373,10 @@
     pwshare_note(&x->service_state->share, now);
   quota p;
   choose_side(x);
-  int is_dispatched = try_side(x, &p, is_first_attempt, now);
+  int is_dispatched = try_side(x, &p, now);
   if (!is_dispatched && x->side == PWFLEET_NEW_VERSION) {
     x->side = PWFLEET_OLD_VERSION;
-    is_dispatched = try_side(x, &p, is_first_attempt, now);
+    is_dispatched = try_side(x, &p, now);
   }
   if (is_first_attempt)
     note_admission(x, is_dispatched, now);
@@ -335,7 +385,10 @@
   if (x->has_begun || x->may_have_run)
     pwexi_fail(
         x, PW_E_UNKNOWN,
-        "no other target is available after an attempt that may have run", 0);
+        p.is_used
+            ? "no slot is free after an attempt that may have run"
+            : "no other target is available after an attempt that may have run",
+        0);
   else if (pwfleet_usable(x->g->fleet, x->service->name, now) == 0)
     refuse_no_target(x, now);
   else if (x->service->is_engine && x->route->is_sticky && !p.is_used)
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -11,6 +11,7 @@
 #include "pwpick.h"
 #include "pwprefill.h"
 #include "pwreject.h"
+#include "pwslotorder.h"
 #include "pwunanswered.h"
 
 #include <netinet/in.h>
@@ -269,6 +270,8 @@
   double wait_ms;         /* longest acceptable wait for a slot */
   double draw;            /* uniform in [0, 1) */
   pw_pick_bound bound;
+  /* This gateway's quota of a plain service; NULL: none applies. */
+  const pw_slotorder_quota *quota;
   pw_cold_service cold; /* what the service's cold targets accept */
   double part;   /* this gateway's share of `cold`, above 0 and at most 1 */
   int conns;     /* most connections to one target, busy or idle; 0: no limit */
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -265,6 +265,14 @@
           pwunanswered_may_probe(&t->unanswered, criteria->part, s->now));
 }
 
+/* Whether the quota of this gateway lets it send one more request to target number `i`. */
+static int has_quota(const pw_target *t, const pw_fleet_criteria *criteria,
+                     const service_stats *s, int i) {
+  return !criteria->quota ||
+         pwslotorder_has_room(criteria->quota, t->inflight, t->slots,
+                              work_of(t, s), i, criteria->draw);
+}
+
 static int has_rejected(const pw_target *t, int64_t now) {
   return t->peer_rejects || pwreject_is_recent(&t->rejects, now);
 }
@@ -301,6 +309,7 @@
         .is_usable = is_usable(f, t, s) && !was_tried(criteria, t) &&
                      passes_unanswered(t, s, criteria) &&
                      has_connection(t, criteria) &&
+                     has_quota(t, criteria, s, n) &&
                      passes_cold_limit(t, criteria, s->now),
         .counts = is_usable(f, t, s),
         .is_near = !strcmp(t->availability_zone, f->availability_zone),
@@ -315,6 +324,7 @@
                        !was_tried(criteria, targets[i]) &&
                        passes_unanswered(targets[i], s, criteria) &&
                        has_connection(targets[i], criteria) &&
+                       has_quota(targets[i], criteria, s, i) &&
                        passes_cold_limit(targets[i], criteria, s->now);
   return n;
 }
--- a/packages/policy/pwshed.c
+++ b/packages/policy/pwshed.c
@@ -20,11 +20,6 @@
 ** 0.417 and 0.417 of all, and 0.86, 0.78 and 0.76 of the most urgent class. */
 #define LEAST_PART 0.8
 
-/* When this share of the first attempts gets no slot, no retry gets one. The
-** number of requests that fail in the end stays the same, but more are answered
-** within their time goal. */
-#define FIRST_MISSED_MAX 0.1
-
 /* Time constant in ms with which the counts decay. */
 #define DECAY_MS 3000.0
 
@@ -65,11 +60,6 @@
   *r = *r < 0 ? 0 : *r > RESERVE_MOST ? RESERVE_MOST : *r;
 }
 
-int pwshed_may_retry(const pw_shed *p, double draw) {
-  double missed = p->first_requests - p->first_admitted;
-  return missed <= draw * FIRST_MISSED_MAX * p->first_requests;
-}
-
 double pwshed_first_admitted(const pw_shed *p) {
   return p->first_requests > 0 ? p->first_admitted / p->first_requests : 1;
 }
--- a/packages/policy/pwshed.h
+++ b/packages/policy/pwshed.h
@@ -38,11 +38,6 @@
 ** that goes last leaves it to the others of its own class as well. */
 double pwshed_reserve(const pw_shed *p, int urgency, int is_last);
 
-/* Whether a caller's retry may get a slot now. All retries may while first
-** attempts get theirs; the more first attempts get none, the fewer retries may.
-** `draw` is uniform in [0, 1). */
-int pwshed_may_retry(const pw_shed *p, double draw);
-
 /* The share of the recent first attempts that got a slot, 0 to 1. */
 double pwshed_first_admitted(const pw_shed *p);
 
--- a/tests/test_shed.c
+++ b/tests/test_shed.c
@@ -4,6 +4,7 @@
 
 #include "pwbuf.h"
 #include "pwshed.h"
+#include "pwslotorder.h"
 #include "pwspike.h"
 #include "pwtimeouts.h"
 
@@ -193,28 +194,34 @@
   CHECK(pwshed_reserve(&p, 2, 1) >= 0.1);
 }
 
-/* Retries get a slot while all first attempts do, and none when one in ten of
+/* Whether the second try of a request that may be repeated may take a slot. */
+static int may_try_again(const pw_shed *p, double draw) {
+  pw_slotorder_try t = {.rank = PWSLOTORDER_SECOND_TRY, .may_repeat = 1};
+  return pwslotorder_may_take(&t, pwshed_first_admitted(p), draw);
+}
+
+/* Second tries get a slot while all first tries do, and none when one in ten of
 ** those does not. */
 static void test_may_retry(void) {
   pw_shed p;
   pwshed_init(&p, 0);
-  CHECK(pwshed_may_retry(&p, 0));
+  CHECK(may_try_again(&p, 0));
   for (int i = 0; i < 200; i++)
     pwshed_note(&p, 2, 0, 1, i);
-  CHECK(pwshed_may_retry(&p, 0));
+  CHECK(may_try_again(&p, 0));
   /* refused retries do not count as refused first attempts */
   for (int i = 0; i < 200; i++)
     pwshed_note(&p, 2, 1, 0, 200 + i);
-  CHECK(pwshed_may_retry(&p, 0));
+  CHECK(may_try_again(&p, 0));
   for (int i = 0; i < 12; i++)
     pwshed_note(&p, 2, 0, 0, 400 + i); /* one in eighteen */
-  CHECK(!pwshed_may_retry(&p, 0.3) && pwshed_may_retry(&p, 0.8));
+  CHECK(!may_try_again(&p, 0.3) && may_try_again(&p, 0.8));
   for (int i = 0; i < 40; i++)
     pwshed_note(&p, 2, 0, 0, 500 + i);
-  CHECK(!pwshed_may_retry(&p, 0.99));
+  CHECK(!may_try_again(&p, 0.99));
   for (int i = 0; i < 400; i++)
     pwshed_note(&p, 2, 0, 1, 20000 + i);
-  CHECK(pwshed_may_retry(&p, 0.01));
+  CHECK(may_try_again(&p, 0.01));
 }
 
 /* A workspace that sends many times its baseline spikes, down to about twice
