Prompts spread beyond their first three targets only where slots are free

As with homes, targets after the third of a key's order now qualify only with a quarter of their slots free.

--- a/packages/policy/pwpick.c
+++ b/packages/policy/pwpick.c
@@ -151,6 +151,7 @@
   const pw_pick_times *times;
   double soon_ms;   /* on the time to the first chunk */
   int holders_only; /* it has the prompt cached */
+  int needs_spare_slots;
 } requirement;
 
 static int is_in_time(const pw_pick *t, const pw_pick_times *times) {
@@ -160,7 +161,8 @@
 static int satisfies(const pw_pick *t, const requirement *r) {
   return has_room(t, r->limit) && !t->repeats_prefill &&
          is_in_time(t, r->times) && t->first_ms <= r->soon_ms &&
-         (t->is_holder || !r->holders_only);
+         (t->is_holder || !r->holders_only) &&
+         (!r->needs_spare_slots || has_slots_to_spare(t, r->limit));
 }
 
 /* The first target in the key's order that satisfies the requirement; -1: there
@@ -226,6 +228,11 @@
   if (best >= 0)
     return best;
   r.holders_only = 0;
+  best = first_satisfying(t, n, key, &r);
+  if (best < 0 || has_slots_to_spare(&t[best], r.limit) ||
+      rank_of(t, n, key, best) < COPIES)
+    return best;
+  r.needs_spare_slots = 1;
   return first_satisfying(t, n, key, &r);
 }
 
