Prefix table: a message that names no target evicts no target

Cause: pwaffinity_learn took target 0 of a message for the mark of an unused place; in a full row it replaced the target that was used least recently. Change: it ignores target 0. Evidence: test_no_target fails before and passes now.

--- a/packages/membership/pwaffinity.c
+++ b/packages/membership/pwaffinity.c
@@ -90,6 +90,8 @@
 
 void pwaffinity_learn(pw_affinity *a, uint64_t key, uint32_t target,
                       int64_t now) {
+  if (!target)
+    return;
   holder *h = use(a, key, target);
   h->at = h->told_at = now;
 }
--- a/packages/membership/pwaffinity.h
+++ b/packages/membership/pwaffinity.h
@@ -28,7 +28,7 @@
 int pwaffinity_note(pw_affinity *a, uint64_t key, uint32_t target, int64_t now,
                     int64_t keep_ms);
 
-/* Records the same as reported by another gateway. */
+/* Records the same as reported by another gateway; nothing for target 0. */
 void pwaffinity_learn(pw_affinity *a, uint64_t key, uint32_t target,
                       int64_t now);
 
--- a/tests/test_prefill.c
+++ b/tests/test_prefill.c
@@ -102,6 +102,19 @@
   pwaffinity_free(a);
 }
 
+/* A message of another gateway that names no target (0) leaves the known ones as they are. Guards against one that takes
+** the place of a target that has the prefix cached. */
+static void test_no_target(void) {
+  enum { KEEP = 1000, KEY = 42 };
+  uint32_t holder[PWAFFINITY_HOLDERS];
+  pw_affinity *a = pwaffinity_new();
+  for (uint32_t target = 1; target <= PWAFFINITY_HOLDERS; target++)
+    pwaffinity_note(a, KEY, target, 100, KEEP);
+  pwaffinity_learn(a, KEY, 0, 200);
+  CHECK(pwaffinity_holders(a, KEY, 200, KEEP, holder) == PWAFFINITY_HOLDERS);
+  pwaffinity_free(a);
+}
+
 /* Thousands of prefixes are kept at once. Guards against two in use that evict each other again and again. */
 static void test_many_prefixes(void) {
   enum { KEEP = 10000, KEYS = 6000 };
@@ -221,6 +234,7 @@
   TEST(test_limit);
   TEST(test_holders);
   TEST(test_announcements);
+  TEST(test_no_target);
   TEST(test_many_prefixes);
   TEST(test_pick_holder);
   TEST(test_pick_long);
