Engines that copy nothing compute a prefix again where its holder is late

Cause: repeats_prefill was set at every target but the holders of a prefix where targets cannot copy from one another (nothing is ever copied), so a prompt whose one holder was late or full was refused beside idle engines. Change: it applies to targets that can copy only. Evidence: the new case of test_shared_prefix gets no target before, and the idle home now.

--- a/packages/membership/pwfleetprompt.c
+++ b/packages/membership/pwfleetprompt.c
@@ -89,7 +89,7 @@
     row[i].first_ms = pwprefill_first_ms(&p->prefill, &work);
     row[i].queue_ms = pwprefill_queue_ms(&p->prefill, &work);
     row[i].is_holder = has_shared(p, targets[i]);
-    row[i].repeats_prefill = p->is_new && work.copied == 0 &&
+    row[i].repeats_prefill = p->is_new && p->can_copy && work.copied == 0 &&
                              held - cached_at(p, targets[i]) > REPEAT_TOKENS;
   }
 }
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -535,6 +535,14 @@
   CHECK(picked.target == home && picked.holder == other);
   CHECK(picked.work.copied == 1000 && picked.work.own == 100);
   pwfleet_release(picked.target);
+  /* targets that copy nothing compute the prefix again where the one that has it is late: it would be refused
+  ** beside an idle target otherwise */
+  criteria.prompt.can_copy = 0;
+  picked = pwfleet_pick(f, &criteria, 1000);
+  CHECK(picked.target == home && picked.work.own == 1100);
+  if (picked.target)
+    pwfleet_release(picked.target);
+  criteria.prompt.can_copy = 1;
   /* its home has it */
   criteria.prompt.cached[0].target = home->short_hash;
   picked = pwfleet_pick(f, &criteria, 1000);
