Requests that have waited for a prefix are not refused by idle engines

Cause: their load bound was the multiple of the mean without an extra. With few requests in flight that is less than one request, so each target was over it: all that had waited were refused (2001, "no target would send the first chunk") beside four idle engines of five. Change: the extra is left out only where the multiple alone leaves room for a target with the mean load.

--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -136,13 +136,18 @@
 
 /* Requests that a target may have above its multiple of the mean. More are allowed where few requests reach a target
 ** between two load reports of the other gateways. Requests that waited for the same prefix are sent at the same
-** moment by all gateways, so none of these sees the others' in the reports. */
+** moment by all gateways, so none of these sees the others' in the reports. They get none, unless the multiple alone
+** rules out a target with the mean load, as where few requests are in flight: they were refused by idle engines. */
 static double extra_of(const pw_exchange *x, const quota *p) {
+  double mean = p->sum.targets > 0
+                    ? (p->sum.inflight + p->sum.others) / p->sum.targets
+                    : 0;
+  double multiple = PW_GW_BOUND_SHARE * x->g->p->set->gateway_load_times;
   double rate_per_target =
       p->sum.targets > 0 ? x->service_state->others_rate / p->sum.targets : 0;
   double extra = pwpick_extra(rate_per_target, p->sum.others_age_ms);
   if (x->has_awaited_prefix)
-    return 0;
+    return multiple * mean < mean + 1 ? EXTRA_LATE : 0;
   if (x->service_state->prefill.goal_part < 1 && extra > EXTRA_LATE)
     return EXTRA_LATE;
   return extra;
