--- a/packages/gateway/pwexprefix.c
+++ b/packages/gateway/pwexprefix.c
@@ -122,15 +122,21 @@
   return x->request_info.part[shared_parts(&x->request_info) - 1].tokens;
 }
 
-/* Whether a target computes the prefix of the prompt and none has it cached. */
+/* Whether a live target has the part cached, or computes it (`key` with PWAFFINITY_PREFILL). */
+static int has_holder(const pw_exchange *x, uint64_t key, int64_t now,
+                      int64_t keep_ms) {
+  uint32_t target[PWAFFINITY_HOLDERS];
+  int n = pwaffinity_holders(x->g->affinity, key, now, keep_ms, target);
+  return n > 0 &&
+         pwfleet_has_live(x->g->fleet, x->service->name, target, n, now);
+}
+
+/* Whether a target computes the prefix of the prompt and none has it cached. Targets that have crashed do not count:
+** otherwise a prefix would be computed many times at once after its holders have crashed. */
 static int is_in_prefill(const pw_exchange *x, int64_t now) {
-  const pw_affinity *a = x->g->affinity;
   uint64_t key = pwexi_prompt_key(&x->request_info);
-  uint32_t target[PWAFFINITY_HOLDERS];
-  return pwaffinity_holders(a, key, now, pwexchange_prefix_keep_ms(x->g),
-                            target) == 0 &&
-         pwaffinity_holders(a, key | PWAFFINITY_PREFILL, now, PREFILL_KEEP_MS,
-                            target) > 0;
+  return has_holder(x, key | PWAFFINITY_PREFILL, now, PREFILL_KEEP_MS) &&
+         !has_holder(x, key, now, pwexchange_prefix_keep_ms(x->g));
 }
 
 int pwexi_await_prefix(pw_exchange *x, int64_t now) {
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -221,6 +221,10 @@
 int pwfleet_usable(pw_fleet *f, const char *service, int64_t now);
 int pwfleet_alive(pw_fleet *f, const char *service, int64_t now);
 
+/* Whether one of these incarnations, given by their short hashes, is a live target of the service. */
+int pwfleet_has_live(pw_fleet *f, const char *service,
+                     const uint32_t *short_hash, int n, int64_t now);
+
 /* Whether a usable target exists besides those that a request has tried. */
 int pwfleet_has_other(pw_fleet *f, const char *service, pw_fleet_side side,
                       pw_target *const *tried, int ntried, int64_t now);
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -145,6 +145,17 @@
   return 0;
 }
 
+int pwfleet_has_live(pw_fleet *f, const char *service,
+                     const uint32_t *short_hash, int n, int64_t now) {
+  service_stats s = stats_of(f, service, PWFLEET_ANY_VERSION, now);
+  for (const pw_target *t = f->by_id; t && n > 0; t = t->hh.next)
+    for (int i = 0; i < n; i++)
+      if (t->short_hash == short_hash[i] && is_alive(f, t, &s) &&
+          pwflt_is_of(t, service, PWFLEET_ANY_VERSION))
+        return 1;
+  return 0;
+}
+
 static int count(const pw_fleet *f, const char *service, int64_t now,
                  int (*fits)(const pw_fleet *f, const pw_target *t,
                              const service_stats *s)) {
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -486,6 +486,24 @@
   CHECK(other >= 0 && !used[other]);
 }
 
+/* Only a live target counts as one that has a prefix cached. Guards against prompts that do not wait for a prefill in
+** progress because a target that has crashed is still in the table of prefixes. */
+static void test_live_holders(void) {
+  pw_fleet *f = pwfleet_new("az", 100, 1000);
+  pw_heartbeat a = heartbeat("a", "10.0.0.1:80", 1, 0);
+  pw_heartbeat b = heartbeat("b", "10.0.0.2:80", 1, 0);
+  pwfleet_heartbeat(f, &a, 0, 1000);
+  pwfleet_heartbeat(f, &b, 0, 1000);
+  pw_target *t = pwfleet_find(f, "a");
+  uint32_t holder[2] = {t->short_hash, 12345};
+  CHECK(pwfleet_has_live(f, "s", holder, 2, 1000));
+  CHECK(!pwfleet_has_live(f, "s", holder + 1, 1, 1000));
+  CHECK(!pwfleet_has_live(f, "other", holder, 2, 1000));
+  t->is_gone = 1;
+  CHECK(!pwfleet_has_live(f, "s", holder, 2, 1000));
+  pwfleet_free(f);
+}
+
 /* The prompt of test_shared_prefix: 100 tokens of its own after 1,000 that it shares with others. */
 static pw_fleet_prompt shared_prompt(void) {
   return (pw_fleet_prompt){.tokens = 1100,
@@ -800,6 +818,7 @@
   TEST(test_connections);
   TEST(test_pick);
   TEST(test_pick_sticks_when_full);
+  TEST(test_live_holders);
   TEST(test_shared_prefix);
   TEST(test_retries);
   TEST(test_retries_shared);
