A resumed stream counts as prefill until its first event, not until its end

Cause: the first chunk was noted with the head of the answer, which is sent to the caller once. After a stream was resumed at another target, its prompt counted there as prefill until the stream ended, for all gateways, and its prefix as in prefill, not as cached. Change: the first chunk of each attempt is noted.

--- a/packages/gateway/pwevents.c
+++ b/packages/gateway/pwevents.c
@@ -55,6 +55,8 @@
 void pwexi_forward(pw_exchange *x, const char *data, size_t n) {
   if (!x->has_begun)
     pwexi_begin_answer(x);
+  else if (!x->has_chunk) /* resumed at another target */
+    pwexi_note_first_chunk(x, pwclock_ms());
   note_pause(x);
   x->nchunks++;
   pwconn_write(x->caller, data, n);
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -53,6 +53,7 @@
   pw_prefill_work work; /* of t before the first chunk; {0} from then on */
   pw_target *source;    /* the target from which t copies a prefix, or NULL */
   int is_sent;          /* bytes of the request have been sent to t */
+  int has_chunk;        /* a chunk of t's answer has come */
   int64_t sent_at;
   int64_t sent_stalled_ms;    /* the event loop's total stall time at sent_at */
   int64_t first_forwarded_at; /* time of the first chunk of the answer */
--- a/packages/gateway/pwexprefix.c
+++ b/packages/gateway/pwexprefix.c
@@ -225,6 +225,7 @@
 
 /* The time of a copy says nothing of the speed of prefill. */
 void pwexi_note_first_chunk(pw_exchange *x, int64_t now) {
+  x->has_chunk = 1;
   if (!x->t || !has_prompt(x))
     return;
   if (x->work.own > 0 && x->work.copied == 0)
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -45,6 +45,7 @@
     max_idle_ms = 0;
   write_head(x, &head);
   x->is_sent = 0;
+  x->has_chunk = 0;
   x->sent_at = pwclock_ms();
   x->sent_stalled_ms = x->g->tcp.lag.lost_ms;
   x->u =
