--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -25,6 +25,7 @@
 #define ID_MAX 64
 #define CONTROLS_MAX 8
 #define SLOTS 8
+#define HOLD_POLL_S 0.01
 
 /* X(name): faults; each is a number, mostly of the next requests that it applies to. */
 #define FAULTS(X)                                                              \
@@ -42,6 +43,7 @@
   X(unframed)        /* the answer ends with its connection */                 \
   X(delay)           /* ms before an answer */                                 \
   X(gap)             /* ms between events */                                   \
+  X(hold)            /* no answer begins until this is 0 again */              \
   X(leaving)         /* the heartbeats report the target as leaving */         \
   X(silent)          /* no heartbeats */                                       \
   X(closing)         /* closes a reused connection when a request arrives */   \
@@ -293,6 +295,11 @@
   (void)ev;
   (void)events;
   peer *p = w->data;
+  if (!p->event && me.f.hold) {
+    ev_timer_set(w, HOLD_POLL_S, 0);
+    ev_timer_start(me.ev, w);
+    return;
+  }
   if (p->event)
     send_event(p);
   else
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -109,9 +109,10 @@
 function gateways.config_text(s)
   local routes, services, tenants = {}, {}, {}
   for i, r in ipairs(s.routes) do
-    routes[i] = string.format('{"name":%q,"host":"a.example","pathPrefix":%q,"kind":%q,"timeoutMs":%d,"goalMs":300,' ..
-      '"priority":%d,"service":%q,"attempts":%d,"public":%s,"sticky":false,"resumable":%s,"gapTargetMs":300}', r.name, r.prefix,
-      r.kind, r.timeout, r.priority or 1, r.service, r.attempts, tostring(r.public or false), tostring(r.resumable or false))
+    routes[i] = string.format('{"name":%q,"host":"a.example","pathPrefix":%q,"kind":%q,"timeoutMs":%d,"goalMs":%d,' ..
+      '"priority":%d,"service":%q,"attempts":%d,"public":%s,"sticky":%s,"resumable":%s,"gapTargetMs":300}', r.name, r.prefix,
+      r.kind, r.timeout, r.goal or 300, r.priority or 1, r.service, r.attempts, tostring(r.public or false),
+      tostring(r.sticky or false), tostring(r.resumable or false))
   end
   for i, name in ipairs(s.services) do
     local engine = s.engine and name == "llm" and
