No request waits for a prefix where no route of its service has a goal

Cause: the longest wait is half of the shortest goal, 0 without one; the request was queued for 0 ms, counted as one that waited, and got the tighter load bound of those. Change: it does not wait.

--- a/packages/gateway/pwexprefix.c
+++ b/packages/gateway/pwexprefix.c
@@ -141,7 +141,7 @@
 
 int pwexi_await_prefix(pw_exchange *x, int64_t now) {
   int64_t wait_ms = (int64_t)(WAIT_PART * (double)x->service->shortest_goal_ms);
-  if (x->has_awaited_prefix || !has_prompt(x) ||
+  if (wait_ms <= 0 || x->has_awaited_prefix || !has_prompt(x) ||
       prefix_tokens(x) < AWAIT_TOKENS || wait_ms >= pwexi_time_left(x) ||
       !is_in_prefill(x, now))
     return 0;
--- a/tests/scenarios/69_shared_prefix.lua
+++ b/tests/scenarios/69_shared_prefix.lua
@@ -189,4 +189,20 @@
 end)
 resumed()
 expect_idle("a resumed stream")
+
+-- Where no route has a goal, nothing says how long a request may wait for a prefix: none waits.
+fault_all("gap=0")
+g:wait_in_force(g:publish(g:config(function(config)
+  config.engine = 8
+  for _, r in ipairs(config.routes) do r.sticky, r.goal, r.timeout = true, 0, 20000 end
+end)))
+local before, ran = waits(), runs()
+fault_all("hold=1")
+local answers = {}
+for i = 1, 3 do answers[i] = begin("a7", {gateway = first}) end
+fleet.eventually("all are sent", function() return runs() == ran + 3 end)
+fault_all("hold=0")
+expect_streams("without a goal", answers)
+fleet.equal("requests that waited without a goal", waits(), before)
+expect_idle("without a goal")
 g:stop()
