Mutations of the choice by prefill: five faults that test_prefill must catch

In pwprefill.c: the speed learned from short prompts, late answers that weigh no more than others, copies however much is copied already; in pwpick.c: no mean beside the time that is soon enough, a cached prefix computed again.

--- a/packages/policy/pwpick.c
+++ b/packages/policy/pwpick.c
@@ -4,6 +4,15 @@
 #include <math.h>
 #include <xxhash.h>
 
+#ifndef PW_MUTATION
+#define PW_MUTATION 0
+#endif
+
+enum {
+  MUT_NO_MEAN = 58,      /* what is late at all targets goes to none */
+  MUT_REPEAT_PREFIX = 59 /* a cached prefix may be computed again */
+};
+
 /* Extra wait in ms that is accepted to stay in the availability zone. */
 #define NEAR_MS 1.0
 
@@ -158,9 +167,9 @@
 }
 
 static int satisfies(const pw_pick *t, const requirement *r) {
-  return has_room(t, r->limit) && !t->repeats_prefill &&
-         is_in_time(t, r->times) && t->first_ms <= r->soon_ms &&
-         (t->is_holder || !r->holders_only);
+  int repeats = t->repeats_prefill && PW_MUTATION != MUT_REPEAT_PREFIX;
+  return has_room(t, r->limit) && !repeats && is_in_time(t, r->times) &&
+         t->first_ms <= r->soon_ms && (t->is_holder || !r->holders_only);
 }
 
 /* The first target in the key's order that satisfies the requirement; -1: there
@@ -217,7 +226,7 @@
   if (is_tight(t, n, bound, r.limit))
     return pick_least_own(t, n, key, r.limit);
   r.soon_ms = mean_first_ms(t, n, &r) + SLACK_PART * times->soon_ms;
-  if (r.soon_ms < times->soon_ms)
+  if (r.soon_ms < times->soon_ms || PW_MUTATION == MUT_NO_MEAN)
     r.soon_ms = times->soon_ms;
   if (times->home_first && home_satisfies(t, n, key, &r, &best))
     return best;
--- a/packages/policy/pwprefill.c
+++ b/packages/policy/pwprefill.c
@@ -1,6 +1,16 @@
 /* pwprefill.c: prefill as a capacity of an engine. */
 #include "pwprefill.h"
 
+#ifndef PW_MUTATION
+#define PW_MUTATION 0
+#endif
+
+enum {
+  MUT_SPEED_OF_SHORT = 55,   /* short prompts show a lower speed, too */
+  MUT_LATE_COUNTS_ONCE = 56, /* late answers weigh no more than others */
+  MUT_COPY_ALWAYS = 57       /* copies however much is copied already */
+};
+
 /* Less work than this says little of the speed, since the network and the first
 ** token take most of its time. It still shows that the speed is not lower, as
 ** long as it is at least TOKENS_LEAST. */
@@ -24,7 +34,7 @@
 }
 
 void pwprefill_measured(pw_prefill *p, double tokens, double ms) {
-  int is_enough = tokens >= TOKENS_ENOUGH;
+  int is_enough = tokens >= TOKENS_ENOUGH || PW_MUTATION == MUT_SPEED_OF_SHORT;
   if (tokens < TOKENS_LEAST || ms <= 0)
     return;
   double seen = ms / tokens;
@@ -37,7 +47,8 @@
 }
 
 void pwprefill_answered(pw_prefill *p, int is_late) {
-  double part = p->goal_part + (is_late ? -LATE_WEIGHT : 1) * PART_STEP;
+  int weight = PW_MUTATION == MUT_LATE_COUNTS_ONCE ? 1 : LATE_WEIGHT;
+  double part = p->goal_part + (is_late ? -weight : 1) * PART_STEP;
   p->goal_part = part > 1 ? 1 : part < PART_LEAST ? PART_LEAST : part;
 }
 
@@ -54,5 +65,6 @@
 int pwprefill_should_copy(const pw_prefill *p, double tokens,
                           double copies_ahead) {
   double copy_ms = (tokens + copies_ahead) * p->ms_per_copy;
-  return p->ms_per_token == 0 || copy_ms <= tokens * p->ms_per_token;
+  return p->ms_per_token == 0 || copy_ms <= tokens * p->ms_per_token ||
+         PW_MUTATION == MUT_COPY_ALWAYS;
 }
