--- a/packages/gateway/pwexprefix.c
+++ b/packages/gateway/pwexprefix.c
@@ -122,20 +122,26 @@
   return x->request_info.part[shared_parts(&x->request_info) - 1].tokens;
 }
 
-/* Whether a target computes the prefix of the prompt and none has it cached. */
+/* Whether a live target has the part cached, or computes it (`key` with PWAFFINITY_PREFILL). */
+static int has_holder(const pw_exchange *x, uint64_t key, int64_t now,
+                      int64_t keep_ms) {
+  uint32_t target[PWAFFINITY_HOLDERS];
+  int n = pwaffinity_holders(x->g->affinity, key, now, keep_ms, target);
+  return n > 0 &&
+         pwfleet_has_live(x->g->fleet, x->service->name, target, n, now);
+}
+
+/* Whether a target computes the prefix of the prompt and none has it cached. Targets that have crashed do not count:
+** otherwise a prefix would be computed many times at once after its holders have crashed. */
 static int is_in_prefill(const pw_exchange *x, int64_t now) {
-  const pw_affinity *a = x->g->affinity;
   uint64_t key = pwexi_prompt_key(&x->request_info);
-  uint32_t target[PWAFFINITY_HOLDERS];
-  return pwaffinity_holders(a, key, now, pwexchange_prefix_keep_ms(x->g),
-                            target) == 0 &&
-         pwaffinity_holders(a, key | PWAFFINITY_PREFILL, now, PREFILL_KEEP_MS,
-                            target) > 0;
+  return has_holder(x, key | PWAFFINITY_PREFILL, now, PREFILL_KEEP_MS) &&
+         !has_holder(x, key, now, pwexchange_prefix_keep_ms(x->g));
 }
 
 int pwexi_await_prefix(pw_exchange *x, int64_t now) {
   int64_t wait_ms = (int64_t)(WAIT_PART * (double)x->service->shortest_goal_ms);
-  if (x->has_awaited_prefix || !has_prompt(x) ||
+  if (wait_ms <= 0 || x->has_awaited_prefix || !has_prompt(x) ||
       prefix_tokens(x) < AWAIT_TOKENS || wait_ms >= pwexi_time_left(x) ||
       !is_in_prefill(x, now))
     return 0;
@@ -207,17 +213,24 @@
   x->work = (pw_prefill_work){0};
 }
 
+void pwexi_note_cached(pw_exchange *x, int64_t now) {
+  const pw_request_info *info = &x->request_info;
+  if (!x->t || !has_prompt(x))
+    return;
+  for (int i = shared_parts(info) - 1; i >= 0; i--)
+    note_prefix(x, key_of(&info->part[i]), now,
+                pwexchange_prefix_keep_ms(x->g));
+  pwexchange_prefix_cached(x->g, pwexi_prompt_key(info));
+}
+
 /* The time of a copy says nothing of the speed of prefill. */
 void pwexi_note_first_chunk(pw_exchange *x, int64_t now) {
-  const pw_request_info *info = &x->request_info;
+  x->has_chunk = 1;
   if (!x->t || !has_prompt(x))
     return;
   if (x->work.own > 0 && x->work.copied == 0)
     pwprefill_measured(&x->service_state->prefill, x->work.ahead + x->work.own,
                        (double)pwexi_target_ms(x, now));
   pwexi_end_prefill(x);
-  for (int i = shared_parts(info) - 1; i >= 0; i--)
-    note_prefix(x, key_of(&info->part[i]), now,
-                pwexchange_prefix_keep_ms(x->g));
-  pwexchange_prefix_cached(x->g, pwexi_prompt_key(info));
+  pwexi_note_cached(x, now);
 }
