Reasons of refusals are true, one term for each thing, comments without experiments

A newcomer's reading of the whole change: a refusal for want of slots, of time, or because first chunks would be late now says which; a prompt is only refused as late if a target within its bound has room.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -138,7 +138,7 @@
   X(PWC_GW_RETURNED, "gateway_returned_total", "counter",                      \
     "callers of plain services that came back after a refusal")                \
   X(PWC_GW_RETURNED_FULL, "gateway_returned_full_total", "counter",            \
-    "of these, refused again because no slot was free")                        \
+    "of these, of these, sent to no target again")                             \
   X(PWC_GW_CLIENTS, "gateway_clients", "gauge", "callers' connections open")   \
   X(PWC_GW_BUFFERED, "gateway_held_bytes", "gauge",                            \
     "held for callers and targets that have not taken it")                     \
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -123,8 +123,10 @@
 
 /* --- pwexprefix.c --- */
 
-/* Describes the prompt of the request, and by when its first chunk is to come. */
-pw_fleet_prompt pwexi_prompt(const pw_exchange *x, int is_new, int64_t now);
+/* Describes the prompt of the request, and by when its first chunk is to come; what depends on the other gateways is
+** left to the caller. */
+pw_fleet_prompt pwexi_prompt(const pw_exchange *x, int is_first_attempt,
+                             int64_t now);
 
 /* Id of the deepest part that the prompt shares with others; 0: none. */
 uint64_t pwexi_prompt_key(const pw_request_info *info);
@@ -150,7 +152,7 @@
 ** the requests that wait for its prefix. */
 void pwexi_note_cached(pw_exchange *x, int64_t now);
 
-/* Learns from the first chunk of an answer, at `now`: the speed of prefill, and what the target has cached. */
+/* Learns from the first chunk of an answer, at `now`: the time per token of prefill, and what the target has cached. */
 void pwexi_note_first_chunk(pw_exchange *x, int64_t now);
 
 /* --- pwexsend.c --- */
@@ -192,12 +194,12 @@
 ** has a retry left, which is spent. */
 int pwexi_may_repeat(pw_exchange *x, int64_t now);
 
-/* Whether the request may probe a target that is suspected of leaving requests unanswered: its route and
-** its time allow another attempt if this one is not answered: that begins up to 0.1 s after this one is
-** overdue. */
+/* Whether the request may probe a target that is suspected of leaving requests unanswered: its route
+** allows another attempt if this one is not answered, and enough of its time is left once it is overdue. */
 int pwexi_may_probe(const pw_exchange *x);
 
-/* Records that an answer has begun. */
+/* Records that an answer has begun: learns the usual time to the first byte, and withdraws the record of an
+** unanswered request. */
 void pwexi_note_first_byte(pw_exchange *x, int64_t now);
 
 /* A failure after which the request may have run: retries it, or ends it. */
--- a/packages/gateway/pwexprefix.c
+++ b/packages/gateway/pwexprefix.c
@@ -19,11 +19,14 @@
 /* Shorter prefixes are not awaited, tokens: their prefill takes less time than the news of its end. */
 #define AWAIT_TOKENS 500
 
-/* Parts of the shortest goal of a service: the longest wait for a prefix; the time within which a first chunk is
-** soon enough, which leaves the rest to targets that are slower than others; and, of the longest time to the
-** first chunk, what a request may wait for others. */
+/* Longest wait for a prefix, as a part of the shortest goal of the service. */
 #define WAIT_PART 0.5
+
+/* A first chunk within this part of the shortest goal is soon enough: the rest is left for targets that are slower
+** than others. */
 #define SOON_PART 0.5
+
+/* Part of the longest time to the first chunk for which a request may wait for others. */
 #define QUEUE_PART 0.25
 
 #define NO_LIMIT_MS 1e9
@@ -79,7 +82,7 @@
 ** time that those with short ones have. A request that has been tried before is sent wherever it can be. While
 ** answers are in time prompts return to their homes, where gateways that have just started look for them; when
 ** they are late, the copies that this takes would make more of them late. */
-static pw_pick_times times_of(const pw_exchange *x, int is_new) {
+static pw_pick_times times_of(const pw_exchange *x, int is_first_attempt) {
   double goal_ms = (double)x->service->shortest_goal_ms;
   double part = x->service_state->prefill.goal_part;
   pw_pick_times times = {.soon_ms = NO_LIMIT_MS,
@@ -88,22 +91,23 @@
                          .home_first = part >= 1};
   if (goal_ms > 0)
     times.soon_ms = SOON_PART * goal_ms;
-  if (goal_ms <= 0 || !is_new)
+  if (goal_ms <= 0 || !is_first_attempt)
     return times;
   times.latest_ms = part * goal_ms;
   times.queue_ms = QUEUE_PART * times.latest_ms;
   return times;
 }
 
-pw_fleet_prompt pwexi_prompt(const pw_exchange *x, int is_new, int64_t now) {
+pw_fleet_prompt pwexi_prompt(const pw_exchange *x, int is_first_attempt,
+                             int64_t now) {
   pw_fleet_prompt p = {.can_copy = x->service->moves_kv,
-                       .is_new = is_new,
+                       .is_first_attempt = is_first_attempt,
                        .known_since = now - x->g->started_at <
                                               pwexchange_prefix_keep_ms(x->g)
                                           ? x->g->started_at
                                           : 0,
                        .prefill = x->service_state->prefill,
-                       .times = times_of(x, is_new)};
+                       .times = times_of(x, is_first_attempt)};
   if (x->service->kv_copy_per_ms > 0)
     p.prefill.ms_per_copy = 1 / x->service->kv_copy_per_ms;
   add_parts(&p, x, now);
@@ -223,7 +227,7 @@
   pwexchange_prefix_cached(x->g, pwexi_prompt_key(info));
 }
 
-/* The time of a copy says nothing of the speed of prefill. */
+/* The time of a copy says nothing of the time per token of prefill. */
 void pwexi_note_first_chunk(pw_exchange *x, int64_t now) {
   x->has_chunk = 1;
   if (!x->t || !has_prompt(x))
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -3,6 +3,9 @@
 
 #include <stdio.h>
 
+/* Slots are taken to be lacking for this time after a request that is not surplus got none, ms. */
+#define SLOTS_LACKING_MS 1000
+
 /* Longest idle time of a connection that is reused, ms. For requests that must not run twice it is
 ** short: if the target has closed the connection, it is unknown whether it read the request. */
 #define IDLE_ONCE_MS 800
@@ -68,21 +71,17 @@
   return x->urgency >= PWSHED_SURPLUS;
 }
 
-/* Slots are short for a while after a request that is no surplus got none, ms. */
-#define SHORT_MS 1000
-
-static int is_short_for_others(const pw_exchange *x) {
-  int64_t at = x->service_state->short_at;
-  return at && pwclock_ms() - at < SHORT_MS;
+static int others_lack_slots(const pw_exchange *x) {
+  int64_t at = x->service_state->slots_lacking_at;
+  return at && pwclock_ms() - at < SLOTS_LACKING_MS;
 }
 
 /* Longest wait in the target's own queue, ms. It is 0 at an engine, whose queue ignores urgency, and half
 ** of the goal at a plain service, whose requests are so short that reports of free slots come too late. A
 ** request that was tried before may use half of the time that it has left. Surplus requests do not wait while
-** slots are short for others: where they do, the other workspaces lose 0.04 of their requests at 30 times
-** the rate (test_spike). */
+** slots are lacking for others, who would have to wait behind them. */
 static double max_target_wait_ms(const pw_exchange *x) {
-  if (is_new(x) && is_surplus(x) && is_short_for_others(x))
+  if (is_new(x) && is_surplus(x) && others_lack_slots(x))
     return 0;
   if (!is_new(x) || x->route->goal_ms <= 0)
     return (double)pwexi_time_left(x) / 2;
@@ -98,8 +97,10 @@
 
 /* This gateway's quota of the slots of a service. */
 typedef struct quota {
-  double slots;             /* slots open to requests of this urgency */
-  int is_used;              /* a request was refused because they are taken */
+  double slots;    /* slots open to requests of this urgency */
+  int is_refused;  /* must_refuse forbids sending, even if a target is free */
+  const char *why; /* reason of that; NULL: the slots are used up */
+  int is_late; /* no target within its load bound would send the first chunk in time */
   pw_slotorder_quota plain; /* of a plain service */
   pw_fleet_sum sum;         /* over all targets */
 } quota;
@@ -134,34 +135,38 @@
   return p->sum.inflight + pwgate_random(x->g) > p->slots;
 }
 
-static pw_slotorder_try try_of(const pw_exchange *x) {
+static pw_slotorder_attempt attempt_of(const pw_exchange *x) {
   const pw_gate_route *r = pwgate_route(x->g, x->route->name);
-  pw_slotorder_rank rank = x->may_have_run       ? PWSLOTORDER_SECOND_TRY
+  pw_slotorder_rank rank = x->may_have_run       ? PWSLOTORDER_SECOND_ATTEMPT
                            : x->is_deprioritized ? PWSLOTORDER_RETURNED
                                                  : PWSLOTORDER_FIRST;
-  return (pw_slotorder_try){.rank = rank,
-                            .may_repeat = x->route->kind == PWSITE_SAFE,
-                            .time_left_ms = (double)pwexi_time_left(x),
-                            .work_ms =
-                                r && !x->route->is_stream ? r->answer_ms : 0};
+  return (pw_slotorder_attempt){
+      .rank = rank,
+      .may_repeat = x->route->kind == PWSITE_SAFE,
+      .time_left_ms = (double)pwexi_time_left(x),
+      .work_ms = r && !x->route->is_stream ? r->answer_ms : 0};
 }
 
-/* Whether the request is refused even if a target is free. Repeats to engines are not refused as
-** such, since they fill slots that become free: refusing them lowered the value of answers at six
-** times the load from 0.419 to 0.399. At a plain service the quota is one slot or less, of which none can
-** be reserved: refusing repeats raised the value of answers at three times the load on 103 gateways
-** from 0.63 to 0.77. There, second attempts of requests that may be repeated and attempts that cannot end
-** before the deadline are refused as well, but only while slots are short. */
-static int must_refuse(const pw_exchange *x, const quota *p) {
+/* Whether the request is refused even if a target is free; sets p->why. Repeats to engines are not refused as such,
+** since they fill slots that become free. At a plain service the quota is one slot or less, of which none can be
+** reserved, so repeats are refused there. Second attempts of requests that may be repeated, and attempts that cannot
+** end before the deadline, are refused as well, but only while slots are short. */
+static int must_refuse(const pw_exchange *x, quota *p) {
   if (x->service->is_engine)
     return is_new(x) && is_quota_used(x, p);
   if (p->sum.targets == 0 || !pwslotorder_is_short(&p->plain))
     return 0; /* without a live target the last resort may still answer */
-  pw_slotorder_try t = try_of(x);
-  return !pwslotorder_can_end(&t) ||
-         !pwslotorder_may_take(&t,
-                               pwshed_first_admitted(&x->service_state->shed),
-                               pwgate_random(x->g));
+  pw_slotorder_attempt t = attempt_of(x);
+  if (!pwslotorder_can_end(&t))
+    p->why =
+        "no slot is free, and the time left is shorter than such a request "
+        "takes";
+  else if (!pwslotorder_may_take(&t,
+                                 pwshed_first_admitted(&x->service_state->shed),
+                                 pwgate_random(x->g)))
+    p->why = "no slot is free for repeats and second attempts while first "
+             "attempts get none";
+  return p->why != NULL;
 }
 
 /* Connections that this gateway may have to one target: its share of those that a
@@ -222,7 +227,7 @@
 }
 
 /* Picks a target: sets x->t, with a reference, and x->holder. Returns 0 if there is none. */
-static int pick(pw_exchange *x, const quota *p) {
+static int pick(pw_exchange *x, quota *p) {
   pw_gate *g = x->g;
   int64_t now = pwclock_ms();
   int is_sticky = x->route->is_sticky && x->request_info.nparts > 0;
@@ -254,6 +259,7 @@
   pw_fleet_picked picked = pwfleet_pick(g->fleet, &criteria, now);
   x->t = picked.target;
   x->holder = picked.holder;
+  p->is_late = picked.is_late;
   if (!picked.target)
     return 0;
   if (is_sticky)
@@ -267,7 +273,7 @@
   int64_t left = pwexi_time_left(x);
   if (x->service->is_engine)
     return pwshed_retry_ms(left, x->retry_known_ms, draw);
-  pw_slotorder_try t = try_of(x);
+  pw_slotorder_attempt t = attempt_of(x);
   if (!pwslotorder_can_end(&t))
     return 0;
   return pwslotorder_return_ms(pwshed_first_admitted(&x->service_state->shed),
@@ -287,6 +293,11 @@
 /* Refuses a request because the quota of this gateway or the load bound of all targets is used up. */
 static void refuse_full(pw_exchange *x, const quota *p) {
   char why[160];
+  pwcount_add(x->g->p->counters, PWC_GW_FULL, 1);
+  if (p->why) {
+    refuse_busy(x, p->why);
+    return;
+  }
   snprintf(
       why, sizeof why,
       "no slot is free: urgency %d%s, %.0f%% of requests get one; in flight "
@@ -294,7 +305,6 @@
       x->urgency, x->is_deprioritized ? " (repeat)" : "",
       100 * pwshed_admitted_share(&x->service_state->shed), p->sum.inflight,
       p->slots, p->sum.inflight + p->sum.others, p->sum.slots);
-  pwcount_add(x->g->p->counters, PWC_GW_FULL, 1);
   refuse_busy(x, why);
 }
 
@@ -337,7 +347,7 @@
 }
 
 /* Sends the request to a target that has a free slot. Returns 0 if there is none. */
-static int dispatch_now(pw_exchange *x, const quota *p) {
+static int dispatch_now(pw_exchange *x, quota *p) {
   while (pwexi_time_left(x) > 0 && x->ntried < PWEX_TRIED_MAX && pick(x, p)) {
     x->needs_new_conn = 0;
     x->t->inflight++;
@@ -364,15 +374,15 @@
 /* Sends the request to a target of the chosen version. Returns 0 if quota or slots do not allow it. */
 static int try_side(pw_exchange *x, quota *p, int64_t now) {
   *p = quota_of(x, now);
-  p->is_used = must_refuse(x, p);
-  return !p->is_used && dispatch_now(x, p);
+  p->is_refused = must_refuse(x, p);
+  return !p->is_refused && dispatch_now(x, p);
 }
 
 static void note_admission(pw_exchange *x, int is_dispatched, int64_t now) {
   pwshed_note(&x->service_state->shed, x->urgency, x->is_deprioritized,
               is_dispatched, now);
   if (!is_dispatched && !is_surplus(x) && !x->is_deprioritized)
-    x->service_state->short_at = now;
+    x->service_state->slots_lacking_at = now;
   if (x->is_deprioritized && !x->service->is_engine) {
     pwcount_add(x->g->p->counters, PWC_GW_RETURNED, 1);
     pwcount_add(x->g->p->counters, PWC_GW_RETURNED_FULL, !is_dispatched);
@@ -402,13 +412,13 @@
   if (x->has_begun || x->may_have_run)
     pwexi_fail(
         x, PW_E_UNKNOWN,
-        p.is_used
+        p.is_refused
             ? "no slot is free after an attempt that may have run"
             : "no other target is available after an attempt that may have run",
         0);
   else if (pwfleet_usable(x->g->fleet, x->service->name, now) == 0)
     refuse_no_target(x, now);
-  else if (x->service->is_engine && x->route->is_sticky && !p.is_used)
+  else if (p.is_late)
     refuse_prefill(x);
   else
     refuse_full(x, &p);
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -37,7 +37,7 @@
   pw_share share;     /* request rate at this gateway */
   double others_rate; /* request rate at all other gateways, per second */
   int64_t
-      short_at; /* when a first attempt that is no surplus last got no slot, ms; 0: never */
+      slots_lacking_at; /* when a first attempt that is not surplus last got no slot, ms; 0: never */
   pw_prefill prefill; /* of its engines */
   pw_spike *spike;    /* load spikes of workspaces */
   struct pw_gate_service *next;
@@ -186,8 +186,8 @@
 
 /* --- pwworkspaces.c --- */
 
-/* Most rows of workspaces in one message between gateways, so 32 workspaces. With 358 gateways the sums could
-** have 11,456 rows; 64 take up to 2.6 of the 10 Mbit/s that an aggregator has. */
+/* Most rows of workspaces in one message between gateways: two for each of 16 workspaces. More would take too much
+** of an aggregator's link with some hundred gateways. */
 #define PWWORKSPACES_ROWS 32
 
 /* Adds the rates of workspaces to the rows that this gateway reports. */
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -195,14 +195,19 @@
 }
 
 /* Adds the keys of the rows of all targets and services. */
+/* Adds the keys of a target's rows other than that of its load. */
+static void add_secondary_keys(const pw_target *t, pw_loads *keys) {
+  pwloads_add(keys, t->prefill_hash, 1);
+  pwloads_add(keys, t->copies_hash, 1);
+  pwloads_add(keys, t->reject_hash, 1);
+  pwloads_add(keys, t->connect_failure_hash, 1);
+  pwloads_add(keys, t->unanswered_hash, 1);
+}
+
 static void add_known_keys(const pw_gossip *s, pw_loads *keys) {
   for (pw_target *t = pwfleet_first(s->g->fleet); t; t = t->hh.next) {
     pwloads_add(keys, t->short_hash, 1);
-    pwloads_add(keys, t->prefill_hash, 1);
-    pwloads_add(keys, t->copies_hash, 1);
-    pwloads_add(keys, t->reject_hash, 1);
-    pwloads_add(keys, t->connect_failure_hash, 1);
-    pwloads_add(keys, t->unanswered_hash, 1);
+    add_secondary_keys(t, keys);
   }
   for (pw_gate_service *one = s->g->services; one; one = one->next)
     pwloads_add(keys, key_of(one), 1);
@@ -221,26 +226,21 @@
 }
 
 /* Returns the rows that fit into a message: if there are too many, only loads, in s->fitted. With more
-** than some thousand targets the rows of rejections and the like would push loads out of the datagrams, and receivers
-** would keep outdated loads for good. */
+** than some thousand targets the other rows would push loads out of the datagrams, and receivers would keep
+** outdated loads for good. */
 static const pw_loads *fit_rows(pw_gossip *s, const pw_loads *loads) {
   if (loads->n <= PWGOSSIPMSG_ROWS)
     return loads;
-  pw_loads rejections = {0};
+  pw_loads secondary = {0};
   size_t at = 0;
   const pw_load_row *row;
-  for (pw_target *t = pwfleet_first(s->g->fleet); t; t = t->hh.next) {
-    pwloads_add(&rejections, t->prefill_hash, 1);
-    pwloads_add(&rejections, t->copies_hash, 1);
-    pwloads_add(&rejections, t->reject_hash, 1);
-    pwloads_add(&rejections, t->connect_failure_hash, 1);
-    pwloads_add(&rejections, t->unanswered_hash, 1);
-  }
+  for (pw_target *t = pwfleet_first(s->g->fleet); t; t = t->hh.next)
+    add_secondary_keys(t, &secondary);
   pwloads_clear(&s->fitted);
   while ((row = pwloads_next(loads, &at)) != NULL)
-    if (!pwloads_get(&rejections, row->key))
+    if (!pwloads_get(&secondary, row->key))
       pwloads_add(&s->fitted, row->key, row->load);
-  pwloads_free(&rejections);
+  pwloads_free(&secondary);
   return &s->fitted;
 }
 
--- a/packages/gateway/pwworkspaces.c
+++ b/packages/gateway/pwworkspaces.c
@@ -7,6 +7,7 @@
 
 #define LISTED_MAX 100  /* workspaces listed of each service */
 #define SERVICES_MAX 16 /* services in one list */
+/* Weight of requests beyond twice the baseline. */
 #define EXCESS_WEIGHT 16
 
 /* --- rows of load reports --- */
@@ -138,10 +139,10 @@
 
 static const char *why_of(const pw_spike_state *s) {
   if (s->surplus > 0)
-    return "sends more than twice its baseline share";
+    return "sends more than twice what is expected of it";
   if (s->refused > s->refused_surplus)
     return "no slot was free for requests within its share";
-  return s->refused ? "sent more than twice its baseline share" : "";
+  return s->refused ? "sent more than twice what is expected of it" : "";
 }
 
 static json_t *describe(const char *service, const pw_spike_state *s) {
--- a/packages/membership/pwaffinity.c
+++ b/packages/membership/pwaffinity.c
@@ -12,12 +12,13 @@
 
 /* Other gateways are told again after keep_ms divided by this, so that they do
 ** not forget a target that only this gateway uses for the part. */
-#define TELL_DIVISOR 2
+#define ANNOUNCE_DIVISOR 2
 
 typedef struct holder {
   uint32_t target; /* short hash; 0: unused */
   int64_t at;      /* when the part was last used there, ms */
-  int64_t told_at; /* when gateways last told each other so, ms; 0: never */
+  int64_t
+      announced_at; /* when gateways last told each other so, ms; 0: never */
 } holder;
 
 typedef struct row {
@@ -82,9 +83,9 @@
                     int64_t keep_ms) {
   holder *h = use(a, key, target);
   h->at = now;
-  if (h->told_at && now - h->told_at <= keep_ms / TELL_DIVISOR)
+  if (h->announced_at && now - h->announced_at <= keep_ms / ANNOUNCE_DIVISOR)
     return 0;
-  h->told_at = now;
+  h->announced_at = now;
   return 1;
 }
 
@@ -93,7 +94,7 @@
   if (!target)
     return;
   holder *h = use(a, key, target);
-  h->at = h->told_at = now;
+  h->at = h->announced_at = now;
 }
 
 int pwaffinity_holders(const pw_affinity *a, uint64_t key, int64_t now,
--- a/packages/membership/pwaffinity.h
+++ b/packages/membership/pwaffinity.h
@@ -22,8 +22,8 @@
 pw_affinity *pwaffinity_new(void);
 void pwaffinity_free(pw_affinity *a);
 
-/* Records that a prompt with this part was sent at `now`, ms, to the target with
-** this short hash. Returns whether other gateways should be told: they do not
+/* Records that at `now`, ms, the target with this short hash has the part cached,
+** or computes it if the key has PWAFFINITY_PREFILL. Returns whether other gateways should be told: they do not
 ** know it, or were told more than half of keep_ms ago. */
 int pwaffinity_note(pw_affinity *a, uint64_t key, uint32_t target, int64_t now,
                     int64_t keep_ms);
@@ -37,7 +37,7 @@
 int pwaffinity_holders(const pw_affinity *a, uint64_t key, int64_t now,
                        int64_t keep_ms, uint32_t target[PWAFFINITY_HOLDERS]);
 
-/* Iterates over the targets that have had a part cached within keep_ms: *at starts
+/* Iterates over the targets that got a part within keep_ms: *at starts
 ** at 0 and is advanced. Returns 0 at the end. */
 int pwaffinity_next(const pw_affinity *a, size_t *at, int64_t now,
                     int64_t keep_ms, uint64_t *key, uint32_t *target);
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -253,11 +253,11 @@
   double shared_tokens; /* the leading ones that other prompts share */
   pw_fleet_cached cached[PWFLEET_CACHED_MAX];
   int ncached;
-  /* Time since which this process knows which target gets which prefix, ms: what it does not know of, targets may
-  ** have got before. 0: it knows all that matters. */
+  /* When this process began to learn which target has which prefix, ms. 0: so long ago that it knows all of
+  ** them. */
   int64_t known_since;
   int can_copy; /* targets can copy a prefix from one another's KV cache */
-  int is_new; /* no target was tried yet: if it has to wait for long it may still be refused */
+  int is_first_attempt; /* the request may still be refused rather than wait */
   pw_prefill prefill;
   pw_pick_times times;
 } pw_fleet_prompt;
@@ -269,7 +269,7 @@
   pw_pick_policy how;
   int is_sticky; /* `key` is set */
   uint64_t key;  /* hash of the prompt prefix that requests share */
-  int home_only; /* only the prompt's home targets, without a fallback to others */
+  int home_only; /* a sticky request is refused rather than sent by load alone */
   pw_fleet_prompt prompt; /* if is_sticky */
   double wait_ms;         /* longest acceptable wait for a slot */
   double draw;            /* uniform in [0, 1) */
@@ -289,11 +289,11 @@
 
 typedef struct pw_fleet_picked {
   pw_target *target; /* with a reference for the caller; NULL: none */
-  pw_target *
-      holder; /* another target that likely has the prompt prefix cached, and from which it is
-                     ** to be copied, without a reference; NULL: none */
-  pw_prefill_work
-      work; /* of the target before the first chunk, if the request is sticky */
+  /* A prefix is copied from it if work.copied > 0. No reference; NULL: none. */
+  pw_target *holder;
+  pw_prefill_work work; /* before the first chunk, if the request is sticky */
+  int is_late; /* nothing is picked, although a target has room: its first chunk
+                  would be late */
 } pw_fleet_picked;
 
 pw_fleet_picked pwfleet_pick(pw_fleet *f, const pw_fleet_criteria *criteria,
--- a/packages/membership/pwfleetint.h
+++ b/packages/membership/pwfleetint.h
@@ -42,8 +42,8 @@
 void pwflt_fill_prompt(const pw_fleet_prompt *p, pw_pick *row,
                        pw_target *const *targets, int n);
 
-/* The target from which the one in row `best` may copy a prefix of the prompt; NULL: none is known, or computing
-** the prefix is faster. */
+/* The target to name as the source of a copy for the one in row `best`: the one that has the most of the prompt
+** cached, or the home where none is known; NULL: there is none, or computing is faster. It may have nothing more. */
 pw_target *pwflt_copy_source(const pw_fleet_prompt *p, uint64_t key,
                              const pw_pick *row, pw_target *const *targets,
                              int n, int best);
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -340,6 +340,10 @@
   return n;
 }
 
+static int is_by_prompt(pw_pick_policy how) {
+  return how == PWPICK_BY_PREFILL || how == PWPICK_BY_HOME;
+}
+
 static int pick_row(pw_fleet *f, const pw_fleet_criteria *criteria,
                     const pw_pick *row, int n) {
   static const pw_pick_bound no_bound = {1e9, 1e9, 0, 0};
@@ -349,12 +353,12 @@
   if (criteria->how == PWPICK_BY_HASH && criteria->is_sticky)
     return pwpick_home(row, n, criteria->key, no_bound);
   if (criteria->how == PWPICK_BY_PREFILL && criteria->is_sticky)
-    best = pwpick_soonest(row, n, criteria->key, criteria->bound,
+    best = pwpick_in_time(row, n, criteria->key, criteria->bound,
                           &criteria->prompt.times);
   if (criteria->how == PWPICK_BY_HOME && criteria->is_sticky)
     best = pwpick_home(row, n, criteria->key, criteria->bound);
-  int home_only = criteria->how <= PWPICK_BY_HOME && criteria->is_sticky &&
-                  criteria->home_only;
+  int home_only =
+      is_by_prompt(criteria->how) && criteria->is_sticky && criteria->home_only;
   if (best < 0 && !home_only)
     best = pwpick_least(row, n, criteria->wait_ms, criteria->draw,
                         criteria->bound);
@@ -441,8 +445,11 @@
   int best = pick_responsive(f, criteria, s, &prompt, &n);
   if (best < 0)
     best = fill_and_pick(f, criteria, &s, &prompt, &n);
-  if (best < 0)
+  if (best < 0) {
+    out.is_late = criteria->is_sticky && criteria->how == PWPICK_BY_PREFILL &&
+                  pwpick_has_room(row, n, criteria->bound);
     return out;
+  }
   out.target = pwfleet_retain(targets[best]);
   pwcold_sent(&targets[best]->cold, &criteria->cold, criteria->part, now);
   pwunanswered_sent(&targets[best]->unanswered, now);
--- a/packages/membership/pwfleetprompt.c
+++ b/packages/membership/pwfleetprompt.c
@@ -2,8 +2,7 @@
 ** answer. */
 #include "pwfleetint.h"
 
-/* A prefix that is shorter than this by less is computed again rather than copied, tokens: a copy takes
-** some milliseconds in any case. */
+/* A target that lacks fewer tokens than this computes them: a copy takes some milliseconds in any case. */
 #define REPEAT_TOKENS 500
 
 /* Leading tokens of the prompt that a target is expected to have cached. */
@@ -89,7 +88,8 @@
     row[i].first_ms = pwprefill_first_ms(&p->prefill, &work);
     row[i].queue_ms = pwprefill_queue_ms(&p->prefill, &work);
     row[i].is_holder = has_shared(p, targets[i]);
-    row[i].repeats_prefill = p->is_new && p->can_copy && work.copied == 0 &&
+    row[i].repeats_prefill = p->is_first_attempt && p->can_copy &&
+                             work.copied == 0 &&
                              held - cached_at(p, targets[i]) > REPEAT_TOKENS;
   }
 }
--- a/packages/policy/pwpick.c
+++ b/packages/policy/pwpick.c
@@ -272,7 +272,7 @@
 /* Targets are compared with the mean and not with the soonest one: few are
 ** nearly as soon as that, and all gateways would send their requests to these
 ** few until they learn of each other's. */
-int pwpick_soonest(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound,
+int pwpick_in_time(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound,
                    const pw_pick_times *times) {
   requirement r = {
       .limit = pwpick_limit(t, n, bound), .times = times, .soon_ms = INFINITY};
@@ -291,6 +291,14 @@
   return best;
 }
 
+int pwpick_has_room(const pw_pick *t, int n, pw_pick_bound bound) {
+  double limit = pwpick_limit(t, n, bound);
+  for (int i = 0; i < n; i++)
+    if (has_room(&t[i], limit))
+      return 1;
+  return 0;
+}
+
 int pwpick_holder(const pw_pick *t, int n, uint64_t key) {
   return first_in_order(t, n, key, may_have_prompts, 0);
 }
--- a/packages/policy/pwpick.h
+++ b/packages/policy/pwpick.h
@@ -83,9 +83,12 @@
 ** enough is what is within soon_ms, or little later than the mean. -1:
 ** none is within `times`. Targets over the bound or without a free slot do not
 ** qualify. */
-int pwpick_soonest(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound,
+int pwpick_in_time(const pw_pick *t, int n, uint64_t key, pw_pick_bound bound,
                    const pw_pick_times *times);
 
+/* Whether a target is within the bound and has a free slot. */
+int pwpick_has_room(const pw_pick *t, int n, pw_pick_bound bound);
+
 /* The target that most likely has the shared prefix of `key` cached: the first
 ** in the key's order that is alive and not new; -1: none. */
 int pwpick_holder(const pw_pick *t, int n, uint64_t key);
--- a/packages/policy/pwprefill.c
+++ b/packages/policy/pwprefill.c
@@ -6,21 +6,20 @@
 #endif
 
 enum {
-  MUT_SPEED_OF_SHORT = 55,   /* short prompts show a lower speed, too */
+  MUT_COST_OF_SHORT = 55,    /* short prompts raise the time per token, too */
   MUT_LATE_COUNTS_ONCE = 56, /* late answers weigh no more than others */
   MUT_COPY_ALWAYS = 57       /* copies however much is copied already */
 };
 
-/* Less work than this says little of the speed, since the network and the first
-** token take most of its time. It still shows that the speed is not lower, as
-** long as it is at least TOKENS_LEAST. */
+/* Less work than this says little of the time per token, since the network and the
+** first token take most of it. It still shows that it is not higher, as long as it is at least TOKENS_LEAST. */
 #define TOKENS_ENOUGH 2000.0
 #define TOKENS_LEAST 200.0
 
-/* Factor by which one measurement moves the speed. Steps of the same size up and
+/* Factor by which one measurement moves the time per token. Steps of the same size up and
 ** down follow the median, so a prompt that was cached unknown to the gateway, or
-** waited behind one that it did not know of, does not distort the speed. */
-#define SPEED_STEP 1.03
+** waited behind one that it did not know of, does not distort it. */
+#define COST_STEP 1.03
 
 /* An answer in time raises goal_part by PART_STEP, a late one lowers it by
 ** LATE_WEIGHT times as much: it rises while fewer than one in 20 are late. Below
@@ -34,16 +33,16 @@
 }
 
 void pwprefill_measured(pw_prefill *p, double tokens, double ms) {
-  int is_enough = tokens >= TOKENS_ENOUGH || PW_MUTATION == MUT_SPEED_OF_SHORT;
+  int is_enough = tokens >= TOKENS_ENOUGH || PW_MUTATION == MUT_COST_OF_SHORT;
   if (tokens < TOKENS_LEAST || ms <= 0)
     return;
   double seen = ms / tokens;
   if (p->ms_per_token == 0)
     p->ms_per_token = is_enough ? seen : 0;
   else if (seen < p->ms_per_token)
-    p->ms_per_token /= SPEED_STEP;
+    p->ms_per_token /= COST_STEP;
   else if (is_enough)
-    p->ms_per_token *= SPEED_STEP;
+    p->ms_per_token *= COST_STEP;
 }
 
 void pwprefill_answered(pw_prefill *p, int is_late) {
--- a/packages/policy/pwprefill.h
+++ b/packages/policy/pwprefill.h
@@ -1,10 +1,9 @@
 /* pwprefill.h: prefill as a capacity of an engine.
 **
-** Pure. Answers this load: engines have three of four slots free, and answers
-** are late all the same, because long prompts wait for each other's prefill.
-** After half of the engines crashed, each of the others had 30 to 40 requests
-** that waited for prefill. The KV cache was full of prompts in prefill, so the
-** shared prefixes that the next requests needed were evicted and read again. */
+** Pure. Addresses this load: engines have free slots and answer late, because long
+** prompts wait for each other's prefill. While many wait, as after a crash of half
+** of the engines, the KV cache is full of prompts in prefill, and prefixes that
+** the next requests need are evicted and computed again. */
 #ifndef PWPREFILL_H
 #define PWPREFILL_H
 
@@ -36,7 +35,7 @@
 ** chunk or a later one came after the time that the route allows. */
 void pwprefill_answered(pw_prefill *p, int is_late);
 
-/* Expected time to the first chunk, ms; 0: the speed is not known yet. */
+/* Expected time to the first chunk, ms; 0: the time per token is not known yet. */
 double pwprefill_first_ms(const pw_prefill *p, const pw_prefill_work *work);
 
 /* The part of it before the engine begins with the request, ms. */
--- a/packages/policy/pwspike.c
+++ b/packages/policy/pwspike.c
@@ -29,9 +29,8 @@
 
 /* While a workspace has a surplus, its baseline grows by at most GROWTH times
 ** what is expected of it, or by GROWTH_LEAST requests a second if that is more.
-** If all that it may send counted, a spike of 14 s would raise a baseline that
-** was learned in 8 s to 12 times its value. So a lasting change becomes the
-** baseline within half an hour, and a spike does not. */
+** Otherwise a spike of seconds would soon be the baseline of a process that has
+** just started; a lasting change becomes the baseline within half an hour. */
 #define GROWTH 1.5
 #define GROWTH_LEAST 1.0
 
--- a/packages/policy/pwspike.h
+++ b/packages/policy/pwspike.h
@@ -1,13 +1,13 @@
 /* pwspike.h: detects load spikes of single workspaces.
 **
-** Pure: time comes in as an argument. The baseline is a workspace's share of
-** all requests over minutes. Its current rate is compared with that share of
-** what the other workspaces send now, so that a rise of the whole load is a
-** spike of none.
+** Pure: time comes in as an argument. The baseline is a workspace's rate over
+** minutes. Its current rate is compared with the baseline, raised as the other
+** workspaces send more than theirs, so that a rise of the whole load is a spike
+** of none.
 **
 ** Prevents this failure: one workspace sends 20 or 30 times its baseline
-** through 12 to 22 gateways. If each decides on what itself receives, the
-** spike gets an allowance at every gateway, gateways that receive little of it
+** through 12 to 22 gateways. If each decides on what it receives, the spike
+** gets an allowance at every gateway, gateways that receive little of it
 ** detect none, and one that has just started knows no baseline. So gateways
 ** report counts of their largest workspaces to each other, and each decides on
 ** the sums: the allowance is one for all gateways. */
--- a/packages/policy/pwunanswered.c
+++ b/packages/policy/pwunanswered.c
@@ -4,12 +4,11 @@
 
 /* A request is overdue after this many times the usual time to the first byte.
 ** A target that takes 1.3 times as long, and 2.5 times as long in spells, is
-** below 3.3 times; the rest is for waits in its queue. At 5 times, 3 of 24
-** simulated fleets suspected a slow target at 1.7 or 2.5 times the load. */
+** below 3.3 times; the rest is for waits in its queue under load. */
 #define USUAL_TIMES 7
 
-/* The same at a suspected target. At 7 times, 12 gateways had too little time
-** for probes in a time-out of 800 ms, and cleared the target wrongly. */
+/* The same at a suspected target. With more, no time would be left for probes
+** within short time-outs, and the target would be cleared wrongly. */
 #define SUSPECTED_TIMES 5
 
 /* Least time until a request is overdue, ms, and the time while the usual one is
@@ -34,9 +33,8 @@
 #define STALE_MS 1000
 
 /* Interval of the probes of all gateways together, ms. A target that answers
-** half of its requests leaves ten probes unanswered in COUNTED_MS. At 200 ms it
-** was cleared in between, and 22 gateways lost up to 28 requests in 24 simulated
-** runs instead of 17. */
+** half of its requests leaves ten probes unanswered in COUNTED_MS; with fewer
+** it would be cleared in between. */
 #define PROBE_MS 150
 
 int64_t pwunanswered_after_ms(double usual_ms, int is_suspected) {
--- a/packages/site/pwsite.h
+++ b/packages/site/pwsite.h
@@ -60,7 +60,7 @@
   int64_t timeout_ms;
 
   /* Latency goals: an answer that is slower is worth less to its caller. */
-  int64_t goal_ms;  /* time to the first piece of an answer */
+  int64_t goal_ms;  /* time to the first chunk of an answer */
   int64_t pause_ms; /* time between pieces */
   pw_site_weighted weighted[PWSITE_WEIGHTED];
   int nweighted;
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -509,7 +509,7 @@
   return (pw_fleet_prompt){.tokens = 1100,
                            .shared_tokens = 1000,
                            .can_copy = 1,
-                           .is_new = 1,
+                           .is_first_attempt = 1,
                            .prefill = {.ms_per_token = 0.1, .goal_part = 1},
                            .times = {.soon_ms = 100, .latest_ms = 500}};
 }
--- a/tests/test_prefill.c
+++ b/tests/test_prefill.c
@@ -150,7 +150,7 @@
 static int pick(const pw_pick *t, uint64_t key, int home_first) {
   pw_pick_times used = times;
   used.home_first = home_first;
-  return pwpick_soonest(t, TARGETS, key, bound, &used);
+  return pwpick_in_time(t, TARGETS, key, bound, &used);
 }
 
 /* A prompt goes where it is cached while that is soon enough, and home first while answers are in time. Guards
@@ -240,10 +240,10 @@
     for (int i = 0; i < GATEWAYS * REQUESTS; i++) {
       idle(t);
       used.draw = pwrand_unit(&r);
-      calm += pwpick_soonest(t, TARGETS, pwrand(&r), bound, &used) >= 0;
+      calm += pwpick_in_time(t, TARGETS, pwrand(&r), bound, &used) >= 0;
       for (int k = 1; k < TARGETS; k++)
         t[k].first_ms = t[k].queue_ms = 2000;
-      sent += pwpick_soonest(t, TARGETS, pwrand(&r), bound, &used) == 0;
+      sent += pwpick_in_time(t, TARGETS, pwrand(&r), bound, &used) == 0;
     }
   }
   double room = 1.6 * 5 + 3 - 5;
--- a/tests/test_prefill_storm.c
+++ b/tests/test_prefill_storm.c
@@ -203,7 +203,7 @@
   pw_fleet_prompt out = {.tokens = kind[r->kind].shared + kind[r->kind].own,
                          .shared_tokens = kind[r->kind].shared,
                          .can_copy = 1,
-                         .is_new = r->attempts == 0,
+                         .is_first_attempt = r->attempts == 0,
                          .prefill = *p,
                          .times = {0.5 * SHORTEST_GOAL_MS, latest,
                                    0.25 * latest, p->goal_part >= 1}};
--- a/tests/test_shed.c
+++ b/tests/test_shed.c
@@ -196,7 +196,8 @@
 
 /* Whether the second try of a request that may be repeated may take a slot. */
 static int may_try_again(const pw_shed *p, double draw) {
-  pw_slotorder_try t = {.rank = PWSLOTORDER_SECOND_TRY, .may_repeat = 1};
+  pw_slotorder_attempt t = {.rank = PWSLOTORDER_SECOND_ATTEMPT,
+                            .may_repeat = 1};
   return pwslotorder_may_take(&t, pwshed_first_admitted(p), draw);
 }
 
--- a/tests/test_slotorder.c
+++ b/tests/test_slotorder.c
@@ -17,10 +17,11 @@
 ** come back, in slots that first tries need, and against tries of requests that
 ** may not be repeated behind them. */
 static void test_order(void) {
-  pw_slotorder_try first = {.rank = PWSLOTORDER_FIRST};
-  pw_slotorder_try back = {.rank = PWSLOTORDER_RETURNED};
-  pw_slotorder_try second = {.rank = PWSLOTORDER_SECOND_TRY, .may_repeat = 1};
-  pw_slotorder_try once = {.rank = PWSLOTORDER_SECOND_TRY};
+  pw_slotorder_attempt first = {.rank = PWSLOTORDER_FIRST};
+  pw_slotorder_attempt back = {.rank = PWSLOTORDER_RETURNED};
+  pw_slotorder_attempt second = {.rank = PWSLOTORDER_SECOND_ATTEMPT,
+                                 .may_repeat = 1};
+  pw_slotorder_attempt once = {.rank = PWSLOTORDER_SECOND_ATTEMPT};
   for (int i = 0; i < 10; i++) {
     double draw = i / 10.0;
     CHECK(pwslotorder_may_take(&first, 0, draw));
@@ -37,7 +38,7 @@
 /* Guards against tries that cannot end before the caller's deadline, and against
 ** refusing all while it is not known how long a request takes. */
 static void test_deadline(void) {
-  pw_slotorder_try t = {.time_left_ms = 100, .work_ms = 100};
+  pw_slotorder_attempt t = {.time_left_ms = 100, .work_ms = 100};
   CHECK(pwslotorder_can_end(&t));
   t.work_ms = 101;
   CHECK(!pwslotorder_can_end(&t));
@@ -316,10 +317,10 @@
   pw_slotorder_quota q = quota_of(w, g);
   if (w->how == BEFORE)
     return had_quota(w, g, &q, is_last) ? pick(w, g, &q, q.wait_ms) : -1;
-  pw_slotorder_try t = {.rank =
-                            is_last ? PWSLOTORDER_RETURNED : PWSLOTORDER_FIRST,
-                        .time_left_ms = left,
-                        .work_ms = q.work_ms};
+  pw_slotorder_attempt t = {.rank = is_last ? PWSLOTORDER_RETURNED
+                                            : PWSLOTORDER_FIRST,
+                            .time_left_ms = left,
+                            .work_ms = q.work_ms};
   double admitted = pwshed_first_admitted(&g->shed);
   if (pwslotorder_is_short(&q) &&
       (!pwslotorder_can_end(&t) ||
