--- a/packages/gateway/pwworkspaces.c
+++ b/packages/gateway/pwworkspaces.c
@@ -139,10 +139,13 @@
 
 static const char *why_of(const pw_spike_state *s) {
   if (s->surplus > 0)
-    return "sends more than twice what is expected of it";
+    return "sends more than twice its baseline, as the load of others raises "
+           "it";
   if (s->refused > s->refused_surplus)
     return "no slot was free for requests within its share";
-  return s->refused ? "sent more than twice what is expected of it" : "";
+  return s->refused ? "sent more than twice its baseline, as the load of "
+                      "others raised it"
+                    : "";
 }
 
 static json_t *describe(const char *service, const pw_spike_state *s) {
