--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -114,6 +114,8 @@
     "callers that left before their answer")                                   \
   X(PWC_GW_SITE, "gateway_configuration", "gauge",                             \
     "version of the configuration in force")                                   \
+  X(PWC_GW_KNOWN, "gateway_gateways", "gauge",                                 \
+    "gateways among which shared limits are divided; 0: not known yet")        \
   X(PWC_GW_TARGETS, "gateway_targets", "gauge", "targets known")               \
   X(PWC_GW_EVACUATED, "gateway_evacuated", "gauge",                            \
     "availability zones evacuated")                                            \
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -62,12 +62,15 @@
 
 static int spend_retry(pw_exchange *x, int64_t now) {
   pw_retries *b = &x->service_state->retries;
-  if (pwretries_spend(b, pwlink_gateway_count(x->g->link), now)) {
-    pwcount_add(x->g->p->counters, PWC_RETRIES, 1);
-    return 1;
-  }
-  pwcount_add(x->g->p->counters, PWC_RETRY_DENIED, 1);
-  return 0;
+  int gateways = pwlink_gateway_count(x->g->link);
+  int is_spent = pwretries_spend(b, gateways, now);
+  pw_retries_state state = pwretries_state(b, gateways, now);
+  pwcount_add(x->g->p->counters, is_spent ? PWC_RETRIES : PWC_RETRY_DENIED, 1);
+  pwexi_log(x, is_spent ? PWTRACE_ROUTINE : PWTRACE_FAIL,
+            is_spent ? "retry-spent" : "retry-denied",
+            "service=%s spent=%d allowed=%.1f gateways=%d", x->service->name,
+            state.spent, state.allowed, gateways);
+  return is_spent;
 }
 
 void pwexi_retry(pw_exchange *x, const char *why, int may_have_run) {
--- a/packages/policy/pwretries.c
+++ b/packages/policy/pwretries.c
@@ -50,6 +50,11 @@
   return 1;
 }
 
+pw_retries_state pwretries_state(pw_retries *b, int gateways, int64_t now) {
+  cell_of(b, b->retries, now);
+  return (pw_retries_state){sum(b->retries), allowed(b, gateways)};
+}
+
 int pwretries_is_scarce(pw_retries *b, int gateways, double draw, int64_t now) {
   cell_of(b, b->retries, now);
   double most = allowed(b, gateways);
--- a/packages/policy/pwretries.h
+++ b/packages/policy/pwretries.h
@@ -29,6 +29,14 @@
 /* Takes one retry while `gateways` share the slack; 0: none is left. */
 int pwretries_spend(pw_retries *b, int gateways, int64_t now);
 
+/* State of the budget, for log lines. */
+typedef struct pw_retries_state {
+  int spent;      /* retries in the window */
+  double allowed; /* most retries in the window */
+} pw_retries_state;
+
+pw_retries_state pwretries_state(pw_retries *b, int gateways, int64_t now);
+
 /* Whether to save the rest of the budget, by avoiding targets that often cost
 ** a retry. Never while half of it is left and always when it is used up; in
 ** between the probability grows as the rest shrinks. `draw` is uniform in [0,
