--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -148,8 +148,8 @@
   if (!n->n_gateways || from != l->primary)
     return;
   if (l->ngateways != (int)n->n_gateways)
-    pwtrace_line(l->g->trace, PWTRACE_STATE, now, "gateways", "known=%zu was=%d",
-                 n->n_gateways, l->ngateways);
+    pwtrace_line(l->g->trace, PWTRACE_STATE, now, "gateways",
+                 "known=%zu was=%d", n->n_gateways, l->ngateways);
   l->ngateways = (int)n->n_gateways;
   pwcount_set(l->g->p->counters, PWC_GW_KNOWN, l->ngateways);
   pwgossip_set_peers(l->g->gossip, n->gateways, n->n_gateways);
