--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -13,8 +13,8 @@
 end
 
 -- Fields of o: control, gateways, engines, portals: how many of each; zones: availability zone by target
--- name; text: settings added to gateways; control_text: settings added to control instances; relays: gateways
--- reach targets through relays; daemon: the program (default "peatwelld").
+-- name; retry_slack: of gateways (default 1000); text: settings added to gateways; control_text: settings added to
+-- control instances; relays: gateways reach targets through relays; daemon: the program (default "peatwelld").
 function gateways.new(o)
   local f = fleet.new{control = 0, entries = 0, engines = 0}
   local g = setmetatable({f = f, o = o, dir = f.dir, control = {}, gateways = {}, targets = {}, version = 0}, gateways)
@@ -56,8 +56,8 @@
   fleet.write(path, string.format('[instance]\nname = %q\nroles = ["gateway"]\navailability_zone = "az-1"\n' ..
     'metrics = "127.0.0.1:%d"\n' ..
     '[gateway]\nhttp = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\ngossip = "127.0.0.1:%d"\nrelay = "tcp://127.0.0.1:%d"\ncontrol = %s\n' ..
-    'control_port = %d\nbeat_ms = %d\nretry_ratio = 0.2\nretry_slack = 1000\n%s\n', name, metrics, http, ready, gossip, relay,
-    quoted(self.seeds), self.wire_port, BEAT_MS, self.o.text or ""))
+    'control_port = %d\nbeat_ms = %d\nretry_ratio = 0.2\nretry_slack = %d\n%s\n', name, metrics, http, ready, gossip, relay,
+    quoted(self.seeds), self.wire_port, BEAT_MS, self.o.retry_slack or 1000, self.o.text or ""))
   local p = self.f:process(name, {run.bin .. "/" .. (self.o.daemon or "peatwelld"), "--config", path}, "127.0.0.1:" .. ready)
   p.live = "/metrics"
   p.http = "127.0.0.1:" .. http
