Retry budget: a gateway's start holds no retries, and divides the slack by a number that holds

Callers saw nothing of it; targets got 679 retries in 10 s where 626 were allowed, when all gateways were killed four times while most targets of a service failed.

Cause: a limit summed over all gateways was kept in the memory of each. A start forgot what had been spent and could spend a window's budget again: its part of the slack, and the requests of the window, which had paid for retries before the kill already. Beside it, control tells a gateway right after a start of all only those gateways that have reached the same control instance: 1 and 3 of 4 for 1.2 s, by which the slack was divided.

Change: a token bucket for each service. The slack is divided by the largest number told in the last window, by none in the first window after a start or after control was silent for a window (pwgatewaycount).

Tests: test_retries told numbers go through pwgatewaycount now, as in the gateway; its checks are as before, and new ones came. test_retries_shared in test_gateway asked a budget for retries in the ms of its creation, which is the fault: it asks for none then, and for as many as before (some, at most the budget) within the window. Scenarios with gateways wait until these divide the budget; their window is 1 s, their slack as before.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -115,7 +115,7 @@
   X(PWC_GW_SITE, "gateway_configuration", "gauge",                             \
     "version of the configuration in force")                                   \
   X(PWC_GW_KNOWN, "gateway_gateways", "gauge",                                 \
-    "gateways among which shared limits are divided; 0: not known yet")        \
+    "gateways by which the retry budget is divided; 0: not known")             \
   X(PWC_GW_TARGETS, "gateway_targets", "gauge", "targets known")               \
   X(PWC_GW_EVACUATED, "gateway_evacuated", "gauge",                            \
     "availability zones evacuated")                                            \
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -62,14 +62,14 @@
 
 static int spend_retry(pw_exchange *x, int64_t now) {
   pw_retries *b = &x->service_state->retries;
-  int gateways = pwlink_gateway_count(x->g->link);
+  int gateways = pwlink_budget_count(x->g->link, now);
   int is_spent = pwretries_spend(b, gateways, now);
   pw_retries_state state = pwretries_state(b, gateways, now);
   pwcount_add(x->g->p->counters, is_spent ? PWC_RETRIES : PWC_RETRY_DENIED, 1);
   pwexi_log(x, is_spent ? PWTRACE_ROUTINE : PWTRACE_FAIL,
             is_spent ? "retry-spent" : "retry-denied",
-            "service=%s spent=%d allowed=%.1f gateways=%d", x->service->name,
-            state.spent, state.allowed, gateways);
+            "service=%s left=%.1f most=%.1f gateways=%d", x->service->name,
+            state.left, state.most, gateways);
   return is_spent;
 }
 
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -183,8 +183,8 @@
   pw_gate *g = x->g;
   return pwshed_admitted_share(&x->service_state->shed) > PWEX_AMPLE_SHARE &&
          pwretries_is_scarce(&x->service_state->retries,
-                             pwlink_gateway_count(g->link), pwgate_random(g),
-                             now);
+                             pwlink_budget_count(g->link, now),
+                             pwgate_random(g), now);
 }
 
 /* Requests that a target may have above its multiple of the mean while answers are late: prompts that wait for
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -251,9 +251,15 @@
 ** contact with its leader, or no such instance could be reached for a while. */
 int pwlink_is_current(const pw_link *l, int64_t now);
 
-/* Number of known gateways, this one included. */
+/* Number of known gateways, this one included. It may be too small right after a start. */
 int pwlink_gateway_count(const pw_link *l);
 
+/* Number of gateways by which a limit for all of them is divided so that they keep it together; 0: unknown. */
+int pwlink_budget_count(pw_link *l, int64_t now);
+
+/* Since when pwlink_budget_count has been known, ms; 0: it is not. */
+int64_t pwlink_budget_count_since(pw_link *l, int64_t now);
+
 /* --- pwgossip.c: the other gateways --- */
 
 pw_gossip *pwgossip_new(pw_gate *g, pw_buf *err);
--- a/packages/gateway/pwgatestate.c
+++ b/packages/gateway/pwgatestate.c
@@ -19,6 +19,8 @@
   pwretries_init(&s->retries, set->gateway_retry_ratio,
                  set->gateway_retry_slack,
                  (int64_t)(set->gateway_retry_window * MS_PER_S));
+  pwretries_fill_from(&s->retries,
+                      pwlink_budget_count_since(g->link, pwclock_ms()));
   pwshed_init(&s->shed, pwclock_ms());
   pwprefill_init(&s->prefill);
   s->spike = pwspike_new(name, pwclock_ms());
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -11,6 +11,7 @@
 #include <string.h>
 #include <xxhash.h>
 
+#define MS_PER_S 1000
 #define WATCH_MS 500 /* default interval of watch messages to control */
 
 /* Interval at which the leader gets answer counts during a rollout, ms. */
@@ -143,6 +144,8 @@
 /* Applies the lists of control instances and gateways. Only the primary knows all gateways. */
 static void apply_peer_lists(pw_link *l, const contact *from,
                              const Pw__Notice *n, int64_t now) {
+  if (from == l->primary)
+    pwgatewaycount_heard(&l->budget_count, now);
   for (size_t i = 0; i < n->n_control; i++)
     contact_of(l, n->control[i], now);
   if (!n->n_gateways || from != l->primary)
@@ -151,7 +154,7 @@
     pwtrace_line(l->g->trace, PWTRACE_STATE, now, "gateways",
                  "known=%zu was=%d", n->n_gateways, l->ngateways);
   l->ngateways = (int)n->n_gateways;
-  pwcount_set(l->g->p->counters, PWC_GW_KNOWN, l->ngateways);
+  pwgatewaycount_told(&l->budget_count, l->ngateways, now);
   pwgossip_set_peers(l->g->gossip, n->gateways, n->n_gateways);
 }
 
@@ -316,6 +319,7 @@
     if (c->dialled_at && now - c->watched_at >= watch_interval_ms(l, c))
       pwlink_send_watch(l, c, 0, now);
   drop_silent(l, now);
+  pwcount_set(l->g->p->counters, PWC_GW_KNOWN, pwlink_budget_count(l, now));
 }
 
 int pwlink_is_current(const pw_link *l, int64_t now) {
@@ -338,6 +342,14 @@
   return l->ngateways > 0 ? l->ngateways : 1;
 }
 
+int pwlink_budget_count(pw_link *l, int64_t now) {
+  return pwgatewaycount_get(&l->budget_count, now);
+}
+
+int64_t pwlink_budget_count_since(pw_link *l, int64_t now) {
+  return pwgatewaycount_known_since(&l->budget_count, now);
+}
+
 /* --- creation --- */
 
 static int dial_seeds(pw_link *l, pw_buf *err) {
@@ -361,6 +373,8 @@
   l->g = g;
   l->doc = pwdoc_new();
   l->full_wait_ms = FULL_LIST_MS;
+  pwgatewaycount_init(&l->budget_count,
+                      (int64_t)(g->p->set->gateway_retry_window * MS_PER_S));
   l->sock = pwwire_dialler(g->p->wire);
   pwzmqev_start(&l->watcher, g->ev, l->sock, read_messages, l);
   l->relay = pwrelay_new(g, l->doc, err);
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -6,6 +6,7 @@
 #include "pwgate.h"
 
 #include "pwdoc.h"
+#include "pwgatewaycount.h"
 #include "pwlog.h"
 #include "pwsuspects.h"
 #include "pwzmqev.h"
@@ -57,6 +58,7 @@
   char relay_addr[PW_NAME_MAX];
   pw_relay *relay;
   int ngateways;
+  pw_gateway_count budget_count;
   pw_zmqev watcher;
 };
 
--- a/tests/scenarios/75_retries_over_starts.lua
+++ b/tests/scenarios/75_retries_over_starts.lua
@@ -5,7 +5,7 @@
 local gateways = require("gateways")
 local RATIO, SLACK, ROUNDS, AT_ONCE = 0.2, 30, 5, 40
 -- All of the scenario lies within one window of the budget, whatever its pace.
-local g = gateways.new{control = 3, gateways = 3, portals = 4, retry_slack = SLACK, text = "retry_window_s = 3600"}
+local g = gateways.new{control = 3, gateways = 3, portals = 4, retry_slack = SLACK, retry_window_s = 3600}
 g:start()
 for i = 1, 4 do g["portal-" .. i]:fault("refuse=1000000") end
 
@@ -21,13 +21,15 @@
   return #calls
 end
 
-local sent = 0
+local sent, before = 0, 0
 for round = 1, ROUNDS do
   sent = sent + ask_all()
   local retries = g:sum("portal", "arrivals") - sent
   local allowed = RATIO * sent + SLACK
   print(string.format("round %d: %d requests, %d retries, %.0f allowed", round, sent, retries, allowed))
   fleet.expect(string.format("retries in the budget after %d starts: %d of %.0f", round - 1, retries, allowed), retries <= allowed)
+  fleet.expect("retries are sent after each start", retries > before)
+  before = retries
   for _, p in ipairs(g.gateways) do p:kill() end
   for _, p in ipairs(g.gateways) do p:start() end
   g:wait_ready()
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -13,8 +13,9 @@
 end
 
 -- Fields of o: control, gateways, engines, portals: how many of each; zones: availability zone by target
--- name; retry_slack: of gateways (default 1000); text: settings added to gateways; control_text: settings added to
--- control instances; relays: gateways reach targets through relays; daemon: the program (default "peatwelld").
+-- name; retry_slack, retry_window_s: of gateways (default 1000 in 1 s, which is more than most scenarios use); text:
+-- settings added to gateways; control_text: settings added to control instances; relays: gateways reach targets
+-- through relays; daemon: the program (default "peatwelld").
 function gateways.new(o)
   local f = fleet.new{control = 0, entries = 0, engines = 0}
   local g = setmetatable({f = f, o = o, dir = f.dir, control = {}, gateways = {}, targets = {}, version = 0}, gateways)
@@ -56,8 +57,8 @@
   fleet.write(path, string.format('[instance]\nname = %q\nroles = ["gateway"]\navailability_zone = "az-1"\n' ..
     'metrics = "127.0.0.1:%d"\n' ..
     '[gateway]\nhttp = "127.0.0.1:%d"\nready = "127.0.0.1:%d"\ngossip = "127.0.0.1:%d"\nrelay = "tcp://127.0.0.1:%d"\ncontrol = %s\n' ..
-    'control_port = %d\nbeat_ms = %d\nretry_ratio = 0.2\nretry_slack = %d\n%s\n', name, metrics, http, ready, gossip, relay,
-    quoted(self.seeds), self.wire_port, BEAT_MS, self.o.retry_slack or 1000, self.o.text or ""))
+    'control_port = %d\nbeat_ms = %d\nretry_ratio = 0.2\nretry_slack = %d\nretry_window_s = %d\n%s\n', name, metrics, http, ready, gossip, relay,
+    quoted(self.seeds), self.wire_port, BEAT_MS, self.o.retry_slack or 1000, self.o.retry_window_s or 1, self.o.text or ""))
   local p = self.f:process(name, {run.bin .. "/" .. (self.o.daemon or "peatwelld"), "--config", path}, "127.0.0.1:" .. ready)
   p.live = "/metrics"
   p.http = "127.0.0.1:" .. http
@@ -209,8 +210,17 @@
   end
 end
 
+-- Waits until every gateway knows among how many the retry budget is divided: until then the slack gives it no retries.
+function gateways:wait_budgets()
+  for _, p in ipairs(self.gateways) do
+    fleet.eventually(p.name .. " divides the retry budget", function()
+      return p:counter("gateway_gateways") >= #self.gateways
+    end)
+  end
+end
+
 -- Starts all processes, publishes the first configuration, which change(config) may edit, and waits until every
--- gateway serves it and knows all targets.
+-- gateway serves it, knows all targets and divides the retry budget.
 function gateways:start(change)
   for _, c in ipairs(self.control) do c:start() end
   for _, p in ipairs(self.gateways) do p:start() end
@@ -222,6 +232,7 @@
       return p:counter("gateway_targets") >= #self.targets
     end)
   end
+  if not self.o.retry_window_s then self:wait_budgets() end
   return self
 end
 
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -604,13 +604,15 @@
   }
 }
 
-/* The budget is divided among the gateways. */
+/* The budget is divided among the gateways; a start has none of it. */
 static void test_retries_shared(void) {
   pw_retries b;
   pwretries_init(&b, 0, 100, 1000);
+  CHECK(!pwretries_spend(&b, 4, 1));
   int n = 0;
-  while (pwretries_spend(&b, 4, 0))
-    n++;
+  for (int now = 1; now < 1001; now++)
+    while (pwretries_spend(&b, 4, now))
+      n++;
   CHECK(n > 0 && n * 4 <= 100);
 }
 
--- a/tests/test_retries.c
+++ b/tests/test_retries.c
@@ -2,6 +2,7 @@
 **
 ** On a day on which most targets of a service failed, all gateways were killed four times in ten seconds. Each
 ** start forgot what the gateway had spent, so the fleet sent 679 retries in a window that allowed 626. */
+#include "pwgatewaycount.h"
 #include "pwretries.h"
 #include "pwtest.h"
 
@@ -10,6 +11,10 @@
 enum {
   GATEWAYS_MAX = 12,
   HOPS_MAX = 4, /* most retries of one request */
+  FIRST_MS =
+      80, /* from a gateway's start until control tells it the first number */
+  TELL_MS = 500,  /* interval in which control tells a gateway something */
+  DROP_MS = 2500, /* after this silence control does not count a gateway */
   RUN_MS = 50000,
   WINDOW_MS = 10000,
   TIMES_MAX = 8
@@ -32,12 +37,16 @@
   /* For so long after its start a gateway is told that it is the only one: the others begin with other control
   ** instances. */
   int64_t told_one_ms;
+  /* For so long after cut_at the first cut_off gateways cannot reach control. */
+  int cut_off;
+  int64_t cut_at, cut_ms;
 } plan;
 
 typedef struct world {
   const plan *p;
   pw_random *r;
   pw_retries budget[GATEWAYS_MAX];
+  pw_gateway_count count[GATEWAYS_MAX];
   int64_t started_at[GATEWAYS_MAX], down_until[GATEWAYS_MAX];
   /* All requests of callers, and all retries, by the ms. */
   int requests[RUN_MS], retries[RUN_MS];
@@ -45,18 +54,44 @@
 
 static void start_gateway(world *w, int g, int64_t now) {
   pwretries_init(&w->budget[g], RATIO, w->p->slack, WINDOW_MS);
+  pwgatewaycount_init(&w->count[g], WINDOW_MS);
   w->started_at[g] = now;
 }
 
-/* Number of gateways by which this one divides the budget. */
-static int gateways_of(const world *w, int g, int64_t now) {
-  return now - w->started_at[g] < w->p->told_one_ms ? 1 : w->p->gateways;
-}
-
 static int is_up(const world *w, int g, int64_t now) {
   return now >= w->down_until[g];
 }
 
+static int is_cut(const world *w, int g, int64_t now) {
+  return g < w->p->cut_off && now >= w->p->cut_at &&
+         now < w->p->cut_at + w->p->cut_ms;
+}
+
+/* Number of gateways as control knows them: those that it has heard lately. */
+static int known_to_control(const world *w, int64_t now) {
+  int n = 0;
+  for (int g = 0; g < w->p->gateways; g++)
+    n += !(is_cut(w, g, now) && is_cut(w, g, now - DROP_MS)) &&
+         now >= w->down_until[g];
+  return n;
+}
+
+/* Control tells the gateways how many there are. */
+static void tell_gateways(world *w, int64_t now) {
+  int known = known_to_control(w, now);
+  for (int g = 0; g < w->p->gateways; g++) {
+    int64_t age = now - w->started_at[g];
+    if (!is_up(w, g, now) || is_cut(w, g, now) || age % TELL_MS != FIRST_MS)
+      continue;
+    pwgatewaycount_told(&w->count[g], age < w->p->told_one_ms ? 1 : known, now);
+  }
+}
+
+/* Number of gateways by which this one divides the budget. */
+static int gateways_of(world *w, int g, int64_t now) {
+  return pwgatewaycount_get(&w->count[g], now);
+}
+
 /* Kills gateways at the times of the plan, and starts those that are back. */
 static void kill_and_start(world *w, int64_t now) {
   int n = (int)(w->p->kill_share * w->p->gateways);
@@ -105,6 +140,7 @@
   double due = 0;
   for (int64_t now = 0; now < RUN_MS; now++) {
     kill_and_start(w, now);
+    tell_gateways(w, now);
     if (now < p->lull_from || now >= p->lull_to)
       due += 2 * pwrand_unit(r) * p->per_s / 1000;
     for (; due >= 1; due--)
@@ -145,6 +181,24 @@
   CHECK(beyond <= 0);
 }
 
+/* No gateway is killed: most of the budget is used, and no more than the budget. */
+static void test_calm_gateways(void) {
+  pw_random r = {.seed = test_seed(67)};
+  plan p = {.gateways = 5,
+            .per_s = 320,
+            .slack = 56,
+            .fail_share = 1,
+            .fail_from = 20000,
+            .fail_to = RUN_MS};
+  static world w;
+  check_plan("calm gateways", &p, &r);
+  simulate(&w, &p, &r);
+  double allowed =
+      RATIO * sum_of(w.requests, 25000, 25000 + WINDOW_MS) + p.slack;
+  CHECK(sum_of(w.retries, 25000, 25000 + WINDOW_MS) > 0.5 * allowed);
+  CHECK(sum_of(w.retries, 20000, 20000 + WINDOW_MS) > 0.8 * allowed);
+}
+
 /* All gateways are killed in series while most attempts fail. */
 static void test_killed_in_series(void) {
   pw_random r = {.seed = test_seed(60)};
@@ -182,6 +236,84 @@
   }
 }
 
+/* The slack is most of the budget, and gateways are started, told too few, or cut off from control while it is spent. */
+static void test_much_slack(void) {
+  pw_random r = {.seed = test_seed(65)};
+  plan p = {.gateways = 12,
+            .per_s = 100,
+            .slack = 1000,
+            .fail_share = 1,
+            .fail_from = 2000,
+            .fail_to = RUN_MS,
+            .nkills = 4,
+            .kill_at = {15000, 18000, 31000, 35000},
+            .down_ms = 500,
+            .kill_share = 1,
+            .told_one_ms = 1300};
+  check_plan("much slack, killed", &p, &r);
+  p.kill_share = 0.75;
+  p.down_ms = 4000;
+  check_plan("much slack, most killed for long", &p, &r);
+  p.nkills = 0;
+  p.cut_off = 8;
+  p.cut_at = 14000;
+  for (p.cut_ms = 4000; p.cut_ms < 30000; p.cut_ms += 8000)
+    check_plan("much slack, cut off", &p, &r);
+}
+
+/* Budgets of less than two tokens a gateway and window: a token can be held and is used. */
+static void test_small_parts(void) {
+  pw_random r = {.seed = test_seed(66)};
+  plan p = {.gateways = 8,
+            .per_s = 8,
+            .slack = 6,
+            .fail_share = 1,
+            .fail_from = 25000,
+            .fail_to = RUN_MS};
+  static world w;
+  simulate(&w, &p, &r);
+  int sent = sum_of(w.retries, 25000, 45000);
+  printf("small parts: %d retries in two windows, %.0f beyond the budget\n",
+         sent, most_beyond(&w));
+  CHECK(sent > 10 && most_beyond(&w) <= 0);
+}
+
+/* --- number of gateways --- */
+
+static void test_count(void) {
+  pw_gateway_count c;
+  pwgatewaycount_init(&c, 1000);
+  CHECK(pwgatewaycount_get(&c, 100) == 0);
+  pwgatewaycount_heard(&c, 100); /* control has told no number yet */
+  CHECK(pwgatewaycount_get(&c, 1200) == 0);
+  pwgatewaycount_told(&c, 1, 1000);
+  pwgatewaycount_told(&c, 4, 1600);
+  CHECK(pwgatewaycount_get(&c, 1999) == 0);
+  CHECK(pwgatewaycount_get(&c, 2000) == 4);
+  CHECK(pwgatewaycount_known_since(&c, 2100) == 2000);
+  pwgatewaycount_told(&c, 6, 2100); /* more count at once */
+  CHECK(pwgatewaycount_get(&c, 2100) == 6);
+  pwgatewaycount_told(&c, 3, 2500); /* fewer after a window */
+  CHECK(pwgatewaycount_get(&c, 3400) == 6);
+  for (int64_t now = 2600; now <= 4600; now += 100)
+    pwgatewaycount_heard(&c, now);
+  CHECK(pwgatewaycount_get(&c, 4600) == 3);
+}
+
+/* A gateway that control was silent for does not know who has started or taken its part since. */
+static void test_count_after_silence(void) {
+  pw_gateway_count c;
+  pwgatewaycount_init(&c, 1000);
+  for (int64_t now = 1000; now <= 3000; now += 500)
+    pwgatewaycount_told(&c, 4, now);
+  CHECK(pwgatewaycount_get(&c, 4000) == 4);
+  CHECK(pwgatewaycount_get(&c, 4001) == 0);
+  pwgatewaycount_heard(&c, 4100);
+  CHECK(pwgatewaycount_get(&c, 4200) == 0);
+  pwgatewaycount_told(&c, 4, 4900);
+  CHECK(pwgatewaycount_get(&c, 5100) == 4);
+}
+
 /* One kill is enough where targets begin to fail shortly before: the requests of the window before pay for the retries
 ** before the kill, and must not pay for those after it. */
 static void test_killed_once(void) {
@@ -240,8 +372,13 @@
 
 int main(void) {
   TESTS_BEGIN("retries");
+  TEST(test_calm_gateways);
   TEST(test_killed_in_series);
   TEST(test_told_too_few);
+  TEST(test_much_slack);
+  TEST(test_small_parts);
+  TEST(test_count);
+  TEST(test_count_after_silence);
   TEST(test_killed_once);
   TEST(test_half_killed);
   TEST(test_lull);
