--- a/packages/control/pwgroup.c
+++ b/packages/control/pwgroup.c
@@ -373,11 +373,13 @@
     const char *role = !m->voter                         ? "learner"
                        : m->id == pwcons_leader(g->cons) ? "leader"
                                                          : "follower";
-    json_array_append_new(list, json_pack("{s:i,s:s,s:s,s:s,s:b}", "id",
-                                          (int)m->slot, "wire", m->addr, "http",
-                                          m->http, "role", role, "caught_up",
-                                          pwcons_caught_up(g->cons, m->id) ||
-                                              m->id == pwcons_leader(g->cons)));
+    json_array_append_new(
+        list, json_pack("{s:i,s:s,s:s,s:s,s:b,s:I}", "id", (int)m->slot, "wire",
+                        m->addr, "http", m->http, "role", role, "caught_up",
+                        pwcons_caught_up(g->cons, m->id) ||
+                            m->id == pwcons_leader(g->cons),
+                        "silent_ms",
+                        (json_int_t)pwcons_peer_silence(g->cons, m->id)));
   }
   return list;
 }
--- a/tests/soak.lua
+++ b/tests/soak.lua
@@ -27,8 +27,12 @@
 local zones = {}
 for i = 1, HAS_ZONES and engines or 0 do zones["engine-" .. i] = "az-" .. i % 2 + 1 end
 for i = 1, HAS_ZONES and portals or 0 do zones["portal-" .. i] = "az-" .. i % 2 + 1 end
+-- From seed 5000 on: a small retry budget, and series of starts of gateways while all targets refuse.
+local HAS_STARTS = SEED >= 5000
+local RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_MS = 0.2, 20, 10000
 local g = gateways.new{control = 3, gateways = math.max(2, PROCESSES - 3 - engines - portals),
-  engines = engines, portals = portals, relays = true, zones = zones}
+  engines = engines, portals = portals, relays = true, zones = zones,
+  retry_slack = HAS_STARTS and RETRY_SLACK or nil, retry_window_s = HAS_STARTS and RETRY_WINDOW_MS // 1000 or nil}
 g:start(HAS_ZONES and function(s) s.cold = {s = 3, per_s = 20} end)
 
 -- Violations of the invariants; the run stops at the first one.
@@ -72,6 +76,7 @@
   return complete
 end
 
+local sent_at = {} -- when each request was sent, ms
 local function batch()
   local calls = {}
   for i = 1, BATCH do
@@ -82,6 +87,7 @@
       {path = "/safe/a", method = "GET"}}
     local o = one_of(kinds)
     o.gateway, o.timeout = one_of(g.gateways), 12
+    sent_at[#sent_at + 1] = run.now()
     local c, id = g:call(o)
     calls[i] = {h = run.http_start(c), id = id, o = o}
   end
@@ -90,6 +96,7 @@
   return complete
 end
 
+local active = {} -- faults that have not ended yet
 -- Faults: each function injects one and returns its description and a function that ends it.
 local function running(list)
   local out = {}
@@ -139,15 +146,17 @@
     return mode .. " the link to " .. p.name, function() run.relay_set(p.relay, "pass") end
   end
 end
--- Whether every control instance is a caught-up voter. Only then may a disk be lost: two of three lost at
--- once are more than the system tolerates.
+-- Whether every control instance is a caught-up voter that answers the leader. Only then may a disk be lost: two of
+-- three lost at once are more than the system tolerates. One that has just started with an empty disk still counts as
+-- caught up by what it acknowledged before, but is silent.
+local SILENT_MS = 400
 local function is_group_complete()
   for _, c in ipairs(running(g.control)) do
     local r = run.http{url = "http://" .. c.health, path = "/v1/status", timeout = 2}
     local st = r.status == 200 and run.json(r.body)
     local n = 0
     for _, m in ipairs(st and st.members or {}) do
-      if m.role ~= "learner" and m.caught_up then n = n + 1 end
+      if m.role ~= "learner" and m.caught_up and m.silent_ms < SILENT_MS then n = n + 1 end
     end
     if n == #g.control and #st.members == n then return true end
   end
@@ -317,10 +326,68 @@
   for _, f in ipairs{restart_target, restart_target, malformed_heartbeats, crash, pauses} do faults[#faults + 1] = f end
 end
 
-local active, ends = {}, run.now() + MINUTES * 60000
+-- Series of kills and pauses of gateways while all targets refuse. The retries are those arrivals at the targets that
+-- exceed the requests. They may use the budget of as many windows as cover the series; the requests of the window
+-- before it may pay, too.
+local function sent_since(ms)
+  local n = 0
+  for _, at in ipairs(sent_at) do n = n + (at >= ms and 1 or 0) end
+  return n
+end
+local function all_arrivals()
+  local n = 0
+  for _, t in ipairs(g.targets) do n = n + t:stats().arrivals end
+  return n
+end
+local function ask_refused(n)
+  local calls = {}
+  for i = 1, n do
+    sent_at[#sent_at + 1] = run.now()
+    calls[i] = run.http_start((g:call{path = one_of{"/safe/a", "/once/a"}, body = "x", gateway = one_of(g.gateways), timeout = 12}))
+  end
+  return calls
+end
+local function kill_or_pause_gateways()
+  local hit = {}
+  for _, p in ipairs(g.gateways) do
+    local what = draw(4)
+    if what < 3 then
+      p:kill()
+      hit[#hit + 1] = function() restart(p) end
+    elseif what == 3 then
+      p:pause()
+      hit[#hit + 1] = function() p:continue() end
+    end
+  end
+  return hit
+end
+local function starts_while_targets_refuse()
+  if #active > 0 or #running(g.targets) < #g.targets or #running(g.gateways) < #g.gateways then return end
+  local began, before = run.now(), all_arrivals()
+  for _, t in ipairs(g.targets) do t:fault("refuse=1000000") end
+  local rounds = 2 + draw(4)
+  for _ = 1, rounds do
+    local calls = ask_refused(40)
+    run.pause(draw(40))
+    local undo = kill_or_pause_gateways()
+    for _, c in ipairs(calls) do run.http_wait(c) end
+    run.pause(draw(400))
+    for _, f in ipairs(undo) do f() end
+    g:wait_ready()
+  end
+  for _, c in ipairs(ask_refused(40)) do run.http_wait(c) end
+  for _, t in ipairs(g.targets) do t:fault("refuse=0") end
+  local retries = all_arrivals() - before - sent_since(began)
+  local windows = (run.now() - began) // RETRY_WINDOW_MS + 1
+  local allowed = RETRY_RATIO * math.min(windows, 2) * sent_since(began - RETRY_WINDOW_MS) + windows * RETRY_SLACK
+  check(retries <= allowed, "%d retries while gateways started %d times, %.0f allowed", retries, rounds, allowed)
+  return string.format("starts while targets refuse: %d retries, %.0f allowed", retries, allowed), function() end
+end
+local ends = run.now() + MINUTES * 60000
 while run.now() < ends and #problems == 0 do
   if #active < 3 and draw(2) == 1 then
-    local what, undo = one_of(faults)()
+    local fault = HAS_STARTS and #active == 0 and starts_while_targets_refuse or one_of(faults)
+    local what, undo = fault()
     if what then
       print(string.format("%8d %s", run.now(), what))
       active[#active + 1] = {what = what, undo = undo, at = run.now() + 300 + draw(2500)}
