Entries: starts and changes of the policy give no tokens and retries anew

A change of the share of retries filled the retry budget up to its reserve, at each change; it changes the share alone now.

What a start still forgets is a debt of the limit (docs/design/sharing.md).

--- a/packages/entry/pwfl.h
+++ b/packages/entry/pwfl.h
@@ -67,7 +67,6 @@
   pw_treereport *treereport;
   pw_flight *all;
   pw_retry_budget budget;
-  double retry_share; /* share that the budget was initialized with */
   pw_quotas *quotas;
   pw_quarantine *quarantine; /* requests that crash their targets */
 };
--- a/packages/entry/pwflight.c
+++ b/packages/entry/pwflight.c
@@ -20,9 +20,8 @@
   fs->targets = targets;
   fs->sub = sub;
   fs->treereport = treereport;
-  fs->quotas = pwquota_new();
+  fs->quotas = pwquota_new(pwclock_ms());
   fs->quarantine = pwquar_new();
-  fs->retry_share = PW_RETRY_SHARE;
   pwretry_init(&fs->budget, PW_RETRY_SHARE, PW_RETRY_RESERVE);
   return fs;
 }
@@ -158,10 +157,7 @@
 
 void pwflight_note(pw_flights *fs, const pw_note *note, const pw_policy *policy,
                    int may_serve, int64_t now) {
-  if (policy->retry_share != fs->retry_share) {
-    fs->retry_share = policy->retry_share;
-    pwretry_init(&fs->budget, fs->retry_share, PW_RETRY_RESERVE);
-  }
+  pwretry_set_share(&fs->budget, policy->retry_share);
   if (note->kind == PW_NOTE_NEW) {
     start_flight(fs, note->call, policy, may_serve, now);
     return;
--- a/packages/entry/pwquota.c
+++ b/packages/entry/pwquota.c
@@ -17,10 +17,13 @@
 
 struct pw_quotas {
   quota *all;
+  int64_t started_at; /* ms */
 };
 
-pw_quotas *pwquota_new(void) {
-  return pw_alloc(sizeof(pw_quotas));
+pw_quotas *pwquota_new(int64_t now) {
+  pw_quotas *qs = pw_alloc(sizeof *qs);
+  qs->started_at = now;
+  return qs;
 }
 
 void pwquota_free(pw_quotas *qs) {
@@ -32,15 +35,16 @@
   free(qs);
 }
 
-static quota *quota_of(pw_quotas *qs, const char *workspace, double rate,
-                       int64_t now) {
+/* The bucket has been filled since the start of the entry. If it were full at first, an entry that starts again and
+** again would let through a burst each time. */
+static quota *quota_of(pw_quotas *qs, const char *workspace, double rate) {
   quota *q;
   HASH_FIND_STR(qs->all, workspace, q);
   if (q)
     return q;
   q = pw_alloc(sizeof *q);
   pw_copy(q->workspace, sizeof q->workspace, workspace);
-  pwbucket_init(&q->bucket, rate, rate * BURST_S, now);
+  pwbucket_init_empty(&q->bucket, rate, rate * BURST_S, qs->started_at);
   HASH_ADD_STR(qs->all, workspace, q);
   return q;
 }
@@ -51,7 +55,7 @@
   double rate = w->tokens_per_s / (entries ? entries : 1);
   if (rate <= 0)
     return 0;
-  quota *q = quota_of(qs, w->name, rate, now);
+  quota *q = quota_of(qs, w->name, rate);
   pwbucket_rate(&q->bucket, rate, rate * BURST_S, now);
   int64_t wait = pwbucket_wait(&q->bucket, 1, now);
   if (!wait)
--- a/packages/entry/pwquota.h
+++ b/packages/entry/pwquota.h
@@ -8,7 +8,8 @@
 
 typedef struct pw_quotas pw_quotas;
 
-pw_quotas *pwquota_new(void);
+/* Quotas of an entry that started at `now`, ms. */
+pw_quotas *pwquota_new(int64_t now);
 void pwquota_free(pw_quotas *qs);
 
 /* Charges a request's tokens to its workspace's rate limit. Each of `entries`
--- a/packages/policy/pwbudget.c
+++ b/packages/policy/pwbudget.c
@@ -7,6 +7,10 @@
   *b = (pw_retry_budget){share, cap, cap};
 }
 
+void pwretry_set_share(pw_retry_budget *b, double share) {
+  b->share = share;
+}
+
 void pwretry_success(pw_retry_budget *b) {
   b->left += b->share;
   if (b->left > b->cap)
@@ -29,6 +33,10 @@
   *b = (pw_bucket){rate, burst, burst, now};
 }
 
+void pwbucket_init_empty(pw_bucket *b, double rate, double burst, int64_t now) {
+  *b = (pw_bucket){rate, burst, 0, now};
+}
+
 static void refill(pw_bucket *b, int64_t now) {
   if (now <= b->at)
     return;
--- a/packages/policy/pwbudget.h
+++ b/packages/policy/pwbudget.h
@@ -12,6 +12,10 @@
 } pw_retry_budget;
 
 void pwretry_init(pw_retry_budget *b, double share, double cap);
+
+/* Changes the share; the retries left stay. */
+void pwretry_set_share(pw_retry_budget *b, double share);
+
 void pwretry_success(pw_retry_budget *b);
 
 /* Takes one retry; 0: none is left. */
@@ -32,6 +36,9 @@
 
 void pwbucket_init(pw_bucket *b, double rate, double burst, int64_t now);
 
+/* The same, with a bucket that is empty at `now`. */
+void pwbucket_init_empty(pw_bucket *b, double rate, double burst, int64_t now);
+
 /* Changes the rate and burst without refilling the bucket. */
 void pwbucket_rate(pw_bucket *b, double rate, double burst, int64_t now);
 
--- a/tests/scenarios/09_sharing.lua
+++ b/tests/scenarios/09_sharing.lua
@@ -43,6 +43,8 @@
 
 -- The limit is 400 tokens a second over both entries, with a burst of two seconds: of 100 requests of about
 -- 40 tokens sent at once most are refused, with code 2003.
+-- The burst is there two seconds after the start of the entries, which begin without any.
+run.pause(2000)
 local limited, over = 0, 0
 for _, c in ipairs(wave("exams", 100, 32, "limit")) do
   local r = run.http_wait(c.h)
