Connections to targets report events through callbacks, and do not call the exchange

It takes a table of callbacks now, as pwtcp does, has a header of its own, and a request to send is one struct in place of five parameters.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -356,15 +356,16 @@
 
 /* --- answers --- */
 
-void pwexchange_sent(pw_exchange *x) {
+void pwexi_on_sent(void *exchange) {
+  pw_exchange *x = exchange;
   x->is_sent = 1;
   x->may_have_run = 1;
   if (!x->needs_new_conn)
     x->runs++;
 }
 
-int pwexchange_is_stale(const pw_exchange *x, const pw_h1 *m,
-                        pw_answer_info *info) {
+int pwexi_is_stale(void *exchange, const pw_h1 *m, pw_answer_info *info) {
+  const pw_exchange *x = exchange;
   x->g->dialect->read_answer(m, &x->request_info, info);
   return !info->id_matches;
 }
@@ -378,8 +379,8 @@
   }
 }
 
-void pwexchange_head(pw_exchange *x, const pw_h1 *m,
-                     const pw_answer_info *info) {
+void pwexi_on_head(void *exchange, const pw_h1 *m, const pw_answer_info *info) {
+  pw_exchange *x = exchange;
   int status = m->parser.status_code;
   x->answer_info = *info;
   x->status = status;
@@ -391,7 +392,8 @@
     copy_headers(x, m);
 }
 
-void pwexchange_body(pw_exchange *x, const char *data, size_t n) {
+void pwexi_on_body(void *exchange, const char *data, size_t n) {
+  pw_exchange *x = exchange;
   if (x->is_event_stream)
     pwexi_forward_events(x, data, n);
   else if (x->buffered.len + n <= PWEX_BUFFER_MAX)
@@ -429,7 +431,8 @@
          status == HTTP_STATUS_SERVICE_UNAVAILABLE;
 }
 
-void pwexchange_complete(pw_exchange *x) {
+void pwexi_on_complete(void *exchange) {
+  pw_exchange *x = exchange;
   int64_t now = pwclock_ms();
   int is_good = x->status / 100 == 2;
   x->u = NULL;
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -144,7 +144,8 @@
                PWEX_RETRY_NO_TARGET_MS);
 }
 
-void pwexchange_failed(pw_exchange *x, pw_tcp_end how, int unused) {
+void pwexi_on_failed(void *exchange, pw_tcp_end how, int unused) {
+  pw_exchange *x = exchange;
   int64_t now = pwclock_ms();
   x->u = NULL;
   if (!x->is_sent) {
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -121,6 +121,14 @@
 /* Sets the timer of the exchange to expire after `ms`. */
 void pwexi_set_timer(pw_exchange *x, int64_t ms);
 
+/* --- pwexchange.c, events of the connection to the target --- */
+
+void pwexi_on_sent(void *exchange);
+int pwexi_is_stale(void *exchange, const pw_h1 *m, pw_answer_info *info);
+void pwexi_on_head(void *exchange, const pw_h1 *m, const pw_answer_info *info);
+void pwexi_on_body(void *exchange, const char *data, size_t n);
+void pwexi_on_complete(void *exchange);
+
 /* --- pwexprefix.c --- */
 
 /* Describes the prompt of the request, and by when its first chunk is to come; what depends on the other gateways is
@@ -173,6 +181,9 @@
 
 /* --- pwexfail.c --- */
 
+/* The connection to the target failed. */
+void pwexi_on_failed(void *exchange, pw_tcp_end how, int unused);
+
 /* The target crashed while it had the request. */
 void pwexi_note_crashed(pw_exchange *x, int64_t now);
 
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -42,6 +42,13 @@
   pwbuf_add(out, "\r\n", 2);
 }
 
+static const pw_upconn_callbacks upconn_calls = {.sent = pwexi_on_sent,
+                                                 .is_stale = pwexi_is_stale,
+                                                 .head = pwexi_on_head,
+                                                 .body = pwexi_on_body,
+                                                 .complete = pwexi_on_complete,
+                                                 .failed = pwexi_on_failed};
+
 int pwexi_send(pw_exchange *x) {
   pw_buf head = {0};
   int64_t max_idle_ms =
@@ -54,9 +61,12 @@
   x->sent_at = pwclock_ms();
   x->sent_stalled_ms = x->g->tcp.lag.lost_ms;
   x->unanswered_at = 0;
-  x->u =
-      pwupconn_send(x->g, x->t, x, &head, &x->caller->body,
-                    x->caller->request.parser.method == HTTP_HEAD, max_idle_ms);
+  pw_upconn_request r = {.head = &head,
+                         .body = &x->caller->body,
+                         .is_head_only =
+                             x->caller->request.parser.method == HTTP_HEAD,
+                         .max_idle_ms = max_idle_ms};
+  x->u = pwupconn_send(x->g, x->t, &r, &upconn_calls, x);
   pwbuf_free(&head);
   return x->u ? 0 : -1;
 }
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -22,8 +22,8 @@
 #include "pwtimeouts.h"
 #include "pwtrace.h"
 #include "pwunresponsive.h"
+#include "pwupconn.h"
 
-typedef struct pw_gate pw_gate;
 typedef struct pw_exchange pw_exchange;
 typedef struct pw_link pw_link;
 typedef struct pw_gossip pw_gossip;
@@ -155,22 +155,6 @@
 /* The caller has read all that was written to it. */
 void pwexchange_resume(void *exchange);
 
-/* Whether an answer belongs to an earlier request of the connection. Fills *info. */
-int pwexchange_is_stale(const pw_exchange *x, const pw_h1 *m,
-                        pw_answer_info *info);
-
-/* Events of the connection to the target: the request was sent; the answer's head, a piece of its
-** body and its end were received. */
-void pwexchange_sent(pw_exchange *x);
-void pwexchange_head(pw_exchange *x, const pw_h1 *m,
-                     const pw_answer_info *info);
-void pwexchange_body(pw_exchange *x, const char *data, size_t n);
-void pwexchange_complete(pw_exchange *x);
-
-/* The connection failed. `unused`: it was reused from the pool and the target has sent
-** nothing over it since. */
-void pwexchange_failed(pw_exchange *x, pw_tcp_end how, int unused);
-
 /* --- pwexprefix.c --- */
 
 /* Time for which a target is expected to have a prefix cached, ms. */
@@ -209,31 +193,6 @@
 /* Answers with a JSON list of the workspaces with the highest rates. */
 void pwworkspaces_answer(pw_gate *g, pw_conn *c);
 
-/* --- pwupconn.c --- */
-
-/* Sends head and body to the target of an exchange, over a pooled connection
-** that was idle for at most `max_idle_ms` or over a new one. NULL: no connection can be made. */
-pw_upconn *pwupconn_send(pw_gate *g, pw_target *t, pw_exchange *x, pw_buf *head,
-                         const pw_buf *body, int is_head_only,
-                         int64_t max_idle_ms);
-
-/* Cancels the pending answer by resetting the connection. */
-void pwupconn_cancel(pw_upconn *u);
-
-/* Bytes buffered because the target has not read them yet. */
-size_t pwupconn_buffered(const pw_upconn *u);
-
-/* Whether unread bytes of the answer, or its end, have arrived. */
-int pwupconn_is_readable(const pw_upconn *u);
-
-/* Whether bytes have arrived since the current request was sent, also unread ones. */
-int pwupconn_has_received(const pw_upconn *u);
-
-void pwupconn_pause(pw_upconn *u, int paused);
-
-/* Closes connections that were idle for too long, and all idle ones to a target that is gone. */
-void pwupconn_sweep(pw_target *t, int64_t now);
-
 /* --- pwhint.c --- */
 
 /* Applies what a target reports of itself in the headers of any answer: that it leaves, or that it
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -1,4 +1,6 @@
 /* pwupconn.c: pooled HTTP connections to targets. */
+#include "pwupconn.h"
+
 #include "pwgate.h"
 
 #include "pwlog.h"
@@ -24,7 +26,8 @@
   pw_target *t;
   pw_tcp *tcp;
   pw_h1 answer;
-  pw_exchange *x; /* NULL: idle */
+  const pw_upconn_callbacks *calls; /* of the current request; NULL: idle */
+  void *arg;
   ev_timer connecting;
   int64_t dialled_at; /* ms of pwtcp_clock */
   pw_buf out;         /* to be written once connected */
@@ -53,7 +56,7 @@
   if (u->is_closed)
     return;
   u->is_closed = 1;
-  if (!u->x)
+  if (!u->calls)
     unlist(u);
   ev_timer_stop(u->g->ev, &u->connecting);
   pwtcp_close(u->tcp, reset);
@@ -69,17 +72,17 @@
 }
 
 static void fail(pw_upconn *u, pw_tcp_end how) {
-  pw_exchange *x = u->x;
+  const pw_upconn_callbacks *calls = u->calls;
   int unused = u->was_reused && !u->has_received;
   if (!u->is_up)
     how = PWTCP_REFUSED;
   close_conn(u, how != PWTCP_EOF);
-  if (x)
-    pwexchange_failed(x, how, unused);
+  if (calls)
+    calls->failed(u->arg, how, unused);
 }
 
 static void make_idle(pw_upconn *u) {
-  u->x = NULL;
+  u->calls = NULL;
   u->idle_since = pwclock_ms();
   u->next = u->t->idle;
   u->t->idle = u;
@@ -98,8 +101,8 @@
 
 static void on_body(void *arg, const char *data, size_t n) {
   pw_upconn *u = arg;
-  if (u->x && !u->is_stale && !u->is_closed)
-    pwexchange_body(u->x, data, n);
+  if (u->calls && !u->is_stale && !u->is_closed)
+    u->calls->body(u->arg, data, n);
 }
 
 /* Handles the head of an answer. It belongs to the current request or, if it is late, to an earlier one. */
@@ -110,16 +113,16 @@
     u->is_stale = 1;
     return;
   }
-  u->is_stale = pwexchange_is_stale(u->x, &u->answer, &info);
+  u->is_stale = u->calls->is_stale(u->arg, &u->answer, &info);
   pwhint_apply(u->g, u->t, u->answer.parser.status_code, &info);
   if (!u->is_stale)
-    pwexchange_head(u->x, &u->answer, &info);
+    u->calls->head(u->arg, &u->answer, &info);
 }
 
 /* Handles the end of an answer. `more`: bytes follow it. */
 static void on_complete(pw_upconn *u, int more) {
   int keep = u->answer.keep;
-  pw_exchange *x = u->x;
+  const pw_upconn_callbacks *calls = u->calls;
   if (u->is_stale) {
     u->is_stale = 0;
     if (keep)
@@ -136,18 +139,18 @@
     pwh1_reset(&u->answer);
     make_idle(u);
   }
-  pwexchange_complete(x);
+  calls->complete(u->arg);
 }
 
 static void on_data(void *arg, const char *data, size_t n) {
   pw_upconn *u = arg;
-  if (!u->x) { /* the bytes belong to no request */
+  if (!u->calls) { /* the bytes belong to no request */
     close_conn(u, 1);
     return;
   }
   u->has_received = 1;
   u->t->received_at = pwclock_ms();
-  while (n > 0 && u->x && !u->is_closed) {
+  while (n > 0 && u->calls && !u->is_closed) {
     pw_h1_state before = u->answer.state;
     size_t used = pwh1_feed(&u->answer, data, n);
     data += used;
@@ -168,7 +171,7 @@
 
 static void on_ended(void *arg, pw_tcp_end how) {
   pw_upconn *u = arg;
-  if (how == PWTCP_EOF && u->x && !u->is_stale) {
+  if (how == PWTCP_EOF && u->calls && !u->is_stale) {
     pwh1_eof(&u->answer);
     if (u->answer.state == PWH1_DONE) {
       u->answer.keep = 0;
@@ -188,11 +191,12 @@
   u->is_up = 1;
   pwtcp_write(u->tcp, u->out.data, u->out.len);
   pwbuf_free(&u->out);
-  if (u->x)
-    pwexchange_sent(u->x);
+  if (u->calls)
+    u->calls->sent(u->arg);
 }
 
-static const pw_tcp_callbacks calls = {on_connected, on_data, on_ended, NULL};
+static const pw_tcp_callbacks tcp_calls = {on_connected, on_data, on_ended,
+                                           NULL};
 
 /* Fails a connection that was not established in time. Time for which the event loop was stalled does not
 ** count: the connection may have been established meanwhile, and the target must not be taken for lost. */
@@ -217,7 +221,7 @@
   u->answer.on_body = on_body;
   ev_timer_init(&u->connecting, on_connect_timeout, 0, 0);
   u->connecting.data = u;
-  u->tcp = pwtcp_connect(&g->tcp, &t->addr, SILENT_MS, &calls, u);
+  u->tcp = pwtcp_connect(&g->tcp, &t->addr, SILENT_MS, &tcp_calls, u);
   if (!u->tcp) {
     pwfleet_release(t);
     free(u);
@@ -249,24 +253,25 @@
   return u;
 }
 
-pw_upconn *pwupconn_send(pw_gate *g, pw_target *t, pw_exchange *x, pw_buf *head,
-                         const pw_buf *body, int is_head_only,
-                         int64_t max_idle_ms) {
-  pw_upconn *u = take_idle(t, max_idle_ms, pwclock_ms());
+pw_upconn *pwupconn_send(pw_gate *g, pw_target *t, const pw_upconn_request *r,
+                         const pw_upconn_callbacks *calls, void *arg) {
+  pw_upconn *u = take_idle(t, r->max_idle_ms, pwclock_ms());
   if (!u)
     u = open_conn(g, t);
   if (!u)
     return NULL;
-  u->x = x;
+  u->calls = calls;
+  u->arg = arg;
   u->has_received = 0;
-  u->answer.skip_body = is_head_only;
+  u->answer.skip_body = r->is_head_only;
   if (u->is_up) {
-    pwtcp_write2(u->tcp, head->data, head->len, body->data, body->len);
-    pwexchange_sent(x);
+    pwtcp_write2(u->tcp, r->head->data, r->head->len, r->body->data,
+                 r->body->len);
+    calls->sent(arg);
     return u;
   }
-  pwbuf_add(&u->out, head->data, head->len);
-  pwbuf_add(&u->out, body->data, body->len);
+  pwbuf_add(&u->out, r->head->data, r->head->len);
+  pwbuf_add(&u->out, r->body->data, r->body->len);
   return u;
 }
 
