--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -60,14 +60,15 @@
   return 1;
 }
 
+/* Takes a retry from the budget of the service. Returns whether there was one. */
 static int spend_retry(pw_exchange *x, int64_t now) {
   pw_retries *b = &x->service_state->retries;
   int gateways = pwlink_budget_count(x->g->link, now);
   int is_spent = pwretries_spend(b, gateways, now);
   pw_retries_state state = pwretries_state(b, gateways, now);
   pwcount_add(x->g->p->counters, is_spent ? PWC_RETRIES : PWC_RETRY_DENIED, 1);
-  pwexi_log(x, is_spent ? PWTRACE_ROUTINE : PWTRACE_FAIL,
-            is_spent ? "retry-spent" : "retry-denied",
+  /* Routine lines, so that they do not displace the line that tells how the attempt failed. */
+  pwexi_log(x, PWTRACE_ROUTINE, is_spent ? "retry-spent" : "retry-denied",
             "service=%s left=%.1f most=%.1f gateways=%d", x->service->name,
             state.left, state.most, gateways);
   return is_spent;
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -12,6 +12,7 @@
 #include <xxhash.h>
 
 #define MS_PER_S 1000
+
 #define WATCH_MS 500 /* default interval of watch messages to control */
 
 /* Interval at which the leader gets answer counts during a rollout, ms. */
--- a/packages/policy/pwgatewaycount.h
+++ b/packages/policy/pwgatewaycount.h
@@ -9,14 +9,15 @@
 
 #include <stdint.h>
 
+/* What control has told of the number. */
 typedef struct pw_gateway_count {
   int64_t window_ms; /* of the limit */
   int told;          /* number told last; 0: none */
-  /* Largest number in force in the current span of a window's length, and in the span before. */
+  /* Largest number told in the current span of a window's length, and in the span before. */
   int now_most, before_most;
   int64_t span_at; /* begin of the current span, ms */
-  int64_t
-      since; /* when numbers began to be told without a longer silence, ms */
+  /* First time since the start, or since the last silence of a window, at which control was heard, ms. */
+  int64_t since;
   int64_t heard_at; /* when control was last heard from, ms */
 } pw_gateway_count;
 
