--- a/tests/test_retries.c
+++ b/tests/test_retries.c
@@ -143,8 +143,10 @@
     tell_gateways(w, now);
     if (now < p->lull_from || now >= p->lull_to)
       due += 2 * pwrand_unit(r) * p->per_s / 1000;
-    for (; due >= 1; due--)
+    while (due >= 1) {
       send_one(w, now);
+      due -= 1;
+    }
   }
 }
 
