--- a/tests/scenarios/25_gateway_faults.lua
+++ b/tests/scenarios/25_gateway_faults.lua
@@ -5,6 +5,7 @@
 local gateways = require("gateways")
 local g = gateways.new{control = 3, gateways = 1, engines = 3, portals = 4}
 g:start()
+g:wait_budgets()
 
 local function all(prefix, fault)
   for _, t in ipairs(g.targets) do
--- a/tests/scenarios/28_explain.lua
+++ b/tests/scenarios/28_explain.lua
@@ -4,6 +4,7 @@
 local gateways = require("gateways")
 local g = gateways.new{control = 3, gateways = 2, engines = 2, portals = 2, text = "log_bytes_per_s = 200000"}
 g:start()
+g:wait_budgets()
 
 local function logs()
   local out = {}
--- a/tests/scenarios/54_hold_off.lua
+++ b/tests/scenarios/54_hold_off.lua
@@ -14,6 +14,7 @@
 local LONG = "600" -- seconds; longer than the scenario runs
 local g = gateways.new{control = 1, gateways = 2, engines = 2, portals = 3}
 g:start()
+g:wait_budgets()
 local first_gateway, second_gateway = g.gateways[1], g.gateways[2]
 local portals = {g["portal-1"], g["portal-2"], g["portal-3"]}
 local pausing = portals[1]
