Streams that end inside an event are broken off, whatever told the end of the message

Callers got a stream that its target had broken off inside an event as a complete answer, with half an event at its end. Cause: the end of a connection was taken for the end of a message with neither a length nor chunks, and complete_stream forwarded the bytes after the last event and ended the caller's answer with its last chunk: an assumed end became a certain one. It counted as good as well: no failure of the target, no crash charged to the request or the version. Change: pwsse reads where events end (LF, CR, CR LF, any split); a stream that ends elsewhere, or unframed without any event, fails as a closed connection does: resumed where the route allows it, else reset. It holds for each target and framing, because the event-stream format itself says where an event ends. Ruled out: loss of bytes in chunked answers, a resume with a short answer.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -110,6 +110,8 @@
     "connections opened to targets")                                           \
   X(PWC_GW_BROKEN, "gateway_broken_total", "counter",                          \
     "answers broken off midway")                                               \
+  X(PWC_GW_STREAM_CUT, "gateway_streams_cut_total", "counter",                 \
+    "streams of targets that ended inside an event, or with nothing")          \
   X(PWC_GW_GONE, "gateway_callers_gone_total", "counter",                      \
     "callers that left before their answer")                                   \
   X(PWC_GW_SITE, "gateway_configuration", "gauge",                             \
--- a/packages/gateway/pwevents.c
+++ b/packages/gateway/pwevents.c
@@ -76,56 +76,40 @@
     pwupconn_pause(x->u, 0);
 }
 
-/* Number of bytes up to the end of the last complete event. An empty line ends an event. */
-static size_t complete_events(const char *p, size_t n) {
-  for (size_t i = n; i >= 2; i--) {
-    if (p[i - 1] != '\n')
-      continue;
-    if (p[i - 2] == '\n')
-      return i;
-    if (i >= 4 && p[i - 2] == '\r' && p[i - 3] == '\n')
-      return i;
-  }
-  return 0;
-}
-
 /* Records the id of the last event that has one. */
-static void note_id(pw_exchange *x, const char *p, size_t n) {
-  for (size_t i = n; i-- > 0;) {
-    int begins = i == 0 || p[i - 1] == '\n';
-    if (!begins || n - i < 3 || memcmp(p + i, "id:", 3) != 0)
-      continue;
-    size_t from = i + 3;
-    if (from < n && p[from] == ' ')
-      from++;
-    size_t len = strcspn(p + from, "\r\n"); /* an empty line ends the event */
-    if (len < sizeof x->last_event) {
-      memcpy(x->last_event, p + from, len);
-      x->nlast_event = len;
-    }
+static void note_id(pw_exchange *x, const char *data, size_t n) {
+  size_t length;
+  const char *id = pwsse_last_id(data, n, &length);
+  if (!id || length >= sizeof x->last_event)
     return;
-  }
+  memcpy(x->last_event, id, length);
+  x->nlast_event = length;
 }
 
 void pwexi_forward_events(pw_exchange *x, const char *data, size_t n) {
-  if (x->buffered.len) {
-    x->is_too_large |= x->buffered.len + n > PWEX_BUFFER_MAX;
-    if (x->is_too_large)
-      return;
+  if (x->buffered.len + n > PWEX_BUFFER_MAX)
+    x->is_too_large = 1;
+  if (x->is_too_large)
+    return;
+  size_t before = x->buffered.len;
+  size_t complete = pwsse_read(&x->events, data, n);
+  if (complete == 0) {
     pwbuf_add(&x->buffered, data, n);
-    size_t complete = complete_events(x->buffered.data, x->buffered.len);
-    if (!complete)
-      return;
-    note_id(x, x->buffered.data, complete);
-    pwexi_forward(x, x->buffered.data, complete);
-    pwbuf_skip(&x->buffered, complete);
     return;
   }
-  size_t complete = complete_events(data, n);
-  if (complete) {
+  if (before == 0) {
     note_id(x, data, complete);
     pwexi_forward(x, data, complete);
+  } else {
+    pwbuf_add(&x->buffered, data, complete);
+    note_id(x, x->buffered.data, x->buffered.len);
+    pwexi_forward(x, x->buffered.data, x->buffered.len);
+    x->buffered.len = 0;
   }
-  if (complete < n)
-    pwbuf_add(&x->buffered, data + complete, n - complete);
+  pwbuf_add(&x->buffered, data + complete, n - complete);
+}
+
+int pwexi_is_broken_off(const pw_exchange *x) {
+  return !pwsse_is_between(&x->events) ||
+         (x->ends_with_connection && x->events.events == 0);
 }
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -392,6 +392,7 @@
   x->ends_with_connection = m->to_eof;
   pwexi_note_first_byte(x, pwclock_ms());
   x->buffered.len = 0;
+  x->events = (pw_sse){0};
   x->is_event_stream =
       x->route->is_stream && status / 100 == 2 && info->is_signed;
   if (!x->has_begun)
@@ -414,23 +415,33 @@
   pwfleet_answered(x->t, 0, pwclock_ms());
   if (!x->is_late)
     pwprefill_answered(&x->service_state->prefill, 0);
-  size_t tail = x->buffered.len;
-  if (x->buffered.len) { /* bytes after the last complete event */
-    pwexi_forward(x, x->buffered.data, x->buffered.len);
-    x->buffered.len = 0;
-  }
   if (!x->has_begun)
     pwexi_begin_answer(x);
   pw_conn *c = detach_caller(x);
   pwexi_log(x, PWTRACE_ROUTINE, "answered",
-            "status=%d stream=1 pause=%lld framing=%s tail=%zu", x->status,
-            (long long)x->longest_pause, framing_name(x), tail);
+            "status=%d stream=1 pause=%lld framing=%s events=%ld", x->status,
+            (long long)x->longest_pause, framing_name(x), x->events.events);
   pwexi_observe(x, PWSTAGE_PAUSE, x->longest_pause);
   pwexi_observe(x, PWSTAGE_WHOLE, pwclock_ms() - x->arrived);
   free_exchange(x);
   pwconn_end(c);
 }
 
+/* Ends a stream whose message is complete and which was broken off all the same. Only if the target's connection
+** ended with it, the target may have crashed. */
+static void end_broken_stream(pw_exchange *x, int64_t now) {
+  pwexi_log(x, PWTRACE_FAIL, "stream-cut",
+            "target=%s framing=%s tail=%zu events=%ld", x->t->id,
+            framing_name(x), x->buffered.len, x->events.events);
+  pwcount_add(x->g->p->counters, PWC_GW_STREAM_CUT, 1);
+  if (x->ends_with_connection) {
+    pwexi_on_failed(x, PWTCP_EOF, 0);
+    return;
+  }
+  pwfleet_failed(x->t, now);
+  pwexi_fail_unknown(x, "the stream ended inside an event");
+}
+
 /* Whether a status promises the caller that its request has not run. */
 static int promises_not_run(int status) {
   return status == HTTP_STATUS_REQUEST_TIMEOUT ||
@@ -447,6 +458,8 @@
   if (x->is_event_stream && x->is_too_large) {
     pwfleet_failed(x->t, now);
     pwexi_fail_unknown(x, "an event of the stream is larger than the buffer");
+  } else if (x->is_event_stream && pwexi_is_broken_off(x)) {
+    end_broken_stream(x, now);
   } else if (x->is_event_stream) {
     complete_stream(x, now);
   } else if (x->answer_info.not_run && x->status != HTTP_STATUS_BAD_REQUEST) {
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -5,6 +5,7 @@
 
 #include "pwfingerprint.h"
 #include "pwgate.h"
+#include "pwsse.h"
 #include "pwtrace.h"
 
 #define PWEX_TRIED_MAX 8 /* most targets that one request is sent to */
@@ -78,6 +79,7 @@
   int status;
   int is_event_stream;      /* forwarded event by event */
   int ends_with_connection; /* the answer has neither a length nor chunks */
+  pw_sse events;            /* where the answer of the current target is */
   int is_too_large;         /* larger than PWEX_BUFFER_MAX */
   int has_begun;            /* the caller has been sent the head */
   int is_paused;            /* the caller reads too slowly */
@@ -225,6 +227,10 @@
 /* Takes bytes of a stream and forwards the events that are complete. */
 void pwexi_forward_events(pw_exchange *x, const char *data, size_t n);
 
+/* Whether a stream whose message has ended was broken off: inside an event, or before its first one where only the
+** end of the connection told of its end, which a crash of the target brings about as well. */
+int pwexi_is_broken_off(const pw_exchange *x);
+
 /* Forwards bytes to the caller, after the head. */
 void pwexi_forward(pw_exchange *x, const char *data, size_t n);
 
