--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -349,8 +349,9 @@
     pwexi_observe(x, PWSTAGE_QUEUE, x->sent_at - x->arrived);
   pwexi_log(
       x, PWTRACE_ROUTINE, "placed",
-      "target=%s load=%d+%d n=%d key=%llx fetch=%s prefill=%.0f ahead=%.0f",
-      t->id, t->inflight, t->others, x->ntried,
+      "target=%s version=%s load=%d+%d n=%d key=%llx fetch=%s prefill=%.0f "
+      "ahead=%.0f",
+      t->id, t->version, t->inflight, t->others, x->ntried,
       (unsigned long long)pwexi_prompt_key(&x->request_info),
       x->holder ? x->holder->id : "-", x->work.own, x->work.ahead);
   x->holder = NULL; /* no reference was taken */
--- a/packages/site/pwdialect.h
+++ b/packages/site/pwdialect.h
@@ -27,7 +27,9 @@
   pw_span id;
   pw_span host;
   pw_span key;
-  pw_span last_event;  /* last event received of a stream that is resumed */
+  pw_span last_event; /* last event received of a stream that is resumed */
+  pw_span
+      resumes; /* id of the attempt that brought that stream's first event */
   int64_t deadline_ms; /* how long the caller waits; -1: not given */
   uint32_t prompt_tokens;
   uint32_t output_tokens; /* most tokens it may generate */
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -36,7 +36,8 @@
   X(says_leaving)    /* every answer reports the target as leaving */          \
   X(error)           /* run, then answered with 500 */                         \
   X(cut)             /* run; the answer is cut in its middle */                \
-  X(cut_event)       /* event in which a stream is cut; 0: its third one */    \
+  X(cut_event)       /* event in which a new stream is cut; 0: third event */  \
+  X(versions)        /* events of streams name the software version */         \
   X(cut_between)     /* a stream is cut before that event, not within it */    \
   X(reset)           /* run; the connection is reset without an answer */      \
   X(mute)            /* run; nothing is sent and the connection stays open */  \
@@ -238,8 +239,9 @@
   if (p->event > 1 && body_begins(p, "crash-midway"))
     _exit(1);
   char event[160];
-  int n = snprintf(event, sizeof event, "id: %d\ndata: %s-%d\n\n", p->event,
-                   p->id, p->event);
+  int n = snprintf(event, sizeof event, "id: %d\ndata: %s-%d%s%s\n\n", p->event,
+                   p->id, p->event, me.f.versions ? " " : "",
+                   me.f.versions ? me.version : "");
   if (p->event == p->cut_at) {
     cut_stream(p, event, n);
     return;
@@ -255,7 +257,8 @@
 
 /* The event in which the stream is cut; -1: none. */
 static int cut_event_of(const peer *p) {
-  if (!spend(&me.f.cut))
+  int is_resumed = p->event > 1;
+  if ((me.f.cut_event && is_resumed) || !spend(&me.f.cut))
     return -1;
   return me.f.cut_event ? me.f.cut_event : p->event + 2;
 }
