--- a/packages/core/pwcode.h
+++ b/packages/core/pwcode.h
@@ -38,6 +38,10 @@
     "targets ended while they ran this request: it is not sent to another")    \
   X(PW_E_HOLD_OFF, 2013, 503, "held-off",                                      \
     "all targets have asked to be left alone for a while")                     \
+  X(PW_E_STREAM_UNKNOWN, 2014, 503, "stream-unknown",                          \
+    "it is not known which version began this stream")                         \
+  X(PW_E_VERSION_GONE, 2015, 503, "version-gone",                              \
+    "no target of the version that began this stream serves it")               \
   X(PW_E_CUT, 3001, 502, "answer-cut", "the answer broke off")                 \
   X(PW_E_UPSTREAM, 3002, 502, "bad-upstream", "the target's answer is bad")    \
   X(PW_E_TIMEOUT, 3003, 504, "timeout", "no answer within the deadline")       \
--- a/packages/gateway/pwevents.c
+++ b/packages/gateway/pwevents.c
@@ -53,9 +53,11 @@
 }
 
 void pwexi_forward(pw_exchange *x, const char *data, size_t n) {
-  if (!x->has_begun)
+  if (!x->has_begun) {
+    /* First, since this process may end right after the caller has the event. */
+    pwexi_note_begun(x, pwclock_ms());
     pwexi_begin_answer(x);
-  else if (!x->has_chunk) /* resumed at another target */
+  } else if (!x->has_chunk) /* resumed at another target */
     pwexi_note_first_chunk(x, pwclock_ms());
   note_pause(x);
   x->nchunks++;
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -54,6 +54,7 @@
   pw_gate *g = x->g;
   leave_waiting_list(x);
   pwexi_leave_prefix_queue(x);
+  pwexi_leave_origin_queue(x);
   if (x->u) {
     pw_upconn *u = x->u;
     x->u = NULL;
@@ -191,6 +192,10 @@
     pwexi_end_prefix_wait(x);
     return 1;
   }
+  if (x->awaits_origin) {
+    pwexi_end_origin_wait(x);
+    return 1;
+  }
   if (x->t && pwfleet_is_unresponsive(x->t, now)) {
     pwfleet_failed(x->t, now);
     if (x->is_sent)
@@ -288,6 +293,16 @@
                           (pw_span){x->caller->body.data, x->caller->body.len});
 }
 
+void pwexi_start(pw_exchange *x) {
+  x->service_state = pwgate_service(x->g, x->service->name);
+  x->urgency = urgency_of(x);
+  /* A stream that goes on is not put after others: its caller has a part of the answer. */
+  x->is_deprioritized = !x->version && is_repeat(x);
+  pwretries_request(&x->service_state->retries, x->arrived);
+  pwexi_set_timer(x, pwexi_time_left(x));
+  pwexi_dispatch(x);
+}
+
 static void start(pw_exchange *x) {
   pw_gate *g = x->g;
   x->site = pwsite_retain(g->site);
@@ -298,12 +313,8 @@
   x->deadline_at = x->request_info.deadline_ms >= 0
                        ? x->arrived + x->request_info.deadline_ms
                        : x->timeout_at;
-  x->service_state = pwgate_service(g, x->service->name);
-  x->urgency = urgency_of(x);
-  x->is_deprioritized = is_repeat(x);
-  pwretries_request(&x->service_state->retries, x->arrived);
-  pwexi_set_timer(x, pwexi_time_left(x));
-  pwexi_dispatch(x);
+  if (!pwexi_take_up(x))
+    pwexi_start(x);
 }
 
 /* --- requests that wait for a configuration --- */
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -182,8 +182,8 @@
 
 static int may_retry_elsewhere(const pw_exchange *x, int64_t now) {
   return x->route->kind == PWSITE_SAFE && pwexi_time_left(x) > 0 &&
-         pwfleet_has_other(x->g->fleet, x->service->name, x->side, x->tried,
-                           x->ntried, now);
+         pwfleet_has_other(x->g->fleet, x->service->name, x->side, x->version,
+                           x->tried, x->ntried, now);
 }
 
 /* --- targets that leave requests unanswered --- */
@@ -270,6 +270,7 @@
     next = c->next;
     if (!c->state || pwexi_end_late(c->state, now))
       continue;
+    pwexi_tell_again(c->state, now);
     note_if_unanswered(c->state, now);
     retry_if_unresponsive(c->state, now);
   }
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -37,8 +37,19 @@
   ** on them are not set yet. */
   int is_awaiting;
   int awaits_prefix; /* another request's prefill of its prefix is in progress */
-  int has_awaited_prefix;   /* it does so at most once */
-  pw_exchange *prev, *next; /* in the list of requests that wait for either */
+  int has_awaited_prefix; /* it does so at most once */
+  pw_exchange *prev,
+      *next; /* in the list of requests that wait for something */
+
+  /* The version that began the stream, after its first event or when it was taken up, as in pw_target.version_hash;
+  ** 0: any. The request goes to no other. */
+  uint64_t version;
+  uint64_t stream;   /* names the stream in pworigins; 0: it has no name */
+  int64_t told_at;   /* when other gateways were last told of its version, ms */
+  int awaits_origin; /* other gateways are asked which version began it */
+  int64_t asked_at;  /* when they were last asked, ms */
+  uint64_t asked[PWKEEPERS_MAX]; /* those asked; 0: has answered */
+  int nasked;
 
   pw_fleet_side side;   /* the version of the service to which it may be sent */
   int urgency;          /* 0 is the most urgent */
@@ -121,6 +132,9 @@
 ** whether the exchange was ended. */
 int pwexi_end_late(pw_exchange *x, int64_t now);
 
+/* Counts the request at its service and dispatches it. */
+void pwexi_start(pw_exchange *x);
+
 /* Sets the timer of the exchange to expire after `ms`. */
 void pwexi_set_timer(pw_exchange *x, int64_t ms);
 
@@ -166,8 +180,29 @@
 /* Learns from the first chunk of an answer, at `now`: the time per token of prefill, and what the target has cached. */
 void pwexi_note_first_chunk(pw_exchange *x, int64_t now);
 
+/* --- pwextakeup.c --- */
+
+/* Handles a request that takes a stream up: it goes on at the version that began it, once that is known. Returns
+** whether it is one; it was then dispatched or ended, or waits. */
+int pwexi_take_up(pw_exchange *x);
+
+/* Removes the request from those that wait for the version of their stream; nothing if it is not there. */
+void pwexi_leave_origin_queue(pw_exchange *x);
+
+/* Refuses a request for which no gateway has told in time which version began its stream. */
+void pwexi_end_origin_wait(pw_exchange *x);
+
+/* Notes which version makes the first event of a stream, and tells it to other gateways. */
+void pwexi_note_begun(pw_exchange *x, int64_t now);
+
+/* Tells it again after a while, so that it is not forgotten while the stream runs. */
+void pwexi_tell_again(pw_exchange *x, int64_t now);
+
 /* --- pwexsend.c --- */
 
+/* Refuses a request because no target of the version that began its stream serves the route. */
+void pwexi_refuse_version_gone(pw_exchange *x);
+
 /* Picks a target and sends the request there, or ends it. */
 void pwexi_dispatch(pw_exchange *x);
 
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -71,11 +71,17 @@
   return x->u ? 0 : -1;
 }
 
-/* Whether no target was tried yet, so that the request can still be refused outright. */
-static int is_new(const pw_exchange *x) {
+/* Whether no target was tried yet. */
+static int is_untried(const pw_exchange *x) {
   return !x->has_begun && !x->may_have_run && x->ntried == 0;
 }
 
+/* Whether the request can still be refused outright. A stream that goes on comes before those that begin: its caller
+** has a part of the answer, which is lost otherwise. */
+static int is_new(const pw_exchange *x) {
+  return is_untried(x) && !x->version;
+}
+
 /* Whether the request exceeds what its workspace may send before others. */
 static int is_surplus(const pw_exchange *x) {
   return x->urgency >= PWSHED_SURPLUS;
@@ -248,6 +254,7 @@
   pw_fleet_criteria criteria = {
       .service = x->service->name,
       .side = x->side,
+      .version = x->version,
       .how = g->pick_policy,
       .is_sticky = is_sticky,
       .key = key,
@@ -343,6 +350,13 @@
                  PWEX_RETRY_NO_TARGET_MS);
 }
 
+void pwexi_refuse_version_gone(pw_exchange *x) {
+  pwcount_add(x->g->p->counters, PWC_GW_STREAM_VERSION_GONE, 1);
+  pwexi_refuse(x, PW_E_VERSION_GONE,
+               "no target of the version that began the stream serves it",
+               PWEX_RETRY_NO_TARGET_MS);
+}
+
 static void log_dispatched(pw_exchange *x) {
   const pw_target *t = x->t;
   if (x->ntried == 1)
@@ -376,7 +390,10 @@
 /* Chooses the version during a rollout. A request that failed at the new version is retried at the old
 ** one. */
 static void choose_side(pw_exchange *x) {
-  if (x->ntried == 0)
+  if (x->version)
+    x->side =
+        PWFLEET_ANY_VERSION; /* the stream goes on at its version, whatever its side */
+  else if (x->ntried == 0)
     x->side = pwfleet_side(x->g->fleet, x->service->name, pwgate_random(x->g));
   else if (x->side == PWFLEET_NEW_VERSION)
     x->side = PWFLEET_OLD_VERSION;
@@ -407,7 +424,7 @@
     return;
   if (is_first_attempt && pwexi_await_prefix(x, now))
     return;
-  if (is_first_attempt)
+  if (is_untried(x))
     pwshare_note(&x->service_state->share, now);
   quota p;
   choose_side(x);
@@ -427,6 +444,9 @@
             ? "no slot is free after an attempt that may have run"
             : "no other target is available after an attempt that may have run",
         0);
+  else if (x->version &&
+           !pwfleet_has_version(x->g->fleet, x->service->name, x->version, now))
+    pwexi_refuse_version_gone(x);
   else if (pwfleet_usable(x->g->fleet, x->service->name, now) == 0)
     refuse_no_target(x, now);
   else if (p.is_late)
--- /dev/null
+++ b/packages/gateway/pwextakeup.c
@@ -0,0 +1,234 @@
+/* pwextakeup.c: streams that callers take up, and the software version that began each.
+**
+** What two versions of a service write does not fit together, and targets do not check it. The gateway that forwards
+** the first event of a stream tells some other gateways which version made it; a gateway at which the stream is taken
+** up asks them unless it knows. A stream whose version nobody knows is refused: it has not run. */
+#include "pwexint.h"
+
+#include <string.h>
+#include <utlist.h>
+#include <xxhash.h>
+
+/* Longest wait for the answers of other gateways, ms, and as a divisor of the time that the caller has left. */
+#define ASK_MS 800
+#define ASK_DIVISOR 3
+
+/* Interval of repeated questions, ms: a datagram may be lost. */
+#define ASK_AGAIN_MS 60
+
+/* Interval at which a stream in progress is told again, ms, so that its record is not dropped. */
+#define TELL_AGAIN_MS (PWORIGINS_KEEP_MS / 2)
+
+/* --- streams that begin --- */
+
+/* Names a stream by the attempt that brought its first event. Ids of other workspaces give other names. */
+static uint64_t stream_of(const pw_exchange *x, pw_span attempt) {
+  const char *workspace = x->workspace ? x->workspace->name : "";
+  uint64_t seed = XXH3_64bits(workspace, strlen(workspace));
+  return XXH3_64bits_withSeed(attempt.p, attempt.n, seed);
+}
+
+static void tell(pw_exchange *x, int64_t now) {
+  pw_gate *g = x->g;
+  x->told_at = now;
+  pworigins_note(g->origins, x->stream, x->version, 1, now);
+  pwgossip_tell_stream(g->gossip, x->stream, x->version);
+}
+
+void pwexi_note_begun(pw_exchange *x, int64_t now) {
+  if (!x->route->is_resumable || !x->is_event_stream || !x->t)
+    return;
+  if (!x->version) {
+    x->version = x->t->version_hash;
+    x->stream = x->request_info.id.n ? stream_of(x, x->request_info.id) : 0;
+  }
+  if (x->stream)
+    tell(x, now);
+}
+
+void pwexi_tell_again(pw_exchange *x, int64_t now) {
+  if (x->has_begun && x->stream && now - x->told_at >= TELL_AGAIN_MS)
+    tell(x, now);
+}
+
+/* --- streams that are taken up --- */
+
+static int is_taken_up(const pw_exchange *x) {
+  return x->route->is_stream &&
+         (x->request_info.last_event.p || x->request_info.resumes.p);
+}
+
+static void refuse_unknown(pw_exchange *x, const char *why, int64_t retry_ms) {
+  pwcount_add(x->g->p->counters, PWC_GW_STREAM_UNKNOWN, 1);
+  pwexi_refuse(x, PW_E_STREAM_UNKNOWN, why, retry_ms);
+}
+
+/* Sets the service of the request to the one whose target began the stream. Returns 0 if no target of that version is
+** known, or the route does not lead to its service. */
+static int choose_service(pw_exchange *x) {
+  const char *name = pwfleet_service_of(x->g->fleet, x->version);
+  const pw_site_service *service =
+      name ? pwsite_route_service(x->site, x->route, name) : NULL;
+  if (service)
+    x->service = service;
+  return service != NULL;
+}
+
+/* Goes on with a stream whose version is known. */
+static void go_on(pw_exchange *x, const pw_origin *origin, const char *source) {
+  pw_gate *g = x->g;
+  if (origin->version == PWORIGINS_CONFLICT) {
+    refuse_unknown(x, "targets of two versions are said to have begun it", 0);
+    return;
+  }
+  x->version = origin->version;
+  pwcount_add(g->p->counters, PWC_GW_STREAM_TAKEN_UP, 1);
+  pwexi_log(x, PWTRACE_ROUTINE, "taken-up",
+            "of=%.*s last=%.*s version=%s source=%s known_ms=%lld",
+            (int)x->request_info.resumes.n,
+            x->request_info.resumes.p ? x->request_info.resumes.p : "",
+            (int)x->request_info.last_event.n,
+            x->request_info.last_event.p ? x->request_info.last_event.p : "",
+            pwfleet_version_name(g->fleet, x->version), source,
+            (long long)origin->age_ms);
+  if (choose_service(x))
+    pwexi_start(x);
+  else
+    pwexi_refuse_version_gone(x);
+}
+
+static void leave_waiting(pw_exchange *x) {
+  DL_DELETE(x->g->origin_waiters, x);
+  x->awaits_origin = 0;
+}
+
+void pwexi_leave_origin_queue(pw_exchange *x) {
+  if (x->awaits_origin)
+    leave_waiting(x);
+}
+
+void pwexi_end_origin_wait(pw_exchange *x) {
+  leave_waiting(x);
+  refuse_unknown(x,
+                 "not all gateways that may know which version began it "
+                 "have answered",
+                 PWEX_RETRY_NO_TARGET_MS);
+}
+
+static void ask(pw_exchange *x, int64_t now) {
+  x->asked_at = now;
+  x->nasked = pwgossip_ask_stream(x->g->gossip, x->stream, x->asked);
+}
+
+static void begin_asking(pw_exchange *x, int64_t now) {
+  int64_t wait_ms = pwexi_time_left(x) / ASK_DIVISOR;
+  x->awaits_origin = 1;
+  DL_APPEND(x->g->origin_waiters, x);
+  pwcount_add(x->g->p->counters, PWC_GW_STREAM_ASKED, 1);
+  pwexi_set_timer(x, wait_ms < ASK_MS ? wait_ms : ASK_MS);
+  ask(x, now);
+}
+
+/* Notes of which version all targets of a service are. */
+static void note_only_version(pw_gate *g, pw_gate_service *s, int64_t now) {
+  uint64_t version = pwfleet_only_version(g->fleet, s->name);
+  if (version == 0 || version == s->only_version)
+    return;
+  if (s->only_version)
+    s->versions_changed_at = now;
+  s->only_version = version;
+}
+
+static int leads_to_one_service(const pw_site_route *r) {
+  int n = 0;
+  for (int i = 0; i < r->nweighted; i++)
+    n += r->weighted[i].weight > 0;
+  return n == 1;
+}
+
+/* The version that began the stream of a caller that names no attempt. It is known only where there is no other: the
+** route leads to one service, whose known targets, those lately gone included, are all of one version and have been
+** for a while; and control could tell of others. */
+static int find_only_version(const pw_exchange *x, int64_t now,
+                             pw_origin *out) {
+  pw_gate_service *s = pwgate_service(x->g, x->service->name);
+  note_only_version(x->g, s, now);
+  int64_t unchanged_ms = now - s->versions_changed_at;
+  if (!leads_to_one_service(x->route) || !s->only_version ||
+      s->only_version == PWFLEET_SEVERAL_VERSIONS ||
+      (s->versions_changed_at && unchanged_ms < PWORIGINS_KEEP_MS) ||
+      !pwlink_hears_leader(x->g->link, now))
+    return 0;
+  *out = (pw_origin){s->only_version, 0, 0};
+  return 1;
+}
+
+int pwexi_take_up(pw_exchange *x) {
+  int64_t now = pwclock_ms();
+  pw_origin origin;
+  if (!is_taken_up(x))
+    return 0;
+  if (!x->request_info.resumes.p || !x->request_info.resumes.n) {
+    if (find_only_version(x, now, &origin))
+      go_on(x, &origin, "only-version");
+    else
+      refuse_unknown(x, "it does not name the attempt that began the stream",
+                     0);
+    return 1;
+  }
+  x->stream = stream_of(x, x->request_info.resumes);
+  if (pworigins_find(x->g->origins, x->stream, now, &origin))
+    go_on(x, &origin, origin.is_own ? "own" : "told");
+  else
+    begin_asking(x, now);
+  return 1;
+}
+
+/* --- answers of other gateways --- */
+
+/* Whether all gateways that were asked have answered that they do not know the stream. */
+static int note_unknown(pw_exchange *x, uint64_t from) {
+  int left = 0;
+  for (int i = 0; i < x->nasked; i++) {
+    if (x->asked[i] == from)
+      x->asked[i] = 0;
+    left += x->asked[i] != 0;
+  }
+  return x->nasked > 0 && left == 0;
+}
+
+void pwexchange_origin_answered(pw_gate *g, uint64_t stream, uint64_t from,
+                                const pw_origin *origin) {
+  pw_exchange *x, *next;
+  DL_FOREACH_SAFE(g->origin_waiters, x, next) {
+    if (x->stream != stream)
+      continue;
+    if (origin) {
+      leave_waiting(x);
+      pworigins_note(g->origins, stream, origin->version, 0, pwclock_ms());
+      pwcount_add(g->p->counters, PWC_GW_STREAM_FOUND, 1);
+      go_on(x, origin, "asked");
+    } else if (note_unknown(x, from)) {
+      leave_waiting(x);
+      refuse_unknown(x, "no gateway knows which version began it", 0);
+    }
+  }
+}
+
+/* --- periodic work --- */
+
+void pwexchange_sweep_origins(pw_gate *g, int64_t now) {
+  pworigins_tick(g->origins, now);
+  pwcount_set(g->p->counters, PWC_GW_STREAM_ORIGINS,
+              (int64_t)pworigins_count(g->origins));
+  for (pw_gate_service *s = g->services; s; s = s->next)
+    note_only_version(g, s, now);
+}
+
+void pwexchange_check_origins(pw_gate *g, int64_t now) {
+  pw_exchange *x, *next;
+  DL_FOREACH_SAFE(g->origin_waiters, x, next) {
+    if (now - x->asked_at >= ASK_AGAIN_MS)
+      ask(x, now);
+  }
+}
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -11,6 +11,8 @@
 #include "pwconn.h"
 #include "pwdialect.h"
 #include "pwfleet.h"
+#include "pwkeepers.h"
+#include "pworigins.h"
 #include "pwproc.h"
 #include "pwquarantine.h"
 #include "pwretries.h"
@@ -38,8 +40,10 @@
   double others_rate; /* request rate at all other gateways, per second */
   int64_t
       slots_lacking_at; /* when a first attempt that is not surplus last got no slot, ms; 0: never */
-  pw_prefill prefill; /* of its engines */
-  pw_spike *spike;    /* load spikes of workspaces */
+  pw_prefill prefill;    /* of its engines */
+  pw_spike *spike;       /* load spikes of workspaces */
+  uint64_t only_version; /* of all its targets, as from pwfleet_only_version */
+  int64_t versions_changed_at; /* when that changed, ms; 0: it has not */
   struct pw_gate_service *next;
 } pw_gate_service;
 
@@ -79,6 +83,9 @@
   /* Requests that wait for a configuration, oldest first. */
   pw_exchange *awaiting;
   int nawaiting;
+  /* Streams that were taken up and wait to hear which version began them, oldest first. */
+  pw_exchange *origin_waiters;
+  pw_origins *origins; /* which version began which stream */
   /* Requests that wait for another request's prefill of the prefix that they share, oldest first. */
   pw_exchange *prefix_waiters;
   size_t awaiting_bytes; /* body bytes of the waiting requests */
@@ -155,6 +162,19 @@
 /* The caller has read all that was written to it. */
 void pwexchange_resume(void *exchange);
 
+/* --- pwextakeup.c --- */
+
+/* An answer of another gateway, with this hash, to the question which version began a stream; NULL: it does not
+** know. */
+void pwexchange_origin_answered(pw_gate *g, uint64_t stream, uint64_t from,
+                                const pw_origin *origin);
+
+/* Repeats questions that have no answer. */
+void pwexchange_check_origins(pw_gate *g, int64_t now);
+
+/* Drops old records, and notes which services have targets of one version alone. */
+void pwexchange_sweep_origins(pw_gate *g, int64_t now);
+
 /* --- pwexprefix.c --- */
 
 /* Time for which a target is expected to have a prefix cached, ms. */
@@ -210,6 +230,9 @@
 ** contact with its leader, or no such instance could be reached for a while. */
 int pwlink_is_current(const pw_link *l, int64_t now);
 
+/* Whether a control instance that has contact with its leader was heard lately: it would have told of new targets. */
+int pwlink_hears_leader(const pw_link *l, int64_t now);
+
 /* Number of known gateways, this one included. It may be too small right after a start. */
 int pwlink_gateway_count(const pw_link *l);
 
@@ -230,6 +253,19 @@
 /* Queues an announcement that a target has the prefix of this key cached, or computes it. */
 void pwgossip_announce_prefix(pw_gossip *s, uint64_t key, uint32_t target);
 
+/* Gateways that are told which version began a stream, and gateways that are asked for it: more, since their lists
+** may differ, and the gateway at which it began is not among its own keepers. */
+#define PWGOSSIP_STREAM_KEEPERS 4
+#define PWGOSSIP_STREAM_ASKED 6
+
+/* Tells the keepers of a stream which version began it. */
+void pwgossip_tell_stream(pw_gossip *s, uint64_t stream, uint64_t version);
+
+/* Asks the keepers of a stream which version began it; pwexchange_origin_answered gets each answer. Sets the hashes of
+** the gateways asked and returns their number. */
+int pwgossip_ask_stream(pw_gossip *s, uint64_t stream,
+                        uint64_t asked[PWKEEPERS_MAX]);
+
 /* Sends this gateway's loads to the others and sums up the loads received. */
 void pwgossip_tick(pw_gossip *s, int64_t now);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -192,6 +192,7 @@
   sweep_targets(g, now);
   pwfleet_tick(g->fleet, now, NULL, NULL);
   pwquar_tick(g->quarantine, now);
+  pwexchange_sweep_origins(g, now);
   pwcount_set(g->p->counters, PWC_QUARANTINED, pwquar_count(g->quarantine));
   pwcount_set(g->p->counters, PWC_GW_TARGETS, pwfleet_count(g->fleet));
 }
@@ -238,6 +239,7 @@
     pwexchange_check(g, now);
   }
   pwexchange_check_targets(g, now);
+  pwexchange_check_origins(g, now);
   if (now - g->swept_at >= SWEEP_MS) {
     g->swept_at = now;
     sweep(g, now);
@@ -309,6 +311,7 @@
   g.trace = pwtrace_new(p->set->name, STDOUT_FILENO, p->set->gateway_log_bytes);
   g.stages = pwstage_new();
   g.quarantine = pwquar_new();
+  g.origins = pworigins_new();
   g.versions = pwversions_new(&g);
   g.buf_limits = pwbuflimits_of(0, buffer_budget(&g));
   g.fleet = pwfleet_new(p->set->availability_zone, p->set->gateway_beat,
@@ -339,6 +342,7 @@
   pwtrace_free(g.trace);
   pwstage_free(g.stages);
   pwquar_free(g.quarantine);
+  pworigins_free(g.origins);
   pwversions_free(g.versions);
   ev_loop_destroy(g.ev);
   return rc;
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -5,6 +5,7 @@
 #include "pwgate.h"
 
 #include "pwgossipmsg.h"
+#include "pwkeepers.h"
 #include "pwlog.h"
 #include "pwprefixsync.h"
 #include "pwsuspects.h"
@@ -405,6 +406,82 @@
   pwgossipmsg_add_prompt(&s->prompts_down, key, target);
 }
 
+/* --- which version began a stream --- */
+
+/* Fills `to` with the indices of the gateways that keep what is known of a stream. Returns their number. */
+static int keepers_of(const pw_gossip *s, uint64_t stream, int want,
+                      int to[PWKEEPERS_MAX]) {
+  uint64_t *others = pw_alloc(sizeof *others * (size_t)s->npeers);
+  for (int i = 1; i < s->npeers; i++)
+    others[i - 1] = s->topology[i].hash;
+  int n = pwkeepers_choose(others, s->npeers - 1, stream, want, to);
+  for (int i = 0; i < n; i++)
+    to[i]++; /* peers[0] is this gateway */
+  free(others);
+  return n;
+}
+
+void pwgossip_tell_stream(pw_gossip *s, uint64_t stream, uint64_t version) {
+  int to[PWKEEPERS_MAX];
+  receivers l = {s, to, keepers_of(s, stream, PWGOSSIP_STREAM_KEEPERS, to)};
+  Pw__StreamOrigin m = PW__STREAM_ORIGIN__INIT;
+  m.stream = stream;
+  m.version = version;
+  if (l.n)
+    pwgossipmsg_pack_stream(PWGOSSIPMSG_STREAMS_BEGUN,
+                            pwwire_incarnation(s->g->p->wire), &m,
+                            send_datagram, &l);
+}
+
+int pwgossip_ask_stream(pw_gossip *s, uint64_t stream,
+                        uint64_t asked[PWKEEPERS_MAX]) {
+  int to[PWKEEPERS_MAX];
+  receivers l = {s, to, keepers_of(s, stream, PWGOSSIP_STREAM_ASKED, to)};
+  Pw__StreamOrigin m = PW__STREAM_ORIGIN__INIT;
+  m.stream = stream;
+  for (int i = 0; i < l.n; i++)
+    asked[i] = s->topology[to[i]].hash;
+  if (l.n)
+    pwgossipmsg_pack_stream(PWGOSSIPMSG_STREAMS_ASKED,
+                            pwwire_incarnation(s->g->p->wire), &m,
+                            send_datagram, &l);
+  return l.n;
+}
+
+static void answer_stream(pw_gossip *s, int to, uint64_t stream, int64_t now) {
+  receivers l = {s, &to, 1};
+  Pw__StreamOrigin m = PW__STREAM_ORIGIN__INIT;
+  pw_origin origin = {0};
+  m.stream = stream;
+  m.known = pworigins_find(s->g->origins, stream, now, &origin);
+  m.version = origin.version;
+  m.age = (uint32_t)origin.age_ms;
+  pwgossipmsg_pack_stream(PWGOSSIPMSG_STREAMS_ANSWERED,
+                          pwwire_incarnation(s->g->p->wire), &m, send_datagram,
+                          &l);
+}
+
+static void receive_stream(pw_gossip *s, int from, uint32_t kind,
+                           const Pw__StreamOrigin *m, int64_t now) {
+  if (kind == PWGOSSIPMSG_STREAMS_BEGUN) {
+    pworigins_note(s->g->origins, m->stream, m->version, 0, now);
+    return;
+  }
+  if (kind == PWGOSSIPMSG_STREAMS_ASKED) {
+    answer_stream(s, from, m->stream, now);
+    return;
+  }
+  pw_origin origin = {m->version, m->age, 0};
+  pwexchange_origin_answered(s->g, m->stream, s->topology[from].hash,
+                             m->known ? &origin : NULL);
+}
+
+static int is_about_streams(uint32_t kind) {
+  return kind == PWGOSSIPMSG_STREAMS_BEGUN ||
+         kind == PWGOSSIPMSG_STREAMS_ASKED ||
+         kind == PWGOSSIPMSG_STREAMS_ANSWERED;
+}
+
 /* --- incoming messages --- */
 
 static void handle_total(pw_gossip *s, const Pw__Gossip *m, int64_t now) {
@@ -451,6 +528,11 @@
                        on_suspect, s->g);
     return;
   }
+  if (is_about_streams(m->kind)) {
+    for (size_t k = 0; k < m->n_streams; k++)
+      receive_stream(s, i, m->kind, m->streams[k], now);
+    return;
+  }
   if (m->kind == PWGOSSIPMSG_TOTAL || m->kind == PWGOSSIPMSG_SUM)
     pwtopology_answered(&s->topology[i]);
   if (m->kind == PWGOSSIPMSG_TOTAL)
--- a/packages/gateway/pwgossipmsg.c
+++ b/packages/gateway/pwgossipmsg.c
@@ -122,17 +122,35 @@
   }
 }
 
-/* The message has no sequence number, so an instance of a version that knows loads alone drops it as
+/* These messages have no sequence number, so an instance of a version that knows loads alone drops them as
 ** outdated. */
+static void pack_without_loads(Pw__Gossip *m,
+                               void (*send)(void *arg, const uint8_t *data,
+                                            size_t n),
+                               void *arg) {
+  uint8_t data[PWGOSSIPMSG_BYTES];
+  assert(pw__gossip__get_packed_size(m) <= sizeof data);
+  send(arg, data, pw__gossip__pack(m, data));
+}
+
 void pwgossipmsg_pack_suspects(
     uint64_t incarnation, Pw__Suspect **list, size_t n,
     void (*send)(void *arg, const uint8_t *data, size_t n), void *arg) {
-  uint8_t data[PWGOSSIPMSG_BYTES];
   Pw__Gossip m = PW__GOSSIP__INIT;
   m.incarnation = incarnation;
   m.kind = PWGOSSIPMSG_SUSPECTS;
   m.suspects = list;
   m.n_suspects = n;
-  assert(pw__gossip__get_packed_size(&m) <= sizeof data);
-  send(arg, data, pw__gossip__pack(&m, data));
+  pack_without_loads(&m, send, arg);
+}
+
+void pwgossipmsg_pack_stream(
+    pw_gossip_kind kind, uint64_t incarnation, Pw__StreamOrigin *stream,
+    void (*send)(void *arg, const uint8_t *data, size_t n), void *arg) {
+  Pw__Gossip m = PW__GOSSIP__INIT;
+  m.incarnation = incarnation;
+  m.kind = (uint32_t)kind;
+  m.streams = &stream;
+  m.n_streams = 1;
+  pack_without_loads(&m, send, arg);
 }
--- a/packages/gateway/pwgossipmsg.h
+++ b/packages/gateway/pwgossipmsg.h
@@ -19,8 +19,12 @@
   PWGOSSIPMSG_OWN,    /* a gateway's own loads, to all others */
   PWGOSSIPMSG_REPORT, /* the same, to the aggregator of its group */
   PWGOSSIPMSG_SUM, /* sum of a group, to the aggregators of the other groups */
-  PWGOSSIPMSG_TOTAL,   /* sum of all groups, to the members of a group */
-  PWGOSSIPMSG_SUSPECTS /* no loads: requests whose targets crashed */
+  PWGOSSIPMSG_TOTAL,    /* sum of all groups, to the members of a group */
+  PWGOSSIPMSG_SUSPECTS, /* no loads: requests whose targets crashed */
+  /* No loads: which version began streams, as told, asked for and answered. */
+  PWGOSSIPMSG_STREAMS_BEGUN,
+  PWGOSSIPMSG_STREAMS_ASKED,
+  PWGOSSIPMSG_STREAMS_ANSWERED
 } pw_gossip_kind;
 
 /* Prompts that were sent to a target other than their home target, where other gateways would not look for
@@ -65,4 +69,9 @@
     uint64_t incarnation, Pw__Suspect **list, size_t n,
     void (*send)(void *arg, const uint8_t *data, size_t n), void *arg);
 
+/* Packs a message of one of the kinds PWGOSSIPMSG_STREAMS_*, about one stream. */
+void pwgossipmsg_pack_stream(
+    pw_gossip_kind kind, uint64_t incarnation, Pw__StreamOrigin *stream,
+    void (*send)(void *arg, const uint8_t *data, size_t n), void *arg);
+
 #endif
--- a/packages/gateway/pwinflight.c
+++ b/packages/gateway/pwinflight.c
@@ -16,6 +16,8 @@
 static const char *phase_of(const pw_exchange *x) {
   if (x->is_awaiting)
     return "waits-for-configuration";
+  if (x->awaits_origin)
+    return "waits-for-version";
   if (!x->t)
     return "between-targets";
   if (!x->is_sent)
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -338,6 +338,13 @@
   return confirmed || now - l->config_at > UNCONFIRMED_MS;
 }
 
+int pwlink_hears_leader(const pw_link *l, int64_t now) {
+  for (const contact *c = l->contacts; c; c = c->next)
+    if (c->has_leader && pwlink_is_fresh(c, now))
+      return 1;
+  return 0;
+}
+
 int pwlink_gateway_count(const pw_link *l) {
   return l->ngateways > 0 ? l->ngateways : 1;
 }
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -142,6 +142,37 @@
   return n;
 }
 
+/* --- software versions --- */
+
+static const pw_target *find_version(const pw_fleet *f, uint64_t version) {
+  for (const pw_target *t = f->by_id; t; t = t->hh.next)
+    if (t->version_hash == version)
+      return t;
+  return NULL;
+}
+
+const char *pwfleet_service_of(const pw_fleet *f, uint64_t version) {
+  const pw_target *t = find_version(f, version);
+  return t ? t->service : NULL;
+}
+
+const char *pwfleet_version_name(const pw_fleet *f, uint64_t version) {
+  const pw_target *t = find_version(f, version);
+  return t ? t->version : "-";
+}
+
+uint64_t pwfleet_only_version(const pw_fleet *f, const char *service) {
+  uint64_t version = 0;
+  for (const pw_target *t = f->by_id; t; t = t->hh.next) {
+    if (strcmp(t->service, service) != 0)
+      continue;
+    if (version && version != t->version_hash)
+      return PWFLEET_SEVERAL_VERSIONS;
+    version = t->version_hash;
+  }
+  return version;
+}
+
 /* --- heartbeats --- */
 
 /* Sets the time of the newest heartbeat or state change. Stalls before it no longer count. */
@@ -201,6 +232,12 @@
   return changed || before != n;
 }
 
+/* Odd: 0 stands for any version, PWFLEET_SEVERAL_VERSIONS for more than one. */
+static uint64_t hash_version(const pw_target *t) {
+  uint64_t service = XXH3_64bits(t->service, strlen(t->service));
+  return XXH3_64bits_withSeed(t->version, strlen(t->version), service) | 1;
+}
+
 static void store_heartbeat(const pw_fleet *f, pw_target *t,
                             const pw_heartbeat *b, int64_t heard_at) {
   pw_copy(t->service, sizeof t->service, b->service);
@@ -208,8 +245,11 @@
           b->availability_zone);
   pw_copy(t->address, sizeof t->address, b->address);
   pwtcp_address(b->address, &t->addr);
-  if (b->version[0]) /* fixed for an incarnation, so an empty one keeps it */
+  /* Fixed for an incarnation: another one comes from another writer. Without a start time incarnations are not told
+  ** apart. */
+  if (b->version[0] && (!t->version[0] || !t->born))
     pw_copy(t->version, sizeof t->version, b->version);
+  t->version_hash = hash_version(t);
   t->slots = b->slots > 0 ? b->slots : SLOTS_DEFAULT;
   t->cold.until = b->cold_ms > 0 ? heard_at + b->cold_ms : 0;
   t->is_evacuated = is_evacuated(f, t);
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -48,6 +48,7 @@
   /* Key under which gateways report requests that it left unanswered. */
   uint32_t unanswered_hash;
   char version[PW_NAME_MAX]; /* software version */
+  uint64_t version_hash;     /* of the service and that version; odd */
   int slots;                 /* requests that it runs at once */
   int is_leaving;            /* by its heartbeats */
   int is_outdated;           /* a completed rollout replaced its version */
@@ -234,9 +235,26 @@
 int pwfleet_has_live(pw_fleet *f, const char *service,
                      const uint32_t *short_hash, int n, int64_t now);
 
-/* Whether a usable target exists besides those that a request has tried. */
+/* Whether a usable target exists besides those that a request has tried; `version`: 0, or the only version_hash that
+** fits. */
 int pwfleet_has_other(pw_fleet *f, const char *service, pw_fleet_side side,
-                      pw_target *const *tried, int ntried, int64_t now);
+                      uint64_t version, pw_target *const *tried, int ntried,
+                      int64_t now);
+
+/* Whether a live target of the service has this version_hash and accepts requests. */
+int pwfleet_has_version(pw_fleet *f, const char *service, uint64_t version,
+                        int64_t now);
+
+/* In place of a version_hash, which is odd. */
+#define PWFLEET_SEVERAL_VERSIONS 2
+
+/* The version_hash of all known targets of a service, those gone lately included; PWFLEET_SEVERAL_VERSIONS: they
+** differ; 0: there are none. */
+uint64_t pwfleet_only_version(const pw_fleet *f, const char *service);
+
+/* The service and the software version that a version_hash stands for; NULL and "-" if no target of it is known. */
+const char *pwfleet_service_of(const pw_fleet *f, uint64_t version);
+const char *pwfleet_version_name(const pw_fleet *f, uint64_t version);
 
 /* The leading tokens of a prompt that a target has cached. */
 typedef struct pw_fleet_cached {
@@ -266,6 +284,7 @@
 typedef struct pw_fleet_criteria {
   const char *service;
   pw_fleet_side side;
+  uint64_t version; /* the only version_hash that fits; 0: any */
   pw_pick_policy how;
   int is_sticky; /* `key` is set */
   uint64_t key;  /* hash of the prompt prefix that requests share */
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -154,12 +154,29 @@
   return 0;
 }
 
+static int is_version(const pw_target *t, uint64_t version) {
+  return !version || t->version_hash == version;
+}
+
 int pwfleet_has_other(pw_fleet *f, const char *service, pw_fleet_side side,
-                      pw_target *const *tried, int ntried, int64_t now) {
+                      uint64_t version, pw_target *const *tried, int ntried,
+                      int64_t now) {
   service_stats s = stats_of(f, service, side, now);
   for (const pw_target *t = f->by_id; t; t = t->hh.next)
-    if (pwflt_is_of(t, service, side) && is_usable(f, t, &s) &&
-        !is_unanswering(t, &s) && !is_among(t, tried, ntried))
+    if (pwflt_is_of(t, service, side) && is_version(t, version) &&
+        is_usable(f, t, &s) && !is_unanswering(t, &s) &&
+        !is_among(t, tried, ntried))
+      return 1;
+  return 0;
+}
+
+int pwfleet_has_version(pw_fleet *f, const char *service, uint64_t version,
+                        int64_t now) {
+  service_stats s = stats_of(f, service, PWFLEET_ANY_VERSION, now);
+  for (const pw_target *t = f->by_id; t; t = t->hh.next)
+    if (pwflt_is_of(t, service, PWFLEET_ANY_VERSION) &&
+        is_version(t, version) && is_alive(f, t, &s) &&
+        pwfleet_may_send(t, now))
       return 1;
   return 0;
 }
@@ -317,11 +334,11 @@
         .own = t->inflight,
         .slots = t->slots,
         .work_ms = work_of(t, s),
-        .is_usable = is_usable(f, t, s) && !was_tried(criteria, t) &&
-                     passes_unanswered(t, s, criteria) &&
-                     has_connection(t, criteria) &&
-                     has_quota(t, criteria, s, n) &&
-                     passes_cold_limit(t, criteria, s->now),
+        .is_usable =
+            is_version(t, criteria->version) && is_usable(f, t, s) &&
+            !was_tried(criteria, t) && passes_unanswered(t, s, criteria) &&
+            has_connection(t, criteria) && has_quota(t, criteria, s, n) &&
+            passes_cold_limit(t, criteria, s->now),
         .counts = is_usable(f, t, s),
         .is_near = !strcmp(t->availability_zone, f->availability_zone),
         .is_alive = is_alive(f, t, s),
@@ -331,7 +348,8 @@
   }
   /* If no target is usable, any target that accepts requests is the last resort. */
   for (int i = 0; usable == 0 && i < n; i++)
-    row[i].is_usable = pwfleet_may_send(targets[i], s->now) &&
+    row[i].is_usable = is_version(targets[i], criteria->version) &&
+                       pwfleet_may_send(targets[i], s->now) &&
                        !was_tried(criteria, targets[i]) &&
                        passes_unanswered(targets[i], s, criteria) &&
                        has_connection(targets[i], criteria) &&
--- a/packages/site/pwsite.c
+++ b/packages/site/pwsite.c
@@ -345,3 +345,13 @@
   }
   return pwsite_service(s, r->weighted[last].service);
 }
+
+const pw_site_service *pwsite_route_service(const pw_site *s,
+                                            const pw_site_route *r,
+                                            const char *name) {
+  int index = pwsite_service_index(s, name);
+  for (int i = 0; i < r->nweighted && index >= 0; i++)
+    if (r->weighted[i].service == index && r->weighted[i].weight > 0)
+      return pwsite_service(s, index);
+  return NULL;
+}
--- a/packages/site/pwsite.h
+++ b/packages/site/pwsite.h
@@ -145,4 +145,9 @@
 const pw_site_service *pwsite_draw_service(const pw_site *s,
                                            const pw_site_route *r, double draw);
 
+/* The service of this name if requests of the route may go to it, else NULL. */
+const pw_site_service *pwsite_route_service(const pw_site *s,
+                                            const pw_site_route *r,
+                                            const char *name);
+
 #endif
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -1402,6 +1402,51 @@
   assert(message->base.descriptor == &pw__gossip__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pw__stream_origin__init
+                     (Pw__StreamOrigin         *message)
+{
+  static const Pw__StreamOrigin init_value = PW__STREAM_ORIGIN__INIT;
+  *message = init_value;
+}
+size_t pw__stream_origin__get_packed_size
+                     (const Pw__StreamOrigin *message)
+{
+  assert(message->base.descriptor == &pw__stream_origin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__stream_origin__pack
+                     (const Pw__StreamOrigin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__stream_origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__stream_origin__pack_to_buffer
+                     (const Pw__StreamOrigin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__stream_origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__StreamOrigin *
+       pw__stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__StreamOrigin *)
+     protobuf_c_message_unpack (&pw__stream_origin__descriptor,
+                                allocator, len, data);
+}
+void   pw__stream_origin__free_unpacked
+                     (Pw__StreamOrigin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__stream_origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pw__suspect__init
                      (Pw__Suspect         *message)
 {
@@ -5973,7 +6018,7 @@
   (ProtobufCMessageInit) pw__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__gossip__field_descriptors[10] =
+static const ProtobufCFieldDescriptor pw__gossip__field_descriptors[11] =
 {
   {
     "incarnation",
@@ -6095,6 +6140,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "streams",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Gossip, n_streams),
+    offsetof(Pw__Gossip, streams),
+    &pw__stream_origin__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__gossip__field_indices_by_name[] = {
   0,   /* field[0] = incarnation */
@@ -6105,13 +6162,14 @@
   8,   /* field[8] = parts */
   5,   /* field[5] = places */
   1,   /* field[1] = seq */
+  10,   /* field[10] = streams */
   9,   /* field[9] = suspects */
   2,   /* field[2] = targets */
 };
 static const ProtobufCIntRange pw__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor pw__gossip__descriptor =
 {
@@ -6121,13 +6179,90 @@
   "Pw__Gossip",
   "pw",
   sizeof(Pw__Gossip),
-  10,
+  11,
   pw__gossip__field_descriptors,
   pw__gossip__field_indices_by_name,
   1,  pw__gossip__number_ranges,
   (ProtobufCMessageInit) pw__gossip__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pw__stream_origin__field_descriptors[4] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__StreamOrigin, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__StreamOrigin, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__StreamOrigin, age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__StreamOrigin, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__stream_origin__field_indices_by_name[] = {
+  2,   /* field[2] = age */
+  3,   /* field[3] = known */
+  0,   /* field[0] = stream */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange pw__stream_origin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pw__stream_origin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.StreamOrigin",
+  "StreamOrigin",
+  "Pw__StreamOrigin",
+  "pw",
+  sizeof(Pw__StreamOrigin),
+  4,
+  pw__stream_origin__field_descriptors,
+  pw__stream_origin__field_indices_by_name,
+  1,  pw__stream_origin__number_ranges,
+  (ProtobufCMessageInit) pw__stream_origin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pw__suspect__field_descriptors[3] =
 {
   {
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -46,6 +46,7 @@
 typedef struct Pw__Table Pw__Table;
 typedef struct Pw__Document Pw__Document;
 typedef struct Pw__Gossip Pw__Gossip;
+typedef struct Pw__StreamOrigin Pw__StreamOrigin;
 typedef struct Pw__Suspect Pw__Suspect;
 typedef struct Pw__Entry Pw__Entry;
 typedef struct Pw__Cons Pw__Cons;
@@ -1015,10 +1016,40 @@
    */
   size_t n_suspects;
   Pw__Suspect **suspects;
+  /*
+   * kinds 5, 6, 7: these alone
+   */
+  size_t n_streams;
+  Pw__StreamOrigin **streams;
 };
 #define PW__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__gossip__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * The software version that began a stream, as pworigins.h has it.
+ */
+struct  Pw__StreamOrigin
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  /*
+   * 0: more than one
+   */
+  uint64_t version;
+  /*
+   * ms
+   */
+  uint32_t age;
+  /*
+   * in an answer
+   */
+  protobuf_c_boolean known;
+};
+#define PW__STREAM_ORIGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__stream_origin__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -1954,6 +1985,25 @@
 void   pw__gossip__free_unpacked
                      (Pw__Gossip *message,
                       ProtobufCAllocator *allocator);
+/* Pw__StreamOrigin methods */
+void   pw__stream_origin__init
+                     (Pw__StreamOrigin         *message);
+size_t pw__stream_origin__get_packed_size
+                     (const Pw__StreamOrigin   *message);
+size_t pw__stream_origin__pack
+                     (const Pw__StreamOrigin   *message,
+                      uint8_t             *out);
+size_t pw__stream_origin__pack_to_buffer
+                     (const Pw__StreamOrigin   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__StreamOrigin *
+       pw__stream_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__stream_origin__free_unpacked
+                     (Pw__StreamOrigin *message,
+                      ProtobufCAllocator *allocator);
 /* Pw__Suspect methods */
 void   pw__suspect__init
                      (Pw__Suspect         *message);
@@ -2372,6 +2422,9 @@
 typedef void (*Pw__Gossip_Closure)
                  (const Pw__Gossip *message,
                   void *closure_data);
+typedef void (*Pw__StreamOrigin_Closure)
+                 (const Pw__StreamOrigin *message,
+                  void *closure_data);
 typedef void (*Pw__Suspect_Closure)
                  (const Pw__Suspect *message,
                   void *closure_data);
@@ -2460,6 +2513,7 @@
 extern const ProtobufCMessageDescriptor pw__table__descriptor;
 extern const ProtobufCMessageDescriptor pw__document__descriptor;
 extern const ProtobufCMessageDescriptor pw__gossip__descriptor;
+extern const ProtobufCMessageDescriptor pw__stream_origin__descriptor;
 extern const ProtobufCMessageDescriptor pw__suspect__descriptor;
 extern const ProtobufCMessageDescriptor pw__entry__descriptor;
 extern const ProtobufCMessageDescriptor pw__cons__descriptor;
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -37,7 +37,7 @@
   X(error)           /* run, then answered with 500 */                         \
   X(cut)             /* run; the answer is cut in its middle */                \
   X(cut_event)       /* event in which a new stream is cut; 0: third event */  \
-  X(versions)        /* events of streams name the software version */         \
+  X(versions)        /* events name the software version, and "unframed" */    \
   X(cut_between)     /* a stream is cut before that event, not within it */    \
   X(reset)           /* run; the connection is reset without an answer */      \
   X(mute)            /* run; nothing is sent and the connection stays open */  \
@@ -238,10 +238,12 @@
 static void send_event(peer *p) {
   if (p->event > 1 && body_begins(p, "crash-midway"))
     _exit(1);
-  char event[160];
-  int n = snprintf(event, sizeof event, "id: %d\ndata: %s-%d%s%s\n\n", p->event,
-                   p->id, p->event, me.f.versions ? " " : "",
-                   me.f.versions ? me.version : "");
+  char event[160], versions[ID_MAX] = "";
+  if (me.f.versions)
+    snprintf(versions, sizeof versions, " %s%s", me.version,
+             p->is_unframed ? " unframed" : "");
+  int n = snprintf(event, sizeof event, "id: %d\ndata: %s-%d%s\n\n", p->event,
+                   p->id, p->event, versions);
   if (p->event == p->cut_at) {
     cut_stream(p, event, n);
     return;
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -81,11 +81,13 @@
     relay, relay_port = run.relay(port)
     argv[7] = "127.0.0.1:" .. relay_port
   end
-  if version then
-    argv[7] = argv[7] or address
-    argv[8] = version
-  end
   local p = self.f:process(name, argv, address)
+  -- Sets the software version of the starts to come.
+  function p:set_version(v)
+    self.argv[7] = self.argv[7] or address
+    self.argv[8] = v
+  end
+  if version then p:set_version(version) end
   p.relay, p.service = relay, service
   p.live = "/stats"
   self.targets[#self.targets + 1] = p
--- a/tests/soak.lua
+++ b/tests/soak.lua
@@ -27,13 +27,25 @@
 local zones = {}
 for i = 1, HAS_ZONES and engines or 0 do zones["engine-" .. i] = "az-" .. i % 2 + 1 end
 for i = 1, HAS_ZONES and portals or 0 do zones["portal-" .. i] = "az-" .. i % 2 + 1 end
--- From seed 5000 on: a small retry budget, and series of starts of gateways while all targets refuse.
-local HAS_STARTS = SEED >= 5000
+-- Seeds from 5000 to 5999: a small retry budget, and series of starts of gateways while all targets refuse.
+local HAS_STARTS = SEED >= 5000 and SEED < 6000
 local RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_MS = 0.2, 20, 10000
 local g = gateways.new{control = 3, gateways = math.max(2, PROCESSES - 3 - engines - portals),
   engines = engines, portals = portals, relays = true, zones = zones,
   retry_slack = HAS_STARTS and RETRY_SLACK or nil, retry_window_s = HAS_STARTS and RETRY_WINDOW_MS // 1000 or nil}
+-- From seed 6000 on: engines of two software versions, streams cut inside an event, with neither a length nor chunks,
+-- and callers that take broken streams up at any gateway.
+local HAS_VERSIONS = SEED >= 6000
+if HAS_VERSIONS then
+  for i, t in ipairs(g.targets) do
+    if t.service == "llm" then t:set_version(i % 2 == 0 and "v1" or "v1.1") end
+  end
+end
 g:start(HAS_ZONES and function(s) s.cold = {s = 3, per_s = 20} end)
+local function show_versions(t)
+  if HAS_VERSIONS and t.service == "llm" then t:fault("versions=1") end
+end
+for _, t in ipairs(g.targets) do show_versions(t) end
 
 -- Violations of the invariants; the run stops at the first one.
 local problems = {}
@@ -56,11 +68,54 @@
   end
 end
 
+-- Streams that break are taken up, at most TAKE_UPS times. Each event must come once and in order, and all of them from
+-- one version. A stream that ends with its connection between two events cannot be told from a complete one.
+local TAKE_UPS = 3
+local taken_up, went_on = 0, 0
+local function read_stream(stream, r)
+  local rest = r.body:gsub("id: (%d+)\ndata: (%S+) ?(%S*) ?(%S*)\n\n", function(id, _, version, unframed)
+    stream.last = stream.last + 1
+    check(tonumber(id) == stream.last, "stream %s: event %s in place of %d", stream.id, id, stream.last)
+    if version ~= "" then -- a target that has just started again does not tell yet
+      stream.version = stream.version or version
+      check(version == stream.version, "stream %s: event %s of version %s, begun at %s", stream.id, id, version, stream.version)
+    end
+    stream.unframed = unframed == "unframed"
+    return ""
+  end)
+  check(rest == "" or r.status ~= 200, "stream %s: a part of an event: %s", stream.id, rest)
+  if r.whole and r.status == 200 then
+    check(stream.last == stream.events or stream.unframed, "stream %s ends as complete after event %d", stream.id, stream.last)
+    return true
+  end
+end
+local function take_up(stream, gateway, timeout)
+  return run.http((g:call{path = "/again/x", events = stream.events, body = "q", gateway = gateway, timeout = timeout,
+    headers = {["Last-Event-Id"] = tostring(stream.last), Resumes = stream.id}}))
+end
+local function check_stream_over_tries(r, o)
+  local stream = {id = r.id, events = o.events, last = 0}
+  local complete = read_stream(stream, r)
+  for _ = 1, TAKE_UPS do
+    if complete or stream.last == 0 or #problems > 0 then break end
+    taken_up = taken_up + 1
+    local before = stream.last
+    local more = take_up(stream, one_of(g.gateways), 5)
+    complete = read_stream(stream, more)
+    if complete or stream.last > before then went_on = went_on + 1 end
+  end
+  return complete
+end
+
 local function check_answer(call)
   local r, o = run.http_wait(call.h), call.o
   r.id = call.id
   local complete = r.whole and r.status == 200
-  if complete and o.events then
+  if HAS_VERSIONS and o.path == "/again/x" then
+    complete = check_stream_over_tries(r, o)
+  elseif HAS_VERSIONS and o.events then
+    if r.status == 200 then read_stream({id = r.id, events = o.events, last = 0}, r) end
+  elseif complete and o.events then
     check(gateways.is_stream(r, o.events), "stream %s is not complete or not in order: %s", r.id, r.body)
   elseif complete then
     check(r.body == "POST " .. o.path .. " " .. r.id .. " 1" or o.path:find("safe"), "%s got the answer of another request: %s", r.id, r.body)
@@ -110,6 +165,7 @@
   p.gone = nil
   in_force[p] = nil
   p:start()
+  if p.service then show_versions(p) end
 end
 local function kill_fault(list)
   return function()
@@ -378,6 +434,46 @@
   check(retries <= allowed, "%d retries while gateways started %d times, %.0f allowed", retries, rounds, allowed)
   return string.format("starts while targets refuse: %d retries, %.0f allowed", retries, allowed), function() end
 end
+
+-- Streams without framing, cut inside an event or not; of each engine at once, so that many break together.
+local function cut_streams()
+  local event, framing = 1 + draw(6), draw(2) == 1 and 1000 or 0
+  local hit = running(g.targets)
+  for _, t in ipairs(hit) do
+    if t.service == "llm" then
+      for _, name in ipairs{"cut_event=" .. event, "unframed=" .. framing, "gap=" .. 10 * draw(4), "cut=" .. draw(4)} do t:fault(name) end
+    end
+  end
+  return string.format("cut streams in event %d, %s", event, framing > 0 and "unframed" or "in chunks"), function()
+    for _, t in ipairs(running(g.targets)) do
+      for _, name in ipairs{"cut", "cut_event", "unframed", "gap"} do t:fault(name .. "=0") end
+    end
+  end
+end
+local function kill_gateways_of_streams()
+  if not may_lose_one(g.gateways) then return end
+  for _, t in ipairs(running(g.targets)) do
+    if t.service == "llm" then t:fault("gap=40") end
+  end
+  local p = one_of(running(g.gateways))
+  local calls = {}
+  for i = 1, BATCH do
+    local o = {path = "/again/x", events = 12, body = "q", gateway = p, timeout = 12}
+    local c, id = g:call(o)
+    calls[i] = {h = run.http_start(c), id = id, o = o}
+  end
+  run.pause(draw(400))
+  p:kill()
+  p.gone = true
+  for _, c in ipairs(calls) do check_answer(c) end
+  return "kill " .. p.name .. " in streams", function()
+    for _, t in ipairs(running(g.targets)) do t:fault("gap=0") end
+    restart(p)
+  end
+end
+if HAS_VERSIONS then
+  for _, f in ipairs{cut_streams, cut_streams, kill_gateways_of_streams, kill_gateways_of_streams} do faults[#faults + 1] = f end
+end
 local ends = run.now() + MINUTES * 60000
 while run.now() < ends and #problems == 0 do
   if #active < 3 and draw(2) == 1 then
@@ -407,7 +503,8 @@
 -- force.
 if #problems == 0 then
   for _, t in ipairs(g.targets) do
-    for _, name in ipairs{"cut", "reset", "refuse", "error", "extra", "mute", "closing", "gap", "delay", "unsigned_answer", "silent", "leaving", "cold"} do
+    for _, name in ipairs{"cut", "reset", "refuse", "error", "extra", "mute", "closing", "gap", "delay", "unsigned_answer", "silent", "leaving", "cold",
+      "cut_event", "unframed"} do
       t:fault(name .. "=0")
     end
   end
@@ -417,6 +514,13 @@
     return stored and stored.version >= acked
   end, RECOVER_MS)
   g:wait_in_force(acked)
+  -- Now that nothing is lost, each stream that is taken up goes on, at any gateway.
+  for i = 1, HAS_VERSIONS and BATCH or 0 do
+    local r = g:ask{path = "/again/x", events = 12, body = "q", gateway = one_of(g.gateways), give_up = 80}
+    local stream = {id = r.id, events = 12, last = 0}
+    read_stream(stream, {status = 0, body = r.body:match("^(.*\n\n)") or ""})
+    check(stream.last == 0 or read_stream(stream, take_up(stream, one_of(g.gateways), 12)), "stream %s does not go on", r.id)
+  end
 end
 
 -- A request that may run once ran at most once over all targets, and a request answered with 503, 429 or 408
@@ -430,6 +534,7 @@
   check(ran == 0 or (a.status ~= 503 and a.status ~= 429 and a.status ~= 408), "%s ran, and was answered %d", a.id, a.status)
 end
 print(string.format("served %d, failed %d, acknowledged configuration %d", served, failed, acked))
+if HAS_VERSIONS then print(string.format("taken up %d, went on %d", taken_up, went_on)) end
 for _, p in ipairs(problems) do io.stderr:write("PROBLEM: ", p, "\n") end
 if #problems > 0 then error("soak seed " .. SEED .. ": " .. #problems .. " problems") end
 g:stop()
--- a/tests/test_unanswered.c
+++ b/tests/test_unanswered.c
@@ -142,7 +142,7 @@
     CHECK(pick(f, &small, 1, i / 20.0, NULL, 0, 10000 + i) == good);
   }
   CHECK(pwfleet_sum(f, "s", PWFLEET_ANY_VERSION, 10000).slots == SLOTS);
-  CHECK(!pwfleet_has_other(f, "s", PWFLEET_ANY_VERSION, &good, 1, 10000));
+  CHECK(!pwfleet_has_other(f, "s", PWFLEET_ANY_VERSION, 0, &good, 1, 10000));
   CHECK(pick(f, &small, 0, 0, &good, 1, 10000) == NULL);
   CHECK(pick(f, &small, 1, 0, NULL, 0, 10100) == bad); /* a probe */
   CHECK(pick(f, &small, 1, 0, NULL, 0, 10101) == good);
