Streams that are taken up go on while lists of gateways lag behind starts and pauses

Callers that took a stream up right after gateways had started or been paused were refused (2014) although a gateway knew the version. Cause: what a gateway said was dropped by those whose list did not name it, after a pause of 12 s or a start, and one that had just started asked the few that it knew and took their answers for all. Change: messages about streams count from any gateway; one that started less than 5 s ago tells its streams again when its list grows, and goes on asking. It holds since neither side needs the other's list any more.

--- a/packages/gateway/pwextakeup.c
+++ b/packages/gateway/pwextakeup.c
@@ -16,6 +16,10 @@
 /* Interval of repeated questions, ms: a datagram may be lost. */
 #define ASK_AGAIN_MS 60
 
+/* Time after its start until which a gateway may not know all others yet, ms: it hears first of those that reached the
+** same control instance. */
+#define SETTLED_MS 5000
+
 /* Interval at which a stream in progress is told again, ms, so that its record is not dropped. */
 #define TELL_AGAIN_MS (PWORIGINS_KEEP_MS / 2)
 
@@ -46,8 +50,16 @@
     tell(x, now);
 }
 
+static int is_settled(const pw_gate *g, int64_t now) {
+  return now - g->started_at >= SETTLED_MS;
+}
+
 void pwexi_tell_again(pw_exchange *x, int64_t now) {
-  if (x->has_begun && x->stream && now - x->told_at >= TELL_AGAIN_MS)
+  pw_gate *g = x->g;
+  int are_new_known =
+      !is_settled(g, now) && pwgossip_peers_changed_at(g->gossip) >= x->told_at;
+  if (x->has_begun && x->stream &&
+      (are_new_known || now - x->told_at >= TELL_AGAIN_MS))
     tell(x, now);
 }
 
@@ -208,7 +220,7 @@
       pworigins_note(g->origins, stream, origin->version, 0, pwclock_ms());
       pwcount_add(g->p->counters, PWC_GW_STREAM_FOUND, 1);
       go_on(x, origin, "asked");
-    } else if (note_unknown(x, from)) {
+    } else if (note_unknown(x, from) && is_settled(g, pwclock_ms())) {
       leave_waiting(x);
       refuse_unknown(x, "no gateway knows which version began it", 0);
     }
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -261,8 +261,11 @@
 /* Tells the keepers of a stream which version began it. */
 void pwgossip_tell_stream(pw_gossip *s, uint64_t stream, uint64_t version);
 
-/* Asks the keepers of a stream which version began it; pwexchange_origin_answered gets each answer. Sets the hashes of
-** the gateways asked and returns their number. */
+/* When the number of known gateways last changed, ms. */
+int64_t pwgossip_peers_changed_at(const pw_gossip *s);
+
+/* Asks the keepers of a stream which version began it; pwexchange_origin_answered gets each answer, with the hash of
+** the address that it comes from. Sets the hashes of the gateways asked and returns their number. */
 int pwgossip_ask_stream(pw_gossip *s, uint64_t stream,
                         uint64_t asked[PWKEEPERS_MAX]);
 
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -46,6 +46,7 @@
   peer *peers;                /* peers[0] is this gateway itself */
   pw_topology_peer *topology; /* of each peer, to choose aggregators by */
   int npeers;
+  int64_t peers_changed_at; /* when their number last changed, ms */
   uint64_t seq;
   int64_t reported_at, summed_at;
   /* Prompts to announce to the aggregator of the group; at an aggregator, to those of the other groups. */
@@ -112,6 +113,8 @@
       move_peer(s, &addr, peers, topology, count++);
   }
   free_peers(s);
+  if (count != s->npeers)
+    s->peers_changed_at = pwclock_ms();
   s->peers = peers;
   s->topology = topology;
   s->npeers = count;
@@ -183,16 +186,19 @@
   int n;
 } receivers;
 
+static void send_to(const pw_gossip *s, const struct sockaddr_in *addr,
+                    const uint8_t *data, size_t n) {
+  if (sendto(s->fd, data, n, MSG_DONTWAIT, (const struct sockaddr *)addr,
+             sizeof *addr) < 0 &&
+      errno != EAGAIN)
+    pwtrace_line(s->g->trace, PWTRACE_STATE, pwclock_ms(), "gossip-failed",
+                 "errno=%d", errno);
+}
+
 static void send_datagram(void *arg, const uint8_t *data, size_t n) {
   const receivers *l = arg;
-  for (int i = 0; i < l->n; i++) {
-    const struct sockaddr_in *addr = &l->s->peers[l->to[i]].addr;
-    if (sendto(l->s->fd, data, n, MSG_DONTWAIT, (const struct sockaddr *)addr,
-               sizeof *addr) < 0 &&
-        errno != EAGAIN)
-      pwtrace_line(l->s->g->trace, PWTRACE_STATE, pwclock_ms(), "gossip-failed",
-                   "errno=%d", errno);
-  }
+  for (int i = 0; i < l->n; i++)
+    send_to(l->s, &l->s->peers[l->to[i]].addr, data, n);
 }
 
 /* Adds the keys of the rows of all targets and services. */
@@ -448,8 +454,19 @@
   return l.n;
 }
 
-static void answer_stream(pw_gossip *s, int to, uint64_t stream, int64_t now) {
-  receivers l = {s, &to, 1};
+typedef struct reply {
+  pw_gossip *s;
+  const struct sockaddr_in *to;
+} reply;
+
+static void send_reply(void *arg, const uint8_t *data, size_t n) {
+  const reply *r = arg;
+  send_to(r->s, r->to, data, n);
+}
+
+static void answer_stream(pw_gossip *s, const struct sockaddr_in *to,
+                          uint64_t stream, int64_t now) {
+  reply r = {s, to};
   Pw__StreamOrigin m = PW__STREAM_ORIGIN__INIT;
   pw_origin origin = {0};
   m.stream = stream;
@@ -457,12 +474,13 @@
   m.version = origin.version;
   m.age = (uint32_t)origin.age_ms;
   pwgossipmsg_pack_stream(PWGOSSIPMSG_STREAMS_ANSWERED,
-                          pwwire_incarnation(s->g->p->wire), &m, send_datagram,
-                          &l);
+                          pwwire_incarnation(s->g->p->wire), &m, send_reply,
+                          &r);
 }
 
-static void receive_stream(pw_gossip *s, int from, uint32_t kind,
-                           const Pw__StreamOrigin *m, int64_t now) {
+static void receive_stream(pw_gossip *s, const struct sockaddr_in *from,
+                           uint32_t kind, const Pw__StreamOrigin *m) {
+  int64_t now = pwclock_ms();
   if (kind == PWGOSSIPMSG_STREAMS_BEGUN) {
     pworigins_note(s->g->origins, m->stream, m->version, 0, now);
     return;
@@ -472,7 +490,7 @@
     return;
   }
   pw_origin origin = {m->version, m->age, 0};
-  pwexchange_origin_answered(s->g, m->stream, s->topology[from].hash,
+  pwexchange_origin_answered(s->g, m->stream, hash_of(from),
                              m->known ? &origin : NULL);
 }
 
@@ -482,6 +500,10 @@
          kind == PWGOSSIPMSG_STREAMS_ANSWERED;
 }
 
+int64_t pwgossip_peers_changed_at(const pw_gossip *s) {
+  return s->peers_changed_at;
+}
+
 /* --- incoming messages --- */
 
 static void handle_total(pw_gossip *s, const Pw__Gossip *m, int64_t now) {
@@ -521,6 +543,12 @@
                            const Pw__Gossip *m) {
   int64_t now = pwclock_ms();
   int i = find(s, from);
+  /* Lists of gateways lag behind starts and pauses, when streams break: these messages count from any gateway. */
+  if (is_about_streams(m->kind)) {
+    for (size_t k = 0; k < m->n_streams; k++)
+      receive_stream(s, from, m->kind, m->streams[k]);
+    return;
+  }
   if (i <= 0)
     return;
   if (m->kind == PWGOSSIPMSG_SUSPECTS) {
@@ -528,11 +556,6 @@
                        on_suspect, s->g);
     return;
   }
-  if (is_about_streams(m->kind)) {
-    for (size_t k = 0; k < m->n_streams; k++)
-      receive_stream(s, i, m->kind, m->streams[k], now);
-    return;
-  }
   if (m->kind == PWGOSSIPMSG_TOTAL || m->kind == PWGOSSIPMSG_SUM)
     pwtopology_answered(&s->topology[i]);
   if (m->kind == PWGOSSIPMSG_TOTAL)
