Streams do not go on after an event without an id that is kept

Callers got events twice where a stream broke off after an event without an id, or with one of 64 bytes or more: the gateway resumed it after the last id that it had kept, which belonged to an earlier event, or from the beginning.

--- a/packages/gateway/pwevents.c
+++ b/packages/gateway/pwevents.c
@@ -78,11 +78,23 @@
     pwupconn_pause(x->u, 0);
 }
 
-/* Records the id of the last event that has one. */
+/* Events that follow the beginning of the line at `from`; its own event counts. */
+static long events_from(const char *from, const char *end) {
+  pw_sse s = {0};
+  pwsse_read(&s, from, (size_t)(end - from));
+  return s.events;
+}
+
+/* Records the id of the last of these complete events. Without it, or with one that is too long, the stream cannot go
+** on after that event. */
 static void note_id(pw_exchange *x, const char *data, size_t n) {
   size_t length;
   const char *id = pwsse_last_id(data, n, &length);
-  if (!id || length >= sizeof x->last_event)
+  if (events_from(data, data + n) == 0)
+    return; /* comments alone */
+  x->is_after_id =
+      id && length < sizeof x->last_event && events_from(id, data + n) == 1;
+  if (!x->is_after_id)
     return;
   memcpy(x->last_event, id, length);
   x->nlast_event = length;
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -82,9 +82,14 @@
   pwexi_dispatch(x);
 }
 
+/* Whether an answer that has begun can go on elsewhere without losing or repeating an event. */
+static int can_go_on(const pw_exchange *x) {
+  return !x->has_begun || x->is_after_id;
+}
+
 int pwexi_may_repeat(pw_exchange *x, int64_t now) {
-  return x->route->kind == PWSITE_SAFE && x->runs < x->route->attempts &&
-         spend_retry(x, now);
+  return x->route->kind == PWSITE_SAFE && can_go_on(x) &&
+         x->runs < x->route->attempts && spend_retry(x, now);
 }
 
 void pwexi_fail_unknown(pw_exchange *x, const char *why) {
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -98,6 +98,7 @@
   pw_buf buffered;          /* the answer, or the beginning of an event */
   char last_event[PWEX_EVENT_ID];
   size_t nlast_event;
+  int is_after_id; /* the last event forwarded has the id last_event */
 };
 
 /* Logs an event of this request. */
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -37,6 +37,8 @@
   X(error)           /* run, then answered with 500 */                         \
   X(cut)             /* run; the answer is cut in its middle */                \
   X(cut_event)       /* event in which a new stream is cut; 0: third event */  \
+  X(ids)             /* only so many first events of a stream have an id */    \
+  X(id_digits)       /* least number of digits of an id */                     \
   X(versions)        /* events name the software version, and "unframed" */    \
   X(cut_between)     /* a stream is cut before that event, not within it */    \
   X(reset)           /* run; the connection is reset without an answer */      \
@@ -207,7 +209,7 @@
 
 /* Sends `n` bytes of a stream, of which only the first `sent` follow their announced length. */
 static void send_piece(peer *p, const char *data, int n, int sent) {
-  char piece[200];
+  char piece[320];
   int m = p->is_unframed ? snprintf(piece, sizeof piece, "%.*s", sent, data)
                          : snprintf(piece, sizeof piece, "%x\r\n%.*s%s", n,
                                     sent, data, sent < n ? "" : "\r\n");
@@ -238,12 +240,15 @@
 static void send_event(peer *p) {
   if (p->event > 1 && body_begins(p, "crash-midway"))
     _exit(1);
-  char event[160], versions[ID_MAX] = "";
+  char event[300], versions[ID_MAX] = "";
   if (me.f.versions)
     snprintf(versions, sizeof versions, " %s%s", me.version,
              p->is_unframed ? " unframed" : "");
-  int n = snprintf(event, sizeof event, "id: %d\ndata: %s-%d%s\n\n", p->event,
-                   p->id, p->event, versions);
+  int n = 0;
+  if (p->event <= me.f.ids || !me.f.ids)
+    n = snprintf(event, sizeof event, "id: %0*d\n", me.f.id_digits, p->event);
+  n += snprintf(event + n, sizeof event - (size_t)n, "data: %s-%d%s\n\n", p->id,
+                p->event, versions);
   if (p->event == p->cut_at) {
     cut_stream(p, event, n);
     return;
