An unframed stream is complete only if its target still accepts a connection

Callers got a stream with neither a length nor chunks as complete although its target had crashed between two events: the crash closes the connection as an end does. Cause: an assumed end passed on as a certain one, as inside an event. Change: before the end of such a stream, which alone the caller still waits for, the gateway connects to the target. A refusal shows that it has ended: the stream is resumed or broken off. Only such streams are asked about.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -55,6 +55,7 @@
   leave_waiting_list(x);
   pwexi_leave_prefix_queue(x);
   pwexi_leave_origin_queue(x);
+  pwexi_cancel_confirmation(x);
   if (x->u) {
     pw_upconn *u = x->u;
     x->u = NULL;
@@ -420,7 +421,7 @@
     x->is_too_large = 1;
 }
 
-static void complete_stream(pw_exchange *x, int64_t now) {
+void pwexi_complete_stream(pw_exchange *x, int64_t now) {
   pwexi_note_answered(x, now);
   pwexi_record_good(x, now);
   pwfleet_answered(x->t, 0, pwclock_ms());
@@ -438,9 +439,8 @@
   pwconn_end(c);
 }
 
-/* Ends a stream whose message is complete and which was broken off all the same. Only if the target's connection
-** ended with it, the target may have crashed. */
-static void end_broken_stream(pw_exchange *x, int64_t now) {
+/* Only if the target's connection ended with the stream, the target may have crashed. */
+void pwexi_end_broken_stream(pw_exchange *x, int64_t now) {
   pwexi_log(x, PWTRACE_FAIL, "stream-cut",
             "target=%s framing=%s tail=%zu events=%ld", x->t->id,
             framing_name(x), x->buffered.len, x->events.events);
@@ -470,9 +470,10 @@
     pwfleet_failed(x->t, now);
     pwexi_fail_unknown(x, "an event of the stream is larger than the buffer");
   } else if (x->is_event_stream && pwexi_is_broken_off(x)) {
-    end_broken_stream(x, now);
+    pwexi_end_broken_stream(x, now);
   } else if (x->is_event_stream) {
-    complete_stream(x, now);
+    if (!x->ends_with_connection || !pwexi_confirm_end(x, now))
+      pwexi_complete_stream(x, now);
   } else if (x->answer_info.not_run && x->status != HTTP_STATUS_BAD_REQUEST) {
     pwexi_handle_not_run(x);
   } else if (promises_not_run(x->status)) {
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -275,6 +275,10 @@
     next = c->next;
     if (!c->state || pwexi_end_late(c->state, now))
       continue;
+    if (((pw_exchange *)c->state)->confirming) {
+      pwexi_check_confirmation(c->state, now);
+      continue;
+    }
     pwexi_tell_again(c->state, now);
     note_if_unanswered(c->state, now);
     retry_if_unresponsive(c->state, now);
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -98,7 +98,10 @@
   pw_buf buffered;          /* the answer, or the beginning of an event */
   char last_event[PWEX_EVENT_ID];
   size_t nlast_event;
-  int is_after_id; /* the last event forwarded has the id last_event */
+  pw_tcp *
+      confirming; /* a connection that shows whether the target still runs; NULL: none */
+  int64_t confirming_since; /* ms */
+  int is_after_id;          /* the last event forwarded has the id last_event */
 };
 
 /* Logs an event of this request. */
@@ -147,6 +150,24 @@
 void pwexi_on_body(void *exchange, const char *data, size_t n);
 void pwexi_on_complete(void *exchange);
 
+/* Completes a stream for its caller. */
+void pwexi_complete_stream(pw_exchange *x, int64_t now);
+
+/* Ends a stream that was broken off although its message is complete: it goes on elsewhere, or the caller's connection
+** is reset. */
+void pwexi_end_broken_stream(pw_exchange *x, int64_t now);
+
+/* --- pwexconfirm.c --- */
+
+/* Finds out whether the target of a stream that ended with its connection still runs. Returns 0 if that cannot be
+** found out, else the stream is or will be completed or broken off. */
+int pwexi_confirm_end(pw_exchange *x, int64_t now);
+
+/* Completes a stream whose target has neither accepted nor refused a connection for a while. */
+void pwexi_check_confirmation(pw_exchange *x, int64_t now);
+
+void pwexi_cancel_confirmation(pw_exchange *x);
+
 /* --- pwexprefix.c --- */
 
 /* Describes the prompt of the request, and by when its first chunk is to come; what depends on the other gateways is
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -420,8 +420,10 @@
   c->connecting = 1;
   if (connect(fd, (const struct sockaddr *)to, sizeof *to) != 0 &&
       errno != EINPROGRESS) {
+    int why = errno;
     close(fd);
     free(c);
+    errno = why;
     return NULL;
   }
   ev_io_start(l->ev, &c->wr);
