--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -112,14 +112,14 @@
     "answers broken off midway")                                               \
   X(PWC_GW_STREAM_CUT, "gateway_streams_cut_total", "counter",                 \
     "streams of targets that ended inside an event, or with nothing")          \
-  X(PWC_GW_STREAM_TAKEN_UP, "gateway_streams_taken_up_total", "counter",       \
-    "streams taken up by callers whose version was known")                     \
+  X(PWC_GW_STREAM_RESUMED, "gateway_streams_resumed_total", "counter",         \
+    "streams resumed by callers whose version was known")                      \
   X(PWC_GW_STREAM_UNKNOWN, "gateway_streams_unknown_total", "counter",         \
     "streams refused because nobody knows which version began them")           \
   X(PWC_GW_STREAM_VERSION_GONE, "gateway_streams_version_gone_total",          \
     "counter", "streams refused for want of a target of their version")        \
-  X(PWC_GW_STREAM_ASKED, "gateway_stream_questions_total", "counter",          \
-    "streams for whose version other gateways were asked")                     \
+  X(PWC_GW_STREAM_QUERIED, "gateway_stream_queries_total", "counter",          \
+    "streams for whose version other gateways were queried")                   \
   X(PWC_GW_STREAM_FOUND, "gateway_stream_answers_total", "counter",            \
     "streams whose version another gateway knew")                              \
   X(PWC_GW_STREAM_ORIGINS, "gateway_stream_origins", "gauge",                  \
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -314,7 +314,7 @@
   x->deadline_at = x->request_info.deadline_ms >= 0
                        ? x->arrived + x->request_info.deadline_ms
                        : x->timeout_at;
-  if (!pwexi_take_up(x))
+  if (!pwexi_resume_stream(x))
     pwexi_start(x);
 }
 
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -83,12 +83,12 @@
 }
 
 /* Whether an answer that has begun can go on elsewhere without losing or repeating an event. */
-static int can_go_on(const pw_exchange *x) {
+static int can_continue(const pw_exchange *x) {
   return !x->has_begun || x->is_after_id;
 }
 
 int pwexi_may_repeat(pw_exchange *x, int64_t now) {
-  return x->route->kind == PWSITE_SAFE && can_go_on(x) &&
+  return x->route->kind == PWSITE_SAFE && can_continue(x) &&
          x->runs < x->route->attempts && spend_retry(x, now);
 }
 
@@ -279,7 +279,7 @@
       pwexi_check_confirmation(c->state, now);
       continue;
     }
-    pwexi_tell_again(c->state, now);
+    pwexi_reannounce(c->state, now);
     note_if_unanswered(c->state, now);
     retry_if_unresponsive(c->state, now);
   }
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -1,5 +1,5 @@
 /* pwexint.h: state of one exchange, private to pwexchange.c, pwexsend.c, pwexfail.c,
-** pwexrecord.c, pwevents.c and pwinflight.c. */
+** pwexrecord.c, pwexprefix.c, pwexresume.c, pwexconfirm.c, pwevents.c and pwinflight.c. */
 #ifndef PWEXINT_H
 #define PWEXINT_H
 
@@ -41,15 +41,16 @@
   pw_exchange *prev,
       *next; /* in the list of requests that wait for something */
 
-  /* The version that began the stream, after its first event or when it was taken up, as in pw_target.version_hash;
+  /* The version that began the stream, after its first event or when its caller resumed it, as in pw_target.version_hash;
   ** 0: any. The request goes to no other. */
   uint64_t version;
-  uint64_t stream;   /* names the stream in pworigins; 0: it has no name */
-  int64_t told_at;   /* when other gateways were last told of its version, ms */
-  int awaits_origin; /* other gateways are asked which version began it */
-  int64_t asked_at;  /* when they were last asked, ms */
-  uint64_t asked[PWKEEPERS_MAX]; /* those asked; 0: has answered */
-  int nasked;
+  uint64_t stream;      /* names the stream in pworigins; 0: it has no name */
+  int64_t announced_at; /* when its version was last announced, ms */
+  int awaits_origin;    /* other gateways are queried for its version */
+  int64_t queried_at;   /* when they were last queried, ms */
+  uint64_t
+      queried[PWRENDEZVOUS_MAX]; /* hashes of those queried; 0: has answered */
+  int nqueried;
 
   pw_fleet_side side;   /* the version of the service to which it may be sent */
   int urgency;          /* 0 is the most urgent */
@@ -202,23 +203,23 @@
 /* Learns from the first chunk of an answer, at `now`: the time per token of prefill, and what the target has cached. */
 void pwexi_note_first_chunk(pw_exchange *x, int64_t now);
 
-/* --- pwextakeup.c --- */
+/* --- pwexresume.c --- */
 
-/* Handles a request that takes a stream up: it goes on at the version that began it, once that is known. Returns
+/* Handles a request that resumes a stream: it continues at the version that began it, once that is known. Returns
 ** whether it is one; it was then dispatched or ended, or waits. */
-int pwexi_take_up(pw_exchange *x);
+int pwexi_resume_stream(pw_exchange *x);
 
 /* Removes the request from those that wait for the version of their stream; nothing if it is not there. */
 void pwexi_leave_origin_queue(pw_exchange *x);
 
-/* Refuses a request for which no gateway has told in time which version began its stream. */
+/* Refuses a request whose stream has a version that no gateway has named in time. */
 void pwexi_end_origin_wait(pw_exchange *x);
 
-/* Notes which version makes the first event of a stream, and tells it to other gateways. */
+/* Records which version makes the first event of a stream, and announces it to other gateways. */
 void pwexi_note_begun(pw_exchange *x, int64_t now);
 
-/* Tells it again after a while, so that it is not forgotten while the stream runs. */
-void pwexi_tell_again(pw_exchange *x, int64_t now);
+/* Announces it again after a while, so that the record is kept while the stream runs. */
+void pwexi_reannounce(pw_exchange *x, int64_t now);
 
 /* --- pwexsend.c --- */
 
--- a/packages/gateway/pwextakeup.c
+++ b/packages/gateway/pwexresume.c
@@ -1,8 +1,8 @@
-/* pwextakeup.c: streams that callers take up, and the software version that began each.
+/* pwexresume.c: streams that callers resume, and the software version that began each.
 **
 ** What two versions of a service write does not fit together, and targets do not check it. The gateway that forwards
-** the first event of a stream tells some other gateways which version made it; a gateway at which the stream is taken
-** up asks them unless it knows. A stream whose version nobody knows is refused: it has not run. */
+** the first event of a stream announces to some other gateways which version made it; a gateway at which the stream is
+** resumed queries them unless it knows. A stream whose version nobody knows is refused: it has not run. */
 #include "pwexint.h"
 
 #include <string.h>
@@ -10,18 +10,18 @@
 #include <xxhash.h>
 
 /* Longest wait for the answers of other gateways, ms, and as a divisor of the time that the caller has left. */
-#define ASK_MS 800
-#define ASK_DIVISOR 3
+#define QUERY_MS 800
+#define QUERY_DIVISOR 3
 
-/* Interval of repeated questions, ms: a datagram may be lost. */
-#define ASK_AGAIN_MS 60
+/* Interval of repeated queries, ms: a datagram may be lost. */
+#define QUERY_AGAIN_MS 60
 
 /* Time after its start until which a gateway may not know all others yet, ms: it hears first of those that reached the
 ** same control instance. */
 #define SETTLED_MS 5000
 
-/* Interval at which a stream in progress is told again, ms, so that its record is not dropped. */
-#define TELL_AGAIN_MS (PWORIGINS_KEEP_MS / 2)
+/* Interval at which a stream in progress is announced again, ms, so that its record is not dropped. */
+#define REANNOUNCE_MS (PWORIGINS_KEEP_MS / 2)
 
 /* --- streams that begin --- */
 
@@ -32,11 +32,11 @@
   return XXH3_64bits_withSeed(attempt.p, attempt.n, seed);
 }
 
-static void tell(pw_exchange *x, int64_t now) {
+static void announce(pw_exchange *x, int64_t now) {
   pw_gate *g = x->g;
-  x->told_at = now;
+  x->announced_at = now;
   pworigins_note(g->origins, x->stream, x->version, 1, now);
-  pwgossip_tell_stream(g->gossip, x->stream, x->version);
+  pwgossip_announce_stream(g->gossip, x->stream, x->version);
 }
 
 void pwexi_note_begun(pw_exchange *x, int64_t now) {
@@ -47,25 +47,25 @@
     x->stream = x->request_info.id.n ? stream_of(x, x->request_info.id) : 0;
   }
   if (x->stream)
-    tell(x, now);
+    announce(x, now);
 }
 
 static int is_settled(const pw_gate *g, int64_t now) {
   return now - g->started_at >= SETTLED_MS;
 }
 
-void pwexi_tell_again(pw_exchange *x, int64_t now) {
+void pwexi_reannounce(pw_exchange *x, int64_t now) {
   pw_gate *g = x->g;
-  int are_new_known =
-      !is_settled(g, now) && pwgossip_peers_changed_at(g->gossip) >= x->told_at;
+  int are_new_known = !is_settled(g, now) &&
+                      pwgossip_peers_changed_at(g->gossip) >= x->announced_at;
   if (x->has_begun && x->stream &&
-      (are_new_known || now - x->told_at >= TELL_AGAIN_MS))
-    tell(x, now);
+      (are_new_known || now - x->announced_at >= REANNOUNCE_MS))
+    announce(x, now);
 }
 
-/* --- streams that are taken up --- */
+/* --- streams that callers resume --- */
 
-static int is_taken_up(const pw_exchange *x) {
+static int is_resumption(const pw_exchange *x) {
   return x->route->is_stream &&
          (x->request_info.last_event.p || x->request_info.resumes.p);
 }
@@ -86,16 +86,17 @@
   return service != NULL;
 }
 
-/* Goes on with a stream whose version is known. */
-static void go_on(pw_exchange *x, const pw_origin *origin, const char *source) {
+/* Continues a stream whose version is known. */
+static void continue_stream(pw_exchange *x, const pw_origin *origin,
+                            const char *source) {
   pw_gate *g = x->g;
   if (origin->version == PWORIGINS_CONFLICT) {
-    refuse_unknown(x, "targets of two versions are said to have begun it", 0);
+    refuse_unknown(x, "conflicting records of the version that began it", 0);
     return;
   }
   x->version = origin->version;
-  pwcount_add(g->p->counters, PWC_GW_STREAM_TAKEN_UP, 1);
-  pwexi_log(x, PWTRACE_ROUTINE, "taken-up",
+  pwcount_add(g->p->counters, PWC_GW_STREAM_RESUMED, 1);
+  pwexi_log(x, PWTRACE_ROUTINE, "caller-resumed",
             "of=%.*s last=%.*s version=%s source=%s known_ms=%lld",
             (int)x->request_info.resumes.n,
             x->request_info.resumes.p ? x->request_info.resumes.p : "",
@@ -122,26 +123,26 @@
 void pwexi_end_origin_wait(pw_exchange *x) {
   leave_waiting(x);
   refuse_unknown(x,
-                 "not all gateways that may know which version began it "
+                 "not all gateways that may know the version of the stream "
                  "have answered",
                  PWEX_RETRY_NO_TARGET_MS);
 }
 
-static void ask(pw_exchange *x, int64_t now) {
-  x->asked_at = now;
-  x->nasked = pwgossip_ask_stream(x->g->gossip, x->stream, x->asked);
+static void query(pw_exchange *x, int64_t now) {
+  x->queried_at = now;
+  x->nqueried = pwgossip_query_stream(x->g->gossip, x->stream, x->queried);
 }
 
-static void begin_asking(pw_exchange *x, int64_t now) {
-  int64_t wait_ms = pwexi_time_left(x) / ASK_DIVISOR;
+static void begin_query(pw_exchange *x, int64_t now) {
+  int64_t wait_ms = pwexi_time_left(x) / QUERY_DIVISOR;
   x->awaits_origin = 1;
   DL_APPEND(x->g->origin_waiters, x);
-  pwcount_add(x->g->p->counters, PWC_GW_STREAM_ASKED, 1);
-  pwexi_set_timer(x, wait_ms < ASK_MS ? wait_ms : ASK_MS);
-  ask(x, now);
+  pwcount_add(x->g->p->counters, PWC_GW_STREAM_QUERIED, 1);
+  pwexi_set_timer(x, wait_ms < QUERY_MS ? wait_ms : QUERY_MS);
+  query(x, now);
 }
 
-/* Notes of which version all targets of a service are. */
+/* Records the version of all targets of a service, if they are of one. */
 static void note_only_version(pw_gate *g, pw_gate_service *s, int64_t now) {
   uint64_t version = pwfleet_only_version(g->fleet, s->name);
   if (version == 0 || version == s->only_version)
@@ -175,38 +176,38 @@
   return 1;
 }
 
-int pwexi_take_up(pw_exchange *x) {
+int pwexi_resume_stream(pw_exchange *x) {
   int64_t now = pwclock_ms();
   pw_origin origin;
-  if (!is_taken_up(x))
+  if (!is_resumption(x))
     return 0;
   if (!x->request_info.resumes.p || !x->request_info.resumes.n) {
     if (find_only_version(x, now, &origin))
-      go_on(x, &origin, "only-version");
+      continue_stream(x, &origin, "only-version");
     else
-      refuse_unknown(x, "it does not name the attempt that began the stream",
-                     0);
+      refuse_unknown(
+          x, "the request does not name the attempt that began the stream", 0);
     return 1;
   }
   x->stream = stream_of(x, x->request_info.resumes);
   if (pworigins_find(x->g->origins, x->stream, now, &origin))
-    go_on(x, &origin, origin.is_own ? "own" : "told");
+    continue_stream(x, &origin, origin.is_own ? "own" : "announced");
   else
-    begin_asking(x, now);
+    begin_query(x, now);
   return 1;
 }
 
 /* --- answers of other gateways --- */
 
-/* Whether all gateways that were asked have answered that they do not know the stream. */
+/* Whether all gateways queried have answered that they do not know the stream. */
 static int note_unknown(pw_exchange *x, uint64_t from) {
   int left = 0;
-  for (int i = 0; i < x->nasked; i++) {
-    if (x->asked[i] == from)
-      x->asked[i] = 0;
-    left += x->asked[i] != 0;
+  for (int i = 0; i < x->nqueried; i++) {
+    if (x->queried[i] == from)
+      x->queried[i] = 0;
+    left += x->queried[i] != 0;
   }
-  return x->nasked > 0 && left == 0;
+  return x->nqueried > 0 && left == 0;
 }
 
 void pwexchange_origin_answered(pw_gate *g, uint64_t stream, uint64_t from,
@@ -219,10 +220,11 @@
       leave_waiting(x);
       pworigins_note(g->origins, stream, origin->version, 0, pwclock_ms());
       pwcount_add(g->p->counters, PWC_GW_STREAM_FOUND, 1);
-      go_on(x, origin, "asked");
+      continue_stream(x, origin, "queried");
     } else if (note_unknown(x, from) && is_settled(g, pwclock_ms())) {
       leave_waiting(x);
-      refuse_unknown(x, "no gateway knows which version began it", 0);
+      refuse_unknown(x, "no gateway knows the version that began the stream",
+                     0);
     }
   }
 }
@@ -240,7 +242,7 @@
 void pwexchange_check_origins(pw_gate *g, int64_t now) {
   pw_exchange *x, *next;
   DL_FOREACH_SAFE(g->origin_waiters, x, next) {
-    if (now - x->asked_at >= ASK_AGAIN_MS)
-      ask(x, now);
+    if (now - x->queried_at >= QUERY_AGAIN_MS)
+      query(x, now);
   }
 }
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -11,10 +11,10 @@
 #include "pwconn.h"
 #include "pwdialect.h"
 #include "pwfleet.h"
-#include "pwkeepers.h"
 #include "pworigins.h"
 #include "pwproc.h"
 #include "pwquarantine.h"
+#include "pwrendezvous.h"
 #include "pwretries.h"
 #include "pwshare.h"
 #include "pwshed.h"
@@ -83,7 +83,7 @@
   /* Requests that wait for a configuration, oldest first. */
   pw_exchange *awaiting;
   int nawaiting;
-  /* Streams that were taken up and wait to hear which version began them, oldest first. */
+  /* Requests that resume a stream and wait for the answers to which version began it, oldest first. */
   pw_exchange *origin_waiters;
   pw_origins *origins; /* which version began which stream */
   /* Requests that wait for another request's prefill of the prefix that they share, oldest first. */
@@ -162,14 +162,14 @@
 /* The caller has read all that was written to it. */
 void pwexchange_resume(void *exchange);
 
-/* --- pwextakeup.c --- */
+/* --- pwexresume.c --- */
 
-/* An answer of another gateway, with this hash, to the question which version began a stream; NULL: it does not
+/* An answer of another gateway, with this hash, to the query which version began a stream; NULL: it does not
 ** know. */
 void pwexchange_origin_answered(pw_gate *g, uint64_t stream, uint64_t from,
                                 const pw_origin *origin);
 
-/* Repeats questions that have no answer. */
+/* Repeats queries that have no answer. */
 void pwexchange_check_origins(pw_gate *g, int64_t now);
 
 /* Drops old records, and notes which services have targets of one version alone. */
@@ -253,21 +253,21 @@
 /* Queues an announcement that a target has the prefix of this key cached, or computes it. */
 void pwgossip_announce_prefix(pw_gossip *s, uint64_t key, uint32_t target);
 
-/* Gateways that are told which version began a stream, and gateways that are asked for it: more, since their lists
-** may differ, and the gateway at which it began is not among its own keepers. */
-#define PWGOSSIP_STREAM_KEEPERS 4
-#define PWGOSSIP_STREAM_ASKED 6
+/* Gateways that hold the record of which version began a stream, and gateways that are queried for it: more, since
+** their lists may differ, and the gateway at which it began is not among its own holders. */
+#define PWGOSSIP_STREAM_HOLDERS 4
+#define PWGOSSIP_STREAM_QUERIED 6
 
-/* Tells the keepers of a stream which version began it. */
-void pwgossip_tell_stream(pw_gossip *s, uint64_t stream, uint64_t version);
+/* Announces to the holders of a stream's record which version began it. */
+void pwgossip_announce_stream(pw_gossip *s, uint64_t stream, uint64_t version);
 
 /* When the number of known gateways last changed, ms. */
 int64_t pwgossip_peers_changed_at(const pw_gossip *s);
 
-/* Asks the keepers of a stream which version began it; pwexchange_origin_answered gets each answer, with the hash of
-** the address that it comes from. Sets the hashes of the gateways asked and returns their number. */
-int pwgossip_ask_stream(pw_gossip *s, uint64_t stream,
-                        uint64_t asked[PWKEEPERS_MAX]);
+/* Queries the holders of a stream's record; pwexchange_origin_answered gets each answer, with the hash of
+** the address that it comes from. Sets the hashes of the gateways queried and returns their number. */
+int pwgossip_query_stream(pw_gossip *s, uint64_t stream,
+                          uint64_t queried[PWRENDEZVOUS_MAX]);
 
 /* Sends this gateway's loads to the others and sums up the loads received. */
 void pwgossip_tick(pw_gossip *s, int64_t now);
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -5,9 +5,9 @@
 #include "pwgate.h"
 
 #include "pwgossipmsg.h"
-#include "pwkeepers.h"
 #include "pwlog.h"
 #include "pwprefixsync.h"
+#include "pwrendezvous.h"
 #include "pwsuspects.h"
 #include "pwtopology.h"
 
@@ -414,22 +414,22 @@
 
 /* --- which version began a stream --- */
 
-/* Fills `to` with the indices of the gateways that keep what is known of a stream. Returns their number. */
-static int keepers_of(const pw_gossip *s, uint64_t stream, int want,
-                      int to[PWKEEPERS_MAX]) {
+/* Fills `to` with the indices of the gateways that hold the record of a stream. Returns their number. */
+static int holders_of(const pw_gossip *s, uint64_t stream, int want,
+                      int to[PWRENDEZVOUS_MAX]) {
   uint64_t *others = pw_alloc(sizeof *others * (size_t)s->npeers);
   for (int i = 1; i < s->npeers; i++)
     others[i - 1] = s->topology[i].hash;
-  int n = pwkeepers_choose(others, s->npeers - 1, stream, want, to);
+  int n = pwrendezvous_choose(others, s->npeers - 1, stream, want, to);
   for (int i = 0; i < n; i++)
     to[i]++; /* peers[0] is this gateway */
   free(others);
   return n;
 }
 
-void pwgossip_tell_stream(pw_gossip *s, uint64_t stream, uint64_t version) {
-  int to[PWKEEPERS_MAX];
-  receivers l = {s, to, keepers_of(s, stream, PWGOSSIP_STREAM_KEEPERS, to)};
+void pwgossip_announce_stream(pw_gossip *s, uint64_t stream, uint64_t version) {
+  int to[PWRENDEZVOUS_MAX];
+  receivers l = {s, to, holders_of(s, stream, PWGOSSIP_STREAM_HOLDERS, to)};
   Pw__StreamOrigin m = PW__STREAM_ORIGIN__INIT;
   m.stream = stream;
   m.version = version;
@@ -439,16 +439,16 @@
                             send_datagram, &l);
 }
 
-int pwgossip_ask_stream(pw_gossip *s, uint64_t stream,
-                        uint64_t asked[PWKEEPERS_MAX]) {
-  int to[PWKEEPERS_MAX];
-  receivers l = {s, to, keepers_of(s, stream, PWGOSSIP_STREAM_ASKED, to)};
+int pwgossip_query_stream(pw_gossip *s, uint64_t stream,
+                          uint64_t queried[PWRENDEZVOUS_MAX]) {
+  int to[PWRENDEZVOUS_MAX];
+  receivers l = {s, to, holders_of(s, stream, PWGOSSIP_STREAM_QUERIED, to)};
   Pw__StreamOrigin m = PW__STREAM_ORIGIN__INIT;
   m.stream = stream;
   for (int i = 0; i < l.n; i++)
-    asked[i] = s->topology[to[i]].hash;
+    queried[i] = s->topology[to[i]].hash;
   if (l.n)
-    pwgossipmsg_pack_stream(PWGOSSIPMSG_STREAMS_ASKED,
+    pwgossipmsg_pack_stream(PWGOSSIPMSG_STREAMS_QUERIED,
                             pwwire_incarnation(s->g->p->wire), &m,
                             send_datagram, &l);
   return l.n;
@@ -485,7 +485,7 @@
     pworigins_note(s->g->origins, m->stream, m->version, 0, now);
     return;
   }
-  if (kind == PWGOSSIPMSG_STREAMS_ASKED) {
+  if (kind == PWGOSSIPMSG_STREAMS_QUERIED) {
     answer_stream(s, from, m->stream, now);
     return;
   }
@@ -496,7 +496,7 @@
 
 static int is_about_streams(uint32_t kind) {
   return kind == PWGOSSIPMSG_STREAMS_BEGUN ||
-         kind == PWGOSSIPMSG_STREAMS_ASKED ||
+         kind == PWGOSSIPMSG_STREAMS_QUERIED ||
          kind == PWGOSSIPMSG_STREAMS_ANSWERED;
 }
 
--- a/packages/gateway/pwgossipmsg.h
+++ b/packages/gateway/pwgossipmsg.h
@@ -21,9 +21,9 @@
   PWGOSSIPMSG_SUM, /* sum of a group, to the aggregators of the other groups */
   PWGOSSIPMSG_TOTAL,    /* sum of all groups, to the members of a group */
   PWGOSSIPMSG_SUSPECTS, /* no loads: requests whose targets crashed */
-  /* No loads: which version began streams, as told, asked for and answered. */
+  /* No loads: which version began a stream, as announced, queried and answered. */
   PWGOSSIPMSG_STREAMS_BEGUN,
-  PWGOSSIPMSG_STREAMS_ASKED,
+  PWGOSSIPMSG_STREAMS_QUERIED,
   PWGOSSIPMSG_STREAMS_ANSWERED
 } pw_gossip_kind;
 
--- a/packages/policy/pwkeepers.c
+++ b/packages/policy/pwrendezvous.c
@@ -1,5 +1,5 @@
-/* pwkeepers.c: which members of a group keep a record, by rendezvous hashing. */
-#include "pwkeepers.h"
+/* pwrendezvous.c: which members of a group hold a record, by rendezvous hashing. */
+#include "pwrendezvous.h"
 
 #include <xxhash.h>
 
@@ -7,12 +7,12 @@
   return XXH3_64bits_withSeed(&member, sizeof member, key);
 }
 
-int pwkeepers_choose(const uint64_t *member, int n, uint64_t key, int want,
-                     int chosen[PWKEEPERS_MAX]) {
-  uint64_t rank[PWKEEPERS_MAX];
+int pwrendezvous_choose(const uint64_t *member, int n, uint64_t key, int want,
+                        int chosen[PWRENDEZVOUS_MAX]) {
+  uint64_t rank[PWRENDEZVOUS_MAX];
   int count = 0;
-  if (want > PWKEEPERS_MAX)
-    want = PWKEEPERS_MAX;
+  if (want > PWRENDEZVOUS_MAX)
+    want = PWRENDEZVOUS_MAX;
   for (int i = 0; i < n; i++) {
     uint64_t own = rank_of(member[i], key);
     int at = count;
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -1017,7 +1017,7 @@
   size_t n_suspects;
   Pw__Suspect **suspects;
   /*
-   * kinds 5, 6, 7: these alone
+   * kinds 5 announced, 6 queried, 7 answered: these alone
    */
   size_t n_streams;
   Pw__StreamOrigin **streams;
--- a/tests/test_origins.c
+++ b/tests/test_origins.c
@@ -1,8 +1,8 @@
 /* test_origins.c: unit tests of what gateways remember of the version that began a stream, and of who keeps it. A
 ** record that is forgotten too soon ends a stream for its caller, and a wrong one joins what two versions wrote;
 ** 77_stream_versions tests the same with processes. */
-#include "pwkeepers.h"
 #include "pworigins.h"
+#include "pwrendezvous.h"
 #include "pwtest.h"
 
 enum { MANY = 3 * PWORIGINS_MAX, MEMBERS = 350, KEYS = 2000, WANT = 4 };
@@ -76,9 +76,8 @@
   return 0;
 }
 
-/* Those who are asked include those who were told, also where the asker is itself a keeper, and one gateway more or
-** less is on its list. */
-static void test_asked_were_told(void) {
+/* Those queried include the holders, also where the one that queries is itself a holder and its list differs by one. */
+static void test_holders_are_queried(void) {
   pw_random r = {.seed = test_seed(72)};
   uint64_t member[MEMBERS];
   int counts[MEMBERS] = {0};
@@ -86,14 +85,14 @@
     member[i] = pwrand(&r);
   for (int k = 0; k < KEYS; k++) {
     uint64_t key = pwrand(&r);
-    int told[PWKEEPERS_MAX], asked[PWKEEPERS_MAX];
-    int ntold = pwkeepers_choose(member, MEMBERS - 1, key, WANT, told);
-    int nasked =
-        pwkeepers_choose(member + 1, MEMBERS - 1, key, WANT + 2, asked);
-    CHECK(ntold == WANT && nasked == WANT + 2);
-    for (int i = 0; i < ntold; i++) {
-      counts[told[i]]++;
-      CHECK(told[i] == 0 || is_among(told[i] - 1, asked, nasked));
+    int held[PWRENDEZVOUS_MAX], queried[PWRENDEZVOUS_MAX];
+    int nheld = pwrendezvous_choose(member, MEMBERS - 1, key, WANT, held);
+    int nqueried =
+        pwrendezvous_choose(member + 1, MEMBERS - 1, key, WANT + 2, queried);
+    CHECK(nheld == WANT && nqueried == WANT + 2);
+    for (int i = 0; i < nheld; i++) {
+      counts[held[i]]++;
+      CHECK(held[i] == 0 || is_among(held[i] - 1, queried, nqueried));
     }
   }
   for (int i = 0; i < MEMBERS - 1; i++) /* the mean is 23 */
@@ -102,10 +101,10 @@
 
 static void test_few_members(void) {
   uint64_t member[] = {5, 6, 7};
-  int chosen[PWKEEPERS_MAX];
-  CHECK(pwkeepers_choose(member, 0, 1, WANT, chosen) == 0);
-  CHECK(pwkeepers_choose(member, 3, 1, 0, chosen) == 0);
-  CHECK(pwkeepers_choose(member, 3, 1, 2 * PWKEEPERS_MAX, chosen) == 3);
+  int chosen[PWRENDEZVOUS_MAX];
+  CHECK(pwrendezvous_choose(member, 0, 1, WANT, chosen) == 0);
+  CHECK(pwrendezvous_choose(member, 3, 1, 0, chosen) == 0);
+  CHECK(pwrendezvous_choose(member, 3, 1, 2 * PWRENDEZVOUS_MAX, chosen) == 3);
   CHECK(is_among(0, chosen, 3) && is_among(1, chosen, 3) &&
         is_among(2, chosen, 3));
 }
@@ -115,7 +114,7 @@
   TEST(test_kept_and_dropped);
   TEST(test_conflict);
   TEST(test_bounded);
-  TEST(test_asked_were_told);
+  TEST(test_holders_are_queried);
   TEST(test_few_members);
   TESTS_END();
 }
