A connection confirms that a target runs only if it stays open

A killed target's answer still looked complete, once, in 79_target_ends_between_events under sanitizers: the gateway's line is answered events=3, 1 ms after the kill. Cause: the kernel closes the listening socket of a process among its other sockets, so that a connection may be accepted right after the end of the answer. Change: a connection that ends within 50 ms is made again, three in all; a refusal shows that the target has ended.

--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -102,7 +102,9 @@
   pw_tcp *
       confirming; /* a connection that shows whether the target still runs; NULL: none */
   int64_t confirming_since; /* ms */
-  int is_after_id;          /* the last event forwarded has the id last_event */
+  ev_timer confirm_hold;    /* runs while that connection is established */
+  int confirm_attempts;
+  int is_after_id; /* the last event forwarded has the id last_event */
 };
 
 /* Logs an event of this request. */
