--- a/packages/control/pwctlcall.c
+++ b/packages/control/pwctlcall.c
@@ -224,9 +224,11 @@
   } else if (call->op == PW_API_ROLLOUT_READ) {
     pwrolloutapi_read(c, call);
   } else {
-    call->change = pwrolloutapi_order(c, call);
-    if (call->change)
-      propose_change(c, call, now);
+    Pw__Change *change = pwrolloutapi_order(c, call);
+    if (!change)
+      return; /* the call was answered, and may have been freed */
+    call->change = change;
+    propose_change(c, call, now);
   }
 }
 
