--- a/packages/gateway/pwevents.c
+++ b/packages/gateway/pwevents.c
@@ -78,11 +78,11 @@
     pwupconn_pause(x->u, 0);
 }
 
-/* Events that follow the beginning of the line at `from`; its own event counts. */
-static long events_from(const char *from, const char *end) {
+/* Whether the event with the id field at `id` is the last one before `end`. */
+static int is_last_event(const char *id, const char *end) {
   pw_sse s = {0};
-  pwsse_read(&s, from, (size_t)(end - from));
-  return s.events;
+  pwsse_read(&s, id, (size_t)(end - id));
+  return s.events == 1;
 }
 
 /* Records the id of the last of these complete events. Without it, or with one that is too long, the stream cannot go
@@ -90,10 +90,8 @@
 static void note_id(pw_exchange *x, const char *data, size_t n) {
   size_t length;
   const char *id = pwsse_last_id(data, n, &length);
-  if (events_from(data, data + n) == 0)
-    return; /* comments alone */
   x->is_after_id =
-      id && length < sizeof x->last_event && events_from(id, data + n) == 1;
+      id && length < sizeof x->last_event && is_last_event(id, data + n);
   if (!x->is_after_id)
     return;
   memcpy(x->last_event, id, length);
@@ -105,21 +103,23 @@
     x->is_too_large = 1;
   if (x->is_too_large)
     return;
-  size_t before = x->buffered.len;
+  long events_before = x->events.events;
   size_t complete = pwsse_read(&x->events, data, n);
   if (complete == 0) {
     pwbuf_add(&x->buffered, data, n);
     return;
   }
-  if (before == 0) {
-    note_id(x, data, complete);
-    pwexi_forward(x, data, complete);
-  } else {
+  const char *events = data;
+  size_t length = complete;
+  if (x->buffered.len) {
     pwbuf_add(&x->buffered, data, complete);
-    note_id(x, x->buffered.data, x->buffered.len);
-    pwexi_forward(x, x->buffered.data, x->buffered.len);
-    x->buffered.len = 0;
+    events = x->buffered.data;
+    length = x->buffered.len;
   }
+  if (x->events.events > events_before) /* not comments alone */
+    note_id(x, events, length);
+  pwexi_forward(x, events, length);
+  x->buffered.len = 0;
   pwbuf_add(&x->buffered, data + complete, n - complete);
 }
 
--- a/packages/gateway/pwexconfirm.c
+++ b/packages/gateway/pwexconfirm.c
@@ -92,7 +92,9 @@
     close_connection(x);
 }
 
-void pwexi_check_confirmation(pw_exchange *x, int64_t now) {
-  if (x->confirming && now - x->confirming_since >= CONFIRM_MS)
-    end_as_complete(x, now);
+int pwexi_end_confirmation(pw_exchange *x, int64_t now) {
+  if (!x->confirming || now - x->confirming_since < CONFIRM_MS)
+    return 0;
+  end_as_complete(x, now);
+  return 1;
 }
--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -273,12 +273,9 @@
 void pwexchange_check(pw_gate *g, int64_t now) {
   for (pw_conn *c = g->callers.first, *next; c; c = next) {
     next = c->next;
-    if (!c->state || pwexi_end_late(c->state, now))
+    if (!c->state || pwexi_end_late(c->state, now) ||
+        pwexi_end_confirmation(c->state, now))
       continue;
-    if (((pw_exchange *)c->state)->confirming) {
-      pwexi_check_confirmation(c->state, now);
-      continue;
-    }
     pwexi_reannounce(c->state, now);
     note_if_unanswered(c->state, now);
     retry_if_unresponsive(c->state, now);
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -165,8 +165,9 @@
 ** found out; else the answer was ended, or will be. */
 int pwexi_confirm_end(pw_exchange *x, int64_t now);
 
-/* Ends an answer whose target has neither accepted nor refused a connection for a while. */
-void pwexi_check_confirmation(pw_exchange *x, int64_t now);
+/* Ends an answer whose target has neither accepted nor refused a connection for a while. Returns whether it was
+** ended. */
+int pwexi_end_confirmation(pw_exchange *x, int64_t now);
 
 void pwexi_cancel_confirmation(pw_exchange *x);
 
--- a/packages/gateway/pwexresume.c
+++ b/packages/gateway/pwexresume.c
@@ -110,18 +110,15 @@
     pwexi_refuse_version_gone(x);
 }
 
-static void leave_waiting(pw_exchange *x) {
-  DL_DELETE(x->g->origin_waiters, x);
-  x->awaits_origin = 0;
-}
-
 void pwexi_leave_origin_queue(pw_exchange *x) {
-  if (x->awaits_origin)
-    leave_waiting(x);
+  if (!x->awaits_origin)
+    return;
+  x->awaits_origin = 0;
+  DL_DELETE(x->g->origin_waiters, x);
 }
 
 void pwexi_end_origin_wait(pw_exchange *x) {
-  leave_waiting(x);
+  pwexi_leave_origin_queue(x);
   refuse_unknown(x,
                  "not all gateways that may know the version of the stream "
                  "have answered",
@@ -217,12 +214,12 @@
     if (x->stream != stream)
       continue;
     if (origin) {
-      leave_waiting(x);
+      pwexi_leave_origin_queue(x);
       pworigins_note(g->origins, stream, origin->version, 0, pwclock_ms());
       pwcount_add(g->p->counters, PWC_GW_STREAM_FOUND, 1);
       continue_stream(x, origin, "queried");
     } else if (note_unknown(x, from) && is_settled(g, pwclock_ms())) {
-      leave_waiting(x);
+      pwexi_leave_origin_queue(x);
       refuse_unknown(x, "no gateway knows the version that began the stream",
                      0);
     }
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -541,14 +541,14 @@
 
 static void handle_message(pw_gossip *s, const struct sockaddr_in *from,
                            const Pw__Gossip *m) {
-  int64_t now = pwclock_ms();
-  int i = find(s, from);
   /* Lists of gateways lag behind starts and pauses, when streams break: these messages count from any gateway. */
   if (is_about_streams(m->kind)) {
     for (size_t k = 0; k < m->n_streams; k++)
       receive_stream(s, from, m->kind, m->streams[k]);
     return;
   }
+  int64_t now = pwclock_ms();
+  int i = find(s, from);
   if (i <= 0)
     return;
   if (m->kind == PWGOSSIPMSG_SUSPECTS) {
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -41,7 +41,6 @@
   X(ids)             /* only so many first events of a stream have an id */    \
   X(id_digits)       /* least number of digits of an id */                     \
   X(versions)        /* events name the software version, and "unframed" */    \
-  X(cut_between)     /* a stream is cut before that event, not within it */    \
   X(reset)           /* run; the connection is reset without an answer */      \
   X(mute)            /* run; nothing is sent and the connection stays open */  \
   X(extra)           /* a second answer after the complete one */              \
@@ -231,13 +230,6 @@
   next(p);
 }
 
-/* Breaks the stream off within its next event, or before it. */
-static void cut_stream(peer *p, const char *event, int n) {
-  if (!me.f.cut_between)
-    send_piece(p, event, n, n / 2);
-  close_stream(p);
-}
-
 static void send_event(peer *p) {
   if (p->event > 1 && body_begins(p, "crash-midway"))
     _exit(1);
@@ -251,7 +243,8 @@
   n += snprintf(event + n, sizeof event - (size_t)n, "data: %s-%d%s\n\n", p->id,
                 p->event, versions);
   if (p->event == p->cut_at) {
-    cut_stream(p, event, n);
+    send_piece(p, event, n, n / 2);
+    close_stream(p);
     return;
   }
   send_piece(p, event, n, n);
--- a/tests/scenarios/25_gateway_faults.lua
+++ b/tests/scenarios/25_gateway_faults.lua
@@ -7,11 +7,7 @@
 g:start()
 g:wait_budgets()
 
-local function all(prefix, fault)
-  for _, t in ipairs(g.targets) do
-    if t.name:find("^" .. prefix) then t:fault(fault) end
-  end
-end
+local function all(prefix, fault) g:fault(prefix, fault) end
 local function clear(prefix, fault) all(prefix, fault .. "=0") end
 
 -- Refusals with proof that nothing ran: another target runs the request, also one that may run only once.
--- a/tests/scenarios/77_stream_versions.lua
+++ b/tests/scenarios/77_stream_versions.lua
@@ -12,15 +12,8 @@
 g:start()
 g:wait_budgets()
 
-local function set(fault)
-  for _, t in ipairs(engines) do
-    if not t.gone then t:fault(fault) end
-  end
-end
+local function set(fault) g:fault("engine", fault) end
 set("versions=1")
-for _, p in ipairs(g.gateways) do
-  fleet.eventually(p.name .. " knows the other gateways", function() return p:counter("gateway_gateways") >= #g.gateways end)
-end
 
 local asked = 0
 local function call(o)
@@ -116,9 +109,7 @@
   end
   for _, k in ipairs(killed) do g.gateways[k]:start() end
   g:wait_ready()
-  for _, p in ipairs(g.gateways) do
-    fleet.eventually(p.name .. " knows the other gateways", function() return p:counter("gateway_gateways") >= #g.gateways end)
-  end
+  g:wait_budgets()
 end
 
 -- A gateway that has just started asks the others.
@@ -126,7 +117,7 @@
 g.gateways[2]:kill()
 g.gateways[2]:start()
 g:wait_ready()
-fleet.eventually("it knows the other gateways", function() return g.gateways[2]:counter("gateway_gateways") >= #g.gateways end)
+g:wait_budgets()
 for i, s in ipairs(streams) do
   check_stream("taken up at a new start " .. i, {s.answer, take_up(s.answer, s.id, g.gateways[2])})
 end
--- a/tests/scenarios/78_resume_without_ids.lua
+++ b/tests/scenarios/78_resume_without_ids.lua
@@ -7,11 +7,7 @@
 g:start()
 g:wait_budgets()
 
-local function set(fault)
-  for _, t in ipairs(g.targets) do
-    if t.service == "llm" then t:fault(fault) end
-  end
-end
+local function set(fault) g:fault("engine", fault) end
 
 local asked = 0
 local function ask(faults)
--- a/tests/scenarios/79_target_ends_between_events.lua
+++ b/tests/scenarios/79_target_ends_between_events.lua
@@ -7,9 +7,6 @@
 g:start()
 g:wait_budgets()
 
-local function set(t, faults)
-  for _, f in ipairs(faults) do t:fault(f) end
-end
 local engines = {}
 for _, t in ipairs(g.targets) do
   if t.service == "llm" then engines[#engines + 1] = t end
@@ -19,10 +16,9 @@
 local asked = 0
 local function ask_and_kill(path)
   local before = {}
-  for i, t in ipairs(engines) do
-    set(t, {"unframed=100", "gap=100"})
-    before[i] = t:stats().total
-  end
+  g:fault("engine", "unframed=100")
+  g:fault("engine", "gap=100")
+  for i, t in ipairs(engines) do before[i] = t:stats().total end
   asked = asked + 1
   local c, id = g:call{path = path, events = EVENTS, body = "question " .. asked}
   local handle = run.http_start(c)
@@ -50,7 +46,8 @@
 end
 
 -- A target that lives has ended its stream by itself.
-for _, t in ipairs(engines) do set(t, {"unframed=100", "gap=0"}) end
+g:fault("engine", "unframed=100")
+g:fault("engine", "gap=0")
 for i = 1, 3 do
   local r = g:ask{path = "/chat/x", events = EVENTS, body = "a whole one " .. i}
   fleet.expect("whole " .. i, gateways.is_stream(r, EVENTS))
@@ -61,10 +58,7 @@
 for _, t in ipairs(g.targets) do
   if t.service == "portal" then portals[#portals + 1] = t end
 end
-local function set_portals(fault)
-  for _, t in ipairs(portals) do t:fault(fault) end
-end
-set_portals("unframed=100")
+g:fault("portal", "unframed=100")
 local ended = fleet.end_counter(portals)
 local r = g:ask{path = "/once/a", body = "end-in-answer 1"}
 fleet.equal("half an answer of a target that ended", r.status, 502)
@@ -75,7 +69,7 @@
     t:start()
   end
 end
-set_portals("unframed=100")
+g:fault("portal", "unframed=100")
 for i = 1, 6 do
   r = g:ask{path = "/once/a", body = "x"}
   fleet.equal("a whole answer " .. i, r.body, "POST /once/a " .. r.id .. " 1")
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -273,6 +273,13 @@
   return n == events
 end
 
+-- Sets a fault at all running targets whose name starts with prefix.
+function gateways:fault(prefix, fault)
+  for _, t in ipairs(self.targets) do
+    if t.name:find("^" .. prefix) and not t.gone then t:fault(fault) end
+  end
+end
+
 -- Sum of a figure of /stats over the running targets whose name starts with prefix.
 function gateways:sum(prefix, figure)
   local n = 0
--- a/tests/soak.lua
+++ b/tests/soak.lua
@@ -438,10 +438,9 @@
 -- Streams without framing, cut inside an event or not; of each engine at once, so that many break together.
 local function cut_streams()
   local event, framing = 1 + draw(6), draw(2) == 1 and 1000 or 0
-  local hit = running(g.targets)
-  for _, t in ipairs(hit) do
+  for _, t in ipairs(running(g.targets)) do
     if t.service == "llm" then
-      for _, name in ipairs{"cut_event=" .. event, "unframed=" .. framing, "gap=" .. 10 * draw(4), "cut=" .. draw(4)} do t:fault(name) end
+      for _, fault in ipairs{"cut_event=" .. event, "unframed=" .. framing, "gap=" .. 10 * draw(4), "cut=" .. draw(4)} do t:fault(fault) end
     end
   end
   return string.format("cut streams in event %d, %s", event, framing > 0 and "unframed" or "in chunks"), function()
