A target that was slow once is measured again: durations older than 5 s do not count

Callers saw all plain requests of a service at one target while one request at a time was under way; nothing was lost or late.

Cause: pwpick_least takes the target with the least load times usual duration. Only a target's own answers changed its duration, so one slow answer kept an idle target out for good; and answers within a millisecond changed nothing, since 0 ms meant "not measured".

Fix: a duration measured more than 5 s ago is stale. An idle target without a newer one counts as fast as the fastest, for one request at a time, whose duration replaces the old one. Answers within a millisecond count as 1 ms.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -424,7 +424,7 @@
 static void complete_stream(pw_exchange *x, int64_t now) {
   pwexi_note_answered(x, now);
   pwexi_record_good(x, now);
-  pwfleet_answered(x->t, 0, pwclock_ms());
+  pwfleet_answered(x->t, pwclock_ms());
   if (!x->is_late)
     pwprefill_answered(&x->service_state->prefill, 0);
   if (!x->has_begun)
@@ -490,7 +490,8 @@
     if (is_good) {
       pwexi_note_answered(x, now);
       pwexi_record_good(x, now);
-      pwfleet_answered(x->t, (double)pwexi_target_ms(x, now), now);
+      pwfleet_answered(x->t, now);
+      pwfleet_measured(x->t, (double)pwexi_target_ms(x, now), now);
       pwexi_note_cached(x, now);
     } else if (x->status / 100 == 5) {
       pwexi_record_bad(x);
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -96,6 +96,7 @@
   int64_t received_at; /* time of the newest byte from it, ms, moved forward by
                        ** stalls of this process */
   double work_ms;      /* smoothed duration of a request; 0: not measured */
+  int64_t measured_at; /* time of the newest measurement of work_ms, ms */
   pw_fleet_side side;
   int is_in_canary; /* PWFLEET_NEW_VERSION only: it gets requests already */
   int refs;
@@ -318,11 +319,13 @@
 pw_fleet_picked pwfleet_pick(pw_fleet *f, const pw_fleet_criteria *criteria,
                              int64_t now);
 
-/* Records a valid answer of a target after work_ms (0: not measured), or a request that ended
-** without one. */
-void pwfleet_answered(pw_target *t, double work_ms, int64_t now);
+/* Records a valid answer of a target, or a request that ended without one. */
+void pwfleet_answered(pw_target *t, int64_t now);
 void pwfleet_failed(pw_target *t, int64_t now);
 
+/* Records how long a target took for a request. */
+void pwfleet_measured(pw_target *t, double ms, int64_t now);
+
 /* Records that no connection to a target came up. */
 void pwfleet_connect_failed(pw_target *t, int64_t now);
 
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -28,10 +28,14 @@
 #define ERROR_HALF_MS 1500.0
 #define ERROR_MARGIN 0.2
 
-/* Smoothed duration of a request: weight of the newest measurement, and the value while no
-** target of a service has been measured, ms. */
+/* Smoothed duration of a request: weight of the newest measurement; the value while no target of
+** a service has been measured, ms; and the least value, the resolution of the clock, ms. */
 #define WORK_WEIGHT 0.1
 #define WORK_FIRST_MS 50
+#define WORK_LEAST_MS 1
+
+/* A duration that was measured longer ago than this says nothing of the target any more, ms. */
+#define WORK_STALE_MS 5000
 
 /* A target counts as new for this multiple of keep_ms: by then each prompt that belongs there has
 ** been sent there, and is in its prompt cache. */
@@ -58,10 +62,11 @@
   const char *service;
   pw_fleet_side side;
   int64_t now;
-  int64_t oldest; /* earliest joined_at, ms */
-  double errors;  /* mean error share */
-  double others;  /* mean number of other gateways' requests */
-  double work_ms; /* mean measured duration of a request */
+  int64_t oldest;       /* earliest joined_at, ms */
+  double errors;        /* mean error share */
+  double others;        /* mean number of other gateways' requests */
+  double work_ms;       /* mean measured duration of a request */
+  double least_work_ms; /* the same of the fastest target */
   int most_silent; /* more than half are silent: the receiver of the heartbeats is at fault */
   int has_answering; /* some usable target is not suspected of leaving requests unanswered */
 } service_stats;
@@ -89,6 +94,8 @@
     s.errors += errors_of(t, now);
     s.others += t->others;
     s.work_ms += t->work_ms;
+    if (t->work_ms > 0 && (measured == 0 || t->work_ms < s.least_work_ms))
+      s.least_work_ms = t->work_ms;
     measured += t->work_ms > 0;
     silent += t->is_silent;
     suspected += t->unanswered.is_suspected;
@@ -97,6 +104,7 @@
   s.errors = n ? s.errors / n : 0;
   s.others = n ? s.others / n : 0;
   s.work_ms = measured ? s.work_ms / measured : WORK_FIRST_MS;
+  s.least_work_ms = measured ? s.least_work_ms : WORK_FIRST_MS;
   s.most_silent = 2 * silent > n;
   s.has_answering = suspected && has_answering(f, &s);
   return s;
@@ -108,6 +116,19 @@
   return t->work_ms > 0 ? t->work_ms : s->work_ms;
 }
 
+static int is_stale(const pw_target *t, int64_t now) {
+  return t->work_ms == 0 || now - t->measured_at > WORK_STALE_MS;
+}
+
+/* Duration that a request is expected to take at a target with this load. An idle target without a
+** recent measurement is assumed to be as fast as the fastest one, so that it gets a request and is
+** measured again. Otherwise a target that was slow once gets no request while another one is idle. */
+static double expected_work_of(const pw_target *t, double load,
+                               const service_stats *s) {
+  int is_idle = t->inflight == 0 && load < t->slots;
+  return is_idle && is_stale(t, s->now) ? s->least_work_ms : work_of(t, s);
+}
+
 /* Whether a target can answer: it is responsive, not gone and not ejected. If most targets of the
 ** service are silent, silence does not count. */
 static int is_alive(const pw_fleet *f, const pw_target *t,
@@ -328,12 +349,13 @@
   for (pw_target *t = f->by_id; t; t = t->hh.next) {
     if (t->is_gone || !pwflt_is_of(t, criteria->service, criteria->side))
       continue;
+    double load = load_of(f, t, s, criteria);
     row[n] = (pw_pick){
         .id = t->hash,
-        .load = load_of(f, t, s, criteria),
+        .load = load,
         .own = t->inflight,
         .slots = t->slots,
-        .work_ms = work_of(t, s),
+        .work_ms = expected_work_of(t, load, s),
         .is_usable =
             is_version(t, criteria->version) && is_usable(f, t, s) &&
             !was_tried(criteria, t) && passes_unanswered(t, s, criteria) &&
@@ -504,15 +526,18 @@
   return pwholdoff_asked(&t->hold_off, ms, now);
 }
 
-void pwfleet_answered(pw_target *t, double work_ms, int64_t now) {
+void pwfleet_answered(pw_target *t, int64_t now) {
   t->failures = 0;
   t->ejected_until = 0;
   t->answered_at = t->received_at = now;
   note_error(t, 0, now);
-  if (work_ms > 0 && t->work_ms == 0)
-    t->work_ms = work_ms;
-  else if (work_ms > 0)
-    t->work_ms += WORK_WEIGHT * (work_ms - t->work_ms);
+}
+
+void pwfleet_measured(pw_target *t, double ms, int64_t now) {
+  double sample = ms > WORK_LEAST_MS ? ms : WORK_LEAST_MS;
+  double weight = is_stale(t, now) ? 1 : WORK_WEIGHT;
+  t->work_ms += weight * (sample - t->work_ms);
+  t->measured_at = now;
 }
 
 void pwfleet_error_answered(pw_target *t, int64_t now) {
--- a/tests/test_gateway.c
+++ b/tests/test_gateway.c
@@ -56,7 +56,7 @@
   CHECK(silent == 0 && pwfleet_usable(f, "s", 1400) == 2);
   pwfleet_tick(f, 1500, count_silent, &silent);
   CHECK(silent == 1 && pwfleet_usable(f, "s", 1500) == 1);
-  pwfleet_answered(pwfleet_find(f, "b"), 10, 1500);
+  pwfleet_answered(pwfleet_find(f, "b"), 1500);
   CHECK(pwfleet_usable(f, "s", 1700) == 2);
   CHECK(pwfleet_usable(f, "s", 1900) == 1);
   b = heartbeat("b", "10.0.0.1:80", 2, 0);
@@ -241,7 +241,7 @@
   CHECK(pwfleet_usable(f, "s", 10) == 1);
   pwfleet_failed(t, 20);
   CHECK(pwfleet_usable(f, "s", 20) == 0);
-  pwfleet_answered(t, 5, 30);
+  pwfleet_answered(t, 30);
   CHECK(pwfleet_usable(f, "s", 30) == 1);
   pwfleet_free(f);
 }
@@ -263,7 +263,7 @@
   for (int i = 0; i < 40; i++)
     for (pw_target *t = pwfleet_first(f); t; t = t->hh.next)
       if (strcmp(t->id, "t2") != 0)
-        pwfleet_answered(t, 10, 20 + i);
+        pwfleet_answered(t, 20 + i);
       else
         pwfleet_error_answered(t, 20 + i);
   CHECK(pwfleet_usable(f, "s", 60) == 3);
--- a/tests/test_holdoff.c
+++ b/tests/test_holdoff.c
@@ -80,7 +80,7 @@
   for (uint64_t key = 0; key < 200; key++)
     CHECK(pick(f, key, 1300) != home);
   CHECK(pwfleet_held_off(f, "s", 1300) == 0); /* others are usable */
-  pwfleet_answered(home, 5, 1400);            /* a request sent before */
+  pwfleet_answered(home, 1400);               /* a request sent before */
   CHECK(!pwfleet_may_send(home, 1400));
   pw_heartbeat b = beat(home->id, 80, home->seq + 1);
   b.born = 0; /* a heartbeat of an earlier incarnation */
--- a/tests/test_silent_targets.c
+++ b/tests/test_silent_targets.c
@@ -138,7 +138,7 @@
     snprintf(id, sizeof id, "t%d", i);
     tried[n++] = pwfleet_find(f, id);
   }
-  pwfleet_answered(pwfleet_find(f, "t2"), 10, NOW - BEAT_MS);
+  pwfleet_answered(pwfleet_find(f, "t2"), NOW - BEAT_MS);
   for (int i = 0; i < SILENT; i++) {
     pw_fleet_criteria criteria = request(0, &r);
     criteria.tried = tried;
--- a/tests/test_unanswered.c
+++ b/tests/test_unanswered.c
@@ -345,7 +345,8 @@
   double ms = (double)(now - q->sent_at);
   if (q->noted_at)
     pwunanswered_retract(&t->unanswered, q->noted_at);
-  pwfleet_answered(t, ms, now);
+  pwfleet_answered(t, now);
+  pwfleet_measured(t, ms, now);
   w->usual_ms[q->gateway] = pwunanswered_usual_ms(w->usual_ms[q->gateway], ms);
   end_request(w, q);
 }
