--- a/Makefile
+++ b/Makefile
@@ -92,7 +92,10 @@
 
 $(BUILD)/test_%: $(BUILD)/tests/test_%.o $(ALL_LIB)
 	@echo "  LD $@"
-	@$(CXX) $(LDFLAGS) -o $@ $^ -lcunit $(LDLIBS)
+	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(ALL_LIB) -lcunit $(LDLIBS)
+
+$(BUILD)/test_consensus $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_consensus_*.c)): \
+  $(BUILD)/tests/group_model.o
 
 $(BUILD)/bench_%: $(BUILD)/bench/bench_%.o $(ALL_LIB)
 	@echo "  LD $@"
