Gossip: the messages about versions of streams have a file of their own

pwgossip.c had two jobs, the loads of gateways and the records of which version began a stream. A comment stood before the wrong function.

--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -2,14 +2,10 @@
 ** target, so that all know the total load; many gateways exchange them in groups (pwtopology).
 ** Each datagram replaces the one before, so a lost one does no harm. */
 #define _GNU_SOURCE
-#include "pwgate.h"
+#include "pwgossipint.h"
 
-#include "pwgossipmsg.h"
 #include "pwlog.h"
-#include "pwprefixsync.h"
-#include "pwrendezvous.h"
 #include "pwsuspects.h"
-#include "pwtopology.h"
 
 #include <errno.h>
 #include <stdlib.h>
@@ -34,35 +30,6 @@
 /* Largest count of tokens that is reported of a target, in PWFLEET_PREFILL_UNIT. */
 #define UNITS_MAX 1000000
 
-typedef struct peer {
-  struct sockaddr_in addr;
-  pw_gossip_loads own; /* its own loads, as received */
-  pw_gossip_loads sum; /* the sum of its group, as received */
-} peer;
-
-struct pw_gossip {
-  pw_gate *g;
-  int fd;
-  peer *peers;                /* peers[0] is this gateway itself */
-  pw_topology_peer *topology; /* of each peer, to choose aggregators by */
-  int npeers;
-  int64_t peers_changed_at; /* when their number last changed, ms */
-  uint64_t seq;
-  int64_t reported_at, summed_at;
-  /* Prompts to announce to the aggregator of the group; at an aggregator, to those of the other groups. */
-  pw_gossip_prompts prompts_up;
-  /* Prompts to announce to the members of the group; used at an aggregator. */
-  pw_gossip_prompts prompts_down;
-  pw_prefix_sync sync;        /* for gateways that have started since */
-  pw_loads own;               /* loads of this gateway, as last counted */
-  pw_loads sum, all;          /* loads of the group, and of all gateways */
-  pw_loads fitted;            /* rows of the current message that fit into it */
-  pw_loads fitted_workspaces; /* the same, before rejections are left out */
-  /* Loads of all gateways, as received from the aggregator. */
-  pw_gossip_loads total;
-  ev_io io;
-};
-
 static int same_addr(const struct sockaddr_in *a, const struct sockaddr_in *b) {
   return a->sin_addr.s_addr == b->sin_addr.s_addr && a->sin_port == b->sin_port;
 }
@@ -74,22 +41,24 @@
   return -1;
 }
 
-static uint64_t hash_of(const struct sockaddr_in *addr) {
+uint64_t pwgsp_hash_of(const struct sockaddr_in *addr) {
   uint64_t both[2] = {addr->sin_addr.s_addr, addr->sin_port};
   return XXH3_64bits(both, sizeof both);
 }
 
 /* Puts a peer at index `at` of the new lists, with its state if it is in the old ones. */
-static void move_peer(pw_gossip *s, const struct sockaddr_in *addr, peer *peers,
-                      pw_topology_peer *topology, int at) {
+static void move_peer(pw_gossip *s, const struct sockaddr_in *addr,
+                      pw_gossip_peer *peers, pw_topology_peer *topology,
+                      int at) {
   int old = find(s, addr);
-  topology[at] = (pw_topology_peer){.hash = hash_of(addr), .is_self = at == 0};
+  topology[at] =
+      (pw_topology_peer){.hash = pwgsp_hash_of(addr), .is_self = at == 0};
   peers[at].addr = *addr;
   if (old < 0)
     return;
   peers[at] = s->peers[old];
   topology[at] = s->topology[old];
-  s->peers[old] = (peer){0};
+  s->peers[old] = (pw_gossip_peer){0};
 }
 
 static void free_peers(pw_gossip *s) {
@@ -102,7 +71,7 @@
 }
 
 void pwgossip_set_peers(pw_gossip *s, char **address, size_t n) {
-  peer *peers = pw_alloc(sizeof *peers * (n + 1));
+  pw_gossip_peer *peers = pw_alloc(sizeof *peers * (n + 1));
   pw_topology_peer *topology = pw_alloc(sizeof *topology * (n + 1));
   struct sockaddr_in self = s->peers[0].addr;
   int count = 1;
@@ -120,6 +89,10 @@
   s->npeers = count;
 }
 
+int64_t pwgossip_peers_changed_at(const pw_gossip *s) {
+  return s->peers_changed_at;
+}
+
 /* --- outgoing messages --- */
 
 static int is_fresh(const pw_gossip_loads *t, int64_t now) {
@@ -180,14 +153,8 @@
   pwworkspaces_receive(s->g, &s->all, &s->own, pwclock_ms());
 }
 
-typedef struct receivers {
-  pw_gossip *s;
-  const int *to; /* indices into peers */
-  int n;
-} receivers;
-
-static void send_to(const pw_gossip *s, const struct sockaddr_in *addr,
-                    const uint8_t *data, size_t n) {
+void pwgsp_send_to(const pw_gossip *s, const struct sockaddr_in *addr,
+                   const uint8_t *data, size_t n) {
   if (sendto(s->fd, data, n, MSG_DONTWAIT, (const struct sockaddr *)addr,
              sizeof *addr) < 0 &&
       errno != EAGAIN)
@@ -195,13 +162,12 @@
                  "errno=%d", errno);
 }
 
-static void send_datagram(void *arg, const uint8_t *data, size_t n) {
-  const receivers *l = arg;
+void pwgsp_send_to_peers(void *arg, const uint8_t *data, size_t n) {
+  const pw_gossip_receivers *l = arg;
   for (int i = 0; i < l->n; i++)
-    send_to(l->s, &l->s->peers[l->to[i]].addr, data, n);
+    pwgsp_send_to(l->s, &l->s->peers[l->to[i]].addr, data, n);
 }
 
-/* Adds the keys of the rows of all targets and services. */
 /* Adds the keys of a target's rows other than that of its load. */
 static void add_secondary_keys(const pw_target *t, pw_loads *keys) {
   pwloads_add(keys, t->prefill_hash, 1);
@@ -211,6 +177,7 @@
   pwloads_add(keys, t->unanswered_hash, 1);
 }
 
+/* Adds the keys of the rows of all targets and services. */
 static void add_known_keys(const pw_gossip *s, pw_loads *keys) {
   for (pw_target *t = pwfleet_first(s->g->fleet); t; t = t->hh.next) {
     pwloads_add(keys, t->short_hash, 1);
@@ -253,21 +220,21 @@
 
 static void send_loads(pw_gossip *s, pw_gossip_kind kind, const pw_loads *loads,
                        const pw_gossip_prompts *moved, const int *to, int n) {
-  receivers l = {s, to, n};
+  pw_gossip_receivers l = {s, to, n};
   if (n)
     pwgossipmsg_pack(kind, pwwire_incarnation(s->g->p->wire), &s->seq,
                      fit_rows(s, fit_workspaces(s, loads)), moved,
-                     send_datagram, &l);
+                     pwgsp_send_to_peers, &l);
 }
 
 /* Sends the fingerprints of requests whose targets crashed. Every instance forwards all that it knows of,
 ** so that they reach every other one. */
 static void send_suspects(pw_gossip *s, const int *to, int n, int64_t now) {
   pw_suspects suspects;
-  receivers l = {s, to, n};
+  pw_gossip_receivers l = {s, to, n};
   if (n && pwsuspects_due(&suspects, s->g->quarantine, now))
     pwgossipmsg_pack_suspects(pwwire_incarnation(s->g->p->wire), suspects.list,
-                              suspects.n, send_datagram, &l);
+                              suspects.n, pwgsp_send_to_peers, &l);
 }
 
 /* Adds prefixes for gateways that have just started to a message. All gateways that notice the start share the work;
@@ -412,98 +379,6 @@
   pwgossipmsg_add_prompt(&s->prompts_down, key, target);
 }
 
-/* --- which version began a stream --- */
-
-/* Fills `to` with the indices of the gateways that hold the record of a stream. Returns their number. */
-static int holders_of(const pw_gossip *s, uint64_t stream, int want,
-                      int to[PWRENDEZVOUS_MAX]) {
-  uint64_t *others = pw_alloc(sizeof *others * (size_t)s->npeers);
-  for (int i = 1; i < s->npeers; i++)
-    others[i - 1] = s->topology[i].hash;
-  int n = pwrendezvous_choose(others, s->npeers - 1, stream, want, to);
-  for (int i = 0; i < n; i++)
-    to[i]++; /* peers[0] is this gateway */
-  free(others);
-  return n;
-}
-
-void pwgossip_announce_stream(pw_gossip *s, uint64_t stream, uint64_t version) {
-  int to[PWRENDEZVOUS_MAX];
-  receivers l = {s, to, holders_of(s, stream, PWGOSSIP_STREAM_HOLDERS, to)};
-  Pw__StreamOrigin m = PW__STREAM_ORIGIN__INIT;
-  m.stream = stream;
-  m.version = version;
-  if (l.n)
-    pwgossipmsg_pack_stream(PWGOSSIPMSG_STREAMS_BEGUN,
-                            pwwire_incarnation(s->g->p->wire), &m,
-                            send_datagram, &l);
-}
-
-int pwgossip_query_stream(pw_gossip *s, uint64_t stream,
-                          uint64_t queried[PWRENDEZVOUS_MAX]) {
-  int to[PWRENDEZVOUS_MAX];
-  receivers l = {s, to, holders_of(s, stream, PWGOSSIP_STREAM_QUERIED, to)};
-  Pw__StreamOrigin m = PW__STREAM_ORIGIN__INIT;
-  m.stream = stream;
-  for (int i = 0; i < l.n; i++)
-    queried[i] = s->topology[to[i]].hash;
-  if (l.n)
-    pwgossipmsg_pack_stream(PWGOSSIPMSG_STREAMS_QUERIED,
-                            pwwire_incarnation(s->g->p->wire), &m,
-                            send_datagram, &l);
-  return l.n;
-}
-
-typedef struct reply {
-  pw_gossip *s;
-  const struct sockaddr_in *to;
-} reply;
-
-static void send_reply(void *arg, const uint8_t *data, size_t n) {
-  const reply *r = arg;
-  send_to(r->s, r->to, data, n);
-}
-
-static void answer_stream(pw_gossip *s, const struct sockaddr_in *to,
-                          uint64_t stream, int64_t now) {
-  reply r = {s, to};
-  Pw__StreamOrigin m = PW__STREAM_ORIGIN__INIT;
-  pw_origin origin = {0};
-  m.stream = stream;
-  m.known = pworigins_find(s->g->origins, stream, now, &origin);
-  m.version = origin.version;
-  m.age = (uint32_t)origin.age_ms;
-  pwgossipmsg_pack_stream(PWGOSSIPMSG_STREAMS_ANSWERED,
-                          pwwire_incarnation(s->g->p->wire), &m, send_reply,
-                          &r);
-}
-
-static void receive_stream(pw_gossip *s, const struct sockaddr_in *from,
-                           uint32_t kind, const Pw__StreamOrigin *m) {
-  int64_t now = pwclock_ms();
-  if (kind == PWGOSSIPMSG_STREAMS_BEGUN) {
-    pworigins_note(s->g->origins, m->stream, m->version, 0, now);
-    return;
-  }
-  if (kind == PWGOSSIPMSG_STREAMS_QUERIED) {
-    answer_stream(s, from, m->stream, now);
-    return;
-  }
-  pw_origin origin = {m->version, m->age, 0};
-  pwexchange_origin_answered(s->g, m->stream, hash_of(from),
-                             m->known ? &origin : NULL);
-}
-
-static int is_about_streams(uint32_t kind) {
-  return kind == PWGOSSIPMSG_STREAMS_BEGUN ||
-         kind == PWGOSSIPMSG_STREAMS_QUERIED ||
-         kind == PWGOSSIPMSG_STREAMS_ANSWERED;
-}
-
-int64_t pwgossip_peers_changed_at(const pw_gossip *s) {
-  return s->peers_changed_at;
-}
-
 /* --- incoming messages --- */
 
 static void handle_total(pw_gossip *s, const Pw__Gossip *m, int64_t now) {
@@ -542,9 +417,8 @@
 static void handle_message(pw_gossip *s, const struct sockaddr_in *from,
                            const Pw__Gossip *m) {
   /* Lists of gateways lag behind starts and pauses, when streams break: these messages count from any gateway. */
-  if (is_about_streams(m->kind)) {
-    for (size_t k = 0; k < m->n_streams; k++)
-      receive_stream(s, from, m->kind, m->streams[k]);
+  if (pwgsp_is_about_streams(m->kind)) {
+    pwgsp_receive_streams(s, from, m);
     return;
   }
   int64_t now = pwclock_ms();
@@ -604,7 +478,8 @@
     return NULL;
   }
   s->peers[0].addr = self;
-  s->topology[0] = (pw_topology_peer){.hash = hash_of(&self), .is_self = 1};
+  s->topology[0] =
+      (pw_topology_peer){.hash = pwgsp_hash_of(&self), .is_self = 1};
   ev_io_init(&s->io, on_io, s->fd, EV_READ);
   s->io.data = s;
   ev_io_start(g->ev, &s->io);
