--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -66,7 +66,7 @@
   double errors;        /* mean error share */
   double others;        /* mean number of other gateways' requests */
   double work_ms;       /* mean measured duration of a request */
-  double least_work_ms; /* the same of the fastest target */
+  double least_work_ms; /* least measured duration of a request at a target */
   int most_silent; /* more than half are silent: the receiver of the heartbeats is at fault */
   int has_answering; /* some usable target is not suspected of leaving requests unanswered */
 } service_stats;
@@ -116,7 +116,8 @@
   return t->work_ms > 0 ? t->work_ms : s->work_ms;
 }
 
-static int is_stale(const pw_target *t, int64_t now) {
+/* Whether the smoothed duration of a target says nothing of it now. */
+static int has_stale_duration(const pw_target *t, int64_t now) {
   return t->work_ms == 0 || now - t->measured_at > WORK_STALE_MS;
 }
 
@@ -126,7 +127,8 @@
 static double expected_work_of(const pw_target *t, double load,
                                const service_stats *s) {
   int is_idle = t->inflight == 0 && load < t->slots;
-  return is_idle && is_stale(t, s->now) ? s->least_work_ms : work_of(t, s);
+  return is_idle && has_stale_duration(t, s->now) ? s->least_work_ms
+                                                  : work_of(t, s);
 }
 
 /* Whether a target can answer: it is responsive, not gone and not ejected. If most targets of the
@@ -535,7 +537,7 @@
 
 void pwfleet_measured(pw_target *t, double ms, int64_t now) {
   double sample = ms > WORK_LEAST_MS ? ms : WORK_LEAST_MS;
-  double weight = is_stale(t, now) ? 1 : WORK_WEIGHT;
+  double weight = has_stale_duration(t, now) ? 1 : WORK_WEIGHT;
   t->work_ms += weight * (sample - t->work_ms);
   t->measured_at = now;
 }
