Gossip: the hashes of other gateways are kept, not copied for each stream; one set-up in test_durations

Cause: holders_of allocated and filled an array of all gateways' hashes for each stream that begins and each query, though they only change with the list of gateways. Three tests of test_durations measured the same two targets.

Change: pwgossip_set_peers keeps the hashes beside the list; fleet_with_slow_a sets the tests up. Their checks are as they were.

No behaviour changes; the time saved was not measured.

--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -68,6 +68,7 @@
   }
   free(s->peers);
   free(s->topology);
+  free(s->other_hash);
 }
 
 void pwgossip_set_peers(pw_gossip *s, char **address, size_t n) {
@@ -86,6 +87,9 @@
     s->peers_changed_at = pwclock_ms();
   s->peers = peers;
   s->topology = topology;
+  s->other_hash = pw_alloc(sizeof *s->other_hash * (size_t)count);
+  for (int i = 1; i < count; i++)
+    s->other_hash[i - 1] = topology[i].hash;
   s->npeers = count;
 }
 
--- a/packages/gateway/pwgossipint.h
+++ b/packages/gateway/pwgossipint.h
@@ -22,6 +22,7 @@
   int fd;
   pw_gossip_peer *peers;      /* peers[0] is this gateway itself */
   pw_topology_peer *topology; /* of each peer, to choose aggregators by */
+  uint64_t *other_hash;       /* of peers[1] and on, in this order */
   int npeers;
   int64_t peers_changed_at; /* when their number last changed, ms */
   uint64_t seq;
--- a/packages/gateway/pwgossipstream.c
+++ b/packages/gateway/pwgossipstream.c
@@ -4,18 +4,12 @@
 #include "pworigins.h"
 #include "pwrendezvous.h"
 
-#include <stdlib.h>
-
 /* Fills `to` with the indices of the gateways that hold the record of a stream. Returns their number. */
 static int holders_of(const pw_gossip *s, uint64_t stream, int want,
                       int to[PWRENDEZVOUS_MAX]) {
-  uint64_t *others = pw_alloc(sizeof *others * (size_t)s->npeers);
-  for (int i = 1; i < s->npeers; i++)
-    others[i - 1] = s->topology[i].hash;
-  int n = pwrendezvous_choose(others, s->npeers - 1, stream, want, to);
+  int n = pwrendezvous_choose(s->other_hash, s->npeers - 1, stream, want, to);
   for (int i = 0; i < n; i++)
     to[i]++; /* peers[0] is this gateway */
-  free(others);
   return n;
 }
 
--- a/tests/test_durations.c
+++ b/tests/test_durations.c
@@ -26,6 +26,14 @@
   return f;
 }
 
+/* The same, where a was slow a moment before `now` and b was not. */
+static pw_fleet *fleet_with_slow_a(int64_t now) {
+  pw_fleet *f = fleet_of_two();
+  pwfleet_measured(pwfleet_find(f, "a"), SLOW_MS, now);
+  pwfleet_measured(pwfleet_find(f, "b"), 1, now);
+  return f;
+}
+
 /* Sends requests one after the other, one each GAP_MS, that take `a_ms` and `b_ms` at the targets. Returns how
 ** many went to a. */
 static int send_in_sequence(pw_fleet *f, pw_random *r, int n, double a_ms,
@@ -52,10 +60,8 @@
 
 static void test_slow_once(void) {
   pw_random r = {.seed = test_seed(80)};
-  pw_fleet *f = fleet_of_two();
   int64_t now = 10000;
-  pwfleet_measured(pwfleet_find(f, "a"), SLOW_MS, now);
-  pwfleet_measured(pwfleet_find(f, "b"), 1, now);
+  pw_fleet *f = fleet_with_slow_a(now);
   CHECK(send_in_sequence(f, &r, 100, 1, 1, &now) == 0); /* slow a moment ago */
   int to_a = send_in_sequence(f, &r, 2000, 1, 1, &now);
   printf("%d of 2000 requests to a target that was slow once\n", to_a);
@@ -66,10 +72,8 @@
 /* One request in five seconds is enough to learn that a target is still slow. */
 static void test_still_slow(void) {
   pw_random r = {.seed = test_seed(81)};
-  pw_fleet *f = fleet_of_two();
   int64_t now = 10000;
-  pwfleet_measured(pwfleet_find(f, "a"), SLOW_MS, now);
-  pwfleet_measured(pwfleet_find(f, "b"), 1, now);
+  pw_fleet *f = fleet_with_slow_a(now);
   int to_a = send_in_sequence(f, &r, 3000, SLOW_MS, 1, &now);
   printf("%d of 3000 requests in 30 s to a target that stays slow\n", to_a);
   CHECK(to_a >= 1 && to_a <= 6);
@@ -79,11 +83,9 @@
 /* While its first request is in flight, a target without a recent measurement gets no second one for that reason. */
 static void test_one_at_a_time(void) {
   pw_random r = {.seed = test_seed(82)};
-  pw_fleet *f = fleet_of_two();
   int64_t now = 10000;
+  pw_fleet *f = fleet_with_slow_a(now);
   pw_target *a = pwfleet_find(f, "a");
-  pwfleet_measured(a, SLOW_MS, now);
-  pwfleet_measured(pwfleet_find(f, "b"), 1, now);
   now += 60000;
   pwfleet_measured(pwfleet_find(f, "b"), 1, now);
   a->inflight = 1;
