--- a/packages/gateway/pwexfail.c
+++ b/packages/gateway/pwexfail.c
@@ -14,16 +14,33 @@
 ** request that waits in its target's queue. */
 #define OVERDUE_MS 600
 
+/* Length of the list of parts in a log line, and most characters that one part takes there. */
+#define PARTS_CHARS 120
+#define PART_ID_CHARS 18
+
 /* A request is overdue after this many times the baseline answer time of its route. */
 #define BASELINE_TIMES 2
 
+/* Lists the ids of the parts that the prompt shares with others, separated by commas; as many as fit. */
+static void list_shared_parts(const pw_exchange *x, char *out, size_t cap) {
+  const pw_request_info *info = &x->request_info;
+  size_t n = 0;
+  out[0] = 0;
+  for (int i = 0; i + 1 < info->nparts && n + PART_ID_CHARS < cap; i++)
+    n += (size_t)snprintf(out + n, cap - n, "%s%llx", i ? "," : "",
+                          (unsigned long long)info->part[i].id);
+}
+
 void pwexi_note_crashed(pw_exchange *x, int64_t now) {
   pw_gate *g = x->g;
+  char parts[PARTS_CHARS];
   pw_quar_change change =
       pwquar_crashed(g->quarantine, x->fingerprint, x->t->start_hash, now);
+  list_shared_parts(x, parts, sizeof parts);
   pwexi_log(x, PWTRACE_FAIL, "ended-under",
-            "target=%s sign=%016llx began=%d ends=%d", x->t->id,
-            (unsigned long long)x->fingerprint, x->has_begun,
+            "target=%s sign=%016llx began=%d had_ms=%lld parts=%s ends=%d",
+            x->t->id, (unsigned long long)x->fingerprint, x->has_begun,
+            (long long)(now - x->sent_at), parts,
             pwquar_crashes(g->quarantine, x->fingerprint));
   pwgate_log_suspect(g, x->fingerprint, change, "seen");
 }
