--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -8,7 +8,10 @@
 ** ";" separates the values of several header lines.
 ** A request whose body begins with "end-in-answer" ends the process in the middle of an unframed plain answer.
 ** A request whose body begins with "crash" ends the process when its run starts, one that begins with
-** "crash-midway" after the first event of its stream. */
+** "crash-midway" after the first event of its stream.
+** A part of X-Prompt-Prefix whose id begins with "dead", other than the last part, ends the process: "dead0" when
+** the answer is to begin, "dead1" after the first event, "dead2" after several; "dead3" makes it hang for good.
+** Each arrival of such a request and each end is a line on standard output, with the monotonic time in ms. */
 #include "pwbuf.h"
 #include "pwclock.h"
 #include "pwh1.h"
@@ -24,9 +27,20 @@
 
 #define HEAD_MAX 65536
 #define ID_MAX 64
+#define PARTS_MAX 1024 /* longest X-Prompt-Prefix, bytes */
 #define CONTROLS_MAX 8
 #define SLOTS 8
 #define HOLD_POLL_S 0.01
+#define LATE_CRASH_EVENT 6 /* "dead2" ends the process before this event */
+
+/* When a part of a prompt ends the process that answers it. */
+typedef enum part_crash {
+  PART_HARMLESS,
+  PART_BEFORE_ANSWER,
+  PART_AFTER_FIRST_EVENT,
+  PART_AFTER_SEVERAL_EVENTS,
+  PART_HANGS
+} part_crash;
 
 /* X(name): faults; each is a number, mostly of the next requests that it applies to. */
 #define FAULTS(X)                                                              \
@@ -82,6 +96,8 @@
   int cut_at;
   int is_unframed; /* the stream in flight ends with its connection */
   int is_busy;
+  char crashing_part[ID_MAX]; /* id; "" if no part of the prompt crashes */
+  part_crash crash;
 } peer;
 
 static struct {
@@ -119,6 +135,50 @@
   out[n] = 0;
 }
 
+/* --- parts of prompts that end the process --- */
+
+/* Finds the part of the prompt that ends the process, if there is one. */
+static void read_crashing_part(peer *p) {
+  char parts[PARTS_MAX], *save = NULL;
+  const pw_h1_header *h = pwh1_find(&p->m, "X-Prompt-Prefix");
+  size_t n = h && h->nvalue < sizeof parts ? h->nvalue : 0;
+  if (n)
+    memcpy(parts, h->value, n);
+  parts[n] = 0;
+  p->crash = PART_HARMLESS;
+  p->crashing_part[0] = 0;
+  char *last = strrchr(parts, ',');
+  if (!last)
+    return;
+  *last = 0;
+  for (char *one = strtok_r(parts, ",", &save); one;
+       one = strtok_r(NULL, ",", &save)) {
+    int kind;
+    if (sscanf(one, "dead%1d", &kind) != 1 || kind > PART_HANGS - 1)
+      continue;
+    p->crash = (part_crash)(kind + 1);
+    snprintf(p->crashing_part, sizeof p->crashing_part, "%.*s",
+             (int)strcspn(one, ":"), one);
+    return;
+  }
+}
+
+static void report_part(const peer *p, const char *event) {
+  printf("%s part=%s ms=%lld\n", event, p->crashing_part,
+         (long long)pwclock_ms());
+  fflush(stdout);
+}
+
+/* Ends the process, or hangs, if the prompt does so at this point of its answer. */
+static void crash_at(const peer *p, part_crash point) {
+  if (p->crash != point)
+    return;
+  report_part(p, "crashed");
+  while (p->crash == PART_HANGS)
+    pause();
+  _exit(1);
+}
+
 /* --- answers --- */
 
 static void next(peer *p) {
@@ -233,6 +293,10 @@
 static void send_event(peer *p) {
   if (p->event > 1 && body_begins(p, "crash-midway"))
     _exit(1);
+  if (p->event > 1)
+    crash_at(p, PART_AFTER_FIRST_EVENT);
+  if (p->event >= LATE_CRASH_EVENT)
+    crash_at(p, PART_AFTER_SEVERAL_EVENTS);
   char event[300], versions[ID_MAX] = "";
   if (me.f.versions)
     snprintf(versions, sizeof versions, " %s%s", me.version,
@@ -267,6 +331,8 @@
 static void begin_stream(peer *p) {
   char last[ID_MAX], tokens[ID_MAX], head[512], line[96];
   int prompt = 0;
+  crash_at(p, PART_BEFORE_ANSWER);
+  crash_at(p, PART_HANGS);
   text_of(p, "Last-Event-Id", last);
   text_of(p, "X-Token-Count", tokens);
   sscanf(tokens, "%d,%d", &prompt, &p->events);
@@ -359,6 +425,9 @@
   text_of(p, "Api-Key", me.last_key);
   me.arrivals++;
   p->event = 0;
+  read_crashing_part(p);
+  if (p->crash)
+    report_part(p, "arrived");
   if (strcmp(expect, me.id) != 0) {
     answer(p, 421, "", "not me");
     return;
