Parts of prompts that crash targets are refused at all instances

Cause: a failure is judged by what is the same in each request that causes it. The quarantine knows a request by workspace, method, path and body. Requests that have one part of their prompts in common, and nothing else, were new to it each time, so each was sent on with all attempts of its route.

Change: pwparts keeps under which parts targets crashed, and refuses a prompt with the part to blame (503, 2016, not run), at gateways and entries; gateways, control instances and entries tell each other. Requests that were sent before and have no answer yet are ended.

Why it holds: the cause is the one part that no target ever answers; a sound part is answered, or crashes with others at once, or its crashes are those of a more suspect one.

--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -9,6 +9,7 @@
 #include "pwlog.h"
 #include "pwoutbox.h"
 #include "pwpace.h"
+#include "pwpartsmsg.h"
 #include "pwpeers.h"
 #include "pwrollwire.h"
 #include "pwsuspects.h"
@@ -87,6 +88,9 @@
   pw_quarantine *quarantine;
   /* index in the quarantine at which the next list of suspects begins */
   size_t next_suspect;
+  /* crashing parts of prompts, kept and sent like the fingerprints */
+  pw_parts *parts;
+  size_t next_part;
   pw_docsend *docsend;
   pw_pace bulk_pace; /* rate of tables and documents */
   Pw__Notice table;  /* the table of all targets that was built last */
@@ -108,6 +112,7 @@
   w->doc = doc;
   w->resources = resources;
   w->quarantine = pwquar_new();
+  w->parts = pwparts_new();
   w->docsend = pwdocsend_new(listener, doc);
   w->bulk_pace = pwpace_of(p->set->control_link);
   w->targets = pwfleet_new(p->set->availability_zone, p->set->control_beat, 0);
@@ -126,6 +131,7 @@
   pwoutbox_free(&w->to_control);
   pwoutbox_free(&w->to_gateways);
   pwquar_free(w->quarantine);
+  pwparts_free(w->parts);
   pwdocsend_free(w->docsend);
   pwfleet_free(w->targets);
   pwzones_free(&w->evacuated);
@@ -175,9 +181,11 @@
 }
 
 static void add_suspects(pw_watch *w, watcher *to, pw_suspects *s,
-                         Pw__Notice *n, int64_t now) {
+                         pw_partsmsg *parts, Pw__Notice *n, int64_t now) {
   n->n_suspects = pwsuspects_list(s, w->quarantine, &w->next_suspect, now);
   n->suspects = s->list;
+  n->n_crashing_parts = pwpartsmsg_list(parts, w->parts, &w->next_part, now);
+  n->crashing_parts = parts->list;
   to->suspects_sent_at = now;
 }
 
@@ -207,13 +215,16 @@
     to->lists_sent_at = now;
   }
   pw_suspects suspects;
+  pw_partsmsg parts;
   if (suspects_are_due(w, to, now))
-    add_suspects(w, to, &suspects, n, now);
+    add_suspects(w, to, &suspects, &parts, n, now);
   Pw__Envelope e = PW_ENVELOPE(NOTICE, notice, n);
   if (pwwire_send(w->listener, &to->peer, &e) != 0)
     to->is_lost = 1; /* it registers again, and receives everything */
   n->suspects = NULL;
   n->n_suspects = 0;
+  n->crashing_parts = NULL;
+  n->n_crashing_parts = 0;
   free(n->control);
   free(n->gateways);
   to->notified_at = now;
@@ -491,6 +502,7 @@
   one->is_primary = m->primary;
   pwsuspects_receive(w->quarantine, m->suspects, m->n_suspects, now, on_suspect,
                      w);
+  pwpartsmsg_receive(w->parts, m->crashing_parts, m->n_crashing_parts, now);
   if (is_new_primary)
     one->table_asked_at = now;
   else if (!m->primary)
@@ -509,6 +521,8 @@
     pwpeers_on_notice(w->peers, from, e, now);
     pwsuspects_receive(w->quarantine, e->notice->suspects,
                        e->notice->n_suspects, now, on_suspect, w);
+    pwpartsmsg_receive(w->parts, e->notice->crashing_parts,
+                       e->notice->n_crashing_parts, now);
   }
 }
 
@@ -682,6 +696,7 @@
   pw_counters *c = w->p->counters;
   int isolated = !pwwatch_is_connected(w, now);
   pwcount_set(c, PWC_QUARANTINED, pwquar_count(w->quarantine));
+  pwcount_set(c, PWC_PARTS_QUARANTINED, (int64_t)pwparts_cases(w->parts));
   pwcount_set(c, PWC_OBSERVERS, pwmesh_observers(w->mesh));
   pwcount_set(c, PWC_ISOLATED, isolated);
   if (isolated != w->is_isolated)
@@ -697,6 +712,7 @@
   pwrollwire_read(&w->rollouts, w->resources);
   drop_lost(w, now);
   pwquar_tick(w->quarantine, now);
+  pwparts_tick(w->parts, now);
   update_metrics(w, now);
   pwpeers_tick(w->peers, now);
   pwfleet_tick(w->targets, now, on_silent, w);
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -104,6 +104,10 @@
     "requests in quarantine: targets ended under them")                        \
   X(PWC_QUARANTINE_REFUSED, "quarantine_refused_total", "counter",             \
     "requests refused because they are in quarantine")                         \
+  X(PWC_PARTS_QUARANTINED, "quarantined_parts", "gauge",                       \
+    "parts of prompts in quarantine: targets ended while they answered them")  \
+  X(PWC_PART_REFUSED, "part_quarantine_refused_total", "counter",              \
+    "requests refused because of a part of their prompt")                      \
   X(PWC_HOLD_OFFS, "target_hold_offs_total", "counter",                        \
     "times that a target asked to be left alone")                              \
   X(PWC_GW_CONNECTS, "gateway_connects_total", "counter",                      \
--- a/packages/entry/pwcall.h
+++ b/packages/entry/pwcall.h
@@ -7,6 +7,7 @@
 
 #include "pwassign.h"
 #include "pwmail.h"
+#include "pwparts.h"
 #include "pwproc.h"
 #include "pwview.h"
 
@@ -33,6 +34,7 @@
   char once_key[PW_KEY_MAX + 1]; /* key in the once-ledger, if `never` */
   unsigned char digest[32];      /* of method, path and body */
   uint64_t fingerprint; /* equal for equal requests with different ids */
+  pw_part_list parts;   /* messages of the prompt before the last one */
   int never;            /* may run only once: Peatwell-Repeat: never */
   int repeatable;       /* a retry may run it again */
   int is_service;
--- a/packages/entry/pwentry.c
+++ b/packages/entry/pwentry.c
@@ -360,7 +360,8 @@
     en->summed_at = now;
   }
   pwreport_tick(en->reports, now);
-  pwreport_suspects(en->reports, pwflight_quarantine(en->flights), now);
+  pwreport_suspects(en->reports, pwflight_quarantine(en->flights),
+                    pwflight_parts(en->flights), now);
   pwflight_tick(en->flights, &en->policy, now);
 }
 
--- a/packages/entry/pwfl.h
+++ b/packages/entry/pwfl.h
@@ -69,6 +69,7 @@
   pw_retry_budget budget;
   pw_quotas *quotas;
   pw_quarantine *quarantine; /* requests that crash their targets */
+  pw_parts *parts;           /* parts of prompts that do */
 };
 
 /* Removes and frees a request whose caller needs nothing more from it. */
@@ -145,7 +146,10 @@
 /* Notes that the target or its agent crashed while it ran the request. */
 void pwfl_note_crash(pw_flights *fs, const pw_flight *f, int64_t now);
 
-/* Fails the request if it is in quarantine. Returns whether it was. */
+/* Updates the gauge of refused parts of prompts, and logs which have begun or ceased to be refused. */
+void pwfl_log_parts(pw_flights *fs, int64_t now);
+
+/* Fails the request if it, or a part of its prompt, is in quarantine. Returns whether it was. */
 int pwfl_refuse_quarantined(pw_flights *fs, pw_flight *f, int64_t now);
 
 /* Sends the resuming attempt after the pause of F_PAUSING. */
--- a/packages/entry/pwflight.c
+++ b/packages/entry/pwflight.c
@@ -22,6 +22,7 @@
   fs->treereport = treereport;
   fs->quotas = pwquota_new(pwclock_ms());
   fs->quarantine = pwquar_new();
+  fs->parts = pwparts_new();
   pwretry_init(&fs->budget, PW_RETRY_SHARE, PW_RETRY_RESERVE);
   return fs;
 }
@@ -59,6 +60,7 @@
   }
   pwquota_free(fs->quotas);
   pwquar_free(fs->quarantine);
+  pwparts_free(fs->parts);
   free(fs);
 }
 
@@ -266,9 +268,15 @@
   free(list);
   tick_links(fs, policy, now);
   pwquar_tick(fs->quarantine, now);
+  pwparts_tick(fs->parts, now);
+  pwfl_log_parts(fs, now);
   pwcount_set(fs->p->counters, PWC_QUARANTINED, pwquar_count(fs->quarantine));
 }
 
 pw_quarantine *pwflight_quarantine(pw_flights *fs) {
   return fs->quarantine;
 }
+
+pw_parts *pwflight_parts(pw_flights *fs) {
+  return fs->parts;
+}
--- a/packages/entry/pwflight.h
+++ b/packages/entry/pwflight.h
@@ -10,6 +10,7 @@
 
 #include "pwbudget.h"
 #include "pwcall.h"
+#include "pwparts.h"
 #include "pwquarantine.h"
 #include "pwsub.h"
 #include "pwtargets.h"
@@ -35,6 +36,9 @@
 /* This entry's counts of requests that crash their targets. */
 pw_quarantine *pwflight_quarantine(pw_flights *fs);
 
+/* Parts of prompts that crash their targets. */
+pw_parts *pwflight_parts(pw_flights *fs);
+
 /* Takes in the suspected requests that another entry reports. */
 void pwflight_take_suspects(pw_flights *fs, const Pw__Loads *m, int64_t now);
 
--- a/packages/entry/pwreport.c
+++ b/packages/entry/pwreport.c
@@ -4,6 +4,7 @@
 #include "pwbudget.h"
 #include "pwbuf.h"
 #include "pwlog.h"
+#include "pwpartsmsg.h"
 #include "pwsuspects.h"
 
 #include <stdlib.h>
@@ -129,15 +130,20 @@
   return n;
 }
 
-void pwreport_suspects(pw_reports *r, pw_quarantine *q, int64_t now) {
+void pwreport_suspects(pw_reports *r, pw_quarantine *q, pw_parts *parts,
+                       int64_t now) {
   pw_suspects due;
-  if (!r->npeers || now - r->suspects_sent_at < SUSPECTS_MS ||
-      !pwsuspects_due(&due, q, now))
+  pw_partsmsg due_parts;
+  if (!r->npeers || now - r->suspects_sent_at < SUSPECTS_MS)
     return;
-  r->suspects_sent_at = now;
   Pw__Loads loads = PW__LOADS__INIT;
+  loads.n_suspects = pwsuspects_due(&due, q, now);
   loads.suspects = due.list;
-  loads.n_suspects = due.n;
+  loads.n_crashing_parts = pwpartsmsg_due(&due_parts, parts, now);
+  loads.crashing_parts = due_parts.list;
+  if (!loads.n_suspects && !loads.n_crashing_parts)
+    return;
+  r->suspects_sent_at = now;
   for (int i = 0; i < r->npeers; i++) {
     Pw__Envelope e = PW_ENVELOPE(LOADS, loads, &loads);
     pwwire_send(r->sock, &r->peer[i], &e);
--- a/packages/entry/pwreport.h
+++ b/packages/entry/pwreport.h
@@ -7,6 +7,7 @@
 #ifndef PWREPORT_H
 #define PWREPORT_H
 
+#include "pwparts.h"
 #include "pwquarantine.h"
 #include "pwtargets.h"
 
@@ -25,7 +26,8 @@
                    int64_t now);
 
 /* Reports requests that crash targets to the peers, when there are changes. */
-void pwreport_suspects(pw_reports *r, pw_quarantine *q, int64_t now);
+void pwreport_suspects(pw_reports *r, pw_quarantine *q, pw_parts *parts,
+                       int64_t now);
 
 /* Reports changed loads to the peers when a report is due. */
 void pwreport_tick(pw_reports *r, int64_t now);
--- a/packages/entry/pwrequest.c
+++ b/packages/entry/pwrequest.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
 
 #define CHAT_PATH "/v1/chat/completions"
 #define SERVICE_PATH "/v1/services/"
@@ -116,6 +117,21 @@
   return NULL;
 }
 
+/* Names a message of a workspace's prompts by its role and content. */
+static uint64_t part_of(const pw_call *c, const json_t *message) {
+  char *text = json_dumps(message, JSON_COMPACT | JSON_SORT_KEYS);
+  uint64_t id = text ? XXH3_64bits(text, strlen(text)) : 0;
+  free(text);
+  return pwparts_key(c->workspace.name, id);
+}
+
+/* Adds the messages that the prompt may share with others: all but the last, which is new. */
+static void add_parts(const json_t *messages, pw_call *c) {
+  size_t n = json_array_size(messages);
+  for (size_t i = 0; i + 1 < n && c->parts.n < PWPARTS_MAX; i++)
+    c->parts.key[c->parts.n++] = part_of(c, json_array_get(messages, i));
+}
+
 /* Chooses the pool of the model version that serves the chat. */
 static int choose_pool(const pw_view *view, const char *name, pw_call *c) {
   const char *model = pwview_model(view, name);
@@ -156,6 +172,7 @@
     return PW_E_BODY;
   if (!choose_pool(view, model, c))
     return PW_E_MODEL;
+  add_parts(json_object_get(doc, "messages"), c);
   c->stream = json_is_true(stream);
   c->output_tokens = max ? (uint32_t)json_integer_value(max) : OUTPUT_DEFAULT;
   return PW_OK;
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -1,5 +1,5 @@
 /* pwexint.h: state of one exchange, private to pwexchange.c, pwexsend.c, pwexfail.c,
-** pwexrecord.c, pwexprefix.c, pwexresume.c, pwexconfirm.c, pwevents.c and pwinflight.c. */
+** pwexcrash.c, pwexrecord.c, pwexprefix.c, pwexresume.c, pwexconfirm.c, pwevents.c and pwinflight.c. */
 #ifndef PWEXINT_H
 #define PWEXINT_H
 
@@ -242,10 +242,7 @@
 /* Counts a successful answer, complete at `now`, for the version of its target; a slow one against it. */
 void pwexi_record_good(const pw_exchange *x, int64_t now);
 
-/* --- pwexfail.c --- */
-
-/* The connection to the target failed. */
-void pwexi_on_failed(void *exchange, pw_tcp_end how, int unused);
+/* --- pwexcrash.c --- */
 
 /* The target crashed while it had the request. */
 void pwexi_note_crashed(pw_exchange *x, int64_t now);
@@ -258,9 +255,14 @@
 ** proves nothing: that target may not have begun to run it. */
 void pwexi_note_answered(pw_exchange *x, int64_t now);
 
-/* Ends the exchange if its request is in quarantine. Returns whether it was ended. */
+/* Ends the exchange if its request, or a part of its prompt, is in quarantine. Returns whether it was ended. */
 int pwexi_end_quarantined(pw_exchange *x, int64_t now);
 
+/* --- pwexfail.c --- */
+
+/* The connection to the target failed. */
+void pwexi_on_failed(void *exchange, pw_tcp_end how, int unused);
+
 /* Releases the target and dispatches the request again. */
 void pwexi_retry(pw_exchange *x, const char *why, int may_have_run);
 
--- a/packages/gateway/pwgate.c
+++ b/packages/gateway/pwgate.c
@@ -3,6 +3,8 @@
 
 #include <stdlib.h>
 
+#define PARTS_LOGGED 8 /* most changes of refused parts logged at once */
+
 void pwgate_free_later(pw_gate *g, void *p) {
   if (g->nto_free == g->to_free_cap) {
     g->to_free_cap = g->to_free_cap ? g->to_free_cap * 2 : 64;
@@ -35,18 +37,32 @@
                  pwquar_crashes(q, fingerprint), how, pwquar_count(q));
 }
 
+void pwgate_log_parts(pw_gate *g, int64_t now) {
+  pw_part_change change[PARTS_LOGGED];
+  size_t n = pwparts_changes(g->parts, change, PARTS_LOGGED, now);
+  for (size_t i = 0; i < n; i++)
+    pwtrace_line(g->trace, PWTRACE_STATE, now,
+                 change[i].is_refused ? "part-quarantined" : "part-released",
+                 "part_sign=%016llx ends=%d in_quarantine=%d",
+                 (unsigned long long)change[i].key, change[i].crashes,
+                 pwparts_count(g->parts, now));
+  pwcount_set(g->p->counters, PWC_PARTS_QUARANTINED,
+              pwparts_count(g->parts, now));
+}
+
 void pwgate_note_silent(pw_gate *g, const char *id, int64_t now) {
   const pw_target *t = pwfleet_find(g->fleet, id);
-  uint64_t fingerprint;
-  while (t && (fingerprint = pwunresponsive_take(&g->unresponsive,
-                                                 t->start_hash, now)) != 0) {
+  pw_unresponsive_request r;
+  while (t && pwunresponsive_take(&g->unresponsive, t->start_hash, now, &r)) {
     pw_quar_change change =
-        pwquar_crashed(g->quarantine, fingerprint, t->start_hash, now);
+        pwquar_crashed(g->quarantine, r.fingerprint, t->start_hash, now);
+    pw_part_crash crash = {t->start_hash, r.sent, r.at};
+    pwparts_crashed(g->parts, &r.parts, &crash);
     pwtrace_line(g->trace, PWTRACE_STATE, now, "ended-under",
                  "target=%s sign=%016llx dark=1 ends=%d", id,
-                 (unsigned long long)fingerprint,
-                 pwquar_crashes(g->quarantine, fingerprint));
-    pwgate_log_suspect(g, fingerprint, change, "seen");
+                 (unsigned long long)r.fingerprint,
+                 pwquar_crashes(g->quarantine, r.fingerprint));
+    pwgate_log_suspect(g, r.fingerprint, change, "seen");
   }
 }
 
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -12,6 +12,7 @@
 #include "pwdialect.h"
 #include "pwfleet.h"
 #include "pworigins.h"
+#include "pwparts.h"
 #include "pwproc.h"
 #include "pwquarantine.h"
 #include "pwrendezvous.h"
@@ -71,6 +72,7 @@
   pw_trace *trace;
   pw_stages *stages;
   pw_quarantine *quarantine; /* requests whose targets crashed */
+  pw_parts *parts;           /* parts of prompts whose targets crashed */
   /* Requests whose target is unresponsive but not yet known to have crashed. */
   pw_unresponsive unresponsive;
   pw_versions *versions; /* services with a rollout in progress */
@@ -114,6 +116,9 @@
 /* Whether requests can be sent anywhere: a configuration and targets are known. */
 int pwgate_may_serve(pw_gate *g);
 
+/* Updates the gauge of refused parts of prompts, and logs which have begun or ceased to be refused. */
+void pwgate_log_parts(pw_gate *g, int64_t now);
+
 /* Updates the quarantine counters, and logs when a request enters or leaves quarantine. `how` is the
 ** source of the change: "seen" here, "told" by another gateway, or "kept" by a control instance. */
 void pwgate_log_suspect(pw_gate *g, uint64_t fingerprint, pw_quar_change change,
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -192,6 +192,7 @@
   sweep_targets(g, now);
   pwfleet_tick(g->fleet, now, NULL, NULL);
   pwquar_tick(g->quarantine, now);
+  pwparts_tick(g->parts, now);
   pwexchange_sweep_origins(g, now);
   pwcount_set(g->p->counters, PWC_QUARANTINED, pwquar_count(g->quarantine));
   pwcount_set(g->p->counters, PWC_GW_TARGETS, pwfleet_count(g->fleet));
@@ -237,6 +238,7 @@
     g->checked_at = now;
     check_buffers(g, now);
     pwexchange_check(g, now);
+    pwgate_log_parts(g, now);
   }
   pwexchange_check_targets(g, now);
   pwexchange_check_origins(g, now);
@@ -311,6 +313,7 @@
   g.trace = pwtrace_new(p->set->name, STDOUT_FILENO, p->set->gateway_log_bytes);
   g.stages = pwstage_new();
   g.quarantine = pwquar_new();
+  g.parts = pwparts_new();
   g.origins = pworigins_new();
   g.versions = pwversions_new(&g);
   g.buf_limits = pwbuflimits_of(0, buffer_budget(&g));
@@ -342,6 +345,7 @@
   pwtrace_free(g.trace);
   pwstage_free(g.stages);
   pwquar_free(g.quarantine);
+  pwparts_free(g.parts);
   pworigins_free(g.origins);
   pwversions_free(g.versions);
   ev_loop_destroy(g.ev);
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -5,6 +5,7 @@
 #include "pwgossipint.h"
 
 #include "pwlog.h"
+#include "pwpartsmsg.h"
 #include "pwsuspects.h"
 
 #include <errno.h>
@@ -231,14 +232,19 @@
                      pwgsp_send_to_peers, &l);
 }
 
-/* Sends the fingerprints of requests whose targets crashed. Every instance forwards all that it knows of,
-** so that they reach every other one. */
+/* Sends the fingerprints of requests whose targets crashed, and the parts of their prompts. Every instance forwards
+** all that it knows of, so that they reach every other one. */
 static void send_suspects(pw_gossip *s, const int *to, int n, int64_t now) {
   pw_suspects suspects;
+  pw_partsmsg parts;
   pw_gossip_receivers l = {s, to, n};
+  uint64_t incarnation = pwwire_incarnation(s->g->p->wire);
   if (n && pwsuspects_due(&suspects, s->g->quarantine, now))
-    pwgossipmsg_pack_suspects(pwwire_incarnation(s->g->p->wire), suspects.list,
-                              suspects.n, pwgsp_send_to_peers, &l);
+    pwgossipmsg_pack_suspects(incarnation, suspects.list, suspects.n,
+                              pwgsp_send_to_peers, &l);
+  if (n && pwpartsmsg_due(&parts, s->g->parts, now))
+    pwgossipmsg_pack_parts(incarnation, parts.list, parts.n,
+                           pwgsp_send_to_peers, &l);
 }
 
 /* Adds prefixes for gateways that have just started to a message. All gateways that notice the start share the work;
@@ -434,6 +440,11 @@
                        on_suspect, s->g);
     return;
   }
+  if (m->kind == PWGOSSIPMSG_CRASHING_PARTS) {
+    pwpartsmsg_receive(s->g->parts, m->crashing_parts, m->n_crashing_parts,
+                       now);
+    return;
+  }
   if (m->kind == PWGOSSIPMSG_TOTAL || m->kind == PWGOSSIPMSG_SUM)
     pwtopology_answered(&s->topology[i]);
   if (m->kind == PWGOSSIPMSG_TOTAL)
--- a/packages/gateway/pwgossipmsg.c
+++ b/packages/gateway/pwgossipmsg.c
@@ -144,6 +144,17 @@
   pack_without_loads(&m, send, arg);
 }
 
+void pwgossipmsg_pack_parts(
+    uint64_t incarnation, Pw__CrashingPart **list, size_t n,
+    void (*send)(void *arg, const uint8_t *data, size_t n), void *arg) {
+  Pw__Gossip m = PW__GOSSIP__INIT;
+  m.incarnation = incarnation;
+  m.kind = PWGOSSIPMSG_CRASHING_PARTS;
+  m.crashing_parts = list;
+  m.n_crashing_parts = n;
+  pack_without_loads(&m, send, arg);
+}
+
 void pwgossipmsg_pack_stream(
     pw_gossip_kind kind, uint64_t incarnation, Pw__StreamOrigin *stream,
     void (*send)(void *arg, const uint8_t *data, size_t n), void *arg) {
--- a/packages/gateway/pwgossipmsg.h
+++ b/packages/gateway/pwgossipmsg.h
@@ -24,7 +24,8 @@
   /* No loads: which version began a stream, as announced, queried and answered. */
   PWGOSSIPMSG_STREAMS_BEGUN,
   PWGOSSIPMSG_STREAMS_QUERIED,
-  PWGOSSIPMSG_STREAMS_ANSWERED
+  PWGOSSIPMSG_STREAMS_ANSWERED,
+  PWGOSSIPMSG_CRASHING_PARTS /* no loads: parts of prompts that may crash targets */
 } pw_gossip_kind;
 
 /* Prompts that were sent to a target other than their home target, where other gateways would not look for
@@ -69,6 +70,11 @@
     uint64_t incarnation, Pw__Suspect **list, size_t n,
     void (*send)(void *arg, const uint8_t *data, size_t n), void *arg);
 
+/* Packs a message of kind PWGOSSIPMSG_CRASHING_PARTS. */
+void pwgossipmsg_pack_parts(
+    uint64_t incarnation, Pw__CrashingPart **list, size_t n,
+    void (*send)(void *arg, const uint8_t *data, size_t n), void *arg);
+
 /* Packs a message of one of the kinds PWGOSSIPMSG_STREAMS_*, about one stream. */
 void pwgossipmsg_pack_stream(
     pw_gossip_kind kind, uint64_t incarnation, Pw__StreamOrigin *stream,
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -91,6 +91,9 @@
   m.n_suspects =
       pwsuspects_list(&suspects, l->g->quarantine, &l->suspects_at, now);
   m.suspects = suspects.list;
+  pw_partsmsg parts;
+  m.n_crashing_parts = pwpartsmsg_list(&parts, l->g->parts, &l->parts_at, now);
+  m.crashing_parts = parts.list;
   if (c->leads)
     pwversions_fill(l->g->versions, &m);
   Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
@@ -192,6 +195,7 @@
   c->leads = n->leads;
   pwsuspects_receive(l->g->quarantine, n->suspects, n->n_suspects, now,
                      on_suspect, l->g);
+  pwpartsmsg_receive(l->g->parts, n->crashing_parts, n->n_crashing_parts, now);
   target_update t = {l, n->in_touch, now};
   pwtable_read(n, on_target_state, &t);
   apply_peer_lists(l, c, n, now);
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -8,6 +8,7 @@
 #include "pwdoc.h"
 #include "pwgatewaycount.h"
 #include "pwlog.h"
+#include "pwpartsmsg.h"
 #include "pwsuspects.h"
 #include "pwzmqev.h"
 
@@ -32,6 +33,7 @@
 struct pw_link {
   pw_gate *g;
   size_t suspects_at; /* next suspect to send in a watch message */
+  size_t parts_at;    /* next crashing part to send in a watch message */
   pw_sock *sock;
   pw_doc *doc;
   contact *contacts;
--- a/packages/policy/pwunresponsive.c
+++ b/packages/policy/pwunresponsive.c
@@ -5,21 +5,22 @@
 ** of a target that hangs, and has reported it. */
 #define KEEP_MS 15000
 
-void pwunresponsive_note(pw_unresponsive *d, uint64_t fingerprint,
-                         uint64_t target, int64_t now) {
-  d->list[d->next] = (pw_unresponsive_request){fingerprint, target, now};
+void pwunresponsive_note(pw_unresponsive *d,
+                         const pw_unresponsive_request *request) {
+  d->list[d->next] = *request;
   d->next = (d->next + 1) % PWUNRESPONSIVE_MAX;
 }
 
-uint64_t pwunresponsive_take(pw_unresponsive *d, uint64_t target, int64_t now) {
+int pwunresponsive_take(pw_unresponsive *d, uint64_t target, int64_t now,
+                        pw_unresponsive_request *out) {
   for (int i = 0; i < PWUNRESPONSIVE_MAX; i++) {
     pw_unresponsive_request *r = &d->list[i];
     if (!r->at || r->target != target)
       continue;
-    int is_recent = now - r->at < KEEP_MS;
+    *out = *r;
     r->at = 0;
-    if (is_recent)
-      return r->fingerprint;
+    if (now - out->at < KEEP_MS)
+      return 1;
   }
   return 0;
 }
--- a/packages/policy/pwunresponsive.h
+++ b/packages/policy/pwunresponsive.h
@@ -7,6 +7,8 @@
 #ifndef PWUNRESPONSIVE_H
 #define PWUNRESPONSIVE_H
 
+#include "pwparts.h"
+
 #include <stdint.h>
 
 /* Requests kept; another one replaces the oldest. */
@@ -14,7 +16,9 @@
 
 typedef struct pw_unresponsive_request {
   uint64_t fingerprint; /* of the request (pwfingerprint) */
+  pw_part_list parts;   /* of its prompt */
   uint64_t target;      /* incarnation of its target */
+  int64_t sent;         /* when it was sent there, ms */
   int64_t at;           /* when the target became unresponsive, ms; 0: unused */
 } pw_unresponsive_request;
 
@@ -24,11 +28,12 @@
 } pw_unresponsive;
 
 /* Notes a request that is at a target which became unresponsive. */
-void pwunresponsive_note(pw_unresponsive *d, uint64_t fingerprint,
-                         uint64_t target, int64_t now);
+void pwunresponsive_note(pw_unresponsive *d,
+                         const pw_unresponsive_request *request);
 
 /* For a target that missed its heartbeats or crashed: removes one of the recent
-** requests noted for it and returns its fingerprint; 0: none is left. */
-uint64_t pwunresponsive_take(pw_unresponsive *d, uint64_t target, int64_t now);
+** requests noted for it. Returns 0 if none is left. */
+int pwunresponsive_take(pw_unresponsive *d, uint64_t target, int64_t now,
+                        pw_unresponsive_request *out);
 
 #endif
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -1492,6 +1492,51 @@
   assert(message->base.descriptor == &pw__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pw__crashing_part__init
+                     (Pw__CrashingPart         *message)
+{
+  static const Pw__CrashingPart init_value = PW__CRASHING_PART__INIT;
+  *message = init_value;
+}
+size_t pw__crashing_part__get_packed_size
+                     (const Pw__CrashingPart *message)
+{
+  assert(message->base.descriptor == &pw__crashing_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__crashing_part__pack
+                     (const Pw__CrashingPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__crashing_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__crashing_part__pack_to_buffer
+                     (const Pw__CrashingPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__crashing_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__CrashingPart *
+       pw__crashing_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__CrashingPart *)
+     protobuf_c_message_unpack (&pw__crashing_part__descriptor,
+                                allocator, len, data);
+}
+void   pw__crashing_part__free_unpacked
+                     (Pw__CrashingPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__crashing_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pw__entry__init
                      (Pw__Entry         *message)
 {
@@ -4586,7 +4631,7 @@
   (ProtobufCMessageInit) pw__ping__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__loads__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pw__loads__field_descriptors[5] =
 {
   {
     "loads",
@@ -4636,9 +4681,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashing_parts",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Loads, n_crashing_parts),
+    offsetof(Pw__Loads, crashing_parts),
+    &pw__crashing_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__loads__field_indices_by_name[] = {
   1,   /* field[1] = clock */
+  4,   /* field[4] = crashing_parts */
   2,   /* field[2] = echo */
   0,   /* field[0] = loads */
   3,   /* field[3] = suspects */
@@ -4646,7 +4704,7 @@
 static const ProtobufCIntRange pw__loads__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pw__loads__descriptor =
 {
@@ -4656,7 +4714,7 @@
   "Pw__Loads",
   "pw",
   sizeof(Pw__Loads),
-  4,
+  5,
   pw__loads__field_descriptors,
   pw__loads__field_indices_by_name,
   1,  pw__loads__number_ranges,
@@ -5166,7 +5224,7 @@
   (ProtobufCMessageInit) pw__beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__watch__field_descriptors[10] =
+static const ProtobufCFieldDescriptor pw__watch__field_descriptors[11] =
 {
   {
     "site",
@@ -5288,10 +5346,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashing_parts",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Watch, n_crashing_parts),
+    offsetof(Pw__Watch, crashing_parts),
+    &pw__crashing_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__watch__field_indices_by_name[] = {
   9,   /* field[9] = answers */
   6,   /* field[6] = control */
+  10,   /* field[10] = crashing_parts */
   2,   /* field[2] = gossip */
   7,   /* field[7] = holds */
   8,   /* field[8] = holds_of */
@@ -5304,7 +5375,7 @@
 static const ProtobufCIntRange pw__watch__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor pw__watch__descriptor =
 {
@@ -5314,7 +5385,7 @@
   "Pw__Watch",
   "pw",
   sizeof(Pw__Watch),
-  10,
+  11,
   pw__watch__field_descriptors,
   pw__watch__field_indices_by_name,
   1,  pw__watch__number_ranges,
@@ -5527,7 +5598,7 @@
   (ProtobufCMessageInit) pw__answers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__notice__field_descriptors[16] =
+static const ProtobufCFieldDescriptor pw__notice__field_descriptors[17] =
 {
   {
     "site",
@@ -5721,11 +5792,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashing_parts",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Notice, n_crashing_parts),
+    offsetof(Pw__Notice, crashing_parts),
+    &pw__crashing_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__notice__field_indices_by_name[] = {
   3,   /* field[3] = beats */
   13,   /* field[13] = confirm */
   4,   /* field[4] = control */
+  16,   /* field[16] = crashing_parts */
   10,   /* field[10] = evacuated */
   2,   /* field[2] = full */
   5,   /* field[5] = gateways */
@@ -5743,7 +5827,7 @@
 static const ProtobufCIntRange pw__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor pw__notice__descriptor =
 {
@@ -5753,7 +5837,7 @@
   "Pw__Notice",
   "pw",
   sizeof(Pw__Notice),
-  16,
+  17,
   pw__notice__field_descriptors,
   pw__notice__field_indices_by_name,
   1,  pw__notice__number_ranges,
@@ -6018,7 +6102,7 @@
   (ProtobufCMessageInit) pw__document__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__gossip__field_descriptors[11] =
+static const ProtobufCFieldDescriptor pw__gossip__field_descriptors[12] =
 {
   {
     "incarnation",
@@ -6152,8 +6236,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashing_parts",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Gossip, n_crashing_parts),
+    offsetof(Pw__Gossip, crashing_parts),
+    &pw__crashing_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__gossip__field_indices_by_name[] = {
+  11,   /* field[11] = crashing_parts */
   0,   /* field[0] = incarnation */
   4,   /* field[4] = keys */
   6,   /* field[6] = kind */
@@ -6169,7 +6266,7 @@
 static const ProtobufCIntRange pw__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pw__gossip__descriptor =
 {
@@ -6179,7 +6276,7 @@
   "Pw__Gossip",
   "pw",
   sizeof(Pw__Gossip),
-  11,
+  12,
   pw__gossip__field_descriptors,
   pw__gossip__field_indices_by_name,
   1,  pw__gossip__number_ranges,
@@ -6327,6 +6424,109 @@
   (ProtobufCMessageInit) pw__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pw__crashing_part__field_descriptors[6] =
+{
+  {
+    "part",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__CrashingPart, part),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Pw__CrashingPart, n_targets),
+    offsetof(Pw__CrashingPart, targets),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ages",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Pw__CrashingPart, n_ages),
+    offsetof(Pw__CrashingPart, ages),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spans",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Pw__CrashingPart, n_spans),
+    offsetof(Pw__CrashingPart, spans),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__CrashingPart, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "others",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pw__CrashingPart, others),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__crashing_part__field_indices_by_name[] = {
+  2,   /* field[2] = ages */
+  4,   /* field[4] = answered */
+  5,   /* field[5] = others */
+  0,   /* field[0] = part */
+  3,   /* field[3] = spans */
+  1,   /* field[1] = targets */
+};
+static const ProtobufCIntRange pw__crashing_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor pw__crashing_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.CrashingPart",
+  "CrashingPart",
+  "Pw__CrashingPart",
+  "pw",
+  sizeof(Pw__CrashingPart),
+  6,
+  pw__crashing_part__field_descriptors,
+  pw__crashing_part__field_indices_by_name,
+  1,  pw__crashing_part__number_ranges,
+  (ProtobufCMessageInit) pw__crashing_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pw__entry__field_descriptors[4] =
 {
   {
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -48,6 +48,7 @@
 typedef struct Pw__Gossip Pw__Gossip;
 typedef struct Pw__StreamOrigin Pw__StreamOrigin;
 typedef struct Pw__Suspect Pw__Suspect;
+typedef struct Pw__CrashingPart Pw__CrashingPart;
 typedef struct Pw__Entry Pw__Entry;
 typedef struct Pw__Cons Pw__Cons;
 typedef struct Pw__Member Pw__Member;
@@ -619,10 +620,15 @@
    */
   size_t n_suspects;
   Pw__Suspect **suspects;
+  /*
+   * entry to entry
+   */
+  size_t n_crashing_parts;
+  Pw__CrashingPart **crashing_parts;
 };
 #define PW__LOADS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__loads__descriptor) \
-    , 0,NULL, 0, 0, 0,NULL }
+    , 0,NULL, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Pw__Claim
@@ -770,10 +776,15 @@
    */
   size_t n_answers;
   Pw__Answers **answers;
+  /*
+   * refused at the sender, or harmless after all
+   */
+  size_t n_crashing_parts;
+  Pw__CrashingPart **crashing_parts;
 };
 #define PW__WATCH__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__watch__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -903,10 +914,15 @@
    * the sender leads the group
    */
   protobuf_c_boolean leads;
+  /*
+   * refused, or harmless after all, as was told here
+   */
+  size_t n_crashing_parts;
+  Pw__CrashingPart **crashing_parts;
 };
 #define PW__NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__notice__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -1021,10 +1037,15 @@
    */
   size_t n_streams;
   Pw__StreamOrigin **streams;
+  /*
+   * kind 8: these alone
+   */
+  size_t n_crashing_parts;
+  Pw__CrashingPart **crashing_parts;
 };
 #define PW__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__gossip__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
@@ -1074,6 +1095,40 @@
     , 0, 0,NULL, 0 }
 
 
+/*
+ * A part of prompts under which targets crashed, as pwparts.h has it. The lists of
+ * crashes have one item each.
+ */
+struct  Pw__CrashingPart
+{
+  ProtobufCMessage base;
+  uint64_t part;
+  size_t n_targets;
+  uint64_t *targets;
+  /*
+   * since the crash, ms
+   */
+  size_t n_ages;
+  uint32_t *ages;
+  /*
+   * from the request to the crash, ms
+   */
+  size_t n_spans;
+  uint32_t *spans;
+  /*
+   * 1 + ms since its last answer; 0: not known
+   */
+  uint32_t answered;
+  /*
+   * prompts without it were answered since its first crash
+   */
+  protobuf_c_boolean others;
+};
+#define PW__CRASHING_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__crashing_part__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+
+
 /*
  * A log entry of the consensus.
  */
@@ -2023,6 +2078,25 @@
 void   pw__suspect__free_unpacked
                      (Pw__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* Pw__CrashingPart methods */
+void   pw__crashing_part__init
+                     (Pw__CrashingPart         *message);
+size_t pw__crashing_part__get_packed_size
+                     (const Pw__CrashingPart   *message);
+size_t pw__crashing_part__pack
+                     (const Pw__CrashingPart   *message,
+                      uint8_t             *out);
+size_t pw__crashing_part__pack_to_buffer
+                     (const Pw__CrashingPart   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__CrashingPart *
+       pw__crashing_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__crashing_part__free_unpacked
+                     (Pw__CrashingPart *message,
+                      ProtobufCAllocator *allocator);
 /* Pw__Entry methods */
 void   pw__entry__init
                      (Pw__Entry         *message);
@@ -2428,6 +2502,9 @@
 typedef void (*Pw__Suspect_Closure)
                  (const Pw__Suspect *message,
                   void *closure_data);
+typedef void (*Pw__CrashingPart_Closure)
+                 (const Pw__CrashingPart *message,
+                  void *closure_data);
 typedef void (*Pw__Entry_Closure)
                  (const Pw__Entry *message,
                   void *closure_data);
@@ -2515,6 +2592,7 @@
 extern const ProtobufCMessageDescriptor pw__gossip__descriptor;
 extern const ProtobufCMessageDescriptor pw__stream_origin__descriptor;
 extern const ProtobufCMessageDescriptor pw__suspect__descriptor;
+extern const ProtobufCMessageDescriptor pw__crashing_part__descriptor;
 extern const ProtobufCMessageDescriptor pw__entry__descriptor;
 extern const ProtobufCMessageDescriptor pw__cons__descriptor;
 extern const ProtobufCMessageDescriptor pw__member__descriptor;
