Soak: parts of prompts that crash engines, while gateways and control instances are killed and paused

Failure guarded against: a part of prompts crashes one engine after the other at instances that do not know of it, because they were killed, paused or cut off from control when the others learnt it.

--- a/tests/soak.lua
+++ b/tests/soak.lua
@@ -473,10 +473,94 @@
 if HAS_VERSIONS then
   for _, f in ipairs{cut_streams, cut_streams, kill_gateways_of_streams, kill_gateways_of_streams} do faults[#faults + 1] = f end
 end
+
+-- From seed 7000 on: one part of prompts crashes each engine that answers it, while gateways and control instances are
+-- killed and paused. Requests with it may reach engines while it is not known yet, and while processes have just been
+-- disturbed. Sound requests with the same first part are served.
+local CONTACT_MS = 3000 -- processes that were left alone for this time are in touch
+local LATE_MOST = 3
+local HAS_CRASHING_PARTS = SEED >= 7000
+local part_count = 0
+local function part_reports(what, part)
+  local times = {}
+  for _, t in ipairs(g.targets) do
+    for ms in fleet.read(t.log):gmatch(what .. " part=" .. part .. " ms=(%d+)") do times[#times + 1] = tonumber(ms) end
+  end
+  table.sort(times)
+  return times
+end
+local function restart_crashed(after_ms)
+  for _, t in ipairs(g.targets) do
+    if not t.gone and run.wait(t.pid, 0) then
+      t.gone, t.crashed_at = true, run.now()
+    elseif t.crashed_at and run.now() - t.crashed_at >= after_ms then
+      t.crashed_at = nil
+      restart(t)
+    end
+  end
+end
+local function start_prompt(prefix)
+  part_count = part_count + 1
+  local o = {path = one_of{"/chat/x", "/again/x"}, events = 6, body = "q " .. part_count, gateway = one_of(g.gateways), timeout = 8,
+    prefix = string.format(prefix, part_count)}
+  return run.http_start((g:call(o)))
+end
+local function disturb_while(step)
+  local undo = draw(2) == 1 and kill_or_pause_gateways() or {}
+  if draw(2) == 1 then
+    local c = one_of(running(g.control))
+    c:pause()
+    undo[#undo + 1] = function() c:continue() end
+  end
+  for _ = 1, 5 do step() end
+  for _, f in ipairs(undo) do f() end
+  return #undo > 0
+end
+local function crashing_part()
+  if #active > 0 or #running(g.targets) < #g.targets or #running(g.gateways) < #g.gateways then return end
+  local part = string.format("dead%d%03x", draw(3) - 1, draw(4096) - 1)
+  local crashing, sound = {}, {}
+  local function step()
+    crashing[#crashing + 1] = start_prompt("a1:50," .. part .. ":40,f%x:10")
+    for _ = 1, 3 do sound[#sound + 1] = {h = start_prompt("a1:50,5:40,f%x:10"), at = run.now()} end
+    restart_crashed(1000)
+    run.pause(100)
+  end
+  local disturbed_at = 0
+  for _ = 1, 20 do step() end
+  for _ = 1, draw(3) do
+    if disturb_while(step) then disturbed_at = run.now() end
+  end
+  -- Requests that went out to a disturbed process may still be in flight when it goes on.
+  for _ = 1, (CONTACT_MS + 2500) // 100 do step() end
+  local played_until = run.now()
+  for _, h in ipairs(crashing) do run.http_wait(h) end
+  local asked, complete = 0, 0
+  for _, s in ipairs(sound) do
+    local r = run.http_wait(s.h)
+    if s.at > played_until - 2000 then
+      asked = asked + 1
+      complete = complete + (r.status == 200 and r.whole and 1 or 0)
+    end
+  end
+  while #running(g.targets) < #g.targets do
+    restart_crashed(0)
+    run.pause(20)
+  end
+  local fifth, late = part_reports("crashed", part)[5], 0
+  for _, at in ipairs(part_reports("arrived", part)) do
+    if fifth and at > math.max(fifth, disturbed_at) + CONTACT_MS then late = late + 1 end
+  end
+  check(late <= LATE_MOST, "%d requests with part %s reached engines later than %d ms", late, part, CONTACT_MS)
+  check(2 * complete >= asked, "%d of %d sound requests beside part %s were served", complete, asked, part)
+  return string.format("part %s: %d ends, %d late, %d of %d sound ones", part, #part_reports("crashed", part), late, complete, asked),
+    function() end
+end
 local ends = run.now() + MINUTES * 60000
 while run.now() < ends and #problems == 0 do
   if #active < 3 and draw(2) == 1 then
-    local fault = HAS_STARTS and #active == 0 and starts_while_targets_refuse or one_of(faults)
+    local first = HAS_STARTS and starts_while_targets_refuse or HAS_CRASHING_PARTS and crashing_part
+    local fault = #active == 0 and first or one_of(faults)
     local what, undo = fault()
     if what then
       print(string.format("%8d %s", run.now(), what))
