--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -1,8 +1,8 @@
 /* fake_target.c: a stand-in for a target of the platform: signed answers, streams of events, heartbeats and
 ** faults.
 **
-** fake-target IP:PORT CONTROL,CONTROL SERVICE ZONE ID [ADVERTISED [VERSION]]
-** ZONE is the availability zone, ADVERTISED the address in the heartbeats.
+** fake-target IP:PORT CONTROL,CONTROL SERVICE ZONE ID [ADVERTISED [VERSION [SLOTS]]]
+** ZONE is the availability zone, ADVERTISED the address in the heartbeats, SLOTS the number of slots in them.
 ** GET /fault?NAME=N sets a fault. GET /stats returns counters, GET /ran?ID how often a request ran.
 ** GET /hold_off?TEXT sets the Retry-After of the faults shed, shed_ran and hint: "+" stands for a blank, and
 ** ";" separates the values of several header lines.
@@ -29,7 +29,7 @@
 #define ID_MAX 64
 #define PARTS_MAX 1024 /* longest X-Prompt-Prefix, bytes */
 #define CONTROLS_MAX 8
-#define SLOTS 8
+#define SLOTS_DEFAULT 8
 #define HOLD_POLL_S 0.01
 #define LATE_CRASH_EVENT 6 /* "dead2" ends the process before this event */
 
@@ -106,6 +106,7 @@
   const char *address, *service, *availability_zone, *id, *version;
   struct sockaddr_in control[CONTROLS_MAX];
   int ncontrol, at_control;
+  int slots;
   faults f;
   run *runs;
   int total, most;          /* runs of all requests; most runs of one */
@@ -209,7 +210,7 @@
   pwbuf_fmt(&out,
             "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nContent-Length: %zu\r\n"
             "X-Replica-Load: 1,0,%d\r\n%s%s\r\n%s",
-            status, p->id, strlen(body), SLOTS, leaving_line(), lines, body);
+            status, p->id, strlen(body), me.slots, leaving_line(), lines, body);
   pwtcp_write(p->tcp, out.data, out.len);
   if (status == 200 && spend(&me.f.extra))
     pwtcp_write(p->tcp, out.data, out.len);
@@ -629,8 +630,8 @@
                    "\"version\":\"%s\",\"slots\":%d,\"state\":\"%s\","
                    "\"coldLeftMs\":%d,%s\"seq\":%llu}",
                    me.service, me.address, me.availability_zone, me.version,
-                   SLOTS, me.f.leaving ? "draining" : "ready", me.f.cold, born,
-                   (unsigned long long)++me.seq);
+                   me.slots, me.f.leaving ? "draining" : "ready", me.f.cold,
+                   born, (unsigned long long)++me.seq);
   int m =
       snprintf(head, sizeof head,
                "PUT /replicas/%s HTTP/1.1\r\nHost: x\r\n"
@@ -659,10 +660,10 @@
 
 int main(int argc, char **argv) {
   struct sockaddr_in at;
-  if (argc < 6 || argc > 8 || pwtcp_address(argv[1], &at) != 0 ||
+  if (argc < 6 || argc > 9 || pwtcp_address(argv[1], &at) != 0 ||
       read_controls(argv[2]) != 0) {
     fputs("fake-target IP:PORT CONTROL,... SERVICE ZONE ID [ADVERTISED "
-          "[VERSION]]\n",
+          "[VERSION [SLOTS]]]\n",
           stderr);
     return 2;
   }
@@ -671,6 +672,7 @@
   me.availability_zone = argv[4];
   me.id = argv[5];
   me.version = argc > 7 ? argv[7] : "v1";
+  me.slots = argc > 8 ? atoi(argv[8]) : SLOTS_DEFAULT;
   me.born = pwclock_wall_ms();
   signal(SIGPIPE, SIG_IGN);
   me.ev = ev_loop_new(0);
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -87,6 +87,10 @@
     self.argv[7] = self.argv[7] or address
     self.argv[8] = v
   end
+  function p:set_slots(n)
+    self:set_version(self.argv[8] or "v1")
+    self.argv[9] = tostring(n)
+  end
   if version then p:set_version(version) end
   p.relay, p.service = relay, service
   p.live = "/stats"
