Connections to a target are divided by what each gateway gets

What callers saw: while nine of ten new connections go to one of five gateways, 560 of 900 streams are answered at the first attempt, 900 of 900 before; the rest is refused with half of the slots free.

Cause: a gateway may have max_conns / gateways connections to each target, whatever share of the requests it gets: 120 in all here, while the others use none.

Change: pwshare_connections divides seven tenths of them by the gateway's part of all requests and three tenths evenly. It adds up to max_conns over all gateways, so targets reset no more than before.

Ruled out: a faster share of the slots as the first cause: from 3 s on the share has moved, and the connections alone decide.

--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -13,9 +13,6 @@
 
 #define MS_PER_S 1000.0
 
-/* Connections to one target that a gateway may always have, however many gateways there are. */
-#define CONNECTIONS_LEAST 2
-
 static void write_head(pw_exchange *x, pw_buf *out) {
   const pw_h1 *m = &x->caller->request;
   pwbuf_fmt(out, "%s %.*s HTTP/1.1\r\n",
@@ -185,12 +182,11 @@
   return p->why != NULL;
 }
 
-/* Connections that this gateway may have to one target: its share of those that a
-** target accepts. 0: no limit. */
-static int connection_limit(const pw_exchange *x) {
-  int all = x->service->max_conns;
-  int mine = all / pwlink_gateway_count(x->g->link);
-  return all > 0 && mine < CONNECTIONS_LEAST ? CONNECTIONS_LEAST : mine;
+/* Connections that this gateway may have to one target. 0: no limit. */
+static int connection_limit(const pw_exchange *x, int64_t now) {
+  return pwshare_connections(x->service->max_conns,
+                             pwlink_gateway_count(x->g->link),
+                             demand_share(x, now));
 }
 
 /* Whether to avoid targets that reject requests, because the retry budget is scarce. When slots are short
@@ -266,7 +262,7 @@
       .bound = bound_of(x, p),
       .cold = {x->service->cold_ms, x->service->cold_per_s},
       .part = demand_share(x, now),
-      .conns = connection_limit(x),
+      .conns = connection_limit(x, now),
       .may_probe = pwexi_may_probe(x),
       .save_retries = avoids_rejections(x, now),
       .tried = x->tried,
--- a/packages/policy/pwshare.c
+++ b/packages/policy/pwshare.c
@@ -1,4 +1,5 @@
-/* pwshare.c: a gateway's share of the slots of a service. */
+/* pwshare.c: a gateway's share of the slots of a service, and of the connections
+** to its targets. */
 #include "pwshare.h"
 
 #include <math.h>
@@ -28,6 +29,13 @@
 ** slots are free. The reserve for more urgent requests is taken off both. */
 #define SLOTS_LEAST 1
 
+/* Part of the connections to a target that is divided evenly. */
+#define CONNECTIONS_EVEN 0.3
+
+/* Connections to one target that a gateway may always have, however many
+** gateways there are. */
+#define CONNECTIONS_LEAST 2
+
 static double decayed(const pw_share *s, int64_t now) {
   return s->requests * exp(-(double)(now - s->at) / DECAY_MS);
 }
@@ -51,3 +59,9 @@
   double least = SLOTS_LEAST + free_part;
   return (limit > least ? limit : least) * (1 - RESERVE_TIMES * reserved);
 }
+
+int pwshare_connections(int most, int gateways, double part) {
+  double share = CONNECTIONS_EVEN / gateways + (1 - CONNECTIONS_EVEN) * part;
+  int mine = (int)(most * share);
+  return most > 0 && mine < CONNECTIONS_LEAST ? CONNECTIONS_LEAST : mine;
+}
--- a/packages/policy/pwshare.h
+++ b/packages/policy/pwshare.h
@@ -1,4 +1,5 @@
-/* pwshare.h: a gateway's share of the slots of a service.
+/* pwshare.h: a gateway's share of the slots of a service, and of the
+** connections to its targets.
 **
 ** Pure: time comes in as an argument. Prevents this failure: under several
 ** times the load that the targets can take, a hundred gateways learn of each
@@ -32,4 +33,13 @@
 double pwshare_slots(double mine, double all, double slots, double used,
                      double reserved);
 
+/* How many connections this gateway may have to one target that accepts `most`
+** from all of them; 0: no limit. `part` is its part of the requests that all
+** gateways get. Prevents this failure: most callers are sent to one gateway,
+** which stops at an even part of the connections while others use none. A part
+** is divided evenly all the same, for gateways whose requests have just become
+** more. Over all gateways it adds up to `most`, but for the least that each
+** may have. */
+int pwshare_connections(int most, int gateways, double part);
+
 #endif
--- a/tests/test_topology.c
+++ b/tests/test_topology.c
@@ -382,6 +382,26 @@
   CHECK(most > 2 && mean > 1.4);
 }
 
+/* A gateway that gets most requests may have most of the connections to a
+** target, and all gateways together have no more than it accepts. */
+static void test_connections(void) {
+  pw_random r = {.seed = test_seed(84)};
+  CHECK(pwshare_connections(0, 5, 0.9) == 0);
+  CHECK(pwshare_connections(100, 5, 0.2) == 20);
+  CHECK(pwshare_connections(100, 5, 0.9) >= 60);
+  CHECK(pwshare_connections(100, 5, 0) >= 2);
+  CHECK(pwshare_connections(100, 300, 0) == 2);
+  for (int run = 0; run < 1000; run++) {
+    double part[8], all = 0;
+    int sum = 0, most = 16 + (int)pwrand_below(&r, 500);
+    for (int i = 0; i < 8; i++)
+      all += part[i] = 1 + (double)pwrand_below(&r, 1000);
+    for (int i = 0; i < 8; i++)
+      sum += pwshare_connections(most, 8, part[i] / all);
+    CHECK(sum <= most || most / 8 <= 6); /* the least of each */
+  }
+}
+
 int main(void) {
   TESTS_BEGIN("sight");
   TEST(test_groups);
@@ -393,5 +413,6 @@
   TEST(test_shares);
   TEST(test_rate);
   TEST(test_overload);
+  TEST(test_connections);
   TESTS_END();
 }
