Parts that crash targets: the crashes of one part have a file of their own; answers cost no comparison

Each answer compared all suspects while a part was refused, for ten minutes; only an answer that a suspect waits for does now. Control instances kept parts that were found harmless until the table was full; they go after 10 s. A refused part is no longer released by a crash elsewhere that is told late.

Change: pwpartrow.c (crashes of one part) out of pwparts.c.

--- a/packages/policy/pwparts.c
+++ b/packages/policy/pwparts.c
@@ -1,5 +1,5 @@
 /* pwparts.c: parts of prompts that crash the targets which answer them. */
-#include "pwparts.h"
+#include "pwpartrow.h"
 
 #include "pwbuf.h"
 #include "pwlimits.h"
@@ -14,15 +14,13 @@
 #endif
 
 enum {
-  MUT_COUNT_ALL_CRASHES = 69,  /* crashes at the same moment count each */
   MUT_BLAME_EACH_PART = 70,    /* no part explains the crashes of another */
   MUT_REFUSE_HALF_A_PAIR = 71, /* one of two parts alike is enough */
   MUT_KEEP_AFTER_ANSWER = 72   /* an answer retracts nothing */
 };
 
 /* Crashes, one by one, from which on a part is refused. Fewer suffice if it was
-** not answered lately and most other prompts are answered meanwhile: then
-** nothing speaks for it. */
+** not answered lately while other prompts were: then nothing speaks for it. */
 #define CRASHES_TO_REFUSE 5
 #define CRASHES_IF_UNKNOWN 3
 
@@ -34,11 +32,6 @@
 
 #define ANSWERED_SLOTS 4096 /* answered parts remembered; a power of two */
 
-/* A target that is back after a crash within this time, ms, and crashes again
-** before its new start is known, has one crash: a target that resets
-** connections, but runs, must not put a part to blame alone. */
-#define AGAIN_MS 2000
-
 /* Largest update in bytes, and what a row and a crash take of it. */
 #define UPDATE_BYTES 1250
 #define ROW_BYTES 28
@@ -53,6 +46,9 @@
 ** from which on an answer that retracts some is. */
 #define SEND_ANSWERED_LEAST 2
 
+/* How long others are told, ms, that a part with crashes was answered. */
+#define HARMLESS_MS 10000
+
 /* Most parts with crashes that are kept. A crash leaves one for each part of
 ** the up to 64 requests that ran there. */
 #define CASES_MAX 1024
@@ -62,10 +58,6 @@
 /* Most bits of forgotten targets that still tell one target from another. */
 #define FORGOTTEN_MAX 32
 
-/* Targets that crash within this time of each other, ms, crash at the same
-** moment. It allows for the delay of the event loop in which they are seen. */
-#define COINCIDENT_MS 40
-
 /* Most parts that are compared with each other to find which one is to blame.
 */
 #define SUSPECTS_MAX 64
@@ -92,10 +84,10 @@
 
 struct pw_parts {
   part_case *cases;
-  int nmany; /* cases with CRASHES_IF_UNKNOWN crashes or more */
   int nunsent;
   int nchanged;      /* cases whose change is to be reported */
   int must_evaluate; /* crashes or answers came since the last evaluation */
+  int awaits_answer; /* an answer of any prompt may make a part refused */
   int64_t answers;   /* prompts that were answered at this instance */
   pw_part_crash recent[RECENT_MAX]; /* crashes seen here; `sent` is unused */
   int next_recent;
@@ -127,7 +119,6 @@
 }
 
 static void drop(pw_parts *q, part_case *c) {
-  q->nmany -= is_many(c);
   q->nunsent -= c->sends < SENDS;
   q->nchanged -= c->is_refused != c->is_reported;
   q->must_evaluate = 1; /* it may be among the refused ones */
@@ -195,26 +186,12 @@
   return at && now - at < PW_QUARANTINE_MS;
 }
 
-/* Drops the crashes up to a time. Returns how many there were. */
-static int drop_crashes(pw_parts *q, part_case *c, int64_t until) {
-  pw_part_row *r = &c->row;
-  int n = 0;
-  while (n < r->n && r->crash[n].crashed <= until)
-    n++;
-  if (n == 0)
-    return 0;
-  int was_many = is_many(c);
-  r->n -= n;
-  memmove(r->crash, r->crash + n, sizeof *r->crash * (size_t)r->n);
-  q->nmany += is_many(c) - was_many;
-  return n;
-}
-
 /* Retracts the crashes of a part before an answer. Only what was worth telling
 ** others is retracted there. */
 static void retract(pw_parts *q, part_case *c, int64_t at) {
   int was_alone = c->row.n == 1;
-  if (PW_MUTATION == MUT_KEEP_AFTER_ANSWER || drop_crashes(q, c, at) == 0)
+  if (PW_MUTATION == MUT_KEEP_AFTER_ANSWER ||
+      pwpartrow_drop_until(&c->row, at) == 0)
     return;
   if (was_alone)
     drop(q, c);
@@ -232,84 +209,11 @@
       retract(q, c, now);
   }
   q->answers++;
-  q->must_evaluate |= q->nmany > 0;
+  q->must_evaluate |= q->awaits_answer;
 }
 
 /* --- crashes --- */
 
-/* Whether one of two requests was sent after the other one's target crashed, so
-** that the crashes did not happen at once. */
-static int are_apart(const pw_part_crash *a, const pw_part_crash *b) {
-  return a->sent > b->crashed || b->sent > a->crashed;
-}
-
-/* Whether both are one crash of a target, seen with different requests. */
-static int is_one_crash(const pw_part_crash *a, const pw_part_crash *b) {
-  int64_t between = a->crashed - b->crashed;
-  return a->target == b->target && between < AGAIN_MS && between > -AGAIN_MS;
-}
-
-static int is_same(const pw_part_crash *a, const pw_part_crash *b) {
-  return is_one_crash(a, b) || (a->target == b->target && !are_apart(a, b));
-}
-
-/* Moves a crash whose time is now earlier to its place in the order of time. */
-static void move_up(pw_part_row *r, int i) {
-  for (; i > 0 && r->crash[i - 1].crashed > r->crash[i].crashed; i--) {
-    pw_part_crash later = r->crash[i - 1];
-    r->crash[i - 1] = r->crash[i];
-    r->crash[i] = later;
-  }
-}
-
-/* Of the same crash, seen with several requests or by several instances, the
-** earliest time and the shortest time since the request count. A report takes a
-** while from instance to instance, so times alone would creep. Returns whether
-** the crash was known. */
-static int merge_crash(pw_part_row *r, const pw_part_crash *crash) {
-  for (int i = 0; i < r->n; i++) {
-    pw_part_crash *known = &r->crash[i];
-    if (!is_same(known, crash))
-      continue;
-    int64_t span = crash->crashed - crash->sent;
-    if (known->crashed - known->sent < span)
-      span = known->crashed - known->sent;
-    if (crash->crashed < known->crashed)
-      known->crashed = crash->crashed;
-    known->sent = known->crashed - span;
-    move_up(r, i);
-    return 1;
-  }
-  return 0;
-}
-
-/* Inserts a crash in the order of time. */
-static void insert_crash(pw_part_row *r, const pw_part_crash *crash) {
-  r->crash[r->n++] = *crash;
-  move_up(r, r->n - 1);
-}
-
-/* A bit for each of some targets, which others may share. */
-static uint64_t bit_of(const pw_part_crash *crash) {
-  return UINT64_C(1) << (crash->target % 64);
-}
-
-/* Makes room for one crash: the oldest that did not happen apart from the one
-** before it gives way, since it counts for nothing; else the oldest. */
-static void forget_crash(part_case *c) {
-  pw_part_row *r = &c->row;
-  int i = 1;
-  int64_t last = r->crash[0].crashed;
-  for (; i < r->n && r->crash[i].sent > last; i++)
-    last = r->crash[i].crashed;
-  if (i == r->n)
-    i = 0;
-  c->forgotten |= bit_of(&r->crash[i]);
-  r->n--;
-  memmove(r->crash + i, r->crash + i + 1,
-          sizeof *r->crash * (size_t)(r->n - i));
-}
-
 /* A single crash of a part that was answered lately is not: each crash leaves
 ** one for every part of what ran there. */
 static int is_worth_sending(pw_parts *q, const part_case *c, int64_t now) {
@@ -317,6 +221,11 @@
          !was_answered_lately(q, c->row.key, now);
 }
 
+/* A bit for each of some targets, which others may share. */
+static uint64_t bit_of(const pw_part_crash *crash) {
+  return UINT64_C(1) << (crash->target % 64);
+}
+
 static void add_crash(pw_parts *q, uint64_t key, const pw_part_crash *crash) {
   part_case *c = find_or_add(q, key);
   if (c->row.n == 0) {
@@ -324,21 +233,22 @@
     c->forgotten = 0;
     c->row.are_others_answered = 0;
   }
-  if (merge_crash(&c->row, crash))
+  if (pwpartrow_merge(&c->row, crash))
     return;
-  int was_many = is_many(c);
-  if (c->row.n == PWPARTS_CRASHES)
-    forget_crash(c);
-  insert_crash(&c->row, crash);
-  q->nmany += is_many(c) - was_many;
+  if (c->row.n == PWPARTS_CRASHES) {
+    pw_part_crash forgotten = pwpartrow_forget(&c->row);
+    c->forgotten |= bit_of(&forgotten);
+  }
+  pwpartrow_insert(&c->row, crash);
   q->must_evaluate = 1;
   if (is_worth_sending(q, c, crash->crashed))
     mark_changed(q, c);
 }
 
+/* Remembers that the target crashed, whichever parts it had. */
 static void note_recent(pw_parts *q, const pw_part_crash *crash) {
   for (int i = 0; i < RECENT_MAX; i++)
-    if (is_one_crash(&q->recent[i], crash))
+    if (pwpartrow_is_one_crash(&q->recent[i], crash))
       return;
   q->recent[q->next_recent] = *crash;
   q->next_recent = (q->next_recent + 1) % RECENT_MAX;
@@ -353,22 +263,9 @@
 
 /* --- which parts are to blame --- */
 
-static int has_crash(const pw_part_row *r, const pw_part_crash *crash) {
-  for (int i = 0; i < r->n; i++)
-    if (is_same(&r->crash[i], crash))
-      return 1;
-  return 0;
-}
-
-static int has_all_crashes(const pw_part_row *r, const pw_part_row *of) {
-  for (int i = 0; i < of->n; i++)
-    if (!has_crash(r, &of->crash[i]))
-      return 0;
-  return 1;
-}
-
 static int have_same_crashes(const part_case *a, const part_case *b) {
-  return has_all_crashes(&a->row, &b->row) && has_all_crashes(&b->row, &a->row);
+  return pwpartrow_has_all(&a->row, &b->row) &&
+         pwpartrow_has_all(&b->row, &a->row);
 }
 
 /* Whether `a` explains the crashes that it shares with `b` better than `b`
@@ -379,23 +276,7 @@
   int b_answered = was_answered_lately(q, b->row.key, now);
   if (a_answered != b_answered)
     return b_answered;
-  return has_all_crashes(&a->row, &b->row) && !have_same_crashes(a, b);
-}
-
-/* Number of crashes that happened one by one, each with a request that was sent
-** after the one before, but for those of which `ignored` has a bit. The crashes
-** are in the order of time, so taking each that fits is most. */
-static int count_apart(const pw_part_row *r, unsigned ignored) {
-  int n = 0;
-  int64_t last = INT64_MIN;
-  for (int i = 0; i < r->n; i++) {
-    if (PW_MUTATION != MUT_COUNT_ALL_CRASHES &&
-        (ignored >> i & 1 || r->crash[i].sent <= last))
-      continue;
-    n++;
-    last = r->crash[i].crashed + COINCIDENT_MS;
-  }
-  return n;
+  return pwpartrow_has_all(&a->row, &b->row) && !have_same_crashes(a, b);
 }
 
 /* Whether prompts without the part were answered since its first crash. Answers
@@ -414,10 +295,10 @@
 
 /* Whether the target may have had the part, as far as the case remembers. The
 ** bits of many targets would say so of any. */
-static int may_have_crashed(const part_case *c, const pw_part_crash *crash) {
+static int may_have_had_part(const part_case *c, const pw_part_crash *crash) {
   int is_known = __builtin_popcountll(c->forgotten) <= FORGOTTEN_MAX &&
                  (c->forgotten & bit_of(crash));
-  return is_known || has_crash(&c->row, crash);
+  return is_known || pwpartrow_has(&c->row, crash);
 }
 
 /* Whether a target without the part crashed at the same moment. */
@@ -426,17 +307,18 @@
   for (int i = 0; i < RECENT_MAX; i++) {
     const pw_part_crash *other = &q->recent[i];
     int64_t between = crash->crashed - other->crashed;
-    if (other->target && between <= COINCIDENT_MS &&
-        between >= -COINCIDENT_MS && !may_have_crashed(c, other))
+    if (other->target && between <= PWPARTS_COINCIDENT_MS &&
+        between >= -PWPARTS_COINCIDENT_MS && !may_have_had_part(c, other))
       return 1;
   }
   return 0;
 }
 
-/* The crashes of a part that prove nothing, a bit each. */
+/* The crashes of a part that prove nothing, a bit each. Once it is refused, it has
+** no more crashes, and those of others that are told late do not release it. */
 static unsigned coincident(const pw_parts *q, const part_case *c) {
   unsigned bits = 0;
-  for (int i = 0; i < c->row.n; i++)
+  for (int i = 0; i < c->row.n && !c->is_refused; i++)
     bits |= (unsigned)is_coincident(q, c, &c->row.crash[i]) << i;
   return bits;
 }
@@ -451,7 +333,7 @@
         PW_MUTATION == MUT_BLAME_EACH_PART)
       continue;
     for (int k = 0; k < r->n; k++)
-      bits |= (unsigned)has_crash(&suspect[j]->row, &r->crash[k]) << k;
+      bits |= (unsigned)pwpartrow_has(&suspect[j]->row, &r->crash[k]) << k;
   }
   return bits;
 }
@@ -470,11 +352,12 @@
   int n = 0;
   if (!q->must_evaluate)
     return;
-  q->must_evaluate = 0;
+  q->must_evaluate = q->awaits_answer = 0;
   q->nrefused = 0;
   for (part_case *c = q->cases; c; c = c->hh.next) {
+    q->awaits_answer |= is_many(c) && !are_others_answered(q, c);
     if (n < SUSPECTS_MAX && is_many(c) &&
-        is_enough(q, c, count_apart(&c->row, coincident(q, c)), now))
+        is_enough(q, c, pwpartrow_count_apart(&c->row, coincident(q, c)), now))
       suspect[n++] = c;
     else if (c->is_refused)
       set_refused(q, c, 0);
@@ -482,7 +365,7 @@
   for (int i = 0; i < n; i++) {
     unsigned ignored =
         coincident(q, suspect[i]) | explained(q, suspect, n, i, now);
-    int left = count_apart(&suspect[i]->row, ignored);
+    int left = pwpartrow_count_apart(&suspect[i]->row, ignored);
     set_refused(q, suspect[i], is_enough(q, suspect[i], left, now));
   }
 }
@@ -666,9 +549,9 @@
 void pwparts_tick(pw_parts *q, int64_t now) {
   part_case *c, *tmp;
   HASH_ITER(hh, q->cases, c, tmp) {
-    if (drop_crashes(q, c, now - keep_ms(q, c->row.key, now)))
+    if (pwpartrow_drop_until(&c->row, now - keep_ms(q, c->row.key, now)))
       q->must_evaluate = 1;
-    if (c->row.n == 0 && now - c->sent_at >= REFRESH_MS && c->sends >= SENDS)
+    if (c->row.n == 0 && now - answered_at(q, c->row.key) >= HARMLESS_MS)
       drop(q, c);
   }
 }
