--- a/packages/policy/pwparts.c
+++ b/packages/policy/pwparts.c
@@ -346,9 +346,20 @@
     q->refused[q->nrefused++] = c;
 }
 
+/* Whether a part has enough crashes to be refused, but for those that prove
+** nothing, of which `ignored` gets a bit each. */
+static int is_suspect(pw_parts *q, const part_case *c, int64_t now,
+                      unsigned *ignored) {
+  if (!is_many(c) || !is_enough(q, c, pwpartrow_count_apart(&c->row, 0), now))
+    return 0;
+  *ignored = coincident(q, c);
+  return is_enough(q, c, pwpartrow_count_apart(&c->row, *ignored), now);
+}
+
 /* Decides anew which parts are refused. */
 static void evaluate(pw_parts *q, int64_t now) {
   part_case *suspect[SUSPECTS_MAX];
+  unsigned ignored[SUSPECTS_MAX];
   int n = 0;
   if (!q->must_evaluate)
     return;
@@ -356,16 +367,14 @@
   q->nrefused = 0;
   for (part_case *c = q->cases; c; c = c->hh.next) {
     q->awaits_answer |= is_many(c) && !are_others_answered(q, c);
-    if (n < SUSPECTS_MAX && is_many(c) &&
-        is_enough(q, c, pwpartrow_count_apart(&c->row, coincident(q, c)), now))
+    if (n < SUSPECTS_MAX && is_suspect(q, c, now, &ignored[n]))
       suspect[n++] = c;
     else if (c->is_refused)
       set_refused(q, c, 0);
   }
   for (int i = 0; i < n; i++) {
-    unsigned ignored =
-        coincident(q, suspect[i]) | explained(q, suspect, n, i, now);
-    int left = pwpartrow_count_apart(&suspect[i]->row, ignored);
+    ignored[i] |= explained(q, suspect, n, i, now);
+    int left = pwpartrow_count_apart(&suspect[i]->row, ignored[i]);
     set_refused(q, suspect[i], is_enough(q, suspect[i], left, now));
   }
 }
