A target that shows that it runs has not crashed under a part of a prompt

Cause: each connection that a target ends under a request counted as a crash of the target. Targets that break off answers, and run on, end connections alike.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -413,6 +413,7 @@
 
 void pwexi_on_body(void *exchange, const char *data, size_t n) {
   pw_exchange *x = exchange;
+  x->t->chunk_at = pwclock_ms();
   if (x->is_event_stream)
     pwexi_forward_events(x, data, n);
   else if (x->buffered.len + n <= PWEX_BUFFER_MAX)
--- a/packages/gateway/pwexcrash.c
+++ b/packages/gateway/pwexcrash.c
@@ -10,6 +10,13 @@
 
 #define WHY_CHARS 120
 
+/* A target that ended a connection is given this time to show that it runs, ms. Targets that break off answers, and
+** run on, end connections as crashes do. */
+#define SIGN_OF_LIFE_MS 100
+
+/* What a target sent before it crashed has arrived after this time, ms. */
+#define IN_FLIGHT_MS 30
+
 /* The parts that the prompt may share with others: all but the last. */
 static pw_part_list shared_parts(const pw_exchange *x) {
   const pw_request_info *info = &x->request_info;
@@ -30,14 +37,23 @@
                           (unsigned long long)info->part[i].id);
 }
 
+/* Describes the request at its current target, as of `now`. */
+static pw_unresponsive_request describe(const pw_exchange *x, int64_t now) {
+  return (pw_unresponsive_request){.fingerprint = x->fingerprint,
+                                   .parts = shared_parts(x),
+                                   .target = x->t->start_hash,
+                                   .sent = x->sent_at,
+                                   .at = now};
+}
+
 void pwexi_note_crashed(pw_exchange *x, int64_t now) {
   pw_gate *g = x->g;
   char parts[PARTS_CHARS];
-  pw_part_list shared = shared_parts(x);
-  pw_part_crash crash = {x->t->start_hash, x->sent_at, now};
+  pw_unresponsive_request request = describe(x, now);
   pw_quar_change change =
       pwquar_crashed(g->quarantine, x->fingerprint, x->t->start_hash, now);
-  pwparts_crashed(g->parts, &shared, &crash);
+  if (request.parts.n > 0)
+    pwunresponsive_note(&g->ended, &request);
   write_shared_parts(x, parts, sizeof parts);
   pwexi_log(x, PWTRACE_FAIL, "ended-under",
             "target=%s sign=%016llx began=%d had_ms=%lld parts=%s ends=%d",
@@ -52,16 +68,35 @@
     pwexi_note_crashed(x, now);
     return;
   }
-  pw_unresponsive_request request = {.fingerprint = x->fingerprint,
-                                     .parts = shared_parts(x),
-                                     .target = x->t->start_hash,
-                                     .sent = x->sent_at,
-                                     .at = now};
+  pw_unresponsive_request request = describe(x, now);
   pwunresponsive_note(&x->g->unresponsive, &request);
   pwexi_log(x, PWTRACE_FAIL, "dark-under", "target=%s sign=%016llx", x->t->id,
             (unsigned long long)x->fingerprint);
 }
 
+/* Whether the target has run since `at`: a crash ends all its connections, and a part of an answer that comes some
+** time later was not in flight before. */
+static int has_run_since(const pw_target *t, int64_t at) {
+  return t->idle || t->chunk_at > at + IN_FLIGHT_MS;
+}
+
+static const pw_target *find_incarnation(pw_gate *g, uint64_t start_hash) {
+  pw_target *t = pwfleet_first(g->fleet);
+  while (t && t->start_hash != start_hash)
+    t = t->hh.next;
+  return t;
+}
+
+void pwexchange_count_crashes(pw_gate *g, int64_t now) {
+  pw_unresponsive_request r;
+  while (pwunresponsive_take_old(&g->ended, SIGN_OF_LIFE_MS, now, &r)) {
+    const pw_target *t = find_incarnation(g, r.target);
+    pw_part_crash crash = {r.target, r.sent, r.at};
+    if (!t || !has_run_since(t, r.at))
+      pwparts_crashed(g->parts, &r.parts, &crash);
+  }
+}
+
 void pwexi_note_answered(pw_exchange *x, int64_t now) {
   pw_part_list shared = shared_parts(x);
   pw_quar_change change =
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -75,6 +75,8 @@
   pw_parts *parts;           /* parts of prompts whose targets crashed */
   /* Requests whose target is unresponsive but not yet known to have crashed. */
   pw_unresponsive unresponsive;
+  /* Requests whose connection the target ended, until it is known whether it crashed. */
+  pw_unresponsive ended;
   pw_versions *versions; /* services with a rollout in progress */
   pw_gate_service *services;
   pw_gate_route *routes;
@@ -152,6 +154,9 @@
 ** those that their target leaves unanswered. */
 void pwexchange_check(pw_gate *g, int64_t now);
 
+/* Counts the crashes of targets that ended a request's connection a while ago and have given no sign of life since. */
+void pwexchange_count_crashes(pw_gate *g, int64_t now);
+
 /* Updates and logs which targets are suspected of leaving requests unanswered. */
 void pwexchange_check_targets(pw_gate *g, int64_t now);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -237,6 +237,7 @@
   if (now - g->checked_at >= CHECK_MS) {
     g->checked_at = now;
     check_buffers(g, now);
+    pwexchange_count_crashes(g, now);
     pwexchange_check(g, now);
     pwgate_log_parts(g, now);
   }
--- a/packages/policy/pwunresponsive.c
+++ b/packages/policy/pwunresponsive.c
@@ -24,3 +24,16 @@
   }
   return 0;
 }
+
+int pwunresponsive_take_old(pw_unresponsive *d, int64_t age_ms, int64_t now,
+                            pw_unresponsive_request *out) {
+  for (int i = 0; i < PWUNRESPONSIVE_MAX; i++) {
+    pw_unresponsive_request *r = &d->list[(d->next + i) % PWUNRESPONSIVE_MAX];
+    if (!r->at || now - r->at < age_ms)
+      continue;
+    *out = *r;
+    r->at = 0;
+    return 1;
+  }
+  return 0;
+}
--- a/packages/policy/pwunresponsive.h
+++ b/packages/policy/pwunresponsive.h
@@ -27,6 +27,11 @@
   int next;
 } pw_unresponsive;
 
+/* Removes the oldest request that was noted `age_ms` ago or longer. Returns 0 if
+** there is none. */
+int pwunresponsive_take_old(pw_unresponsive *d, int64_t age_ms, int64_t now,
+                            pw_unresponsive_request *out);
+
 /* Notes a request that is at a target which became unresponsive. */
 void pwunresponsive_note(pw_unresponsive *d,
                          const pw_unresponsive_request *request);
--- a/tests/scenarios/parts.lua
+++ b/tests/scenarios/parts.lua
@@ -60,7 +60,7 @@
 local function sound(kind)
   local n = unique()
   return {path = kind.path, events = EVENTS, body = "sound " .. n, key = kind.sound_key,
-    prefix = string.format("%s:50,5%x:40,f%x:10", kind.sound_first or "a1", n % 12, n)}
+    prefix = string.format("%s:50,5%x:40,f%x:10", kind.sound_first or "a1", n % (kind.subjects or 12), n)}
 end
 
 -- A crashing request: body, caller's path and last part differ from those of all others.
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -71,6 +71,7 @@
   b->g.ev = ev_loop_new(EVFLAG_AUTO);
   b->g.fleet = pwfleet_new("az-1", 1000, 1000);
   b->g.quarantine = pwquar_new();
+  b->g.parts = pwparts_new();
   b->g.versions = pwversions_new(&b->g);
   b->g.trace = pwtrace_new("gateway-1", STDOUT_FILENO, 0);
   b->g.link = pwlink_new(&b->g, &err);
@@ -80,6 +81,7 @@
 static void end(bed *b) {
   pwlink_free(b->g.link);
   pwquar_free(b->g.quarantine);
+  pwparts_free(b->g.parts);
   pwversions_free(b->g.versions);
   for (int i = 0; i < CONTROLS; i++) {
     pwwire_close(b->c[i].sock);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -56,6 +56,19 @@
   CHECK(n == PWUNRESPONSIVE_MAX);
 }
 
+/* Requests are taken by age, the oldest first, each one time. */
+static void test_unresponsive_by_age(void) {
+  pw_unresponsive d = {0};
+  pw_unresponsive_request r;
+  for (uint64_t i = 1; i <= PWUNRESPONSIVE_MAX + 2; i++)
+    note(&d, i, 1, 1000 + (int64_t)i);
+  CHECK(!pwunresponsive_take_old(&d, 100, 1100, &r));
+  CHECK(pwunresponsive_take_old(&d, 100, 1104, &r) && r.fingerprint == 3);
+  CHECK(pwunresponsive_take_old(&d, 100, 1104, &r) && r.fingerprint == 4);
+  CHECK(!pwunresponsive_take_old(&d, 100, 1104, &r));
+  CHECK(take(&d, 1, 1105) > 4);
+}
+
 /* --- one instance --- */
 
 static void test_crashes(void) {
@@ -378,6 +391,7 @@
   TESTS_BEGIN("quarantine");
   TEST(test_fingerprint);
   TEST(test_unresponsive);
+  TEST(test_unresponsive_by_age);
   TEST(test_crashes);
   TEST(test_crashes_again);
   TEST(test_answers);
