--- a/packages/entry/pwsuspicion.c
+++ b/packages/entry/pwsuspicion.c
@@ -7,8 +7,6 @@
 
 #include <xxhash.h>
 
-#define PARTS_LOGGED 8 /* most changes of refused parts logged at once */
-
 /* All entries see a crash within this time, and no target restarts and crashes again within it. */
 #define CRASH_SPAN_MS 2000
 
@@ -36,8 +34,8 @@
 }
 
 void pwfl_log_parts(pw_flights *fs, int64_t now) {
-  pw_part_change change[PARTS_LOGGED];
-  size_t n = pwparts_changes(fs->parts, change, PARTS_LOGGED, now);
+  pw_part_change change[PWPARTS_CHANGES];
+  size_t n = pwparts_changes(fs->parts, change, PWPARTS_CHANGES, now);
   for (size_t i = 0; i < n; i++)
     pwlog(LOG_WARNING,
           change[i].is_refused ? "part-quarantined" : "part-released",
--- a/packages/gateway/pwgate.c
+++ b/packages/gateway/pwgate.c
@@ -3,8 +3,6 @@
 
 #include <stdlib.h>
 
-#define PARTS_LOGGED 8 /* most changes of refused parts logged at once */
-
 void pwgate_free_later(pw_gate *g, void *p) {
   if (g->nto_free == g->to_free_cap) {
     g->to_free_cap = g->to_free_cap ? g->to_free_cap * 2 : 64;
@@ -38,8 +36,8 @@
 }
 
 void pwgate_log_parts(pw_gate *g, int64_t now) {
-  pw_part_change change[PARTS_LOGGED];
-  size_t n = pwparts_changes(g->parts, change, PARTS_LOGGED, now);
+  pw_part_change change[PWPARTS_CHANGES];
+  size_t n = pwparts_changes(g->parts, change, PWPARTS_CHANGES, now);
   for (size_t i = 0; i < n; i++)
     pwtrace_line(g->trace, PWTRACE_STATE, now,
                  change[i].is_refused ? "part-quarantined" : "part-released",
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -86,8 +86,9 @@
                                   ** recently */
   pw_unanswered unanswered;       /* requests that it left unanswered */
   int nconns;                     /* open connections, idle ones included */
-  int64_t chunk_at; /* when a part of an answer last came from it, ms */
-  pw_upconn *idle;  /* idle connections, the newest first */
+  int64_t
+      chunk_at; /* when a part of an answer last came from it, ms; stalls do not move it */
+  pw_upconn *idle; /* idle connections, the newest first */
 
   int failures;          /* consecutive requests without a valid answer */
   double errors;         /* smoothed share of error answers at errors_at */
--- a/packages/policy/pwparts.c
+++ b/packages/policy/pwparts.c
@@ -53,7 +53,8 @@
 ** the up to 64 requests that ran there. */
 #define CASES_MAX 1024
 
-#define RECENT_MAX 512 /* crashes seen here that are remembered */
+/* Crashes that are remembered, whichever parts the targets had. */
+#define RECENT_MAX 512
 
 /* Most bits of forgotten targets that still tell one target from another. */
 #define FORGOTTEN_MAX 32
@@ -89,7 +90,7 @@
   int must_evaluate; /* crashes or answers came since the last evaluation */
   int awaits_answer; /* an answer of any prompt may make a part refused */
   int64_t answers;   /* prompts that were answered at this instance */
-  pw_part_crash recent[RECENT_MAX]; /* crashes seen here; `sent` is unused */
+  pw_part_crash recent[RECENT_MAX]; /* seen here or told; `sent` is unused */
   int next_recent;
   part_case *refused[SUSPECTS_MAX];
   int nrefused;
--- a/packages/policy/pwparts.h
+++ b/packages/policy/pwparts.h
@@ -39,6 +39,8 @@
 
 #define PWPARTS_ROWS 32 /* most in one update, which fits a datagram */
 
+#define PWPARTS_CHANGES 8 /* most that are logged at once */
+
 /* The parts of a prompt that it may share with others, as pwparts_key names
 ** them. */
 typedef struct pw_part_list {
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -22,9 +22,6 @@
   CHECK(pwfingerprint_of("", "GET", span("/"), (pw_span){0}) != 0);
 }
 
-/* A request whose target became unresponsive is returned once the target is
-** known to have crashed, but only one time, not for another incarnation, and
-** not long after. */
 static void note(pw_unresponsive *d, uint64_t fingerprint, uint64_t target,
                  int64_t now) {
   pw_unresponsive_request r = {
@@ -38,6 +35,9 @@
   return pwunresponsive_take(d, target, now, &r) ? r.fingerprint : 0;
 }
 
+/* A request whose target became unresponsive is returned once the target is
+** known to have crashed, but only one time, not for another incarnation, and
+** not long after. */
 static void test_unresponsive(void) {
   pw_unresponsive d = {0};
   note(&d, 7, 1, 1000);
