One answer that is late by chance keeps no target from its part

The clock counts whole milliseconds, so one answer of 2 ms in place of 1 makes 1.1 ms of 1.0 and the target gets nothing until the figure is stale. After it was slow, its first new measurement replaces the old one and decides alone.

Ruled out: the target set aside, rejecting or out of connections (no such line); a lost measurement (five requests measured at 1.0 ms before).

Now durations that differ by 2 ms are equal at an idle target, and a first measurement below half of the stale one is followed by three more, of which the least counts. A chance can only add to a duration, so the least is right; a target that is still slow does not pass the half, so it gets one request in five seconds as before (test_still_slow).

--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -99,6 +99,7 @@
                        ** stalls of this process */
   double work_ms;      /* smoothed duration of a request; 0: not measured */
   int64_t measured_at; /* time of the newest measurement of work_ms, ms */
+  int samples_needed;  /* further measurements until work_ms is reliable */
   pw_fleet_side side;
   int is_in_canary; /* PWFLEET_NEW_VERSION only: it gets requests already */
   int refs;
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -37,6 +37,15 @@
 /* A duration that was measured longer ago than this says nothing of the target any more, ms. */
 #define WORK_STALE_MS 5000
 
+/* Durations that differ by no more than this count as equal, ms: the clock counts whole ms, and the
+** scheduler may add one more. */
+#define WORK_NOISE_MS 2
+
+/* A new duration below this part of the old, stale one is reliable only after WORK_SAMPLES measurements in
+** all, of which the least counts: chance can only add to a duration. */
+#define WORK_FASTER_PART 0.5
+#define WORK_SAMPLES 4
+
 /* A target counts as new for this multiple of keep_ms: by then each prompt that belongs there has
 ** been sent there, and is in its prompt cache. */
 #define NEW_TIMES 2
@@ -121,14 +130,19 @@
   return t->work_ms == 0 || now - t->measured_at > WORK_STALE_MS;
 }
 
-/* Duration that a request is expected to take at a target with this load. An idle target without a
-** recent measurement is assumed to be as fast as the fastest one, so that it gets a request and is
-** measured again. Otherwise a target that was slow once gets no request while another one is idle. */
+/* Whether nothing reliable shows that a target is slower than the fastest one. */
+static int may_be_fastest(const pw_target *t, const service_stats *s) {
+  return has_stale_duration(t, s->now) || t->samples_needed > 0 ||
+         t->work_ms <= s->least_work_ms + WORK_NOISE_MS;
+}
+
+/* Duration that a request is expected to take at a target with this load. An idle target that may be the
+** fastest is assumed to be, so that it gets a request and is measured again. Otherwise a target that was
+** slow once, or one of whose answers was late by chance, gets no request while another one is idle. */
 static double expected_work_of(const pw_target *t, double load,
                                const service_stats *s) {
   int is_idle = t->inflight == 0 && load < t->slots;
-  return is_idle && has_stale_duration(t, s->now) ? s->least_work_ms
-                                                  : work_of(t, s);
+  return is_idle && may_be_fastest(t, s) ? s->least_work_ms : work_of(t, s);
 }
 
 /* Whether a target can answer: it is responsive, not gone and not ejected. If most targets of the
@@ -537,8 +551,16 @@
 
 void pwfleet_measured(pw_target *t, double ms, int64_t now) {
   double sample = ms > WORK_LEAST_MS ? ms : WORK_LEAST_MS;
-  double weight = has_stale_duration(t, now) ? 1 : WORK_WEIGHT;
-  t->work_ms += weight * (sample - t->work_ms);
+  if (has_stale_duration(t, now)) {
+    int is_faster = sample < WORK_FASTER_PART * t->work_ms;
+    t->samples_needed = is_faster ? WORK_SAMPLES - 1 : 0;
+    t->work_ms = sample;
+  } else if (t->samples_needed > 0) {
+    t->samples_needed--;
+    t->work_ms = fmin(t->work_ms, sample);
+  } else {
+    t->work_ms += WORK_WEIGHT * (sample - t->work_ms);
+  }
   t->measured_at = now;
 }
 
--- a/tests/test_durations.c
+++ b/tests/test_durations.c
@@ -69,6 +69,33 @@
   pwfleet_free(f);
 }
 
+/* Durations that differ by what the clock and the scheduler add do not keep a target from its part. */
+static void test_equal_but_for_noise(void) {
+  pw_random r = {.seed = test_seed(83)};
+  int64_t now = 10000;
+  pw_fleet *f = fleet_of_two();
+  pwfleet_measured(pwfleet_find(f, "a"), 2, now);
+  pwfleet_measured(pwfleet_find(f, "b"), 1, now);
+  int to_a = send_in_sequence(f, &r, 100, 1, 1, &now);
+  printf("%d of 100 requests to a target that is 1 ms slower\n", to_a);
+  CHECK(to_a > 100 / 6);
+  pwfleet_free(f);
+}
+
+/* One answer that is late by chance, the first after a target was slow, does not decide for the next five seconds. */
+static void test_one_late_sample(void) {
+  pw_random r = {.seed = test_seed(84)};
+  int64_t now = 10000;
+  pw_fleet *f = fleet_with_slow_a(now);
+  now += 60000;
+  pwfleet_measured(pwfleet_find(f, "b"), 1, now);
+  pwfleet_measured(pwfleet_find(f, "a"), 12, now);
+  int to_a = send_in_sequence(f, &r, 100, 1, 1, &now);
+  printf("%d of 100 requests after one late sample\n", to_a);
+  CHECK(to_a > 100 / 6);
+  pwfleet_free(f);
+}
+
 /* One request in five seconds is enough to learn that a target is still slow. */
 static void test_still_slow(void) {
   pw_random r = {.seed = test_seed(81)};
@@ -109,6 +136,8 @@
 int main(void) {
   TESTS_BEGIN("durations");
   TEST(test_slow_once);
+  TEST(test_equal_but_for_noise);
+  TEST(test_one_late_sample);
   TEST(test_still_slow);
   TEST(test_one_at_a_time);
   TEST(test_below_resolution);
