Whether a target has crashed is shown by a connection that replaces the ended one

Cause, by the gateways' lines: all requests with the refused part had load=1+0, so nothing else was under way between gateway and target that could have shown within 100 ms that the target runs. The absence of evidence counted as a crash.

Ruled out: to wait longer (nothing comes from an idle target), and to look again when parts are evaluated (the parts are refused by then; other gateways have merged the crash).

Now the ended connection is replaced at once. A refusal shows a crash, and counts at once; a connection that is still open after 100 ms shows that the target runs. A process that ended accepts nothing, however little was under way. One connection at a time is opened for each target, in place of the one that was ended, and the next request uses it.

--- a/packages/gateway/pwexcrash.c
+++ b/packages/gateway/pwexcrash.c
@@ -10,8 +10,7 @@
 
 #define WHY_CHARS 120
 
-/* A target that ended a connection is given this time to show that it runs, ms. Targets that break off answers, and
-** run on, end connections as crashes do. */
+/* A target that ended a connection and accepts another one has crashed if that one, too, ends within this time, ms. */
 #define SIGN_OF_LIFE_MS 100
 
 /* What a target sent before it crashed has arrived after this time, ms. */
@@ -46,6 +45,53 @@
                                    .at = now};
 }
 
+/* Whether a part of an answer came from the target that was not in flight at `at`. */
+static int has_sent_since(const pw_target *t, int64_t at) {
+  return t->chunk_at > at + IN_FLIGHT_MS;
+}
+
+static void count_crash(pw_gate *g, const pw_unresponsive_request *r) {
+  pw_part_crash crash = {r->target, r->sent, r->at};
+  pwparts_crashed(g->parts, &r->parts, &crash);
+}
+
+/* The target has crashed under the requests whose connections it ended. */
+static void count_crashes_of(pw_gate *g, const pw_target *t, int64_t now) {
+  pw_unresponsive_request r;
+  while (pwunresponsive_take(&g->ended, t->start_hash, now, &r))
+    if (!has_sent_since(t, r.at))
+      count_crash(g, &r);
+}
+
+/* A target that refuses connections has crashed. One that accepts is given SIGN_OF_LIFE_MS to end the new connection
+** as well: the kernel may accept for a process that is ending. */
+static void on_replaced(pw_gate *g, pw_target *t, int is_up) {
+  int64_t now = pwclock_ms();
+  pwtrace_line(g->trace, PWTRACE_STATE, now, "target-checked",
+               "target=%s accepts=%d", t->id, is_up);
+  if (is_up) {
+    pwunresponsive_end_check(&g->ended, t->start_hash);
+    return;
+  }
+  t->refused_at = now;
+  pwfleet_connect_failed(t, now);
+  count_crashes_of(g, t, now);
+}
+
+/* Notes that the target ended the connection of a request whose prompt has shared parts, and replaces the connection,
+** which shows whether the target runs: targets that break off answers end connections as crashes do. */
+static void check_target(pw_exchange *x, const pw_unresponsive_request *r) {
+  pw_gate *g = x->g;
+  pw_target *t = x->t;
+  pw_unresponsive_request checked = *r;
+  checked.is_checked = !t->is_gone;
+  pwunresponsive_note(&g->ended, &checked);
+  if (r->at - t->refused_at < SIGN_OF_LIFE_MS)
+    count_crashes_of(g, t, r->at);
+  else if (checked.is_checked && !pwupconn_replace(g, t, on_replaced))
+    pwunresponsive_end_check(&g->ended, t->start_hash);
+}
+
 void pwexi_note_crashed(pw_exchange *x, int64_t now) {
   pw_gate *g = x->g;
   char parts[PARTS_CHARS];
@@ -53,7 +99,7 @@
   pw_quar_change change =
       pwquar_crashed(g->quarantine, x->fingerprint, x->t->start_hash, now);
   if (request.parts.n > 0)
-    pwunresponsive_note(&g->ended, &request);
+    check_target(x, &request);
   write_shared_parts(x, parts, sizeof parts);
   pwexi_log(x, PWTRACE_FAIL, "ended-under",
             "target=%s sign=%016llx began=%d had_ms=%lld parts=%s ends=%d",
@@ -74,12 +120,6 @@
             (unsigned long long)x->fingerprint);
 }
 
-/* Whether the target has run since `at`: a crash ends all its connections, and a part of an answer that comes some
-** time later was not in flight before. */
-static int has_run_since(const pw_target *t, int64_t at) {
-  return t->idle || t->chunk_at > at + IN_FLIGHT_MS;
-}
-
 static const pw_target *find_incarnation(pw_gate *g, uint64_t start_hash) {
   pw_target *t = pwfleet_first(g->fleet);
   while (t && t->start_hash != start_hash)
@@ -91,9 +131,8 @@
   pw_unresponsive_request r;
   while (pwunresponsive_take_old(&g->ended, SIGN_OF_LIFE_MS, now, &r)) {
     const pw_target *t = find_incarnation(g, r.target);
-    pw_part_crash crash = {r.target, r.sent, r.at};
-    if (!t || !has_run_since(t, r.at))
-      pwparts_crashed(g->parts, &r.parts, &crash);
+    if (!t || (!t->replacement && !t->idle && !has_sent_since(t, r.at)))
+      count_crash(g, &r);
   }
 }
 
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -5,6 +5,7 @@
 
 #include "pwlog.h"
 
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -28,6 +29,7 @@
   pw_h1 answer;
   const pw_upconn_callbacks *calls; /* of the current request; NULL: idle */
   void *arg;
+  pw_upconn_replaced *replaced; /* of a replacement that is being established */
   ev_timer connecting;
   int64_t dialled_at; /* ms of pwtcp_clock */
   pw_buf out;         /* to be written once connected */
@@ -58,6 +60,8 @@
   u->is_closed = 1;
   if (!u->calls)
     unlist(u);
+  if (u->t->replacement == u)
+    u->t->replacement = NULL;
   ev_timer_stop(u->g->ev, &u->connecting);
   pwtcp_close(u->tcp, reset);
   u->t->nconns--;
@@ -71,9 +75,18 @@
   close_conn(u, 1);
 }
 
+/* Reports whether a replacement was established. */
+static void report_replaced(pw_upconn *u) {
+  pw_upconn_replaced *replaced = u->replaced;
+  u->replaced = NULL;
+  replaced(u->g, u->t, u->is_up);
+}
+
 static void fail(pw_upconn *u, pw_tcp_end how) {
   const pw_upconn_callbacks *calls = u->calls;
   int unused = u->was_reused && !u->has_received;
+  if (u->replaced)
+    report_replaced(u);
   if (!u->is_up)
     how = PWTCP_REFUSED;
   close_conn(u, how != PWTCP_EOF);
@@ -189,6 +202,11 @@
   ev_timer_stop(u->g->ev, &u->connecting);
   u->t->received_at = pwclock_ms();
   u->is_up = 1;
+  if (u->replaced) {
+    make_idle(u);
+    report_replaced(u);
+    return;
+  }
   pwtcp_write(u->tcp, u->out.data, u->out.len);
   pwbuf_free(&u->out);
   if (u->calls)
@@ -275,6 +293,19 @@
   return u;
 }
 
+int pwupconn_replace(pw_gate *g, pw_target *t, pw_upconn_replaced *replaced) {
+  if (t->replacement && t->replacement->replaced)
+    return 1;
+  t->replacement = open_conn(g, t);
+  if (t->replacement)
+    t->replacement->replaced = replaced;
+  else if (errno == ECONNREFUSED)
+    replaced(g, t, 0);
+  else
+    return 0;
+  return 1;
+}
+
 size_t pwupconn_buffered(const pw_upconn *u) {
   return pwtcp_buffered(u->tcp) + u->out.cap;
 }
--- a/packages/gateway/pwupconn.h
+++ b/packages/gateway/pwupconn.h
@@ -35,6 +35,14 @@
 pw_upconn *pwupconn_send(pw_gate *g, pw_target *t, const pw_upconn_request *r,
                          const pw_upconn_callbacks *calls, void *arg);
 
+/* Called once when a replacement was established or could not be. */
+typedef void pw_upconn_replaced(pw_gate *g, pw_target *t, int is_up);
+
+/* Replaces a connection that the target ended: opens one without a request, t->replacement, which goes to the pool.
+** Does nothing while an earlier replacement is being established. The callback comes later, or before the return if
+** the target refuses at once. Returns 0 if this process cannot open any. */
+int pwupconn_replace(pw_gate *g, pw_target *t, pw_upconn_replaced *replaced);
+
 /* Cancels the pending answer by resetting the connection. */
 void pwupconn_cancel(pw_upconn *u);
 
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -89,6 +89,9 @@
   int64_t
       chunk_at; /* when a part of an answer last came from it, ms; stalls do not move it */
   pw_upconn *idle; /* idle connections, the newest first */
+  /* Connection that was opened when the target last ended one; NULL: closed since. */
+  pw_upconn *replacement;
+  int64_t refused_at; /* when the target last refused such a connection, ms */
 
   int failures;          /* consecutive requests without a valid answer */
   double errors;         /* smoothed share of error answers at errors_at */
--- a/packages/policy/pwunresponsive.c
+++ b/packages/policy/pwunresponsive.c
@@ -11,6 +11,12 @@
   d->next = (d->next + 1) % PWUNRESPONSIVE_MAX;
 }
 
+void pwunresponsive_end_check(pw_unresponsive *d, uint64_t target) {
+  for (int i = 0; i < PWUNRESPONSIVE_MAX; i++)
+    if (d->list[i].target == target)
+      d->list[i].is_checked = 0;
+}
+
 int pwunresponsive_take(pw_unresponsive *d, uint64_t target, int64_t now,
                         pw_unresponsive_request *out) {
   for (int i = 0; i < PWUNRESPONSIVE_MAX; i++) {
@@ -29,7 +35,7 @@
                             pw_unresponsive_request *out) {
   for (int i = 0; i < PWUNRESPONSIVE_MAX; i++) {
     pw_unresponsive_request *r = &d->list[(d->next + i) % PWUNRESPONSIVE_MAX];
-    if (!r->at || now - r->at < age_ms)
+    if (!r->at || r->is_checked || now - r->at < age_ms)
       continue;
     *out = *r;
     r->at = 0;
--- a/packages/policy/pwunresponsive.h
+++ b/packages/policy/pwunresponsive.h
@@ -20,6 +20,7 @@
   uint64_t target;      /* incarnation of its target */
   int64_t sent;         /* when it was sent there, ms */
   int64_t at;           /* when the target became unresponsive, ms; 0: unused */
+  int is_checked;       /* its target is being checked */
 } pw_unresponsive_request;
 
 typedef struct pw_unresponsive {
@@ -27,8 +28,8 @@
   int next;
 } pw_unresponsive;
 
-/* Removes the oldest request that was noted `age_ms` ago or longer. Returns 0 if
-** there is none. */
+/* Removes the oldest request that was noted `age_ms` ago or longer and whose
+** target is not being checked. Returns 0 if there is none. */
 int pwunresponsive_take_old(pw_unresponsive *d, int64_t age_ms, int64_t now,
                             pw_unresponsive_request *out);
 
@@ -36,6 +37,9 @@
 void pwunresponsive_note(pw_unresponsive *d,
                          const pw_unresponsive_request *request);
 
+/* Notes that the check of a target is over: its requests can be taken by age. */
+void pwunresponsive_end_check(pw_unresponsive *d, uint64_t target);
+
 /* For a target that missed its heartbeats or crashed: removes one of the recent
 ** requests noted for it. Returns 0 if none is left. */
 int pwunresponsive_take(pw_unresponsive *d, uint64_t target, int64_t now,
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -69,6 +69,19 @@
   CHECK(take(&d, 1, 1105) > 4);
 }
 
+/* A request whose target is being checked is not taken by its age before the check is over. */
+static void test_unresponsive_checked(void) {
+  pw_unresponsive d = {0};
+  pw_unresponsive_request r = {
+      .fingerprint = 7, .target = 1, .at = 1000, .is_checked = 1};
+  pwunresponsive_note(&d, &r);
+  CHECK(!pwunresponsive_take_old(&d, 100, 5000, &r));
+  pwunresponsive_end_check(&d, 2);
+  CHECK(!pwunresponsive_take_old(&d, 100, 5000, &r));
+  pwunresponsive_end_check(&d, 1);
+  CHECK(pwunresponsive_take_old(&d, 100, 5000, &r) && r.fingerprint == 7);
+}
+
 /* --- one instance --- */
 
 static void test_crashes(void) {
@@ -392,6 +405,7 @@
   TEST(test_fingerprint);
   TEST(test_unresponsive);
   TEST(test_unresponsive_by_age);
+  TEST(test_unresponsive_checked);
   TEST(test_crashes);
   TEST(test_crashes_again);
   TEST(test_answers);
