--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 ALL_LIB = $(BUILD)/libpeatwell.a
 BINS = $(BUILD)/peatwelld $(BUILD)/peatwell
 FAKES = $(BUILD)/fake-engine $(BUILD)/fake-service $(BUILD)/fake-target \
-  $(BUILD)/peatwelld-skewed $(BUILD)/peatwelld-hanging
+  $(addprefix $(BUILD)/peatwelld-,skewed hanging slow)
 TESTS = $(patsubst tests/%.c,$(BUILD)/%,$(wildcard tests/test_*.c))
 RUNNER = $(BUILD)/pwscenario
 
@@ -63,7 +63,7 @@
 	@rm -f $@
 	@ar rcs $@ $^
 
-$(addprefix $(BUILD)/,peatwelld peatwelld-skewed peatwelld-hanging): $(BUILD)/packages/daemon/peatwelld.o $(ALL_LIB)
+$(addprefix $(BUILD)/,peatwelld peatwelld-skewed peatwelld-hanging peatwelld-slow): $(BUILD)/packages/daemon/peatwelld.o $(ALL_LIB)
 	@echo "  LD $@"
 	@$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(ALL_LIB) -largtable2 $(LDLIBS)
 
@@ -73,6 +73,9 @@
 # The daemon with a disk whose syncs hang for a while.
 $(BUILD)/peatwelld-hanging: $(BUILD)/tests/fakes/hanging_disk.o
 
+# The daemon on a small share of a processor.
+$(BUILD)/peatwelld-slow: $(BUILD)/tests/fakes/slow_processor.o
+
 $(BUILD)/peatwell: $(BUILD)/packages/cli/peatwell.o $(ALL_LIB)
 	@echo "  LD $@"
 	@$(CXX) $(LDFLAGS) -o $@ $^ -largtable2 $(LDLIBS)
--- a/tests/runner/http.c
+++ b/tests/runner/http.c
@@ -8,6 +8,7 @@
 #include <jansson.h>
 #include <lauxlib.h>
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -38,6 +39,7 @@
   pw_buf out;
   pw_code code;
   int64_t began, first, ended;
+  _Atomic int is_done;
 } call;
 
 static int on_head(void *arg, int status, const pw_fetch_head *h) {
@@ -81,6 +83,7 @@
   c->began = pwclock_ns();
   c->code = pwfetch(&f, &sent);
   c->ended = pwclock_ns();
+  atomic_store(&c->is_done, 1);
   return NULL;
 }
 
@@ -175,6 +178,13 @@
   return 1;
 }
 
+/* Whether http_wait would return at once. */
+static int call_done(lua_State *L) {
+  call *c = lua_touserdata(L, 1);
+  lua_pushboolean(L, atomic_load(&c->is_done));
+  return 1;
+}
+
 static int call_wait(lua_State *L) {
   call *c = lua_touserdata(L, 1);
   pthread_join(c->thread, NULL);
@@ -232,10 +242,9 @@
 }
 
 void runner_open_http(lua_State *L) {
-  static const luaL_Reg calls[] = {{"http", call_now},
-                                   {"http_start", call_start},
-                                   {"http_wait", call_wait},
-                                   {"json", read_json},
-                                   {NULL, NULL}};
+  static const luaL_Reg calls[] = {
+      {"http", call_now},       {"http_start", call_start},
+      {"http_done", call_done}, {"http_wait", call_wait},
+      {"json", read_json},      {NULL, NULL}};
   luaL_setfuncs(L, calls, 0);
 }
