A gateway that gets most new connections and falls behind closes some of them unread

Cause: one loop accepts, reads and answers, and takes on whatever comes. At 3.6 times what it can do, all that it has read waits for all the rest.

Now the part of new connections that is taken falls while the loop lags and the gateway is offered twice the mean of the others or more (pwaccept); the rest is closed unread, so the caller's next try meets another gateway.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -110,6 +110,9 @@
     "requests refused because of a part of their prompt")                      \
   X(PWC_HOLD_OFFS, "target_hold_offs_total", "counter",                        \
     "times that a target asked to be left alone")                              \
+  X(PWC_GW_CLOSED_UNREAD, "gateway_closed_unread_total", "counter",            \
+    "new connections closed while this gateway was behind and others were "    \
+    "not")                                                                     \
   X(PWC_GW_CONNECTS, "gateway_connects_total", "counter",                      \
     "connections opened to targets")                                           \
   X(PWC_GW_BROKEN, "gateway_broken_total", "counter",                          \
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -6,6 +6,7 @@
 #ifndef PWGATE_H
 #define PWGATE_H
 
+#include "pwaccept.h"
 #include "pwaffinity.h"
 #include "pwbuflimits.h"
 #include "pwconn.h"
@@ -81,8 +82,10 @@
   pw_gate_service *services;
   pw_gate_route *routes;
   pw_conns callers;
-  pw_conns ready;   /* readiness checks by the platform */
-  pw_conns metrics; /* the separate metrics address, if one is set */
+  pw_accept accept;        /* which part of their connections is taken */
+  int64_t limit_logged_at; /* when that was last logged, ms; 0: all are taken */
+  pw_conns ready;          /* readiness checks by the platform */
+  pw_conns metrics;        /* the separate metrics address, if one is set */
   int nexchanges;
   /* Requests that wait for a configuration, oldest first. */
   pw_exchange *awaiting;
@@ -133,6 +136,14 @@
 /* Puts a newer configuration into force; drops one that is not newer. */
 void pwgate_apply_site(pw_gate *g, pw_site *site);
 
+/* --- pwgateaccept.c --- */
+
+/* Adapts the part of new connections that is taken to the lag of the event loop, ms. */
+void pwgate_limit_accepting(pw_gate *g, int64_t lag, int64_t now);
+
+/* Whether to take a new connection. `gate`: the pw_gate. */
+int pwgate_takes_connection(void *gate);
+
 /* --- pwgatestate.c --- */
 
 /* State of a service or route, created on first use. NULL: too many routes are tracked. */
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -139,6 +139,7 @@
   g->callers.handle = pwexchange_begin;
   g->callers.abandoned = pwexchange_abandon;
   g->callers.resume = pwexchange_resume;
+  g->callers.takes = pwgate_takes_connection;
   g->ready.handle = g->metrics.handle = handle_status;
   if (set->metrics[0] &&
       listen_at(g, &g->metrics, "metrics", set->metrics, err) != 0)
@@ -221,6 +222,7 @@
   if (lag >= LAG_LOGGED_MS)
     pwtrace_line(g->trace, PWTRACE_STATE, now, "held-up", "ms=%lld",
                  (long long)lag);
+  pwgate_limit_accepting(g, lag, now);
 }
 
 /* Discounts a stall of this process from the silence of targets, so that they do not count as
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -441,6 +441,13 @@
   return err == EMFILE || err == ENFILE;
 }
 
+static void take_or_close(pw_conns *s, int fd) {
+  if (s->takes && !s->takes(s->arg))
+    close(fd);
+  else
+    add_conn(s, fd);
+}
+
 static void on_listening(struct ev_loop *ev, ev_io *w, int events) {
   (void)ev;
   (void)events;
@@ -449,7 +456,7 @@
   while (has_room(s)) {
     int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd >= 0) {
-      add_conn(s, fd);
+      take_or_close(s, fd);
       has_closed = 0;
       continue;
     }
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -38,6 +38,8 @@
   void (*handle)(pw_conn *c); /* a complete request has arrived */
   void (*abandoned)(void *request); /* the caller disconnected; may be NULL */
   void (*resume)(void *request); /* all output has been written; may be NULL */
+  /* Whether to take a new connection; otherwise it is closed unread. NULL: all are taken. */
+  int (*takes)(void *arg);
 
   pw_conn *first;
   int count;
