--- a/tests/runner/relay.c
+++ b/tests/runner/relay.c
@@ -1,7 +1,8 @@
-/* relay.c: a TCP relay between two processes; its link can be cut, frozen and delayed. */
+/* relay.c: a TCP relay between two processes; its link can be cut, frozen, delayed and narrowed. */
 #include "runner.h"
 
 #include "pwbuf.h"
+#include "pwclock.h"
 
 #include <arpa/inet.h>
 #include <lauxlib.h>
@@ -17,7 +18,9 @@
 #include <unistd.h>
 
 #define BLOCK 16384
+#define NARROW_BLOCK 2048 /* on a narrow link, so that connections share it */
 #define POLL_MS 20
+#define NS_PER_S INT64_C(1000000000)
 
 enum { MODE_PASS, MODE_CUT, MODE_FREEZE };
 
@@ -28,6 +31,9 @@
   int target;
   atomic_int mode;
   atomic_int delay_ms;
+  atomic_int
+      bytes_per_s; /* towards the target, of all connections; 0: no limit */
+  _Atomic int64_t free_at; /* when the narrow link has sent what it has, ns */
 } relay;
 
 typedef struct link_pair {
@@ -47,12 +53,32 @@
   return -1;
 }
 
-static int forward(const relay *r, int from, int to) {
+static void pause_ns(int64_t ns) {
+  struct timespec ts = {ns / NS_PER_S, ns % NS_PER_S};
+  if (ns > 0)
+    nanosleep(&ts, NULL);
+}
+
+/* Waits until the narrow link has sent the bytes, after those that it was given before. */
+static void send_narrow(relay *r, ssize_t n, int64_t bytes_per_s) {
+  int64_t now = pwclock_ns();
+  int64_t before = atomic_load(&r->free_at);
+  int64_t after;
+  do {
+    after = (before > now ? before : now) + n * NS_PER_S / bytes_per_s;
+  } while (!atomic_compare_exchange_weak(&r->free_at, &before, after));
+  pause_ns(after - now);
+}
+
+static int forward(relay *r, int from, int to, int to_target) {
   char buf[BLOCK];
-  ssize_t n = recv(from, buf, sizeof buf, 0);
+  int narrow = to_target ? atomic_load(&r->bytes_per_s) : 0;
+  ssize_t n = recv(from, buf, narrow ? NARROW_BLOCK : sizeof buf, 0);
   int delay = atomic_load(&r->delay_ms);
   if (n <= 0)
     return -1;
+  if (narrow)
+    send_narrow(r, n, narrow);
   if (delay) {
     struct timespec ts = {delay / 1000, delay % 1000 * 1000000L};
     nanosleep(&ts, NULL);
@@ -77,9 +103,9 @@
     }
     if (poll(p, 2, POLL_MS) <= 0)
       continue;
-    if (p[0].revents && forward(l->r, l->a, l->b) != 0)
+    if (p[0].revents && forward(l->r, l->a, l->b, 1) != 0)
       up = 0;
-    if (up && p[1].revents && forward(l->r, l->b, l->a) != 0)
+    if (up && p[1].revents && forward(l->r, l->b, l->a, 0) != 0)
       up = 0;
   }
   close(l->a);
@@ -139,8 +165,17 @@
   return 0;
 }
 
+/* relay_narrow(handle, bytes a second towards the target; 0: no limit) */
+static int narrow_relay(lua_State *L) {
+  relay *r = lua_touserdata(L, 1);
+  atomic_store(&r->bytes_per_s, (int)luaL_checkinteger(L, 2));
+  return 0;
+}
+
 void runner_open_relay(lua_State *L) {
-  static const luaL_Reg calls[] = {
-      {"relay", open_relay}, {"relay_set", set_relay}, {NULL, NULL}};
+  static const luaL_Reg calls[] = {{"relay", open_relay},
+                                   {"relay_set", set_relay},
+                                   {"relay_narrow", narrow_relay},
+                                   {NULL, NULL}};
   luaL_setfuncs(L, calls, 0);
 }
