A gateway closes new connections unread, too, when requests arrive far later than usual

Cause: the gateway's loop is not behind, as it waits for bodies that come all at once, so no connection was closed.

The time from a request's first byte to its last counts beside the lag of the loop, against the usual one, which rises slowly. Callers of both scenarios that are closed turn to each of the other gateways, not all to the next one, which then was the next to be full.

--- a/packages/gateway/pwgateaccept.c
+++ b/packages/gateway/pwgateaccept.c
@@ -22,9 +22,11 @@
     return;
   g->limit_logged_at = is_limited ? now : 0;
   pwtrace_line(g->trace, PWTRACE_STATE, now, "accept-limited",
-               "taken=%.2f rate=%.1f others=%.1f gateways=%d lag_ms=%lld",
+               "taken=%.2f rate=%.1f others=%.1f gateways=%d lag_ms=%lld "
+               "arrival_ms=%.0f usual_ms=%.0f",
                1 - g->accept.closed_part, load->mine, load->others,
-               load->gateways, (long long)load->lag_ms);
+               load->gateways, (long long)load->lag_ms, g->accept.arrival_ms,
+               g->accept.usual_arrival_ms);
 }
 
 void pwgate_limit_accepting(pw_gate *g, int64_t lag, int64_t now) {
--- a/packages/policy/pwaccept.c
+++ b/packages/policy/pwaccept.c
@@ -9,19 +9,31 @@
 
 enum {
   MUT_CLOSE_WHEN_EVEN = 73, /* a gateway that gets no more than others closes */
-  MUT_FORGET_CLOSED = 74    /* what was closed does not count as offered */
+  MUT_FORGET_CLOSED = 74    /* what is closed does not count as offered */
 };
 
-/* Delay of the event loop from which on the gateway is behind, ms: more than a
-** busy loop needs for one turn, and little beside what callers wait for. */
+/* Delay of the event loop, or of requests that arrive, from which on the gateway
+** is behind, ms: more than a busy loop needs for one turn, and little beside what
+** callers wait for. */
 #define LAG_MS 50
 
+/* Requests are delayed that take longer to arrive than this multiple of their
+** usual time. */
+#define ARRIVAL_TIMES 2
+
+/* Weight of the newest request in the time to arrive. */
+#define ARRIVAL_WEIGHT 0.2
+
 /* Delay beyond LAG_MS from which on the taken part falls at its full rate, ms. */
 #define LAG_FULL_MS 300.0
 
 /* A gateway gets far more than the others from this multiple of their mean on. */
 #define UNEVEN_TIMES 2
 
+/* Time constant of the rate of new connections, ms. */
+#define OFFERED_MS 1000.0
+#define MS_PER_S 1000.0
+
 /* Time constant in ms with which the taken part falls while the gateway is
 ** behind, and time in which it rises from nothing to all. */
 #define FALL_MS 200.0
@@ -31,23 +43,56 @@
 ** callers still find a gateway that says it is ready. */
 #define TAKEN_LEAST 0.1
 
-/* Whether the gateway is offered far more than the mean of the others. */
+static double offered_until(const pw_accept *a, int64_t now) {
+  return a->offered * exp(-(double)(now - a->offered_at) / OFFERED_MS);
+}
+
+/* Whether the gateway is offered far more than the mean of the others: by the
+** requests that it reads or, as callers may send few requests over each, by the
+** new connections. */
 static int is_uneven(const pw_accept *a, const pw_accept_load *load,
                      int64_t now) {
-  double closed =
-      PW_MUTATION == MUT_FORGET_CLOSED ? 0 : pwshare_rate(&a->closed, now);
+  double connections = offered_until(a, now) / OFFERED_MS * MS_PER_S;
   if (load->gateways < 2)
     return 0;
   return PW_MUTATION == MUT_CLOSE_WHEN_EVEN ||
-         load->mine + closed >
+         fmax(load->mine, connections) >
              UNEVEN_TIMES * load->others / (load->gateways - 1);
 }
 
+/* From which time to arrive on a request is delayed, ms. */
+static double delayed_from(const pw_accept *a) {
+  return ARRIVAL_TIMES * a->usual_arrival_ms + LAG_MS;
+}
+
+/* The usual time rises slowly once it is known, so that it does not follow a link
+** that fills. */
+static void learn_usual(pw_accept *a, double ms) {
+  double sample = ms;
+  if (a->narrivals < PWACCEPT_LEARN)
+    a->narrivals++;
+  else
+    sample = fmin(ms, delayed_from(a));
+  a->usual_arrival_ms += (sample - a->usual_arrival_ms) / a->narrivals;
+}
+
+void pwaccept_arrived(pw_accept *a, double ms) {
+  a->arrival_ms += ARRIVAL_WEIGHT * (ms - a->arrival_ms);
+  if (a->closed_part == 0)
+    learn_usual(a, ms);
+}
+
+/* By how much the gateway is behind, ms. */
+static double delay_ms(const pw_accept *a, const pw_accept_load *load) {
+  double arrivals = a->arrival_ms - delayed_from(a);
+  return fmax((double)load->lag_ms - LAG_MS, arrivals);
+}
+
 void pwaccept_update(pw_accept *a, const pw_accept_load *load, int64_t now) {
   double since = a->updated_at ? (double)(now - a->updated_at) : 0;
   if (since > LAG_FULL_MS)
     since = LAG_FULL_MS; /* the process may have been suspended */
-  double behind = fmin((double)(load->lag_ms - LAG_MS) / LAG_FULL_MS, 1);
+  double behind = fmin(delay_ms(a, load) / LAG_FULL_MS, 1);
   double taken = 1 - a->closed_part;
   a->updated_at = now;
   if (behind > 0 && is_uneven(a, load, now))
@@ -58,8 +103,10 @@
 }
 
 int pwaccept_takes(pw_accept *a, double draw, int64_t now) {
-  if (draw >= a->closed_part)
-    return 1;
-  pwshare_note(&a->closed, now);
-  return 0;
+  int takes = draw >= a->closed_part;
+  if (takes || PW_MUTATION != MUT_FORGET_CLOSED) {
+    a->offered = offered_until(a, now) + 1;
+    a->offered_at = now;
+  }
+  return takes;
 }
--- a/tests/scenarios/turns.lua
+++ b/tests/scenarios/turns.lua
@@ -31,11 +31,18 @@
     gateway = g.gateways[request.gateway], prefix = string.format("a1:50,5%x:40,f%x:10", serial % 40, serial)}))
 end
 
+-- Each of the other gateways in turn.
+local retries = 0
+local function another_gateway(g, gateway)
+  retries = retries + 1
+  return (gateway + retries % (#g.gateways - 1)) % #g.gateways + 1
+end
+
 -- Takes the result of a try. One whose connection was closed before the request was read is followed by another one.
 local function finish(g, o, request)
   local r = run.http_wait(request.h)
   if r.status == 0 and r.us < o.deadline_s * 1000000 and request.tries < #g.gateways then
-    request.gateway = request.gateway % #g.gateways + 1
+    request.gateway = another_gateway(g, request.gateway)
     start(g, o, request)
     return false
   end
--- a/tests/test_accept.c
+++ b/tests/test_accept.c
@@ -2,6 +2,7 @@
 ** most of them, reads more than its processor serves, and answers all of it too late; and against connections
 ** closed where no other gateway is better off. 87_one_gateway_slow tests the same with processes. */
 #include "pwaccept.h"
+#include "pwshare.h"
 #include "pwtest.h"
 
 #include <math.h>
@@ -96,6 +97,27 @@
   CHECK(idle.closed == 0);
 }
 
+/* Requests that arrive late show that the link is full; those that always take so long, slow callers. */
+static void test_arrivals(void) {
+  pw_random r = {.seed = test_seed(91)};
+  pw_accept_load load = {90, 40, 5, 0};
+  pw_accept fast = {0}, slow = {0};
+  for (int64_t now = 1000; now < 5000; now += TICK_MS) {
+    double sample = 800 * pwrand_unit(&r);
+    pwaccept_arrived(&fast, sample / 100);
+    pwaccept_arrived(&slow, sample);
+    pwaccept_update(&fast, &load, now);
+    pwaccept_update(&slow, &load, now);
+  }
+  CHECK(fast.closed_part == 0);
+  CHECK(slow.closed_part < 0.2);
+  for (int64_t now = 5000; now < 6000; now += TICK_MS) {
+    pwaccept_arrived(&fast, 500);
+    pwaccept_update(&fast, &load, now);
+  }
+  CHECK(fast.closed_part > 0.8);
+}
+
 /* However far behind, some connections are taken. */
 static void test_least(void) {
   pw_random r = {.seed = test_seed(89)};
@@ -114,6 +136,7 @@
   TEST(test_most_at_one);
   TEST(test_others_at_work);
   TEST(test_even);
+  TEST(test_arrivals);
   TEST(test_least);
   TESTS_END();
 }
