A gateway that does not hear the others closes no new connections

With a loop that lags it would have closed nine in ten of its new connections, also where all gateways are as busy.

--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -82,6 +82,7 @@
   pw_gate_service *services;
   pw_gate_route *routes;
   pw_conns callers;
+  int knows_most_loads;    /* the reports of most other gateways are current */
   pw_accept accept;        /* which part of their connections is taken */
   int64_t limit_logged_at; /* when that was last logged, ms; 0: all are taken */
   pw_conns ready;          /* readiness checks by the platform */
--- a/packages/gateway/pwgateaccept.c
+++ b/packages/gateway/pwgateaccept.c
@@ -3,10 +3,11 @@
 
 #define LOG_INTERVAL_MS 1000 /* of lines while connections are limited, ms */
 
-/* Rates of requests here and at the other gateways, over all services. */
+/* Rates of requests here and at the other gateways, over all services. A gateway that does not hear the others, as over
+** a full link, counts as the only one: nothing shows that they are better off. */
 static pw_accept_load accept_load(const pw_gate *g, int64_t lag, int64_t now) {
-  pw_accept_load load = {.gateways = pwlink_gateway_count(g->link),
-                         .lag_ms = lag};
+  int gateways = g->knows_most_loads ? pwlink_gateway_count(g->link) : 1;
+  pw_accept_load load = {.gateways = gateways, .lag_ms = lag};
   for (const pw_gate_service *s = g->services; s; s = s->next) {
     load.mine += pwshare_rate(&s->share, now);
     load.others += s->others_rate;
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -142,8 +142,11 @@
     pwloads_add(to, row->key, row->load);
 }
 
-/* Applies the sum of all gateways to the targets and services. */
-static void apply_loads(pw_gossip *s, int64_t age_ms, int64_t now) {
+/* Applies the sum of all gateways to the targets and services. `knows_most`: the reports of most other gateways
+** are in it. */
+static void apply_loads(pw_gossip *s, int64_t age_ms, int knows_most,
+                        int64_t now) {
+  s->g->knows_most_loads = knows_most;
   pwfleet_note_loads(s->g->fleet, &s->all, &s->own, age_ms);
   pwfleet_note_unanswered(s->g->fleet, &s->all, &s->own, now);
   int64_t others = 0;
@@ -277,10 +280,14 @@
   s->prompts_up.n = s->prompts_down.n = 0;
   pwloads_clear(&s->all);
   add_all(&s->all, &s->own);
-  for (int i = 1; i < s->npeers; i++)
-    if (is_fresh(&s->peers[i].own, now))
-      pwgossipmsg_sum(&s->peers[i].own, &s->all);
-  apply_loads(s, AGE_DIRECT_MS, now);
+  int known = 0;
+  for (int i = 1; i < s->npeers; i++) {
+    if (!is_fresh(&s->peers[i].own, now))
+      continue;
+    pwgossipmsg_sum(&s->peers[i].own, &s->all);
+    known++;
+  }
+  apply_loads(s, AGE_DIRECT_MS, 2 * known >= s->npeers - 1, now);
 }
 
 /* --- many gateways: through the aggregators of groups --- */
@@ -303,7 +310,7 @@
   if (!is_fresh(&s->total, now)) {
     pwloads_clear(&s->all);
     add_all(&s->all, &s->own);
-    apply_loads(s, STALE_MS, now);
+    apply_loads(s, STALE_MS, 0, now);
   }
 }
 
@@ -358,10 +365,14 @@
   if (is_aggregator) {
     pwloads_clear(&s->all);
     add_all(&s->all, &s->sum);
-    for (int i = 1; i < s->npeers; i++)
-      if (is_fresh(&s->peers[i].sum, now))
-        pwgossipmsg_sum(&s->peers[i].sum, &s->all);
-    apply_loads(s, AGE_GROUPS_MS, now);
+    int known = 0;
+    for (int i = 1; i < s->npeers; i++) {
+      if (!is_fresh(&s->peers[i].sum, now))
+        continue;
+      pwgossipmsg_sum(&s->peers[i].sum, &s->all);
+      known++;
+    }
+    apply_loads(s, AGE_GROUPS_MS, 2 * known >= naggregators, now);
   }
   if (is_aggregator)
     add_synced_prefixes(s, 1, now, &s->prompts_down);
@@ -396,7 +407,7 @@
     return;
   pwloads_clear(&s->all);
   pwgossipmsg_sum(&s->total, &s->all);
-  apply_loads(s, AGE_GROUPS_MS, now);
+  apply_loads(s, AGE_GROUPS_MS, 1, now);
 }
 
 /* Records announced prompts. Those from a member are forwarded to all groups, those from another
