--- a/packages/policy/pwaccept.c
+++ b/packages/policy/pwaccept.c
@@ -39,9 +39,10 @@
 #define FALL_MS 200.0
 #define RISE_MS 2000.0
 
-/* Part of the connections that is always taken, so that the platform and
-** callers still find a gateway that says it is ready. */
+/* Part of the connections that is always taken, and time after which one is, ms:
+** callers still reach a gateway that says it is ready, however few they are. */
 #define TAKEN_LEAST 0.1
+#define TAKE_EVERY_MS 500
 
 static double offered_until(const pw_accept *a, int64_t now) {
   return a->offered * exp(-(double)(now - a->offered_at) / OFFERED_MS);
@@ -103,7 +104,9 @@
 }
 
 int pwaccept_takes(pw_accept *a, double draw, int64_t now) {
-  int takes = draw >= a->closed_part;
+  int takes = draw >= a->closed_part || now - a->taken_at >= TAKE_EVERY_MS;
+  if (takes)
+    a->taken_at = now;
   if (takes || PW_MUTATION != MUT_FORGET_CLOSED) {
     a->offered = offered_until(a, now) + 1;
     a->offered_at = now;
--- a/packages/policy/pwaccept.h
+++ b/packages/policy/pwaccept.h
@@ -3,15 +3,14 @@
 ** Pure: time comes in as an argument. Prevents this failure: most callers are
 ** sent to one gateway, whose processor or link is too slow for all of them. It
 ** reads every request and answers each too late, while the others have little
-** to do.
-** A connection that is closed before its request is read costs the caller one
-** connection: nothing has run, and the next try meets another gateway.
+** to do. A connection that is closed before its request is read costs the caller
+** one connection: nothing has run, and the next try meets another gateway.
 **
-** Connections are closed only while the event loop falls behind, or requests take
-** far longer to arrive than they usually do, and the gateway gets far more
-** requests than the others. When all gateways have too much to
-** do, the next try would meet one that is as busy: then requests are refused,
-** with the time after which to come back. */
+** Connections are closed only while the gateway gets far more requests than the
+** others, and its event loop falls behind or requests take far longer to arrive
+** than they usually do. When all gateways have too much to do, the next try
+** would meet one that is as busy: then requests are refused, with the time
+** after which to come back. */
 #ifndef PWACCEPT_H
 #define PWACCEPT_H
 
@@ -22,6 +21,7 @@
   double offered;     /* decaying count of new connections */
   int64_t offered_at; /* time up to which it has decayed, ms */
   int64_t updated_at; /* ms; 0: never */
+  int64_t taken_at;   /* when a connection was last taken, ms */
   /* Time from a request's first byte to its last, ms: smoothed over the latest ones, and the usual one. */
   double arrival_ms, usual_arrival_ms;
   int narrivals; /* how many the usual one was learned from, up to PWACCEPT_LEARN */
