--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -359,11 +359,11 @@
     pwexi_observe(x, PWSTAGE_QUEUE, x->sent_at - x->arrived);
   pwexi_log(
       x, PWTRACE_ROUTINE, "placed",
-      "target=%s version=%s load=%d+%d n=%d key=%llx fetch=%s prefill=%.0f "
-      "ahead=%.0f work_ms=%.1f",
-      t->id, t->version, t->inflight, t->others, x->ntried,
+      "target=%s version=%s load=%d+%d n=%d work_ms=%.1f key=%llx fetch=%s "
+      "prefill=%.0f ahead=%.0f",
+      t->id, t->version, t->inflight, t->others, x->ntried, t->work_ms,
       (unsigned long long)pwexi_prompt_key(&x->request_info),
-      x->holder ? x->holder->id : "-", x->work.own, x->work.ahead, t->work_ms);
+      x->holder ? x->holder->id : "-", x->work.own, x->work.ahead);
   x->holder = NULL; /* no reference was taken */
 }
 
