A gateway with little to do closes no new connections

By its accept-limited lines: lag_ms=15981 in one turn; others=0.0, since rates under half a request a second are told as 0; arrival_ms=65 of requests that came in two parts, and no further request that would have changed it.

Cause: one long turn counted as a loop that is behind, and the comparison had no least rate.

What an overloaded gateway does is as before: there the turns are long one after the other.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -355,7 +355,8 @@
   x->caller = c;
   c->state = x;
   x->arrived = pwclock_ms();
-  pwaccept_arrived(&g->accept, (double)(pwtcp_clock(&g->tcp) - c->since));
+  pwaccept_arrived(&g->accept, (double)(pwtcp_clock(&g->tcp) - c->since),
+                   x->arrived);
   g->nexchanges++;
   g->dialect->read_request(&c->request, &x->request_info);
   ev_timer_init(&x->timer, on_timer, 0, 0);
--- a/packages/policy/pwaccept.c
+++ b/packages/policy/pwaccept.c
@@ -27,8 +27,18 @@
 /* Delay beyond LAG_MS from which on the taken part falls at its full rate, ms. */
 #define LAG_FULL_MS 300.0
 
-/* A gateway gets far more than the others from this multiple of their mean on. */
+/* A gateway gets far more than the others from this multiple of their mean on, and
+** so many a second more: rates below that are told as 0. */
 #define UNEVEN_TIMES 2
+#define UNEVEN_EXTRA 5
+
+/* Requests after which their usual time to arrive is known, and most that count
+** in it. */
+#define USUAL_FROM 20
+#define USUAL_MOST 100
+
+/* Arrivals longer ago than this say nothing of the link any more, ms. */
+#define ARRIVAL_STALE_MS 2000
 
 /* Time constant of the rate of new connections, ms. */
 #define OFFERED_MS 1000.0
@@ -58,7 +68,7 @@
     return 0;
   return PW_MUTATION == MUT_CLOSE_WHEN_EVEN ||
          fmax(load->mine, connections) >
-             UNEVEN_TIMES * load->others / (load->gateways - 1);
+             UNEVEN_TIMES * load->others / (load->gateways - 1) + UNEVEN_EXTRA;
 }
 
 /* From which time to arrive on a request is delayed, ms. */
@@ -69,33 +79,42 @@
 /* The usual time rises slowly once it is known, so that it does not follow a link
 ** that fills. */
 static void learn_usual(pw_accept *a, double ms) {
-  double sample = ms;
-  if (a->narrivals < PWACCEPT_LEARN)
+  double sample = a->narrivals < USUAL_FROM ? ms : fmin(ms, delayed_from(a));
+  if (a->narrivals < USUAL_MOST)
     a->narrivals++;
-  else
-    sample = fmin(ms, delayed_from(a));
   a->usual_arrival_ms += (sample - a->usual_arrival_ms) / a->narrivals;
 }
 
-void pwaccept_arrived(pw_accept *a, double ms) {
+void pwaccept_arrived(pw_accept *a, double ms, int64_t now) {
+  a->arrived_at = now;
   a->arrival_ms += ARRIVAL_WEIGHT * (ms - a->arrival_ms);
   if (a->closed_part == 0)
     learn_usual(a, ms);
 }
 
-/* By how much the gateway is behind, ms. */
-static double delay_ms(const pw_accept *a, const pw_accept_load *load) {
-  double arrivals = a->arrival_ms - delayed_from(a);
-  return fmax((double)load->lag_ms - LAG_MS, arrivals);
+/* By how much requests are delayed that arrive, ms; 0: not known. */
+static double arrival_delay_ms(const pw_accept *a, int64_t now) {
+  int is_known =
+      a->narrivals >= USUAL_FROM && now - a->arrived_at < ARRIVAL_STALE_MS;
+  return is_known ? a->arrival_ms - delayed_from(a) : 0;
+}
+
+/* By how much the gateway is behind, ms. A single long turn of the event loop, as after
+** a suspension, does not count. */
+static double delay_ms(const pw_accept *a, const pw_accept_load *load,
+                       int64_t now) {
+  int64_t lag = load->lag_ms < a->lag_ms ? load->lag_ms : a->lag_ms;
+  return fmax((double)lag - LAG_MS, arrival_delay_ms(a, now));
 }
 
 void pwaccept_update(pw_accept *a, const pw_accept_load *load, int64_t now) {
   double since = a->updated_at ? (double)(now - a->updated_at) : 0;
   if (since > LAG_FULL_MS)
     since = LAG_FULL_MS; /* the process may have been suspended */
-  double behind = fmin(delay_ms(a, load) / LAG_FULL_MS, 1);
+  double behind = fmin(delay_ms(a, load, now) / LAG_FULL_MS, 1);
   double taken = 1 - a->closed_part;
   a->updated_at = now;
+  a->lag_ms = load->lag_ms;
   if (behind > 0 && is_uneven(a, load, now))
     taken *= exp(-behind * since / FALL_MS);
   else
--- a/packages/policy/pwaccept.h
+++ b/packages/policy/pwaccept.h
@@ -22,14 +22,13 @@
   int64_t offered_at; /* time up to which it has decayed, ms */
   int64_t updated_at; /* ms; 0: never */
   int64_t taken_at;   /* when a connection was last taken, ms */
+  int64_t lag_ms;     /* delay of the event loop at the latest update */
   /* Time from a request's first byte to its last, ms: smoothed over the latest ones, and the usual one. */
   double arrival_ms, usual_arrival_ms;
-  int narrivals; /* how many the usual one was learned from, up to PWACCEPT_LEARN */
+  int64_t arrived_at; /* when the latest one arrived, ms */
+  int narrivals;      /* how many the usual one is the mean of */
 } pw_accept;
 
-/* Requests after which the usual time to arrive is known. */
-#define PWACCEPT_LEARN 50
-
 /* What a gateway gets, and how far it is behind. */
 typedef struct pw_accept_load {
   double mine;    /* requests a second that it reads */
@@ -41,8 +40,8 @@
 /* Adapts the part; to be called in each turn of the event loop. */
 void pwaccept_update(pw_accept *a, const pw_accept_load *load, int64_t now);
 
-/* Notes how long a request took from its first byte to its last, ms. */
-void pwaccept_arrived(pw_accept *a, double ms);
+/* Notes how long a request that has just arrived took from its first byte to its last, ms. */
+void pwaccept_arrived(pw_accept *a, double ms, int64_t now);
 
 /* Whether to take a new connection, which is counted. `draw`: uniform in [0, 1). */
 int pwaccept_takes(pw_accept *a, double draw, int64_t now);
--- a/tests/test_accept.c
+++ b/tests/test_accept.c
@@ -104,20 +104,40 @@
   pw_accept fast = {0}, slow = {0};
   for (int64_t now = 1000; now < 5000; now += TICK_MS) {
     double sample = 800 * pwrand_unit(&r);
-    pwaccept_arrived(&fast, sample / 100);
-    pwaccept_arrived(&slow, sample);
+    pwaccept_arrived(&fast, sample / 100, now);
+    pwaccept_arrived(&slow, sample, now);
     pwaccept_update(&fast, &load, now);
     pwaccept_update(&slow, &load, now);
   }
   CHECK(fast.closed_part == 0);
   CHECK(slow.closed_part < 0.2);
   for (int64_t now = 5000; now < 6000; now += TICK_MS) {
-    pwaccept_arrived(&fast, 500);
+    pwaccept_arrived(&fast, 500, now);
     pwaccept_update(&fast, &load, now);
   }
   CHECK(fast.closed_part > 0.8);
 }
 
+/* Neither a suspension nor a few requests that arrive late, at a gateway with little to do, close anything. */
+static void test_no_overload(void) {
+  pw_accept suspended = {0}, quiet = {0};
+  pw_accept_load busy = {90, 40, 5, 0}, idle = {0.5, 0, 3, 0};
+  for (int64_t now = 1000; now < 3000; now += TICK_MS)
+    pwaccept_update(&suspended, &busy, now);
+  busy.lag_ms = 16000;
+  pwaccept_update(&suspended, &busy, 19000);
+  CHECK(suspended.closed_part == 0);
+  double most = 0;
+  for (int64_t now = 1000; now < 9000; now += TICK_MS) {
+    if (now % 1000 == 0)
+      pwaccept_arrived(&quiet, 300, now);
+    idle.lag_ms = now < 5000 ? 400 : 0;
+    pwaccept_update(&quiet, &idle, now);
+    most = fmax(most, quiet.closed_part);
+  }
+  CHECK(most == 0);
+}
+
 /* However far behind, some connections are taken. */
 static void test_least(void) {
   pw_random r = {.seed = test_seed(89)};
@@ -155,6 +175,7 @@
   TEST(test_others_at_work);
   TEST(test_even);
   TEST(test_arrivals);
+  TEST(test_no_overload);
   TEST(test_least);
   TEST(test_few);
   TESTS_END();
