One rate of events, one sum of current reports; no copy of a request that is noted

Read of the whole change: pwaccept kept a decaying count as pwshare does, with another time constant, so pwrate serves both; pwgossip summed current reports in two loops of the same kind; check_target copied its request to set one field; 84_one_gateway and turns.lua each chose the gateway of a connection.

Checks and bounds of the tests are the same.

--- a/packages/gateway/pwexcrash.c
+++ b/packages/gateway/pwexcrash.c
@@ -80,15 +80,14 @@
 
 /* Notes that the target ended the connection of a request whose prompt has shared parts, and replaces the connection,
 ** which shows whether the target runs: targets that break off answers end connections as crashes do. */
-static void check_target(pw_exchange *x, const pw_unresponsive_request *r) {
+static void check_target(pw_exchange *x, pw_unresponsive_request *r) {
   pw_gate *g = x->g;
   pw_target *t = x->t;
-  pw_unresponsive_request checked = *r;
-  checked.is_checked = !t->is_gone;
-  pwunresponsive_note(&g->ended, &checked);
+  r->is_checked = !t->is_gone;
+  pwunresponsive_note(&g->ended, r);
   if (r->at - t->refused_at < SIGN_OF_LIFE_MS)
     count_crashes_of(g, t, r->at);
-  else if (checked.is_checked && !pwupconn_replace(g, t, on_replaced))
+  else if (r->is_checked && !pwupconn_replace(g, t, on_replaced))
     pwunresponsive_end_check(&g->ended, t->start_hash);
 }
 
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -142,6 +142,15 @@
     pwloads_add(to, row->key, row->load);
 }
 
+/* Adds a report to the loads of all gateways if it is current. Returns whether it was. */
+static int add_if_fresh(pw_gossip *s, const pw_gossip_loads *report,
+                        int64_t now) {
+  if (!is_fresh(report, now))
+    return 0;
+  pwgossipmsg_sum(report, &s->all);
+  return 1;
+}
+
 /* Applies the sum of all gateways to the targets and services. `knows_most`: the reports of most other gateways
 ** are in it. */
 static void apply_loads(pw_gossip *s, int64_t age_ms, int knows_most,
@@ -281,12 +290,8 @@
   pwloads_clear(&s->all);
   add_all(&s->all, &s->own);
   int known = 0;
-  for (int i = 1; i < s->npeers; i++) {
-    if (!is_fresh(&s->peers[i].own, now))
-      continue;
-    pwgossipmsg_sum(&s->peers[i].own, &s->all);
-    known++;
-  }
+  for (int i = 1; i < s->npeers; i++)
+    known += add_if_fresh(s, &s->peers[i].own, now);
   apply_loads(s, AGE_DIRECT_MS, 2 * known >= s->npeers - 1, now);
 }
 
@@ -366,12 +371,8 @@
     pwloads_clear(&s->all);
     add_all(&s->all, &s->sum);
     int known = 0;
-    for (int i = 1; i < s->npeers; i++) {
-      if (!is_fresh(&s->peers[i].sum, now))
-        continue;
-      pwgossipmsg_sum(&s->peers[i].sum, &s->all);
-      known++;
-    }
+    for (int i = 1; i < s->npeers; i++)
+      known += add_if_fresh(s, &s->peers[i].sum, now);
     apply_loads(s, AGE_GROUPS_MS, 2 * known >= naggregators, now);
   }
   if (is_aggregator)
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -87,7 +87,7 @@
   pw_unanswered unanswered;       /* requests that it left unanswered */
   int nconns;                     /* open connections, idle ones included */
   int64_t
-      chunk_at; /* when a part of an answer last came from it, ms; stalls do not move it */
+      chunk_at; /* when a part of an answer last came, ms; not moved by stalls */
   pw_upconn *idle; /* idle connections, the newest first */
   /* Connection that was opened when the target last ended one; NULL: closed since. */
   pw_upconn *replacement;
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -137,8 +137,8 @@
 }
 
 /* Duration that a request is expected to take at a target with this load. An idle target that may be the
-** fastest is assumed to be, so that it gets a request and is measured again. Otherwise a target that was
-** slow once, or one of whose answers was late by chance, gets no request while another one is idle. */
+** fastest is assumed to be, so that it gets requests and is measured: a figure that is stale, or of one answer
+** that is late by chance, must not keep it from all of them while another one is idle. */
 static double expected_work_of(const pw_target *t, double load,
                                const service_stats *s) {
   int is_idle = t->inflight == 0 && load < t->slots;
--- a/packages/policy/pwaccept.c
+++ b/packages/policy/pwaccept.c
@@ -42,7 +42,6 @@
 
 /* Time constant of the rate of new connections, ms. */
 #define OFFERED_MS 1000.0
-#define MS_PER_S 1000.0
 
 /* Time constant in ms with which the taken part falls while the gateway is
 ** behind, and time in which it rises from nothing to all. */
@@ -54,16 +53,12 @@
 #define TAKEN_LEAST 0.1
 #define TAKE_EVERY_MS 500
 
-static double offered_until(const pw_accept *a, int64_t now) {
-  return a->offered * exp(-(double)(now - a->offered_at) / OFFERED_MS);
-}
-
 /* Whether the gateway is offered far more than the mean of the others: by the
 ** requests that it reads or, as callers may send few requests over each, by the
 ** new connections. */
 static int is_uneven(const pw_accept *a, const pw_accept_load *load,
                      int64_t now) {
-  double connections = offered_until(a, now) / OFFERED_MS * MS_PER_S;
+  double connections = pwrate_per_s(&a->offered, OFFERED_MS, now);
   if (load->gateways < 2)
     return 0;
   return PW_MUTATION == MUT_CLOSE_WHEN_EVEN ||
@@ -126,9 +121,7 @@
   int takes = draw >= a->closed_part || now - a->taken_at >= TAKE_EVERY_MS;
   if (takes)
     a->taken_at = now;
-  if (takes || PW_MUTATION != MUT_FORGET_CLOSED) {
-    a->offered = offered_until(a, now) + 1;
-    a->offered_at = now;
-  }
+  if (takes || PW_MUTATION != MUT_FORGET_CLOSED)
+    pwrate_note(&a->offered, OFFERED_MS, now);
   return takes;
 }
--- a/packages/policy/pwaccept.h
+++ b/packages/policy/pwaccept.h
@@ -14,12 +14,13 @@
 #ifndef PWACCEPT_H
 #define PWACCEPT_H
 
+#include "pwrate.h"
+
 #include <stdint.h>
 
 typedef struct pw_accept {
   double closed_part; /* of the new connections */
-  double offered;     /* decaying count of new connections */
-  int64_t offered_at; /* time up to which it has decayed, ms */
+  pw_rate offered;    /* new connections */
   int64_t updated_at; /* ms; 0: never */
   int64_t taken_at;   /* when a connection was last taken, ms */
   int64_t lag_ms;     /* delay of the event loop at the latest update */
--- a/packages/policy/pwshare.c
+++ b/packages/policy/pwshare.c
@@ -2,12 +2,9 @@
 ** to its targets. */
 #include "pwshare.h"
 
-#include <math.h>
-
 /* Time constant in ms of the request rate. With one second the share of a
 ** gateway with forty requests a second fluctuates at random by 16 in 100. */
 #define DECAY_MS 3000.0
-#define MS_PER_S 1000.0
 
 /* Multiple of the free slots that a gateway may use beyond its share. With 0,
 ** 2, 4 and 8 the share of requests answered in time, weighted by class, is
@@ -36,17 +33,12 @@
 ** gateways there are. */
 #define CONNECTIONS_LEAST 2
 
-static double decayed(const pw_share *s, int64_t now) {
-  return s->requests * exp(-(double)(now - s->at) / DECAY_MS);
-}
-
 void pwshare_note(pw_share *s, int64_t now) {
-  s->requests = decayed(s, now) + 1;
-  s->at = now;
+  pwrate_note(&s->requests, DECAY_MS, now);
 }
 
 double pwshare_rate(const pw_share *s, int64_t now) {
-  return decayed(s, now) / DECAY_MS * MS_PER_S;
+  return pwrate_per_s(&s->requests, DECAY_MS, now);
 }
 
 double pwshare_slots(double mine, double all, double slots, double used,
--- a/packages/policy/pwshare.h
+++ b/packages/policy/pwshare.h
@@ -11,12 +11,13 @@
 #ifndef PWSHARE_H
 #define PWSHARE_H
 
+#include "pwrate.h"
+
 #include <stdint.h>
 
 /* The recent request rate at one gateway. */
 typedef struct pw_share {
-  double requests; /* decaying count */
-  int64_t at;      /* time up to which it has decayed, ms */
+  pw_rate requests;
 } pw_share;
 
 /* Counts a request. */
--- a/tests/scenarios/84_one_gateway.lua
+++ b/tests/scenarios/84_one_gateway.lua
@@ -5,6 +5,7 @@
 -- Here: from CONTACT_MS after the turn on, requests are answered at the first attempt three quarters as often as before.
 local fleet = require("fleet")
 local gateways = require("gateways")
+local turns = require("turns")
 local CONTACT_MS, PART = 3000, 0.75
 local RATE = 300 -- requests a second
 local STEP_MS, EACH_STEP = 20, 6
@@ -21,18 +22,12 @@
   t:fault("gap=" .. GAP_MS)
 end
 
--- Index of the gateway that gets the i-th connection: nine of ten go to `hot`, or each in turn.
-local function gateway_of(i, hot)
-  if hot and i % 10 ~= 0 then return hot end
-  return (hot and i // 10 or i) % #g.gateways + 1
-end
-
 local function play(hot, ms)
   local calls, start, i = {}, run.now(), 0
   while run.now() - start < ms do
     for _ = 1, EACH_STEP do
       i = i + 1
-      local o = {path = "/chat/a", events = EVENTS, body = "q", timeout = 8, gateway = g.gateways[gateway_of(i, hot)],
+      local o = {path = "/chat/a", events = EVENTS, body = "q", timeout = 8, gateway = g.gateways[turns.gateway_of(g, i, hot)],
         prefix = string.format("a1:50,5%x:40,f%x:10", i % 40, i)}
       calls[#calls + 1] = {at = run.now() - start, h = run.http_start((g:call(o)))}
     end
--- a/tests/scenarios/turns.lua
+++ b/tests/scenarios/turns.lua
@@ -18,7 +18,7 @@
 end
 
 -- Index of the gateway that gets the i-th connection: nine of ten go to `hot`, or each in turn.
-local function gateway_of(g, i, hot)
+function turns.gateway_of(g, i, hot)
   if hot and i % 10 ~= 0 then return hot end
   return (hot and i // 10 or i) % #g.gateways + 1
 end
@@ -57,7 +57,7 @@
   while run.now() - began < ms or #pending > 0 do
     local due = math.min(run.now() - began, ms) * rate // 1000
     while #all < due do
-      local request = {at = run.now() - began, gateway = gateway_of(g, #all + 1, hot), tries = 0}
+      local request = {at = run.now() - began, gateway = turns.gateway_of(g, #all + 1, hot), tries = 0}
       start(g, o, request)
       all[#all + 1] = request
       pending[#pending + 1] = request
--- a/tests/test_topology.c
+++ b/tests/test_topology.c
@@ -289,7 +289,7 @@
   enum { SLOTS = 2160, HOLD_MS = 400, SIGHT_MS = 150, FROM = 4000, TO = 8000 };
   static int in_flight[GATEWAYS], ends[GATEWAYS][TO + HOLD_MS + 1];
   pw_random r = {.seed = test_seed(9)};
-  pw_share share[GATEWAYS] = {{0}};
+  pw_share share[GATEWAYS] = {0};
   double others[GATEWAYS] = {0}, others_rate[GATEWAYS] = {0}, sum = 0;
   memset(in_flight, 0, sizeof in_flight);
   memset(ends, 0, sizeof ends);
