--- a/review/stand.c
+++ b/review/stand.c
@@ -39,6 +39,8 @@
 #define SHED_HOLD_MS 25
 #define BEAT_MS 400
 #define CALL_TIMEOUT_S 8
+#define STAGGER_MS 12            /* between the first calls of two callers */
+#define READER_GAP_MS 25         /* between the starts of two readers */
 #define THINK_MS 50              /* between the calls of one caller */
 #define SLOW_RECEIVE_BYTES 32768 /* receive buffer of a slow reader */
 #define SLOW_SEGMENT 1460        /* as on an Ethernet link */
@@ -563,6 +565,7 @@
   c->seed = (unsigned)j->number * 7919U + (unsigned)getpid();
   c->number = j->number;
   c->fd = -1;
+  pause_ms(STAGGER_MS * j->number);
   while (now_ms() < callers.until) {
     j->send(c);
     pause_ms(THINK_MS);
@@ -640,7 +643,7 @@
   for (int i = 0; i < n; i++) {
     atomic_fetch_add(&callers.left, 1);
     start_thread(read_slowly, (void *)(intptr_t)i);
-    pause_ms(10);
+    pause_ms(READER_GAP_MS);
   }
   return wait_for_callers();
 }
