Review: the scripts of the cases need only bash and gcc

Cause: they were played by the scenario runner, which needs more packages than the build of the deploy file names.

--- a/review/stand.c
+++ b/review/stand.c
@@ -12,6 +12,14 @@
 ** stand readers GATEWAY COUNT BYTES_PER_S LOG PATH
 **   COUNT callers each send one unsafe call and read its answer at a steady
 **   rate; 0: at once.
+** stand ports N
+**   Prints N ports that are free.
+** stand publish CONTROL,... FILE
+**   Sends the configuration in the file until it is acknowledged.
+** stand ready IP:PORT
+**   Waits until GET /ready is answered with 200.
+** stand mark LOG TEXT
+**   Adds a line to a log.
 ** stand platform PID LIMIT_MB SECONDS LOG
 **   Kills the process once its resident memory is over the limit. */
 #define _GNU_SOURCE
@@ -39,8 +47,13 @@
 #define SHED_HOLD_MS 25
 #define BEAT_MS 400
 #define CALL_TIMEOUT_S 8
-#define STAGGER_MS 12            /* between the first calls of two callers */
-#define READER_GAP_MS 25         /* between the starts of two readers */
+#define STAGGER_MS 12    /* between the first calls of two callers */
+#define READER_GAP_MS 25 /* between the starts of two readers */
+#define PORT_FIRST 12000
+#define PORTS 18000
+#define PORT_BLOCK 16
+#define PORT_LAST 32000
+#define START_MS 30000           /* longest start of the deployment */
 #define THINK_MS 50              /* between the calls of one caller */
 #define SLOW_RECEIVE_BYTES 32768 /* receive buffer of a slow reader */
 #define SLOW_SEGMENT 1460        /* as on an Ethernet link */
@@ -685,6 +698,83 @@
   return 0;
 }
 
+/* --- help for scripts --- */
+
+/* Ports below the kernel's range for outgoing connections. */
+static int print_ports(int n) {
+  int port = PORT_FIRST + (int)getpid() * PORT_BLOCK % PORTS;
+  for (int found = 0; found < n && port < PORT_LAST; port++) {
+    struct sockaddr_in at = {.sin_family = AF_INET,
+                             .sin_port = htons((uint16_t)port),
+                             .sin_addr.s_addr = htonl(INADDR_ANY)};
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (bind(fd, (struct sockaddr *)&at, sizeof at) == 0)
+      printf("%d%c", port, ++found < n ? ' ' : '\n');
+    close(fd);
+  }
+  return port < PORT_LAST ? 0 : 2;
+}
+
+/* Sends one request over a new connection and reads the answer's head. Returns
+** its status; 0: there is none. */
+static int ask(const char *address, const char *bytes, size_t n, char *head,
+               size_t cap) {
+  int fd = connect_to(address, 0);
+  ssize_t k =
+      fd >= 0 && send_all(fd, bytes, n) == 0 ? recv(fd, head, cap - 1, 0) : -1;
+  if (fd >= 0)
+    close(fd);
+  head[k > 0 ? k : 0] = 0;
+  return k > 12 ? (int)strtol(head + 9, NULL, 10) : 0;
+}
+
+/* Sends the configuration to one control instance, or to where it points. */
+static int publish_at(const char *address, const char *call, size_t n) {
+  char head[BLOCK], to[64] = "";
+  int status = ask(address, call, n, head, sizeof head);
+  const char *location = strstr(head, "Location: http://");
+  if (status == 307 && location &&
+      sscanf(location, "Location: http://%63[0-9.:]", to) == 1)
+    status = ask(to, call, n, head, sizeof head);
+  return status;
+}
+
+static int publish(char *list, const char *path) {
+  static char body[BLOCK], call[2 * BLOCK];
+  const char *control[LIST_MAX];
+  int n = split(list, control);
+  int64_t until = now_ms() + START_MS;
+  FILE *f = n ? fopen(path, "r") : NULL;
+  if (!f)
+    return 2;
+  size_t got = fread(body, 1, sizeof body - 1, f);
+  fclose(f);
+  int m = snprintf(call, sizeof call,
+                   "PUT /config HTTP/1.1\r\nHost: control\r\nConnection: "
+                   "close\r\nContent-Type: application/json\r\n"
+                   "Content-Length: %zu\r\n\r\n%s",
+                   got, body);
+  for (int i = 0; now_ms() < until; i++) {
+    if (publish_at(control[i % n], call, (size_t)m) == 200)
+      return 0;
+    pause_ms(50);
+  }
+  return 2;
+}
+
+static int wait_ready(const char *address) {
+  static const char call[] =
+      "GET /ready HTTP/1.1\r\nHost: gateway\r\nConnection: close\r\n\r\n";
+  char head[BLOCK];
+  int64_t until = now_ms() + START_MS;
+  while (now_ms() < until) {
+    if (ask(address, call, sizeof call - 1, head, sizeof head) == 200)
+      return 0;
+    pause_ms(50);
+  }
+  return 2;
+}
+
 /* --- main --- */
 
 static int run_callers(char **arg, int is_waiting) {
@@ -718,6 +808,16 @@
     return run_readers(argv + 2);
   if (!strcmp(mode, "platform") && argc == 6 && open_log(argv[5]) == 0)
     return run_platform(argv + 2);
+  if (!strcmp(mode, "ports") && argc == 3)
+    return print_ports((int)strtol(argv[2], NULL, 10));
+  if (!strcmp(mode, "publish") && argc == 4)
+    return publish(argv[2], argv[3]);
+  if (!strcmp(mode, "ready") && argc == 3)
+    return wait_ready(argv[2]);
+  if (!strcmp(mode, "mark") && argc == 4 && open_log(argv[2]) == 0) {
+    note("%s", argv[3]);
+    return 0;
+  }
   fputs("stand: see the comment in stand.c\n", stderr);
   return 2;
 }
