--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -202,6 +202,60 @@
   end
 end
 
+-- Waits until the group has n voters, all of them caught up and running.
+function gateways:wait_voters(n)
+  fleet.eventually(n .. " voters", function()
+    local running = {}
+    for _, c in ipairs(self.control) do
+      if c.pid and not c.gone then running[c.health] = true end
+    end
+    local leader = self:leader()
+    local status = run.json(run.http{url = "http://" .. leader.health, path = "/v1/status", timeout = 2}.body)
+    local count = 0
+    for _, m in ipairs(status and status.members or {}) do
+      if m.role ~= "learner" and m.caught_up and running[m.http] then count = count + 1 end
+    end
+    return count == n and #status.members == n
+  end, 40000)
+end
+
+-- Kills the n oldest control instances for good, at once, and starts as many empty ones at other addresses, whose seeds are
+-- those that run then. Waits until all of them are voters.
+function gateways:replace_oldest_control(n)
+  local running, voters = {}, 0
+  for _, c in ipairs(self.control) do
+    if c.pid and not c.gone then running[#running + 1] = c end
+  end
+  voters = #running
+  for _ = 1, n do
+    local oldest = table.remove(running, 1)
+    oldest:kill()
+    oldest.gone = true
+  end
+  local seeds = {}
+  for i, c in ipairs(running) do seeds[i] = c.health end
+  for _ = 1, n do
+    local fresh = self:add_control("127.0.0." .. #self.control + 1, false)
+    fresh.seeds = seeds
+    self:write_control(fresh)
+    fresh:start()
+  end
+  self:wait_voters(voters)
+end
+
+-- Starts the targets again, which then report to the control instances that run now.
+function gateways:restart_targets()
+  local control = {}
+  for _, c in ipairs(self.control) do
+    if not c.gone then control[#control + 1] = c.health end
+  end
+  for _, t in ipairs(self.targets) do
+    t:kill()
+    t.argv[3] = table.concat(control, ",")
+    t:start()
+  end
+end
+
 function gateways:wait_in_force(version)
   for _, p in ipairs(self.gateways) do
     fleet.eventually(p.name .. " has configuration " .. version, function()
