A gateway logs and counts the control instances that it knows and hears

Whether a gateway had lost control could not be told from its log: two gateways of five that applied nothing for 34 s wrote no line about it. Now: a line where an address is learned (with its source) or dropped, where the last reachable instance is lost and where one is back (with the age of the last confirmation), and of the version that each instance reports; three metrics. What a gateway knows of control instances stands in a file of its own, pwcontacts.c; what it does is unchanged.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -137,6 +137,12 @@
     "version of the configuration in force")                                   \
   X(PWC_GW_KNOWN, "gateway_gateways", "gauge",                                 \
     "gateways by which the retry budget is divided; 0: not known")             \
+  X(PWC_GW_CONTROL_KNOWN, "gateway_control_known", "gauge",                    \
+    "control instances whose address is known")                                \
+  X(PWC_GW_CONTROL_REACHABLE, "gateway_control_reachable", "gauge",            \
+    "control instances that were heard just now")                              \
+  X(PWC_GW_CONFIRMED_MS, "gateway_configuration_confirmed_ms", "gauge",        \
+    "ms since control last confirmed that no newer one exists; -1: never")     \
   X(PWC_GW_TARGETS, "gateway_targets", "gauge", "targets known")               \
   X(PWC_GW_EVACUATED, "gateway_evacuated", "gauge",                            \
     "availability zones evacuated")                                            \
--- a/packages/gateway/pwconfsync.c
+++ b/packages/gateway/pwconfsync.c
@@ -12,7 +12,8 @@
 /* --- requests --- */
 
 static int has_newer(const pw_link *l, const contact *c, int64_t now) {
-  return c->config_version > pwdoc_version(l->doc) && pwlink_is_fresh(c, now);
+  return c->config_version > pwdoc_version(l->doc) &&
+         pwcontacts_is_fresh(c, now);
 }
 
 /* The n-th control instance, counted from 0, among those that have a newer configuration: the primary,
@@ -25,8 +26,8 @@
     contact *best = NULL;
     for (contact *c = l->contacts; c; c = c->next)
       if (c != l->primary && has_newer(l, c, now) &&
-          (!last || pwlink_rank(l, c) < pwlink_rank(l, last)) &&
-          (!best || pwlink_rank(l, c) > pwlink_rank(l, best)))
+          (!last || pwcontacts_rank(l, c) < pwcontacts_rank(l, last)) &&
+          (!best || pwcontacts_rank(l, c) > pwcontacts_rank(l, best)))
         best = c;
     last = best;
   } while (last && n-- > 0);
@@ -50,8 +51,8 @@
     return;
   int round = (int)((now - l->behind_at) / REQUEST_OTHER_MS);
   int primary_has_newer = l->primary && has_newer(l, l->primary, now);
-  if (l->primary && !primary_has_newer && pwlink_is_fresh(l->primary, now) &&
-      round-- == 0)
+  if (l->primary && !primary_has_newer &&
+      pwcontacts_is_fresh(l->primary, now) && round-- == 0)
     return;
   l->requested_at = now;
   l->requested_from = nth_newer(l, round % nnewer, now);
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -9,18 +9,12 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #define MS_PER_S 1000
 
-#define WATCH_MS 500 /* default interval of watch messages to control */
-
 /* Interval at which the leader gets answer counts during a rollout, ms. */
 #define ROLLOUT_WATCH_MS 250
 
-/* Missed notices after which a control instance counts as unreachable. */
-#define MISSED_NOTICES 3
-
 /* Time that a new primary has to send its full list of targets before another one is chosen: a fixed
 ** part, ms, and a multiple of its notice interval, which grows with the number of its watchers. The fixed
 ** part doubles with each failed primary, since each choice requests a table of 48 KB (at 3,000 targets)
@@ -38,48 +32,9 @@
 #define RETURN_MS 2000
 #define RETURN_SPREAD_MS 4000
 
-/* Delay between dialling one control instance and the next, ms: until the first one has answered, and
-** from then on. */
-#define DIAL_FIRST_MS 150
-#define DIAL_MS 300
-
-/* A control instance that was silent for this time is dropped, ms. */
-#define DROP_SILENT_MS 20000
-
 /* A configuration counts as current after this time, ms, if no control instance could confirm it. */
 #define UNCONFIRMED_MS 1500
 
-static contact *contact_of(pw_link *l, const char *addr, int64_t now) {
-  for (contact *c = l->contacts; c; c = c->next)
-    if (!strcmp(c->addr, addr))
-      return c;
-  contact *c = pw_alloc(sizeof *c);
-  pw_copy(c->addr, sizeof c->addr, addr);
-  c->known_at = now;
-  c->watch_ms = WATCH_MS;
-  c->next = l->contacts;
-  l->contacts = c;
-  return c;
-}
-
-/* Dials control instances one after another in this gateway's order. If all were dialled at once, then
-** after a loss of all links a hundred gateways would keep a control instance with 0.12 cores busy for 0.4 s
-** with connections of gateways that use another primary. */
-static void dial_next(pw_link *l, int64_t now) {
-  contact *best = NULL;
-  int has_answer = 0;
-  for (contact *c = l->contacts; c; c = c->next) {
-    has_answer |= c->received_at != 0;
-    if (!c->dialled_at && (!best || pwlink_rank(l, c) > pwlink_rank(l, best)))
-      best = c;
-  }
-  if (!best || now - l->dialled_at < (has_answer ? DIAL_MS : DIAL_FIRST_MS))
-    return;
-  l->dialled_at = best->dialled_at = now;
-  pwwire_dial(l->sock, best->addr, &best->peer);
-  pwlink_send_watch(l, best, 0, now);
-}
-
 void pwlink_send_watch(pw_link *l, contact *c, int want, int64_t now) {
   Pw__Watch m = PW__WATCH__INIT;
   m.site = pwdoc_version(l->doc);
@@ -102,17 +57,6 @@
   c->watched_at = now;
 }
 
-int pwlink_is_fresh(const contact *c, int64_t now) {
-  return c->received_at && now - c->received_at <= MISSED_NOTICES * c->watch_ms;
-}
-
-/* Each gateway has an order of its own, so that gateways spread over the control instances. */
-uint64_t pwlink_rank(const pw_link *l, const contact *c) {
-  const char *self = l->g->p->set->gateway_gossip;
-  return XXH3_64bits_withSeed(c->addr, strlen(c->addr),
-                              XXH3_64bits(self, strlen(self)));
-}
-
 /* --- incoming notices --- */
 
 typedef struct target_update {
@@ -151,7 +95,7 @@
   if (from == l->primary)
     pwgatewaycount_heard(&l->budget_count, now);
   for (size_t i = 0; i < n->n_control; i++)
-    contact_of(l, n->control[i], now);
+    pwcontacts_learn(l, n->control[i], from->addr, now);
   if (!n->n_gateways || from != l->primary)
     return;
   if (l->ngateways != (int)n->n_gateways)
@@ -183,9 +127,8 @@
 
 static void on_notice(pw_link *l, contact *c, const Pw__Notice *n,
                       int64_t now) {
-  c->config_version = n->site;
-  c->has_leader = n->in_touch;
-  c->watch_ms = n->watch_ms ? n->watch_ms : WATCH_MS;
+  pwcontacts_note_version(l, c, n->site, n->in_touch, now);
+  c->watch_ms = n->watch_ms ? n->watch_ms : PWLINK_WATCH_MS;
   if (n->full && c == l->primary) {
     l->has_full_list = 1;
     l->full_wait_ms = FULL_LIST_MS;
@@ -228,29 +171,10 @@
 
 /* --- periodic work --- */
 
-static void drop_silent(pw_link *l, int64_t now) {
-  for (contact **at = &l->contacts; *at;) {
-    contact *c = *at;
-    int64_t since = c->received_at ? c->received_at : c->known_at;
-    if (c->is_seed || now - since < DROP_SILENT_MS) {
-      at = &c->next;
-      continue;
-    }
-    *at = c->next;
-    if (c == l->primary)
-      l->primary = NULL;
-    if (c == l->requested_from)
-      l->requested_from = NULL;
-    if (c->dialled_at)
-      pwwire_disconnect(l->sock, c->addr);
-    free(c);
-  }
-}
-
 static int is_better(const pw_link *l, const contact *a, const contact *b) {
   if (!b || a->has_leader != b->has_leader)
     return !b || a->has_leader;
-  return pwlink_rank(l, a) > pwlink_rank(l, b);
+  return pwcontacts_rank(l, a) > pwcontacts_rank(l, b);
 }
 
 /* Whether another primary must be chosen: the primary is silent, or has not sent its full list
@@ -259,7 +183,7 @@
 ** all would choose the first of them. */
 static int must_choose(pw_link *l, const contact *best, int64_t now) {
   const contact *p = l->primary;
-  if (!p || !pwlink_is_fresh(p, now))
+  if (!p || !pwcontacts_is_fresh(p, now))
     return 1;
   if (!l->has_full_list &&
       now - l->chosen_at > l->full_wait_ms + FULL_LIST_NOTICES * p->watch_ms)
@@ -275,12 +199,12 @@
 static int may_return(pw_link *l, const contact *best, int64_t now) {
   const contact *p = l->primary;
   if (!p || !l->has_full_list || !best->has_leader || !p->has_leader ||
-      pwlink_rank(l, best) < pwlink_rank(l, p)) {
+      pwcontacts_rank(l, best) < pwcontacts_rank(l, p)) {
     l->best_primary_at = now;
     return 0;
   }
   int64_t pause =
-      RETURN_MS + (int64_t)(pwlink_rank(l, best) % RETURN_SPREAD_MS);
+      RETURN_MS + (int64_t)(pwcontacts_rank(l, best) % RETURN_SPREAD_MS);
   return now - l->best_primary_at > pause;
 }
 
@@ -289,7 +213,7 @@
 static void choose_primary(pw_link *l, int64_t now) {
   contact *best = NULL;
   for (contact *c = l->contacts; c; c = c->next)
-    if (pwlink_is_fresh(c, now) && c != l->primary && is_better(l, c, best))
+    if (pwcontacts_is_fresh(c, now) && c != l->primary && is_better(l, c, best))
       best = c;
   if (!best || !(must_choose(l, best, now) | may_return(l, best, now)))
     return;
@@ -319,11 +243,12 @@
     pwconfsync_read(l);
   choose_primary(l, now);
   pwconfsync_request(l, now);
-  dial_next(l, now);
+  pwcontacts_dial_next(l, now);
   for (contact *c = l->contacts; c; c = c->next)
     if (c->dialled_at && now - c->watched_at >= watch_interval_ms(l, c))
       pwlink_send_watch(l, c, 0, now);
-  drop_silent(l, now);
+  pwcontacts_drop_silent(l, now);
+  pwcontacts_observe(l, now);
 }
 
 int pwlink_is_current(const pw_link *l, int64_t now) {
@@ -332,7 +257,7 @@
   if (!version || l->reading)
     return 0;
   for (const contact *c = l->contacts; c; c = c->next) {
-    if (!pwlink_is_fresh(c, now))
+    if (!pwcontacts_is_fresh(c, now))
       continue;
     newer |= c->config_version > version;
     confirmed |= c->has_leader && c->config_version <= version;
@@ -344,7 +269,7 @@
 
 int pwlink_hears_leader(const pw_link *l, int64_t now) {
   for (const contact *c = l->contacts; c; c = c->next)
-    if (c->has_leader && pwlink_is_fresh(c, now))
+    if (c->has_leader && pwcontacts_is_fresh(c, now))
       return 1;
   return 0;
 }
@@ -374,7 +299,7 @@
     }
     snprintf(addr, sizeof addr, "tcp://%s:%d", ip,
              (int)set->gateway_control_port);
-    contact_of(l, addr, pwclock_ms())->is_seed = 1;
+    pwcontacts_learn(l, addr, "settings", pwclock_ms())->is_seed = 1;
   }
   return 0;
 }
@@ -384,6 +309,8 @@
   l->g = g;
   l->doc = pwdoc_new();
   l->full_wait_ms = FULL_LIST_MS;
+  l->is_cut_off = 1;
+  l->heard_at = pwclock_ms();
   pwgatewaycount_init(&l->budget_count,
                       (int64_t)(g->p->set->gateway_retry_window * MS_PER_S));
   l->sock = pwwire_dialler(g->p->wire);
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -1,5 +1,5 @@
 /* pwlinkint.h: state of a gateway's links to control instances, private to pwlink.c,
-** pwconfsync.c and pwrelay.c. */
+** pwcontacts.c, pwconfsync.c and pwrelay.c. */
 #ifndef PWLINKINT_H
 #define PWLINKINT_H
 
@@ -12,6 +12,9 @@
 #include "pwsuspects.h"
 #include "pwzmqev.h"
 
+/* Default interval of watch messages to control instances, ms. */
+#define PWLINK_WATCH_MS 500
+
 typedef struct pw_relay pw_relay;
 
 /* A control instance. */
@@ -61,6 +64,11 @@
   pw_relay *relay;
   int ngateways;
   pw_gateway_count budget_count;
+  int is_cut_off;   /* no control instance is reachable */
+  int64_t heard_at; /* when one was last reachable */
+  int64_t
+      confirmed_at; /* when one that has contact with its leader last reported
+                        ** no newer configuration than this one; 0: never */
   pw_zmqev watcher;
 };
 
@@ -68,11 +76,30 @@
 ** one. */
 void pwlink_send_watch(pw_link *l, contact *c, int want, int64_t now);
 
+/* --- pwcontacts.c: the known control instances --- */
+
+/* Adds a control instance unless it is known. `from`: what named it, for the log. */
+contact *pwcontacts_learn(pw_link *l, const char *addr, const char *from,
+                          int64_t now);
+
+/* Dials the next control instance that was not dialled yet, if it is time. */
+void pwcontacts_dial_next(pw_link *l, int64_t now);
+
+/* Drops control instances that were silent for long. */
+void pwcontacts_drop_silent(pw_link *l, int64_t now);
+
+/* Records the version of the configuration that a control instance reports. */
+void pwcontacts_note_version(pw_link *l, contact *c, uint64_t version,
+                             int has_leader, int64_t now);
+
+/* Logs when the last reachable control instance is lost and when one is back, and sets the metrics. */
+void pwcontacts_observe(pw_link *l, int64_t now);
+
 /* Whether a message of the instance came recently enough that it counts as reachable. */
-int pwlink_is_fresh(const contact *c, int64_t now);
+int pwcontacts_is_fresh(const contact *c, int64_t now);
 
 /* Rank of a control instance in this gateway's own order of preference; the highest is preferred. */
-uint64_t pwlink_rank(const pw_link *l, const contact *c);
+uint64_t pwcontacts_rank(const pw_link *l, const contact *c);
 
 /* --- pwconfsync.c: fetching and applying the configuration --- */
 
