--- a/tests/scenarios/90_away_while_control_replaced.lua
+++ b/tests/scenarios/90_away_while_control_replaced.lua
@@ -7,7 +7,7 @@
 g:wait_voters(5)
 local away = g.gateways[1]
 away:pause()
-for _ = 1, 3 do g:replace_oldest_control(2) end -- two at once, six in all
+for _ = 1, 5 do g:replace_oldest_control(2) end -- two at once, ten in all
 local version = g:publish(g:config())
 away:continue()
 g:wait_in_force(version)
