A gateway keeps the control instances that it knows while it hears none

Callers: the same as from replaced instances, after a silence of all of control: a gateway that hears nobody for 20 s dropped each instance that its settings do not name. With seeds that are gone it knew nobody any more. A gateway that stood still for 20 s dropped them in its first turn.

Cause: the age of a contact was judged by itself (DROP_SILENT_MS), also when no instance was heard at all. Now a contact is dropped only if it was silent for 20 s in which others were heard without a break. At most 64 learned addresses are kept; the one that was silent longest goes first.

--- a/packages/gateway/pwcontacts.c
+++ b/packages/gateway/pwcontacts.c
@@ -17,21 +17,8 @@
 /* A control instance that was silent for this time is dropped, ms. */
 #define DROP_SILENT_MS 20000
 
-contact *pwcontacts_learn(pw_link *l, const char *addr, const char *from,
-                          int64_t now) {
-  for (contact *c = l->contacts; c; c = c->next)
-    if (!strcmp(c->addr, addr))
-      return c;
-  contact *c = pw_alloc(sizeof *c);
-  pw_copy(c->addr, sizeof c->addr, addr);
-  c->known_at = now;
-  c->watch_ms = PWLINK_WATCH_MS;
-  c->next = l->contacts;
-  l->contacts = c;
-  pwtrace_line(l->g->trace, PWTRACE_STATE, now, "control-known",
-               "control=%s from=%s", addr, from);
-  return c;
-}
+/* Largest number of known control instances besides those in the settings. */
+#define LEARNED_MAX 64
 
 int pwcontacts_is_fresh(const contact *c, int64_t now) {
   return c->received_at && now - c->received_at <= MISSED_NOTICES * c->watch_ms;
@@ -63,7 +50,9 @@
   pwlink_send_watch(l, best, 0, now);
 }
 
-static void drop(pw_link *l, contact *c, int64_t now) {
+static void drop(pw_link *l, contact **at, int64_t now) {
+  contact *c = *at;
+  *at = c->next;
   pwtrace_line(l->g->trace, PWTRACE_STATE, now, "control-dropped",
                "control=%s silent_ms=%lld", c->addr,
                (long long)(c->received_at ? now - c->received_at : -1));
@@ -76,19 +65,54 @@
   free(c);
 }
 
+static int64_t silent_since(const contact *c) {
+  return c->received_at ? c->received_at : c->known_at;
+}
+
+/* While no instance is reachable none is dropped: those that are known may come back, and there would be nobody left to
+** learn others from. */
 void pwcontacts_drop_silent(pw_link *l, int64_t now) {
+  if (l->is_cut_off || now - l->reachable_since < DROP_SILENT_MS)
+    return;
   for (contact **at = &l->contacts; *at;) {
-    contact *c = *at;
-    int64_t since = c->received_at ? c->received_at : c->known_at;
-    if (c->is_seed || now - since < DROP_SILENT_MS) {
-      at = &c->next;
-      continue;
-    }
-    *at = c->next;
-    drop(l, c, now);
+    if ((*at)->is_seed || now - silent_since(*at) < DROP_SILENT_MS)
+      at = &(*at)->next;
+    else
+      drop(l, at, now);
   }
 }
 
+/* Drops the instance that was silent longest if there are too many. */
+static void make_room(pw_link *l, int64_t now) {
+  contact **oldest = NULL;
+  int learned = 0;
+  for (contact **at = &l->contacts; *at; at = &(*at)->next) {
+    learned += !(*at)->is_seed;
+    if (!(*at)->is_seed &&
+        (!oldest || silent_since(*at) < silent_since(*oldest)))
+      oldest = at;
+  }
+  if (learned >= LEARNED_MAX)
+    drop(l, oldest, now);
+}
+
+contact *pwcontacts_learn(pw_link *l, const char *addr, const char *from,
+                          int64_t now) {
+  for (contact *c = l->contacts; c; c = c->next)
+    if (!strcmp(c->addr, addr))
+      return c;
+  make_room(l, now);
+  contact *c = pw_alloc(sizeof *c);
+  pw_copy(c->addr, sizeof c->addr, addr);
+  c->known_at = now;
+  c->watch_ms = PWLINK_WATCH_MS;
+  c->next = l->contacts;
+  l->contacts = c;
+  pwtrace_line(l->g->trace, PWTRACE_STATE, now, "control-known",
+               "control=%s from=%s", addr, from);
+  return c;
+}
+
 void pwcontacts_note_version(pw_link *l, contact *c, uint64_t version,
                              int has_leader, int64_t now) {
   uint64_t in_force = pwdoc_version(l->doc);
@@ -119,6 +143,7 @@
   }
   if (l->is_cut_off != (reachable == 0)) {
     l->is_cut_off = reachable == 0;
+    l->reachable_since = now;
     log_reachability(l, known, now);
   }
   if (reachable)
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -247,8 +247,8 @@
   for (contact *c = l->contacts; c; c = c->next)
     if (c->dialled_at && now - c->watched_at >= watch_interval_ms(l, c))
       pwlink_send_watch(l, c, 0, now);
-  pwcontacts_drop_silent(l, now);
   pwcontacts_observe(l, now);
+  pwcontacts_drop_silent(l, now);
 }
 
 int pwlink_is_current(const pw_link *l, int64_t now) {
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -64,11 +64,12 @@
   pw_relay *relay;
   int ngateways;
   pw_gateway_count budget_count;
-  int is_cut_off;   /* no control instance is reachable */
-  int64_t heard_at; /* when one was last reachable */
-  int64_t
-      confirmed_at; /* when one that has contact with its leader last reported
-                        ** no newer configuration than this one; 0: never */
+  int is_cut_off;          /* no control instance is reachable */
+  int64_t heard_at;        /* when one was last reachable */
+  int64_t reachable_since; /* since when at least one has been reachable */
+  /* When one that has contact with its leader last reported no newer configuration than
+  ** this one; 0: never. */
+  int64_t confirmed_at;
   pw_zmqev watcher;
 };
 
@@ -85,7 +86,7 @@
 /* Dials the next control instance that was not dialled yet, if it is time. */
 void pwcontacts_dial_next(pw_link *l, int64_t now);
 
-/* Drops control instances that were silent for long. */
+/* Drops control instances that were silent for long while others were heard. */
 void pwcontacts_drop_silent(pw_link *l, int64_t now);
 
 /* Records the version of the configuration that a control instance reports. */
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -1,5 +1,5 @@
-/* test_link.c: a gateway's links to control instances: how it dials them, chooses its primary, and
-** requests a newer configuration from only one when all of them report it at once. */
+/* test_link.c: a gateway's links to control instances: how it dials them, chooses its primary, keeps those that it knows
+** while none is heard, and requests a newer configuration from only one when all of them report it at once. */
 #include "platform.h"
 #include "pwgate.h"
 #include "pwpb.h"
@@ -23,6 +23,9 @@
 /* After this time gateways have returned to their preferred control instance. */
 #define LONG_MS 8000
 
+/* After this time silent control instances are dropped while others are heard. */
+#define VERY_LONG_MS 30000
+
 /* A fake control instance. */
 typedef struct control {
   pw_sock *sock;
@@ -40,7 +43,8 @@
   int64_t step; /* advance of that time in each iteration, ms */
 } bed;
 
-static void begin(bed *b) {
+/* Begins with `seeds` control instances in the gateway's settings. */
+static void begin_with_seeds(bed *b, int seeds) {
   pw_buf err = {0};
   int port = test_free_port(INADDR_ANY);
   CHECK(port > 0);
@@ -61,7 +65,8 @@
   for (int i = 0; i < CONTROLS; i++) {
     char addr[PW_NAME_MAX];
     snprintf(addr, sizeof addr, "127.0.0.%d:1", i + 1);
-    b->set.gateway_control.item[b->set.gateway_control.n++] = pw_dup(addr);
+    if (i < seeds)
+      b->set.gateway_control.item[b->set.gateway_control.n++] = pw_dup(addr);
     snprintf(addr, sizeof addr, "tcp://127.0.0.%d:%d", i + 1, port);
     b->c[i].sock = pwwire_listen(b->control_wire, addr, &err);
     CHECK(b->c[i].sock != NULL);
@@ -78,6 +83,10 @@
   CHECK(b->g.link != NULL);
 }
 
+static void begin(bed *b) {
+  begin_with_seeds(b, CONTROLS);
+}
+
 static void end(bed *b) {
   pwlink_free(b->g.link);
   pwquar_free(b->g.quarantine);
@@ -85,7 +94,8 @@
   pwversions_free(b->g.versions);
   for (int i = 0; i < CONTROLS; i++) {
     pwwire_close(b->c[i].sock);
-    free(b->set.gateway_control.item[i]);
+    if (i < b->set.gateway_control.n)
+      free(b->set.gateway_control.item[i]);
   }
   pwfleet_free(b->g.fleet);
   pwtrace_free(b->g.trace);
@@ -266,11 +276,48 @@
   end(&b);
 }
 
+/* Sends the addresses of all fake control instances. */
+static void send_control_list(bed *b, control *from) {
+  char addr[CONTROLS][PW_NAME_MAX], *list[CONTROLS];
+  Pw__Notice n = PW__NOTICE__INIT;
+  for (int i = 0; i < CONTROLS; i++) {
+    snprintf(addr[i], sizeof addr[i], "tcp://127.0.0.%d:%d", i + 1,
+             (int)b->set.gateway_control_port);
+    list[i] = addr[i];
+  }
+  n.control = list;
+  n.n_control = CONTROLS;
+  n.in_touch = 1;
+  Pw__Envelope e = PW_ENVELOPE(NOTICE, notice, &n);
+  pwwire_send(from->sock, &from->gateway, &e);
+}
+
+/* Nothing is heard for so long that silent instances would be dropped, as when all of control is down or the gateway is
+** cut off. The instances that are not in the settings are still known when they are back. Otherwise nobody would be left
+** whom the gateway could ask. */
+static void test_keeps_instances_while_none_is_heard(void) {
+  bed b;
+  begin_with_seeds(&b, 1);
+  UNTIL(&b, b.c[0].watched > 0);
+  send_control_list(&b, &b.c[0]);
+  UNTIL(&b, watched_by_all(&b));
+  b.now += VERY_LONG_MS;
+  for (int i = 0; i < ITERATIONS; i++)
+    iterate(&b);
+  b.now += VERY_LONG_MS;
+  for (int i = 0; i < ITERATIONS; i++)
+    iterate(&b);
+  send_notice(&b.c[CONTROLS - 1], 7, 1);
+  UNTIL(&b, b.c[CONTROLS - 1].wanted > 0);
+  end(&b);
+}
+
 int main(void) {
   TESTS_BEGIN("link");
   TEST(test_dials_one_by_one);
   TEST(test_requests_from_primary);
   TEST(test_requests_from_another);
   TEST(test_returns_to_preferred);
+  TEST(test_keeps_instances_while_none_is_heard);
   TESTS_END();
 }
