The leader calls gateways that were heard once and are silent now

Callers: requests by an old configuration for good at a gateway that stood still, was cut off or started again with stale seeds while the members of the control group were replaced. It was told of no new member, and knew nobody to ask when it was back.

Now control finds it: each instance keeps the relay addresses of gateways that it lost (with the time at which they were last heard, ten minutes at most) and sends them to the other instances each second, so that the list outlives each of them. The leader connects to up to 64 of them at a time and sends the members each 500 ms; a gateway that hears no leader adds them.

Two ways were built: this one, and gateways that ask each other by gossip. So gossip was left out. 90 now waits until the gateways hear all instances before it pauses one: instances that know of a gateway that nobody else has heard may be lost with that knowledge.

--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -7,6 +7,7 @@
 #include "pwdocsend.h"
 #include "pwlimits.h"
 #include "pwlog.h"
+#include "pwlostgateways.h"
 #include "pwoutbox.h"
 #include "pwpace.h"
 #include "pwpartsmsg.h"
@@ -53,6 +54,7 @@
   uint64_t incarnation;
   /* wire address for gossip; "": this is not a gateway */
   char gossip[PW_NAME_MAX];
+  char relay[PW_NAME_MAX]; /* wire address of a gateway; "": it has none */
   /* address of a control instance; "": this is a gateway */
   char control[PW_NAME_MAX];
   int is_primary; /* it relies on this instance for all targets */
@@ -60,8 +62,9 @@
   /* when it asked for the table of all targets; 0: it does not wait for one */
   int64_t table_asked_at;
   int64_t received_at, notified_at;
-  /* when it was sent the lists of control instances and of gateways; 0: never */
-  int64_t control_sent_at, gateways_sent_at;
+  /* when it was sent the lists of control instances, of gateways, and of lost
+  ** gateways; 0: never */
+  int64_t control_sent_at, gateways_sent_at, lost_sent_at;
   /* versions of the configuration and of the evacuated availability zones that
   ** the last Notice to it named */
   uint64_t announced_version, announced_revision;
@@ -99,6 +102,7 @@
   pw_parts *parts;
   size_t next_part;
   pw_docsend *docsend;
+  pw_lost_gateways *lost;
   pw_pace bulk_pace; /* rate of tables and documents */
   Pw__Notice table;  /* the table of all targets that was built last */
   int64_t table_built_at;
@@ -121,6 +125,7 @@
   w->quarantine = pwquar_new();
   w->parts = pwparts_new();
   w->docsend = pwdocsend_new(listener, doc);
+  w->lost = pwlost_new(p, dialler);
   w->bulk_pace = pwpace_of(p->set->control_link);
   w->targets = pwfleet_new(p->set->availability_zone, p->set->control_beat, 0);
   return w;
@@ -140,6 +145,7 @@
   pwquar_free(w->quarantine);
   pwparts_free(w->parts);
   pwdocsend_free(w->docsend);
+  pwlost_free(w->lost);
   pwfleet_free(w->targets);
   pwzones_free(&w->evacuated);
   pwrollwire_free(&w->rollouts);
@@ -182,19 +188,33 @@
           age >= (has_changed ? interval : GATEWAYS_REPEAT * interval));
 }
 
-/* Adds the control instances that are members of the group, since only
-** members know all targets. */
-static void add_control_list(pw_watch *w, watcher *to, Pw__Notice *n,
-                             int64_t now) {
+/* Fills `control` with the wire addresses of the group's members; returns their
+** number. */
+static size_t list_members(const pw_watch *w,
+                           char *control[PW_CONTROL_MAX + 1]) {
   const pw_mesh *m = w->mesh;
-  n->control = pw_alloc(sizeof(char *) * (size_t)(m->n + 1));
+  size_t n = 0;
   for (int i = 0; i < m->n; i++)
     if (m->peer[i]->is_member)
-      n->control[n->n_control++] = m->peer[i]->addr;
+      control[n++] = m->peer[i]->addr;
   if (m->is_member)
-    n->control[n->n_control++] = w->p->set->control_wire;
+    control[n++] = w->p->set->control_wire;
+  return n;
+}
+
+/* Adds the control instances that are members of the group, since only
+** members know all targets. */
+static void add_control_list(pw_watch *w, watcher *to, Pw__Notice *n,
+                             int64_t now) {
+  n->control = pw_alloc(sizeof(char *) * (PW_CONTROL_MAX + 1));
+  n->n_control = list_members(w, n->control);
   to->control_sent_at = now;
-  to->announced_members = m->members_revision;
+  to->announced_members = w->mesh->members_revision;
+}
+
+/* Whether a control instance is due to be sent the lost gateways. */
+static int lost_list_is_due(const pw_watch *w, const watcher *to, int64_t now) {
+  return !to->gossip[0] && now - to->lost_sent_at >= list_interval_ms(w);
 }
 
 static void add_gateway_list(pw_watch *w, watcher *to, Pw__Notice *n,
@@ -245,6 +265,10 @@
     add_control_list(w, to, n, now);
   if (gateway_list_is_due(w, to, now))
     add_gateway_list(w, to, n, now);
+  if (lost_list_is_due(w, to, now)) {
+    pwlost_fill(w->lost, n, now);
+    to->lost_sent_at = now;
+  }
   pw_suspects suspects;
   pw_partsmsg parts;
   if (suspects_are_due(w, to, now))
@@ -258,6 +282,7 @@
   n->n_crashing_parts = 0;
   free(n->control);
   free(n->gateways);
+  pwlost_clear(n);
   to->notified_at = now;
   to->announced_version = n->site;
   to->announced_revision = n->revision;
@@ -516,7 +541,9 @@
   w->nwatchers++;
   one->announced_version = UINT64_MAX; /* a Notice is due at once */
   pw_copy(one->gossip, sizeof one->gossip, e->watch->gossip);
+  pw_copy(one->relay, sizeof one->relay, e->watch->relay);
   pw_copy(one->control, sizeof one->control, e->watch->control);
+  pwlost_remove(w->lost, one->relay);
   note_gateway_change(w, one);
   return one;
 }
@@ -542,6 +569,22 @@
     pwdocsend_watch(w->docsend, from, e->incarnation, m, now);
 }
 
+static int is_watched_by(const pw_watch *w, const char *relay) {
+  for (const watcher *one = w->watchers; one; one = one->next)
+    if (!strcmp(one->relay, relay))
+      return 1;
+  return 0;
+}
+
+/* Takes the gateways that another control instance lost. */
+static void receive_lost(pw_watch *w, const Pw__Notice *n, int64_t now) {
+  for (size_t i = 0; i < n->n_lost_gateways; i++) {
+    const Pw__LostGateway *m = n->lost_gateways[i];
+    if (!is_watched_by(w, m->relay))
+      pwlost_add(w->lost, m->relay, m->age, now);
+  }
+}
+
 void pwwatch_message(pw_watch *w, const pw_peer *from, const Pw__Envelope *e,
                      int64_t now) {
   update_source in = {w, from, now};
@@ -554,6 +597,7 @@
                        e->notice->n_suspects, now, on_suspect, w);
     pwpartsmsg_receive(w->parts, e->notice->crashing_parts,
                        e->notice->n_crashing_parts, now);
+    receive_lost(w, e->notice, now);
   }
 }
 
@@ -575,10 +619,18 @@
     w->nwatchers--;
     note_gateway_change(w, one);
     pwdocsend_drop(w->docsend, &one->peer, one->incarnation);
+    if (!is_watched_by(w, one->relay))
+      pwlost_add(w->lost, one->relay, now - one->received_at, now);
     free(one);
   }
 }
 
+static void call_lost_gateways(pw_watch *w, int64_t now) {
+  char *control[PW_CONTROL_MAX + 1];
+  size_t n = list_members(w, control);
+  pwlost_tick(w->lost, w->leads, control, n, now);
+}
+
 /* --- other control instances --- */
 
 void pwwatch_group(pw_watch *w, char (*addr)[PW_NAME_MAX], int n, int is_member,
@@ -744,6 +796,7 @@
   pwzones_read(&w->evacuated, w->resources);
   pwrollwire_read(&w->rollouts, w->resources);
   drop_lost(w, now);
+  call_lost_gateways(w, now);
   pwquar_tick(w->quarantine, now);
   pwparts_tick(w->parts, now);
   update_metrics(w, now);
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -90,6 +90,8 @@
     "heartbeats without a field that is needed, or with a wrong one")          \
   X(PWC_BEATS_UNREADABLE, "heartbeats_unreadable_total", "counter",            \
     "heartbeats that are no JSON object")                                      \
+  X(PWC_LOST_GATEWAYS, "control_lost_gateways", "gauge",                       \
+    "gateways that were heard once and are silent now")                        \
   X(PWC_OBSERVERS, "control_observers", "gauge",                               \
     "control instances outside of the group that are known here")              \
   X(PWC_ISOLATED, "control_unheard", "gauge",                                  \
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -255,6 +255,10 @@
 /* Whether a control instance that has contact with its leader was heard lately: it would have told of new targets. */
 int pwlink_hears_leader(const pw_link *l, int64_t now);
 
+/* The leader that looks for lost gateways has sent the members of the group: adds them if no control instance with
+** contact to its leader is heard here. */
+void pwlink_learn_control(pw_link *l, char **addr, size_t n);
+
 /* Number of known gateways, this one included. It may be too small right after a start. */
 int pwlink_gateway_count(const pw_link *l);
 
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -274,6 +274,14 @@
   return 0;
 }
 
+void pwlink_learn_control(pw_link *l, char **addr, size_t n) {
+  int64_t now = pwclock_ms();
+  if (pwlink_hears_leader(l, now))
+    return;
+  for (size_t i = 0; i < n; i++)
+    pwcontacts_learn(l, addr[i], "leader", now);
+}
+
 int pwlink_gateway_count(const pw_link *l) {
   return l->ngateways > 0 ? l->ngateways : 1;
 }
--- a/packages/gateway/pwrelay.c
+++ b/packages/gateway/pwrelay.c
@@ -1,9 +1,11 @@
-/* pwrelay.c: sends the configuration to other gateways that control has referred to this one. */
+/* pwrelay.c: the address at which others call this gateway. It sends the configuration to gateways that control has
+** referred to this one, and learns control instances from a leader that looks for lost gateways. */
 #include "pwlinkint.h"
 
 #include <stdlib.h>
 
 struct pw_relay {
+  pw_gate *g;
   pw_sock *sock; /* NULL: no address is set, so nothing is sent */
   const pw_doc *doc;
   pw_zmqev watcher;
@@ -24,6 +26,9 @@
   while ((e = pwwire_recv(r->sock, &from)) != NULL) {
     if (e->body_case == PW__ENVELOPE__BODY_WATCH)
       on_watch(r, &from, e->watch);
+    else if (e->body_case == PW__ENVELOPE__BODY_NOTICE)
+      pwlink_learn_control(r->g->link, e->notice->control,
+                           e->notice->n_control);
     pw__envelope__free_unpacked(e, NULL);
   }
 }
@@ -31,6 +36,7 @@
 pw_relay *pwrelay_new(pw_gate *g, const pw_doc *doc, pw_buf *err) {
   const char *addr = g->p->set->gateway_relay;
   pw_relay *r = pw_alloc(sizeof *r);
+  r->g = g;
   r->doc = doc;
   if (!addr[0])
     return r;
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -1222,6 +1222,51 @@
   assert(message->base.descriptor == &pw__answers__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pw__lost_gateway__init
+                     (Pw__LostGateway         *message)
+{
+  static const Pw__LostGateway init_value = PW__LOST_GATEWAY__INIT;
+  *message = init_value;
+}
+size_t pw__lost_gateway__get_packed_size
+                     (const Pw__LostGateway *message)
+{
+  assert(message->base.descriptor == &pw__lost_gateway__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__lost_gateway__pack
+                     (const Pw__LostGateway *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__lost_gateway__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__lost_gateway__pack_to_buffer
+                     (const Pw__LostGateway *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__lost_gateway__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__LostGateway *
+       pw__lost_gateway__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__LostGateway *)
+     protobuf_c_message_unpack (&pw__lost_gateway__descriptor,
+                                allocator, len, data);
+}
+void   pw__lost_gateway__free_unpacked
+                     (Pw__LostGateway *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__lost_gateway__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pw__notice__init
                      (Pw__Notice         *message)
 {
@@ -5598,7 +5643,58 @@
   (ProtobufCMessageInit) pw__answers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__notice__field_descriptors[17] =
+static const ProtobufCFieldDescriptor pw__lost_gateway__field_descriptors[2] =
+{
+  {
+    "relay",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__LostGateway, relay),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pw__LostGateway, age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__lost_gateway__field_indices_by_name[] = {
+  1,   /* field[1] = age */
+  0,   /* field[0] = relay */
+};
+static const ProtobufCIntRange pw__lost_gateway__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pw__lost_gateway__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.LostGateway",
+  "LostGateway",
+  "Pw__LostGateway",
+  "pw",
+  sizeof(Pw__LostGateway),
+  2,
+  pw__lost_gateway__field_descriptors,
+  pw__lost_gateway__field_indices_by_name,
+  1,  pw__lost_gateway__number_ranges,
+  (ProtobufCMessageInit) pw__lost_gateway__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__notice__field_descriptors[18] =
 {
   {
     "site",
@@ -5804,6 +5900,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lost_gateways",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Notice, n_lost_gateways),
+    offsetof(Pw__Notice, lost_gateways),
+    &pw__lost_gateway__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__notice__field_indices_by_name[] = {
   3,   /* field[3] = beats */
@@ -5815,6 +5923,7 @@
   5,   /* field[5] = gateways */
   1,   /* field[1] = in_touch */
   15,   /* field[15] = leads */
+  17,   /* field[17] = lost_gateways */
   12,   /* field[12] = number */
   9,   /* field[9] = revision */
   14,   /* field[14] = rollouts */
@@ -5827,7 +5936,7 @@
 static const ProtobufCIntRange pw__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor pw__notice__descriptor =
 {
@@ -5837,7 +5946,7 @@
   "Pw__Notice",
   "pw",
   sizeof(Pw__Notice),
-  17,
+  18,
   pw__notice__field_descriptors,
   pw__notice__field_indices_by_name,
   1,  pw__notice__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -42,6 +42,7 @@
 typedef struct Pw__Watch Pw__Watch;
 typedef struct Pw__ServiceRollout Pw__ServiceRollout;
 typedef struct Pw__Answers Pw__Answers;
+typedef struct Pw__LostGateway Pw__LostGateway;
 typedef struct Pw__Notice Pw__Notice;
 typedef struct Pw__Table Pw__Table;
 typedef struct Pw__Document Pw__Document;
@@ -835,6 +836,26 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
+/*
+ * A gateway that is silent, as pwlostgateways.h has it.
+ */
+struct  Pw__LostGateway
+{
+  ProtobufCMessage base;
+  /*
+   * its wire address
+   */
+  char *relay;
+  /*
+   * ms since it was last heard
+   */
+  uint32_t age;
+};
+#define PW__LOST_GATEWAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__lost_gateway__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * To those who watch.
  */
@@ -919,10 +940,15 @@
    */
   size_t n_crashing_parts;
   Pw__CrashingPart **crashing_parts;
+  /*
+   * to control instances
+   */
+  size_t n_lost_gateways;
+  Pw__LostGateway **lost_gateways;
 };
 #define PW__NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__notice__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /*
@@ -1964,6 +1990,25 @@
 void   pw__answers__free_unpacked
                      (Pw__Answers *message,
                       ProtobufCAllocator *allocator);
+/* Pw__LostGateway methods */
+void   pw__lost_gateway__init
+                     (Pw__LostGateway         *message);
+size_t pw__lost_gateway__get_packed_size
+                     (const Pw__LostGateway   *message);
+size_t pw__lost_gateway__pack
+                     (const Pw__LostGateway   *message,
+                      uint8_t             *out);
+size_t pw__lost_gateway__pack_to_buffer
+                     (const Pw__LostGateway   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__LostGateway *
+       pw__lost_gateway__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__lost_gateway__free_unpacked
+                     (Pw__LostGateway *message,
+                      ProtobufCAllocator *allocator);
 /* Pw__Notice methods */
 void   pw__notice__init
                      (Pw__Notice         *message);
@@ -2484,6 +2529,9 @@
 typedef void (*Pw__Answers_Closure)
                  (const Pw__Answers *message,
                   void *closure_data);
+typedef void (*Pw__LostGateway_Closure)
+                 (const Pw__LostGateway *message,
+                  void *closure_data);
 typedef void (*Pw__Notice_Closure)
                  (const Pw__Notice *message,
                   void *closure_data);
@@ -2586,6 +2634,7 @@
 extern const ProtobufCMessageDescriptor pw__watch__descriptor;
 extern const ProtobufCMessageDescriptor pw__service_rollout__descriptor;
 extern const ProtobufCMessageDescriptor pw__answers__descriptor;
+extern const ProtobufCMessageDescriptor pw__lost_gateway__descriptor;
 extern const ProtobufCMessageDescriptor pw__notice__descriptor;
 extern const ProtobufCMessageDescriptor pw__table__descriptor;
 extern const ProtobufCMessageDescriptor pw__document__descriptor;
--- a/tests/scenarios/90_away_while_control_replaced.lua
+++ b/tests/scenarios/90_away_while_control_replaced.lua
@@ -5,6 +5,7 @@
 local g = gateways.new{control = 5, gateways = 3, engines = 1, portals = 1}
 g:start()
 g:wait_voters(5)
+g:wait_control_heard(5)
 local away = g.gateways[1]
 away:pause()
 for _ = 1, 5 do g:replace_oldest_control(2) end -- two at once, ten in all
--- a/tests/scenarios/gateways.lua
+++ b/tests/scenarios/gateways.lua
@@ -219,6 +219,15 @@
   end, 40000)
 end
 
+-- Waits until every gateway hears n control instances.
+function gateways:wait_control_heard(n)
+  for _, p in ipairs(self.gateways) do
+    fleet.eventually(p.name .. " hears " .. n .. " control instances", function()
+      return p:counter("gateway_control_reachable") == n
+    end)
+  end
+end
+
 -- Kills the n oldest control instances for good, at once, and starts as many empty ones at other addresses, whose seeds are
 -- those that run then. Waits until all of them are voters.
 function gateways:replace_oldest_control(n)
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -2,7 +2,7 @@
 **
 ** Guards against gateways that keep an old configuration for good. A list of control instances that is sent
 ** only at a gateway's registration names none of those that replace them later; once all of them are gone,
-** the gateway knows nobody to ask. */
+** the gateway knows nobody to ask. One that was away meanwhile is found only if control calls it. */
 #include "pwports.h"
 #include "pwtest.h"
 #include "pwwatch.h"
@@ -16,8 +16,9 @@
 #define REPEAT_MS                                                              \
   6000 /* within this time an unchanged list is sent again, ms */
 #define SETTLE_MS                                                              \
-  3000             /* after this time no list is due for a change before, ms */
-#define LIST_MAX 8 /* addresses in a list of the tests */
+  3000 /* after this time no list is due for a change before, ms */
+#define SILENT_MS 4000 /* after this time a silent gateway is lost, ms */
+#define LIST_MAX 8     /* addresses in a list of the tests */
 #define GATEWAYS 2 /* the first one relies on the instance for all targets */
 
 /* A fake gateway, and the list of control instances that it was sent last. */
@@ -29,6 +30,10 @@
   char list[LIST_MAX][PW_NAME_MAX];
   size_t nlist;
   int lists; /* lists received */
+  char relay[PW_NAME_MAX];
+  pw_sock *relay_sock;
+  int is_silent; /* it sends no watch messages */
+  int calls;     /* lists received at its relay address */
 } gateway;
 
 typedef struct bed {
@@ -69,6 +74,10 @@
     b->g[i].sock = pwwire_dialler(b->gateway_wire);
     snprintf(b->g[i].gossip, sizeof b->g[i].gossip, "127.0.0.%d:1", i + 1);
     CHECK(pwwire_dial(b->g[i].sock, b->self, &b->g[i].control) == 0);
+    snprintf(b->g[i].relay, sizeof b->g[i].relay, "tcp://127.0.0.1:%d",
+             test_free_port(INADDR_ANY));
+    b->g[i].relay_sock = pwwire_listen(b->gateway_wire, b->g[i].relay, &err);
+    CHECK(b->g[i].relay_sock != NULL);
   }
 }
 
@@ -76,8 +85,10 @@
   pwwatch_free(b->watch);
   pwres_free(b->resources);
   pwdoc_free(b->doc);
-  for (int i = 0; i < GATEWAYS; i++)
+  for (int i = 0; i < GATEWAYS; i++) {
     pwwire_close(b->g[i].sock);
+    pwwire_close(b->g[i].relay_sock);
+  }
   pwwire_close(b->dialler);
   pwwire_close(b->listener);
   pwwire_free(b->gateway_wire);
@@ -88,6 +99,7 @@
 static void send_watch(bed *b, int i, int64_t now) {
   Pw__Watch m = PW__WATCH__INIT;
   m.gossip = b->g[i].gossip;
+  m.relay = b->g[i].relay;
   m.primary = i == 0;
   Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
   pwwire_send(b->g[i].sock, &b->g[i].control, &e);
@@ -113,6 +125,16 @@
   }
 }
 
+static void receive_calls(gateway *g) {
+  pw_peer from;
+  Pw__Envelope *e;
+  while ((e = pwwire_recv(g->relay_sock, &from)) != NULL) {
+    if (e->body_case == PW__ENVELOPE__BODY_NOTICE && e->notice->n_control)
+      g->calls++;
+    pw__envelope__free_unpacked(e, NULL);
+  }
+}
+
 static void receive_watches(bed *b, int64_t now) {
   pw_peer from;
   Pw__Envelope *e;
@@ -125,12 +147,14 @@
 static void iterate(bed *b) {
   int64_t now = pwclock_ms() + b->skipped_ms;
   for (int i = 0; i < GATEWAYS; i++)
-    if (now - b->g[i].watched_at >= WATCH_MS)
+    if (!b->g[i].is_silent && now - b->g[i].watched_at >= WATCH_MS)
       send_watch(b, i, now);
   receive_watches(b, now);
   pwwatch_tick(b->watch, 1, 1, now);
-  for (int i = 0; i < GATEWAYS; i++)
+  for (int i = 0; i < GATEWAYS; i++) {
     receive_notices(&b->g[i]);
+    receive_calls(&b->g[i]);
+  }
   poll(NULL, 0, TRY_MS);
 }
 
@@ -201,9 +225,47 @@
   end(&b);
 }
 
+static void test_lost_gateway_is_called(void) {
+  bed b;
+  begin_with_group(&b);
+  b.g[1].is_silent = 1;
+  skip(&b, SILENT_MS);
+  UNTIL(&b, b.g[1].calls > 0);
+  CHECK(b.g[0].calls == 0);
+  b.g[1].is_silent = 0;
+  skip(&b, SETTLE_MS);
+  int calls = b.g[1].calls;
+  skip(&b, SETTLE_MS);
+  CHECK(b.g[1].calls == calls);
+  end(&b);
+}
+
+/* A gateway that only another control instance has heard; that one may be gone by the time the gateway is back. */
+static void test_gateway_lost_by_another_is_called(void) {
+  bed b;
+  begin(&b);
+  set_group(&b, "tcp://127.0.0.2:1");
+  b.g[0].is_silent = b.g[1].is_silent = 1;
+  Pw__LostGateway lost = PW__LOST_GATEWAY__INIT;
+  lost.relay = b.g[1].relay;
+  lost.age = SILENT_MS;
+  Pw__LostGateway *list[] = {&lost};
+  Pw__Notice n = PW__NOTICE__INIT;
+  n.lost_gateways = list;
+  n.n_lost_gateways = 1;
+  Pw__Envelope e = PW_ENVELOPE(NOTICE, notice, &n);
+  pw_peer from = {0};
+  pwwatch_message(b.watch, &from, &e, pwclock_ms());
+  UNTIL(&b, b.g[1].calls > 0);
+  CHECK(b.g[0].calls == 0);
+  end(&b);
+}
+
 int main(void) {
   TESTS_BEGIN("watch");
   TEST(test_replaced_member_is_sent);
   TEST(test_list_is_repeated);
+  TEST(test_lost_gateway_is_called);
+  TEST(test_gateway_lost_by_another_is_called);
   TESTS_END();
 }
