A target may send sixteen answers before the one to a request

Cause: nothing bounded how many answers are skipped before the one to the current request. After sixteen, 1xx ones or late ones to an earlier request, the connection is now reset and the target has failed: the caller gets 502, or the answer of another target where a retry is allowed.

--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -20,6 +20,9 @@
 /* An idle connection is closed this long before the target would close it, ms. */
 #define IDLE_MARGIN_MS 1000
 
+/* Most answers that are skipped before the one to the current request: 1xx ones, and late ones to an earlier request. */
+#define SKIPPED_MAX 16
+
 #define MS_PER_S 1000
 
 struct pw_upconn {
@@ -37,6 +40,7 @@
   int was_reused; /* the current request is not the first on this connection */
   int has_received; /* bytes have come since the current request was sent */
   int is_stale; /* the answer of an earlier request, or a 1xx one, is skipped */
+  int skipped;  /* answers that were skipped since the request was sent */
   int is_closed;
   int64_t idle_ms; /* longest idle time, as announced by the target, ms */
   int64_t idle_since;
@@ -138,10 +142,10 @@
   const pw_upconn_callbacks *calls = u->calls;
   if (u->is_stale) {
     u->is_stale = 0;
-    if (keep)
+    if (keep && ++u->skipped <= SKIPPED_MAX)
       pwh1_reset(&u->answer);
     else
-      fail(u, PWTCP_EOF);
+      fail(u, keep ? PWTCP_RESET : PWTCP_EOF);
     return;
   }
   /* Bytes that follow belong to no request; and no other request may follow a body that
@@ -281,6 +285,7 @@
   u->calls = calls;
   u->arg = arg;
   u->has_received = 0;
+  u->skipped = 0;
   u->answer.skip_body = r->is_head_only;
   if (u->is_up) {
     pwtcp_write2(u->tcp, r->head->data, r->head->len, r->body->data,
