A planned stop waits until callers have their answers

Cause: the stop counted exchanges, which end when the answer is handed to the caller's connection, and it reset connections that were still open at its end, with what the kernel held for the caller. Now it waits, within the grace period, for bytes that are not written; a connection that stays open after an answer is closed during a stop once the answer is written, and not reset.

--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -150,6 +150,15 @@
 
 /* --- planned stop --- */
 
+/* Whether bytes of answers wait for callers: in connections with a request of their own still to come, or in those that
+** close once all is written and their callers have closed, too. */
+static int owes_bytes(const pw_gate *g) {
+  for (const pw_conn *c = g->callers.first; c; c = c->next)
+    if (pwtcp_pending(c->tcp) > 0)
+      return 1;
+  return g->tcp.nclosing > 0;
+}
+
 static int may_end(pw_gate *g, int64_t now) {
   if (!g->stop_at)
     return 0;
@@ -161,7 +170,7 @@
     pwconns_close_idle(&g->callers);
   }
   return since >= grace - STOP_MARGIN_MS ||
-         (since >= listen && g->nexchanges == 0);
+         (since >= listen && g->nexchanges == 0 && !owes_bytes(g));
 }
 
 static void begin_stop(pw_gate *g, int64_t now) {
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -321,6 +321,13 @@
   close_conn(arg, CLOSE_RESET);
 }
 
+/* Whether no request is in progress or partly received. Unread bytes count as a request: after a stall of
+** the process a request may wait in the socket. */
+static int is_idle(const pw_conn *c) {
+  return !c->is_busy && c->request.state == PWH1_HEAD &&
+         c->request.head.len == 0 && !pwtcp_has_unread(c->tcp);
+}
+
 static void on_drained(void *arg) {
   pw_conn *c = arg;
   if (c->state && c->all->resume)
@@ -329,10 +336,13 @@
     return;
   if (!c->is_busy)
     c->since = pwtcp_clock(c->all->tcp);
-  if (!c->is_throttled)
-    return;
-  c->is_throttled = c->is_busy = 0;
-  parse_read_ahead(c);
+  if (c->is_throttled) {
+    c->is_throttled = c->is_busy = 0;
+    parse_read_ahead(c);
+  }
+  /* Left open, it would be reset at the end of the stop, with what the kernel still holds for the caller. */
+  if (c->all->is_stopping && !c->is_closed && is_idle(c))
+    close_conn(c, CLOSE_AFTER_WRITE);
 }
 
 static void on_connected(void *arg) {
@@ -361,13 +371,6 @@
 
 /* --- listening --- */
 
-/* Whether no request is in progress or partly received. Unread bytes count as a request: after a stall of
-** the process a request may wait in the socket. */
-static int is_idle(const pw_conn *c) {
-  return !c->is_busy && c->request.state == PWH1_HEAD &&
-         c->request.head.len == 0 && !pwtcp_has_unread(c->tcp);
-}
-
 static int by_since(const void *a, const void *b) {
   int64_t x = (*(pw_conn *const *)a)->since;
   int64_t y = (*(pw_conn *const *)b)->since;
--- a/tests/scenarios/long_answers.lua
+++ b/tests/scenarios/long_answers.lua
@@ -6,14 +6,15 @@
 local FILLER = (" "):rep(1000)
 local READ_MS = 1
 
--- Sends n requests to a gateway, each over a connection of its own; returns the readers.
-function long_answers.send(gateway, n)
+-- Sends n requests to a gateway, each over a connection of its own; returns the readers. `kept`: so many connections, the
+-- first ones, are to stay open after the answer.
+function long_answers.send(gateway, n, kept)
   local readers = {}
   for i = 1, n do
     local id = "slow" .. i
     local c = run.raw_open(gateway.http, RECEIVE_BYTES)
     run.raw_send(c, "POST /once/a HTTP/1.1\r\nHost: a.example\r\nApi-Key: kett-key\r\nX-Request-Id: " .. id ..
-      "\r\nX-Deadline-Ms: 60000\r\nConnection: close\r\nContent-Length: 1\r\n\r\nx")
+      "\r\nX-Deadline-Ms: 60000\r\nConnection: " .. (i <= (kept or 0) and "keep-alive" or "close") .. "\r\nContent-Length: 1\r\n\r\nx")
     readers[i] = {c = c, id = id, pieces = {}}
   end
   return readers
