--- a/packages/policy/pwmesh.c
+++ b/packages/policy/pwmesh.c
@@ -10,7 +10,8 @@
 #define PW_MUTATION 0
 #endif
 enum {
-  MUT_MEMBERS_ONLY = 44 /* members do not watch observers */
+  MUT_MEMBERS_ONLY = 44,     /* members do not watch observers */
+  MUT_MEMBERS_UNNOTICED = 75 /* a change of the members is no reason to tell */
 };
 
 void pwmesh_init(pw_mesh *m, const char *self) {
@@ -62,7 +63,8 @@
   for (int i = 0; i < n; i++)
     if (strcmp(addr[i], m->self) != 0)
       peer_of(m, addr[i], now);
-  if (mark_members(m, addr, n) || m->is_member != is_member)
+  if ((mark_members(m, addr, n) || m->is_member != is_member) &&
+      PW_MUTATION != MUT_MEMBERS_UNNOTICED)
     m->members_revision++;
   m->is_member = is_member;
 }
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -7,6 +7,7 @@
 ** tenth logs `ev=target-leaving` for a target that no other instance takes as
 ** leaving, and the target still gets requests 4.8 s after its leave was
 ** acknowledged. */
+#include "pwbuf.h"
 #include "pwmesh.h"
 #include "pwtest.h"
 
@@ -88,6 +89,28 @@
   pwmesh_free(&m);
 }
 
+/* Each change of the members, and nothing else, is a reason to tell gateways: otherwise they know none of the instances that
+** replace others, or are told again and again. */
+static void test_members_revision(void) {
+  char addr[MEMBERS][PW_NAME_MAX];
+  pw_mesh m;
+  list(addr, MEMBERS);
+  pwmesh_init(&m, addr[0]);
+  pwmesh_group(&m, addr, MEMBERS, 1, 0);
+  uint64_t before = m.members_revision;
+  pwmesh_group(&m, addr, MEMBERS, 1, SECOND_MS);
+  pwmesh_watched(&m, "tcp://10.0.0.77:1", 0, SECOND_MS); /* an observer */
+  CHECK(m.members_revision == before);
+  pw_copy(addr[1], PW_NAME_MAX, "tcp://10.0.0.88:1"); /* one is replaced */
+  pwmesh_group(&m, addr, MEMBERS, 1, SECOND_MS);
+  CHECK(m.members_revision == before + 1);
+  pwmesh_group(&m, addr, MEMBERS - 1, 1, SECOND_MS); /* one is removed */
+  CHECK(m.members_revision == before + 2);
+  pwmesh_group(&m, addr, MEMBERS - 1, 0, SECOND_MS); /* this one is removed */
+  CHECK(m.members_revision == before + 3);
+  pwmesh_free(&m);
+}
+
 static void test_limit(void) {
   pw_mesh m;
   char addr[PW_NAME_MAX];
@@ -465,6 +488,7 @@
   TESTS_BEGIN("mesh");
   TEST(test_sequence_numbers);
   TEST(test_members_and_observers);
+  TEST(test_members_revision);
   TEST(test_limit);
   TEST(test_watches_grow_with_observers);
   TEST(test_model);
