--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -150,8 +150,7 @@
 
 /* --- planned stop --- */
 
-/* Whether bytes of answers wait for callers: in connections with a request of their own still to come, or in those that
-** close once all is written and their callers have closed, too. */
+/* Whether bytes of answers are not yet written to their callers, or connections have not yet closed after them. */
 static int owes_bytes(const pw_gate *g) {
   for (const pw_conn *c = g->callers.first; c; c = c->next)
     if (pwtcp_pending(c->tcp) > 0)
