A head with a folded header line is refused

What targets and callers saw: a header line that begins with a blank reached the target with the name of a header of an earlier request on the same connection, as its bytes are now: X-Tenant: exams of a caller whose key is kett's, before the gateway's own (answered 200); the end of the head and a second request (299 bytes behind the first); bytes behind the head or freed memory. A folded line in an answer reached the caller in the same way.

Cause: http-parser calls back with a value and no name for such a line, and on_value took the next entry of the array, whose name was left over from the message before. pwh1_reset keeps the entries.

A head with a folded line is malformed now (RFC 9112, 5.2: a server may refuse it, a gateway may answer 502), and a value without a name ends the message, so that no entry is read that the present message did not fill. Joining the lines was ruled out: parsers disagree on them.

--- a/Makefile
+++ b/Makefile
@@ -174,8 +174,8 @@
 	@clang++ $(FUZZ_FLAGS) -fno-sanitize=vptr,function $(CPPFLAGS) -std=c++17 -c -o $(BUILD)/fuzz/pwtoml.o packages/core/pwtoml.cc
 	@clang $(FUZZ_FLAGS) $(CPPFLAGS) -std=gnu11 $(shell pkg-config --cflags $(PKGS)) \
 	  -o $(BUILD)/fuzz_parsers $(FUZZ_SOURCES) $(BUILD)/fuzz/pwtoml.o $(LDLIBS) -lstdc++
-	$(BUILD)/fuzz_parsers -seed=1 -runs=300000 -max_len=512 -print_final_stats=1 \
-	  -artifact_prefix=$(BUILD)/fuzz/ $(BUILD)/fuzz/corpus >$(BUILD)/fuzz.log 2>&1 || \
+	$(BUILD)/fuzz_parsers -seed=1 -runs=300000 -max_len=512 -print_final_stats=1 -dict=tests/fuzz/http.dict \
+	  -artifact_prefix=$(BUILD)/fuzz/ $(BUILD)/fuzz/corpus tests/fuzz/seeds >$(BUILD)/fuzz.log 2>&1 || \
 	  { tail -40 $(BUILD)/fuzz.log; exit 1; }
 	@tail -3 $(BUILD)/fuzz.log
 
--- a/packages/net/pwh1.c
+++ b/packages/net/pwh1.c
@@ -2,6 +2,7 @@
 #define _GNU_SOURCE
 #include "pwh1.h"
 
+#include <assert.h>
 #include <string.h>
 #include <strings.h>
 
@@ -20,6 +21,11 @@
   return m->state != PWH1_HEAD;
 }
 
+/* Whether bytes lie in memory of this message, which stays until pwh1_reset. */
+static int lies_in_head(const pw_h1 *m, const char *at, size_t n) {
+  return at >= m->head.data && at + n <= m->head.data + m->head.len;
+}
+
 static int on_field(http_parser *p, const char *at, size_t n) {
   pw_h1 *m = p->data;
   if (is_trailer(m))
@@ -27,6 +33,7 @@
   if (m->nheaders == PWH1_HEADERS || memchr(at, ' ', n))
     return -1; /* other parsers may read a name with a blank differently */
   m->header[m->nheaders] = (pw_h1_header){.name = at, .nname = n};
+  m->has_name = 1;
   return 0;
 }
 
@@ -34,9 +41,11 @@
   pw_h1 *m = p->data;
   if (is_trailer(m))
     return 0;
-  if (m->nheaders == PWH1_HEADERS)
-    return -1;
+  if (!m->has_name)
+    return -1; /* the entry still holds the name of an earlier message */
+  assert(lies_in_head(m, at, n));
   pw_h1_header *h = &m->header[m->nheaders++];
+  m->has_name = 0;
   h->value = at;
   while (n > 0 && (at[n - 1] == ' ' || at[n - 1] == '\t'))
     n--; /* trailing blanks are not part of the value */
@@ -99,6 +108,7 @@
   m->url = NULL;
   m->nurl = 0;
   m->nheaders = 0;
+  m->has_name = 0;
   m->has_body = m->keep = m->to_eof = m->skip_body = 0;
 }
 
@@ -110,6 +120,13 @@
   return p ? (size_t)(p - b->data) + 4 : 0;
 }
 
+/* Whether a line of the head begins with a blank. Such a folded line continues the line before it; servers and
+** proxies read it differently (RFC 9112, 5.2). */
+static int has_folded_line(const pw_buf *head) {
+  return memmem(head->data, head->len, "\n ", 2) ||
+         memmem(head->data, head->len, "\n\t", 2);
+}
+
 static void run(pw_h1 *m, const char *data, size_t n, size_t *used) {
   *used = http_parser_execute(&m->parser, &settings, data, n);
   enum http_errno e = HTTP_PARSER_ERRNO(&m->parser);
@@ -136,6 +153,10 @@
   if (!end)
     return n;
   m->head.len = end;
+  if (has_folded_line(&m->head)) {
+    m->state = PWH1_BAD;
+    return n;
+  }
   size_t used;
   run(m, m->head.data, end, &used);
   if (m->state == PWH1_HEAD)
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -4,6 +4,7 @@
 ** fake-target IP:PORT CONTROL,CONTROL SERVICE ZONE ID [ADVERTISED [VERSION [SLOTS]]]
 ** ZONE is the availability zone, ADVERTISED the address in the heartbeats, SLOTS the number of slots in them.
 ** GET /fault?NAME=N sets a fault. GET /stats returns counters, GET /ran?ID how often a request ran.
+** GET /received returns the heads and bodies, as they came, of the last requests to be run or refused.
 ** GET /hold_off?TEXT sets the Retry-After of the faults shed, shed_ran and hint: "+" stands for a blank, and
 ** ";" separates the values of several header lines.
 ** A request whose body begins with "end-in-answer" ends the process in the middle of an unframed plain answer.
@@ -27,7 +28,8 @@
 
 #define HEAD_MAX 65536
 #define ID_MAX 64
-#define PARTS_MAX 1024 /* longest X-Prompt-Prefix, bytes */
+#define PARTS_MAX 1024           /* longest X-Prompt-Prefix, bytes */
+#define RECEIVED_MAX (64 * 1024) /* bytes of requests that are kept */
 #define CONTROLS_MAX 8
 #define SLOTS_DEFAULT 8
 #define HOLD_POLL_S 0.01
@@ -60,6 +62,7 @@
   X(versions)        /* events name the software version, and "unframed" */    \
   X(reset)           /* run; the connection is reset without an answer */      \
   X(mute)            /* run; nothing is sent and the connection stays open */  \
+  X(folded)          /* a header line of the answer is folded */               \
   X(extra)           /* a second answer after the complete one */              \
   X(unsigned_answer) /* the answer lacks the signature of the target */        \
   X(unframed)        /* the answer ends with its connection */                 \
@@ -117,8 +120,10 @@
   int slots;
   faults f;
   run *runs;
+  pw_buf received;          /* the last requests */
   int total, most;          /* runs of all requests; most runs of one */
   int arrivals;             /* requests received, also those not run */
+  int surplus;              /* bytes right behind a request */
   int left;                 /* connections that ended during a request */
   int acked, leaving_acked; /* heartbeats acknowledged; those of a leave */
   uint64_t seq;
@@ -217,8 +222,9 @@
   pw_buf out = {0};
   pwbuf_fmt(&out,
             "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nContent-Length: %zu\r\n"
-            "X-Replica-Load: 1,0,%d\r\n%s%s\r\n%s",
-            status, p->id, strlen(body), me.slots, leaving_line(), lines, body);
+            "X-Replica-Load: 1,0,%d\r\n%s%s%s\r\n%s",
+            status, p->id, strlen(body), me.slots, leaving_line(), lines,
+            spend(&me.f.folded) ? " folded\r\n" : "", body);
   pwtcp_write(p->tcp, out.data, out.len);
   if (status == 200 && spend(&me.f.extra))
     pwtcp_write(p->tcp, out.data, out.len);
@@ -478,8 +484,25 @@
     finish(p);
 }
 
+/* Keeps the bytes of a request for /received. */
+static void keep_received(const peer *p) {
+  if (me.received.len + p->m.head.len + p->body.len > RECEIVED_MAX)
+    me.received.len = 0;
+  pwbuf_add(&me.received, p->m.head.data, p->m.head.len);
+  pwbuf_add(&me.received, p->body.data, p->body.len);
+  pwbuf_str(&me.received, "\r\n");
+}
+
+static void serve_received(peer *p) {
+  pw_buf text = me.received;
+  me.received = (pw_buf){0};
+  answer(p, 200, "", text.data ? text.data : "");
+  pwbuf_free(&text);
+}
+
 static void serve(peer *p) {
   char expect[ID_MAX];
+  keep_received(p);
   text_of(p, "X-Request-Id", p->id);
   text_of(p, "X-Expect-Replica", expect);
   text_of(p, "X-Tenant", me.workspace);
@@ -527,11 +550,11 @@
 }
 
 static void serve_stats(peer *p) {
-  json_t *o = json_pack("{s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:s,s:s}", "seq",
-                        (json_int_t)me.seq, "total", me.total, "most", me.most,
-                        "arrivals", me.arrivals, "left", me.left, "acked",
-                        me.acked, "leaving_acked", me.leaving_acked,
-                        "workspace", me.workspace, "key", me.last_key);
+  json_t *o = json_pack(
+      "{s:I,s:i,s:i,s:i,s:i,s:i,s:i,s:i,s:s,s:s}", "seq", (json_int_t)me.seq,
+      "total", me.total, "most", me.most, "arrivals", me.arrivals, "surplus",
+      me.surplus, "left", me.left, "acked", me.acked, "leaving_acked",
+      me.leaving_acked, "workspace", me.workspace, "key", me.last_key);
   char *text = json_dumps(o, 0);
   json_decref(o);
   answer(p, 200, "", text);
@@ -581,6 +604,8 @@
     serve_stats(p);
   else if (path_is(p, "/ran?"))
     serve_ran(p);
+  else if (path_is(p, "/received"))
+    serve_received(p);
   else if (path_is(p, "/fault?"))
     set_fault(p);
   else if (path_is(p, "/hold_off?"))
@@ -607,6 +632,7 @@
       return;
     }
     if (p->m.state == PWH1_DONE) {
+      me.surplus += (int)n;
       dispatch(p);
       return; /* a connection carries one request at a time */
     }
--- a/tests/fuzz/fuzz_parsers.c
+++ b/tests/fuzz/fuzz_parsers.c
@@ -132,11 +132,36 @@
   pwkvfeed_clear(&update);
 }
 
-/* Bytes of an HTTP connection in pieces of up to 64; the headers of a complete message are then read. */
-static void fuzz_http(const uint8_t *data, size_t n) {
-  pw_h1 m;
+/* Whether a name or a value lies in the head of the message. */
+static int lies_in_head(const pw_h1 *m, const char *p, size_t n) {
+  return p >= m->head.data && p + n <= m->head.data + m->head.len;
+}
+
+/* Reads the headers of a complete message, all of which must lie in its own head. */
+static void read_headers(const pw_h1 *m) {
   pw_request_info request;
   pw_answer_info answer;
+  for (int i = 0; i < m->nheaders; i++) {
+    const pw_h1_header *h = &m->header[i];
+    if (!lies_in_head(m, h->name, h->nname) ||
+        !lies_in_head(m, h->value, h->nvalue))
+      abort();
+    pwh1_is_hop_by_hop(m, h);
+  }
+  plat_read_request(m, &request);
+  plat_read_answer(m, &request, &answer);
+}
+
+/* Prepares for the next message. The memory of the last head is overwritten, as the next head does. */
+static void next_message(pw_h1 *m) {
+  pwh1_reset(m);
+  if (m->head.data)
+    memset(m->head.data, '#', m->head.cap);
+}
+
+/* Bytes of an HTTP connection in pieces of up to 64, with any number of messages on one parser. */
+static void fuzz_http(const uint8_t *data, size_t n) {
+  pw_h1 m;
   if (n < 2)
     return;
   size_t step = 1 + data[1] % 64;
@@ -144,19 +169,18 @@
   for (size_t at = 2; at < n;) {
     size_t piece = n - at < step ? n - at : step;
     size_t used = pwh1_feed(&m, (const char *)data + at, piece);
-    if (used == 0)
-      break;
     at += used;
+    if (m.state == PWH1_DONE) {
+      read_headers(&m);
+      next_message(&m);
+    } else if (used == 0) {
+      break;
+    }
   }
   if (m.state == PWH1_BODY)
     pwh1_eof(&m);
-  if (m.state == PWH1_DONE) {
-    plat_read_request(&m, &request);
-    plat_read_answer(&m, &request, &answer);
-    for (int i = 0; i < m.nheaders; i++)
-      pwh1_is_hop_by_hop(&m, &m.header[i]);
-    pwh1_reset(&m);
-  }
+  if (m.state == PWH1_DONE)
+    read_headers(&m);
   pwh1_free(&m);
 }
 
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -2,6 +2,7 @@
 #include "platform.h"
 #include "pwtest.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 static void append_body(void *arg, const char *data, size_t n) {
@@ -99,6 +100,72 @@
   }
 }
 
+/* Feeds a message to a parser that may have read others before; its bytes do not outlive the call. */
+static pw_h1_state feed_copy(pw_h1 *m, const char *text, size_t step) {
+  char *copy = pw_dup(text);
+  feed(m, copy, step);
+  memset(copy, '#', strlen(text));
+  free(copy);
+  return m->state;
+}
+
+/* Whether all names and values lie in the head of the present message. */
+static int headers_lie_in_head(const pw_h1 *m) {
+  const char *end = m->head.data + m->head.len;
+  for (int i = 0; i < m->nheaders; i++) {
+    const pw_h1_header *h = &m->header[i];
+    if (h->name < m->head.data || h->name + h->nname > end ||
+        h->value < m->head.data || h->value + h->nvalue > end)
+      return 0;
+  }
+  return 1;
+}
+
+/* Checks that a message with these header lines is malformed, fed whole and byte by byte, when it follows a sound one with
+** the lines of `earlier` ("": when it is the first). */
+static void check_is_refused(enum http_parser_type type, const char *line,
+                             const char *earlier, const char *lines) {
+  for (size_t step = 1; step < 1000; step += 998) {
+    pw_h1 m;
+    char text[400];
+    pwh1_init(&m, type, 1000);
+    if (earlier[0]) {
+      snprintf(text, sizeof text, "%s\r\n%s", line, earlier);
+      CHECK(feed_copy(&m, text, step) != PWH1_BAD);
+      pwh1_reset(&m);
+    }
+    snprintf(text, sizeof text, "%s\r\n%s\r\n", line, lines);
+    CHECK(feed_copy(&m, text, step) == PWH1_BAD);
+    CHECK(headers_lie_in_head(&m));
+    pwh1_free(&m);
+  }
+}
+
+/* Guards against folded header lines (obs-fold): the parser takes one for a value without a name, and the name was left
+** over from an earlier message of the connection, so that it pointed into other bytes or into memory that was freed. */
+static void test_folded_lines(void) {
+  static const char *const folded[] = {
+      " two\r\nHost: h\r\n",
+      " X-A: 1\r\nHost: h\r\n",
+      "Host: h\r\n two\r\n",
+      "Host: h\r\n\ttwo\r\nX-B: 2\r\n",
+      "X-A: 1\r\nHost: h\r\n  two\r\nX-B: 2\r\n",
+      "X-A: 1\r\nX-B: 2\r\n two\r\n three\r\n",
+      "X-A: \r\n two\r\nX-B: 2\r\n",
+      "X-A: 1\r\n X-Tenant: other\r\n",
+      "X-A: 1\r\n \r\nX-B: 2\r\n",
+      "X-A: 1\r\n : \r\n"};
+  static const char *const earlier[] = {
+      "", "X-Long-Name-Of-The-First: 1\r\nX-Second: 2\r\nX-Third: 3\r\n\r\n",
+      "Transfer-Encoding: chunked\r\nX-Second: 2\r\nX-Third: 3\r\n\r\n"
+      "3\r\nabc\r\n0\r\nX-Trailer: 1\r\n\r\n"};
+  for (size_t e = 0; e < sizeof earlier / sizeof earlier[0]; e++)
+    for (size_t i = 0; i < sizeof folded / sizeof folded[0]; i++) {
+      check_is_refused(HTTP_REQUEST, "POST /a HTTP/1.1", earlier[e], folded[i]);
+      check_is_refused(HTTP_RESPONSE, "HTTP/1.1 200 OK", earlier[e], folded[i]);
+    }
+}
+
 static void test_h1_answers(void) {
   pw_h1 m;
   pw_buf body = {0};
@@ -247,6 +314,7 @@
   TEST(test_h1);
   TEST(test_smuggling);
   TEST(test_trailers_are_dropped);
+  TEST(test_folded_lines);
   TEST(test_h1_answers);
   TEST(test_platform_headers);
   TEST(test_hold_off);
