96_trailer_sent_again sends the trailer on its own

The refusal then comes to the place in the read buffer that held the trailer field. With the change that drops trailer fields taken out (scratch copy), of the requests sent again some reach their second target malformed and are answered with 502; before, the field was still there and only the first attempt failed.

--- a/tests/scenarios/96_trailer_sent_again.lua
+++ b/tests/scenarios/96_trailer_sent_again.lua
@@ -9,10 +9,12 @@
 g:wait_budgets()
 local address = g.gateways[1].http
 
+-- The request up to its last chunk, and the rest, which is sent on its own: the refusal then comes to the same place in the
+-- read buffer.
 local function request(id, path, body)
   return string.format("POST %s HTTP/1.1\r\nHost: a.example\r\nApi-Key: kett-key\r\nX-Request-Id: %s\r\nX-Own: own-%s\r\n" ..
-    "Transfer-Encoding: chunked\r\nTrailer: Content-Digest\r\n\r\n%x\r\n%s\r\n0\r\nContent-Digest: sha-512=:%s:\r\n\r\n",
-    path, id, id, #body, body, id:rep(11))
+    "Transfer-Encoding: chunked\r\nTrailer: Content-Digest\r\n\r\n%x\r\n%s\r\n", path, id, id, #body, body),
+    string.format("0\r\nContent-Digest: sha-512=:%s:\r\n\r\n", id:rep(11))
 end
 
 -- The header lines that a target gets, without those that the gateway adds.
@@ -32,7 +34,10 @@
   g:fault("portal", "refuse=0")
   g["portal-" .. 1 + i % 2]:fault("refuse=1")
   local c = run.raw_open(address)
-  run.raw_send(c, request(id, path, body))
+  local first, rest = request(id, path, body)
+  run.raw_send(c, first)
+  run.pause(5)
+  run.raw_send(c, rest)
   local text = run.raw_read(c, 5000, "POST /once/")
   run.raw_close(c)
   fleet.expect(id .. " is answered: " .. text, text:find("HTTP/1.1 200", 1, true))
