Malformed answers of targets are logged and counted, and refusals name the fault

An answer that cannot be read ended its attempt with why="reset", as a reset connection does, so the two could not be told apart. A line answer-malformed and gateway_answers_malformed_total tell now, and the error of a caller's malformed request says what is wrong with it (RFC 9112, 5.2 asks for that).

95_folded_lines checks line, counter and reason; it fails in these on the commit before.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -119,6 +119,8 @@
     "connections opened to targets")                                           \
   X(PWC_GW_BROKEN, "gateway_broken_total", "counter",                          \
     "answers broken off midway")                                               \
+  X(PWC_GW_MALFORMED, "gateway_answers_malformed_total", "counter",            \
+    "answers of targets that are not HTTP/1.1")                                \
   X(PWC_GW_ANSWER_CUT, "gateway_answers_cut_total", "counter",                 \
     "answers that looked complete and had been broken off")                    \
   X(PWC_GW_STREAM_RESUMED, "gateway_streams_resumed_total", "counter",         \
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -159,6 +159,17 @@
   calls->complete(u->arg);
 }
 
+/* Fails the request because its answer is malformed. */
+static void fail_malformed(pw_upconn *u) {
+  const char *why = u->answer.state == PWH1_TOO_LARGE
+                        ? "the head is over its limit"
+                        : pwh1_fault_text(u->answer.fault);
+  pwcount_add(u->g->p->counters, PWC_GW_MALFORMED, 1);
+  pwtrace_line(u->g->trace, PWTRACE_FAIL, pwclock_ms(), "answer-malformed",
+               "target=%s why=\"%s\"", u->t->id, why);
+  fail(u, PWTCP_RESET);
+}
+
 static void on_data(void *arg, const char *data, size_t n) {
   pw_upconn *u = arg;
   if (!u->calls) { /* the bytes belong to no request */
@@ -176,7 +187,7 @@
       return;
     pw_h1_state now = u->answer.state;
     if (now == PWH1_BAD || now == PWH1_TOO_LARGE) {
-      fail(u, PWTCP_RESET);
+      fail_malformed(u);
       return;
     }
     if (before == PWH1_HEAD && now != PWH1_HEAD)
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -250,7 +250,7 @@
 static int check_state(pw_conn *c) {
   switch (c->request.state) {
   case PWH1_BAD:
-    refuse_and_close(c, PW_E_REQUEST, "");
+    refuse_and_close(c, PW_E_REQUEST, pwh1_fault_text(c->request.fault));
     return 0;
   case PWH1_TOO_LARGE:
     refuse_and_close(c, PW_E_HEAD_TOO_LARGE, "");
--- a/packages/net/pwh1.c
+++ b/packages/net/pwh1.c
@@ -104,6 +104,7 @@
   http_parser_init(&m->parser, type);
   m->parser.data = m;
   m->state = PWH1_HEAD;
+  m->fault = PWH1_NO_FAULT;
   m->head.len = 0;
   m->url = NULL;
   m->nurl = 0;
@@ -112,6 +113,19 @@
   m->has_body = m->keep = m->to_eof = m->skip_body = 0;
 }
 
+static void fail(pw_h1 *m, pw_h1_fault fault) {
+  m->state = PWH1_BAD;
+  m->fault = fault;
+}
+
+const char *pwh1_fault_text(pw_h1_fault fault) {
+  static const char *const texts[] = {
+      [PWH1_NO_FAULT] = "no fault",
+      [PWH1_SYNTAX] = "not HTTP/1.1 that can be read",
+      [PWH1_FOLDED_LINE] = "a header line begins with a blank"};
+  return texts[fault];
+}
+
 /* Length of the head with its empty line, or 0 while that has not arrived. `from`: bytes already
 ** searched. */
 static size_t head_end(const pw_buf *b, size_t from) {
@@ -131,9 +145,9 @@
   *used = http_parser_execute(&m->parser, &settings, data, n);
   enum http_errno e = HTTP_PARSER_ERRNO(&m->parser);
   if (e != HPE_OK && e != HPE_PAUSED)
-    m->state = PWH1_BAD;
+    fail(m, PWH1_SYNTAX);
   else if (m->parser.upgrade)
-    m->state = PWH1_BAD; /* protocol upgrades are not supported */
+    fail(m, PWH1_SYNTAX); /* protocol upgrades are not supported */
 }
 
 static size_t feed_head(pw_h1 *m, const char *data, size_t n) {
@@ -154,13 +168,13 @@
     return n;
   m->head.len = end;
   if (has_folded_line(&m->head)) {
-    m->state = PWH1_BAD;
+    fail(m, PWH1_FOLDED_LINE);
     return n;
   }
   size_t used;
   run(m, m->head.data, end, &used);
   if (m->state == PWH1_HEAD)
-    m->state = PWH1_BAD;
+    fail(m, PWH1_SYNTAX);
   if (m->state == PWH1_BODY && !m->has_body && !m->to_eof)
     m->state = PWH1_DONE;
   return skip + end - before;
@@ -181,7 +195,7 @@
   if (m->state == PWH1_BODY && m->to_eof)
     run(m, NULL, 0, &used);
   if (m->state != PWH1_DONE)
-    m->state = PWH1_BAD;
+    fail(m, PWH1_SYNTAX);
 }
 
 int pwh1_name_is(const pw_h1_header *h, const char *name) {
--- a/packages/net/pwh1.h
+++ b/packages/net/pwh1.h
@@ -25,10 +25,18 @@
   PWH1_TOO_LARGE /* the head is over its limit */
 } pw_h1_state;
 
+/* Why a message is malformed. */
+typedef enum pw_h1_fault {
+  PWH1_NO_FAULT,
+  PWH1_SYNTAX,      /* any other fault, or the message was cut */
+  PWH1_FOLDED_LINE, /* a header line begins with a blank */
+} pw_h1_fault;
+
 /* One message. Pointers into `head` are valid until pwh1_reset. */
 typedef struct pw_h1 {
   http_parser parser;
   pw_h1_state state;
+  pw_h1_fault fault; /* set in state PWH1_BAD */
   pw_buf head;
   size_t head_max;
   int skip_body; /* set before the head is complete: this answers a HEAD request */
@@ -55,6 +63,9 @@
 ** body. */
 size_t pwh1_feed(pw_h1 *m, const char *data, size_t n);
 
+/* Text of a fault, for logs and error messages. */
+const char *pwh1_fault_text(pw_h1_fault fault);
+
 /* The peer closed the connection: PWH1_DONE if that completes the message, else PWH1_BAD. */
 void pwh1_eof(pw_h1 *m);
 
--- a/tests/scenarios/95_folded_lines.lua
+++ b/tests/scenarios/95_folded_lines.lua
@@ -35,6 +35,7 @@
   fleet.equal(what .. ": the target gets nothing", received, "")
   fleet.expect(what .. ": refused: " .. answer, answer:find("^HTTP/1.1 400"))
   fleet.expect(what .. ": code: " .. answer, answer:find("Peatwell-Code: 1009", 1, true))
+  fleet.expect(what .. ": reason: " .. answer, answer:find("a header line begins with a blank", 1, true))
   fleet.equal(what .. ": runs", portal:stats().total, before.total + 1)
   fleet.equal(what .. ": bytes behind a request", portal:stats().surplus, before.surplus)
 end
@@ -56,5 +57,9 @@
   fleet.equal("a folded answer " .. i .. ": " .. r.body, r.status, 502)
   fleet.expect("no signature", not r["X-Replica-Seal"])
 end
+fleet.expect("malformed answers are counted", g.gateways[1]:counter("gateway_answers_malformed_total") >= 3)
+fleet.eventually("malformed answers are logged", function()
+  return fleet.lines(g.gateways[1], 'ev=answer%-malformed target=i%-portal%-1 why="a header line begins with a blank"') >= 3
+end)
 fleet.equal("the gateway lives", g.gateways[1]:get("/ready").status, 200)
 g:stop()
