A head with a line that ends with LF alone is refused at once

Callers with such heads got no answer until the time-out for heads, since the end of the head, CR LF CR LF, never came; where it came, the head was accepted although other parsers read it differently. Now it is malformed (400) as soon as the line has come; the same holds for answers of targets.

--- a/packages/net/pwh1.c
+++ b/packages/net/pwh1.c
@@ -122,6 +122,7 @@
   static const char *const texts[] = {
       [PWH1_NO_FAULT] = "no fault",
       [PWH1_SYNTAX] = "not HTTP/1.1 that can be read",
+      [PWH1_BARE_LINE_FEED] = "a line of the head ends with LF alone",
       [PWH1_FOLDED_LINE] = "a header line begins with a blank"};
   return texts[fault];
 }
@@ -134,6 +135,16 @@
   return p ? (size_t)(p - b->data) + 4 : 0;
 }
 
+/* Whether a line of the first n bytes ends with LF alone. `from`: bytes already searched. */
+static int has_bare_line_feed(const pw_buf *head, size_t from, size_t n) {
+  const char *end = head->data + n;
+  for (const char *p = head->data + from;
+       (p = memchr(p, '\n', (size_t)(end - p))); p++)
+    if (p == head->data || p[-1] != '\r')
+      return 1;
+  return 0;
+}
+
 /* Whether a line of the head begins with a blank. Such a folded line continues the line before it; servers and
 ** proxies read it differently (RFC 9112, 5.2). */
 static int has_folded_line(const pw_buf *head) {
@@ -160,10 +171,15 @@
   if (m->head.len == 0)
     return n;
   size_t end = head_end(&m->head, before);
-  if ((end ? end : m->head.len) > m->head_max) {
+  size_t length = end ? end : m->head.len;
+  if (length > m->head_max) {
     m->state = PWH1_TOO_LARGE;
     return n;
   }
+  if (has_bare_line_feed(&m->head, before, length)) {
+    fail(m, PWH1_BARE_LINE_FEED);
+    return n;
+  }
   if (!end)
     return n;
   m->head.len = end;
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -166,6 +166,26 @@
     }
 }
 
+/* Guards against a head whose lines end with LF alone: nothing was answered until the time-out for heads, since the end
+** of the head was never found. It is malformed as soon as the first such line has come. */
+static void test_bare_line_feeds(void) {
+  static const char *const heads[] = {
+      "GET / HTTP/1.1\nHost: h\n\n", "GET / HTTP/1.1\r\nHost: h\n",
+      "GET / HTTP/1.1\r\nHost: h\nX-A: 1\r\n\r\n", "nonsense\n"};
+  for (size_t i = 0; i < sizeof heads / sizeof heads[0]; i++)
+    for (size_t step = 1; step < 100; step++) {
+      pw_h1 m;
+      pwh1_init(&m, HTTP_REQUEST, 1000);
+      feed(&m, heads[i], step);
+      CHECK(m.state == PWH1_BAD);
+      pwh1_free(&m);
+    }
+  CHECK(state_of("\n\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n", HTTP_REQUEST) ==
+        PWH1_DONE);
+  CHECK(state_of("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /\n", HTTP_REQUEST) ==
+        PWH1_DONE);
+}
+
 static void test_h1_answers(void) {
   pw_h1 m;
   pw_buf body = {0};
@@ -315,6 +335,7 @@
   TEST(test_smuggling);
   TEST(test_trailers_are_dropped);
   TEST(test_folded_lines);
+  TEST(test_bare_line_feeds);
   TEST(test_h1_answers);
   TEST(test_platform_headers);
   TEST(test_hold_off);
