A transfer coding other than chunked is refused

Of a body sent with Transfer-Encoding: gzip, chunked the chunks were taken off and the gzipped bytes were forwarded with a length and without a word of their coding, to targets and to callers: Transfer-Encoding concerns one connection and is not forwarded. A request of that kind gets 501 (1013) now, as RFC 9112, 6.1 asks, and an answer counts as malformed.

--- a/packages/core/pwcode.h
+++ b/packages/core/pwcode.h
@@ -20,6 +20,8 @@
     "the request's headers are over their limit")                              \
   X(PW_E_SLOW, 1011, 408, "too-slow", "the request did not come in time")      \
   X(PW_E_ROUTE, 1012, 404, "no-route", "no route for this host and path")      \
+  X(PW_E_CODING, 1013, 501, "transfer-coding",                                 \
+    "a transfer coding other than chunked")                                    \
   X(PW_E_BUSY, 2001, 503, "busy", "the pool is full; come back later")         \
   X(PW_E_DEADLINE, 2002, 503, "deadline", "the deadline cannot be met")        \
   X(PW_E_QUOTA, 2003, 429, "quota", "the workspace is over its limit")         \
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -246,11 +246,18 @@
   return 1;
 }
 
+static void refuse_malformed(pw_conn *c) {
+  pw_h1_fault fault = c->request.fault;
+  refuse_and_close(c,
+                   fault == PWH1_TRANSFER_CODING ? PW_E_CODING : PW_E_REQUEST,
+                   pwh1_fault_text(fault));
+}
+
 /* Acts on the parser's state; returns 0 when parsing must stop for now. */
 static int check_state(pw_conn *c) {
   switch (c->request.state) {
   case PWH1_BAD:
-    refuse_and_close(c, PW_E_REQUEST, pwh1_fault_text(c->request.fault));
+    refuse_malformed(c);
     return 0;
   case PWH1_TOO_LARGE:
     refuse_and_close(c, PW_E_HEAD_TOO_LARGE, "");
--- a/packages/net/pwh1.c
+++ b/packages/net/pwh1.c
@@ -53,6 +53,22 @@
   return 0;
 }
 
+/* Whether the body has a transfer coding other than chunked, which alone is taken off (RFC 9112, 6.1). */
+static int has_other_transfer_coding(const pw_h1 *m) {
+  static const char chunked[] = "chunked";
+  int codings = 0;
+  for (int i = 0; i < m->nheaders; i++) {
+    const pw_h1_header *h = &m->header[i];
+    if (!pwh1_name_is(h, "Transfer-Encoding"))
+      continue;
+    codings++;
+    if (h->nvalue != sizeof chunked - 1 ||
+        strncasecmp(h->value, chunked, h->nvalue) != 0)
+      return 1;
+  }
+  return codings > 1;
+}
+
 static int on_head(http_parser *p) {
   pw_h1 *m = p->data;
   int length = (p->flags & F_CONTENTLENGTH) && p->content_length > 0;
@@ -123,6 +139,7 @@
       [PWH1_NO_FAULT] = "no fault",
       [PWH1_SYNTAX] = "not HTTP/1.1 that can be read",
       [PWH1_BARE_LINE_FEED] = "a line of the head ends with LF alone",
+      [PWH1_TRANSFER_CODING] = "a transfer coding other than chunked",
       [PWH1_FOLDED_LINE] = "a header line begins with a blank"};
   return texts[fault];
 }
@@ -191,6 +208,8 @@
   run(m, m->head.data, end, &used);
   if (m->state == PWH1_HEAD)
     fail(m, PWH1_SYNTAX);
+  if (m->state != PWH1_BAD && has_other_transfer_coding(m))
+    fail(m, PWH1_TRANSFER_CODING);
   if (m->state == PWH1_BODY && !m->has_body && !m->to_eof)
     m->state = PWH1_DONE;
   return skip + end - before;
--- a/packages/net/pwh1.h
+++ b/packages/net/pwh1.h
@@ -30,7 +30,8 @@
   PWH1_NO_FAULT,
   PWH1_SYNTAX,         /* any other fault, or the message was cut */
   PWH1_BARE_LINE_FEED, /* a line of the head ends with LF alone */
-  PWH1_FOLDED_LINE,    /* a header line begins with a blank */
+  PWH1_TRANSFER_CODING, /* a transfer coding other than chunked, or a second one */
+  PWH1_FOLDED_LINE,     /* a header line begins with a blank */
 } pw_h1_fault;
 
 /* One message. Pointers into `head` are valid until pwh1_reset. */
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -186,6 +186,41 @@
         PWH1_DONE);
 }
 
+/* Guards against a body whose transfer coding is lost: the chunks were taken off and the other coding was forwarded as if it
+** were the body itself. */
+static void test_transfer_codings(void) {
+  static const struct {
+    const char *lines;
+    pw_h1_fault fault[2]; /* of a request and of an answer */
+  } cases[] = {
+      {"Transfer-Encoding: chunked\r\n", {PWH1_NO_FAULT, PWH1_NO_FAULT}},
+      {"transfer-encoding:  Chunked \r\n", {PWH1_NO_FAULT, PWH1_NO_FAULT}},
+      {"Transfer-Encoding: gzip, chunked\r\n",
+       {PWH1_TRANSFER_CODING, PWH1_TRANSFER_CODING}},
+      {"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+       {PWH1_TRANSFER_CODING, PWH1_TRANSFER_CODING}},
+      {"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+       {PWH1_TRANSFER_CODING, PWH1_TRANSFER_CODING}},
+      /* The length of such a request is unknown; an answer ends with its connection. */
+      {"Transfer-Encoding: gzip\r\n", {PWH1_SYNTAX, PWH1_TRANSFER_CODING}},
+      {"Transfer-Encoding: chunked, gzip\r\n",
+       {PWH1_SYNTAX, PWH1_TRANSFER_CODING}}};
+  static const char *const first_lines[] = {"POST / HTTP/1.1",
+                                            "HTTP/1.1 200 OK"};
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    for (int type = HTTP_REQUEST; type <= HTTP_RESPONSE; type++) {
+      pw_h1 m;
+      char text[200];
+      snprintf(text, sizeof text, "%s\r\n%s\r\n1\r\na\r\n0\r\n\r\n",
+               first_lines[type], cases[i].lines);
+      pwh1_init(&m, (enum http_parser_type)type, 1000);
+      feed(&m, text, 1000);
+      CHECK(m.fault == cases[i].fault[type]);
+      CHECK(m.state == (m.fault ? PWH1_BAD : PWH1_DONE));
+      pwh1_free(&m);
+    }
+}
+
 static void test_h1_answers(void) {
   pw_h1 m;
   pw_buf body = {0};
@@ -336,6 +371,7 @@
   TEST(test_trailers_are_dropped);
   TEST(test_folded_lines);
   TEST(test_bare_line_feeds);
+  TEST(test_transfer_codings);
   TEST(test_h1_answers);
   TEST(test_platform_headers);
   TEST(test_hold_off);
