All Connection lines are read as one list of options

Headers that concern one connection were forwarded: of several Connection lines only the first was read, and a tab did not separate its options (RFC 9110, 7.6.1). The options are now split at commas and blanks in every line.

test_h1 test_connection_options: 4 checks fail before, none after.

--- a/packages/net/pwh1.c
+++ b/packages/net/pwh1.c
@@ -251,21 +251,32 @@
   pwbuf_add(out, "\r\n", 2);
 }
 
-/* Whether the Connection header lists this header. */
-static int is_listed_in_connection(const pw_h1 *m, const pw_h1_header *h) {
-  const pw_h1_header *c = pwh1_find(m, "Connection");
-  if (!c)
-    return 0;
-  for (size_t i = 0; i + h->nname <= c->nvalue; i++) {
-    char after = i + h->nname < c->nvalue ? c->value[i + h->nname] : ',';
-    int at_start = i == 0 || c->value[i - 1] == ' ' || c->value[i - 1] == ',';
-    if (at_start && (after == ',' || after == ' ') &&
-        !strncasecmp(c->value + i, h->name, h->nname))
+static int is_separator(char c) {
+  return c == ',' || c == ' ' || c == '\t';
+}
+
+/* Whether a Connection header lists this header among its options. */
+static int lists(const pw_h1_header *connection, const pw_h1_header *h) {
+  const char *p = connection->value, *end = p + connection->nvalue;
+  while (p < end) {
+    const char *from = p;
+    while (p < end && !is_separator(*p))
+      p++;
+    if ((size_t)(p - from) == h->nname && !strncasecmp(from, h->name, h->nname))
       return 1;
+    while (p < end && is_separator(*p))
+      p++;
   }
   return 0;
 }
 
+static int is_listed_in_connection(const pw_h1 *m, const pw_h1_header *h) {
+  for (int i = 0; i < m->nheaders; i++)
+    if (pwh1_name_is(&m->header[i], "Connection") && lists(&m->header[i], h))
+      return 1;
+  return 0;
+}
+
 int pwh1_is_hop_by_hop(const pw_h1 *m, const pw_h1_header *h) {
   static const char *const hop[] = {
       "Connection",        "Keep-Alive", "Proxy-Connection", "TE",    "Trailer",
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -75,6 +75,26 @@
   CHECK(state_of(large, HTTP_REQUEST) == PWH1_TOO_LARGE);
 }
 
+/* Guards against headers of one connection that are forwarded: only the first Connection line was read, and a tab did not
+** separate its options. */
+static void test_connection_options(void) {
+  pw_h1 m;
+  pwh1_init(&m, HTTP_REQUEST, 1000);
+  feed(&m,
+       "GET / HTTP/1.1\r\nHost: h\r\nX-A: 1\r\nX-B: 1\r\nX-C: 1\r\nX-D: 1\r\n"
+       "X-DD: 1\r\nConnection: keep-alive,\tX-A\r\nConnection:\r\n"
+       "Connection: x-b\t,X-C,,  X-D\r\n\r\n",
+       1000);
+  CHECK(m.state == PWH1_DONE);
+  static const char *const hop[] = {"X-A", "X-B", "X-C", "X-D", "Connection"};
+  static const char *const other[] = {"Host", "X-DD"};
+  for (size_t i = 0; i < sizeof hop / sizeof hop[0]; i++)
+    CHECK(pwh1_is_hop_by_hop(&m, pwh1_find(&m, hop[i])));
+  for (size_t i = 0; i < sizeof other / sizeof other[0]; i++)
+    CHECK(!pwh1_is_hop_by_hop(&m, pwh1_find(&m, other[i])));
+  pwh1_free(&m);
+}
+
 /* Guards against trailer fields that are taken for headers: they lie in memory that is used again, so a request that was
 ** sent again carried bytes of another caller's request, and a field could pass for one of the head. */
 static void test_trailers_are_dropped(void) {
@@ -368,6 +388,7 @@
   TESTS_BEGIN("h1");
   TEST(test_h1);
   TEST(test_smuggling);
+  TEST(test_connection_options);
   TEST(test_trailers_are_dropped);
   TEST(test_folded_lines);
   TEST(test_bare_line_feeds);
