An option of Connection cannot take away a header of the request itself

Callers who sent Connection: X-Request-Id had no answer before the time-out: the target ran the request without an id, and its answer was not recognized. Host, X-Model, X-Token-Count and X-Prompt-Prefix were dropped in the same way, and in answers the signature.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -393,7 +393,7 @@
   x->headers.len = 0;
   for (int i = 0; i < m->nheaders; i++) {
     const pw_h1_header *h = &m->header[i];
-    if (!pwh1_is_hop_by_hop(m, h))
+    if (!pwexi_is_hop_by_hop(x, m, h))
       pwh1_write(&x->headers, h);
   }
 }
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -248,6 +248,10 @@
 /* Sends the request to x->t; -1: no connection can be made. */
 int pwexi_send(pw_exchange *x);
 
+/* Whether a header of a request or an answer concerns one connection only, so that it is not forwarded. */
+int pwexi_is_hop_by_hop(const pw_exchange *x, const pw_h1 *m,
+                        const pw_h1_header *h);
+
 /* --- pwexrecord.c --- */
 
 /* Counts a failure of the target, or an answer that came too late, against the version of the target. */
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -13,6 +13,11 @@
 
 #define MS_PER_S 1000.0
 
+int pwexi_is_hop_by_hop(const pw_exchange *x, const pw_h1 *m,
+                        const pw_h1_header *h) {
+  return pwh1_is_hop_by_hop(m, h) && !x->g->dialect->is_end_to_end(h);
+}
+
 static void write_head(pw_exchange *x, pw_buf *out) {
   const pw_h1 *m = &x->caller->request;
   pwbuf_fmt(out, "%s %.*s HTTP/1.1\r\n",
@@ -20,7 +25,7 @@
             m->url);
   for (int i = 0; i < m->nheaders; i++) {
     const pw_h1_header *h = &m->header[i];
-    if (!pwh1_is_hop_by_hop(m, h) && x->g->dialect->forwards_header(h))
+    if (!pwexi_is_hop_by_hop(x, m, h) && x->g->dialect->forwards_header(h))
       pwh1_write(out, h);
   }
   pw_forward f = {.target = x->t->id,
--- a/packages/site/pwdialect.h
+++ b/packages/site/pwdialect.h
@@ -36,6 +36,7 @@
   uint32_t output_guess;  /* tokens that the caller expects; 0: not given */
   pw_prompt_part part[PW_PROMPT_PARTS];
   int nparts;
+  pw_span repeated; /* name of a header that may stand once and stands twice */
 } pw_request_info;
 
 /* Information that a gateway adds to a request that it forwards. */
@@ -118,6 +119,9 @@
   /* Whether a caller's header is forwarded unchanged to the target. */
   int (*forwards_header)(const pw_h1_header *h);
 
+  /* Whether a header belongs to the request or answer itself: an option of Connection cannot take it away. */
+  int (*is_end_to_end)(const pw_h1_header *h);
+
   /* Appends the header lines of *f. */
   void (*write_forward)(pw_buf *out, const pw_forward *f);
 
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -304,6 +304,22 @@
   pwh1_free(&m);
 }
 
+/* Guards against Connection options that take away what a request or an answer consists of: a target got no id, ran the
+** request, and its answer was not recognized. */
+static void test_end_to_end_headers(void) {
+  static const char *const own[] = {
+      "Host",          "Content-Type",    "X-Request-Id", "X-Model",
+      "X-Token-Count", "X-Prompt-Prefix", "Retry-After",  "X-Replica-Seal"};
+  static const char *const other[] = {"Connection", "Content-Length", "X-Own",
+                                      "Transfer-Encoding", "Keep-Alive"};
+  for (size_t i = 0; i < sizeof own / sizeof own[0]; i++)
+    CHECK(plat_is_end_to_end(
+        &(pw_h1_header){.name = own[i], .nname = strlen(own[i])}));
+  for (size_t i = 0; i < sizeof other / sizeof other[0]; i++)
+    CHECK(!plat_is_end_to_end(
+        &(pw_h1_header){.name = other[i], .nname = strlen(other[i])}));
+}
+
 /* Retry-After of a target: anything but a plain number of seconds counts as absent; of two lines
 ** the longer time counts. */
 static void test_hold_off(void) {
@@ -395,6 +411,7 @@
   TEST(test_transfer_codings);
   TEST(test_h1_answers);
   TEST(test_platform_headers);
+  TEST(test_end_to_end_headers);
   TEST(test_hold_off);
   TEST(test_leaving);
   TEST(test_calls);
