A header that may stand once and stands twice is refused

A request with two X-Request-Id ran at the target, and its caller had no answer before the time-out: the answer's id matched neither. Of two Host, Api-Key, X-Deadline-Ms, Last-Event-Id or Resumes the last one counted, while a target may read the first. Such requests get 400 (1006) before anything is sent, and the reason names the header. An answer with two ids of which one is another request's is not taken for the answer.

97_odd_heads and test_h1 test_platform_headers fail before and pass now.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -230,11 +230,24 @@
 
 /* --- start of a request --- */
 
+/* Refuses a request in which a header stands twice that may stand once: the target might read the other one. */
+static void refuse_repeated(pw_exchange *x) {
+  char why[96];
+  const pw_span *name = &x->request_info.repeated;
+  snprintf(why, sizeof why, "%.*s stands more than once", (int)name->n,
+           name->p);
+  pwexi_refuse(x, PW_E_HEADER, why, 0);
+}
+
 /* Finds the request's route, workspace and service in the configuration. Returns -1 if the request was
 ** refused, else 0. */
 static int admit(pw_exchange *x) {
   pw_gate *g = x->g;
   const pw_h1 *m = &x->caller->request;
+  if (x->request_info.repeated.p) {
+    refuse_repeated(x);
+    return -1;
+  }
   x->route = pwsite_route(x->site, x->request_info.host.p,
                           x->request_info.host.n, m->url, m->nurl);
   if (!x->route) {
--- a/tests/scenarios/97_odd_heads.lua
+++ b/tests/scenarios/97_odd_heads.lua
@@ -1,5 +1,6 @@
--- Guards against a Connection option that takes away a header of the request itself: the target ran it without its id, and its
--- answer was not recognized.
+-- Guards against heads that a target and the gateway read differently: a header that may stand once and stands twice, a
+-- Connection option that takes away a header of the request itself, a transfer coding that is not taken off, lines that end
+-- with LF alone, a path with dot segments.
 local fleet = require("fleet")
 local gateways = require("gateways")
 local g = gateways.new{control = 1, gateways = 1, portals = 1}
@@ -20,6 +21,12 @@
   run.raw_close(c)
   return answer, portal:get("/received").body
 end
+local function refused(what, status, code, bytes)
+  local answer, received = play(bytes, '"message"')
+  fleet.expect(what .. ": status: " .. answer, answer:find("^HTTP/1.1 " .. status))
+  fleet.expect(what .. ": code: " .. answer, answer:find("Peatwell-Code: " .. code, 1, true))
+  fleet.equal(what .. ": the target gets nothing", received, "")
+end
 -- The request runs, and the target gets these lines in its head, and none that begins so.
 local function runs(what, bytes, lines, none)
   local answer, received = play(bytes, " odd-1 ")
@@ -32,6 +39,13 @@
   end
 end
 
+for name, line in pairs(OWN) do
+  refused("a second " .. name, 400, 1006, head("GET /safe/a", line))
+end
+for _, line in ipairs{"X-Deadline-Ms: 1000\r\n", "Last-Event-Id: 3\r\n", "Resumes: odd-0\r\n"} do
+  refused("twice: " .. line, 400, 1006, head("GET /safe/a", line .. line))
+end
+
 local parts = {"X-Model: m", "X-Token-Count: 10,20", "X-Prompt-Prefix: a1:10,b2:20"}
 runs("Connection names headers of the request", head("GET /safe/a", table.concat(parts, "\r\n") ..
   "\r\nX-Hop: 1\r\nConnection: X-Request-Id, Host, X-Model, X-Token-Count,\tX-Prompt-Prefix, X-Hop\r\n"),
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -276,6 +276,7 @@
       "Kv-Fetch: 10.0.0.1:1\r\nX-Urgency-Class: 0\r\n\r\n",
       1000);
   plat_read_request(&m, &request);
+  CHECK(!request.repeated.p);
   CHECK(request.id.n == 2 && request.deadline_ms == 1500 && request.key.n == 1);
   CHECK(request.prompt_tokens == 1460 && request.output_tokens == 80);
   CHECK(request.nparts == 2 && request.part[0].id == 0x5c1e07a2);
@@ -300,6 +301,13 @@
        1000);
   plat_read_answer(&a, &request, &info);
   CHECK(!info.id_matches);
+  pwh1_reset(&a);
+  feed(&a,
+       "HTTP/1.1 200 X\r\nX-Request-Id: 9d\r\nX-Request-Id: 9c\r\n"
+       "Content-Length: 0\r\n\r\n",
+       1000);
+  plat_read_answer(&a, &request, &info);
+  CHECK(!info.id_matches);
   pwh1_free(&a);
   pwh1_free(&m);
 }
