A path with a dot segment is refused

The path must reach the target unchanged, so it cannot be resolved here; it gets 400 (1009), also when the dots are percent-encoded.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -248,6 +248,10 @@
     refuse_repeated(x);
     return -1;
   }
+  if (pwsite_has_dot_segment(m->url, m->nurl)) {
+    pwexi_refuse(x, PW_E_REQUEST, "the path has a dot segment", 0);
+    return -1;
+  }
   x->route = pwsite_route(x->site, x->request_info.host.p,
                           x->request_info.host.n, m->url, m->nurl);
   if (!x->route) {
--- a/packages/site/pwsite.c
+++ b/packages/site/pwsite.c
@@ -10,6 +10,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 #include <uthash.h>
 #include <xxhash.h>
 
@@ -269,6 +270,36 @@
   return &s->p.limits;
 }
 
+/* Length of a dot at the beginning of a text, plain or percent-encoded; 0: there is none. */
+static size_t dot_length(const char *p, const char *end) {
+  static const char encoded[] = "%2e";
+  if (p < end && *p == '.')
+    return 1;
+  size_t n = sizeof encoded - 1;
+  return (size_t)(end - p) >= n && !strncasecmp(p, encoded, n) ? n : 0;
+}
+
+static int is_dot_segment(const char *p, const char *end) {
+  int dots = 0;
+  for (size_t n; (n = dot_length(p, end)) > 0; p += n)
+    dots++;
+  return p == end && (dots == 1 || dots == 2);
+}
+
+int pwsite_has_dot_segment(const char *path, size_t npath) {
+  const char *end = path;
+  while (end < path + npath && *end != '?' && *end != '#')
+    end++;
+  for (const char *from = path, *to; from <= end; from = to + 1) {
+    to = memchr(from, '/', (size_t)(end - from));
+    if (!to)
+      to = end;
+    if (is_dot_segment(from, to))
+      return 1;
+  }
+  return 0;
+}
+
 static size_t host_length(const char *host, size_t n) {
   const char *colon = n ? memchr(host, ':', n) : NULL;
   return colon ? (size_t)(colon - host) : n;
--- a/packages/site/pwsite.h
+++ b/packages/site/pwsite.h
@@ -123,6 +123,10 @@
 uint64_t pwsite_version(const pw_site *s);
 const pw_site_limits *pwsite_limits(const pw_site *s);
 
+/* Whether a segment of a path is "." or "..", also when percent-encoded: a target may resolve it to a path that belongs to
+** another route. A query is not looked at. */
+int pwsite_has_dot_segment(const char *path, size_t npath);
+
 /* The route of a host (a port is ignored) and a path: the longest prefix wins; NULL: none. */
 const pw_site_route *pwsite_route(const pw_site *s, const char *host,
                                   size_t nhost, const char *path, size_t npath);
--- a/tests/scenarios/97_odd_heads.lua
+++ b/tests/scenarios/97_odd_heads.lua
@@ -46,6 +46,12 @@
   refused("twice: " .. line, 400, 1006, head("GET /safe/a", line .. line))
 end
 
+for _, path in ipairs{"/safe/../once/x", "/safe/open/%2e%2E/x", "/safe/./x"} do
+  refused("dot segments: " .. path, 400, 1009, head("GET " .. path, ""))
+end
+refused("lines that end with LF alone", 400, 1009, (head("GET /safe/a", ""):gsub("\r", "")))
+refused("a coding that is not taken off", 501, 1013, head("POST /safe/a", "Transfer-Encoding: gzip, chunked\r\n") .. "1\r\na\r\n0\r\n\r\n")
+
 local parts = {"X-Model: m", "X-Token-Count: 10,20", "X-Prompt-Prefix: a1:10,b2:20"}
 runs("Connection names headers of the request", head("GET /safe/a", table.concat(parts, "\r\n") ..
   "\r\nX-Hop: 1\r\nConnection: X-Request-Id, Host, X-Model, X-Token-Count,\tX-Prompt-Prefix, X-Hop\r\n"),
--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -73,6 +73,20 @@
   return pwbuf_take(&b);
 }
 
+/* Guards against a path that goes by the rules of one route and that a target resolves to a path of another one. */
+static void test_dot_segments(void) {
+  static const char *const with[] = {
+      "/safe/../once/x", "/safe/./x",  "/..", "/safe/..", "/a/%2e%2E/",
+      "/a/.%2e",         "/a/%2E?b=c", "..",  "/a/..#b"};
+  static const char *const without[] = {
+      "/safe/x", "/a/.../b", "/a/..b/c.", "/a/%2e%2e%2e", "/a?b=/../c",
+      "/a/b..",  "/",        "",          "/a/%2",        "/a/%2f"};
+  for (size_t i = 0; i < sizeof with / sizeof with[0]; i++)
+    CHECK(pwsite_has_dot_segment(with[i], strlen(with[i])));
+  for (size_t i = 0; i < sizeof without / sizeof without[0]; i++)
+    CHECK(!pwsite_has_dot_segment(without[i], strlen(without[i])));
+}
+
 static void test_bad_sites(void) {
   static const char *const edits[][2] = {
       {"\"service\":\"s2\",\"attempts\"", "\"service\":\"s9\",\"attempts\""},
@@ -259,6 +273,7 @@
 int main(void) {
   TESTS_BEGIN("site");
   TEST(test_site);
+  TEST(test_dot_segments);
   TEST(test_bad_sites);
   TEST(test_parse_in_steps);
   TEST(test_step_size);
