--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -312,6 +312,32 @@
   pwh1_free(&m);
 }
 
+/* Guards against numbers that are read past the end of their header, from the name of the next one. */
+static void test_prompt_parts_end_with_their_header(void) {
+  static const struct {
+    const char *value;
+    int nparts;
+    uint32_t tokens; /* of the last part */
+  } cases[] = {{"a1:5", 1, 5},       {"a1:", 0, 0},   {"a1:5,", 1, 5},
+               {"a1:5,b2:", 1, 5},   {"a1: 5", 0, 0}, {"", 0, 0},
+               {"a1:5, b2:6", 2, 6}, {"-1:5", 0, 0},  {"a1:-5", 0, 0},
+               {"a1:5,b", 1, 5}};
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    pw_h1 m;
+    pw_request_info r;
+    char text[200];
+    snprintf(text, sizeof text,
+             "GET / HTTP/1.1\r\nX-Prompt-Prefix: %s\r\n77: 8\r\n\r\n",
+             cases[i].value);
+    pwh1_init(&m, HTTP_REQUEST, 1000);
+    feed(&m, text, 1000);
+    plat_read_request(&m, &r);
+    CHECK(r.nparts == cases[i].nparts);
+    CHECK(!r.nparts || r.part[r.nparts - 1].tokens == cases[i].tokens);
+    pwh1_free(&m);
+  }
+}
+
 /* Guards against Connection options that take away what a request or an answer consists of: a target got no id, ran the
 ** request, and its answer was not recognized. */
 static void test_end_to_end_headers(void) {
@@ -419,6 +445,7 @@
   TEST(test_transfer_codings);
   TEST(test_h1_answers);
   TEST(test_platform_headers);
+  TEST(test_prompt_parts_end_with_their_header);
   TEST(test_end_to_end_headers);
   TEST(test_hold_off);
   TEST(test_leaving);
