The idle time that a target announces is read without overflow

Keep-Alive: timeout=9999999 overflowed the int of milliseconds, which is undefined; a build with sanitizers ends there. It is read as Retry-After is, up to 1e15 ms, and a header without a number is ignored.

test_h1 test_keep_alive.

--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -23,8 +23,6 @@
 /* Most answers that are skipped before the one to the current request: 1xx ones, and late ones to an earlier request. */
 #define SKIPPED_MAX 16
 
-#define MS_PER_S 1000
-
 struct pw_upconn {
   pw_gate *g;
   pw_target *t;
@@ -107,13 +105,10 @@
 
 /* --- answers --- */
 
-/* Reads the longest idle time from the header "Keep-Alive: timeout=S". */
 static void read_keep_alive(pw_upconn *u) {
-  const pw_h1_header *h = pwh1_find(&u->answer, "Keep-Alive");
-  static const char key[] = "timeout=";
-  for (size_t i = 0; h && i + sizeof key - 1 < h->nvalue; i++)
-    if (!memcmp(h->value + i, key, sizeof key - 1))
-      u->idle_ms = atoi(h->value + i + sizeof key - 1) * MS_PER_S;
+  int64_t ms = pwh1_keep_alive_ms(&u->answer);
+  if (ms >= 0)
+    u->idle_ms = ms;
 }
 
 static void on_body(void *arg, const char *data, size_t n) {
--- a/packages/net/pwh1.c
+++ b/packages/net/pwh1.c
@@ -2,7 +2,10 @@
 #define _GNU_SOURCE
 #include "pwh1.h"
 
+#include "pwduration.h"
+
 #include <assert.h>
+#include <ctype.h>
 #include <string.h>
 #include <strings.h>
 
@@ -244,6 +247,19 @@
   return NULL;
 }
 
+int64_t pwh1_keep_alive_ms(const pw_h1 *m) {
+  static const char key[] = "timeout=";
+  const pw_h1_header *h = pwh1_find(m, "Keep-Alive");
+  const char *p = h ? memmem(h->value, h->nvalue, key, sizeof key - 1) : NULL;
+  if (!p)
+    return -1;
+  p += sizeof key - 1;
+  size_t n = 0;
+  while (p + n < h->value + h->nvalue && isdigit((unsigned char)p[n]))
+    n++;
+  return n ? pwduration_read(p, n) : -1;
+}
+
 void pwh1_write(pw_buf *out, const pw_h1_header *h) {
   pwbuf_add(out, h->name, h->nname);
   pwbuf_add(out, ": ", 2);
--- a/packages/net/pwh1.h
+++ b/packages/net/pwh1.h
@@ -7,6 +7,7 @@
 
 #include <http_parser.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #define PWH1_HEADERS 128 /* headers of one message */
 
@@ -74,6 +75,9 @@
 /* The first header of this name, or NULL. Names compare without case. */
 const pw_h1_header *pwh1_find(const pw_h1 *m, const char *name);
 
+/* How long the peer keeps the connection open while it is idle (Keep-Alive: timeout=S), ms; -1: not given. */
+int64_t pwh1_keep_alive_ms(const pw_h1 *m);
+
 /* Whether a header has this name, compared without case. */
 int pwh1_name_is(const pw_h1_header *h, const char *name);
 
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -312,6 +312,31 @@
   pwh1_free(&m);
 }
 
+/* Guards against an idle time that overflows or is read from other bytes. */
+static void test_keep_alive(void) {
+  static const struct {
+    const char *line;
+    int64_t ms;
+  } cases[] = {
+      {"", -1},
+      {"Keep-Alive: timeout=4\r\n", 4000},
+      {"Keep-Alive: max=9, timeout=12, x\r\n", 12000},
+      {"Keep-Alive: timeout=0\r\n", 0},
+      {"Keep-Alive: timeout=\r\n5: 1\r\n", -1},
+      {"Keep-Alive: timeout=-3\r\n", -1},
+      {"Keep-Alive: timeout=9999999\r\n", 9999999000},
+      {"Keep-Alive: timeout=99999999999999999999\r\n", 1000000000000000}};
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++) {
+    pw_h1 m;
+    char text[200];
+    snprintf(text, sizeof text, "HTTP/1.1 204 X\r\n%s\r\n", cases[i].line);
+    pwh1_init(&m, HTTP_RESPONSE, 1000);
+    feed(&m, text, 1000);
+    CHECK(pwh1_keep_alive_ms(&m) == cases[i].ms);
+    pwh1_free(&m);
+  }
+}
+
 /* Guards against numbers that are read past the end of their header, from the name of the next one. */
 static void test_prompt_parts_end_with_their_header(void) {
   static const struct {
@@ -445,6 +470,7 @@
   TEST(test_transfer_codings);
   TEST(test_h1_answers);
   TEST(test_platform_headers);
+  TEST(test_keep_alive);
   TEST(test_prompt_parts_end_with_their_header);
   TEST(test_end_to_end_headers);
   TEST(test_hold_off);
