Entries do not forward headers that concern one connection

Services behind entries got the headers that a Connection line lists, and Proxy-Connection: entries had a list of their own and did not read the options. pwserve_headers now leaves out what pwh1_is_hop_by_hop names, as gateways do.

--- a/packages/entry/pwrequest.c
+++ b/packages/entry/pwrequest.c
@@ -225,19 +225,12 @@
   return rc;
 }
 
-/* Adds a header to those forwarded to a service: all but hop-by-hop headers and
-** those of peatwell itself. */
+/* Adds a header to those forwarded to a service: all but the host, the key and those of peatwell itself. */
 static void forward_header(void *arg, const char *name, const char *value) {
-  static const char *const hop[] = {
-      "Connection", "Keep-Alive",   "Transfer-Encoding", "Content-Length",
-      "Host",       "TE",           "Trailer",           "Upgrade",
-      "Expect",     "Authorization"};
-  pw_call *c = arg;
-  for (size_t i = 0; i < sizeof hop / sizeof hop[0]; i++)
-    if (!strcasecmp(name, hop[i]))
-      return;
-  if (!strncasecmp(name, "Peatwell-", 9))
+  if (!strcasecmp(name, "Host") || !strcasecmp(name, "Authorization") ||
+      !strncasecmp(name, "Peatwell-", 9))
     return;
+  pw_call *c = arg;
   Pw__Header *h = pw_alloc(sizeof *h);
   pw__header__init(h);
   h->name = pw_dup(name);
--- a/packages/http/pwserve.c
+++ b/packages/http/pwserve.c
@@ -144,9 +144,12 @@
                      void (*f)(void *arg, const char *name, const char *value),
                      void *arg) {
   const pw_h1 *m = &h->conn->request;
-  for (int i = 0; i < m->nheaders; i++)
-    f(arg, own(h, pw_memdup(m->header[i].name, m->header[i].nname)),
-      own(h, pw_memdup(m->header[i].value, m->header[i].nvalue)));
+  for (int i = 0; i < m->nheaders; i++) {
+    const pw_h1_header *one = &m->header[i];
+    if (!pwh1_is_hop_by_hop(m, one))
+      f(arg, own(h, pw_memdup(one->name, one->nname)),
+        own(h, pw_memdup(one->value, one->nvalue)));
+  }
 }
 
 void pwserve_set(pw_http *h, void *request) {
--- a/packages/http/pwserve.h
+++ b/packages/http/pwserve.h
@@ -52,7 +52,7 @@
 const char *pwserve_header(pw_http *h, const char *name); /* or NULL */
 const char *pwserve_body(const pw_http *h, size_t *n);
 
-/* Calls f for each header of the request. */
+/* Calls f for each header of the request that does not concern this connection only. */
 void pwserve_headers(pw_http *h,
                      void (*f)(void *arg, const char *name, const char *value),
                      void *arg);
--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -34,6 +34,8 @@
   int hold_off_s; /* Retry-After of these refusals, seconds */
   int refused;
   int delay_ms;
+  char received
+      [512]; /* head of the last request that was run or refused, as far as it fits */
 } service = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
 static void count(const char *body) {
@@ -115,6 +117,11 @@
     answer(fd, "{}");
     return 1;
   }
+  if (strstr(head, " /received ")) {
+    answer(fd, service.received);
+    return 1;
+  }
+  pw_copy(service.received, sizeof service.received, head);
   if (!first && service.close_second)
     return 0;
   if (service.shed > 0) {
