Callers that read slowly are not reset

Callers with a receive buffer of 8 KB that read every 0.7 s got 74 of 300 kB and a reset, 4.4 s after the request, when the connection closed with the answer; kept connections were reset as stalled after at most 5 s.

Cause: TCP_USER_TIMEOUT of a closing connection counts all the time for which the first buffer of the kernel's queue does not fit into the window, and is not cleared by a caller that reads with a smaller window. A kept connection was measured by what the kernel takes, which is nothing until a third of its buffer is free. Both are measured by the acknowledged bytes now.

--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -563,9 +563,9 @@
 
 /* Whether the caller has read nothing for too long; `now` is a time of pwtcp_clock. */
 static int has_stalled(pw_conn *c, int64_t now) {
-  uint64_t written = pwtcp_written(c->tcp);
-  if (pwtcp_pending(c->tcp) == 0 || written != c->written || !c->progress_at) {
-    c->written = written;
+  uint64_t acked = pwtcp_pending(c->tcp) ? pwtcp_acknowledged(c->tcp) : 0;
+  if (pwtcp_pending(c->tcp) == 0 || acked != c->acked || !c->progress_at) {
+    c->acked = acked;
     c->progress_at = now;
   }
   int64_t max = c->state ? c->all->stall_ms : c->all->stall_complete_ms;
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -71,7 +71,7 @@
   int close_next;   /* the answer closes the connection */
   int is_throttled; /* the next request waits until the caller has read more */
   size_t body_max;  /* limit of the body being received, bytes */
-  uint64_t written; /* pwtcp_written when progress was last seen */
+  uint64_t acked;   /* pwtcp_acknowledged when progress was last seen */
   int64_t progress_at; /* when output last moved, or none was pending, ms */
   int64_t since; /* when it became idle, or the head's first byte came, ms */
   pw_conn *prev, *next;
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -8,10 +8,12 @@
 #include <assert.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -19,12 +21,14 @@
 #define READ_BYTES (64 * 1024) /* bytes of one read */
 #define BACKLOG 1024           /* connections that wait to be accepted */
 
-/* Longest time that a peer which reads nothing can delay a close, ms. */
+/* Longest time that a peer which acknowledges nothing can delay a close, ms. */
 #define LINGER_MS 3000
 
 /* Bytes of an output buffer that are kept once it is empty; a larger buffer is freed. */
 #define OUT_RETAIN_MAX (16 * 1024)
-#define DRAIN_MS 1000 /* how long a closing connection discards input */
+
+/* How long a closing connection discards input, and interval of the checks whether its peer still reads, ms. */
+#define DRAIN_MS 1000
 
 /* Default of lag.iteration_max_ms: the longest iteration of a loop that is not stalled. */
 #define ITERATION_MAX_MS 500
@@ -37,13 +41,17 @@
   int fd;
   int connecting;
   int closed;
-  int closing;       /* closes once `out` is written and the peer has closed */
-  ev_timer draining; /* limits the wait for the peer to close */
-  int64_t drain_started_at; /* when that wait began, by pwtcp_clock */
+  int closing; /* closes once `out` is written and the peer has closed */
+  ev_timer
+      closing_check; /* limits the wait for the peer to read and to close */
+  int64_t
+      drain_started_at; /* when input began to be discarded, by pwtcp_clock; 0: not yet */
+  uint64_t closing_acked;   /* bytes acknowledged at the last check ... */
+  int64_t closing_acked_at; /* ... and when they rose last, by pwtcp_clock */
   ev_io rd, wr;
   pw_buf out;
   size_t out_at;    /* bytes of `out` already written */
-  uint64_t written; /* buffered bytes written since the start */
+  uint64_t written; /* bytes written to the socket since the start */
   pw_tls *tls;      /* NULL: plain TCP */
   pw_tcp *next;     /* in the list of dead or of closing connections */
 };
@@ -136,6 +144,18 @@
   return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -1;
 }
 
+/* Bytes in the socket that the peer has not acknowledged. */
+static uint64_t unacknowledged(const pw_tcp *c) {
+  int n = 0;
+  return ioctl(c->fd, SIOCOUTQ, &n) == 0 && n > 0 ? (uint64_t)n : 0;
+}
+
+uint64_t pwtcp_acknowledged(const pw_tcp *c) {
+  uint64_t left =
+      unacknowledged(c); /* counts the end of the stream as a byte */
+  return left < c->written ? c->written - left : 0;
+}
+
 /* --- closing --- */
 
 static void unlist_closing(pw_tcp *c) {
@@ -154,7 +174,7 @@
   c->closed = 1;
   ev_io_stop(c->l->ev, &c->rd);
   ev_io_stop(c->l->ev, &c->wr);
-  ev_timer_stop(c->l->ev, &c->draining);
+  ev_timer_stop(c->l->ev, &c->closing_check);
   if (reset) {
     struct linger hard = {.l_onoff = 1, .l_linger = 0};
     setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
@@ -173,18 +193,39 @@
     c->calls->ended(c->arg, how);
 }
 
-/* After a stall the timer may fire before input that arrived meanwhile is read. Closing with unread
-** input would reset the connection, and the peer would lose the unread part of its answer; so the
-** wait is extended by the stalled time. */
-static void on_drain_timeout(struct ev_loop *ev, ev_timer *w, int events) {
+/* Notes what the peer has acknowledged; returns for how long it has acknowledged nothing more, ms. */
+static int64_t closing_idle_ms(pw_tcp *c) {
+  uint64_t acked = pwtcp_acknowledged(c);
+  int64_t now = pwtcp_clock(c->l);
+  if (acked != c->closing_acked) {
+    c->closing_acked = acked;
+    c->closing_acked_at = now;
+  }
+  return now - c->closing_acked_at;
+}
+
+static int has_unacknowledged(const pw_tcp *c) {
+  return pwtcp_pending(c) > 0 || unacknowledged(c) > 0;
+}
+
+/* Closes a connection whose peer has its bytes or has stopped reading them. The kernel's TCP_USER_TIMEOUT does not serve
+** for this: it also counts the time of a peer that reads slowly with a small window. After a stall the timer may fire
+** before input that arrived meanwhile is read. Closing with unread input would reset the connection, and the peer would
+** lose the unread part of its answer; so times are of pwtcp_clock. */
+static void on_closing_check(struct ev_loop *ev, ev_timer *w, int events) {
   (void)ev;
   (void)events;
   pw_tcp *c = w->data;
-  int64_t left = c->drain_started_at + DRAIN_MS - pwtcp_clock(c->l);
-  if (left > 0)
-    pwtcp_timer(c->l, w, left);
-  else
+  int64_t drained_ms =
+      c->drain_started_at ? pwtcp_clock(c->l) - c->drain_started_at : 0;
+  if (has_unacknowledged(c) && closing_idle_ms(c) >= LINGER_MS)
+    pwtcp_close(c, 1);
+  else if (has_unacknowledged(c))
+    pwtcp_timer(c->l, w, DRAIN_MS);
+  else if (drained_ms >= DRAIN_MS)
     pwtcp_close(c, 0);
+  else
+    pwtcp_timer(c->l, w, DRAIN_MS - drained_ms);
 }
 
 /* Half-closes the connection and discards input until the peer closes. A close with unread input
@@ -192,7 +233,6 @@
 static void drain(pw_tcp *c) {
   shutdown(c->fd, SHUT_WR);
   c->drain_started_at = pwtcp_clock(c->l);
-  pwtcp_timer(c->l, &c->draining, DRAIN_MS);
   ev_io_start(c->l->ev, &c->rd);
 }
 
@@ -205,7 +245,9 @@
   c->next = c->l->closing;
   c->l->closing = c;
   c->l->nclosing++;
-  set_int(c->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, LINGER_MS);
+  c->closing_acked = pwtcp_acknowledged(c);
+  c->closing_acked_at = pwtcp_clock(c->l);
+  pwtcp_timer(c->l, &c->closing_check, DRAIN_MS);
   if (pwtcp_pending(c) == 0)
     drain(c);
 }
@@ -311,6 +353,7 @@
     struct iovec v[2] = {{(void *)a, an}, {(void *)b, bn}};
     ssize_t n = bn ? writev(c->fd, v, 2) : write(c->fd, a, an);
     done = n > 0 ? (size_t)n : 0;
+    c->written += done;
     if (done == an + bn)
       return;
   }
@@ -364,10 +407,6 @@
   return sum;
 }
 
-uint64_t pwtcp_written(const pw_tcp *c) {
-  return c->written;
-}
-
 /* 1: unread bytes wait; 0: the peer has closed; -1: no input, or the connection failed. */
 static ssize_t peek(const pw_tcp *c) {
   char one;
@@ -402,8 +441,8 @@
   c->arg = arg;
   ev_io_init(&c->rd, on_read, fd, EV_READ);
   ev_io_init(&c->wr, on_write, fd, EV_WRITE);
-  ev_timer_init(&c->draining, on_drain_timeout, 0, 0);
-  c->rd.data = c->wr.data = c->draining.data = c;
+  ev_timer_init(&c->closing_check, on_closing_check, 0, 0);
+  c->rd.data = c->wr.data = c->closing_check.data = c;
   set_int(fd, IPPROTO_TCP, TCP_NODELAY, 1);
   return c;
 }
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -80,13 +80,15 @@
 /* Bytes that are buffered and not yet written to the socket. */
 size_t pwtcp_pending(const pw_tcp *c);
 
-/* Capacity of the buffer for pending bytes, and how many buffered bytes have been written since the
-** start. */
+/* Capacity of the buffer for pending bytes. */
 size_t pwtcp_buffered(const pw_tcp *c);
 
+/* Bytes that the peer has acknowledged since the start. While it reads slowly, they rise long before the socket takes
+** more. */
+uint64_t pwtcp_acknowledged(const pw_tcp *c);
+
 /* Memory of the output buffers of connections that close once they are written. */
 size_t pwtcp_closing_buffered(const pw_tcp_loop *l);
-uint64_t pwtcp_written(const pw_tcp *c);
 
 /* Whether unread bytes wait in the socket. */
 int pwtcp_has_unread(const pw_tcp *c);
