What is asked of a message's headers has a file of its own; feed_head is shorter

pwh1.c parses, pwh1headers.c looks headers up and tells which concern one connection only. The checks of lines that the parser lets pass are one function, and a folded line is refused as soon as it has come.

--- a/packages/net/pwh1.c
+++ b/packages/net/pwh1.c
@@ -2,10 +2,7 @@
 #define _GNU_SOURCE
 #include "pwh1.h"
 
-#include "pwduration.h"
-
 #include <assert.h>
-#include <ctype.h>
 #include <string.h>
 #include <strings.h>
 
@@ -165,11 +162,19 @@
   return 0;
 }
 
-/* Whether a line of the head begins with a blank. Such a folded line continues the line before it; servers and
-** proxies read it differently (RFC 9112, 5.2). */
-static int has_folded_line(const pw_buf *head) {
-  return memmem(head->data, head->len, "\n ", 2) ||
-         memmem(head->data, head->len, "\n\t", 2);
+/* Whether one of the first n bytes begins a line with a blank. Such a folded line continues the line before it; servers
+** and proxies read it differently (RFC 9112, 5.2). `from`: bytes already searched. */
+static int has_folded_line(const pw_buf *head, size_t from, size_t n) {
+  size_t start = from > 0 ? from - 1 : 0; /* a line may have ended there */
+  return memmem(head->data + start, n - start, "\n ", 2) ||
+         memmem(head->data + start, n - start, "\n\t", 2);
+}
+
+/* Checks what the parser lets pass in the first n bytes of a head. `from`: bytes already checked. */
+static pw_h1_fault check_lines(const pw_buf *head, size_t from, size_t n) {
+  if (has_bare_line_feed(head, from, n))
+    return PWH1_BARE_LINE_FEED;
+  return has_folded_line(head, from, n) ? PWH1_FOLDED_LINE : PWH1_NO_FAULT;
 }
 
 static void run(pw_h1 *m, const char *data, size_t n, size_t *used) {
@@ -181,6 +186,19 @@
     fail(m, PWH1_SYNTAX); /* protocol upgrades are not supported */
 }
 
+/* Parses the head, which is complete with its first n bytes. */
+static void parse_head(pw_h1 *m, size_t n) {
+  size_t used;
+  m->head.len = n;
+  run(m, m->head.data, n, &used);
+  if (m->state == PWH1_HEAD)
+    fail(m, PWH1_SYNTAX);
+  if (m->state != PWH1_BAD && has_other_transfer_coding(m))
+    fail(m, PWH1_TRANSFER_CODING);
+  if (m->state == PWH1_BODY && !m->has_body && !m->to_eof)
+    m->state = PWH1_DONE;
+}
+
 static size_t feed_head(pw_h1 *m, const char *data, size_t n) {
   size_t skip = 0; /* empty lines before a message are ignored */
   while (m->head.len == 0 && skip < n && strchr("\r\n", data[skip]) &&
@@ -196,25 +214,14 @@
     m->state = PWH1_TOO_LARGE;
     return n;
   }
-  if (has_bare_line_feed(&m->head, before, length)) {
-    fail(m, PWH1_BARE_LINE_FEED);
+  pw_h1_fault fault = check_lines(&m->head, before, length);
+  if (fault) {
+    fail(m, fault);
     return n;
   }
   if (!end)
     return n;
-  m->head.len = end;
-  if (has_folded_line(&m->head)) {
-    fail(m, PWH1_FOLDED_LINE);
-    return n;
-  }
-  size_t used;
-  run(m, m->head.data, end, &used);
-  if (m->state == PWH1_HEAD)
-    fail(m, PWH1_SYNTAX);
-  if (m->state != PWH1_BAD && has_other_transfer_coding(m))
-    fail(m, PWH1_TRANSFER_CODING);
-  if (m->state == PWH1_BODY && !m->has_body && !m->to_eof)
-    m->state = PWH1_DONE;
+  parse_head(m, end);
   return skip + end - before;
 }
 
@@ -235,70 +242,3 @@
   if (m->state != PWH1_DONE)
     fail(m, PWH1_SYNTAX);
 }
-
-int pwh1_name_is(const pw_h1_header *h, const char *name) {
-  return strlen(name) == h->nname && !strncasecmp(h->name, name, h->nname);
-}
-
-const pw_h1_header *pwh1_find(const pw_h1 *m, const char *name) {
-  for (int i = 0; i < m->nheaders; i++)
-    if (pwh1_name_is(&m->header[i], name))
-      return &m->header[i];
-  return NULL;
-}
-
-int64_t pwh1_keep_alive_ms(const pw_h1 *m) {
-  static const char key[] = "timeout=";
-  const pw_h1_header *h = pwh1_find(m, "Keep-Alive");
-  const char *p = h ? memmem(h->value, h->nvalue, key, sizeof key - 1) : NULL;
-  if (!p)
-    return -1;
-  p += sizeof key - 1;
-  size_t n = 0;
-  while (p + n < h->value + h->nvalue && isdigit((unsigned char)p[n]))
-    n++;
-  return n ? pwduration_read(p, n) : -1;
-}
-
-void pwh1_write(pw_buf *out, const pw_h1_header *h) {
-  pwbuf_add(out, h->name, h->nname);
-  pwbuf_add(out, ": ", 2);
-  pwbuf_add(out, h->value, h->nvalue);
-  pwbuf_add(out, "\r\n", 2);
-}
-
-static int is_separator(char c) {
-  return c == ',' || c == ' ' || c == '\t';
-}
-
-/* Whether a Connection header lists this header among its options. */
-static int lists(const pw_h1_header *connection, const pw_h1_header *h) {
-  const char *p = connection->value, *end = p + connection->nvalue;
-  while (p < end) {
-    const char *from = p;
-    while (p < end && !is_separator(*p))
-      p++;
-    if ((size_t)(p - from) == h->nname && !strncasecmp(from, h->name, h->nname))
-      return 1;
-    while (p < end && is_separator(*p))
-      p++;
-  }
-  return 0;
-}
-
-static int is_listed_in_connection(const pw_h1 *m, const pw_h1_header *h) {
-  for (int i = 0; i < m->nheaders; i++)
-    if (pwh1_name_is(&m->header[i], "Connection") && lists(&m->header[i], h))
-      return 1;
-  return 0;
-}
-
-int pwh1_is_hop_by_hop(const pw_h1 *m, const pw_h1_header *h) {
-  static const char *const hop[] = {
-      "Connection",        "Keep-Alive", "Proxy-Connection", "TE",    "Trailer",
-      "Transfer-Encoding", "Upgrade",    "Content-Length",   "Expect"};
-  for (size_t i = 0; i < sizeof hop / sizeof hop[0]; i++)
-    if (pwh1_name_is(h, hop[i]))
-      return 1;
-  return is_listed_in_connection(m, h);
-}
--- a/packages/net/pwh1.h
+++ b/packages/net/pwh1.h
@@ -72,6 +72,8 @@
 /* The peer closed the connection: PWH1_DONE if that completes the message, else PWH1_BAD. */
 void pwh1_eof(pw_h1 *m);
 
+/* --- headers of a complete head (pwh1headers.c) --- */
+
 /* The first header of this name, or NULL. Names compare without case. */
 const pw_h1_header *pwh1_find(const pw_h1 *m, const char *name);
 
