Admission of a request at a gateway has a file of its own

pwexchange.c held the start of a request beside its end, its time limits and its answer. Route, workspace, urgency and limits stand in pwexadmit.c now; the code is moved, and what refuses ambiguous heads is one function.

--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -1,4 +1,4 @@
-/* pwexint.h: state of one exchange, private to pwexchange.c, pwexsend.c, pwexfail.c,
+/* pwexint.h: state of one exchange, private to pwexchange.c, pwexadmit.c, pwexsend.c, pwexfail.c,
 ** pwexcrash.c, pwexrecord.c, pwexprefix.c, pwexresume.c, pwexconfirm.c, pwexbody.c, pwevents.c and pwinflight.c. */
 #ifndef PWEXINT_H
 #define PWEXINT_H
@@ -153,9 +153,6 @@
 ** whether the exchange was ended. */
 int pwexi_end_late(pw_exchange *x, int64_t now);
 
-/* Counts the request at its service and dispatches it. */
-void pwexi_start(pw_exchange *x);
-
 /* Sets the timer of the exchange to expire after `ms`. */
 void pwexi_set_timer(pw_exchange *x, int64_t ms);
 
@@ -173,6 +170,15 @@
 /* Handles an answer that was cut although its message looks complete: the request is retried, or fails. */
 void pwexi_end_cut_answer(pw_exchange *x, int64_t now);
 
+/* --- pwexadmit.c --- */
+
+/* Finds the request's route, workspace and service and its limits in time; then starts it, waits for what it resumes,
+** or refuses it. */
+void pwexi_admit(pw_exchange *x);
+
+/* Counts the request at its service and dispatches it. */
+void pwexi_start(pw_exchange *x);
+
 /* --- pwexconfirm.c --- */
 
 /* Finds out whether the target of an answer that ended with its connection still runs. Returns 0 if that cannot be
