--- a/tests/scenarios/95_folded_lines.lua
+++ b/tests/scenarios/95_folded_lines.lua
@@ -48,6 +48,15 @@
 refused("a head that needs more memory than the first", 40, "GET", " x\r\nX-Pad: " .. ("p"):rep(3500) .. "\r\n")
 fleet.equal("the smuggled request", portal:ran("smuggled"), 0)
 
+-- A control instance reads requests with the same parser.
+local control = run.raw_open(g.control[1].health)
+run.raw_send(control, "GET /health/live HTTP/1.1\r\nHost: x\r\nX-Some-Longer-Name: 1\r\n\r\n")
+fleet.expect("control answers a sound request", run.raw_read(control, 5000, "live"):find("HTTP/1.1 200", 1, true))
+run.raw_send(control, "GET /health/live HTTP/1.1\r\nHost: x\r\n folded\r\n\r\n")
+local text, closed = run.raw_read(control, 5000)
+run.raw_close(control)
+fleet.expect("control refuses a folded line: " .. text, closed and text:find("^HTTP/1.1 400"))
+
 -- Answers: the caller of a safe request gets no part of one that is folded.
 for i = 1, 3 do
   fleet.equal("a sound answer", g:ask{path = "/safe/x", method = "GET"}.status, 200)
