--- a/packages/http/pwfetch.h
+++ b/packages/http/pwfetch.h
@@ -22,7 +22,8 @@
   const char *url;  /* "http://IP:PORT", or https */
   const char *ca;   /* https: file of the certificate to trust; NULL: the
                       system's authorities */
-  const char *host; /* of the Host header; NULL: that of the URL */
+  const char *host; /* of the Host header, beside a URL with an IPv4 address;
+                       NULL: that of the URL */
   const char *method;
   const char *path; /* with query */
   const pw_fetch_header *headers;
--- a/packages/net/pwh1.c
+++ b/packages/net/pwh1.c
@@ -42,7 +42,7 @@
   if (is_trailer(m))
     return 0;
   if (!m->has_name)
-    return -1; /* the entry still holds the name of an earlier message */
+    return -1; /* the array may still hold a name of an earlier message there */
   assert(lies_in_head(m, at, n));
   pw_h1_header *h = &m->header[m->nheaders++];
   m->has_name = 0;
--- a/packages/net/pwh1.h
+++ b/packages/net/pwh1.h
@@ -1,5 +1,6 @@
 /* pwh1.h: HTTP/1 messages, parsed by http-parser. A head is delivered complete, a body in pieces.
-** Trailer fields are dropped; a head with a folded line is malformed. Bytes after a message's end are not consumed. */
+** Trailer fields are dropped. A head that other parsers may read differently is malformed (pw_h1_fault).
+** Bytes after a message's end are not consumed. */
 #ifndef PWH1_H
 #define PWH1_H
 
@@ -47,7 +48,7 @@
   size_t nurl;
   pw_h1_header header[PWH1_HEADERS];
   int nheaders;
-  int has_name; /* the entry behind the last header has its name, not yet its value */
+  int has_name; /* header[nheaders] has its name, not yet its value */
   int has_body; /* a length that is not 0, or chunks */
   int keep;     /* the connection stays open after this message */
   int to_eof;   /* the body ends with the connection */
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -144,15 +144,14 @@
   return inet_pton(AF_INET, ip, &out->sin_addr) == 1 ? 0 : -1;
 }
 
-/* Bytes in the socket that the peer has not acknowledged. */
+/* Bytes in the socket that the peer has not acknowledged; the end of the stream counts as one. */
 static uint64_t unacknowledged(const pw_tcp *c) {
   int n = 0;
   return ioctl(c->fd, SIOCOUTQ, &n) == 0 && n > 0 ? (uint64_t)n : 0;
 }
 
 uint64_t pwtcp_acknowledged(const pw_tcp *c) {
-  uint64_t left =
-      unacknowledged(c); /* counts the end of the stream as a byte */
+  uint64_t left = unacknowledged(c);
   return left < c->written ? c->written - left : 0;
 }
 
