A target that stands still while a long body arrives is not reset

Callers: a request that may run once, with a body of 1 MB, gets 502 3004 when its target stands still for 2.5 s, though the target goes on a moment later.

Cause: the limit of 1.5 s without an acknowledgement is TCP_USER_TIMEOUT, which also counts the time for which the window of a live target is full, as in the fault of callers that read slowly. For a body of more than 32 KB, which may not fit into a receive buffer, the request's own time limits hold now.

--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -12,6 +12,10 @@
 
 #define CONNECT_MS 300 /* longest time to establish a connection, ms */
 #define SILENT_MS 1500 /* longest time without an acknowledgement, ms */
+
+/* A longer body, bytes, may not fit into the receive buffer of a target that does not read for a while. The request's own
+** time limits hold then in place of SILENT_MS, which would reset the target. */
+#define LONG_BODY (32 * 1024)
 #define HEAD_MAX 65536 /* largest head of an answer, bytes */
 
 /* Longest idle time of a connection if the target announces none, ms. */
@@ -35,6 +39,7 @@
   int64_t dialled_at; /* ms of pwtcp_clock */
   pw_buf out;         /* to be written once connected */
   int is_up;
+  int has_long_body; /* the current request has, and SILENT_MS does not hold */
   int was_reused; /* the current request is not the first on this connection */
   int has_received; /* bytes have come since the current request was sent */
   int is_stale; /* the answer of an earlier request, or a 1xx one, is skipped */
@@ -281,6 +286,13 @@
   return u;
 }
 
+static void limit_silence(pw_upconn *u, size_t body_bytes) {
+  int is_long = body_bytes > LONG_BODY;
+  if (is_long != u->has_long_body)
+    pwtcp_set_silent(u->tcp, is_long ? 0 : SILENT_MS);
+  u->has_long_body = is_long;
+}
+
 pw_upconn *pwupconn_send(pw_gate *g, pw_target *t, const pw_upconn_request *r,
                          const pw_upconn_callbacks *calls, void *arg) {
   pw_upconn *u = take_idle(t, r->max_idle_ms, pwclock_ms());
@@ -293,6 +305,7 @@
   u->has_received = 0;
   u->skipped = 0;
   u->answer.skip_body = r->is_head_only;
+  limit_silence(u, r->body->len);
   if (u->is_up) {
     pwtcp_write2(u->tcp, r->head->data, r->head->len, r->body->data,
                  r->body->len);
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -429,6 +429,10 @@
     ev_io_start(c->l->ev, &c->rd);
 }
 
+void pwtcp_set_silent(pw_tcp *c, int silent_ms) {
+  set_int(c->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, silent_ms);
+}
+
 /* --- opening --- */
 
 static pw_tcp *new_conn(pw_tcp_loop *l, int fd, const pw_tcp_callbacks *calls,
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -70,6 +70,9 @@
 pw_tcp *pwtcp_connect(pw_tcp_loop *l, const struct sockaddr_in *to,
                       int silent_ms, const pw_tcp_callbacks *calls, void *arg);
 
+/* Changes silent_ms; 0: the system's default. The kernel applies it to a peer with a full window as well, which is alive. */
+void pwtcp_set_silent(pw_tcp *c, int silent_ms);
+
 /* Writes now, or buffers until the socket is writable. */
 void pwtcp_write(pw_tcp *c, const void *data, size_t n);
 
