test_buflimits waits for the callers' last progress before its clock jumps

Since progress is the bytes that a caller has acknowledged, what its kernel takes between the last turn and the jump of the test's clock is progress, and the caller is reset one limit later.

The test waits until nothing more is acknowledged, and its clock leaves out stalls of the loop.

--- a/tests/test_buflimits.c
+++ b/tests/test_buflimits.c
@@ -104,6 +104,7 @@
 #define BUDGET (4 * MB) /* half of the memory, as buffers grow by doubling */
 #define BUFFER (8 * KB) /* kernel buffer of each connection */
 #define TURNS 20000
+#define SETTLE_MS 500
 
 typedef struct stream {
   pw_conn *c;
@@ -193,11 +194,12 @@
   }
 }
 
+/* `now` is the time by the clock of callers' limits, which leaves out for how long the loop stalled. */
 static void turn(bed *b, int64_t now) {
   char block[16 * KB];
   ev_run(b->ev, EVRUN_NOWAIT);
   feed(b);
-  size_t held = pwconns_close_stalled(&b->conns, now);
+  size_t held = pwconns_close_stalled(&b->conns, now + b->tcp.lag.lost_ms);
   b->hold = pwbuflimits_of(held, BUDGET);
   b->conns.read_ahead_max = b->hold.ahead;
   b->conns.stall_ms = b->hold.stall_ms;
@@ -216,6 +218,27 @@
   return 1;
 }
 
+/* Bytes that the callers that read nothing have acknowledged. */
+static uint64_t acknowledged(const bed *b) {
+  uint64_t sum = 0;
+  for (int i = 0; i < b->nstreams; i++)
+    if (b->stream[i].c)
+      sum += pwtcp_acknowledged(b->stream[i].c->tcp);
+  return sum;
+}
+
+/* Waits until they have acknowledged what they will: their kernel takes some bytes for a while after the last write, which
+** is progress. */
+static void settle(bed *b) {
+  uint64_t before, now = acknowledged(b);
+  do {
+    before = now;
+    poll(NULL, 0, SETTLE_MS);
+    turn(b, 1);
+    now = acknowledged(b);
+  } while (now != before);
+}
+
 /* Most callers read nothing: the others get their complete answers, and less
 ** than the memory is used; 128 KB for each would be three times as much. The clock
 ** does not advance until the readers have everything; then the callers that
@@ -236,6 +259,7 @@
   CHECK(b->most < 2 * BUDGET);
   CHECK(b->most > BUDGET / 2);
   CHECK(b->abandoned == 0);
+  settle(b);
   turn(b, 1 + b->conns.stall_ms);
   CHECK(b->abandoned == STOPPED);
   CHECK(b->conns.nstalled == STOPPED);
