--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -3,16 +3,15 @@
 #include "pwconn.h"
 
 #include "pwclock.h"
+#include "pwconnint.h"
 #include "pwconnmem.h"
 #include "pwlog.h"
 
-#include <errno.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 /* Bytes read ahead while a request is in progress, before reading pauses. */
 #define READ_AHEAD_MAX (256 * 1024)
@@ -24,36 +23,11 @@
 #define BODY_RETAIN_MAX (16 * 1024)
 #define MS_PER_S 1000.0
 
-/* To make room, one in so many idle connections is closed at a time. Each one closed costs its
-** caller a reconnect, so the share is small; but each search for the longest idle visits all of them, so
-** more than one is closed. */
-#define IDLE_CLOSE_FRACTION 8
-
-/* Retry interval of accept when no idle connection can be closed, ms. Another part of the process
-** may release a descriptor without notice; the end of a connection of this listener resumes
-** accepting at once. */
-#define ACCEPT_RETRY_MS 50
-
-#define LOG_INTERVAL_MS 1000 /* shortest time between log lines of one kind */
-
 static void parse(pw_conn *c, const char *data, size_t n);
 
 /* --- closing --- */
 
-/* Accepts callers again. Accepting stops while the listener is full; callers wait in the kernel's backlog
-** then. */
-static void resume_accepting(pw_conns *s) {
-  if (s->listening.fd >= 0 && !ev_is_active(&s->listening))
-    ev_io_start(s->tcp->ev, &s->listening);
-}
-
-typedef enum close_how {
-  CLOSE_AFTER_WRITE, /* once all output is written and the caller has closed, too */
-  CLOSE_AT_ONCE,     /* frees the descriptor now; all output has been written */
-  CLOSE_RESET
-} close_how;
-
-static void close_conn(pw_conn *c, close_how how) {
+void pwconni_close(pw_conn *c, pw_conn_close how) {
   if (c->is_closed)
     return;
   c->is_closed = 1;
@@ -73,7 +47,7 @@
   if (c->next)
     c->next->prev = c->prev;
   all->count--;
-  resume_accepting(all);
+  pwconni_resume_accepting(all);
   pwh1_free(&c->request);
   pwbuf_free(&c->body);
   pwbuf_free(&c->read_ahead);
@@ -82,7 +56,7 @@
 }
 
 void pwconn_abort(pw_conn *c) {
-  close_conn(c, CLOSE_RESET);
+  pwconni_close(c, CLOSE_RESET);
 }
 
 /* --- answers --- */
@@ -107,7 +81,7 @@
   c->is_busy = 0;
   c->state = NULL;
   if (ends_with_answer(c)) {
-    close_conn(c, CLOSE_AFTER_WRITE);
+    pwconni_close(c, CLOSE_AFTER_WRITE);
     return;
   }
   pwh1_reset(&c->request);
@@ -209,9 +183,7 @@
 
 #define NOT_RUN "Peatwell-Outcome: not-run\r\n"
 
-/* Refuses a request that is malformed or incomplete, and closes the connection. No handler has seen the
-** request, so it has not run. */
-static void refuse_and_close(pw_conn *c, pw_code code, const char *message) {
+void pwconni_refuse_and_close(pw_conn *c, pw_code code, const char *message) {
   c->close_next = 1;
   refuse(c, code, message, NOT_RUN);
 }
@@ -220,7 +192,8 @@
   pw_conns *s = c->all;
   const pw_memory *m = s->tcp->memory;
   int64_t now = pwclock_ms();
-  if (s->refused_logged_at && now - s->refused_logged_at < LOG_INTERVAL_MS)
+  if (s->refused_logged_at &&
+      now - s->refused_logged_at < PWCONN_LOG_INTERVAL_MS)
     return;
   s->refused_logged_at = now;
   pwlog(LOG_NOTICE, "memory-short",
@@ -230,8 +203,7 @@
         (long long)s->nrefused);
 }
 
-/* Refuses a request that is being received, for want of memory, and closes the connection. */
-static void refuse_for_memory(pw_conn *c) {
+void pwconni_refuse_for_memory(pw_conn *c) {
   char lines[80];
   c->all->nrefused++;
   log_refused_for_memory(c);
@@ -258,9 +230,9 @@
 /* Refuses a body that is longer than allowed, or than the memory available now. */
 static void refuse_body(pw_conn *c, pw_code fault) {
   if (fault == PW_E_TOO_LARGE)
-    refuse_and_close(c, fault, "the request body is over its limit");
+    pwconni_refuse_and_close(c, fault, "the request body is over its limit");
   else
-    refuse_for_memory(c);
+    pwconni_refuse_for_memory(c);
 }
 
 /* Reserves the memory of a body of a known length. */
@@ -290,9 +262,9 @@
 
 static void refuse_malformed(pw_conn *c) {
   pw_h1_fault fault = c->request.fault;
-  refuse_and_close(c,
-                   fault == PWH1_TRANSFER_CODING ? PW_E_CODING : PW_E_REQUEST,
-                   pwh1_fault_text(fault));
+  pwconni_refuse_and_close(
+      c, fault == PWH1_TRANSFER_CODING ? PW_E_CODING : PW_E_REQUEST,
+      pwh1_fault_text(fault));
 }
 
 /* Acts on the parser's state; returns 0 when parsing must stop for now. */
@@ -306,7 +278,7 @@
     refuse_malformed(c);
     return 0;
   case PWH1_TOO_LARGE:
-    refuse_and_close(c, PW_E_HEAD_TOO_LARGE, "");
+    pwconni_refuse_and_close(c, PW_E_HEAD_TOO_LARGE, "");
     return 0;
   case PWH1_DONE:
     c->is_busy = 1;
@@ -340,7 +312,7 @@
     c->request.head_max = c->all->limits.header_bytes;
   }
   if (before == PWH1_HEAD && !pwconnmem_takes_head(c, n)) {
-    refuse_for_memory(c);
+    pwconni_refuse_for_memory(c);
     return n;
   }
   size_t used = pwh1_feed(&c->request, data, n);
@@ -379,12 +351,10 @@
 
 static void on_ended(void *arg, pw_tcp_end how) {
   (void)how;
-  close_conn(arg, CLOSE_RESET);
+  pwconni_close(arg, CLOSE_RESET);
 }
 
-/* Whether no request is in progress or partly received. Unread bytes count as a request: after a stall of
-** the process a request may wait in the socket. */
-static int is_idle(const pw_conn *c) {
+int pwconni_is_idle(const pw_conn *c) {
   return !c->is_busy && c->request.state == PWH1_HEAD &&
          c->request.head.len == 0 && !pwtcp_has_unread(c->tcp);
 }
@@ -398,7 +368,7 @@
   if (!c->is_busy)
     c->since = pwtcp_clock(c->all->tcp);
   if (c->is_throttled && c->drops_input) {
-    close_conn(c, CLOSE_AFTER_WRITE);
+    pwconni_close(c, CLOSE_AFTER_WRITE);
     return;
   }
   if (c->is_throttled) {
@@ -406,8 +376,8 @@
     parse_read_ahead(c);
   }
   /* Left open, it would be reset at the end of the stop, with what the kernel still holds for the caller. */
-  if (c->all->is_stopping && !c->is_closed && is_idle(c))
-    close_conn(c, CLOSE_AFTER_WRITE);
+  if (c->all->is_stopping && !c->is_closed && pwconni_is_idle(c))
+    pwconni_close(c, CLOSE_AFTER_WRITE);
 }
 
 static void on_connected(void *arg) {
@@ -417,7 +387,7 @@
 static const pw_tcp_callbacks calls = {on_connected, on_data, on_ended,
                                        on_drained};
 
-static void add_conn(pw_conns *s, int fd) {
+void pwconni_add(pw_conns *s, int fd) {
   pw_conn *c = pw_alloc(sizeof *c);
   c->all = s;
   pwmemory_charge(s->tcp->memory, sizeof *c);
@@ -438,154 +408,6 @@
   c->tcp = pwtcp_accepted(s->tcp, fd, s->keys, &calls, c);
 }
 
-/* --- listening --- */
-
-static int by_since(const void *a, const void *b) {
-  int64_t x = (*(pw_conn *const *)a)->since;
-  int64_t y = (*(pw_conn *const *)b)->since;
-  return (x > y) - (x < y);
-}
-
-/* Lists the idle connections, the longest idle first, in an array that the caller frees; returns
-** their number. */
-static int list_idle(const pw_conns *s, pw_conn ***out) {
-  pw_conn **idle = pw_alloc(sizeof *idle * (size_t)(s->count + 1));
-  int n = 0;
-  for (pw_conn *c = s->first; c; c = c->next)
-    if (is_idle(c))
-      idle[n++] = c;
-  qsort(idle, (size_t)n, sizeof(pw_conn *), by_since);
-  *out = idle;
-  return n;
-}
-
-/* Closes the longest idle connections and frees their descriptors at once; returns how many. A
-** connection that waits for its caller to close keeps its descriptor for up to a second, and in
-** that time all idle connections would be closed one after another. */
-static int close_longest_idle(pw_conns *s) {
-  pw_conn **idle;
-  int n = list_idle(s, &idle);
-  int batch = (n + IDLE_CLOSE_FRACTION - 1) / IDLE_CLOSE_FRACTION;
-  for (int i = 0; i < batch; i++)
-    close_conn(idle[i],
-               pwtcp_pending(idle[i]->tcp) ? CLOSE_AFTER_WRITE : CLOSE_AT_ONCE);
-  free(idle);
-  return batch;
-}
-
-/* Whether the limit is reached. Closing connections count: they still have their descriptors. */
-static int is_full(const pw_conns *s) {
-  return s->max && s->count + s->tcp->nclosing >= s->max;
-}
-
-static int has_room(pw_conns *s) {
-  if (is_full(s))
-    close_longest_idle(s);
-  return !is_full(s);
-}
-
-/* Stops accepting until a connection ends or ACCEPT_RETRY_MS have passed; callers wait in the
-** kernel's backlog. */
-static void wait_for_room(pw_conns *s) {
-  ev_io_stop(s->tcp->ev, &s->listening);
-  pwtcp_timer(s->tcp, &s->accept_retry, ACCEPT_RETRY_MS);
-}
-
-static void on_accept_retry(struct ev_loop *ev, ev_timer *w, int events) {
-  (void)ev;
-  (void)events;
-  resume_accepting(w->data);
-}
-
-static void log_accept_failed(pw_conns *s, int err) {
-  int64_t now = pwclock_ms();
-  s->nfailed++;
-  if (s->failed_logged_at && now - s->failed_logged_at < LOG_INTERVAL_MS)
-    return;
-  pwlog(LOG_WARNING, "accept-failed",
-        "errno=%d connections=%d closing=%d times=%d", err, s->count,
-        s->tcp->nclosing, s->nfailed - s->nfailed_logged);
-  s->nfailed_logged = s->nfailed;
-  s->failed_logged_at = now;
-}
-
-static int lacks_descriptor(int err) {
-  return err == EMFILE || err == ENFILE;
-}
-
-static void take_or_close(pw_conns *s, int fd) {
-  if (s->takes && !s->takes(s->arg))
-    close(fd);
-  else
-    add_conn(s, fd);
-}
-
-static void on_listening(struct ev_loop *ev, ev_io *w, int events) {
-  (void)ev;
-  (void)events;
-  pw_conns *s = w->data;
-  int has_closed = 0;
-  while (has_room(s)) {
-    int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
-    if (fd >= 0) {
-      take_or_close(s, fd);
-      has_closed = 0;
-      continue;
-    }
-    int err = errno;
-    if (err == EAGAIN)
-      return;
-    if (err == EINTR || err == ECONNABORTED)
-      continue;
-    log_accept_failed(s, err);
-    if (has_closed || !lacks_descriptor(err) || close_longest_idle(s) == 0)
-      break;
-    has_closed = 1;
-  }
-  wait_for_room(s);
-}
-
-static void on_reap(struct ev_loop *ev, ev_prepare *w, int events) {
-  (void)ev;
-  (void)events;
-  pw_conns *s = w->data;
-  while (s->dead) {
-    pw_conn *c = s->dead;
-    s->dead = c->next;
-    pwmemory_release(s->tcp->memory, sizeof *c);
-    free(c);
-  }
-}
-
-void pwconns_start(pw_conns *s, int fd) {
-  ev_prepare_init(&s->reap, on_reap);
-  ev_io_init(&s->listening, on_listening, fd, EV_READ);
-  ev_timer_init(&s->accept_retry, on_accept_retry, 0, 0);
-  s->reap.data = s->listening.data = s->accept_retry.data = s;
-  ev_prepare_start(s->tcp->ev, &s->reap);
-  ev_io_start(s->tcp->ev, &s->listening);
-}
-
-void pwconns_stop_listening(pw_conns *s) {
-  if (!s->reap.data || s->listening.fd < 0)
-    return;
-  ev_io_stop(s->tcp->ev, &s->listening);
-  ev_timer_stop(s->tcp->ev, &s->accept_retry);
-  close(s->listening.fd);
-  s->listening.fd = -1;
-}
-
-void pwconns_end(pw_conns *s) {
-  if (!s->reap.data)
-    return; /* never started */
-  pwconns_stop_listening(s);
-  while (s->first)
-    pwconn_abort(s->first);
-  ev_prepare_stop(s->tcp->ev, &s->reap);
-  on_reap(s->tcp->ev, &s->reap, 0);
-  pwbuf_free(&s->chunk);
-}
-
 int pwconn_has_more(const pw_conn *c) {
   return c->unparsed > 0 || c->read_ahead.len > 0 || pwtcp_has_unread(c->tcp);
 }
@@ -594,85 +416,3 @@
   return c->request.nurl == strlen(path) &&
          !memcmp(c->request.url, path, c->request.nurl);
 }
-
-/* --- idle connections and slow requests --- */
-
-/* Whether the caller has not read all of its answer yet. If it reads nothing, pwconns_close_stalled resets
-** the connection. */
-static int has_pending_answer(const pw_conn *c) {
-  return c->all->stall_complete_ms && pwtcp_pending(c->tcp) > 0;
-}
-
-/* Closes a connection that was idle for too long, or refuses a request that arrives too slowly. `now` is a
-** time of pwtcp_clock: time in which the loop stalled does not count against a caller. */
-static void check_expiry(pw_conn *c, int64_t now) {
-  const pw_conn_limits *l = &c->all->limits;
-  if (c->is_busy)
-    return;
-  if (pwconnmem_gives_way(c, now)) {
-    refuse_for_memory(c);
-    return;
-  }
-  int64_t age = now - c->since;
-  int64_t header_ms = l->header_ms ? l->header_ms : l->idle_ms;
-  if (c->request.state == PWH1_HEAD && c->request.head.len == 0) {
-    if (age > l->idle_ms && is_idle(c) && !has_pending_answer(c))
-      close_conn(c, CLOSE_AFTER_WRITE);
-  } else if (c->request.state == PWH1_HEAD) {
-    if (age > header_ms)
-      refuse_and_close(c, PW_E_SLOW, "");
-  } else if (age > header_ms + l->idle_ms) {
-    refuse_and_close(c, PW_E_SLOW, "");
-  }
-}
-
-/* --- callers that do not read --- */
-
-/* Whether the caller has read nothing for too long; `now` is a time of pwtcp_clock. */
-static int has_stalled(pw_conn *c, int64_t now) {
-  uint64_t acked = pwtcp_pending(c->tcp) ? pwtcp_acknowledged(c->tcp) : 0;
-  if (pwtcp_pending(c->tcp) == 0 || acked != c->acked || !c->progress_at) {
-    c->acked = acked;
-    c->progress_at = now;
-  }
-  int64_t max = c->state ? c->all->stall_ms : c->all->stall_complete_ms;
-  return max && now - c->progress_at >= max;
-}
-
-static void log_stalled(pw_conns *s, const pw_conn *c, int64_t now) {
-  s->nstalled++;
-  if (s->stalled_logged_at && now - s->stalled_logged_at < LOG_INTERVAL_MS)
-    return;
-  s->stalled_logged_at = now;
-  pwlog(LOG_NOTICE, "caller-stalled",
-        "ms=%lld untaken_bytes=%zu times=%lld connections=%d",
-        (long long)(now - c->progress_at), pwtcp_pending(c->tcp),
-        (long long)s->nstalled, s->count);
-}
-
-void pwconns_close_stalled(pw_conns *s, int64_t at) {
-  int64_t now = pwlag_clock(&s->tcp->lag, at);
-  for (pw_conn *c = s->first, *next; c; c = next) {
-    next = c->next;
-    if (has_stalled(c, now)) {
-      log_stalled(s, c, now);
-      close_conn(c, CLOSE_RESET);
-    }
-  }
-}
-
-void pwconns_close_idle(pw_conns *s) {
-  for (pw_conn *c = s->first, *next; c; c = next) {
-    next = c->next;
-    if (is_idle(c))
-      close_conn(c, CLOSE_AFTER_WRITE);
-  }
-}
-
-void pwconns_close_expired(pw_conns *s, int64_t at) {
-  int64_t now = pwlag_clock(&s->tcp->lag, at);
-  for (pw_conn *c = s->first, *next; c; c = next) {
-    next = c->next;
-    check_expiry(c, now);
-  }
-}
