A closing connection discards a bounded number of bytes

Callers saw: nothing; a refused caller could go on sending at any rate for a second (256 of 256 MB in 105_refused_goes_on, gigabytes at full speed), which cost the process a core. Cause: input of a closing connection was read and discarded without a limit. Change: 16 MiB at most, the longest legal body of any listener by default; then it is not read any more.

--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -27,6 +27,10 @@
 /* Bytes of an output buffer that are kept once it is empty; a larger buffer is freed. */
 #define OUT_RETAIN_MAX (16 * 1024)
 
+/* Most input that a closing connection discards, bytes: the longest legal body of any listener by default, so that its
+** caller can send all of it and then read the refusal. */
+#define DISCARD_MAX (16UL * 1024 * 1024)
+
 /* How long a closing connection discards input, and interval of the checks whether its peer still reads, ms. */
 #define DRAIN_MS 1000
 
@@ -48,6 +52,7 @@
       drain_started_at; /* when input began to be discarded, by pwtcp_clock; 0: not yet */
   uint64_t closing_acked;   /* bytes acknowledged at the last check ... */
   int64_t closing_acked_at; /* ... and when they rose last, by pwtcp_clock */
+  size_t discarded; /* bytes of input discarded since the close began */
   ev_io rd, wr;
   pw_buf out;
   size_t out_at;    /* bytes of `out` already written */
@@ -286,10 +291,17 @@
   }
 }
 
+/* Discards input of a closing connection; above DISCARD_MAX it is not read any more, and its peer can send no more. */
+static void discard(pw_tcp *c, size_t n) {
+  c->discarded += n;
+  if (c->discarded > DISCARD_MAX)
+    ev_io_stop(c->l->ev, &c->rd);
+}
+
 static void deliver(pw_tcp *c, size_t n) {
   if (c->closing)
-    return;
-  if (c->tls)
+    discard(c, n);
+  else if (c->tls)
     read_tls(c, n);
   else
     c->calls->data(c->arg, c->l->read_buf, n);
