The ready and metrics addresses of a gateway have few connections; slow requests make room

Callers saw: with 900 half requests at a gateway's ready address 920 of 1,000 descriptors were held, so none was left for targets, control and logs, and the gateway could look dead to the platform. Cause: connections to these addresses had no limit, and a full listener without idle connections waited for the time limits of requests. Change: 48 connections at once to each, with small limits; a full listener refuses the requests that have been arriving for longest, a second at least, with 503 and Retry-After. Closing connections count for their own listener, not for all of the loop.

--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -28,6 +28,9 @@
 #define CHECK_MS 100      /* interval of checks of buffers and requests, ms */
 #define MS_PER_S 1000
 
+/* Connections at once to each of the addresses for readiness and metrics. */
+#define STATUS_CONNECTIONS 48
+
 /* Share of the file descriptors for connections of callers. */
 #define CALLERS_SHARE 0.6
 
@@ -101,6 +104,11 @@
 static const pw_conn_limits default_limits = {
     .header_bytes = 65536, .body_bytes = PW_BODY_MAX, .idle_ms = 15000};
 
+static const pw_conn_limits status_limits = {.header_bytes = 8192,
+                                             .body_bytes = 4096,
+                                             .header_ms = 3000,
+                                             .idle_ms = 15000};
+
 static int listen_at(pw_gate *g, pw_conns *s, const char *key, const char *addr,
                      pw_buf *err) {
   struct sockaddr_in at;
@@ -125,6 +133,14 @@
   return (int)(CALLERS_SHARE * (double)limit.rlim_cur);
 }
 
+/* The addresses for readiness and metrics are served when descriptors and memory are short, too, so that a crowd of
+** callers does not make the gateway look dead: they have few connections, whose requests are small. */
+static void reserve_status(pw_conns *s) {
+  s->max = STATUS_CONNECTIONS;
+  s->is_reserved = 1;
+  s->limits = status_limits;
+}
+
 static int listen_all(pw_gate *g, pw_buf *err) {
   const pw_settings *set = g->p->set;
   g->callers.max = callers_max();
@@ -138,6 +154,8 @@
     return -1;
   if (listen_at(g, &g->ready, "ready", set->gateway_ready, err) != 0)
     return -1;
+  reserve_status(&g->ready);
+  reserve_status(&g->metrics);
   return listen_at(g, &g->callers, "http", set->gateway_http, err);
 }
 
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -188,7 +188,7 @@
   refuse(c, code, message, NOT_RUN);
 }
 
-static void log_refused_for_memory(const pw_conn *c) {
+static void log_refused(const pw_conn *c, pw_conn_lack lack) {
   pw_conns *s = c->all;
   const pw_memory *m = s->tcp->memory;
   int64_t now = pwclock_ms();
@@ -196,21 +196,24 @@
       now - s->refused_logged_at < PWCONN_LOG_INTERVAL_MS)
     return;
   s->refused_logged_at = now;
-  pwlog(LOG_NOTICE, "memory-short",
+  pwlog(LOG_NOTICE, lack == LACKS_MEMORY ? "memory-short" : "connections-short",
         "held_bytes=%zu limit_bytes=%zu received_bytes=%zu connections=%d "
         "times=%lld",
-        pwmemory_used(m), m->limit, c->request.head.len + c->body.len, s->count,
-        (long long)s->nrefused);
+        pwmemory_used(m), m ? m->limit : 0, c->request.head.len + c->body.len,
+        s->count, (long long)s->nrefused);
 }
 
-void pwconni_refuse_for_memory(pw_conn *c) {
+void pwconni_refuse_busy(pw_conn *c, pw_conn_lack lack) {
   char lines[80];
   c->all->nrefused++;
-  log_refused_for_memory(c);
+  log_refused(c, lack);
   snprintf(lines, sizeof lines, NOT_RUN "Retry-After: %.3f\r\n",
            (double)pwconnmem_retry_ms(c->all) / MS_PER_S);
   c->close_next = 1;
-  refuse(c, PW_E_BUSY, "no memory for the request now", lines);
+  refuse(c, PW_E_BUSY,
+         lack == LACKS_MEMORY ? "no memory for the request now"
+                              : "no connection for a slow request now",
+         lines);
 }
 
 /* Keeps bytes of a body. Bytes that may not be kept are dropped, and body_fault tells why: the parser that calls this
@@ -232,7 +235,7 @@
   if (fault == PW_E_TOO_LARGE)
     pwconni_refuse_and_close(c, fault, "the request body is over its limit");
   else
-    pwconni_refuse_for_memory(c);
+    pwconni_refuse_busy(c, LACKS_MEMORY);
 }
 
 /* Reserves the memory of a body of a known length. */
@@ -312,7 +315,7 @@
     c->request.head_max = c->all->limits.header_bytes;
   }
   if (before == PWH1_HEAD && !pwconnmem_takes_head(c, n)) {
-    pwconni_refuse_for_memory(c);
+    pwconni_refuse_busy(c, LACKS_MEMORY);
     return n;
   }
   size_t used = pwh1_feed(&c->request, data, n);
@@ -406,6 +409,7 @@
   if (s->send_bytes)
     setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &s->send_bytes, sizeof s->send_bytes);
   c->tcp = pwtcp_accepted(s->tcp, fd, s->keys, &calls, c);
+  pwtcp_count_closing(c->tcp, &s->nclosing);
 }
 
 int pwconn_has_more(const pw_conn *c) {
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -25,7 +25,9 @@
 typedef struct pw_conns {
   pw_tcp_loop *tcp;
   pw_conn_limits limits;
-  int max; /* connections at once; 0: any number. Idle ones are closed to make room */
+  /* Connections at once; 0: any number. To make room idle ones are closed, or else requests that have been arriving for a
+  ** while are refused. */
+  int max;
   size_t read_ahead_max; /* bytes read ahead during a request; 0: a default */
   int is_reserved; /* few connections with small requests, which are served when memory is short, too */
 
@@ -44,6 +46,7 @@
 
   pw_conn *first;
   int count;
+  int nclosing; /* connections that wait for their callers to close; each still has its descriptor */
   int is_stopping; /* each answer closes its connection */
   ev_io listening;
   ev_timer accept_retry; /* retries accept */
@@ -52,7 +55,7 @@
   int64_t failed_logged_at; /* when that line was logged, ms */
   int64_t nstalled; /* connections reset because the caller read nothing */
   int64_t stalled_logged_at; /* when such a reset was last logged, ms */
-  int64_t nrefused;          /* requests refused for want of memory */
+  int64_t nrefused; /* requests refused for want of memory or of connections */
   int64_t refused_logged_at; /* when such a refusal was last logged, ms */
   ev_prepare reap;
   pw_conn *dead;
--- a/packages/net/pwconnaccept.c
+++ b/packages/net/pwconnaccept.c
@@ -9,10 +9,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-/* To make room, one in so many idle connections is closed at a time. Each one closed costs its
-** caller a reconnect, so the share is small; but each search for the longest idle visits all of them, so
-** more than one is closed. */
-#define IDLE_CLOSE_FRACTION 8
+/* To make room, one in so many idle connections is closed at a time, or of the requests that arrive slowly. Each one
+** closed costs its caller a reconnect, so the share is small; but each search for the longest visits all of them, so more
+** than one is closed. */
+#define CLOSE_FRACTION 8
 
 /* Retry interval of accept when no idle connection can be closed, ms. Another part of the process
 ** may release a descriptor without notice; the end of a connection of this listener resumes
@@ -24,32 +24,40 @@
     ev_io_start(s->tcp->ev, &s->listening);
 }
 
+/* A request that has been arriving for less than this is not refused to make room, ms. */
+#define ARRIVAL_MS 1000
+
 static int by_since(const void *a, const void *b) {
   int64_t x = (*(pw_conn *const *)a)->since;
   int64_t y = (*(pw_conn *const *)b)->since;
   return (x > y) - (x < y);
 }
 
-/* Lists the idle connections, the longest idle first, in an array that the caller frees; returns
-** their number. */
-static int list_idle(const pw_conns *s, pw_conn ***out) {
-  pw_conn **idle = pw_alloc(sizeof *idle * (size_t)(s->count + 1));
+/* Lists the connections that pass a test, those first that have been so for longest, in an array that the caller frees;
+** returns their number. */
+static int list_longest(const pw_conns *s, int (*test)(const pw_conn *c),
+                        pw_conn ***out) {
+  pw_conn **list = pw_alloc(sizeof *list * (size_t)(s->count + 1));
   int n = 0;
   for (pw_conn *c = s->first; c; c = c->next)
-    if (pwconni_is_idle(c))
-      idle[n++] = c;
-  qsort(idle, (size_t)n, sizeof(pw_conn *), by_since);
-  *out = idle;
+    if (test(c))
+      list[n++] = c;
+  qsort(list, (size_t)n, sizeof(pw_conn *), by_since);
+  *out = list;
   return n;
 }
 
+/* How many of n connections are closed at a time. */
+static int batch_of(int n) {
+  return (n + CLOSE_FRACTION - 1) / CLOSE_FRACTION;
+}
+
 /* Closes the longest idle connections and frees their descriptors at once; returns how many. A
 ** connection that waits for its caller to close keeps its descriptor for up to a second, and in
 ** that time all idle connections would be closed one after another. */
 static int close_longest_idle(pw_conns *s) {
   pw_conn **idle;
-  int n = list_idle(s, &idle);
-  int batch = (n + IDLE_CLOSE_FRACTION - 1) / IDLE_CLOSE_FRACTION;
+  int batch = batch_of(list_longest(s, pwconni_is_idle, &idle));
   for (int i = 0; i < batch; i++)
     pwconni_close(idle[i], pwtcp_pending(idle[i]->tcp) ? CLOSE_AFTER_WRITE
                                                        : CLOSE_AT_ONCE);
@@ -57,14 +65,30 @@
   return batch;
 }
 
+/* Whether a request has been arriving for a while and is not complete. */
+static int is_slow_to_arrive(const pw_conn *c) {
+  return !c->is_busy && !pwconni_is_idle(c) &&
+         !(c->request.state == PWH1_HEAD && c->request.head.len == 0) &&
+         pwtcp_clock(c->all->tcp) - c->since >= ARRIVAL_MS;
+}
+
+/* Refuses the requests that have been arriving for longest. Their connections close within a second or so. */
+static void refuse_slowest(pw_conns *s) {
+  pw_conn **slow;
+  int batch = batch_of(list_longest(s, is_slow_to_arrive, &slow));
+  for (int i = 0; i < batch; i++)
+    pwconni_refuse_busy(slow[i], LACKS_CONNECTIONS);
+  free(slow);
+}
+
 /* Whether the limit is reached. Closing connections count: they still have their descriptors. */
 static int is_full(const pw_conns *s) {
-  return s->max && s->count + s->tcp->nclosing >= s->max;
+  return s->max && s->count + s->nclosing >= s->max;
 }
 
 static int has_room(pw_conns *s) {
-  if (is_full(s))
-    close_longest_idle(s);
+  if (is_full(s) && close_longest_idle(s) == 0)
+    refuse_slowest(s);
   return !is_full(s);
 }
 
--- a/packages/net/pwconnint.h
+++ b/packages/net/pwconnint.h
@@ -25,8 +25,11 @@
 /* Refuses a request that no handler has seen, so it has not run, and closes the connection. */
 void pwconni_refuse_and_close(pw_conn *c, pw_code code, const char *message);
 
-/* The same for want of memory: the caller is told when to come back. */
-void pwconni_refuse_for_memory(pw_conn *c);
+/* What is lacking for a request that is being received. */
+typedef enum pw_conn_lack { LACKS_MEMORY, LACKS_CONNECTIONS } pw_conn_lack;
+
+/* The same for want of something: the caller is told when to come back. */
+void pwconni_refuse_busy(pw_conn *c, pw_conn_lack lack);
 
 /* Accepts callers again. Accepting stops while the listener is full; callers wait in the kernel's backlog
 ** then. */
--- a/packages/net/pwconnmem.h
+++ b/packages/net/pwconnmem.h
@@ -19,7 +19,7 @@
 ** arrived lately. To be asked at each sweep; `now`: a time of pwtcp_clock. */
 int pwconnmem_gives_way(pw_conn *c, int64_t now);
 
-/* When a caller that was refused for want of memory may come back, ms. */
+/* When a caller that was refused for want of memory or of connections may come back, ms. */
 int64_t pwconnmem_retry_ms(pw_conns *s);
 
 #endif
--- a/packages/net/pwconnsweep.c
+++ b/packages/net/pwconnsweep.c
@@ -17,7 +17,7 @@
   if (c->is_busy)
     return;
   if (pwconnmem_gives_way(c, now)) {
-    pwconni_refuse_for_memory(c);
+    pwconni_refuse_busy(c, LACKS_MEMORY);
     return;
   }
   int64_t age = now - c->since;
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -52,7 +52,8 @@
       drain_started_at; /* when input began to be discarded, by pwtcp_clock; 0: not yet */
   uint64_t closing_acked;   /* bytes acknowledged at the last check ... */
   int64_t closing_acked_at; /* ... and when they rose last, by pwtcp_clock */
-  size_t discarded; /* bytes of input discarded since the close began */
+  int *closing_count;       /* of the owner; NULL: none */
+  size_t discarded;         /* bytes of input discarded since the close began */
   ev_io rd, wr;
   pw_buf out;
   size_t out_at;    /* bytes of `out` already written */
@@ -185,6 +186,8 @@
       continue;
     *at = c->next;
     c->l->nclosing--;
+    if (c->closing_count)
+      (*c->closing_count)--;
     return;
   }
 }
@@ -267,6 +270,8 @@
   c->next = c->l->closing;
   c->l->closing = c;
   c->l->nclosing++;
+  if (c->closing_count)
+    (*c->closing_count)++;
   c->closing_acked = pwtcp_acknowledged(c);
   c->closing_acked_at = pwtcp_clock(c->l);
   pwtcp_timer(c->l, &c->closing_check, DRAIN_MS);
@@ -477,6 +482,10 @@
     ev_io_start(c->l->ev, &c->rd);
 }
 
+void pwtcp_count_closing(pw_tcp *c, int *count) {
+  c->closing_count = count;
+}
+
 void pwtcp_set_silent(pw_tcp *c, int silent_ms) {
   set_int(c->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, silent_ms);
 }
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -109,6 +109,10 @@
 /* Closes gracefully once all pending bytes are written. No callback runs any more. */
 void pwtcp_close_after_write(pw_tcp *c);
 
+/* Counts the connection in *count while it closes after its output is written. The counter must outlive the loop's
+** connections. */
+void pwtcp_count_closing(pw_tcp *c, int *count);
+
 /* Parses "IP:PORT"; returns 0 or -1. */
 int pwtcp_address(const char *text, struct sockaddr_in *out);
 
