An answer whose first line is not HTTP is none

Callers saw: the answer of a target in trouble with status 000 as 'HTTP/1.1 0 <unknown>', with its body; so too 020, 099, 600, 999, and 0200, HTTP/0.9 and HTTP/2.0 as 200; over agents as well. Cause: http-parser takes any number for a status, neon any three digits; nothing else looked at the line. Change: pwh1 refuses an answer that is not HTTP/1.0 or 1.1 with a status of 100 to 599 in three digits (PWH1_STATUS_LINE); pwfetch checks the same of what neon has read. The attempt fails like one whose answer was cut: repeated where the route allows it, else 502 with an unknown outcome.

--- a/packages/http/pwfetch.c
+++ b/packages/http/pwfetch.c
@@ -102,9 +102,17 @@
   return rc;
 }
 
+/* Whether an answer is HTTP/1.0 or 1.1 with a status of 100 to 599; neon takes any number of three digits. */
+static int is_http(const ne_status *st) {
+  return st->major_version == 1 && st->minor_version <= 1 && st->code >= 100 &&
+         st->code <= 599;
+}
+
 static pw_code read_answer(const pw_fetch *f, ne_request *req) {
   pw_fetch_head head = {req};
   const ne_status *st = ne_get_status(req);
+  if (!is_http(st))
+    return PW_E_CUT;
   if (f->on_head && f->on_head(f->arg, st->code, &head) != 0)
     return PW_E_CUT;
   char *block = pw_alloc(READ_BYTES);
--- a/packages/net/pwh1.c
+++ b/packages/net/pwh1.c
@@ -148,7 +148,9 @@
       [PWH1_SYNTAX] = "not HTTP/1.1 that can be read",
       [PWH1_BARE_LINE_FEED] = "a line of the head ends with LF alone",
       [PWH1_TRANSFER_CODING] = "a transfer coding other than chunked",
-      [PWH1_FOLDED_LINE] = "a header line begins with a blank"};
+      [PWH1_FOLDED_LINE] = "a header line begins with a blank",
+      [PWH1_STATUS_LINE] =
+          "the first line is not HTTP/1.0 or 1.1 with a status of 100 to 599"};
   return texts[fault];
 }
 
@@ -178,6 +180,25 @@
          memmem(head->data + start, n - start, "\n\t", 2);
 }
 
+static int is_digit(char c) {
+  return c >= '0' && c <= '9';
+}
+
+/* Whether a complete head begins with a status line as RFC 9112 has it, such as "HTTP/1.1 200 OK": the parser takes any
+** number for a status, and versions that do not exist. */
+static int has_status_line(const pw_buf *head) {
+  static const char start[] = "HTTP/1.";
+  enum { MINOR = sizeof start - 1, STATUS = MINOR + 2, END = STATUS + 3 };
+  const char *p = head->data;
+  if (head->len <= END || memcmp(p, start, MINOR) != 0)
+    return 0;
+  int has_version = p[MINOR] == '0' || p[MINOR] == '1';
+  int has_status = p[STATUS] >= '1' && p[STATUS] <= '5' &&
+                   is_digit(p[STATUS + 1]) && is_digit(p[STATUS + 2]);
+  return has_version && p[MINOR + 1] == ' ' && has_status &&
+         (p[END] == ' ' || p[END] == '\r');
+}
+
 /* Checks what the parser lets pass in the first n bytes of a head. `from`: bytes already checked. */
 static pw_h1_fault check_lines(const pw_buf *head, size_t from, size_t n) {
   if (has_bare_line_feed(head, from, n))
@@ -198,6 +219,10 @@
 static void parse_head(pw_h1 *m, size_t n) {
   size_t used;
   m->head.len = n;
+  if (m->parser.type == HTTP_RESPONSE && !has_status_line(&m->head)) {
+    fail(m, PWH1_STATUS_LINE);
+    return;
+  }
   run(m, m->head.data, n, &used);
   if (m->state == PWH1_HEAD)
     fail(m, PWH1_SYNTAX);
--- a/packages/net/pwh1.h
+++ b/packages/net/pwh1.h
@@ -34,6 +34,7 @@
   PWH1_BARE_LINE_FEED, /* a line of the head ends with LF alone */
   PWH1_TRANSFER_CODING, /* a transfer coding other than chunked, or a second one */
   PWH1_FOLDED_LINE,     /* a header line begins with a blank */
+  PWH1_STATUS_LINE, /* an answer that is not HTTP/1.0 or 1.1 with a status of 100 to 599 */
 } pw_h1_fault;
 
 /* One message. Pointers into `head` are valid until pwh1_reset. */
--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -34,6 +34,7 @@
   int hold_off_s; /* Retry-After of these refusals, seconds */
   int refused;
   int delay_ms;
+  char status_line[64]; /* first line of answers to calls; "" is that of 200 */
   char received
       [512]; /* head of the last request that was run or refused, as far as it fits */
 } service = {.lock = PTHREAD_MUTEX_INITIALIZER};
@@ -83,16 +84,31 @@
   return 1;
 }
 
-static void answer(int fd, const char *text) {
+static void answer_line(int fd, const char *first, const char *text) {
   char out[HEAD_MAX + 256];
   int n = snprintf(out, sizeof out,
-                   "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                   "%s\r\nContent-Type: text/plain\r\n"
                    "Content-Length: %zu\r\n\r\n%s",
-                   strlen(text), text);
+                   first, strlen(text), text);
   ssize_t done = write(fd, out, (size_t)n);
   (void)done;
 }
 
+static void answer(int fd, const char *text) {
+  answer_line(fd, "HTTP/1.1 200 OK", text);
+}
+
+/* Sets the first line of answers to calls from the URL, in which "+" stands for a blank. */
+static void set_status_line(const char *head) {
+  const char *from = strchr(head, '?') + 1;
+  size_t n = strcspn(from, " ");
+  n = n < sizeof service.status_line ? n : sizeof service.status_line - 1;
+  memcpy(service.status_line, from, n);
+  service.status_line[n] = 0;
+  for (char *c = service.status_line; *c; c++)
+    *c = *c == '+' ? ' ' : *c;
+}
+
 static int number(const char *s, const char *name, int old) {
   const char *p = strstr(s, name);
   return p ? atoi(p + strlen(name)) : old;
@@ -117,6 +133,11 @@
     answer(fd, "{}");
     return 1;
   }
+  if (strstr(head, " /status_line?")) {
+    set_status_line(head);
+    answer(fd, "{}");
+    return 1;
+  }
   if (strstr(head, " /received ")) {
     answer(fd, service.received);
     return 1;
@@ -152,7 +173,10 @@
     return 0;
   }
   snprintf(text, sizeof text, "receipt for [%.4000s]", body);
-  answer(fd, text);
+  if (service.status_line[0])
+    answer_line(fd, service.status_line, text);
+  else
+    answer(fd, text);
   return 1;
 }
 
--- a/tests/test_h1.c
+++ b/tests/test_h1.c
@@ -239,6 +239,44 @@
     }
 }
 
+/* It guards against this failure: a target in trouble answers with status 000, which its caller gets as an answer. */
+static void test_status_lines(void) {
+  static const char *const good[] = {
+      "HTTP/1.1 200 OK",         "HTTP/1.0 200 OK",
+      "HTTP/1.1 200 ",           "HTTP/1.1 200",
+      "HTTP/1.1 599 X",          "HTTP/1.1 100 X",
+      "HTTP/1.1 299 a (b) \"c\""};
+  static const char *const bad[] = {
+      "HTTP/1.1 000 X",  "HTTP/1.1 000",    "HTTP/1.1 020 X",
+      "HTTP/1.1 099 X",  "HTTP/1.1 600 X",  "HTTP/1.1 999 X",
+      "HTTP/1.1 0200 X", "HTTP/1.1 2000 X", "HTTP/1.1 20 X",
+      "HTTP/1.1 20",     "HTTP/1.1 200X",   "HTTP/0.9 200 X",
+      "HTTP/2.0 200 X",  "HTTP/1.2 200 X",  "HTTP/1.10 200 X",
+      "HTTP/01.1 200 X", "HTTP/1.1  200 X", "HTTP/1.1 +20 X",
+      "HTTP/1.1 -20 X",  "HTTP/1.1 2.0 X",  "ICY 200 X",
+      "HTTP/1.1\t200 X", "HTTP/1.1",        "H"};
+  for (size_t step = 1; step <= 100; step += 99) {
+    for (size_t i = 0; i < sizeof good / sizeof good[0]; i++) {
+      char text[100];
+      snprintf(text, sizeof text, "%s\r\nContent-Length: 0\r\n\r\n", good[i]);
+      pw_h1 m;
+      pwh1_init(&m, HTTP_RESPONSE, 1000);
+      feed(&m, text, step);
+      CHECK(m.state == PWH1_DONE);
+      pwh1_free(&m);
+    }
+    for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++) {
+      char text[100];
+      snprintf(text, sizeof text, "%s\r\nContent-Length: 0\r\n\r\n", bad[i]);
+      pw_h1 m;
+      pwh1_init(&m, HTTP_RESPONSE, 1000);
+      feed(&m, text, step);
+      CHECK(m.state == PWH1_BAD && m.fault == PWH1_STATUS_LINE);
+      pwh1_free(&m);
+    }
+  }
+}
+
 static void test_h1_answers(void) {
   pw_h1 m;
   pw_buf body = {0};
@@ -463,6 +501,7 @@
   TEST(test_smuggling);
   TEST(test_connection_options);
   TEST(test_trailers_are_dropped);
+  TEST(test_status_lines);
   TEST(test_folded_lines);
   TEST(test_bare_line_feeds);
   TEST(test_transfer_codings);
