The end of a connection ends no answer before the target has the request

Callers saw: part of an answer as a complete 200, when a target answered a long upload at once without a length, sent a part and a FIN, and reset the connection a second later. Cause: the end of the connection counted as the end of such an answer whatever of the request was received. Change: it fails the attempt while bytes of the request are unwritten or unacknowledged. What a target has received it acknowledges with its FIN at the latest.

--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -198,9 +198,16 @@
   }
 }
 
+/* Whether the end of the connection may be the end of an answer. A target that ends it before it has received all of the
+** request has not answered the request. */
+static int may_end_answer(const pw_upconn *u, pw_tcp_end how) {
+  return how == PWTCP_EOF && u->calls && !u->is_stale &&
+         !pwtcp_has_unacknowledged(u->tcp);
+}
+
 static void on_ended(void *arg, pw_tcp_end how) {
   pw_upconn *u = arg;
-  if (how == PWTCP_EOF && u->calls && !u->is_stale) {
+  if (may_end_answer(u, how)) {
     pwh1_eof(&u->answer);
     if (u->answer.state == PWH1_DONE) {
       u->answer.keep = 0;
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -228,7 +228,7 @@
   return now - c->closing_acked_at;
 }
 
-static int has_unacknowledged(const pw_tcp *c) {
+int pwtcp_has_unacknowledged(const pw_tcp *c) {
   return pwtcp_pending(c) > 0 || unacknowledged(c) > 0;
 }
 
@@ -242,9 +242,9 @@
   pw_tcp *c = w->data;
   int64_t drained_ms =
       c->drain_started_at ? pwtcp_clock(c->l) - c->drain_started_at : 0;
-  if (has_unacknowledged(c) && closing_idle_ms(c) >= LINGER_MS)
+  if (pwtcp_has_unacknowledged(c) && closing_idle_ms(c) >= LINGER_MS)
     pwtcp_close(c, 1);
-  else if (has_unacknowledged(c))
+  else if (pwtcp_has_unacknowledged(c))
     pwtcp_timer(c->l, w, DRAIN_MS);
   else if (drained_ms >= DRAIN_MS)
     pwtcp_close(c, 0);
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -90,6 +90,9 @@
 /* Bytes that are not yet written to the socket. */
 size_t pwtcp_pending(const pw_tcp *c);
 
+/* Whether bytes that were written have not been acknowledged by the peer yet. */
+int pwtcp_has_unacknowledged(const pw_tcp *c);
+
 /* Bytes that the peer has acknowledged since the start. While it reads slowly, they rise long before the socket takes
 ** more. */
 uint64_t pwtcp_acknowledged(const pw_tcp *c);
