Bytes that the kernel holds for callers that are not read are bounded and charged

Callers saw: a crowd that sends requests ahead could take a gateway of 32 MB to 44 to 77 MB, 16 to 56 MB of it unread in the kernel, which counts as the process's memory (110_pipelining_crowd, on and after). Cause: a reader that is paused at the limit of read-ahead leaves up to megabytes in its receive buffer, which the kernel grows by itself; the account did not know of it. Change: a receive buffer of 128 KB, charged while reading is paused. Without room for read-ahead and such a buffer bytes are dropped as they come, 16 MiB at most, and the answer in progress closes the connection.

--- a/Makefile
+++ b/Makefile
@@ -165,7 +165,7 @@
 # Fuzzes the parsers of outside input, with a fixed seed and number of runs.
 FUZZ_SOURCES = tests/fuzz/fuzz_parsers.c packages/wire/peatwell.pb-c.c packages/wire/pwpb.c \
   $(wildcard packages/store/*.c packages/consensus/*.c packages/core/*.c) \
-  $(addprefix packages/policy/,pwcache.c pwchat.c pwquarantine.c pwpartrow.c pwparts.c) packages/daemon/pwsuspects.c packages/daemon/pwpartsmsg.c packages/agent/pwkvfeed.c packages/http/pwfetch.c \
+  $(addprefix packages/policy/,pwbuflimits.c pwcache.c pwchat.c pwquarantine.c pwpartrow.c pwparts.c) packages/daemon/pwsuspects.c packages/daemon/pwpartsmsg.c packages/agent/pwkvfeed.c packages/http/pwfetch.c \
   packages/gateway/pwgossipmsg.c packages/membership/pwloads.c \
   $(wildcard packages/net/*.c packages/site/*.c platform/*.c)
 FUZZ_FLAGS = -g -O1 -fsanitize=fuzzer,address,undefined
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -27,6 +27,18 @@
 
 /* --- closing --- */
 
+/* Pauses or resumes reading. While nothing is read, what the kernel may hold counts as memory of the process. */
+static void set_paused(pw_conn *c, int is_paused) {
+  if (is_paused == c->is_paused)
+    return;
+  c->is_paused = is_paused;
+  pwtcp_pause(c->tcp, is_paused);
+  if (is_paused)
+    pwmemory_charge(c->all->tcp->memory, PWTCP_RECEIVE_BYTES);
+  else
+    pwmemory_release(c->all->tcp->memory, PWTCP_RECEIVE_BYTES);
+}
+
 void pwconni_close(pw_conn *c, pw_conn_close how) {
   if (c->is_closed)
     return;
@@ -48,6 +60,7 @@
     c->next->prev = c->prev;
   all->count--;
   pwconni_resume_accepting(all);
+  set_paused(c, 0);
   pwh1_free(&c->request);
   pwbuf_free(&c->body);
   pwbuf_free(&c->read_ahead);
@@ -101,7 +114,7 @@
     return;
   pw_buf read_ahead = c->read_ahead;
   c->read_ahead = (pw_buf){.memory = read_ahead.memory};
-  pwtcp_pause(c->tcp, 0);
+  set_paused(c, 0);
   parse(c, read_ahead.data, read_ahead.len);
   pwbuf_free(&read_ahead);
 }
@@ -292,19 +305,25 @@
   }
 }
 
-/* Keeps bytes that follow the request in progress. Without memory for them they are dropped, and the answer closes the
-** connection: requests in them were not read. */
+/* Drops bytes that follow the request in progress. Requests in them are not read, and the answer closes the
+** connection. */
+static void drop_input(pw_conn *c, size_t n) {
+  c->drops_input = 1;
+  c->dropped += c->read_ahead.len + n;
+  pwbuf_free(&c->read_ahead);
+  set_paused(c, c->dropped > PWTCP_DISCARD_MAX);
+}
+
+/* Keeps bytes that follow the request in progress, if there is memory for them. */
 static void buffer_read_ahead(pw_conn *c, const char *data, size_t n) {
   size_t max = c->all->read_ahead_max ? c->all->read_ahead_max : READ_AHEAD_MAX;
   if (c->drops_input || !pwconnmem_takes_ahead(c, n)) {
-    c->drops_input = 1;
-    pwbuf_free(&c->read_ahead);
-    pwtcp_pause(c->tcp, 1);
+    drop_input(c, n);
     return;
   }
   pwbuf_add(&c->read_ahead, data, n);
   if (c->read_ahead.len > max)
-    pwtcp_pause(c->tcp, 1);
+    set_paused(c, 1);
 }
 
 /* Parses bytes until a request is complete and handled; returns how many were used. */
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -76,6 +76,8 @@
   int is_closed; /* the connection is freed in the next iteration of the event loop */
   int close_next;   /* the answer closes the connection */
   int is_throttled; /* the next request waits until the caller has read more */
+  int is_paused;    /* nothing is read; what the kernel may hold is charged */
+  size_t dropped;   /* bytes of input dropped */
   int drops_input; /* bytes after the request in progress are not kept; it is the last one */
   size_t body_max;    /* limit of the body being received, bytes */
   pw_code body_fault; /* why the rest of the body is not kept; PW_OK: it is */
--- a/packages/net/pwconnmem.c
+++ b/packages/net/pwconnmem.c
@@ -62,8 +62,10 @@
 }
 
 int pwconnmem_takes_ahead(const pw_conn *c, size_t n) {
+  /* Reading may pause after these bytes; what the kernel then holds counts as well. */
   return c->all->is_reserved ||
-         growth(&c->read_ahead, n) <= pwmemory_buffer_left(memory_of(c));
+         growth(&c->read_ahead, n) + PWTCP_RECEIVE_BYTES <=
+             pwmemory_buffer_left(memory_of(c));
 }
 
 /* Notes the bytes that have arrived; returns for how long there has been no progress, ms. */
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -27,10 +27,6 @@
 /* Bytes of an output buffer that are kept once it is empty; a larger buffer is freed. */
 #define OUT_RETAIN_MAX (16 * 1024)
 
-/* Most input that a closing connection discards, bytes: the longest legal body of any listener by default, so that its
-** caller can send all of it and then read the refusal. */
-#define DISCARD_MAX (16UL * 1024 * 1024)
-
 /* How long a closing connection discards input, and interval of the checks whether its peer still reads, ms. */
 #define DRAIN_MS 1000
 
@@ -150,6 +146,7 @@
   if (fd < 0)
     return -1;
   set_int(fd, SOL_SOCKET, SO_REUSEADDR, 1);
+  set_int(fd, SOL_SOCKET, SO_RCVBUF, PWTCP_RECEIVE_BYTES);
   if (bind(fd, (const struct sockaddr *)at, sizeof *at) == 0 &&
       listen(fd, BACKLOG) == 0)
     return fd;
@@ -296,10 +293,10 @@
   }
 }
 
-/* Discards input of a closing connection; above DISCARD_MAX it is not read any more, and its peer can send no more. */
+/* Discards input of a closing connection; above PWTCP_DISCARD_MAX it is not read any more, and its peer can send no more. */
 static void discard(pw_tcp *c, size_t n) {
   c->discarded += n;
-  if (c->discarded > DISCARD_MAX)
+  if (c->discarded > PWTCP_DISCARD_MAX)
     ev_io_stop(c->l->ev, &c->rd);
 }
 
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -16,6 +16,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Kernel receive buffer of an accepted connection, bytes: what a peer can send that is not read. The kernel's own default
+** grows to megabytes. It still lets a caller 50 ms away send 2.5 MB a second. */
+#define PWTCP_RECEIVE_BYTES (128 * 1024)
+
+/* Most input that is discarded for a peer that cannot be served any more, bytes: the longest legal body of any listener by
+** default, so that its caller can send all of it and then read the refusal. */
+#define PWTCP_DISCARD_MAX (16UL * 1024 * 1024)
+
 typedef struct pw_tcp pw_tcp;
 
 /* How a connection ended. */
--- a/tests/scenarios/crowds.lua
+++ b/tests/scenarios/crowds.lua
@@ -102,11 +102,13 @@
   end
 end
 
+crowds.unread_bytes, crowds.wait_read = unread_bytes, wait_read
+
 -- Makes the process's highest memory start anew.
-local function reset_peak(p) fleet.write("/proc/" .. p.pid .. "/clear_refs", "5") end
+function crowds.reset_peak(p) fleet.write("/proc/" .. p.pid .. "/clear_refs", "5") end
 
 -- The process's highest memory since then, KB.
-local function peak_kb(p)
+function crowds.peak_kb(p)
   return tonumber(fleet.read("/proc/" .. p.pid .. "/status"):match("VmHWM:%s*(%d+) kB"))
 end
 
@@ -138,7 +140,7 @@
   for _, kind in ipairs(crowds.kinds) do
     local what = kind.name .. " at " .. o.process.name
     if not (o.only and not o.only(kind)) then
-      reset_peak(o.process)
+      crowds.reset_peak(o.process)
       local conns = crowds.open(o.address, o.callers)
       kind.send(conns, o.head, kind.tiny and o.tiny_body or o.body)
       wait_read(o.address)
@@ -149,7 +151,7 @@
       crowds.close(conns)
       fleet.eventually(what .. ": an ordinary request afterwards is answered", o.is_served)
       fleet.equal(what .. ": the process lives", run.wait(o.process.pid, 0), nil)
-      local kb = peak_kb(o.process)
+      local kb = crowds.peak_kb(o.process)
       if not run.bin:find("san") then
         fleet.expect(what .. ": memory: " .. kb .. " kB", kb <= o.memory_mb * 1024)
       end
