A text with too many JSON values is refused before it is read

Cause: a value takes 40 to 250 bytes once it is read, whatever its length in the text. Change: pwjson_read estimates the memory of the values from the text and refuses above 32 MB, some 200,000 members; all readers of callers' bodies use it.

--- a/packages/control/pwapi.c
+++ b/packages/control/pwapi.c
@@ -3,6 +3,7 @@
 #include "pwapi.h"
 
 #include "pwbuf.h"
+#include "pwjson.h"
 #include "pwview.h"
 
 #include <sodium.h>
@@ -146,7 +147,7 @@
   const char *body = pwserve_body(h, &n);
   const char *why = NULL;
   json_error_t e = {0};
-  json_t *doc = n ? json_loadb(body, n, JSON_REJECT_DUPLICATES, &e) : NULL;
+  json_t *doc = n ? pwjson_read(body, n, 0, &e) : NULL;
   c->change = new_change(h);
   if (!strcmp(pwserve_method(h), "DELETE")) {
     Pw__Put *p = new_put(c->kind, c->name);
@@ -218,7 +219,8 @@
     return PW_OK;
   if (strcmp(method, "PUT") != 0)
     return PW_E_PATH;
-  json_t *doc = json_loadb(body, n, JSON_REJECT_DUPLICATES, NULL);
+  json_error_t e;
+  json_t *doc = pwjson_read(body, n, 0, &e);
   const char *why = json_is_object(doc) ? read_order(doc, &c->order)
                                         : "a JSON object is needed";
   json_decref(doc);
--- a/packages/entry/pwrequest.c
+++ b/packages/entry/pwrequest.c
@@ -3,10 +3,10 @@
 
 #include "pwbuf.h"
 #include "pwfingerprint.h"
+#include "pwjson.h"
 #include "pwplace.h"
 
 #include <ctype.h>
-#include <jansson.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -208,7 +208,7 @@
              PW_JSON_DEPTH);
     return PW_E_BODY;
   }
-  json_t *doc = json_loadb(c->body, c->body_len, JSON_REJECT_DUPLICATES, &e);
+  json_t *doc = pwjson_read(c->body, c->body_len, 0, &e);
   if (!doc) {
     snprintf(message, cap,
              "request body: invalid JSON at line %d column %d: %.100s", e.line,
