Answers that nobody reads do not fill the memory of control instances and entries

Cause: only gateways disconnected callers that read nothing. Change: pwserve does so while memory is short, and refuses a long answer to a GET with 503 and Retry-After if there is no memory for it.

--- a/packages/http/pwserve.c
+++ b/packages/http/pwserve.c
@@ -3,6 +3,7 @@
 #define _GNU_SOURCE
 #include "pwserve.h"
 
+#include "pwbuflimits.h"
 #include "pwclock.h"
 #include "pwconn.h"
 
@@ -25,6 +26,8 @@
 
 /* Bytes that wait to be written; above that a stream pauses. */
 #define PENDING_MAX (32 * 1024)
+/* An answer of no more bytes than this is given also when memory is short. */
+#define SMALL_REPLY (16 * 1024)
 #define SWEEP_S 0.25 /* interval of checks for idle connections, s */
 #define MS_PER_S 1000
 
@@ -253,9 +256,19 @@
   return c;
 }
 
+/* Whether there is memory for the answer, should its caller not read it. The answer to a request that changes something is
+** always given. */
+static int has_room_for_reply(const pw_http *h) {
+  return h->body.len <= SMALL_REPLY || strcmp(h->method, "GET") != 0 ||
+         h->body.len <= pwmemory_buffer_left(h->l->tcp.memory);
+}
+
 static void reply(pw_http *h) {
   pw_conn *c = detach_conn(h);
-  pwconn_answer(c, h->status, lines_of(h), h->body.data, h->body.len);
+  if (!has_room_for_reply(h))
+    pwconn_refuse_for_memory(c, "no memory for the answer now");
+  else
+    pwconn_answer(c, h->status, lines_of(h), h->body.data, h->body.len);
   finish(h, 1);
 }
 
@@ -380,10 +393,24 @@
   handle_notification(w->data);
 }
 
+/* Callers that read nothing are disconnected only while memory is short. */
+static void limit_stalls(loop *l) {
+  const pw_memory *m = l->tcp.memory;
+  l->conns.stall_ms = l->conns.stall_complete_ms = 0;
+  if (!pwmemory_is_short(m))
+    return;
+  pw_buflimits limits =
+      pwbuflimits_of(pwmemory_used(m), pwmemory_buffer_limit(m));
+  l->conns.stall_ms = limits.stall_ms;
+  l->conns.stall_complete_ms = limits.stall_complete_ms;
+}
+
 static void on_sweep(struct ev_loop *ev, ev_timer *w, int events) {
   (void)ev;
   (void)events;
   loop *l = w->data;
+  limit_stalls(l);
+  pwconns_close_stalled(&l->conns, pwclock_ms());
   pwconns_close_expired(&l->conns, pwclock_ms());
 }
 
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -201,8 +201,10 @@
   refuse(c, code, message, NOT_RUN);
 }
 
-static void log_refused(const pw_conn *c, pw_conn_lack lack) {
+/* Counts and logs a refusal; at most one line a second. */
+static void note_refused(const pw_conn *c, pw_conn_lack lack) {
   pw_conns *s = c->all;
+  s->nrefused++;
   const pw_memory *m = s->tcp->memory;
   int64_t now = pwclock_ms();
   if (s->refused_logged_at &&
@@ -218,8 +220,7 @@
 
 void pwconni_refuse_busy(pw_conn *c, pw_conn_lack lack) {
   char lines[80];
-  c->all->nrefused++;
-  log_refused(c, lack);
+  note_refused(c, lack);
   snprintf(lines, sizeof lines, NOT_RUN "Retry-After: %.3f\r\n",
            (double)pwconnmem_retry_ms(c->all) / MS_PER_S);
   c->close_next = 1;
@@ -229,6 +230,11 @@
          lines);
 }
 
+void pwconn_refuse_for_memory(pw_conn *c, const char *message) {
+  note_refused(c, LACKS_MEMORY);
+  pwconn_refuse(c, PW_E_BUSY, message, pwconnmem_retry_ms(c->all));
+}
+
 /* Keeps bytes of a body. Bytes that may not be kept are dropped, and body_fault tells why: the parser that calls this
 ** cannot be ended here. */
 static void on_body(void *arg, const char *data, size_t n) {
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -117,6 +117,9 @@
 void pwconn_refuse(pw_conn *c, pw_code code, const char *message,
                    int64_t retry_ms);
 
+/* Refuses a complete request for want of memory for its answer. */
+void pwconn_refuse_for_memory(pw_conn *c, const char *message);
+
 /* Begins an answer of unknown length, sends a piece of its body, ends it. */
 void pwconn_begin(pw_conn *c, int status, const char *lines);
 void pwconn_write(pw_conn *c, const char *data, size_t n);
