--- a/packages/site/pwsite.c
+++ b/packages/site/pwsite.c
@@ -343,7 +343,7 @@
 }
 
 int pwsite_has_workspaces(const pw_site *s) {
-  return s->p.nworkspaces > 0;
+  return s->p.has_workspaces;
 }
 
 int pwsite_services(const pw_site *s) {
--- a/packages/site/pwsite.h
+++ b/packages/site/pwsite.h
@@ -86,6 +86,7 @@
   int nservices;
   pw_site_route *route;
   int nroutes;
+  int has_workspaces; /* the document lists its workspaces; the list may be empty */
   pw_site_workspace *workspace;
   int nworkspaces;
   char **key;         /* keys of callers */
@@ -136,7 +137,7 @@
                                           size_t nkey);
 int pwsite_workspace_index(const pw_site *s, const pw_site_workspace *w);
 
-/* Whether there are workspaces; without any, callers need no key. */
+/* Whether the document lists its workspaces, if only none. If it does not, callers need no key. */
 int pwsite_has_workspaces(const pw_site *s);
 
 const pw_site_service *pwsite_service(const pw_site *s, int i);
