--- a/packages/core/pwset.c
+++ b/packages/core/pwset.c
@@ -66,7 +66,7 @@
     INT("instance", "stop_limit_ms", stop_limit, 100, 3600000, 60000, "ms",
         "longest a planned stop waits for requests in progress"),
     INT("instance", "memory_mb", memory, 8, 1000000, 256, "MB",
-        "that the process may have; half of it for its connections, an eighth "
+        "that the process may have; half of it for its connections, a tenth "
         "for one request body; gateways have gateway.memory_mb in its place"),
     STR("entry", "http", entry_http, NULL, NULL, "entry",
         "IP:PORT where callers are served"),
@@ -157,7 +157,7 @@
          "to"),
     INT("gateway", "memory_mb", gateway_memory, 8, 1000000, 512, "MB",
         "that the process may have; half of it for connections and what "
-        "callers and targets have not taken yet, an eighth for one request "
+        "callers and targets have not taken yet, a tenth for one request "
         "body"),
     INT("gateway", "await_ms", gateway_await, 0, 60000, 1500, "ms",
         "a request that comes before a configuration waits so long at most"),
--- a/tests/soak.lua
+++ b/tests/soak.lua
@@ -32,7 +32,10 @@
 local RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_MS = 0.2, 20, 10000
 -- From seed 8000 on: series of replaced control instances.
 local HAS_REPLACED = SEED >= 8000
-local g = gateways.new{control = HAS_REPLACED and 5 or 3, gateways = math.max(2, PROCESSES - 3 - engines - portals),
+-- From seed 10000 on: crowds of callers that send long bodies, or parts of requests, and stay.
+local HAS_CROWDS = SEED >= 10000
+local CROWD, CROWD_MEMORY_MB = 150, 32
+local g = gateways.new{control = HAS_REPLACED and 5 or 3, text = HAS_CROWDS and "memory_mb = " .. CROWD_MEMORY_MB or nil, gateways = math.max(2, PROCESSES - 3 - engines - portals),
   engines = engines, portals = portals, relays = true, zones = zones,
   retry_slack = HAS_STARTS and RETRY_SLACK or nil, retry_window_s = HAS_STARTS and RETRY_WINDOW_MS // 1000 or nil}
 -- From seed 6000 on: engines of two software versions, streams cut inside an event, with neither a length nor chunks,
@@ -609,6 +612,33 @@
 local function publish_next()
   acked = math.max(acked, g:publish(g:config()))
 end
+-- A crowd sends parts of long requests to a gateway or a control instance and stays until the fault ends. No gateway ever exceeds
+-- its memory.
+local CROWD_HEAD = "POST /once/crowd HTTP/1.1\r\nHost: a.example\r\nApi-Key: kett-key\r\nX-Request-Id: crowd\r\n"
+local CROWD_TEXTS = {
+  {"a body a byte short", CROWD_HEAD .. "Content-Length: 100000\r\n\r\n" .. ("c"):rep(99999)},
+  {"a chunk a byte short", CROWD_HEAD .. "Transfer-Encoding: chunked\r\n\r\n186a0\r\n" .. ("c"):rep(99999)},
+  {"a chunk over the limit", CROWD_HEAD .. "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" .. ("c"):rep(200000)},
+  {"half a head", CROWD_HEAD .. "X-Long: " .. ("c"):rep(3000)},
+  {"requests behind each other", ("GET /safe/crowd HTTP/1.1\r\nHost: a.example\r\nApi-Key: kett-key\r\nX-Request-Id: crowd\r\n\r\n"):rep(50)}}
+local function crowd()
+  local p = one_of(draw(3) == 1 and g.control or g.gateways)
+  local text, held = one_of(CROWD_TEXTS), {}
+  for _ = 1, CROWD do
+    local c = run.raw_open(p.http or p.health)
+    if c then
+      held[#held + 1] = c
+      run.raw_send(c, text[2], 10)
+    end
+  end
+  return string.format("%d callers of %s that send %s", #held, p.name, text[1]), function()
+    for _, c in ipairs(held) do run.raw_close(c) end
+    for _, gateway in ipairs(run.bin:find("san") and {} or running(g.gateways)) do
+      local kb = tonumber(fleet.read("/proc/" .. gateway.pid .. "/status"):match("VmHWM:%s*(%d+) kB") or 0)
+      check(kb <= CROWD_MEMORY_MB * 1024, "%s took %d kB", gateway.name, kb)
+    end
+  end
+end
 local function replace_all_control()
   if #active > 0 or #running(g.gateways) < #g.gateways then return end
   fleet.eventually("the group is complete", is_group_complete, RECOVER_MS)
@@ -641,7 +671,7 @@
   if #active < 3 and draw(2) == 1 then
     local first = not HAS_ODD_HEADS and (HAS_STARTS and starts_while_targets_refuse or HAS_CRASHING_PARTS and crashing_part or
       HAS_REPLACED and replace_all_control)
-    local fault = #active == 0 and first or one_of(faults)
+    local fault = HAS_CROWDS and draw(3) == 1 and crowd or #active == 0 and first or one_of(faults)
     local what, undo = fault()
     if what then
       print(string.format("%8d %s", run.now(), what))
