Gossip and the relay of a gateway call back instead of into exchanges and links

Cause: 18 files of the gateway called each other in a circle: gossip called into exchanges, the relay and the contacts into the link that owns them. No change of what is done.

--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -255,10 +255,6 @@
 /* Whether a control instance that has contact with its leader was heard lately: it would have told of new targets. */
 int pwlink_hears_leader(const pw_link *l, int64_t now);
 
-/* The leader that looks for lost gateways has sent the members of the group: adds them if no control instance with
-** contact to its leader is heard here. */
-void pwlink_learn_control(pw_link *l, char **addr, size_t n);
-
 /* Number of known gateways, this one included. It may be too small right after a start. */
 int pwlink_gateway_count(const pw_link *l);
 
@@ -270,7 +266,19 @@
 
 /* --- pwgossip.c: the other gateways --- */
 
-pw_gossip *pwgossip_new(pw_gate *g, pw_buf *err);
+/* What other gateways' messages tell that concerns requests. */
+typedef struct pw_gossip_callbacks {
+  /* A target has finished prefill of the prefix with this key. */
+  void (*prefix_cached)(pw_gate *g, uint64_t key);
+  /* Time for which a target is expected to have a prefix cached, ms. */
+  int64_t (*prefix_keep_ms)(const pw_gate *g);
+  /* An answer to the query which version began a stream; NULL: the gateway with this hash does not know. */
+  void (*origin_answered)(pw_gate *g, uint64_t stream, uint64_t from,
+                          const pw_origin *origin);
+} pw_gossip_callbacks;
+
+pw_gossip *pwgossip_new(pw_gate *g, const pw_gossip_callbacks *calls,
+                        pw_buf *err);
 void pwgossip_free(pw_gossip *s);
 
 /* Sets the addresses of all gateways, "IP:PORT" each, as received from control. */
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -312,6 +312,11 @@
   sweep_targets(g, pwclock_ms());
 }
 
+static const pw_gossip_callbacks gossip_calls = {
+    .prefix_cached = pwexchange_prefix_cached,
+    .prefix_keep_ms = pwexchange_prefix_keep_ms,
+    .origin_answered = pwexchange_origin_answered};
+
 pw_code pwgateway_run(pw_proc *p, pw_buf *err) {
   pw_gate g = {.p = p, .dialect = p->dialect, .started_at = pwclock_ms()};
   g.pick_policy = pick_policy_of(p->set->gateway_place);
@@ -342,7 +347,7 @@
   g.tcp.on_stall = on_stall;
   g.tcp.arg = &g;
   g.affinity = pwaffinity_new();
-  g.gossip = pwgossip_new(&g, err);
+  g.gossip = pwgossip_new(&g, &gossip_calls, err);
   g.link = g.gossip ? pwlink_new(&g, err) : NULL;
   if (g.link && listen_all(&g, err) == 0) {
     rc = PW_OK;
--- a/packages/gateway/pwgossip.c
+++ b/packages/gateway/pwgossip.c
@@ -269,7 +269,7 @@
     share.part += s->topology[i].hash < s->topology[0].hash;
   }
   pwprefixsync_add(&s->sync, s->g->affinity, share, now,
-                   pwexchange_prefix_keep_ms(s->g), out);
+                   s->calls->prefix_keep_ms(s->g), out);
 }
 
 /* --- few gateways: direct exchange --- */
@@ -416,7 +416,7 @@
 static void handle_prompts(pw_gossip *s, const Pw__Gossip *m, int64_t now) {
   for (size_t i = 0; i < m->n_keys && i < m->n_places; i++) {
     pwaffinity_learn(s->g->affinity, m->keys[i], m->places[i], now);
-    pwexchange_prefix_cached(s->g, m->keys[i]);
+    s->calls->prefix_cached(s->g, m->keys[i]);
     if (m->kind == PWGOSSIPMSG_REPORT)
       pwgossipmsg_add_prompt(&s->prompts_up, m->keys[i], m->places[i]);
     if (m->kind == PWGOSSIPMSG_REPORT || m->kind == PWGOSSIPMSG_SUM)
@@ -488,11 +488,13 @@
 
 /* --- creation --- */
 
-pw_gossip *pwgossip_new(pw_gate *g, pw_buf *err) {
+pw_gossip *pwgossip_new(pw_gate *g, const pw_gossip_callbacks *calls,
+                        pw_buf *err) {
   pw_gossip *s = pw_alloc(sizeof *s);
   const char *addr = g->p->set->gateway_gossip;
   struct sockaddr_in self;
   s->g = g;
+  s->calls = calls;
   s->peers = pw_alloc(sizeof *s->peers);
   s->topology = pw_alloc(sizeof *s->topology);
   s->npeers = 1;
--- a/packages/gateway/pwgossipint.h
+++ b/packages/gateway/pwgossipint.h
@@ -19,6 +19,7 @@
 
 struct pw_gossip {
   pw_gate *g;
+  const pw_gossip_callbacks *calls;
   int fd;
   pw_gossip_peer *peers;      /* peers[0] is this gateway itself */
   pw_topology_peer *topology; /* of each peer, to choose aggregators by */
--- a/packages/gateway/pwgossipstream.c
+++ b/packages/gateway/pwgossipstream.c
@@ -78,8 +78,8 @@
     return;
   }
   pw_origin origin = {m->version, m->age, 0};
-  pwexchange_origin_answered(s->g, m->stream, pwgsp_hash_of(from),
-                             m->known ? &origin : NULL);
+  s->calls->origin_answered(s->g, m->stream, pwgsp_hash_of(from),
+                            m->known ? &origin : NULL);
 }
 
 int pwgsp_is_about_streams(uint32_t kind) {
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -35,28 +35,6 @@
 /* A configuration counts as current after this time, ms, if no control instance could confirm it. */
 #define UNCONFIRMED_MS 1500
 
-void pwlink_send_watch(pw_link *l, contact *c, int want, int64_t now) {
-  Pw__Watch m = PW__WATCH__INIT;
-  m.site = pwdoc_version(l->doc);
-  m.want = want;
-  m.gossip = l->g->p->set->gateway_gossip;
-  m.primary = c == l->primary;
-  m.relay = l->g->p->set->gateway_relay;
-  pw_suspects suspects;
-  m.n_suspects =
-      pwsuspects_list(&suspects, l->g->quarantine, &l->suspects_at, now);
-  m.suspects = suspects.list;
-  pw_partsmsg parts;
-  m.n_crashing_parts = pwpartsmsg_list(&parts, l->g->parts, &l->parts_at, now);
-  m.crashing_parts = parts.list;
-  if (c->leads)
-    pwversions_fill(l->g->versions, &m);
-  Pw__Envelope e = PW_ENVELOPE(WATCH, watch, &m);
-  pwwire_send(l->sock, &c->peer, &e);
-  pwversions_clear(&m);
-  c->watched_at = now;
-}
-
 /* --- incoming notices --- */
 
 typedef struct target_update {
@@ -274,14 +252,6 @@
   return 0;
 }
 
-void pwlink_learn_control(pw_link *l, char **addr, size_t n) {
-  int64_t now = pwclock_ms();
-  if (pwlink_hears_leader(l, now))
-    return;
-  for (size_t i = 0; i < n; i++)
-    pwcontacts_learn(l, addr[i], "leader", now);
-}
-
 int pwlink_gateway_count(const pw_link *l) {
   return l->ngateways > 0 ? l->ngateways : 1;
 }
@@ -312,6 +282,15 @@
   return 0;
 }
 
+/* Adds the members that the leader has sent, if no control instance with contact to its leader is heard here. */
+static void learn_control(pw_link *l, char **addr, size_t n) {
+  int64_t now = pwclock_ms();
+  if (pwlink_hears_leader(l, now))
+    return;
+  for (size_t i = 0; i < n; i++)
+    pwcontacts_learn(l, addr[i], "leader", now);
+}
+
 pw_link *pwlink_new(pw_gate *g, pw_buf *err) {
   pw_link *l = pw_alloc(sizeof *l);
   l->g = g;
@@ -323,7 +302,7 @@
                       (int64_t)(g->p->set->gateway_retry_window * MS_PER_S));
   l->sock = pwwire_dialler(g->p->wire);
   pwzmqev_start(&l->watcher, g->ev, l->sock, read_messages, l);
-  l->relay = pwrelay_new(g, l->doc, err);
+  l->relay = pwrelay_new(g, l->doc, learn_control, err);
   if (l->relay && dial_seeds(l, err) == 0)
     return l;
   pwlink_free(l);
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -1,5 +1,5 @@
 /* pwlinkint.h: state of a gateway's links to control instances, private to pwlink.c,
-** pwcontacts.c, pwconfsync.c and pwrelay.c. */
+** pwlinkwatch.c, pwcontacts.c, pwconfsync.c and pwrelay.c. */
 #ifndef PWLINKINT_H
 #define PWLINKINT_H
 
@@ -73,6 +73,8 @@
   pw_zmqev watcher;
 };
 
+/* --- pwlinkwatch.c: messages to control instances --- */
+
 /* Sends a control instance the version of this gateway's configuration; `want`: also requests a newer
 ** one. */
 void pwlink_send_watch(pw_link *l, contact *c, int want, int64_t now);
@@ -120,7 +122,11 @@
 
 /* Listens on gateway.relay, if that is set, and sends `doc` to gateways that request it. NULL: an
 ** error, with the reason in *err. */
-pw_relay *pwrelay_new(pw_gate *g, const pw_doc *doc, pw_buf *err);
+/* The leader that looks for lost gateways has sent the members of the group. */
+typedef void pw_relay_learned(pw_link *l, char **addr, size_t n);
+
+pw_relay *pwrelay_new(pw_gate *g, const pw_doc *doc, pw_relay_learned *learned,
+                      pw_buf *err);
 void pwrelay_free(pw_relay *r);
 
 #endif
--- a/packages/gateway/pwrelay.c
+++ b/packages/gateway/pwrelay.c
@@ -8,6 +8,7 @@
   pw_gate *g;
   pw_sock *sock; /* NULL: no address is set, so nothing is sent */
   const pw_doc *doc;
+  pw_relay_learned *learned;
   pw_zmqev watcher;
 };
 
@@ -27,17 +28,18 @@
     if (e->body_case == PW__ENVELOPE__BODY_WATCH)
       on_watch(r, &from, e->watch);
     else if (e->body_case == PW__ENVELOPE__BODY_NOTICE)
-      pwlink_learn_control(r->g->link, e->notice->control,
-                           e->notice->n_control);
+      r->learned(r->g->link, e->notice->control, e->notice->n_control);
     pw__envelope__free_unpacked(e, NULL);
   }
 }
 
-pw_relay *pwrelay_new(pw_gate *g, const pw_doc *doc, pw_buf *err) {
+pw_relay *pwrelay_new(pw_gate *g, const pw_doc *doc, pw_relay_learned *learned,
+                      pw_buf *err) {
   const char *addr = g->p->set->gateway_relay;
   pw_relay *r = pw_alloc(sizeof *r);
   r->g = g;
   r->doc = doc;
+  r->learned = learned;
   if (!addr[0])
     return r;
   r->sock = pwwire_listen(g->p->wire, addr, err);
