Times and log lines of an exchange have files below the others

Cause: pwexrecord.c was in the circle of the gateway only because it asked pwexchange.c how long a target had a request; others asked pwevents.c to log. Change: pwextime.c and pwexlog.c, which call no other part of an exchange. No change of what is done.

--- a/packages/gateway/pwevents.c
+++ b/packages/gateway/pwevents.c
@@ -1,30 +1,8 @@
 /* pwevents.c: event streams, forwarded in complete events. */
 #include "pwexint.h"
 
-#include <stdarg.h>
-#include <stdio.h>
 #include <string.h>
 
-void pwexi_log(const pw_exchange *x, pw_trace_kind kind, const char *event,
-               const char *fmt, ...) {
-  char text[320];
-  va_list ap;
-  va_start(ap, fmt);
-  vsnprintf(text, sizeof text, fmt, ap);
-  va_end(ap);
-  int64_t now = pwclock_ms();
-  pwtrace_line(x->g->trace, kind, now, event,
-               "req=%.*s route=%s ws=%s age=%lld %s", (int)x->request_info.id.n,
-               x->request_info.id.p ? x->request_info.id.p : "",
-               x->route ? x->route->name : "-",
-               x->workspace ? x->workspace->name : "-",
-               (long long)(x->arrived ? now - x->arrived : 0), text);
-}
-
-void pwexi_observe(const pw_exchange *x, pw_stage stage, int64_t ms) {
-  pwstage_observe(x->g->stages, x->route->name, stage, ms);
-}
-
 /* Counts a stream as late, once, when a chunk comes after the time that the route allows. */
 static void note_lateness(pw_exchange *x, int64_t ms, int64_t allowed_ms) {
   if (allowed_ms <= 0 || ms <= allowed_ms || x->is_late)
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -142,17 +142,6 @@
 
 /* --- time --- */
 
-int64_t pwexi_target_ms(const pw_exchange *x, int64_t at) {
-  int64_t ms = at - x->sent_at - (x->g->tcp.lag.lost_ms - x->sent_stalled_ms);
-  return ms > 0 ? ms : 0;
-}
-
-int64_t pwexi_time_left(const pw_exchange *x) {
-  int64_t until =
-      x->deadline_at < x->timeout_at ? x->deadline_at : x->timeout_at;
-  return until - pwclock_ms();
-}
-
 /* Refuses a request; its caller may retry when a configuration is expected to be here. */
 static void refuse_unready(pw_exchange *x) {
   pw_gate *g = x->g;
@@ -215,11 +204,6 @@
   time_out(w->data, pwclock_ms());
 }
 
-void pwexi_set_timer(pw_exchange *x, int64_t ms) {
-  x->timer_at = pwclock_ms() + ms;
-  pwtcp_timer(&x->g->tcp, &x->timer, ms);
-}
-
 int pwexi_end_late(pw_exchange *x, int64_t now) {
   return now >= x->timer_at + LATE_TIMER_MS && time_out(x, now);
 }
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -1,5 +1,6 @@
 /* pwexint.h: state of one exchange, private to pwexchange.c, pwexadmit.c, pwexsend.c, pwexfail.c,
-** pwexcrash.c, pwexrecord.c, pwexprefix.c, pwexresume.c, pwexconfirm.c, pwexbody.c, pwevents.c and pwinflight.c. */
+** pwexcrash.c, pwexrecord.c, pwexprefix.c, pwexresume.c, pwexconfirm.c, pwexbody.c, pwevents.c, pwextime.c,
+** pwexlog.c and pwinflight.c. */
 #ifndef PWEXINT_H
 #define PWEXINT_H
 
@@ -107,6 +108,23 @@
   int is_after_id; /* the last event forwarded has the id last_event */
 };
 
+/* --- pwextime.c --- */
+
+/* Ms for which the current target has had the request at time `at`, not counting the time for which
+** this process was stalled. */
+int64_t pwexi_target_ms(const pw_exchange *x, int64_t at);
+
+/* Ms until the caller's deadline or the route's time-out, whichever is first. */
+int64_t pwexi_time_left(const pw_exchange *x);
+
+/* Sets the timer of the exchange to expire after `ms`. */
+void pwexi_set_timer(pw_exchange *x, int64_t ms);
+
+/* Records the latency of a stage. */
+void pwexi_observe(const pw_exchange *x, pw_stage stage, int64_t ms);
+
+/* --- pwexlog.c --- */
+
 /* Logs an event of this request. */
 void pwexi_log(const pw_exchange *x, pw_trace_kind kind, const char *event,
                const char *fmt, ...) __attribute__((format(printf, 4, 5)));
@@ -122,19 +140,11 @@
 /* Pauses the target while its caller has not read what was forwarded. */
 void pwexi_pause_if_unread(pw_exchange *x);
 
-/* Records the latency of a stage. */
-void pwexi_observe(const pw_exchange *x, pw_stage stage, int64_t ms);
+/* --- pwexchange.c --- */
 
 /* Releases the current target. */
 void pwexi_release(pw_exchange *x);
 
-/* Ms for which the current target has had the request at time `at`, not counting the time for which
-** this process was stalled. */
-int64_t pwexi_target_ms(const pw_exchange *x, int64_t at);
-
-/* Ms until the caller's deadline or the route's time-out, whichever is first. */
-int64_t pwexi_time_left(const pw_exchange *x);
-
 /* Ends the exchange: pwexi_refuse answers with an error code, pwexi_abort resets the caller's connection, for
 ** an answer that cannot be completed any more. */
 void pwexi_refuse(pw_exchange *x, pw_code code, const char *why,
@@ -150,9 +160,6 @@
 ** whether the exchange was ended. */
 int pwexi_end_late(pw_exchange *x, int64_t now);
 
-/* Sets the timer of the exchange to expire after `ms`. */
-void pwexi_set_timer(pw_exchange *x, int64_t ms);
-
 /* --- pwexchange.c, events of the connection to the target --- */
 
 void pwexi_on_sent(void *exchange);
