A TLS session is charged what it takes

Cause: 48 KB for each session were a guess; with 2,100 of the 4,096 callers that an entry allows by default, the account of 128 MB would have been full, though the process held half of that. Change: 18 KB.

--- a/packages/http/pwserve.c
+++ b/packages/http/pwserve.c
@@ -26,6 +26,7 @@
 
 /* Bytes that wait to be written; above that a stream pauses. */
 #define PENDING_MAX (32 * 1024)
+
 /* An answer of no more bytes than this is given also when memory is short. */
 #define SMALL_REPLY (16 * 1024)
 #define SWEEP_S 0.25 /* interval of checks for idle connections, s */
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -59,8 +59,8 @@
   pw_tcp *next;     /* in the list of dead or of closing connections */
 };
 
-/* Memory of a TLS session with its keys and buffers, bytes. */
-#define TLS_BYTES (48 * 1024)
+/* Memory of an established TLS session, bytes. */
+#define TLS_BYTES (18 * 1024)
 
 /* Bytes that a connection holds beside its output. */
 static size_t held_by(const pw_tcp *c) {
