An answer without a length to a long body counts as cut over agents

Cause: the same as at gateways; but neon, through which agents read answers, does not tell what was acknowledged. Change: pwfetch takes an answer that has neither a length nor chunks for cut if the request had a body of over 32 KB, which may not have fitted into the target's receive buffer. docs/ENGINE.md asks for one of them there.

--- a/packages/http/pwfetch.c
+++ b/packages/http/pwfetch.c
@@ -13,6 +13,9 @@
 #define READ_BYTES 16384  /* bytes of one read */
 #define CONNECT_TIMEOUT 2 /* s */
 
+/* A longer body, bytes, may not fit into the receive buffer of a target that does not read it. */
+#define LONG_BODY (32 * 1024)
+
 /* A session; `address`, if set, is in use until the session ends. */
 typedef struct fetch_session {
   ne_session *s;
@@ -108,6 +111,20 @@
          st->code <= 599;
 }
 
+/* Whether the end of an answer is told by its status, length or chunks, and not by the end of the connection. */
+static int is_framed(ne_request *req) {
+  int code = ne_get_status(req)->code;
+  return code == 204 || code == 304 ||
+         ne_get_response_header(req, "Content-Length") ||
+         ne_get_response_header(req, "Transfer-Encoding");
+}
+
+/* Whether the answer may have ended before the target had all of the request: it ended with the connection, and the body may
+** not have fitted into the target's receive buffer. neon does not tell what was acknowledged. */
+static int may_be_cut(const pw_fetch *f, ne_request *req) {
+  return f->body_len > LONG_BODY && !is_framed(req);
+}
+
 static pw_code read_answer(const pw_fetch *f, ne_request *req) {
   pw_fetch_head head = {req};
   const ne_status *st = ne_get_status(req);
@@ -125,7 +142,7 @@
     }
   }
   free(block);
-  return n < 0 ? PW_E_CUT : rc;
+  return n < 0 || (n == 0 && may_be_cut(f, req)) ? PW_E_CUT : rc;
 }
 
 pw_code pwfetch(const pw_fetch *f, int *sent) {
--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -34,6 +34,8 @@
   int hold_off_s; /* Retry-After of these refusals, seconds */
   int refused;
   int delay_ms;
+  int ends_early; /* answers calls with long bodies before it reads these: part of an unframed answer, FIN, a reset */
+  int unframed;   /* answers have neither a length nor chunks */
   char status_line[64]; /* first line of answers to calls; "" is that of 200 */
   char received
       [512]; /* head of the last request that was run or refused, as far as it fits */
@@ -55,6 +57,19 @@
   pthread_mutex_unlock(&service.lock);
 }
 
+#define LONG_BODY 100000 /* bytes */
+#define RESET_S 1        /* time from the FIN to the reset */
+
+/* Sends part of an answer without a length and a FIN; its connection is reset a second later. */
+static void end_early(int fd) {
+  struct linger hard = {.l_onoff = 1, .l_linger = 0};
+  struct timespec ts = {.tv_sec = RESET_S};
+  dprintf(fd, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart");
+  shutdown(fd, SHUT_WR);
+  nanosleep(&ts, NULL);
+  setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+}
+
 /* Reads one request and sets *body; returns 0 when the connection has ended. */
 static int read_request(int fd, char *buf, char **body) {
   size_t n = 0;
@@ -71,6 +86,10 @@
     return 0;
   const char *len = strcasestr(buf, "content-length:");
   size_t want = len ? strtoul(len + 15, NULL, 10) : 0;
+  if (want > LONG_BODY && service.ends_early) {
+    end_early(fd);
+    return 0;
+  }
   *body = end + 4;
   size_t have = n - (size_t)(*body - buf);
   while (have < want && n < HEAD_MAX - 1) {
@@ -86,10 +105,12 @@
 
 static void answer_line(int fd, const char *first, const char *text) {
   char out[HEAD_MAX + 256];
-  int n = snprintf(out, sizeof out,
-                   "%s\r\nContent-Type: text/plain\r\n"
-                   "Content-Length: %zu\r\n\r\n%s",
-                   first, strlen(text), text);
+  char length[40] = "";
+  if (!service.unframed)
+    snprintf(length, sizeof length, "Content-Length: %zu\r\n", strlen(text));
+  int n =
+      snprintf(out, sizeof out, "%s\r\nContent-Type: text/plain\r\n%s\r\n%s",
+               first, length, text);
   ssize_t done = write(fd, out, (size_t)n);
   (void)done;
 }
@@ -130,6 +151,8 @@
     service.shed = number(head, "shed=", service.shed);
     service.hold_off_s = number(head, "hold_off=", service.hold_off_s);
     service.delay_ms = number(head, "delay_ms=", service.delay_ms);
+    service.ends_early = number(head, "ends_early=", service.ends_early);
+    service.unframed = number(head, "unframed=", service.unframed);
     answer(fd, "{}");
     return 1;
   }
@@ -177,7 +200,7 @@
     answer_line(fd, service.status_line, text);
   else
     answer(fd, text);
-  return 1;
+  return !service.unframed;
 }
 
 static void *connection(void *arg) {
