--- a/packages/core/pwmemory.h
+++ b/packages/core/pwmemory.h
@@ -32,7 +32,7 @@
 /* Bytes left below that limit. */
 size_t pwmemory_buffer_left(const pw_memory *m);
 
-/* Whether more than half of the limit is in use. From then on peers that make no progress give way. */
+/* Whether more than half of the limit is in use. From then on requests that make no progress are evicted. */
 int pwmemory_is_short(const pw_memory *m);
 
 #endif
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -230,7 +230,7 @@
     report_replaced(u);
     return;
   }
-  pwtcp_write_lent(u->tcp, u->out.data, u->out.len, u->body.p, u->body.n);
+  pwtcp_write_borrowed(u->tcp, u->out.data, u->out.len, u->body.p, u->body.n);
   pwbuf_free(&u->out);
   if (u->calls)
     u->calls->sent(u->arg);
@@ -316,8 +316,8 @@
   u->answer.skip_body = r->is_head_only;
   limit_silence(u, r->body->len);
   if (u->is_up) {
-    pwtcp_write_lent(u->tcp, r->head->data, r->head->len, r->body->data,
-                     r->body->len);
+    pwtcp_write_borrowed(u->tcp, r->head->data, r->head->len, r->body->data,
+                         r->body->len);
     calls->sent(arg);
     return u;
   }
--- a/packages/net/pwconnmem.c
+++ b/packages/net/pwconnmem.c
@@ -3,16 +3,16 @@
 
 #include "pwbuflimits.h"
 
-/* A request that holds no more than this, bytes, does not give way: it would free too little. */
+/* A request that holds no more than this, bytes, is not evicted: that would free too little. */
 #define SMALL_REQUEST (16 * 1024)
 
-/* A request gives way after PROGRESS_MS without PROGRESS_BYTES. Lost segments can delay bytes for more than a second, and
+/* A request is evicted after PROGRESS_MS without PROGRESS_BYTES. Lost segments can delay bytes for more than a second, and
 ** the slowest links that callers have bring more in that time. */
 #define PROGRESS_MS 2000
 #define PROGRESS_BYTES 4096
 
 /* Callers that are refused come back after this time and an even spread, ms. By then requests without progress have
-** given way. */
+** been evicted. */
 #define RETRY_MS 1000
 #define RETRY_SPREAD_MS 1000
 
@@ -79,7 +79,7 @@
   return now - c->seen_at;
 }
 
-int pwconnmem_gives_way(pw_conn *c, int64_t now) {
+int pwconnmem_must_evict(pw_conn *c, int64_t now) {
   int64_t ms = without_progress_ms(c, now);
   return ms >= PROGRESS_MS && !c->all->is_reserved &&
          pwmemory_is_short(memory_of(c)) &&
--- a/packages/net/pwconnmem.h
+++ b/packages/net/pwconnmem.h
@@ -15,9 +15,9 @@
 /* Whether n more bytes may be read ahead of the request in progress. */
 int pwconnmem_takes_ahead(const pw_conn *c, size_t n);
 
-/* Whether a request that is being received gives way: memory is short, it holds much of it, and hardly any byte of it has
+/* Whether a request that is being received must be evicted: memory is short, it holds much of it, and hardly any byte of it has
 ** arrived lately. To be asked at each sweep; `now`: a time of pwtcp_clock. */
-int pwconnmem_gives_way(pw_conn *c, int64_t now);
+int pwconnmem_must_evict(pw_conn *c, int64_t now);
 
 /* When a caller that was refused for want of memory or of connections may come back, ms. */
 int64_t pwconnmem_retry_ms(pw_conns *s);
--- a/packages/net/pwconnsweep.c
+++ b/packages/net/pwconnsweep.c
@@ -16,7 +16,7 @@
   const pw_conn_limits *l = &c->all->limits;
   if (c->is_busy)
     return;
-  if (pwconnmem_gives_way(c, now)) {
+  if (pwconnmem_must_evict(c, now)) {
     pwconni_refuse_busy(c, LACKS_MEMORY);
     return;
   }
--- a/packages/net/pwtcp.c
+++ b/packages/net/pwtcp.c
@@ -53,7 +53,7 @@
   ev_io rd, wr;
   pw_buf out;
   size_t out_at;    /* bytes of `out` already written */
-  pw_span lent;     /* bytes of the owner to be written after `out` */
+  pw_span borrowed; /* bytes that the owner keeps, to be written after `out` */
   uint64_t written; /* bytes written to the socket since the start */
   pw_tls *tls;      /* NULL: plain TCP */
   pw_tcp *next;     /* in the list of dead or of closing connections */
@@ -67,11 +67,11 @@
   return sizeof *c + (c->tls ? TLS_BYTES : 0);
 }
 
-/* Copies the bytes that the owner has lent. */
-static void copy_lent(pw_tcp *c) {
-  if (c->lent.n > 0)
-    pwbuf_add(&c->out, c->lent.p, c->lent.n);
-  c->lent = (pw_span){0};
+/* Copies the borrowed bytes: their owner need not keep them any more. */
+static void copy_borrowed(pw_tcp *c) {
+  if (c->borrowed.n > 0)
+    pwbuf_add(&c->out, c->borrowed.p, c->borrowed.n);
+  c->borrowed = (pw_span){0};
 }
 
 /* --- event loop --- */
@@ -260,7 +260,7 @@
 void pwtcp_close_after_write(pw_tcp *c) {
   if (c->closed || c->closing)
     return;
-  copy_lent(c);
+  copy_borrowed(c);
   if (c->tls)
     pwtls_close_notify(c->tls);
   c->closing = 1;
@@ -339,7 +339,7 @@
 static pw_span next_output(const pw_tcp *c) {
   if (c->out_at < c->out.len)
     return (pw_span){c->out.data + c->out_at, c->out.len - c->out_at};
-  return c->lent;
+  return c->borrowed;
 }
 
 static void note_written(pw_tcp *c, size_t n) {
@@ -347,8 +347,8 @@
   if (c->out_at < c->out.len) {
     c->out_at += n;
   } else {
-    c->lent.p += n;
-    c->lent.n -= n;
+    c->borrowed.p += n;
+    c->borrowed.n -= n;
   }
 }
 
@@ -394,11 +394,11 @@
     flush(c);
 }
 
-/* With `lends`, what is left of `b` is not copied. */
+/* With `borrows`, what is left of `b` is not copied. */
 static void write_raw(pw_tcp *c, const void *a, size_t an, const void *b,
-                      size_t bn, int lends) {
+                      size_t bn, int borrows) {
   size_t done = 0;
-  copy_lent(c);
+  copy_borrowed(c);
   if (!c->connecting && pwtcp_pending(c) == 0) {
     struct iovec v[2] = {{(void *)a, an}, {(void *)b, bn}};
     ssize_t n = bn ? writev(c->fd, v, 2) : write(c->fd, a, an);
@@ -411,8 +411,8 @@
   if (done < an)
     pwbuf_add(&c->out, (const char *)a + done, an - done);
   size_t skip = done > an ? done - an : 0;
-  if (bn > skip && lends)
-    c->lent = (pw_span){(const char *)b + skip, bn - skip};
+  if (bn > skip && borrows)
+    c->borrowed = (pw_span){(const char *)b + skip, bn - skip};
   else if (bn > skip)
     pwbuf_add(&c->out, (const char *)b + skip, bn - skip);
   ev_io_start(c->l->ev, &c->wr);
@@ -440,8 +440,8 @@
   write_tls(c, b, bn);
 }
 
-void pwtcp_write_lent(pw_tcp *c, const void *a, size_t an, const void *b,
-                      size_t bn) {
+void pwtcp_write_borrowed(pw_tcp *c, const void *a, size_t an, const void *b,
+                          size_t bn) {
   if (c->tls)
     pwtcp_write2(c, a, an, b, bn);
   else if (!c->closed && !c->closing)
@@ -453,7 +453,7 @@
 }
 
 size_t pwtcp_pending(const pw_tcp *c) {
-  return c->out.len - c->out_at + c->lent.n;
+  return c->out.len - c->out_at + c->borrowed.n;
 }
 
 /* 1: unread bytes wait; 0: the peer has closed; -1: no input, or the connection failed. */
--- a/packages/net/pwtcp.h
+++ b/packages/net/pwtcp.h
@@ -92,8 +92,8 @@
 
 /* As pwtcp_write2, but what cannot be written now of `b` is not copied: those bytes must stay until they are written or
 ** the connection is closed. */
-void pwtcp_write_lent(pw_tcp *c, const void *a, size_t an, const void *b,
-                      size_t bn);
+void pwtcp_write_borrowed(pw_tcp *c, const void *a, size_t an, const void *b,
+                          size_t bn);
 
 /* Bytes that are not yet written to the socket. */
 size_t pwtcp_pending(const pw_tcp *c);
