test_buflimits checks again that the longest body shrinks as more is held

Cause: the check was dropped when the longest body left pw_buflimits for a function of its own. Change: each of the 101 steps compares it with the step before; the ends, 20 MB and 0, are checked as before.

--- a/tests/test_buflimits.c
+++ b/tests/test_buflimits.c
@@ -24,10 +24,15 @@
 
 /* --- limits --- */
 
+/* Longest body while so many bytes of 80 MB are held. */
+static size_t body_with(size_t held) {
+  return pwbuflimits_body(held < 80 * MB ? 80 * MB - held : 0);
+}
+
 static void test_limits(void) {
   pw_buflimits none = pwbuflimits_of(0, 80 * MB);
   CHECK(none.unwritten == 128 * KB && none.ahead == 256 * KB);
-  CHECK(pwbuflimits_body(80 * MB) == 20 * MB && none.stall_ms == 5000);
+  CHECK(body_with(0) == 20 * MB && none.stall_ms == 5000);
   CHECK(none.stall_complete_ms == 60000);
   CHECK(none.answer == 4 * MB);
   pw_buflimits before = none;
@@ -35,13 +40,14 @@
     pw_buflimits l = pwbuflimits_of(held, 80 * MB);
     CHECK(held > 40 * MB || l.unwritten == none.unwritten);
     CHECK(l.unwritten <= before.unwritten && l.ahead <= before.ahead);
+    CHECK(body_with(held) <= body_with(held ? held - MB : 0));
     CHECK(l.stall_ms <= before.stall_ms);
     CHECK(l.stall_complete_ms <= before.stall_complete_ms);
     CHECK(l.answer <= before.answer);
     before = l;
   }
   CHECK(before.unwritten == 0 && before.ahead == 4 * KB);
-  CHECK(pwbuflimits_body(0) == 0 && before.stall_ms == 1000);
+  CHECK(body_with(100 * MB) == 0 && before.stall_ms == 1000);
   CHECK(before.stall_complete_ms == 1000);
   CHECK(before.answer == 64 * KB);
 }
