One test of a request that is arriving, one length of a long body

Cause: whether a request is arriving was asked in three places in two forms, once with a needless look into the socket of each connection; the length above which a body may not fit into a target's receive buffer stood at gateways and agents. Change: pwconni_is_receiving and PW_LONG_BODY; the runner's wait_writable takes a time, not an end. Behaviour as before.

--- a/packages/core/pwlimits.h
+++ b/packages/core/pwlimits.h
@@ -11,6 +11,9 @@
 /* Longest request body that an entry accepts, in bytes (default of entry.max_body_bytes). */
 #define PW_BODY_MAX (1024 * 1024)
 
+/* A longer request body, bytes, may not fit into the receive buffer of a target that does not read it. */
+#define PW_LONG_BODY (32 * 1024)
+
 /* Share of the memory of a process that its connections may hold; see pwmemory.h. */
 #define PW_MEMORY_SHARE 0.5
 
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -3,6 +3,7 @@
 
 #include "pwgate.h"
 
+#include "pwlimits.h"
 #include "pwlog.h"
 
 #include <errno.h>
@@ -13,9 +14,6 @@
 #define CONNECT_MS 300 /* longest time to establish a connection, ms */
 #define SILENT_MS 1500 /* longest time without an acknowledgement, ms */
 
-/* A longer body, bytes, may not fit into the receive buffer of a target that does not read for a while. The request's own
-** time limits hold then in place of SILENT_MS, which would reset the target. */
-#define LONG_BODY (32 * 1024)
 #define HEAD_MAX 65536 /* largest head of an answer, bytes */
 
 /* Longest idle time of a connection if the target announces none, ms. */
@@ -295,8 +293,10 @@
   return u;
 }
 
+/* While a long body is sent, the request's own time limits hold in place of SILENT_MS, which would reset a target that does
+** not read for a while. */
 static void limit_silence(pw_upconn *u, size_t body_bytes) {
-  int is_long = body_bytes > LONG_BODY;
+  int is_long = body_bytes > PW_LONG_BODY;
   if (is_long != u->has_long_body)
     pwtcp_set_silent(u->tcp, is_long ? 0 : SILENT_MS);
   u->has_long_body = is_long;
--- a/packages/http/pwfetch.c
+++ b/packages/http/pwfetch.c
@@ -1,6 +1,8 @@
 /* pwfetch.c: HTTP client, built on neon. */
 #include "pwfetch.h"
 
+#include "pwlimits.h"
+
 #include <ne_request.h>
 #include <ne_session.h>
 #include <ne_socket.h>
@@ -13,9 +15,6 @@
 #define READ_BYTES 16384  /* bytes of one read */
 #define CONNECT_TIMEOUT 2 /* s */
 
-/* A longer body, bytes, may not fit into the receive buffer of a target that does not read it. */
-#define LONG_BODY (32 * 1024)
-
 /* A session; `address`, if set, is in use until the session ends. */
 typedef struct fetch_session {
   ne_session *s;
@@ -122,7 +121,7 @@
 /* Whether the answer may have ended before the target had all of the request: it ended with the connection, and the body may
 ** not have fitted into the target's receive buffer. neon does not tell what was acknowledged. */
 static int may_be_cut(const pw_fetch *f, ne_request *req) {
-  return f->body_len > LONG_BODY && !is_framed(req);
+  return f->body_len > PW_LONG_BODY && !is_framed(req);
 }
 
 static pw_code read_answer(const pw_fetch *f, ne_request *req) {
--- a/packages/net/pwconn.c
+++ b/packages/net/pwconn.c
@@ -382,9 +382,13 @@
   pwconni_close(arg, CLOSE_RESET);
 }
 
+int pwconni_is_receiving(const pw_conn *c) {
+  return !c->is_busy &&
+         (c->request.state != PWH1_HEAD || c->request.head.len > 0);
+}
+
 int pwconni_is_idle(const pw_conn *c) {
-  return !c->is_busy && c->request.state == PWH1_HEAD &&
-         c->request.head.len == 0 && !pwtcp_has_unread(c->tcp);
+  return !c->is_busy && !pwconni_is_receiving(c) && !pwtcp_has_unread(c->tcp);
 }
 
 static void on_drained(void *arg) {
--- a/packages/net/pwconnaccept.c
+++ b/packages/net/pwconnaccept.c
@@ -67,8 +67,7 @@
 
 /* Whether a request has been arriving for a while and is not complete. */
 static int is_slow_to_arrive(const pw_conn *c) {
-  return !c->is_busy && !pwconni_is_idle(c) &&
-         !(c->request.state == PWH1_HEAD && c->request.head.len == 0) &&
+  return pwconni_is_receiving(c) &&
          pwtcp_clock(c->all->tcp) - c->since >= ARRIVAL_MS;
 }
 
--- a/packages/net/pwconnint.h
+++ b/packages/net/pwconnint.h
@@ -4,8 +4,8 @@
 
 #include "pwconn.h"
 
-#define PWCONN_LOG_INTERVAL_MS                                                 \
-  1000 /* shortest time between log lines of one kind */
+/* Shortest time between log lines of one kind, ms. */
+#define PWCONN_LOG_INTERVAL_MS 1000
 
 typedef enum pw_conn_close {
   CLOSE_AFTER_WRITE, /* once all output is written and the caller has closed, too */
@@ -18,6 +18,9 @@
 /* Makes a connection of an accepted descriptor. */
 void pwconni_add(pw_conns *s, int fd);
 
+/* Whether a request has begun to arrive and is not complete. */
+int pwconni_is_receiving(const pw_conn *c);
+
 /* Whether no request is in progress or partly received. Unread bytes count as a request: after a stall of
 ** the process a request may wait in the socket. */
 int pwconni_is_idle(const pw_conn *c);
--- a/packages/net/pwconnmem.c
+++ b/packages/net/pwconnmem.c
@@ -86,6 +86,6 @@
          c->request.head.cap + c->body.cap > SMALL_REQUEST;
 }
 
-int64_t pwconnmem_retry_ms(pw_conns *s) {
+int64_t pwconnmem_retry_ms(const pw_conns *s) {
   return RETRY_MS + s->nrefused * RETRY_STEP_MS % RETRY_SPREAD_MS;
 }
--- a/packages/net/pwconnmem.h
+++ b/packages/net/pwconnmem.h
@@ -20,6 +20,6 @@
 int pwconnmem_must_evict(pw_conn *c, int64_t now);
 
 /* When a caller that was refused for want of memory or of connections may come back, ms. */
-int64_t pwconnmem_retry_ms(pw_conns *s);
+int64_t pwconnmem_retry_ms(const pw_conns *s);
 
 #endif
--- a/packages/net/pwconnsweep.c
+++ b/packages/net/pwconnsweep.c
@@ -22,7 +22,7 @@
   }
   int64_t age = now - c->since;
   int64_t header_ms = l->header_ms ? l->header_ms : l->idle_ms;
-  if (c->request.state == PWH1_HEAD && c->request.head.len == 0) {
+  if (!pwconni_is_receiving(c)) {
     if (age > l->idle_ms && pwconni_is_idle(c) && !has_pending_answer(c))
       pwconni_close(c, CLOSE_AFTER_WRITE);
   } else if (c->request.state == PWH1_HEAD) {
--- a/tests/runner/raw.c
+++ b/tests/runner/raw.c
@@ -36,11 +36,10 @@
   return 1;
 }
 
-/* Waits until the socket takes bytes, at most until `until` ms. Returns whether it does. */
-static int wait_writable(int fd, int64_t until) {
+/* Waits until the socket takes bytes, for ms at most. Returns whether it does. */
+static int wait_writable(int fd, int64_t ms) {
   struct pollfd p = {.fd = fd, .events = POLLOUT};
-  int64_t left = until - pwclock_ms();
-  return poll(&p, 1, left > 0 ? (int)left : 0) > 0;
+  return poll(&p, 1, (int)ms) > 0;
 }
 
 /* raw_send(connection, bytes, ms) -> whether all bytes were sent, how many were. Gives up when the connection takes
@@ -51,7 +50,7 @@
   const char *data = luaL_checklstring(L, 2, &n);
   int64_t ms = luaL_optinteger(L, 3, -1);
   while (sent < n) {
-    if (ms >= 0 && !wait_writable(fd, pwclock_ms() + ms))
+    if (ms >= 0 && !wait_writable(fd, ms))
       break;
     ssize_t k = send(fd, data + sent, n - sent,
                      MSG_NOSIGNAL | (ms >= 0 ? MSG_DONTWAIT : 0));
