A stream without a named attempt goes on only where control has recorded one version

Callers saw: after a gateway had started, a stream that v1 began and that its caller resumed without naming the attempt was answered 200 with the rest from v1.1, once the targets of v1 were gone. Cause: a gateway took the versions of the targets that it knew for all that had served. "Unchanged for a minute" was not asked where nothing had changed since the start of the process, and a control instance that had just started knew of no earlier target either. Change: the leader records in the replicated log which versions of each service have targets or had within 60 s; gateways get the record with notices. Without a named attempt a stream goes on only if the record has one version, which the leader has confirmed since the gateway started. Older instances ignore the new command and the new fields; their state does not differ in what they know. Why it holds: what a process has not seen it reads from the disks of a quorum.

--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -201,6 +201,8 @@
   pwreads_expire(c->reads, now);
   update_watchers(c, now);
   propose_plan(c, now);
+  if (!atomic_load(&c->p->stopping))
+    pwservedrecord_tick(c->served, now);
 }
 
 static void tick(pw_control *c, int64_t now) {
@@ -404,12 +406,13 @@
   c.feed = pwfeed_new(p, c.listener, pwctl_resources(&c));
   c.treereport = pwtreereport_new();
   c.planner = pwplanner_new(pwctl_resources(&c), c.treereport);
-  const pw_doc *doc = pwstate_document(pwgroup_state(c.group));
-  c.watch = pwwatch_new(p, c.listener, c.dialler, doc, pwctl_resources(&c));
+  const pw_state *state = pwgroup_state(c.group);
+  c.watch = pwwatch_new(p, c.listener, c.dialler, state);
+  c.served = pwservedrecord_new(c.group, c.watch);
   c.canaries = pwcanaries_new(pwctl_resources(&c), c.watch,
                               p->set->control_expose_share);
   c.leave = pwleave_new(c.watch, p->counters);
-  c.publish = pwpublish_new(c.group, doc);
+  c.publish = pwpublish_new(c.group, pwstate_document(state));
   c.reads = pwreads_new(c.group);
   rc = PW_E_SETTINGS;
   if (pwproc_serve_metrics(p, &c.metrics, err) == 0 && start_http(&c, err) == 0)
@@ -424,6 +427,7 @@
   pwreads_free(c.reads);
   pwleave_free(c.leave);
   pwcanaries_free(c.canaries);
+  pwservedrecord_free(c.served);
   pwwatch_free(c.watch);
   pwtreereport_free(c.treereport);
   pwfeed_free(c.feed);
--- a/packages/control/pwctl.h
+++ b/packages/control/pwctl.h
@@ -13,6 +13,7 @@
 #include "pwplanner.h"
 #include "pwpublish.h"
 #include "pwreads.h"
+#include "pwservedrecord.h"
 #include "pwtreereport.h"
 #include "pwwatch.h"
 
@@ -48,6 +49,7 @@
   pw_treereport *treereport;
   pw_planner *planner;
   pw_canaries *canaries;
+  pw_served_record *served;
   pw_watch *watch;
   pw_leave *leave;
   pw_publish *publish;
--- a/packages/control/pwwatch.c
+++ b/packages/control/pwwatch.c
@@ -66,8 +66,9 @@
   ** times at which gateways were last heard; 0: never */
   int64_t control_sent_at, gateways_sent_at, heard_sent_at;
   /* versions of the configuration and of the evacuated availability zones that
-  ** the last Notice to it named */
-  uint64_t announced_version, announced_revision;
+  ** the last Notice to it named, and the number of the software versions that
+  ** it was sent last */
+  uint64_t announced_version, announced_revision, announced_served;
   uint64_t announced_members; /* pw_mesh.members_revision of its last list */
   int64_t suspects_sent_at; /* when it was sent the quarantined fingerprints */
   struct watcher *next;
@@ -78,6 +79,7 @@
   pw_sock *listener;
   const pw_doc *doc;
   const pw_res *resources;
+  const pw_served *served; /* the software versions of targets */
   pw_zones evacuated;
   pw_rollwire rollouts;
   pw_fleet *targets;
@@ -114,14 +116,16 @@
 };
 
 pw_watch *pwwatch_new(pw_proc *p, pw_sock *listener, pw_sock *dialler,
-                      const pw_doc *doc, const pw_res *resources) {
+                      const pw_state *state) {
+  const pw_doc *doc = pwstate_document(state);
   pw_watch *w = pw_alloc(sizeof *w);
   w->p = p;
   w->listener = listener;
   w->peers = pwpeers_new(p, dialler);
   w->mesh = pwpeers_mesh(w->peers);
   w->doc = doc;
-  w->resources = resources;
+  w->resources = pwstate_resources(state);
+  w->served = pwstate_served(state);
   w->quarantine = pwquar_new();
   w->parts = pwparts_new();
   w->docsend = pwdocsend_new(listener, doc);
@@ -238,6 +242,19 @@
   to->gateways_sent_at = now;
 }
 
+/* Whether a gateway was not sent the current software versions of targets. */
+static int lacks_served(const pw_watch *w, const watcher *to) {
+  return to->gossip[0] && w->has_contact &&
+         to->announced_served != w->served->number;
+}
+
+static void add_served(const pw_watch *w, watcher *to, Pw__Notice *n) {
+  n->served = w->served->list;
+  n->n_served = w->served->n;
+  n->served_number = w->served->number;
+  to->announced_served = n->served_number;
+}
+
 static int suspects_are_due(const pw_watch *w, const watcher *to, int64_t now) {
   return !to->suspects_sent_at ||
          now - to->suspects_sent_at >= list_interval_ms(w);
@@ -273,12 +290,16 @@
   n->rollouts = w->rollouts.list;
   n->n_rollouts = w->rollouts.n;
   n->leads = w->leads;
-  if (control_list_is_due(w, to, now))
+  if (control_list_is_due(w, to, now)) {
     add_control_list(w, to, n, now);
+    to->announced_served = 0; /* sent again, too */
+  }
   if (gateway_list_is_due(w, to, now))
     add_gateway_list(w, to, n, now);
   if (heard_list_is_due(w, to, now))
     add_heard_list(w, to, n, now);
+  if (lacks_served(w, to))
+    add_served(w, to, n);
   pw_suspects suspects;
   pw_partsmsg parts;
   if (suspects_are_due(w, to, now))
@@ -287,7 +308,9 @@
   if (pwwire_send(w->listener, &to->peer, &e) != 0)
     to->is_lost = 1; /* it registers again, and receives everything */
   n->suspects = NULL;
-  n->n_suspects = 0;
+  n->served = NULL; /* not owned */
+  n->n_suspects = n->n_served = 0;
+  n->served_number = 0;
   n->crashing_parts = NULL;
   n->n_crashing_parts = 0;
   free(n->control);
@@ -531,6 +554,13 @@
   }
 }
 
+void pwwatch_each_target(const pw_watch *w,
+                         void (*visit)(void *arg, const pw_target *t),
+                         void *arg) {
+  for (pw_target *t = pwfleet_first(w->targets); t; t = t->hh.next)
+    visit(arg, t);
+}
+
 const pw_zones *pwwatch_evacuated(const pw_watch *w) {
   return &w->evacuated;
 }
@@ -701,9 +731,9 @@
 
 /* Whether a watcher was not yet sent the current version of the
 ** configuration or of the evacuated availability zones, or the current
-** members. */
+** members or software versions of targets. */
 static int lacks_versions(const pw_watch *w, const watcher *to) {
-  return lacks_members(w, to) ||
+  return lacks_members(w, to) || lacks_served(w, to) ||
          to->announced_version != pwdoc_version(w->doc) ||
          to->announced_revision != w->evacuated.revision;
 }
--- a/packages/control/pwwatch.h
+++ b/packages/control/pwwatch.h
@@ -8,7 +8,7 @@
 #include "pwdoc.h"
 #include "pwfleet.h"
 #include "pwproc.h"
-#include "pwres.h"
+#include "pwstate.h"
 #include "pwzones.h"
 
 #include <jansson.h>
@@ -16,10 +16,9 @@
 typedef struct pw_watch pw_watch;
 
 /* Watchers connect to `listener`; other control instances are watched
-** through `dialler`. `doc` is the configuration and `resources` the
-** resources that are applied here. */
+** through `dialler`. `state` is the replicated state that is applied here. */
 pw_watch *pwwatch_new(pw_proc *p, pw_sock *listener, pw_sock *dialler,
-                      const pw_doc *doc, const pw_res *resources);
+                      const pw_state *state);
 void pwwatch_free(pw_watch *w);
 
 /* Handles a Watch message of a watcher, or a Notice of another control
@@ -52,6 +51,11 @@
 void pwwatch_slots(const pw_watch *w, const char *service, const char *version,
                    double *of_version, double *of_others);
 
+/* Visits every known target, those that have gone lately included. */
+void pwwatch_each_target(const pw_watch *w,
+                         void (*visit)(void *arg, const pw_target *t),
+                         void *arg);
+
 /* The availability zones that are evacuated. */
 const pw_zones *pwwatch_evacuated(const pw_watch *w);
 
--- a/packages/gateway/pwexresume.c
+++ b/packages/gateway/pwexresume.c
@@ -139,16 +139,6 @@
   query(x, now);
 }
 
-/* Records the version of all targets of a service, if they are of one. */
-static void note_only_version(pw_gate *g, pw_gate_service *s, int64_t now) {
-  uint64_t version = pwfleet_only_version(g->fleet, s->name);
-  if (version == 0 || version == s->only_version)
-    return;
-  if (s->only_version)
-    s->versions_changed_at = now;
-  s->only_version = version;
-}
-
 static int leads_to_one_service(const pw_site_route *r) {
   int n = 0;
   for (int i = 0; i < r->nweighted; i++)
@@ -156,21 +146,30 @@
   return n == 1;
 }
 
-/* The version that began the stream of a caller that names no attempt. It is known only where there is no other: the
-** route leads to one service, whose known targets, those lately gone included, are all of one version and have been
-** for a while; and control could tell of others. */
-static int find_only_version(const pw_exchange *x, int64_t now,
-                             pw_origin *out) {
-  pw_gate_service *s = pwgate_service(x->g, x->service->name);
-  note_only_version(x->g, s, now);
-  int64_t unchanged_ms = now - s->versions_changed_at;
-  if (!leads_to_one_service(x->route) || !s->only_version ||
-      s->only_version == PWFLEET_SEVERAL_VERSIONS ||
-      (s->versions_changed_at && unchanged_ms < PWORIGINS_KEEP_MS) ||
-      !pwlink_hears_leader(x->g->link, now))
-    return 0;
-  *out = (pw_origin){s->only_version, 0, 0};
-  return 1;
+/* Whether the version that began a stream follows from there having been no other: the route leads to one service, whose
+** targets were all of one version for as long as a stream can be resumed. */
+static pw_gate_served find_only_version(const pw_exchange *x, int64_t now,
+                                        pw_origin *out) {
+  *out = (pw_origin){0};
+  return leads_to_one_service(x->route)
+             ? pwgate_served(x->g, x->service->name, now, &out->version)
+             : PWGATE_SERVED_SEVERAL;
+}
+
+/* Continues or refuses a stream whose caller does not name the attempt that began it. */
+static void resume_unnamed(pw_exchange *x, int64_t now) {
+  pw_origin origin;
+  pw_gate_served served = find_only_version(x, now, &origin);
+  if (served == PWGATE_SERVED_ONE)
+    continue_stream(x, &origin, "only-version");
+  else if (served == PWGATE_SERVED_SEVERAL)
+    refuse_unknown(
+        x, "the request does not name the attempt that began the stream", 0);
+  else
+    refuse_unknown(x,
+                   "the request does not name the attempt that began the "
+                   "stream, and control has not told which versions served",
+                   PWEX_RETRY_NO_TARGET_MS);
 }
 
 int pwexi_resume_stream(pw_exchange *x) {
@@ -179,11 +178,7 @@
   if (!is_resumption(x))
     return 0;
   if (!x->request_info.resumes.p || !x->request_info.resumes.n) {
-    if (find_only_version(x, now, &origin))
-      continue_stream(x, &origin, "only-version");
-    else
-      refuse_unknown(
-          x, "the request does not name the attempt that began the stream", 0);
+    resume_unnamed(x, now);
     return 1;
   }
   x->stream = stream_of(x, x->request_info.resumes);
@@ -232,8 +227,6 @@
   pworigins_tick(g->origins, now);
   pwcount_set(g->p->counters, PWC_GW_STREAM_ORIGINS,
               (int64_t)pworigins_count(g->origins));
-  for (pw_gate_service *s = g->services; s; s = s->next)
-    note_only_version(g, s, now);
 }
 
 void pwexchange_check_origins(pw_gate *g, int64_t now) {
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -18,6 +18,7 @@
 #include "pwquarantine.h"
 #include "pwrendezvous.h"
 #include "pwretries.h"
+#include "pwserved.h"
 #include "pwshare.h"
 #include "pwshed.h"
 #include "pwspike.h"
@@ -42,10 +43,8 @@
   double others_rate; /* request rate at all other gateways, per second */
   int64_t
       slots_lacking_at; /* when a first attempt that is not surplus last got no slot, ms; 0: never */
-  pw_prefill prefill;    /* of its engines */
-  pw_spike *spike;       /* load spikes of workspaces */
-  uint64_t only_version; /* of all its targets, as from pwfleet_only_version */
-  int64_t versions_changed_at; /* when that changed, ms; 0: it has not */
+  pw_prefill prefill; /* of its engines */
+  pw_spike *spike;    /* load spikes of workspaces */
   struct pw_gate_service *next;
 } pw_gate_service;
 
@@ -94,6 +93,8 @@
   /* Requests that resume a stream and wait for the answers to which version began it, oldest first. */
   pw_exchange *origin_waiters;
   pw_origins *origins; /* which version began which stream */
+  pw_served served;    /* which versions served lately, as control recorded */
+  int is_served_confirmed; /* the leader has told that record */
   /* Requests that wait for another request's prefill of the prefix that they share, oldest first. */
   pw_exchange *prefix_waiters;
   size_t awaiting_bytes; /* body bytes of the waiting requests */
@@ -157,6 +158,23 @@
 /* Frees the state of all services and routes. */
 void pwgate_free_state(pw_gate *g);
 
+/* --- pwgateserved.c --- */
+
+/* How many software versions of a service's targets serve or served lately. */
+typedef enum pw_gate_served {
+  PWGATE_SERVED_UNKNOWN, /* control has not told, or could not tell of others */
+  PWGATE_SERVED_ONE,
+  PWGATE_SERVED_SEVERAL
+} pw_gate_served;
+
+/* Takes the recorded software versions from a Notice, if it has newer ones. */
+void pwgate_receive_served(pw_gate *g, const Pw__Notice *n, int64_t now);
+
+/* Whether a service had targets of one software version only within PWORIGINS_KEEP_MS; sets its version_hash then.
+** *version is not defined otherwise. */
+pw_gate_served pwgate_served(const pw_gate *g, const char *service, int64_t now,
+                             uint64_t *version);
+
 /* --- pwexchange.c --- */
 
 /* Begins the exchange of a completely received request. */
@@ -194,7 +212,7 @@
 /* Repeats queries that have no answer. */
 void pwexchange_check_origins(pw_gate *g, int64_t now);
 
-/* Drops old records, and notes which services have targets of one version alone. */
+/* Drops old records. */
 void pwexchange_sweep_origins(pw_gate *g, int64_t now);
 
 /* --- pwexprefix.c --- */
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -371,6 +371,7 @@
   pwquar_free(g.quarantine);
   pwparts_free(g.parts);
   pworigins_free(g.origins);
+  pwserved_free(&g.served);
   pwversions_free(g.versions);
   ev_loop_destroy(g.ev);
   return rc;
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -113,6 +113,7 @@
   }
   apply_evacuated(l, n, now);
   pwversions_take(l->g->versions, n, now);
+  pwgate_receive_served(l->g, n, now);
   c->leads = n->leads;
   pwsuspects_receive(l->g->quarantine, n->suspects, n->n_suspects, now,
                      on_suspect, l->g);
--- a/packages/membership/pwfleet.c
+++ b/packages/membership/pwfleet.c
@@ -144,6 +144,12 @@
 
 /* --- software versions --- */
 
+/* Odd: 0 stands for any version, PWFLEET_SEVERAL_VERSIONS for more than one. */
+uint64_t pwfleet_version_hash(const char *service, const char *version) {
+  uint64_t seed = XXH3_64bits(service, strlen(service));
+  return XXH3_64bits_withSeed(version, strlen(version), seed) | 1;
+}
+
 static const pw_target *find_version(const pw_fleet *f, uint64_t version) {
   for (const pw_target *t = f->by_id; t; t = t->hh.next)
     if (t->version_hash == version)
@@ -232,12 +238,6 @@
   return changed || before != n;
 }
 
-/* Odd: 0 stands for any version, PWFLEET_SEVERAL_VERSIONS for more than one. */
-static uint64_t hash_version(const pw_target *t) {
-  uint64_t service = XXH3_64bits(t->service, strlen(t->service));
-  return XXH3_64bits_withSeed(t->version, strlen(t->version), service) | 1;
-}
-
 static void store_heartbeat(const pw_fleet *f, pw_target *t,
                             const pw_heartbeat *b, int64_t heard_at) {
   pw_copy(t->service, sizeof t->service, b->service);
@@ -249,7 +249,7 @@
   ** apart. */
   if (b->version[0] && (!t->version[0] || !t->born))
     pw_copy(t->version, sizeof t->version, b->version);
-  t->version_hash = hash_version(t);
+  t->version_hash = pwfleet_version_hash(t->service, t->version);
   t->slots = b->slots > 0 ? b->slots : SLOTS_DEFAULT;
   t->cold.until = b->cold_ms > 0 ? heard_at + b->cold_ms : 0;
   t->is_evacuated = is_evacuated(f, t);
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -252,6 +252,9 @@
 int pwfleet_has_version(pw_fleet *f, const char *service, uint64_t version,
                         int64_t now);
 
+/* The version_hash of targets of this service and software version. */
+uint64_t pwfleet_version_hash(const char *service, const char *version);
+
 /* In place of a version_hash, which is odd. */
 #define PWFLEET_SEVERAL_VERSIONS 2
 
--- a/packages/store/pwstate.c
+++ b/packages/store/pwstate.c
@@ -36,6 +36,7 @@
   pw_res *res;
   pw_once *once;
   pw_doc *doc;
+  pw_served served;
   outcome_row *outcomes;
   uint64_t keep_ms; /* retention of claims, by the policy at keep_revision */
   uint64_t keep_revision;
@@ -70,6 +71,7 @@
   pwres_free(s->res);
   pwonce_free(s->once);
   pwdoc_free(s->doc);
+  pwserved_free(&s->served);
   free(s);
 }
 
@@ -85,6 +87,10 @@
   return s->doc;
 }
 
+const pw_served *pwstate_served(const pw_state *s) {
+  return &s->served;
+}
+
 static void keep_outcome(pw_state *s, Pw__KeptOutcome *k) {
   outcome_row *row = pw_alloc(sizeof *row);
   row->k = k;
@@ -297,6 +303,9 @@
   case PW__COMMAND__BODY_PUBLISH:
     *outcome = apply_publish(s, cmd->publish);
     break;
+  case PW__COMMAND__BODY_SERVED:
+    pwserved_apply(&s->served, cmd->served);
+    break;
   default:
     break;
   }
@@ -330,6 +339,9 @@
   pwonce_pack(s->once, &out);
   if (pwdoc_version(s->doc))
     out.document = (Pw__Document *)pwdoc_packed(s->doc, 0); /* not owned */
+  out.served = s->served.list;                              /* not owned */
+  out.n_served = s->served.n;
+  out.served_number = s->served.number;
   *n = pw__state__get_packed_size(&out);
   uint8_t *bytes = pw_alloc(*n);
   pw__state__pack(&out, bytes);
@@ -363,6 +375,7 @@
       keep_outcome(s, PWPB_COPY(in->outcomes[i]));
   s->keep_revision = 0;
   s->keep_ms = PW_ONCE_KEEP_MS;
+  pwserved_replace(&s->served, in->served, in->n_served, in->served_number);
   pwdoc_clear(s->doc);
   pw_code rc = pwonce_load(s->once, in);
   if (rc == PW_OK && in->document)
--- a/packages/store/pwstate.h
+++ b/packages/store/pwstate.h
@@ -1,5 +1,6 @@
 /* pwstate.h: the replicated state: resources, outcomes of changes,
-** once-ledger and the configuration document of gateways.
+** once-ledger, the configuration document of gateways and the software
+** versions of targets.
 **
 ** Every control instance applies the commands of the consensus log in the
 ** same order and must reach the same state, so nothing here reads a clock or
@@ -12,6 +13,7 @@
 #include "pwdoc.h"
 #include "pwonce.h"
 #include "pwres.h"
+#include "pwserved.h"
 
 /* Name of the policy whose once_from_s makes the once-ledger refuse unknown
 ** keys until that time. A restore writes it to a group other than the one
@@ -30,6 +32,9 @@
 /* The configuration document of gateways, read-only. */
 const pw_doc *pwstate_document(const pw_state *s);
 
+/* The software versions of targets that serve or served lately, read-only. */
+const pw_served *pwstate_served(const pw_state *s);
+
 /* Applies one command. *outcome becomes the answer to a Change or a published
 ** document, *claimed that to a Claim; each is NULL for other commands. The
 ** caller frees them with their free_unpacked functions. */
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -1177,6 +1177,51 @@
   assert(message->base.descriptor == &pw__service_rollout__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pw__served_versions__init
+                     (Pw__ServedVersions         *message)
+{
+  static const Pw__ServedVersions init_value = PW__SERVED_VERSIONS__INIT;
+  *message = init_value;
+}
+size_t pw__served_versions__get_packed_size
+                     (const Pw__ServedVersions *message)
+{
+  assert(message->base.descriptor == &pw__served_versions__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__served_versions__pack
+                     (const Pw__ServedVersions *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__served_versions__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__served_versions__pack_to_buffer
+                     (const Pw__ServedVersions *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__served_versions__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__ServedVersions *
+       pw__served_versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__ServedVersions *)
+     protobuf_c_message_unpack (&pw__served_versions__descriptor,
+                                allocator, len, data);
+}
+void   pw__served_versions__free_unpacked
+                     (Pw__ServedVersions *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__served_versions__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pw__answers__init
                      (Pw__Answers         *message)
 {
@@ -5527,6 +5572,57 @@
   (ProtobufCMessageInit) pw__service_rollout__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pw__served_versions__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pw__ServedVersions, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pw__ServedVersions, n_versions),
+    offsetof(Pw__ServedVersions, versions),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__served_versions__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = versions */
+};
+static const ProtobufCIntRange pw__served_versions__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pw__served_versions__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.ServedVersions",
+  "ServedVersions",
+  "Pw__ServedVersions",
+  "pw",
+  sizeof(Pw__ServedVersions),
+  2,
+  pw__served_versions__field_descriptors,
+  pw__served_versions__field_indices_by_name,
+  1,  pw__served_versions__number_ranges,
+  (ProtobufCMessageInit) pw__served_versions__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pw__answers__field_descriptors[7] =
 {
   {
@@ -5694,7 +5790,7 @@
   (ProtobufCMessageInit) pw__gateway_heard__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__notice__field_descriptors[18] =
+static const ProtobufCFieldDescriptor pw__notice__field_descriptors[20] =
 {
   {
     "site",
@@ -5912,6 +6008,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "served_number",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__Notice, served_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "served",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Notice, n_served),
+    offsetof(Pw__Notice, served),
+    &pw__served_versions__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__notice__field_indices_by_name[] = {
   3,   /* field[3] = beats */
@@ -5927,6 +6047,8 @@
   12,   /* field[12] = number */
   9,   /* field[9] = revision */
   14,   /* field[14] = rollouts */
+  19,   /* field[19] = served */
+  18,   /* field[18] = served_number */
   0,   /* field[0] = site */
   11,   /* field[11] = suspects */
   6,   /* field[6] = table */
@@ -5936,7 +6058,7 @@
 static const ProtobufCIntRange pw__notice__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor pw__notice__descriptor =
 {
@@ -5946,7 +6068,7 @@
   "Pw__Notice",
   "pw",
   sizeof(Pw__Notice),
-  18,
+  20,
   pw__notice__field_descriptors,
   pw__notice__field_indices_by_name,
   1,  pw__notice__number_ranges,
@@ -7344,7 +7466,7 @@
   (ProtobufCMessageInit) pw__change__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__command__field_descriptors[5] =
+static const ProtobufCFieldDescriptor pw__command__field_descriptors[6] =
 {
   {
     "wall",
@@ -7406,18 +7528,31 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "served",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Command, body_case),
+    offsetof(Pw__Command, served),
+    &pw__served_versions__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__command__field_indices_by_name[] = {
   1,   /* field[1] = change */
   2,   /* field[2] = claim */
   4,   /* field[4] = publish */
   3,   /* field[3] = record */
+  5,   /* field[5] = served */
   0,   /* field[0] = wall */
 };
 static const ProtobufCIntRange pw__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor pw__command__descriptor =
 {
@@ -7427,7 +7562,7 @@
   "Pw__Command",
   "pw",
   sizeof(Pw__Command),
-  5,
+  6,
   pw__command__field_descriptors,
   pw__command__field_indices_by_name,
   1,  pw__command__number_ranges,
@@ -7730,7 +7865,7 @@
   (ProtobufCMessageInit) pw__kept_claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pw__state__field_descriptors[10] =
 {
   {
     "version",
@@ -7828,6 +7963,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "served",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__State, n_served),
+    offsetof(Pw__State, served),
+    &pw__served_versions__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "served_number",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__State, served_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__state__field_indices_by_name[] = {
   4,   /* field[4] = claims */
@@ -7837,12 +7996,14 @@
   6,   /* field[6] = past */
   3,   /* field[3] = resources */
   1,   /* field[1] = revision */
+  8,   /* field[8] = served */
+  9,   /* field[9] = served_number */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange pw__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pw__state__descriptor =
 {
@@ -7852,7 +8013,7 @@
   "Pw__State",
   "pw",
   sizeof(Pw__State),
-  8,
+  10,
   pw__state__field_descriptors,
   pw__state__field_indices_by_name,
   1,  pw__state__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -41,6 +41,7 @@
 typedef struct Pw__Beat Pw__Beat;
 typedef struct Pw__Watch Pw__Watch;
 typedef struct Pw__ServiceRollout Pw__ServiceRollout;
+typedef struct Pw__ServedVersions Pw__ServedVersions;
 typedef struct Pw__Answers Pw__Answers;
 typedef struct Pw__GatewayHeard Pw__GatewayHeard;
 typedef struct Pw__Notice Pw__Notice;
@@ -814,6 +815,21 @@
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
+/*
+ * The software versions of a service's targets that serve or served lately, as pwserved.h has it.
+ */
+struct  Pw__ServedVersions
+{
+  ProtobufCMessage base;
+  char *service;
+  size_t n_versions;
+  char **versions;
+};
+#define PW__SERVED_VERSIONS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__served_versions__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL }
+
+
 /*
  * Answers on one route of a service since its roll-out began, in one life of the sender.
  */
@@ -945,10 +961,19 @@
    */
   size_t n_gateways_heard;
   Pw__GatewayHeard **gateways_heard;
+  /*
+   * changes of `served` so far; 0: it is not in this message
+   */
+  uint64_t served_number;
+  /*
+   * of all services
+   */
+  size_t n_served;
+  Pw__ServedVersions **served;
 };
 #define PW__NOTICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__notice__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -1299,7 +1324,8 @@
   PW__COMMAND__BODY_CHANGE = 2,
   PW__COMMAND__BODY_CLAIM = 3,
   PW__COMMAND__BODY_RECORD = 4,
-  PW__COMMAND__BODY_PUBLISH = 5
+  PW__COMMAND__BODY_PUBLISH = 5,
+  PW__COMMAND__BODY_SERVED = 6
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PW__COMMAND__BODY__CASE)
 } Pw__Command__BodyCase;
 
@@ -1322,6 +1348,10 @@
      * the whole configuration, if its version is newer
      */
     Pw__Document *publish;
+    /*
+     * replaces those of its service; none: removes it
+     */
+    Pw__ServedVersions *served;
   };
 };
 #define PW__COMMAND__INIT \
@@ -1403,10 +1433,16 @@
    */
   ProtobufCBinaryData past;
   Pw__Document *document;
+  size_t n_served;
+  Pw__ServedVersions **served;
+  /*
+   * changes of `served` so far
+   */
+  uint64_t served_number;
 };
 #define PW__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__state__descriptor) \
-    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, NULL }
+    , 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, {0,NULL}, NULL, 0,NULL, 0 }
 
 
 /*
@@ -1971,6 +2007,25 @@
 void   pw__service_rollout__free_unpacked
                      (Pw__ServiceRollout *message,
                       ProtobufCAllocator *allocator);
+/* Pw__ServedVersions methods */
+void   pw__served_versions__init
+                     (Pw__ServedVersions         *message);
+size_t pw__served_versions__get_packed_size
+                     (const Pw__ServedVersions   *message);
+size_t pw__served_versions__pack
+                     (const Pw__ServedVersions   *message,
+                      uint8_t             *out);
+size_t pw__served_versions__pack_to_buffer
+                     (const Pw__ServedVersions   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__ServedVersions *
+       pw__served_versions__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__served_versions__free_unpacked
+                     (Pw__ServedVersions *message,
+                      ProtobufCAllocator *allocator);
 /* Pw__Answers methods */
 void   pw__answers__init
                      (Pw__Answers         *message);
@@ -2526,6 +2581,9 @@
 typedef void (*Pw__ServiceRollout_Closure)
                  (const Pw__ServiceRollout *message,
                   void *closure_data);
+typedef void (*Pw__ServedVersions_Closure)
+                 (const Pw__ServedVersions *message,
+                  void *closure_data);
 typedef void (*Pw__Answers_Closure)
                  (const Pw__Answers *message,
                   void *closure_data);
@@ -2633,6 +2691,7 @@
 extern const ProtobufCMessageDescriptor pw__beat__descriptor;
 extern const ProtobufCMessageDescriptor pw__watch__descriptor;
 extern const ProtobufCMessageDescriptor pw__service_rollout__descriptor;
+extern const ProtobufCMessageDescriptor pw__served_versions__descriptor;
 extern const ProtobufCMessageDescriptor pw__answers__descriptor;
 extern const ProtobufCMessageDescriptor pw__gateway_heard__descriptor;
 extern const ProtobufCMessageDescriptor pw__notice__descriptor;
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -41,8 +41,7 @@
   pw_proc p;
   pw_wire *gateway_wire; /* transport of the gateways */
   pw_sock *listener, *dialler;
-  pw_doc *doc;
-  pw_res *resources;
+  pw_state *state;
   pw_watch *watch;
   gateway g[GATEWAYS];
   char self[PW_NAME_MAX];
@@ -67,9 +66,8 @@
   b->listener = pwwire_listen(b->p.wire, b->self, &err);
   CHECK(b->listener != NULL);
   b->dialler = pwwire_dialler(b->p.wire);
-  b->doc = pwdoc_new();
-  b->resources = pwres_new();
-  b->watch = pwwatch_new(&b->p, b->listener, b->dialler, b->doc, b->resources);
+  b->state = pwstate_new();
+  b->watch = pwwatch_new(&b->p, b->listener, b->dialler, b->state);
   for (int i = 0; i < GATEWAYS; i++) {
     b->g[i].sock = pwwire_dialler(b->gateway_wire);
     snprintf(b->g[i].gossip, sizeof b->g[i].gossip, "127.0.0.%d:1", i + 1);
@@ -83,8 +81,7 @@
 
 static void end(bed *b) {
   pwwatch_free(b->watch);
-  pwres_free(b->resources);
-  pwdoc_free(b->doc);
+  pwstate_free(b->state);
   for (int i = 0; i < GATEWAYS; i++) {
     pwwire_close(b->g[i].sock);
     pwwire_close(b->g[i].relay_sock);
