Streams go on after a loss of all gateways: control knows which version began them

Callers saw: after all gateways had been killed at once, no stream that they resumed went on, though targets of its version served; each lost half an answer. Cause: only gateways knew which version had begun a stream. Change: a stream whose attempt is named goes on at the only version, where control has recorded one. While several versions serve, a gateway tells two control instances of each stream, and of those in progress when a second version appears; a gateway that does not know asks control instances beside gateways. `stream-unknown` lines name the attempt. Evidence: 117_gateways_lost before: 0 of 12 streams of its first check go on; now it passes, 6 of 6 runs.

--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -116,6 +116,9 @@
       pwcanaries_report(c->canaries, e);
       pwwatch_message(c->watch, &from, e, now);
       break;
+    case PW__ENVELOPE__BODY_STREAM_REPORT:
+      pwstreams_message(c->streams, &from, e->stream_report, now);
+      break;
     case PW__ENVELOPE__BODY_NOTICE:
       pwwatch_message(c->watch, &from, e, now);
       break;
@@ -210,6 +213,7 @@
   pwbusy_tick(&c->busy, c->p, now);
   pwpublish_tick(c->publish, now);
   pwreads_ask_again(c->reads, now);
+  pwstreams_tick(c->streams, now);
   if (pwlag_catch_up(&c->lag, now) == 0)
     check_silence(c, now);
   pwproc_set_ready(c->p, pwgroup_leader_http(c->group)[0] != 0);
@@ -408,6 +412,7 @@
   c.planner = pwplanner_new(pwctl_resources(&c), c.treereport);
   const pw_state *state = pwgroup_state(c.group);
   c.watch = pwwatch_new(p, c.listener, c.dialler, state);
+  c.streams = pwstreams_new(p, c.listener);
   c.served = pwservedrecord_new(c.group, c.watch);
   c.canaries = pwcanaries_new(pwctl_resources(&c), c.watch,
                               p->set->control_expose_share);
@@ -428,6 +433,7 @@
   pwleave_free(c.leave);
   pwcanaries_free(c.canaries);
   pwservedrecord_free(c.served);
+  pwstreams_free(c.streams);
   pwwatch_free(c.watch);
   pwtreereport_free(c.treereport);
   pwfeed_free(c.feed);
--- a/packages/control/pwctl.h
+++ b/packages/control/pwctl.h
@@ -14,6 +14,7 @@
 #include "pwpublish.h"
 #include "pwreads.h"
 #include "pwservedrecord.h"
+#include "pwstreams.h"
 #include "pwtreereport.h"
 #include "pwwatch.h"
 
@@ -50,6 +51,7 @@
   pw_planner *planner;
   pw_canaries *canaries;
   pw_served_record *served;
+  pw_streams *streams;
   pw_watch *watch;
   pw_leave *leave;
   pw_publish *publish;
--- a/packages/control/pwservedrecord.c
+++ b/packages/control/pwservedrecord.c
@@ -147,7 +147,7 @@
 /* Proposes the record of a service if it has changed. */
 static void propose(pw_served_record *r, const char *service, int64_t now) {
   Pw__ServedVersions m;
-  char *list[PWSERVED_VERSIONS_MAX];
+  char *list[PWSERVED_VERSIONS_MAX] = {0};
   fill(r, service, &m, list, now);
   if (!differs(r, &m))
     return;
--- /dev/null
+++ b/packages/control/pwstreams.h
@@ -0,0 +1,23 @@
+/* pwstreams.h: which software version began a stream, as gateways tell a
+** control instance while targets of several versions serve, and query it.
+**
+** The record outlives a loss of all gateways. It is kept in memory and is not
+** replicated: each gateway tells two instances. */
+#ifndef PWSTREAMS_H
+#define PWSTREAMS_H
+
+#include "pwproc.h"
+
+typedef struct pw_streams pw_streams;
+
+pw_streams *pwstreams_new(pw_proc *p, pw_sock *listener);
+void pwstreams_free(pw_streams *s);
+
+/* Takes what a gateway announces, and answers what it queries. */
+void pwstreams_message(pw_streams *s, const pw_peer *from,
+                       const Pw__StreamReport *m, int64_t now);
+
+/* Drops old records. */
+void pwstreams_tick(pw_streams *s, int64_t now);
+
+#endif
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -92,6 +92,8 @@
     "heartbeats that are no JSON object")                                      \
   X(PWC_LOST_GATEWAYS, "control_lost_gateways", "gauge",                       \
     "gateways that were heard once and are silent now")                        \
+  X(PWC_STREAM_ORIGINS, "control_stream_origins", "gauge",                     \
+    "streams whose version gateways have told this control instance")          \
   X(PWC_OBSERVERS, "control_observers", "gauge",                               \
     "control instances outside of the group that are known here")              \
   X(PWC_ISOLATED, "control_unheard", "gauge",                                  \
@@ -132,7 +134,7 @@
   X(PWC_GW_STREAM_QUERIED, "gateway_stream_queries_total", "counter",          \
     "streams for whose version other gateways were queried")                   \
   X(PWC_GW_STREAM_FOUND, "gateway_stream_answers_total", "counter",            \
-    "streams whose version another gateway knew")                              \
+    "streams whose version another gateway or a control instance knew")        \
   X(PWC_GW_STREAM_ORIGINS, "gateway_stream_origins", "gauge",                  \
     "streams whose version is known here")                                     \
   X(PWC_GW_GONE, "gateway_callers_gone_total", "counter",                      \
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -6,6 +6,7 @@
 
 #include "pwfingerprint.h"
 #include "pwgate.h"
+#include "pwlinkstreams.h"
 #include "pwsse.h"
 #include "pwtrace.h"
 
@@ -46,10 +47,12 @@
   uint64_t version;
   uint64_t stream;      /* names the stream in pworigins; 0: it has no name */
   int64_t announced_at; /* when its version was last announced, ms */
-  int awaits_origin;    /* other gateways are queried for its version */
-  int64_t queried_at;   /* when they were last queried, ms */
-  uint64_t
-      queried[PWRENDEZVOUS_MAX]; /* hashes of those queried; 0: has answered */
+  int is_told_control;  /* control instances have been told, too */
+  int awaits_origin;    /* other instances are queried for its version */
+  /* When gateways and when control instances were last queried, ms. */
+  int64_t queried_at, control_queried_at;
+  /* Hashes of those queried, gateways first; 0: has answered. */
+  uint64_t queried[PWLINK_QUERIED_MAX];
   int nqueried;
 
   pw_fleet_side side;   /* the version of the service to which it may be sent */
--- a/packages/gateway/pwexresume.c
+++ b/packages/gateway/pwexresume.c
@@ -1,8 +1,9 @@
 /* pwexresume.c: streams that callers resume, and the software version that began each.
 **
 ** What two versions of a service write does not fit together, and targets do not check it. The gateway that forwards
-** the first event of a stream announces to some other gateways which version made it; a gateway at which the stream is
-** resumed queries them unless it knows. A stream whose version nobody knows is refused: it has not run. */
+** the first event of a stream announces to some other gateways which version made it, and to control instances if there
+** are several versions; a gateway at which the stream is resumed queries both unless it knows. A stream whose version
+** nobody knows is refused: it has not run. */
 #include "pwexint.h"
 
 #include <string.h>
@@ -16,6 +17,10 @@
 /* Interval of repeated queries, ms: a datagram may be lost. */
 #define QUERY_AGAIN_MS 60
 
+/* Interval of repeated queries to control instances, ms: their messages are lost only with a connection, but the gateway
+** may have reached further instances. */
+#define CONTROL_AGAIN_MS 200
+
 /* Time after its start until which a gateway may not know all others yet, ms: it hears first of those that reached the
 ** same control instance. */
 #define SETTLED_MS 5000
@@ -37,6 +42,9 @@
   x->announced_at = now;
   pworigins_note(g->origins, x->stream, x->version, 1, now);
   pwgossip_announce_stream(g->gossip, x->stream, x->version);
+  x->is_told_control = pwgate_tells_control(g, x->service_state, now);
+  if (x->is_told_control)
+    pwlink_announce_stream(g->link, x->stream, x->version, now);
 }
 
 void pwexi_note_begun(pw_exchange *x, int64_t now) {
@@ -56,10 +64,14 @@
 
 void pwexi_reannounce(pw_exchange *x, int64_t now) {
   pw_gate *g = x->g;
+  if (!x->has_begun || !x->stream)
+    return;
   int are_new_known = !is_settled(g, now) &&
                       pwgossip_peers_changed_at(g->gossip) >= x->announced_at;
-  if (x->has_begun && x->stream &&
-      (are_new_known || now - x->announced_at >= REANNOUNCE_MS))
+  int is_new_to_control =
+      !x->is_told_control && pwgate_tells_control(g, x->service_state, now);
+  if (are_new_known || is_new_to_control ||
+      now - x->announced_at >= REANNOUNCE_MS)
     announce(x, now);
 }
 
@@ -70,7 +82,22 @@
          (x->request_info.last_event.p || x->request_info.resumes.p);
 }
 
+/* Instances queried that have not answered. */
+static int count_unanswered(const pw_exchange *x) {
+  int n = 0;
+  for (int i = 0; i < x->nqueried; i++)
+    n += x->queried[i] != 0;
+  return n;
+}
+
 static void refuse_unknown(pw_exchange *x, const char *why, int64_t retry_ms) {
+  pwexi_log(x, PWTRACE_FAIL, "stream-unknown",
+            "of=%.*s last=%.*s queried=%d unanswered=%d",
+            (int)x->request_info.resumes.n,
+            x->request_info.resumes.p ? x->request_info.resumes.p : "",
+            (int)x->request_info.last_event.n,
+            x->request_info.last_event.p ? x->request_info.last_event.p : "",
+            x->nqueried, count_unanswered(x));
   pwcount_add(x->g->p->counters, PWC_GW_STREAM_UNKNOWN, 1);
   pwexi_refuse(x, PW_E_STREAM_UNKNOWN, why, retry_ms);
 }
@@ -120,14 +147,29 @@
 void pwexi_end_origin_wait(pw_exchange *x) {
   pwexi_leave_origin_queue(x);
   refuse_unknown(x,
-                 "not all gateways that may know the version of the stream "
+                 "not all instances that may know the version of the stream "
                  "have answered",
                  PWEX_RETRY_NO_TARGET_MS);
 }
 
+/* Queries gateways and control instances; those that had answered are awaited anew. */
 static void query(pw_exchange *x, int64_t now) {
+  pw_gate *g = x->g;
+  x->queried_at = x->control_queried_at = now;
+  x->nqueried = pwgossip_query_stream(g->gossip, x->stream, x->queried);
+  x->nqueried +=
+      pwlink_query_stream(g->link, x->stream, now, x->queried + x->nqueried);
+}
+
+/* Queries the gateways again, since datagrams may be lost. */
+static void repeat_query(pw_exchange *x, int64_t now) {
+  uint64_t again[PWRENDEZVOUS_MAX];
+  if (now - x->control_queried_at >= CONTROL_AGAIN_MS) {
+    query(x, now);
+    return;
+  }
   x->queried_at = now;
-  x->nqueried = pwgossip_query_stream(x->g->gossip, x->stream, x->queried);
+  pwgossip_query_stream(x->g->gossip, x->stream, again);
 }
 
 static void begin_query(pw_exchange *x, int64_t now) {
@@ -184,22 +226,21 @@
   x->stream = stream_of(x, x->request_info.resumes);
   if (pworigins_find(x->g->origins, x->stream, now, &origin))
     continue_stream(x, &origin, origin.is_own ? "own" : "announced");
+  else if (find_only_version(x, now, &origin) == PWGATE_SERVED_ONE)
+    continue_stream(x, &origin, "only-version");
   else
     begin_query(x, now);
   return 1;
 }
 
-/* --- answers of other gateways --- */
+/* --- answers of other gateways and of control instances --- */
 
-/* Whether all gateways queried have answered that they do not know the stream. */
+/* Whether all instances queried have answered that they do not know the stream. */
 static int note_unknown(pw_exchange *x, uint64_t from) {
-  int left = 0;
-  for (int i = 0; i < x->nqueried; i++) {
+  for (int i = 0; i < x->nqueried; i++)
     if (x->queried[i] == from)
       x->queried[i] = 0;
-    left += x->queried[i] != 0;
-  }
-  return x->nqueried > 0 && left == 0;
+  return x->nqueried > 0 && count_unanswered(x) == 0;
 }
 
 void pwexchange_origin_answered(pw_gate *g, uint64_t stream, uint64_t from,
@@ -215,7 +256,7 @@
       continue_stream(x, origin, "queried");
     } else if (note_unknown(x, from) && is_settled(g, pwclock_ms())) {
       pwexi_leave_origin_queue(x);
-      refuse_unknown(x, "no gateway knows the version that began the stream",
+      refuse_unknown(x, "no instance knows the version that began the stream",
                      0);
     }
   }
@@ -233,6 +274,6 @@
   pw_exchange *x, *next;
   DL_FOREACH_SAFE(g->origin_waiters, x, next) {
     if (now - x->queried_at >= QUERY_AGAIN_MS)
-      query(x, now);
+      repeat_query(x, now);
   }
 }
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -45,6 +45,9 @@
       slots_lacking_at; /* when a first attempt that is not surplus last got no slot, ms; 0: never */
   pw_prefill prefill; /* of its engines */
   pw_spike *spike;    /* load spikes of workspaces */
+  /* Control instances are told of its streams, as found at tells_control_at, ms. */
+  int tells_control;
+  int64_t tells_control_at;
   struct pw_gate_service *next;
 } pw_gate_service;
 
@@ -175,6 +178,9 @@
 pw_gate_served pwgate_served(const pw_gate *g, const char *service, int64_t now,
                              uint64_t *version);
 
+/* Whether control instances are told which version began each stream of a service: there may be several versions. */
+int pwgate_tells_control(const pw_gate *g, pw_gate_service *s, int64_t now);
+
 /* --- pwexchange.c --- */
 
 /* Begins the exchange of a completely received request. */
@@ -204,8 +210,7 @@
 
 /* --- pwexresume.c --- */
 
-/* An answer of another gateway, with this hash, to the query which version began a stream; NULL: it does not
-** know. */
+/* Takes an answer to the query which version began a stream, as a pw_origin_answered. */
 void pwexchange_origin_answered(pw_gate *g, uint64_t stream, uint64_t from,
                                 const pw_origin *origin);
 
@@ -260,9 +265,15 @@
 void pwhint_apply(pw_gate *g, pw_target *t, int status,
                   const pw_answer_info *info);
 
+/* Takes an answer to the query which version began a stream, from the instance with this hash; NULL: it does not
+** know. */
+typedef void pw_origin_answered(pw_gate *g, uint64_t stream, uint64_t from,
+                                const pw_origin *origin);
+
 /* --- pwlink.c: control instances --- */
 
-pw_link *pwlink_new(pw_gate *g, pw_buf *err);
+pw_link *pwlink_new(pw_gate *g, pw_origin_answered *origin_answered,
+                    pw_buf *err);
 void pwlink_free(pw_link *l);
 void pwlink_tick(pw_link *l, int64_t now);
 
@@ -290,9 +301,7 @@
   void (*prefix_cached)(pw_gate *g, uint64_t key);
   /* Time for which a target is expected to have a prefix cached, ms. */
   int64_t (*prefix_keep_ms)(const pw_gate *g);
-  /* An answer to the query which version began a stream; NULL: the gateway with this hash does not know. */
-  void (*origin_answered)(pw_gate *g, uint64_t stream, uint64_t from,
-                          const pw_origin *origin);
+  pw_origin_answered *origin_answered;
 } pw_gossip_callbacks;
 
 pw_gossip *pwgossip_new(pw_gate *g, const pw_gossip_callbacks *calls,
--- a/packages/gateway/pwgateserved.c
+++ b/packages/gateway/pwgateserved.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/* Interval at which the targets are looked through for several versions, ms. */
+#define SEVERAL_CHECK_MS 250
+
 static void log_versions(pw_gate *g, const Pw__Notice *n, int64_t now) {
   for (size_t i = 0; i < n->n_served; i++) {
     const Pw__ServedVersions *m = n->served[i];
@@ -37,3 +40,13 @@
              ? PWGATE_SERVED_ONE
              : PWGATE_SERVED_SEVERAL;
 }
+
+int pwgate_tells_control(const pw_gate *g, pw_gate_service *s, int64_t now) {
+  uint64_t version;
+  if (s->tells_control_at && now - s->tells_control_at < SEVERAL_CHECK_MS)
+    return s->tells_control;
+  s->tells_control_at = now;
+  s->tells_control =
+      pwgate_served(g, s->name, now, &version) != PWGATE_SERVED_ONE;
+  return s->tells_control;
+}
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -144,6 +144,8 @@
       on_notice(l, c, e->notice, now);
     else if (e->body_case == PW__ENVELOPE__BODY_DOCUMENT)
       pwconfsync_document(l, e->document, now);
+    else if (c && e->body_case == PW__ENVELOPE__BODY_STREAM_ANSWERS)
+      pwlink_streams_answered(l, c, e->stream_answers);
     pw__envelope__free_unpacked(e, NULL);
   }
 }
@@ -226,6 +228,7 @@
   for (contact *c = l->contacts; c; c = c->next)
     if (c->dialled_at && now - c->watched_at >= watch_interval_ms(l, c))
       pwlink_send_watch(l, c, 0, now);
+  pwlink_streams_tick(l, now);
   pwcontacts_observe(l, now);
   pwcontacts_drop_silent(l, now);
 }
@@ -292,9 +295,11 @@
     pwcontacts_learn(l, addr[i], "leader", now);
 }
 
-pw_link *pwlink_new(pw_gate *g, pw_buf *err) {
+pw_link *pwlink_new(pw_gate *g, pw_origin_answered *origin_answered,
+                    pw_buf *err) {
   pw_link *l = pw_alloc(sizeof *l);
   l->g = g;
+  l->origin_answered = origin_answered;
   l->doc = pwdoc_new();
   l->full_wait_ms = FULL_LIST_MS;
   l->is_cut_off = 1;
@@ -320,6 +325,7 @@
     free(c);
   }
   pwconfsync_end(l);
+  pwlink_streams_free(l);
   pwrelay_free(l->relay);
   pwwire_close(l->sock);
   pwdoc_free(l->doc);
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -7,6 +7,7 @@
 
 #include "pwdoc.h"
 #include "pwgatewaycount.h"
+#include "pwlinkstreams.h"
 #include "pwlog.h"
 #include "pwpartsmsg.h"
 #include "pwsuspects.h"
@@ -62,6 +63,8 @@
   /* Address of the gateway that the document was requested from; "": none. */
   char relay_addr[PW_NAME_MAX];
   pw_relay *relay;
+  pw_stream_outbox streams;
+  pw_origin_answered *origin_answered;
   int ngateways;
   pw_gateway_count budget_count;
   int is_cut_off;          /* no control instance is reachable */
@@ -79,6 +82,18 @@
 ** one. */
 void pwlink_send_watch(pw_link *l, contact *c, int want, int64_t now);
 
+/* --- pwlinkstreams.c: which version began a stream --- */
+
+/* Sends the bundles and queries that are due. */
+void pwlink_streams_tick(pw_link *l, int64_t now);
+
+/* Passes on the answers of a control instance. */
+void pwlink_streams_answered(pw_link *l, const contact *from,
+                             const Pw__StreamAnswers *m);
+
+/* Frees what waits to be sent. */
+void pwlink_streams_free(pw_link *l);
+
 /* --- pwcontacts.c: the known control instances --- */
 
 /* Adds a control instance unless it is known. `from`: what named it, for the log. */
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -1537,6 +1537,141 @@
   assert(message->base.descriptor == &pw__stream_origin__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pw__streams_begun__init
+                     (Pw__StreamsBegun         *message)
+{
+  static const Pw__StreamsBegun init_value = PW__STREAMS_BEGUN__INIT;
+  *message = init_value;
+}
+size_t pw__streams_begun__get_packed_size
+                     (const Pw__StreamsBegun *message)
+{
+  assert(message->base.descriptor == &pw__streams_begun__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__streams_begun__pack
+                     (const Pw__StreamsBegun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__streams_begun__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__streams_begun__pack_to_buffer
+                     (const Pw__StreamsBegun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__streams_begun__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__StreamsBegun *
+       pw__streams_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__StreamsBegun *)
+     protobuf_c_message_unpack (&pw__streams_begun__descriptor,
+                                allocator, len, data);
+}
+void   pw__streams_begun__free_unpacked
+                     (Pw__StreamsBegun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__streams_begun__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pw__stream_report__init
+                     (Pw__StreamReport         *message)
+{
+  static const Pw__StreamReport init_value = PW__STREAM_REPORT__INIT;
+  *message = init_value;
+}
+size_t pw__stream_report__get_packed_size
+                     (const Pw__StreamReport *message)
+{
+  assert(message->base.descriptor == &pw__stream_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__stream_report__pack
+                     (const Pw__StreamReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__stream_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__stream_report__pack_to_buffer
+                     (const Pw__StreamReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__stream_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__StreamReport *
+       pw__stream_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__StreamReport *)
+     protobuf_c_message_unpack (&pw__stream_report__descriptor,
+                                allocator, len, data);
+}
+void   pw__stream_report__free_unpacked
+                     (Pw__StreamReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__stream_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pw__stream_answers__init
+                     (Pw__StreamAnswers         *message)
+{
+  static const Pw__StreamAnswers init_value = PW__STREAM_ANSWERS__INIT;
+  *message = init_value;
+}
+size_t pw__stream_answers__get_packed_size
+                     (const Pw__StreamAnswers *message)
+{
+  assert(message->base.descriptor == &pw__stream_answers__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pw__stream_answers__pack
+                     (const Pw__StreamAnswers *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pw__stream_answers__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pw__stream_answers__pack_to_buffer
+                     (const Pw__StreamAnswers *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pw__stream_answers__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pw__StreamAnswers *
+       pw__stream_answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pw__StreamAnswers *)
+     protobuf_c_message_unpack (&pw__stream_answers__descriptor,
+                                allocator, len, data);
+}
+void   pw__stream_answers__free_unpacked
+                     (Pw__StreamAnswers *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pw__stream_answers__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pw__suspect__init
                      (Pw__Suspect         *message)
 {
@@ -2347,7 +2482,7 @@
   assert(message->base.descriptor == &pw__confirmed__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pw__envelope__field_descriptors[26] =
+static const ProtobufCFieldDescriptor pw__envelope__field_descriptors[28] =
 {
   {
     "from",
@@ -2661,6 +2796,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stream_report",
+    32,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Envelope, body_case),
+    offsetof(Pw__Envelope, stream_report),
+    &pw__stream_report__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream_answers",
+    33,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__Envelope, body_case),
+    offsetof(Pw__Envelope, stream_answers),
+    &pw__stream_answers__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__envelope__field_indices_by_name[] = {
   12,   /* field[12] = cancel */
@@ -2687,6 +2846,8 @@
   7,   /* field[7] = refuse */
   2,   /* field[2] = revision */
   6,   /* field[6] = run */
+  27,   /* field[27] = stream_answers */
+  26,   /* field[26] = stream_report */
   21,   /* field[21] = watch */
   5,   /* field[5] = welcome */
 };
@@ -2694,7 +2855,7 @@
 {
   { 1, 0 },
   { 10, 4 },
-  { 0, 26 }
+  { 0, 28 }
 };
 const ProtobufCMessageDescriptor pw__envelope__descriptor =
 {
@@ -2704,7 +2865,7 @@
   "Pw__Envelope",
   "pw",
   sizeof(Pw__Envelope),
-  26,
+  28,
   pw__envelope__field_descriptors,
   pw__envelope__field_indices_by_name,
   2,  pw__envelope__number_ranges,
@@ -6591,6 +6752,146 @@
   (ProtobufCMessageInit) pw__stream_origin__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pw__streams_begun__field_descriptors[2] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__StreamsBegun, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "streams",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Pw__StreamsBegun, n_streams),
+    offsetof(Pw__StreamsBegun, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__streams_begun__field_indices_by_name[] = {
+  1,   /* field[1] = streams */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange pw__streams_begun__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pw__streams_begun__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.StreamsBegun",
+  "StreamsBegun",
+  "Pw__StreamsBegun",
+  "pw",
+  sizeof(Pw__StreamsBegun),
+  2,
+  pw__streams_begun__field_descriptors,
+  pw__streams_begun__field_indices_by_name,
+  1,  pw__streams_begun__number_ranges,
+  (ProtobufCMessageInit) pw__streams_begun__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__stream_report__field_descriptors[2] =
+{
+  {
+    "begun",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__StreamReport, n_begun),
+    offsetof(Pw__StreamReport, begun),
+    &pw__streams_begun__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queried",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Pw__StreamReport, n_queried),
+    offsetof(Pw__StreamReport, queried),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__stream_report__field_indices_by_name[] = {
+  0,   /* field[0] = begun */
+  1,   /* field[1] = queried */
+};
+static const ProtobufCIntRange pw__stream_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pw__stream_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.StreamReport",
+  "StreamReport",
+  "Pw__StreamReport",
+  "pw",
+  sizeof(Pw__StreamReport),
+  2,
+  pw__stream_report__field_descriptors,
+  pw__stream_report__field_indices_by_name,
+  1,  pw__stream_report__number_ranges,
+  (ProtobufCMessageInit) pw__stream_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pw__stream_answers__field_descriptors[1] =
+{
+  {
+    "answers",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__StreamAnswers, n_answers),
+    offsetof(Pw__StreamAnswers, answers),
+    &pw__stream_origin__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pw__stream_answers__field_indices_by_name[] = {
+  0,   /* field[0] = answers */
+};
+static const ProtobufCIntRange pw__stream_answers__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor pw__stream_answers__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pw.StreamAnswers",
+  "StreamAnswers",
+  "Pw__StreamAnswers",
+  "pw",
+  sizeof(Pw__StreamAnswers),
+  1,
+  pw__stream_answers__field_descriptors,
+  pw__stream_answers__field_indices_by_name,
+  1,  pw__stream_answers__number_ranges,
+  (ProtobufCMessageInit) pw__stream_answers__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pw__suspect__field_descriptors[3] =
 {
   {
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -49,6 +49,9 @@
 typedef struct Pw__Document Pw__Document;
 typedef struct Pw__Gossip Pw__Gossip;
 typedef struct Pw__StreamOrigin Pw__StreamOrigin;
+typedef struct Pw__StreamsBegun Pw__StreamsBegun;
+typedef struct Pw__StreamReport Pw__StreamReport;
+typedef struct Pw__StreamAnswers Pw__StreamAnswers;
 typedef struct Pw__Suspect Pw__Suspect;
 typedef struct Pw__CrashingPart Pw__CrashingPart;
 typedef struct Pw__Entry Pw__Entry;
@@ -97,7 +100,9 @@
   PW__ENVELOPE__BODY_NOTICE = 28,
   PW__ENVELOPE__BODY_DOCUMENT = 29,
   PW__ENVELOPE__BODY_CONFIRM = 30,
-  PW__ENVELOPE__BODY_CONFIRMED = 31
+  PW__ENVELOPE__BODY_CONFIRMED = 31,
+  PW__ENVELOPE__BODY_STREAM_REPORT = 32,
+  PW__ENVELOPE__BODY_STREAM_ANSWERS = 33
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PW__ENVELOPE__BODY__CASE)
 } Pw__Envelope__BodyCase;
 
@@ -136,6 +141,8 @@
     Pw__Document *document;
     Pw__Confirm *confirm;
     Pw__Confirmed *confirmed;
+    Pw__StreamReport *stream_report;
+    Pw__StreamAnswers *stream_answers;
   };
 };
 #define PW__ENVELOPE__INIT \
@@ -1124,6 +1131,51 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * Streams that one software version began.
+ */
+struct  Pw__StreamsBegun
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  size_t n_streams;
+  uint64_t *streams;
+};
+#define PW__STREAMS_BEGUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__streams_begun__descriptor) \
+    , 0, 0,NULL }
+
+
+/*
+ * Gateway to a control instance: streams that began, and streams for whose version it asks.
+ */
+struct  Pw__StreamReport
+{
+  ProtobufCMessage base;
+  size_t n_begun;
+  Pw__StreamsBegun **begun;
+  size_t n_queried;
+  uint64_t *queried;
+};
+#define PW__STREAM_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__stream_report__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
+/*
+ * Control instance to a gateway: an answer to each query of one StreamReport.
+ */
+struct  Pw__StreamAnswers
+{
+  ProtobufCMessage base;
+  size_t n_answers;
+  Pw__StreamOrigin **answers;
+};
+#define PW__STREAM_ANSWERS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pw__stream_answers__descriptor) \
+    , 0,NULL }
+
+
 /*
  * A request under which targets ended, as pwquarantine.h has it.
  */
@@ -2159,6 +2211,63 @@
 void   pw__stream_origin__free_unpacked
                      (Pw__StreamOrigin *message,
                       ProtobufCAllocator *allocator);
+/* Pw__StreamsBegun methods */
+void   pw__streams_begun__init
+                     (Pw__StreamsBegun         *message);
+size_t pw__streams_begun__get_packed_size
+                     (const Pw__StreamsBegun   *message);
+size_t pw__streams_begun__pack
+                     (const Pw__StreamsBegun   *message,
+                      uint8_t             *out);
+size_t pw__streams_begun__pack_to_buffer
+                     (const Pw__StreamsBegun   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__StreamsBegun *
+       pw__streams_begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__streams_begun__free_unpacked
+                     (Pw__StreamsBegun *message,
+                      ProtobufCAllocator *allocator);
+/* Pw__StreamReport methods */
+void   pw__stream_report__init
+                     (Pw__StreamReport         *message);
+size_t pw__stream_report__get_packed_size
+                     (const Pw__StreamReport   *message);
+size_t pw__stream_report__pack
+                     (const Pw__StreamReport   *message,
+                      uint8_t             *out);
+size_t pw__stream_report__pack_to_buffer
+                     (const Pw__StreamReport   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__StreamReport *
+       pw__stream_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__stream_report__free_unpacked
+                     (Pw__StreamReport *message,
+                      ProtobufCAllocator *allocator);
+/* Pw__StreamAnswers methods */
+void   pw__stream_answers__init
+                     (Pw__StreamAnswers         *message);
+size_t pw__stream_answers__get_packed_size
+                     (const Pw__StreamAnswers   *message);
+size_t pw__stream_answers__pack
+                     (const Pw__StreamAnswers   *message,
+                      uint8_t             *out);
+size_t pw__stream_answers__pack_to_buffer
+                     (const Pw__StreamAnswers   *message,
+                      ProtobufCBuffer     *buffer);
+Pw__StreamAnswers *
+       pw__stream_answers__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pw__stream_answers__free_unpacked
+                     (Pw__StreamAnswers *message,
+                      ProtobufCAllocator *allocator);
 /* Pw__Suspect methods */
 void   pw__suspect__init
                      (Pw__Suspect         *message);
@@ -2605,6 +2714,15 @@
 typedef void (*Pw__StreamOrigin_Closure)
                  (const Pw__StreamOrigin *message,
                   void *closure_data);
+typedef void (*Pw__StreamsBegun_Closure)
+                 (const Pw__StreamsBegun *message,
+                  void *closure_data);
+typedef void (*Pw__StreamReport_Closure)
+                 (const Pw__StreamReport *message,
+                  void *closure_data);
+typedef void (*Pw__StreamAnswers_Closure)
+                 (const Pw__StreamAnswers *message,
+                  void *closure_data);
 typedef void (*Pw__Suspect_Closure)
                  (const Pw__Suspect *message,
                   void *closure_data);
@@ -2699,6 +2817,9 @@
 extern const ProtobufCMessageDescriptor pw__document__descriptor;
 extern const ProtobufCMessageDescriptor pw__gossip__descriptor;
 extern const ProtobufCMessageDescriptor pw__stream_origin__descriptor;
+extern const ProtobufCMessageDescriptor pw__streams_begun__descriptor;
+extern const ProtobufCMessageDescriptor pw__stream_report__descriptor;
+extern const ProtobufCMessageDescriptor pw__stream_answers__descriptor;
 extern const ProtobufCMessageDescriptor pw__suspect__descriptor;
 extern const ProtobufCMessageDescriptor pw__crashing_part__descriptor;
 extern const ProtobufCMessageDescriptor pw__entry__descriptor;
