An entry charges what it holds of answers, and limits it while memory is short

Callers saw (other calls on the same entry): 40 calls to a service whose bodies have no end took an entry over its memory; a platform kills it, and all calls in progress end with it. Cause: an entry held up to 8 MB of each answer that is not streamed, outside of the account of memory. Change: the buffer of the answer is charged; while more than half of the account is in use the limit of gateways applies, 4 MB to 64 KB. An answer beyond it fails as the service's.

--- a/packages/entry/pwanswer.c
+++ b/packages/entry/pwanswer.c
@@ -1,12 +1,15 @@
 /* pwanswer.c: handles agents' messages about attempts. */
 #include "pwfl.h"
 
+#include "pwbuflimits.h"
+#include "pwmemory.h"
+
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
-#define ANSWER_MAX                                                             \
-  (8 * 1024 * 1024) /* bytes of an answer that is not streamed */
+/* Longest answer that is not streamed, bytes. */
+#define ANSWER_MAX (8 * 1024 * 1024)
 
 /* Sends the chat's home target the name of the target that now has the chat's
 ** prefix cached. */
@@ -105,6 +108,15 @@
   f->credited = offset;
 }
 
+/* Bytes that may be held of an answer that is not streamed. While memory is short the limit shrinks: answers may come
+** without end, and many at once. */
+static size_t answer_room(const pw_flights *fs) {
+  const pw_memory *m = fs->p->memory;
+  return pwmemory_is_short(m)
+             ? pwbuflimits_of(pwmemory_used(m), pwmemory_buffer_limit(m)).answer
+             : ANSWER_MAX;
+}
+
 /* Appends the bytes at their offset. Bytes received before are skipped; when bytes
 ** are missing, the attempt counts as broken off. */
 static void on_chunk(pw_flights *fs, pw_flight *f, const Pw__Chunk *k,
@@ -124,7 +136,7 @@
   size_t buffered = pwcall_data(f->call, fresh.data, fresh.len);
   if (f->call->stream)
     return; /* credit is sent as the caller reads */
-  if (buffered > ANSWER_MAX) {
+  if (buffered > answer_room(fs)) {
     pwfl_send_cancel(fs, f);
     pwfl_fail(fs, f, PW_E_UPSTREAM, now);
     return;
--- a/packages/entry/pwcall.c
+++ b/packages/entry/pwcall.c
@@ -16,6 +16,7 @@
   c->p = p;
   c->mail = mail;
   c->started = pwclock_ns();
+  c->out.memory = p->memory;
   pthread_mutex_init(&c->lock, NULL);
   return c;
 }
--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -36,6 +36,7 @@
   int delay_ms;
   int ends_early; /* answers calls with long bodies before it reads these: part of an unframed answer, FIN, a reset */
   int unframed;   /* answers have neither a length nor chunks */
+  int endless; /* answers calls with bytes without end: an index into endless_parts, 0: does not */
   char status_line[64]; /* first line of answers to calls; "" is that of 200 */
   char received
       [512]; /* head of the last request that was run or refused, as far as it fits */
@@ -115,6 +116,49 @@
   (void)done;
 }
 
+#define AND_SO_ON                                                              \
+  "and so on and so on and so on and so on and so on " /* 50 bytes */
+
+/* What an answer without end begins with, and what is repeated until the connection is closed. */
+static const struct {
+  const char *begin, *piece;
+} endless_parts[] = {
+    {NULL, NULL},
+    {"HTTP/1.1 200 OK\r\n", "X-Filler: and so on\r\n"},
+    {"HTTP/1.1 200 OK\r\nX-Filler: ", "and so on "},
+    {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+    {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+     "64\r\n" AND_SO_ON AND_SO_ON "\r\n"},
+    {"HTTP/1.1 200 OK\r\n\r\n", "and so on "},
+};
+#define ENDLESS_COUNT (int)(sizeof endless_parts / sizeof endless_parts[0])
+#define ENDLESS_BYTES 65536 /* of one write */
+
+static int write_all(int fd, const char *data, size_t n) {
+  while (n > 0) {
+    ssize_t k = write(fd, data, n);
+    if (k <= 0)
+      return -1;
+    data += k;
+    n -= (size_t)k;
+  }
+  return 0;
+}
+
+/* Sends an answer without end, until the caller closes. */
+static void answer_endless(int fd, int kind) {
+  const char *begin = endless_parts[kind].begin,
+             *piece = endless_parts[kind].piece;
+  size_t n = strlen(piece), used = 0;
+  char *bytes = pw_alloc(ENDLESS_BYTES);
+  for (; used + n <= ENDLESS_BYTES; used += n)
+    memcpy(bytes + used, piece, n);
+  int rc = write_all(fd, begin, strlen(begin));
+  while (rc == 0)
+    rc = write_all(fd, bytes, used);
+  free(bytes);
+}
+
 static void answer(int fd, const char *text) {
   answer_line(fd, "HTTP/1.1 200 OK", text);
 }
@@ -153,6 +197,7 @@
     service.delay_ms = number(head, "delay_ms=", service.delay_ms);
     service.ends_early = number(head, "ends_early=", service.ends_early);
     service.unframed = number(head, "unframed=", service.unframed);
+    service.endless = number(head, "endless=", service.endless);
     answer(fd, "{}");
     return 1;
   }
@@ -195,6 +240,10 @@
     service.close_next--;
     return 0;
   }
+  if (service.endless > 0 && service.endless < ENDLESS_COUNT) {
+    answer_endless(fd, service.endless);
+    return 0;
+  }
   snprintf(text, sizeof text, "receipt for [%.4000s]", body);
   if (service.status_line[0])
     answer_line(fd, service.status_line, text);
