A planned stop refuses requests that it could not answer any more

Callers saw: a request that became complete late in the grace period of a gateway was passed on, ran, and was cut without an answer, also where it may not be repeated. Where targets are quick, uploads that were still arriving 2.5 s after SIGTERM were closed without a word. Cause: a stop ended requests at a fixed time; nothing asked before whether one could still be answered, and a request that was arriving did not count as work. Change: during a stop a request is sent only if the longest answer of its route lately, and a quarter more, ends before the grace period; otherwise 503 2017 with Retry-After, not run. Requests that are arriving are waited for and refused shortly before the end; what is left without an answer then gets one, 502 where it may have run.

--- a/packages/core/pwcode.h
+++ b/packages/core/pwcode.h
@@ -44,6 +44,8 @@
     "it is not known which version began this stream")                         \
   X(PW_E_VERSION_GONE, 2015, 503, "version-gone",                              \
     "no target of the version that began this stream serves it")               \
+  X(PW_E_STOPPING, 2017, 503, "stopping",                                      \
+    "this process is stopping and cannot finish this work")                    \
   X(PW_E_PART_QUARANTINED, 2016, 503, "part-quarantined",                      \
     "targets ended while they answered prompts with a part of this one")       \
   X(PW_E_CUT, 3001, 502, "answer-cut", "the answer broke off")                 \
--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -137,6 +137,8 @@
     "streams whose version another gateway or a control instance knew")        \
   X(PWC_GW_STREAM_ORIGINS, "gateway_stream_origins", "gauge",                  \
     "streams whose version is known here")                                     \
+  X(PWC_GW_TOO_LATE, "gateway_stop_refused_total", "counter",                  \
+    "requests refused because a planned stop would have cut them")             \
   X(PWC_GW_GONE, "gateway_callers_gone_total", "counter",                      \
     "callers that left before their answer")                                   \
   X(PWC_GW_SITE, "gateway_configuration", "gauge",                             \
--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -137,7 +137,8 @@
 }
 
 void pwexchange_stop(pw_exchange *x) {
-  pwexi_abort(x, "the grace period of the planned stop ended");
+  pwexi_fail(x, PW_E_STOPPING, "the grace period of the planned stop ended",
+             PWGATE_RETRY_STOPPING_MS);
 }
 
 /* --- time --- */
--- a/packages/gateway/pwexrecord.c
+++ b/packages/gateway/pwexrecord.c
@@ -43,6 +43,7 @@
   double ms = pace_of(x, now);
   if (!r || !x->t)
     return;
+  pwlongest_note(&r->longest, (double)pwexi_target_ms(x, now), now);
   record(x, !is_cold(x) && (is_late(x) || pwcanary_is_slow(ms, r->answer_ms)));
   if (ms <= 0 || x->t->side == PWFLEET_NEW_VERSION)
     return;
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -418,10 +418,27 @@
   }
 }
 
+/* Refuses a request that a planned stop would cut: it has not run, and another gateway serves it. Returns whether it was
+** refused. */
+static int refuse_too_late(pw_exchange *x, int64_t now) {
+  const pw_gate *g = x->g;
+  const pw_gate_route *r = pwgate_route(x->g, x->route->name);
+  const pw_longest unknown = {0};
+  if (!g->stop_at || x->has_begun || x->may_have_run ||
+      pwstoptime_may_begin(r ? &r->longest : &unknown, pwexi_time_left(x),
+                           g->stop_ends_at - now))
+    return 0;
+  pwcount_add(g->p->counters, PWC_GW_TOO_LATE, 1);
+  pwexi_refuse(x, PW_E_STOPPING,
+               "the planned stop ends before such a request does",
+               PWGATE_RETRY_STOPPING_MS);
+  return 1;
+}
+
 void pwexi_dispatch(pw_exchange *x) {
   int64_t now = pwclock_ms();
   int is_first_attempt = is_new(x);
-  if (pwexi_end_quarantined(x, now))
+  if (pwexi_end_quarantined(x, now) || refuse_too_late(x, now))
     return;
   if (is_first_attempt && pwexi_await_prefix(x, now))
     return;
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -23,6 +23,7 @@
 #include "pwshed.h"
 #include "pwspike.h"
 #include "pwstage.h"
+#include "pwstoptime.h"
 #include "pwtcp.h"
 #include "pwtimeouts.h"
 #include "pwtrace.h"
@@ -57,10 +58,14 @@
   pw_timeouts baseline; /* baseline of the deadlines that callers send */
   /* Smoothed answer time, or time per chunk of a stream. 0: unknown. */
   double answer_ms;
-  double first_ms; /* usual time to the first byte; 0: unknown */
+  double first_ms;    /* usual time to the first byte; 0: unknown */
+  pw_longest longest; /* time that targets took for a complete answer */
   UT_hash_handle hh;
 } pw_gate_route;
 
+/* Callers refused by a planned stop are told to retry after this time, ms: another gateway takes them at once. */
+#define PWGATE_RETRY_STOPPING_MS 100
+
 struct pw_gate {
   pw_proc *p;
   struct ev_loop *ev;
@@ -103,7 +108,8 @@
   size_t awaiting_bytes; /* body bytes of the waiting requests */
   uint64_t random;
   int64_t started_at;
-  int64_t stop_at; /* start of the planned stop, ms; 0: not stopping */
+  int64_t stop_at;      /* start of the planned stop, ms; 0: not stopping */
+  int64_t stop_ends_at; /* when unanswered requests are aborted then, ms */
   pw_pick_policy pick_policy; /* how targets are picked */
   int is_ready;
   int64_t ticked_at, swept_at, checked_at;
@@ -202,7 +208,8 @@
 /* The caller has disconnected. */
 void pwexchange_abandon(void *exchange);
 
-/* Aborts an unanswered request at the end of a planned stop. */
+/* Ends a request at the end of a planned stop: with an error that tells whether it may have run, or, if its answer has
+** begun, with its connection. */
 void pwexchange_stop(pw_exchange *x);
 
 /* The caller has read all that was written to it. */
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -35,10 +35,13 @@
 #define CALLERS_SHARE 0.6
 
 /* A planned stop, ms. New callers are accepted for STOP_LISTEN_MS, at most half of the grace period: the
-** load balancer checks readiness twice before it stops sending them. Unanswered requests are aborted
-** STOP_MARGIN_MS before the end of the grace period. */
+** load balancer checks readiness twice before it stops sending them. Unanswered requests are ended
+** STOP_MARGIN_MS before the end of the grace period, and their errors written for STOP_WRITE_MS. Requests that are still
+** arriving STOP_REFUSE_MS before that are refused, so that their callers learn that they have not run. */
 #define STOP_LISTEN_MS 2500
 #define STOP_MARGIN_MS 400
+#define STOP_REFUSE_MS 300
+#define STOP_WRITE_MS 200
 
 static void free_later(pw_gate *g) {
   for (size_t i = 0; i < g->nto_free; i++)
@@ -169,22 +172,46 @@
   return g->tcp.nclosing > 0;
 }
 
+static int64_t grace_ms(const pw_gate *g) {
+  return (int64_t)(g->p->set->gateway_grace * MS_PER_S);
+}
+
+/* Whether a caller still waits for something: an answer, the rest of it, or for its request to have arrived. */
+static int has_work(const pw_gate *g) {
+  return g->nexchanges > 0 || owes_bytes(g) ||
+         pwconns_are_receiving(&g->callers);
+}
+
+static void end_requests(pw_gate *g) {
+  for (pw_conn *c = g->callers.first, *next; c; c = next) {
+    next = c->next;
+    if (c->state)
+      pwexchange_stop(c->state);
+  }
+}
+
 static int may_end(pw_gate *g, int64_t now) {
   if (!g->stop_at)
     return 0;
-  int64_t grace = (int64_t)(g->p->set->gateway_grace * MS_PER_S);
+  int64_t grace = grace_ms(g);
   int64_t since = now - g->stop_at;
   int64_t listen = STOP_LISTEN_MS < grace / 2 ? STOP_LISTEN_MS : grace / 2;
   if (since >= listen && g->callers.listening.fd >= 0) {
     pwconns_stop_listening(&g->callers);
     pwconns_close_idle(&g->callers);
   }
-  return since >= grace - STOP_MARGIN_MS ||
-         (since >= listen && g->nexchanges == 0 && !owes_bytes(g));
+  if (now >= g->stop_ends_at - STOP_REFUSE_MS)
+    pwconns_refuse_receiving(&g->callers, PW_E_STOPPING,
+                             PWGATE_RETRY_STOPPING_MS);
+  if (now < g->stop_ends_at)
+    return since >= listen && !has_work(g);
+  end_requests(g);
+  return now >= g->stop_ends_at + STOP_WRITE_MS || !owes_bytes(g);
 }
 
 static void begin_stop(pw_gate *g, int64_t now) {
   g->stop_at = now;
+  g->stop_ends_at = now + grace_ms(g) - STOP_MARGIN_MS;
   pwproc_set_ready(g->p, 0);
   pwtrace_line(g->trace, PWTRACE_STATE, now, "stopping", "requests=%d",
                g->nexchanges);
--- a/packages/net/pwconn.h
+++ b/packages/net/pwconn.h
@@ -99,6 +99,13 @@
 /* Closes idle connections, for a planned stop. */
 void pwconns_close_idle(pw_conns *s);
 
+/* Whether a request has begun to arrive and is not complete. */
+int pwconns_are_receiving(const pw_conns *s);
+
+/* Refuses all such requests, of which nothing has run, and closes their connections. The callers may retry after
+** `retry_ms`. */
+void pwconns_refuse_receiving(pw_conns *s, pw_code code, int64_t retry_ms);
+
 /* Resets connections whose callers read nothing (stall_ms). `at`, here and below: the current pwclock_ms. */
 void pwconns_close_stalled(pw_conns *s, int64_t at);
 
--- a/packages/net/pwconnsweep.c
+++ b/packages/net/pwconnsweep.c
@@ -77,6 +77,23 @@
   }
 }
 
+int pwconns_are_receiving(const pw_conns *s) {
+  for (const pw_conn *c = s->first; c; c = c->next)
+    if (pwconni_is_receiving(c))
+      return 1;
+  return 0;
+}
+
+void pwconns_refuse_receiving(pw_conns *s, pw_code code, int64_t retry_ms) {
+  for (pw_conn *c = s->first, *next; c; c = next) {
+    next = c->next;
+    if (!pwconni_is_receiving(c))
+      continue;
+    c->close_next = 1;
+    pwconn_refuse(c, code, "", retry_ms);
+  }
+}
+
 void pwconns_close_expired(pw_conns *s, int64_t at) {
   int64_t now = pwlag_clock(&s->tcp->lag, at);
   for (pw_conn *c = s->first, *next; c; c = next) {
