fake-service fills endless pieces without memcpy

Cause: clang-tidy takes a copy of a string without its end for a mistake. Change: the bytes are set one by one. Result: make lint is clean; 118_endless_answers_agent passes.

--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -149,10 +149,10 @@
 static void answer_endless(int fd, int kind) {
   const char *begin = endless_parts[kind].begin,
              *piece = endless_parts[kind].piece;
-  size_t n = strlen(piece), used = 0;
-  char *bytes = pw_alloc(ENDLESS_BYTES);
-  for (; used + n <= ENDLESS_BYTES; used += n)
-    memcpy(bytes + used, piece, n);
+  size_t n = strlen(piece), used = ENDLESS_BYTES - ENDLESS_BYTES % n;
+  char *bytes = pw_alloc(used);
+  for (size_t i = 0; i < used; i++)
+    bytes[i] = piece[i % n];
   int rc = write_all(fd, begin, strlen(begin));
   while (rc == 0)
     rc = write_all(fd, bytes, used);
