A route that names no kind may not be repeated

Callers could see: requests of a route whose kind is missing, null or a number run twice. Cause: everything that is no string was taken for the default, and the default was the kind that allows most. A table of what each member of a configuration means when it is missing, null, empty or of another type.

--- a/tests/test_site.c
+++ b/tests/test_site.c
@@ -116,6 +116,82 @@
   }
 }
 
+/* What a document allows when a member is missing, null, empty or of another type: never more than with the member. */
+static const struct {
+  const char *from, *to;
+  pw_code code;
+} openings[] = {
+    {"\"routes\":[", "\"other\":[", PW_E_SCHEMA},
+    {"\"routes\":[", "\"routes\":null,\"other\":[", PW_E_SCHEMA},
+    {"\"services\":[", "\"other\":[", PW_E_SCHEMA},
+    {"\"services\":[", "\"services\":[],\"other\":[", PW_E_SCHEMA},
+    {"\"tenants\":[", "\"tenants\":null,\"other\":[", PW_E_SCHEMA},
+    {"\"backends\":[", "\"backends\":[],\"other\":[", PW_E_SCHEMA},
+    {"\"backends\":[", "\"backends\":null,\"other\":[", PW_E_SCHEMA},
+    {"\"service\":\"s2\",\"attempts\"", "\"attempts\"", PW_E_SCHEMA},
+    {"\"service\":\"s2\",\"attempts\"", "\"service\":null,\"attempts\"",
+     PW_E_SCHEMA},
+    {"\"pathPrefix\":\"/x/\",", "", PW_E_SCHEMA},
+    {"\"pathPrefix\":\"/x/\",", "\"pathPrefix\":null,", PW_E_SCHEMA},
+    {"\"pathPrefix\":\"/x/\",", "\"pathPrefix\":\"\",", PW_E_SCHEMA},
+    {"\"host\":\"a.example\",\"pathPrefix\":\"/x/\"", "\"pathPrefix\":\"/x/\"",
+     PW_E_SCHEMA},
+    {"\"timeoutMs\":1000,", "", PW_E_SCHEMA},
+    {"\"timeoutMs\":1000,", "\"timeoutMs\":null,", PW_E_SCHEMA},
+    {"\"kind\":\"safe\",", "\"kind\":null,", PW_E_SCHEMA},
+    {"\"kind\":\"safe\",", "\"kind\":7,", PW_E_SCHEMA},
+    {"\"apiKeys\":[\"k3\"]", "\"apiKeys\":[null]", PW_E_SCHEMA},
+};
+
+static void test_openings_refused(void) {
+  pw_site *s;
+  for (size_t i = 0; i < sizeof openings / sizeof openings[0]; i++) {
+    char *text = edited(SITE, openings[i].from, openings[i].to);
+    if (read_site(text, &s) != openings[i].code)
+      printf("row %zu: %s\n", i, openings[i].to);
+    CHECK(read_site(text, &s) == openings[i].code);
+    pwsite_release(s);
+    free(text);
+  }
+}
+
+static const pw_site_route *edited_route(const char *from, const char *to,
+                                         pw_site **s) {
+  char *text = edited(SITE, from, to);
+  CHECK(read_site(text, s) == PW_OK);
+  free(text);
+  return *s ? route(*s, "a.example", "/x/z") : NULL;
+}
+
+static void test_defaults_close(void) {
+  static const char *const no_keys[] = {"\"apiKeys\":[]", "\"apiKeys\":null",
+                                        "\"apiKeys\":\"k3\"", "\"odd\":[]"};
+  static const char *const not_public[] = {
+      "\"odd\":1", "\"public\":null", "\"public\":1", "\"public\":\"true\""};
+  pw_site *s;
+  const pw_site_route *r;
+  for (size_t i = 0; i < 4; i++) {
+    edited_route("\"apiKeys\":[\"k3\"]", no_keys[i], &s);
+    CHECK(!pwsite_workspace(s, "k3", 2) && pwsite_has_workspaces(s));
+    pwsite_release(s);
+    r = edited_route("\"public\":false", not_public[i], &s);
+    CHECK(r && !r->is_public);
+    pwsite_release(s);
+  }
+  edited_route("\"tenants\":[", "\"tenants\":[],\"other\":[", &s);
+  CHECK(pwsite_has_workspaces(s) && !pwsite_workspace(s, "k1", 2));
+  pwsite_release(s);
+  r = edited_route("\"routes\":[", "\"routes\":[],\"other\":[", &s);
+  CHECK(!r);
+  pwsite_release(s);
+  r = edited_route("\"kind\":\"safe\",", "", &s);
+  CHECK(r && r->kind == PWSITE_ONCE); /* may not be repeated */
+  pwsite_release(s);
+  r = edited_route("\"attempts\":2", "\"attempts\":null", &s);
+  CHECK(r && r->attempts == 1);
+  pwsite_release(s);
+}
+
 /* A document of n routes; the middle one has this timeout. */
 static char *long_site(int version, int n, int timeout) {
   pw_buf b = {0};
@@ -275,6 +351,8 @@
   TEST(test_site);
   TEST(test_dot_segments);
   TEST(test_bad_sites);
+  TEST(test_openings_refused);
+  TEST(test_defaults_close);
   TEST(test_parse_in_steps);
   TEST(test_step_size);
   TEST(test_json_as_jansson);
