A request is asked about the end of a stop during a stop alone

Cause: the state of the route was looked up for every dispatch. Change: the lookup comes after the test whether the process stops; a comment names what ends then.

--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -422,10 +422,11 @@
 ** refused. */
 static int refuse_too_late(pw_exchange *x, int64_t now) {
   const pw_gate *g = x->g;
+  if (!g->stop_at || x->has_begun || x->may_have_run)
+    return 0;
   const pw_gate_route *r = pwgate_route(x->g, x->route->name);
   const pw_longest unknown = {0};
-  if (!g->stop_at || x->has_begun || x->may_have_run ||
-      pwstoptime_may_begin(r ? &r->longest : &unknown, pwexi_time_left(x),
+  if (pwstoptime_may_begin(r ? &r->longest : &unknown, pwexi_time_left(x),
                            g->stop_ends_at - now))
     return 0;
   pwcount_add(g->p->counters, PWC_GW_TOO_LATE, 1);
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -109,7 +109,7 @@
   uint64_t random;
   int64_t started_at;
   int64_t stop_at;      /* start of the planned stop, ms; 0: not stopping */
-  int64_t stop_ends_at; /* when unanswered requests are aborted then, ms */
+  int64_t stop_ends_at; /* when the requests left are ended then, ms */
   pw_pick_policy pick_policy; /* how targets are picked */
   int is_ready;
   int64_t ticked_at, swept_at, checked_at;
