Streams of two versions are not joined after a standstill

Callers saw: a stream that began at targets of version v1.1 was resumed without Resumes, answered 200 and finished by targets of v1 (ORDER), in two ways.

Cause: "only one version has served" was taken from what a process had heard before the request came, and it cannot know that it was away. - A gateway that had been suspended counted notices from before its suspension as heard just now: the control instances had stopped sending to it, so what lay in its sockets was older than the new targets. - While the leader is suspended nothing is recorded, but gateways sent streams to the new targets all the same, and others knew neither of them nor of the silence.

Change: a stream begins only at a version that is recorded in the replicated log (pw_fleet_criteria.versions), so the record never lacks the version of a stream. A gateway that resumes one asks for the record after it has read the request, and only the leader's answer counts, given while its lease is valid by a clock read then: had another instance recorded a version before the stream began, the lease would have ended. No clock of the gateway and nothing that it heard before is used. Streams that are named are queried for as before, in the same message. An older record replaces a newer one only as the answer to a later query, as after a restore.

--- a/packages/control/pwcontrol.c
+++ b/packages/control/pwcontrol.c
@@ -412,7 +412,7 @@
   c.planner = pwplanner_new(pwctl_resources(&c), c.treereport);
   const pw_state *state = pwgroup_state(c.group);
   c.watch = pwwatch_new(p, c.listener, c.dialler, state);
-  c.streams = pwstreams_new(p, c.listener);
+  c.streams = pwstreams_new(p, c.listener, c.group);
   c.served = pwservedrecord_new(c.group, c.watch);
   c.canaries = pwcanaries_new(pwctl_resources(&c), c.watch,
                               p->set->control_expose_share);
--- a/packages/gateway/pwexresume.c
+++ b/packages/gateway/pwexresume.c
@@ -92,12 +92,14 @@
 
 static void refuse_unknown(pw_exchange *x, const char *why, int64_t retry_ms) {
   pwexi_log(x, PWTRACE_FAIL, "stream-unknown",
-            "of=%.*s last=%.*s queried=%d unanswered=%d",
+            "of=%.*s last=%.*s queried=%d unanswered=%d served_number=%llu "
+            "unconfirmed=%d",
             (int)x->request_info.resumes.n,
             x->request_info.resumes.p ? x->request_info.resumes.p : "",
             (int)x->request_info.last_event.n,
             x->request_info.last_event.p ? x->request_info.last_event.p : "",
-            x->nqueried, count_unanswered(x));
+            x->nqueried, count_unanswered(x),
+            (unsigned long long)x->g->served.number, x->served_query != 0);
   pwcount_add(x->g->p->counters, PWC_GW_STREAM_UNKNOWN, 1);
   pwexi_refuse(x, PW_E_STREAM_UNKNOWN, why, retry_ms);
 }
@@ -147,38 +149,31 @@
 void pwexi_end_origin_wait(pw_exchange *x) {
   pwexi_leave_origin_queue(x);
   refuse_unknown(x,
-                 "not all instances that may know the version of the stream "
-                 "have answered",
+                 x->stream ? "not all instances that may know the version of "
+                             "the stream have answered"
+                           : "no leader has confirmed which versions served",
                  PWEX_RETRY_NO_TARGET_MS);
 }
 
-/* Queries gateways and control instances; those that had answered are awaited anew. */
+/* Queries gateways and control instances for the stream; those that had answered are awaited anew. */
 static void query(pw_exchange *x, int64_t now) {
   pw_gate *g = x->g;
-  x->queried_at = x->control_queried_at = now;
+  x->control_queried_at = now;
   x->nqueried = pwgossip_query_stream(g->gossip, x->stream, x->queried);
   x->nqueried +=
       pwlink_query_stream(g->link, x->stream, now, x->queried + x->nqueried);
 }
 
-/* Queries the gateways again, since datagrams may be lost. */
+/* Queries again, since datagrams may be lost and another control instance may lead by now. */
 static void repeat_query(pw_exchange *x, int64_t now) {
   uint64_t again[PWRENDEZVOUS_MAX];
-  if (now - x->control_queried_at >= CONTROL_AGAIN_MS) {
-    query(x, now);
-    return;
-  }
   x->queried_at = now;
-  pwgossip_query_stream(x->g->gossip, x->stream, again);
-}
-
-static void begin_query(pw_exchange *x, int64_t now) {
-  int64_t wait_ms = pwexi_time_left(x) / QUERY_DIVISOR;
-  x->awaits_origin = 1;
-  DL_APPEND(x->g->origin_waiters, x);
-  pwcount_add(x->g->p->counters, PWC_GW_STREAM_QUERIED, 1);
-  pwexi_set_timer(x, wait_ms < QUERY_MS ? wait_ms : QUERY_MS);
-  query(x, now);
+  if (x->served_query)
+    pwlink_query_served(x->g->link);
+  if (x->stream && now - x->control_queried_at >= CONTROL_AGAIN_MS)
+    query(x, now);
+  else if (x->stream)
+    pwgossip_query_stream(x->g->gossip, x->stream, again);
 }
 
 static int leads_to_one_service(const pw_site_route *r) {
@@ -188,30 +183,30 @@
   return n == 1;
 }
 
-/* Whether the version that began a stream follows from there having been no other: the route leads to one service, whose
-** targets were all of one version for as long as a stream can be resumed. */
-static pw_gate_served find_only_version(const pw_exchange *x, int64_t now,
-                                        pw_origin *out) {
-  *out = (pw_origin){0};
-  return leads_to_one_service(x->route)
-             ? pwgate_served(x->g, x->service->name, now, &out->version)
-             : PWGATE_SERVED_SEVERAL;
+/* Queries for what tells the version that began a stream: who knows it, if its caller names the attempt, and whether
+** there was only one version, if the route leads to one service. The leader confirms the latter after this query, since
+** what is known here may be older than the stream. */
+static void begin_query(pw_exchange *x, int64_t now) {
+  int64_t wait_ms = pwexi_time_left(x) / QUERY_DIVISOR;
+  x->awaits_origin = 1;
+  DL_APPEND(x->g->origin_waiters, x);
+  pwcount_add(x->g->p->counters, PWC_GW_STREAM_QUERIED, 1);
+  pwexi_set_timer(x, wait_ms < QUERY_MS ? wait_ms : QUERY_MS);
+  x->queried_at = now;
+  if (leads_to_one_service(x->route))
+    x->served_query = pwlink_query_served(x->g->link);
+  if (x->stream)
+    query(x, now);
 }
 
-/* Continues or refuses a stream whose caller does not name the attempt that began it. */
-static void resume_unnamed(pw_exchange *x, int64_t now) {
-  pw_origin origin;
-  pw_gate_served served = find_only_version(x, now, &origin);
-  if (served == PWGATE_SERVED_ONE)
-    continue_stream(x, &origin, "only-version");
-  else if (served == PWGATE_SERVED_SEVERAL)
+/* Refuses a stream whose version cannot be found out, whatever is answered. Returns whether it was refused. */
+static int refuse_unresumable(pw_exchange *x) {
+  if (!x->stream && !leads_to_one_service(x->route))
     refuse_unknown(
         x, "the request does not name the attempt that began the stream", 0);
   else
-    refuse_unknown(x,
-                   "the request does not name the attempt that began the "
-                   "stream, and control has not told which versions served",
-                   PWEX_RETRY_NO_TARGET_MS);
+    return 0;
+  return 1;
 }
 
 int pwexi_resume_stream(pw_exchange *x) {
@@ -219,15 +214,12 @@
   pw_origin origin;
   if (!is_resumption(x))
     return 0;
-  if (!x->request_info.resumes.p || !x->request_info.resumes.n) {
-    resume_unnamed(x, now);
+  if (x->request_info.resumes.p && x->request_info.resumes.n)
+    x->stream = stream_of(x, x->request_info.resumes);
+  if (refuse_unresumable(x))
     return 1;
-  }
-  x->stream = stream_of(x, x->request_info.resumes);
-  if (pworigins_find(x->g->origins, x->stream, now, &origin))
+  if (x->stream && pworigins_find(x->g->origins, x->stream, now, &origin))
     continue_stream(x, &origin, origin.is_own ? "own" : "announced");
-  else if (find_only_version(x, now, &origin) == PWGATE_SERVED_ONE)
-    continue_stream(x, &origin, "only-version");
   else
     begin_query(x, now);
   return 1;
@@ -235,12 +227,48 @@
 
 /* --- answers of other gateways and of control instances --- */
 
-/* Whether all instances queried have answered that they do not know the stream. */
-static int note_unknown(pw_exchange *x, uint64_t from) {
+/* Refuses a stream if all that were queried for it have answered and none of them knows it. */
+static void refuse_if_unknown(pw_exchange *x) {
+  if (!x->nqueried || count_unanswered(x) || x->served_query ||
+      !is_settled(x->g, pwclock_ms()))
+    return;
+  pwexi_leave_origin_queue(x);
+  refuse_unknown(x, "no instance knows the version that began the stream", 0);
+}
+
+/* Goes on with a stream after the leader has confirmed the recorded versions. */
+static void use_confirmed(pw_exchange *x) {
+  pw_origin origin = {0};
+  pw_gate_served served =
+      pwgate_served(x->g, x->service->name, &origin.version);
+  x->served_query = 0;
+  if (served == PWGATE_SERVED_ONE) {
+    pwexi_leave_origin_queue(x);
+    continue_stream(x, &origin, "only-version");
+  } else if (x->stream) {
+    refuse_if_unknown(x);
+  } else {
+    pwexi_leave_origin_queue(x);
+    refuse_unknown(
+        x, "the request does not name the attempt that began the stream",
+        served == PWGATE_SERVED_UNKNOWN ? PWEX_RETRY_NO_TARGET_MS : 0);
+  }
+}
+
+void pwexchange_served_confirmed(pw_gate *g, uint64_t query) {
+  pw_exchange *x, *next;
+  DL_FOREACH_SAFE(g->origin_waiters, x, next) {
+    if (x->served_query && x->served_query <= query)
+      use_confirmed(x);
+  }
+}
+
+/* An instance has answered that it does not know the stream. */
+static void note_unknown(pw_exchange *x, uint64_t from) {
   for (int i = 0; i < x->nqueried; i++)
     if (x->queried[i] == from)
       x->queried[i] = 0;
-  return x->nqueried > 0 && count_unanswered(x) == 0;
+  refuse_if_unknown(x);
 }
 
 void pwexchange_origin_answered(pw_gate *g, uint64_t stream, uint64_t from,
@@ -254,10 +282,8 @@
       pworigins_note(g->origins, stream, origin->version, 0, pwclock_ms());
       pwcount_add(g->p->counters, PWC_GW_STREAM_FOUND, 1);
       continue_stream(x, origin, "queried");
-    } else if (note_unknown(x, from) && is_settled(g, pwclock_ms())) {
-      pwexi_leave_origin_queue(x);
-      refuse_unknown(x, "no instance knows the version that began the stream",
-                     0);
+    } else {
+      note_unknown(x, from);
     }
   }
 }
--- a/packages/gateway/pwexsend.c
+++ b/packages/gateway/pwexsend.c
@@ -234,6 +234,16 @@
                          PW_GW_BOUND_ALL_SHARE * times, PW_GW_BOUND_ALL_EXTRA};
 }
 
+/* The versions at which the stream may begin. Returns NULL where any may serve: a stream that goes on has its version,
+** and others cannot be resumed. */
+static const pw_fleet_versions *versions_of(const pw_exchange *x,
+                                            pw_fleet_versions *out) {
+  if (!x->route->is_resumable || x->version)
+    return NULL;
+  *out = pwgate_recorded_versions(x->g, x->service->name);
+  return out;
+}
+
 static pw_fleet_prompt prompt_of(const pw_exchange *x, const quota *p,
                                  int64_t now) {
   pw_fleet_prompt prompt = pwexi_prompt(x, is_new(x), now);
@@ -252,10 +262,12 @@
   /* The quota at each target limits the wait there by what is known here at once; the reported loads
   ** are 100 ms old. */
   int has_quota = is_new(x) && !x->service->is_engine;
+  pw_fleet_versions recorded;
   pw_fleet_criteria criteria = {
       .service = x->service->name,
       .side = x->side,
       .version = x->version,
+      .versions = versions_of(x, &recorded),
       .how = g->pick_policy,
       .is_sticky = is_sticky,
       .key = key,
@@ -351,6 +363,24 @@
                  PWEX_RETRY_NO_TARGET_MS);
 }
 
+/* Whether there are targets, but none at whose version a stream may begin yet. */
+static int lacks_recorded_target(const pw_exchange *x, int64_t now) {
+  pw_fleet_versions recorded;
+  const pw_fleet_versions *v = versions_of(x, &recorded);
+  for (int i = 0; v && i < v->n; i++)
+    if (pwfleet_has_version(x->g->fleet, x->service->name, v->hash[i], now))
+      return 0;
+  return v != NULL;
+}
+
+/* Refuses a stream until the version of a target is recorded, which takes control instances a moment. */
+static void refuse_unrecorded(pw_exchange *x) {
+  pwlink_query_served(x->g->link);
+  pwexi_refuse(x, PW_E_NO_TARGET,
+               "control has not recorded the version of any usable target yet",
+               PWEX_RETRY_LEAST_MS);
+}
+
 void pwexi_refuse_version_gone(pw_exchange *x) {
   pwcount_add(x->g->p->counters, PWC_GW_STREAM_VERSION_GONE, 1);
   pwexi_refuse(x, PW_E_VERSION_GONE,
@@ -468,6 +498,8 @@
     pwexi_refuse_version_gone(x);
   else if (pwfleet_usable(x->g->fleet, x->service->name, now) == 0)
     refuse_no_target(x, now);
+  else if (lacks_recorded_target(x, now))
+    refuse_unrecorded(x);
   else if (p.is_late)
     refuse_prefill(x);
   else
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -102,7 +102,8 @@
   pw_exchange *origin_waiters;
   pw_origins *origins; /* which version began which stream */
   pw_served served;    /* which versions served lately, as control recorded */
-  int is_served_confirmed; /* the leader has told that record */
+  /* Number of the last query for that record when it was last received. */
+  uint64_t served_query;
   /* Requests that wait for another request's prefill of the prefix that they share, oldest first. */
   pw_exchange *prefix_waiters;
   size_t awaiting_bytes; /* body bytes of the waiting requests */
@@ -171,7 +172,7 @@
 
 /* How many software versions of a service's targets serve or served lately. */
 typedef enum pw_gate_served {
-  PWGATE_SERVED_UNKNOWN, /* control has not told, or could not tell of others */
+  PWGATE_SERVED_UNKNOWN, /* none is recorded, or control has not told */
   PWGATE_SERVED_ONE,
   PWGATE_SERVED_SEVERAL
 } pw_gate_served;
@@ -179,11 +180,20 @@
 /* Takes the recorded software versions from a Notice, if it has newer ones. */
 void pwgate_receive_served(pw_gate *g, const Pw__Notice *n, int64_t now);
 
-/* Whether a service had targets of one software version only within PWORIGINS_KEEP_MS; sets its version_hash then.
-** *version is not defined otherwise. */
-pw_gate_served pwgate_served(const pw_gate *g, const char *service, int64_t now,
+/* Takes the recorded software versions that the leader has confirmed. */
+void pwgate_confirm_served(pw_gate *g, const Pw__StreamAnswers *m, int64_t now);
+
+/* Whether a service had targets of one software version only within PWORIGINS_KEEP_MS, by the record as it is known
+** here; sets its version_hash then. *version is not defined otherwise. A stream that was begun elsewhere may be of
+** another version unless the leader has confirmed the record since its caller resumed it. */
+pw_gate_served pwgate_served(const pw_gate *g, const char *service,
                              uint64_t *version);
 
+/* The recorded software versions of a service. New streams begin at these only, so that no stream is of a version that
+** the leader's record lacks. */
+pw_fleet_versions pwgate_recorded_versions(const pw_gate *g,
+                                           const char *service);
+
 /* Whether control instances are told which version began each stream of a service: there may be several versions. */
 int pwgate_tells_control(const pw_gate *g, pw_gate_service *s, int64_t now);
 
@@ -221,6 +231,9 @@
 void pwexchange_origin_answered(pw_gate *g, uint64_t stream, uint64_t from,
                                 const pw_origin *origin);
 
+/* The leader has confirmed the recorded versions after it had this query. */
+void pwexchange_served_confirmed(pw_gate *g, uint64_t query);
+
 /* Repeats queries that have no answer. */
 void pwexchange_check_origins(pw_gate *g, int64_t now);
 
@@ -277,10 +290,13 @@
 typedef void pw_origin_answered(pw_gate *g, uint64_t stream, uint64_t from,
                                 const pw_origin *origin);
 
+/* Takes the leader's confirmation of the recorded versions, as pwexchange_served_confirmed. */
+typedef void pw_served_confirmed(pw_gate *g, uint64_t query);
+
 /* --- pwlink.c: control instances --- */
 
 pw_link *pwlink_new(pw_gate *g, pw_origin_answered *origin_answered,
-                    pw_buf *err);
+                    pw_served_confirmed *served_confirmed, pw_buf *err);
 void pwlink_free(pw_link *l);
 void pwlink_tick(pw_link *l, int64_t now);
 
--- a/packages/gateway/pwgateserved.c
+++ b/packages/gateway/pwgateserved.c
@@ -1,39 +1,62 @@
 /* pwgateserved.c: which software versions of each service's targets serve or served lately, as recorded by the control
-** instances. A gateway that has just started knows from this whether other versions served before. */
+** instances. A gateway that has just started, or was suspended, knows from this whether other versions served. */
 #include "pwgate.h"
 
-#include <string.h>
+#include "pwlinkstreams.h"
+
+_Static_assert((int)PWFLEET_VERSIONS_MAX == (int)PWSERVED_VERSIONS_MAX,
+               "all recorded versions fit");
 
 /* Interval at which the targets are looked through for several versions, ms. */
 #define SEVERAL_CHECK_MS 250
 
-static void log_versions(pw_gate *g, const Pw__Notice *n, int64_t now) {
-  for (size_t i = 0; i < n->n_served; i++) {
-    const Pw__ServedVersions *m = n->served[i];
+static void log_versions(pw_gate *g, int64_t now) {
+  for (size_t i = 0; i < g->served.n; i++) {
+    const Pw__ServedVersions *m = g->served.list[i];
     pwtrace_line(g->trace, PWTRACE_STATE, now, "served-versions",
                  "service=%s versions=%zu last=%s number=%llu", m->service,
                  m->n_versions,
                  m->n_versions ? m->versions[m->n_versions - 1] : "-",
-                 (unsigned long long)n->served_number);
+                 (unsigned long long)g->served.number);
   }
 }
 
+static void replace(pw_gate *g, Pw__ServedVersions *const *list, size_t n,
+                    uint64_t number, int64_t now) {
+  pwserved_replace(&g->served, list, n, number);
+  g->served_query = pwlink_served_query(g->link);
+  log_versions(g, now);
+}
+
 void pwgate_receive_served(pw_gate *g, const Pw__Notice *n, int64_t now) {
-  if (!n->in_touch || !n->served_number)
-    return;
-  /* An instance that follows may not have applied all that was recorded before its start. */
-  g->is_served_confirmed |= n->leads;
-  if (n->served_number <= g->served.number)
-    return;
-  pwserved_replace(&g->served, n->served, n->n_served, n->served_number);
-  log_versions(g, n, now);
+  if (n->served_number > g->served.number)
+    replace(g, n->served, n->n_served, n->served_number, now);
+}
+
+/* An older record replaces a newer one only if it answers a later query, as after a restore from a backup. */
+void pwgate_confirm_served(pw_gate *g, const Pw__StreamAnswers *m,
+                           int64_t now) {
+  uint64_t here = g->served.number;
+  int is_restored =
+      m->served_number < here && m->served_query > g->served_query;
+  if (m->served_number > here || is_restored)
+    replace(g, m->served, m->n_served, m->served_number, now);
+}
+
+pw_fleet_versions pwgate_recorded_versions(const pw_gate *g,
+                                           const char *service) {
+  const Pw__ServedVersions *m = pwserved_get(&g->served, service);
+  pw_fleet_versions v = {0};
+  for (size_t i = 0; m && i < m->n_versions; i++)
+    v.hash[v.n++] = pwfleet_version_hash(service, m->versions[i]);
+  return v;
 }
 
-pw_gate_served pwgate_served(const pw_gate *g, const char *service, int64_t now,
+pw_gate_served pwgate_served(const pw_gate *g, const char *service,
                              uint64_t *version) {
   const Pw__ServedVersions *m = pwserved_get(&g->served, service);
   uint64_t known = pwfleet_only_version(g->fleet, service);
-  if (!m || !g->is_served_confirmed || !pwlink_hears_leader(g->link, now))
+  if (!m)
     return PWGATE_SERVED_UNKNOWN;
   *version = pwfleet_version_hash(service, m->versions[0]);
   return m->n_versions == 1 && (!known || known == *version)
@@ -46,7 +69,7 @@
   if (s->tells_control_at && now - s->tells_control_at < SEVERAL_CHECK_MS)
     return s->tells_control;
   s->tells_control_at = now;
-  s->tells_control =
-      pwgate_served(g, s->name, now, &version) != PWGATE_SERVED_ONE;
+  s->tells_control = !pwlink_hears_leader(g->link, now) ||
+                     pwgate_served(g, s->name, &version) != PWGATE_SERVED_ONE;
   return s->tells_control;
 }
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -375,7 +375,9 @@
   g.tcp.arg = &g;
   g.affinity = pwaffinity_new();
   g.gossip = pwgossip_new(&g, &gossip_calls, err);
-  g.link = g.gossip ? pwlink_new(&g, pwexchange_origin_answered, err) : NULL;
+  g.link = g.gossip ? pwlink_new(&g, pwexchange_origin_answered,
+                                 pwexchange_served_confirmed, err)
+                    : NULL;
   if (g.link && listen_all(&g, err) == 0) {
     rc = PW_OK;
     ev_run(g.ev, 0);
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -145,7 +145,7 @@
     else if (e->body_case == PW__ENVELOPE__BODY_DOCUMENT)
       pwconfsync_document(l, e->document, now);
     else if (c && e->body_case == PW__ENVELOPE__BODY_STREAM_ANSWERS)
-      pwlink_streams_answered(l, c, e->stream_answers);
+      pwlink_streams_answered(l, c, e->stream_answers, now);
     pw__envelope__free_unpacked(e, NULL);
   }
 }
@@ -296,10 +296,11 @@
 }
 
 pw_link *pwlink_new(pw_gate *g, pw_origin_answered *origin_answered,
-                    pw_buf *err) {
+                    pw_served_confirmed *served_confirmed, pw_buf *err) {
   pw_link *l = pw_alloc(sizeof *l);
   l->g = g;
   l->origin_answered = origin_answered;
+  l->served_confirmed = served_confirmed;
   l->doc = pwdoc_new();
   l->full_wait_ms = FULL_LIST_MS;
   l->is_cut_off = 1;
--- a/packages/gateway/pwlinkint.h
+++ b/packages/gateway/pwlinkint.h
@@ -65,6 +65,7 @@
   pw_relay *relay;
   pw_stream_outbox streams;
   pw_origin_answered *origin_answered;
+  pw_served_confirmed *served_confirmed;
   int ngateways;
   pw_gateway_count budget_count;
   int is_cut_off;          /* no control instance is reachable */
@@ -89,7 +90,7 @@
 
 /* Passes on the answers of a control instance. */
 void pwlink_streams_answered(pw_link *l, const contact *from,
-                             const Pw__StreamAnswers *m);
+                             const Pw__StreamAnswers *m, int64_t now);
 
 /* Frees what waits to be sent. */
 void pwlink_streams_free(pw_link *l);
--- a/packages/gateway/pwlinkstreams.c
+++ b/packages/gateway/pwlinkstreams.c
@@ -47,6 +47,17 @@
   return n;
 }
 
+uint64_t pwlink_query_served(pw_link *l) {
+  pw_stream_outbox *o = &l->streams;
+  o->served_query += !o->is_served_due;
+  o->is_served_due = 1;
+  return o->served_query;
+}
+
+uint64_t pwlink_served_query(const pw_link *l) {
+  return l->streams.served_query;
+}
+
 /* --- outgoing messages --- */
 
 /* Groups the announcements by version. Versions are few, so a scan for each is cheap. */
@@ -110,11 +121,14 @@
   pw_stream_outbox *o = &l->streams;
   Pw__StreamReport m = PW__STREAM_REPORT__INIT;
   m.queried = o->queried;
-  m.n_queried = o->nqueried;
-  for (const contact *c = l->contacts; c; c = c->next)
-    if (pwcontacts_is_fresh(c, now))
+  m.served_query = o->is_served_due ? o->served_query : 0;
+  for (const contact *c = l->contacts; c; c = c->next) {
+    m.n_queried = pwcontacts_is_fresh(c, now) ? o->nqueried : 0;
+    if (c->dialled_at && (m.n_queried || m.served_query))
       send_report(l, c, &m);
+  }
   o->nqueried = 0;
+  o->is_served_due = 0;
 }
 
 /* Interval at which this gateway may send announcements, ms. */
@@ -145,14 +159,18 @@
 
 void pwlink_streams_tick(pw_link *l, int64_t now) {
   send_begun_if_due(l, now);
-  if (l->streams.nqueried)
+  if (l->streams.nqueried || l->streams.is_served_due)
     send_queries(l, now);
 }
 
 /* --- answers --- */
 
 void pwlink_streams_answered(pw_link *l, const contact *from,
-                             const Pw__StreamAnswers *m) {
+                             const Pw__StreamAnswers *m, int64_t now) {
+  if (m->served_query) {
+    pwgate_confirm_served(l->g, m, now);
+    l->served_confirmed(l->g, m->served_query);
+  }
   for (size_t i = 0; i < m->n_answers; i++) {
     const Pw__StreamOrigin *a = m->answers[i];
     pw_origin origin = {a->version, a->age, 0};
--- a/packages/gateway/pwlinkstreams.h
+++ b/packages/gateway/pwlinkstreams.h
@@ -21,13 +21,23 @@
   size_t nbegun, begun_cap;
   uint64_t *queried;
   size_t nqueried, queried_cap;
-  int64_t sent_at; /* when the last bundle was sent, ms */
+  uint64_t
+      served_query;  /* number of the last query for the recorded versions */
+  int is_served_due; /* it is not sent yet */
+  int64_t sent_at;   /* when the last bundle was sent, ms */
 } pw_stream_outbox;
 
 /* Announces that this version began a stream, at once or, if the last bundle was sent just before, in the next one. */
 void pwlink_announce_stream(pw_link *l, uint64_t stream, uint64_t version,
                             int64_t now);
 
+/* Queues a query for the recorded versions, which the leader answers; it goes to all control instances that were dialled,
+** heard or not. Returns its number, to which later answers of higher numbers count as well. */
+uint64_t pwlink_query_served(pw_link *l);
+
+/* Number of the last such query; 0: there was none. */
+uint64_t pwlink_served_query(const pw_link *l);
+
 /* Queues a query which version began a stream. Sets the hashes of the control instances that it will go to and returns
 ** their number. */
 int pwlink_query_stream(pw_link *l, uint64_t stream, int64_t now,
--- a/packages/membership/pwfleet.h
+++ b/packages/membership/pwfleet.h
@@ -290,11 +290,19 @@
   pw_pick_times times;
 } pw_fleet_prompt;
 
+/* Software versions of one service, as version_hash. */
+#define PWFLEET_VERSIONS_MAX 8
+typedef struct pw_fleet_versions {
+  uint64_t hash[PWFLEET_VERSIONS_MAX];
+  int n;
+} pw_fleet_versions;
+
 /* What a request requires of its target. */
 typedef struct pw_fleet_criteria {
   const char *service;
   pw_fleet_side side;
   uint64_t version; /* the only version_hash that fits; 0: any */
+  const pw_fleet_versions *versions; /* those that fit; NULL: any */
   pw_pick_policy how;
   int is_sticky; /* `key` is set */
   uint64_t key;  /* hash of the prompt prefix that requests share */
--- a/packages/membership/pwfleetpick.c
+++ b/packages/membership/pwfleetpick.c
@@ -195,6 +195,18 @@
   return !version || t->version_hash == version;
 }
 
+static int is_among_versions(const pw_target *t, const pw_fleet_versions *v) {
+  for (int i = 0; i < v->n; i++)
+    if (v->hash[i] == t->version_hash)
+      return 1;
+  return 0;
+}
+
+static int fits_version(const pw_target *t, const pw_fleet_criteria *criteria) {
+  return is_version(t, criteria->version) &&
+         (!criteria->versions || is_among_versions(t, criteria->versions));
+}
+
 int pwfleet_has_other(pw_fleet *f, const char *service, pw_fleet_side side,
                       uint64_t version, pw_target *const *tried, int ntried,
                       int64_t now) {
@@ -373,7 +385,7 @@
         .slots = t->slots,
         .work_ms = expected_work_of(t, load, s),
         .is_usable =
-            is_version(t, criteria->version) && is_usable(f, t, s) &&
+            fits_version(t, criteria) && is_usable(f, t, s) &&
             !was_tried(criteria, t) && passes_unanswered(t, s, criteria) &&
             has_connection(t, criteria) && has_quota(t, criteria, s, n) &&
             passes_cold_limit(t, criteria, s->now),
@@ -386,7 +398,7 @@
   }
   /* If no target is usable, any target that accepts requests is the last resort. */
   for (int i = 0; usable == 0 && i < n; i++)
-    row[i].is_usable = is_version(targets[i], criteria->version) &&
+    row[i].is_usable = fits_version(targets[i], criteria) &&
                        pwfleet_may_send(targets[i], s->now) &&
                        !was_tried(criteria, targets[i]) &&
                        passes_unanswered(targets[i], s, criteria) &&
--- a/packages/wire/peatwell.pb-c.c
+++ b/packages/wire/peatwell.pb-c.c
@@ -6803,7 +6803,7 @@
   (ProtobufCMessageInit) pw__streams_begun__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__stream_report__field_descriptors[2] =
+static const ProtobufCFieldDescriptor pw__stream_report__field_descriptors[3] =
 {
   {
     "begun",
@@ -6829,15 +6829,28 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "served_query",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__StreamReport, served_query),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__stream_report__field_indices_by_name[] = {
   0,   /* field[0] = begun */
   1,   /* field[1] = queried */
+  2,   /* field[2] = served_query */
 };
 static const ProtobufCIntRange pw__stream_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor pw__stream_report__descriptor =
 {
@@ -6847,14 +6860,14 @@
   "Pw__StreamReport",
   "pw",
   sizeof(Pw__StreamReport),
-  2,
+  3,
   pw__stream_report__field_descriptors,
   pw__stream_report__field_indices_by_name,
   1,  pw__stream_report__number_ranges,
   (ProtobufCMessageInit) pw__stream_report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pw__stream_answers__field_descriptors[1] =
+static const ProtobufCFieldDescriptor pw__stream_answers__field_descriptors[4] =
 {
   {
     "answers",
@@ -6868,14 +6881,53 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "served_query",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__StreamAnswers, served_query),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "served_number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pw__StreamAnswers, served_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "served",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pw__StreamAnswers, n_served),
+    offsetof(Pw__StreamAnswers, served),
+    &pw__served_versions__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pw__stream_answers__field_indices_by_name[] = {
   0,   /* field[0] = answers */
+  3,   /* field[3] = served */
+  2,   /* field[2] = served_number */
+  1,   /* field[1] = served_query */
 };
 static const ProtobufCIntRange pw__stream_answers__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor pw__stream_answers__descriptor =
 {
@@ -6885,7 +6937,7 @@
   "Pw__StreamAnswers",
   "pw",
   sizeof(Pw__StreamAnswers),
-  1,
+  4,
   pw__stream_answers__field_descriptors,
   pw__stream_answers__field_indices_by_name,
   1,  pw__stream_answers__number_ranges,
--- a/packages/wire/peatwell.pb-c.h
+++ b/packages/wire/peatwell.pb-c.h
@@ -1156,10 +1156,14 @@
   Pw__StreamsBegun **begun;
   size_t n_queried;
   uint64_t *queried;
+  /*
+   * asks for the recorded versions; rises with each query; 0: does not ask
+   */
+  uint64_t served_query;
 };
 #define PW__STREAM_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__stream_report__descriptor) \
-    , 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -1170,10 +1174,20 @@
   ProtobufCMessage base;
   size_t n_answers;
   Pw__StreamOrigin **answers;
+  /*
+   * that of the report, if the sender held the leader's lease after it had read it; or 0
+   */
+  uint64_t served_query;
+  uint64_t served_number;
+  /*
+   * of all services, as of served_number
+   */
+  size_t n_served;
+  Pw__ServedVersions **served;
 };
 #define PW__STREAM_ANSWERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pw__stream_answers__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0, 0, 0,NULL }
 
 
 /*
--- /dev/null
+++ b/tests/scenarios/123_leader_stands_still.lua
@@ -0,0 +1,29 @@
+-- Guards against streams joined from two software versions while the leader of the control group stands still: a stream
+-- began at a version that was not recorded yet, and was resumed at a gateway that knew of one version only.
+local fleet = require("fleet")
+local ROUNDS, BEGIN_FOR_MS, FIRST_EVENT_BYTES = 4, 2500, 20
+local r = require("resumed").new()
+local g = r.g
+for round = 1, ROUNDS do
+  local version = "v1." .. round
+  local leader = g:leader()
+  local new = g:add_target("engine-" .. round, "llm", nil, version)
+  leader:signal("STOP")
+  new.argv[3] = g:followers(leader)[round % 2 + 1].health
+  new:start()
+  -- Streams begin there as soon as a gateway lets them, and are resumed everywhere at once: gateways learn of targets from
+  -- different control instances, so that some do not know the new one yet.
+  local ends, found = run.now() + BEGIN_FOR_MS, 0
+  repeat
+    local begun = r:begin{version = version, may_be_none = true, bytes = FIRST_EVENT_BYTES}
+    local resumed = {}
+    for i, p in ipairs(g.gateways) do resumed[i] = r:start_resuming(begun, {gateway = p}) end
+    for i, list in ipairs(resumed) do r:expect_refused_or_own("round " .. round .. ", gateway-" .. i, list) end
+    found = found + #begun
+  until found > 0 or run.now() > ends
+  leader:signal("CONT")
+  fleet.eventually("streams begin at the new version", function()
+    return #r:begin{version = version, may_be_none = true} > 0
+  end)
+end
+g:stop()
--- a/tests/scenarios/resumed.lua
+++ b/tests/scenarios/resumed.lua
@@ -58,20 +58,25 @@
   return self.g:call(o)
 end
 
--- Begins streams whose callers leave after some events; returns those that had any.
-function resumed:begin()
+-- Begins streams whose callers leave after some events; returns those that had any. Fields of o, which may be nil:
+-- gateways: where (default: all in turn); version: only streams of this version are returned; may_be_none: none need begin;
+-- bytes: callers leave after so much.
+function resumed:begin(o)
+  o = o or {}
+  local at = o.gateways or self.g.gateways
   self.g:fault("engine", "versions=1")
   self.g:fault("engine", "gap=" .. GAP_MS)
-  local list, begun = {}, {}
+  local list, begun, n = {}, {}, 0
   for i = 1, self.STREAMS do
-    local c, id = self:call{gateway = self.g.gateways[i % 3 + 1], give_up = BYTES}
+    local c, id = self:call{gateway = at[i % #at + 1], give_up = o.bytes or BYTES}
     list[i] = {id = id, handle = run.http_start(c)}
   end
   for _, s in ipairs(list) do
     s.last, s.version = read(run.http_wait(s.handle))
-    if s.version then begun[#begun + 1] = s end
+    n = n + (s.version and 1 or 0)
+    if s.version == (o.version or s.version) and s.version then begun[#begun + 1] = s end
   end
-  fleet.expect("streams begin", #begun > self.STREAMS / 2)
+  fleet.expect("streams begin", o.may_be_none or n > self.STREAMS / 2)
   return begun
 end
 
@@ -107,6 +112,32 @@
   fleet.equal(what .. ": streams that go on", n, want)
 end
 
+-- Starts to resume streams, once each and all at the same time. Fields of o: gateway or gateways: where; names_attempt.
+function resumed:start_resuming(streams, o)
+  local list = {}
+  for i, s in ipairs(streams) do
+    local headers = {["Last-Event-Id"] = tostring(s.last), Resumes = o.names_attempt and s.id or nil}
+    local at = o.gateway or o.gateways[i % #o.gateways + 1]
+    list[i] = {stream = s, handle = run.http_start((self:call{gateway = at, headers = headers, deadline = TRY_MS}))}
+  end
+  return list
+end
+
+-- Waits for what start_resuming returned; none may go on at another version. Returns how many went on.
+function resumed:expect_refused_or_own(what, list)
+  local n, joined = 0, 0
+  for _, one in ipairs(list) do
+    local r = run.http_wait(one.handle)
+    local _, version = read(r)
+    if r.status == 200 and version then
+      n = n + 1
+      joined = joined + (version ~= one.stream.version and 1 or 0)
+    end
+  end
+  fleet.equal(what .. ": streams joined of two versions", joined, 0)
+  return n
+end
+
 -- Kills processes at once and starts them again.
 function resumed:restart(list)
   for _, p in ipairs(list) do p:kill() end
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -79,7 +79,8 @@
   b->g.parts = pwparts_new();
   b->g.versions = pwversions_new(&b->g);
   b->g.trace = pwtrace_new("gateway-1", STDOUT_FILENO, 0);
-  b->g.link = pwlink_new(&b->g, pwexchange_origin_answered, &err);
+  b->g.link = pwlink_new(&b->g, pwexchange_origin_answered,
+                         pwexchange_served_confirmed, &err);
   CHECK(b->g.link != NULL);
 }
 
--- a/tests/test_versions.c
+++ b/tests/test_versions.c
@@ -137,6 +137,26 @@
   pwfleet_free(f);
 }
 
+/* A request that may go only to recorded versions is sent to no target of another one, even if no other is left. */
+static void test_recorded_versions(void) {
+  pw_fleet *f = fleet_of_both();
+  pw_fleet_versions recorded = {{pwfleet_version_hash("s", "v1")}, 1};
+  pw_fleet_criteria ask = {.service = "s",
+                           .versions = &recorded,
+                           .wait_ms = 1,
+                           .bound = {1e9, 1e9, 0, 0}};
+  for (int i = 0; i < EACH; i++) {
+    ask.draw = i / (double)EACH;
+    pw_fleet_picked p = pwfleet_pick(f, &ask, 10);
+    CHECK(p.target && !strcmp(p.target->version, "v1"));
+    if (p.target)
+      pwfleet_release(p.target);
+  }
+  recorded.n = 0;
+  CHECK(!pwfleet_pick(f, &ask, 10).target);
+  pwfleet_free(f);
+}
+
 int main(void) {
   TESTS_BEGIN("versions");
   TEST(test_sides);
@@ -144,5 +164,6 @@
   TEST(test_few_targets);
   TEST(test_reverted);
   TEST(test_complete);
+  TEST(test_recorded_versions);
   TESTS_END();
 }
