New requests wait for news after a standstill

Callers saw: right after a gateway had continued it still took keys and routes that had been removed meanwhile, and refused streams resumed by name with 2015, as it did not know the targets of their version yet (LOST).

Cause: requests that wait in its sockets are read before, or at the same time as, what control instances send; these stop sending to a gateway that has been silent for 2.5 s, and send everything only after its next message.

Change: after a standstill of 1.5 s or more a gateway asks its primary for the full list of targets anew, and new requests wait until that list and the configuration in force are here, for at most 0.8 s or a third of their time; then they are admitted with the state that there is. Requests that wait are limited as those for a first configuration are. Lines: caught-up waited_ms= complete= awaiting=.

--- a/packages/gateway/pwexchange.c
+++ b/packages/gateway/pwexchange.c
@@ -152,6 +152,16 @@
                least + (int64_t)(pwgate_random(g) * RETRY_SPREAD_MS));
 }
 
+/* Ends the wait for a configuration, or for a newer state after a standstill: with the state that there is, if any. */
+static void end_await(pw_exchange *x) {
+  if (!pwgate_may_serve(x->g)) {
+    refuse_unready(x);
+    return;
+  }
+  leave_waiting_list(x);
+  pwexi_admit(x);
+}
+
 /* Ms by which the time-out is deferred; -1: it is not deferred. Bytes that have arrived are read first:
 ** the loop runs timers before reads, and both are due at once after a stall. */
 static int64_t defer_timeout_ms(const pw_exchange *x, int64_t now) {
@@ -172,7 +182,7 @@
     return 0;
   }
   if (x->is_awaiting) {
-    refuse_unready(x);
+    end_await(x);
     return 1;
   }
   if (x->awaits_prefix) {
@@ -211,7 +221,8 @@
 
 /* --- requests that wait for a configuration --- */
 
-/* Queues the request until a configuration is received, or refuses it when too many requests wait. */
+/* Queues the request until a configuration is received or, after a standstill, a newer state; does not let it wait when
+** too many requests do. */
 static void await_configuration(pw_exchange *x) {
   pw_gate *g = x->g;
   size_t bytes = x->caller->body.len;
@@ -221,7 +232,7 @@
     wait_ms = x->request_info.deadline_ms / AWAIT_DIVISOR;
   if (g->nawaiting == AWAITING_MAX ||
       g->awaiting_bytes + bytes > AWAITING_MAX_BYTES) {
-    refuse_unready(x);
+    end_await(x);
     return;
   }
   x->is_awaiting = 1;
@@ -254,7 +265,7 @@
   ev_timer_init(&x->timer, on_timer, 0, 0);
   x->timer.data = x;
   pwcount_add(g->p->counters, PWC_REQUESTS, 1);
-  if (pwgate_may_serve(g))
+  if (pwgate_may_serve(g) && !pwgate_catches_up(g, x->arrived))
     pwexi_admit(x);
   else
     await_configuration(x);
--- a/packages/gateway/pwgate.c
+++ b/packages/gateway/pwgate.c
@@ -3,6 +3,10 @@
 
 #include <stdlib.h>
 
+/* Shortest standstill after which new requests wait for what was missed, ms: control instances notify each gateway
+** about every 500 ms, and messages of a shorter one are read first. */
+#define STANDSTILL_MS 1500
+
 void pwgate_free_later(pw_gate *g, void *p) {
   if (g->nto_free == g->to_free_cap) {
     g->to_free_cap = g->to_free_cap ? g->to_free_cap * 2 : 64;
@@ -82,6 +86,27 @@
                "version=%llu", (unsigned long long)version);
 }
 
+void pwgate_note_standstill(pw_gate *g, int64_t lost_ms, int64_t now) {
+  if (lost_ms < STANDSTILL_MS || !g->site || !g->link)
+    return;
+  g->catch_up_until = now + PWGATE_CATCH_UP_MS;
+  pwlink_begin_catch_up(g->link, now);
+}
+
+int pwgate_catches_up(pw_gate *g, int64_t now) {
+  if (!g->catch_up_until)
+    return 0;
+  int has_caught_up = pwlink_has_caught_up(g->link, now);
+  if (!has_caught_up && now < g->catch_up_until)
+    return 1;
+  pwtrace_line(g->trace, PWTRACE_STATE, now, "caught-up",
+               "waited_ms=%lld complete=%d awaiting=%d",
+               (long long)(now + PWGATE_CATCH_UP_MS - g->catch_up_until),
+               has_caught_up, g->nawaiting);
+  g->catch_up_until = 0;
+  return 0;
+}
+
 static int knows_targets(pw_gate *g, int64_t now) {
   for (int i = 0; i < pwsite_services(g->site); i++)
     if (pwfleet_alive(g->fleet, pwsite_service(g->site, i)->name, now))
--- a/packages/gateway/pwgate.h
+++ b/packages/gateway/pwgate.h
@@ -66,6 +66,9 @@
 /* Callers refused by a planned stop are told to retry after this time, ms: another gateway takes them at once. */
 #define PWGATE_RETRY_STOPPING_MS 100
 
+/* Longest wait of new requests after a standstill of the gateway, ms. */
+#define PWGATE_CATCH_UP_MS 800
+
 struct pw_gate {
   pw_proc *p;
   struct ev_loop *ev;
@@ -111,6 +114,8 @@
   int64_t started_at;
   int64_t stop_at;      /* start of the planned stop, ms; 0: not stopping */
   int64_t stop_ends_at; /* when the requests left are ended then, ms */
+  /* Until when new requests wait for what was missed in a standstill, ms; 0: they do not. */
+  int64_t catch_up_until;
   pw_pick_policy pick_policy; /* how targets are picked */
   int is_ready;
   int64_t ticked_at, swept_at, checked_at;
@@ -136,6 +141,13 @@
 /* Whether requests can be sent anywhere: a configuration and targets are known. */
 int pwgate_may_serve(pw_gate *g);
 
+/* Ends a standstill of this process in which it missed `lost_ms`: after a long one new requests wait until what control
+** instances have told meanwhile is here, but not longer than PWGATE_CATCH_UP_MS. */
+void pwgate_note_standstill(pw_gate *g, int64_t lost_ms, int64_t now);
+
+/* Whether new requests still wait after a standstill. */
+int pwgate_catches_up(pw_gate *g, int64_t now);
+
 /* Updates the gauge of refused parts of prompts, and logs which have begun or ceased to be refused. */
 void pwgate_log_parts(pw_gate *g, int64_t now);
 
@@ -304,6 +316,12 @@
 ** contact with its leader, or no such instance could be reached for a while. */
 int pwlink_is_current(const pw_link *l, int64_t now);
 
+/* Asks for all that control instances may have told while this process was suspended. */
+void pwlink_begin_catch_up(pw_link *l, int64_t now);
+
+/* Whether that has arrived: the full list of targets, and the configuration that is in force. */
+int pwlink_has_caught_up(const pw_link *l, int64_t now);
+
 /* Whether a control instance that has contact with its leader was heard lately: it would have told of new targets. */
 int pwlink_hears_leader(const pw_link *l, int64_t now);
 
--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -272,6 +272,7 @@
 static void on_stall(void *arg, int64_t lost_ms) {
   pw_gate *g = arg;
   pwfleet_discount_stall(g->fleet, lost_ms);
+  pwgate_note_standstill(g, lost_ms, pwclock_ms());
 }
 
 /* Runs the work whose decisions depend on how long targets and other instances have been silent. */
@@ -301,7 +302,7 @@
   if (pwlag_catch_up(&g->tcp.lag, now) == 0)
     run_checks(g, now);
   note_ready(g, now);
-  if (g->awaiting && pwgate_may_serve(g))
+  if (!pwgate_catches_up(g, now) && g->awaiting && pwgate_may_serve(g))
     pwexchange_start_waiting(g);
   pwtrace_flush(g->trace, now);
   if (atomic_load(&g->p->stopping) && !g->stop_at)
--- a/packages/gateway/pwlink.c
+++ b/packages/gateway/pwlink.c
@@ -249,6 +249,24 @@
   return confirmed || now - l->config_at > UNCONFIRMED_MS;
 }
 
+/* Messages from before the standstill may still be unread, so the primary is asked for its full list anew: it sends one to
+** each gateway that begins to take it for its primary. */
+void pwlink_begin_catch_up(pw_link *l, int64_t now) {
+  contact *p = l->primary;
+  l->has_full_list = 0;
+  l->chosen_at = now;
+  if (!p)
+    return;
+  l->primary = NULL;
+  pwlink_send_watch(l, p, 0, now);
+  l->primary = p;
+  pwlink_send_watch(l, p, 0, now);
+}
+
+int pwlink_has_caught_up(const pw_link *l, int64_t now) {
+  return l->has_full_list && pwlink_is_current(l, now);
+}
+
 int pwlink_hears_leader(const pw_link *l, int64_t now) {
   for (const contact *c = l->contacts; c; c = c->next)
     if (c->has_leader && pwcontacts_is_fresh(c, now))
