Streams of routes that are not resumable are not resumed

Callers saw: a stream on a route without "resumable" that was resumed with Last-Event-Id was sent on. A target that ignores the header there, as it may, began anew: the numbers of the caller's events went back, answered 200.

Cause: a route's streams were taken for resumable wherever the route has streams.

Change: such a request is refused, 503 2014; it has not run.

Measured: 129_not_resumable on the commit before: "Last-Event-Id: status: got 200, want 503"; passes here.

--- a/packages/gateway/pwexresume.c
+++ b/packages/gateway/pwexresume.c
@@ -201,7 +201,9 @@
 
 /* Refuses a stream whose version cannot be found out, whatever is answered. Returns whether it was refused. */
 static int refuse_unresumable(pw_exchange *x) {
-  if (!x->stream && !leads_to_one_service(x->route))
+  if (!x->route->is_resumable)
+    refuse_unknown(x, "streams of the route cannot be resumed", 0);
+  else if (!x->stream && !leads_to_one_service(x->route))
     refuse_unknown(
         x, "the request does not name the attempt that began the stream", 0);
   else
