Events that a target repeats are not passed on

Callers saw: a resumed stream whose numbers went back (ORDER), answered 200.

Cause: a target that ignores Last-Event-Id begins anew, and the gateway passed on what it sent, both where the caller had resumed the stream and where the gateway did after another target had cut it.

Change: if the first id of such an answer and the last one that the caller has are numbers, and the first does not come after the last, the attempt has failed and another target is tried, or the request refused or broken off. Line events-repeated target= last= first=, counter gateway_events_repeated_total.

--- a/packages/core/pwcount.h
+++ b/packages/core/pwcount.h
@@ -125,6 +125,8 @@
     "answers of targets that are not HTTP/1.1")                                \
   X(PWC_GW_ANSWER_CUT, "gateway_answers_cut_total", "counter",                 \
     "answers that looked complete and had been broken off")                    \
+  X(PWC_GW_EVENTS_REPEATED, "gateway_events_repeated_total", "counter",        \
+    "streams that a target began anew instead of continuing them")             \
   X(PWC_GW_STREAM_RESUMED, "gateway_streams_resumed_total", "counter",         \
     "streams resumed by callers whose version was known")                      \
   X(PWC_GW_STREAM_UNKNOWN, "gateway_streams_unknown_total", "counter",         \
--- a/packages/gateway/pwevents.c
+++ b/packages/gateway/pwevents.c
@@ -80,6 +80,32 @@
   x->nlast_event = length;
 }
 
+/* The id of the last event that the caller has; {0}: none is known. */
+static pw_span last_event_of(const pw_exchange *x) {
+  return x->nlast_event ? (pw_span){x->last_event, x->nlast_event}
+                        : x->request_info.last_event;
+}
+
+/* Whether a target that was to continue the stream sends events that the caller has. */
+static int repeats_events(const pw_exchange *x, const char *data, size_t n) {
+  size_t length;
+  pw_span last = last_event_of(x);
+  const char *id = last.p ? pwsse_first_id(data, n, &length) : NULL;
+  return id && pwsse_goes_back(id, length, last.p, last.n);
+}
+
+static void end_repeating(pw_exchange *x, const char *data, size_t n) {
+  size_t length;
+  pw_span last = last_event_of(x);
+  const char *id = pwsse_first_id(data, n, &length);
+  pwexi_log(x, PWTRACE_FAIL, "events-repeated",
+            "target=%s last=%.*s first=%.*s", x->t->id, (int)last.n, last.p,
+            (int)length, id);
+  pwcount_add(x->g->p->counters, PWC_GW_EVENTS_REPEATED, 1);
+  pwexi_end_bad_attempt(
+      x, "the target repeats events instead of continuing the stream");
+}
+
 void pwexi_forward_events(pw_exchange *x, const char *data, size_t n) {
   long events_before = x->events.events;
   size_t complete = pwsse_read(&x->events, data, n);
@@ -98,6 +124,10 @@
     events = x->buffered.data;
     length = x->buffered.len;
   }
+  if (events_before == 0 && repeats_events(x, events, length)) {
+    end_repeating(x, events, length);
+    return;
+  }
   if (x->events.events > events_before) /* not comments alone */
     note_id(x, events, length);
   pwexi_forward(x, events, length);
--- a/packages/gateway/pwexbody.c
+++ b/packages/gateway/pwexbody.c
@@ -6,13 +6,17 @@
   return pwgate_buf_limits(x->g).answer;
 }
 
-void pwexi_end_too_large(pw_exchange *x) {
+void pwexi_end_bad_attempt(pw_exchange *x, const char *why) {
   pw_upconn *u = x->u;
   x->u = NULL;
   pwupconn_cancel(u);
   pwfleet_failed(x->t, pwclock_ms());
-  pwexi_fail_unknown(x,
-                     "the answer or an event of it is larger than the buffer");
+  pwexi_fail_unknown(x, why);
+}
+
+void pwexi_end_too_large(pw_exchange *x) {
+  pwexi_end_bad_attempt(
+      x, "the answer or an event of it is larger than the buffer");
 }
 
 /* Whether the answer may begin before it is complete. One without a length could go on without end. */
--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -139,7 +139,10 @@
 /* Bytes that may be buffered of the answer, or of one event of it. */
 size_t pwexi_answer_room(const pw_exchange *x);
 
-/* Ends an attempt whose answer does not fit: the target has failed. */
+/* Ends an attempt in the middle of its answer, which cannot be used: the target has failed. */
+void pwexi_end_bad_attempt(pw_exchange *x, const char *why);
+
+/* Ends an attempt whose answer does not fit. */
 void pwexi_end_too_large(pw_exchange *x);
 
 /* Pauses the target while its caller has not read what was forwarded. */
--- a/packages/net/pwsse.h
+++ b/packages/net/pwsse.h
@@ -22,7 +22,12 @@
 /* Whether no event and no line is unfinished. A stream that ends elsewhere has been broken off. */
 int pwsse_is_between(const pw_sse *s);
 
-/* Finds the value of the last id field in complete events, and sets its length. NULL: there is none. */
+/* Finds the value of the last and of the first id field in complete events, and sets its length. NULL: there is none. */
 const char *pwsse_last_id(const char *data, size_t n, size_t *length);
+const char *pwsse_first_id(const char *data, size_t n, size_t *length);
+
+/* Whether both ids are numbers and `id` does not come after `last`: events are repeated. */
+int pwsse_goes_back(const char *id, size_t length, const char *last,
+                    size_t last_length);
 
 #endif
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -62,6 +62,7 @@
                       * answer, FIN, and a reset after so many ms */ \
   X(cut_event)    /* event in which a new stream is cut; 0: third event */     \
   X(ids)          /* only so many first events of a stream have an id */       \
+  X(ignores_last) /* a resumed stream begins anew */                           \
   X(id_digits)    /* least number of digits of an id */                        \
   X(versions)     /* events name the software version, and "unframed" */       \
   X(reset)        /* run; the connection is reset without an answer */         \
@@ -365,7 +366,7 @@
   text_of(p, "Last-Event-Id", last);
   text_of(p, "X-Token-Count", tokens);
   sscanf(tokens, "%d,%d", &prompt, &p->events);
-  p->event = last[0] ? atoi(last) + 1 : 1;
+  p->event = last[0] && !me.f.ignores_last ? atoi(last) + 1 : 1;
   p->cut_at = cut_event_of(p);
   p->is_unframed = spend(&me.f.unframed);
   seal(line);
--- a/tests/test_sse.c
+++ b/tests/test_sse.c
@@ -92,6 +92,25 @@
   CHECK(pwsse_last_id("", 0, &n) == NULL);
 }
 
+static int first_id_is(const char *text, const char *want) {
+  size_t n = 0;
+  const char *id = pwsse_first_id(text, strlen(text), &n);
+  return id && n == strlen(want) && !memcmp(id, want, n);
+}
+
+/* A target that repeats events instead of continuing a stream is found by the first id that it sends. */
+static void test_first_id(void) {
+  size_t n;
+  CHECK(first_id_is("data: x\nid: 1\n\nid: 22\ndata: y\n\n", "1"));
+  CHECK(first_id_is("\xEF\xBB\xBFid:3\r\n\r\n", "3"));
+  CHECK(pwsse_first_id("data: id: 7\n\n", 13, &n) == NULL);
+  CHECK(pwsse_goes_back("1", 1, "4", 1) && pwsse_goes_back("4", 1, "4", 1));
+  CHECK(pwsse_goes_back("009", 3, "10", 2));
+  CHECK(!pwsse_goes_back("5", 1, "4", 1) && !pwsse_goes_back("10", 2, "9", 1));
+  CHECK(!pwsse_goes_back("", 0, "4", 1) && !pwsse_goes_back("1", 1, "a4", 2));
+  CHECK(!pwsse_goes_back("1", 1, "9999999999999999999", 19));
+}
+
 int main(void) {
   TESTS_BEGIN("sse");
   TEST(test_line_feed);
@@ -99,5 +118,6 @@
   TEST(test_both);
   TEST(test_comments);
   TEST(test_ids);
+  TEST(test_first_id);
   TESTS_END();
 }
