--- a/packages/gateway/pwexint.h
+++ b/packages/gateway/pwexint.h
@@ -49,8 +49,8 @@
   int64_t announced_at; /* when its version was last announced, ms */
   int is_told_control;  /* control instances have been told, too */
   int awaits_origin;    /* other instances are queried for its version */
-  uint64_t
-      served_query; /* the query for the recorded versions that it awaits; 0: none */
+  /* The query for the recorded versions that it awaits; 0: none. */
+  uint64_t served_query;
   /* When gateways and when control instances were last queried, ms. */
   int64_t queried_at, control_queried_at;
   /* Hashes of those queried, gateways first; 0: has answered. */
--- a/packages/gateway/pwgateserved.c
+++ b/packages/gateway/pwgateserved.c
@@ -4,9 +4,6 @@
 
 #include "pwlinkstreams.h"
 
-_Static_assert((int)PWFLEET_VERSIONS_MAX == (int)PWSERVED_VERSIONS_MAX,
-               "all recorded versions fit");
-
 /* Interval at which the targets are looked through for several versions, ms. */
 #define SEVERAL_CHECK_MS 250
 
@@ -47,7 +44,7 @@
                                            const char *service) {
   const Pw__ServedVersions *m = pwserved_get(&g->served, service);
   pw_fleet_versions v = {0};
-  for (size_t i = 0; m && i < m->n_versions; i++)
+  for (size_t i = 0; m && i < m->n_versions && v.n < PWFLEET_VERSIONS_MAX; i++)
     v.hash[v.n++] = pwfleet_version_hash(service, m->versions[i]);
   return v;
 }
