Test of versions over standstills in series

Gateways and control instances are suspended, targets of a new version start in one service after the other and others end, in series that overlap; streams that broke off are resumed all the while, by name and without. None may go on at another version or after another event.

--- a/tests/scenarios/resumed.lua
+++ b/tests/scenarios/resumed.lua
@@ -13,12 +13,22 @@
 resumed.OLD_GONE_MS = 6000 -- longer than gateways and control instances know targets that are gone
 resumed.TOLD_MS = 1000 -- longer than gateways take to tell others of a stream
 
--- Starts three control instances, three gateways and three targets of version v1.
-function resumed.new()
+-- Starts three control instances, three gateways and three targets of version v1; with `services`, two such targets for
+-- each of so many further services "llm-N", to which routes "/again-N/" lead.
+function resumed.new(services)
   local g = gateways.new{control = 3, gateways = 3, portals = 1}
   local self = setmetatable({g = g, old = {}, asked = 0}, resumed)
   for i = 1, 3 do self.old[i] = g:add_target("engine-old-" .. i, "llm", nil, "v1") end
-  g:start()
+  for n = 1, services or 0 do
+    for i = 1, 2 do g:add_target("engine-" .. n .. "-old-" .. i, "llm-" .. n, nil, "v1") end
+  end
+  g:start(function(s)
+    for n = 1, services or 0 do
+      s.services[#s.services + 1] = "llm-" .. n
+      table.insert(s.routes, 1, {name = "again-" .. n, prefix = "/again-" .. n .. "/", kind = "stream", service = "llm-" .. n,
+        attempts = 2, timeout = 5000, resumable = true})
+    end
+  end)
   g:wait_budgets()
   return self
 end
@@ -54,13 +64,13 @@
 
 function resumed:call(o)
   self.asked = self.asked + 1
-  o.path, o.events, o.body = "/again/x", self.EVENTS, "question " .. self.asked
+  o.path, o.events, o.body = o.path or "/again/x", self.EVENTS, "question " .. self.asked
   return self.g:call(o)
 end
 
 -- Begins streams whose callers leave after some events; returns those that had any. Fields of o, which may be nil:
 -- gateways: where (default: all in turn); version: only streams of this version are returned; may_be_none: none need begin;
--- bytes: callers leave after so much.
+-- bytes: callers leave after so much; path: of another service.
 function resumed:begin(o)
   o = o or {}
   local at = o.gateways or self.g.gateways
@@ -68,8 +78,8 @@
   self.g:fault("engine", "gap=" .. GAP_MS)
   local list, begun, n = {}, {}, 0
   for i = 1, self.STREAMS do
-    local c, id = self:call{gateway = at[i % #at + 1], give_up = o.bytes or BYTES}
-    list[i] = {id = id, handle = run.http_start(c)}
+    local c, id = self:call{gateway = at[i % #at + 1], give_up = o.bytes or BYTES, path = o.path}
+    list[i] = {id = id, path = o.path, handle = run.http_start(c)}
   end
   for _, s in ipairs(list) do
     s.last, s.version = read(run.http_wait(s.handle))
@@ -118,23 +128,25 @@
   for i, s in ipairs(streams) do
     local headers = {["Last-Event-Id"] = tostring(s.last), Resumes = o.names_attempt and s.id or nil}
     local at = o.gateway or o.gateways[i % #o.gateways + 1]
-    list[i] = {stream = s, handle = run.http_start((self:call{gateway = at, headers = headers, deadline = TRY_MS}))}
+    list[i] = {stream = s, handle = run.http_start((self:call{gateway = at, headers = headers, deadline = TRY_MS, path = s.path}))}
   end
   return list
 end
 
--- Waits for what start_resuming returned; none may go on at another version. Returns how many went on.
+-- Waits for what start_resuming returned; none may go on at another version or after another event. Returns how many went on.
 function resumed:expect_refused_or_own(what, list)
-  local n, joined = 0, 0
+  local n, joined, displaced = 0, 0, 0
   for _, one in ipairs(list) do
     local r = run.http_wait(one.handle)
     local _, version = read(r)
     if r.status == 200 and version then
       n = n + 1
       joined = joined + (version ~= one.stream.version and 1 or 0)
+      displaced = displaced + (tonumber(r.body:match("^id: (%d+)")) ~= one.stream.last + 1 and 1 or 0)
     end
   end
   fleet.equal(what .. ": streams joined of two versions", joined, 0)
+  fleet.equal(what .. ": streams that go on after another event", displaced, 0)
   return n
 end
 
