A connection that is being established is closed at a gateway's end

Seen: a run of 83_crashing_part_kept under AddressSanitizer ended with a leak report for a gateway that had been stopped, allocated by pwupconn_replace.

Cause: at its end a gateway closes idle connections to targets, and those of requests with their requests. A connection that was opened to find out whether a target runs, and is not established yet, is neither. Callers saw nothing; the process ends.

Change: end_targets closes it, too.

--- a/packages/gateway/pwgateway.c
+++ b/packages/gateway/pwgateway.c
@@ -338,6 +338,10 @@
   for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
     t->is_gone = 1;
   sweep_targets(g, pwclock_ms());
+  for (pw_target *t = pwfleet_first(g->fleet); t; t = t->hh.next)
+    pwupconn_cancel_replacement(t);
+  for (pw_target *t = pwfleet_retired(g->fleet); t; t = t->next_retired)
+    pwupconn_cancel_replacement(t);
 }
 
 static const pw_gossip_callbacks gossip_calls = {
--- a/packages/gateway/pwupconn.c
+++ b/packages/gateway/pwupconn.c
@@ -339,6 +339,11 @@
   return 1;
 }
 
+void pwupconn_cancel_replacement(pw_target *t) {
+  if (t->replacement)
+    close_conn(t->replacement, 1);
+}
+
 int pwupconn_is_readable(const pw_upconn *u) {
   return u->is_up && pwtcp_is_readable(u->tcp);
 }
--- a/packages/gateway/pwupconn.h
+++ b/packages/gateway/pwupconn.h
@@ -43,6 +43,9 @@
 ** the target refuses at once. Returns 0 if this process cannot open any. */
 int pwupconn_replace(pw_gate *g, pw_target *t, pw_upconn_replaced *replaced);
 
+/* Closes that connection if it is still being established or idle. The target's requests must have ended. */
+void pwupconn_cancel_replacement(pw_target *t);
+
 /* Cancels the pending answer by resetting the connection. */
 void pwupconn_cancel(pw_upconn *u);
 
