A restored record of versions replaces one of the same number

Found by reading: after a restore from a backup the numbers of the record are given again, so a gateway could hold another record under the number that the leader confirms, for good, and neither begin nor resume streams rightly.

Change: the answer to a query that was sent after the record here had come replaces it, whatever its number; only a change of number is logged.

--- a/packages/gateway/pwgateserved.c
+++ b/packages/gateway/pwgateserved.c
@@ -20,9 +20,11 @@
 
 static void replace(pw_gate *g, Pw__ServedVersions *const *list, size_t n,
                     uint64_t number, int64_t now) {
+  int is_change = number != g->served.number;
   pwserved_replace(&g->served, list, n, number);
   g->served_query = pwlink_served_query(g->link);
-  log_versions(g, now);
+  if (is_change)
+    log_versions(g, now);
 }
 
 void pwgate_receive_served(pw_gate *g, const Pw__Notice *n, int64_t now) {
@@ -30,13 +32,11 @@
     replace(g, n->served, n->n_served, n->served_number, now);
 }
 
-/* An older record replaces a newer one only if it answers a later query, as after a restore from a backup. */
+/* The answer to a query that was sent after the record here had come is newer, whatever its number: after a restore from
+** a backup numbers are given again. */
 void pwgate_confirm_served(pw_gate *g, const Pw__StreamAnswers *m,
                            int64_t now) {
-  uint64_t here = g->served.number;
-  int is_restored =
-      m->served_number < here && m->served_query > g->served_query;
-  if (m->served_number > here || is_restored)
+  if (m->served_number > g->served.number || m->served_query > g->served_query)
     replace(g, m->served, m->n_served, m->served_number, now);
 }
 
